--- /dev/null
+++ b/src/process/clock.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <chrono>  // nanoseconds, duration
+#include <cstdint> // int64_t
+#include <ctime>   // clock_gettime, CLOCK_BOOTTIME
+
+namespace hickorykeel {
+
+/// Clock that goes on while the machine sleeps or the process is stopped, so a term that ended
+/// during a pause is seen as ended. Satisfies the standard's Clock requirements.
+struct boot_clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    /// Current time. Thread safe.
+    static time_point now() noexcept
+    {
+        std::timespec value{};
+        clock_gettime(CLOCK_BOOTTIME, &value);
+        return time_point{std::chrono::seconds{value.tv_sec} +
+                          std::chrono::nanoseconds{value.tv_nsec}};
+    }
+};
+
+/// Moment and span of the decision code. Tests make their own moments.
+using time_point = boot_clock::time_point;
+using duration = boot_clock::duration;
+
+/// Nanoseconds since the clock's origin, for messages.
+constexpr std::uint64_t to_stamp(time_point moment) noexcept
+{
+    return static_cast<std::uint64_t>(moment.time_since_epoch().count());
+}
+
+constexpr time_point from_stamp(std::uint64_t stamp) noexcept
+{
+    return time_point{duration{static_cast<std::int64_t>(stamp)}};
+}
+
+/// Seconds as a floating-point number, for rates.
+constexpr double to_seconds(duration span) noexcept
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+constexpr duration from_seconds(double seconds) noexcept
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+/// Largest relative error between the clocks of two hosts that the leases allow for.
+inline constexpr double clock_drift_bound = 0.001;
+
+} // namespace hickorykeel
--- /dev/null
+++ b/src/process/settings.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>     // int64_t
+#include <map>         // map
+#include <span>        // span
+#include <string>      // string
+#include <string_view> // string_view
+#include <variant>     // variant
+#include <vector>      // vector
+
+namespace hickorykeel {
+
+/// What a setting's value must look like.
+enum class setting_kind {
+    text,
+    name,
+    address,
+    address_list,
+    number,
+    flag,
+    z85_key,
+    z85_key_list,
+    digest
+};
+
+/// One key that a program knows. The tables of rules are the only place that lists keys.
+struct setting_rule {
+    std::string_view section;
+    std::string_view key;
+    setting_kind kind;
+    bool is_required;
+    std::string_view default_value;
+    std::int64_t minimum;  ///< of a number
+    std::int64_t maximum;  ///< of a number
+    std::string_view help; ///< with the unit
+};
+
+/// A fault in a settings file.
+struct settings_fault {
+    std::string file;
+    std::string section;
+    std::string key;
+    std::string value;
+    std::string allowed; ///< what would be right
+
+    [[nodiscard]] std::string to_string() const;
+};
+
+/// Checked settings of one process. Immutable; share it freely.
+class settings {
+public:
+    /// Reads `path` and checks it against `rules`: every fault is listed, unknown keys are faults.
+    static std::variant<settings, std::vector<settings_fault>>
+    load(const std::string& path, std::span<const setting_rule> rules);
+
+    /// @name element access
+    /// Precondition: a rule of that section and key exists, of a matching kind.
+    /// @{
+    [[nodiscard]] const std::string& text(std::string_view section, std::string_view key) const;
+    [[nodiscard]] std::int64_t number(std::string_view section, std::string_view key) const;
+    [[nodiscard]] bool is_set(std::string_view section, std::string_view key) const; ///< of a flag
+    [[nodiscard]] std::vector<std::string> list(std::string_view section,
+                                                std::string_view key) const;
+    /// @}
+
+private:
+    std::map<std::string, std::string, std::less<>> m_values; // "section.key"
+};
+
+/// Exit code for faulty settings (EX_CONFIG of sysexits.h).
+inline constexpr int exit_settings = 78;
+
+} // namespace hickorykeel
--- /dev/null
+++ b/src/version/configuration.cpp
@@ -0,0 +1,1 @@
+#include "version/configuration.h"
--- /dev/null
+++ b/tests/request/refusal_test.cpp
@@ -0,0 +1,15 @@
+#include "request/refusal.h"
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+
+TEST_CASE("refusal codes")
+{
+    SUBCASE("each row of the table stands at the place of its code")
+    {
+        for (std::size_t i = 0; i < refusal_kinds.size(); ++i) {
+            CHECK(static_cast<std::size_t>(refusal_kinds[i].code) == i);
+        }
+    }
+}
