Carry envelopes between processes over ZeroMQ

One thread owns all sockets. Stamps that the peer echoes bound the age of a message without agreement between clocks.

--- /dev/null
+++ b/src/connection/messenger.cpp
@@ -0,0 +1,411 @@
+#include "connection/messenger.h"
+
+#include <algorithm>     // find
+#include <array>         // array
+#include <atomic>        // atomic
+#include <deque>         // deque
+#include <mutex>         // mutex, lock_guard
+#include <random>        // random_device, uniform_int_distribution
+#include <thread>        // thread
+#include <unordered_map> // unordered_map
+#include <utility>       // move
+
+#include <glog/logging.h>
+#include <zmq.hpp>
+
+namespace hickorykeel {
+namespace detail {
+
+// Queue of one peer: beyond it messages to a peer that cannot be reached are dropped.
+constexpr int peer_queue_messages = 10'000;
+
+// Messages read from one socket before the others get their turn.
+constexpr int messages_per_turn = 256;
+
+constexpr int connect_retry_ms = 50;
+constexpr int connect_retry_maximum_ms = 1'000;
+constexpr int link_heartbeat_ms = 1'000;
+constexpr int link_heartbeat_timeout_ms = 5'000;
+
+// zap's fixed address, see ZeroMQ RFC 27.
+constexpr const char* zap_address = "inproc://zeromq.zap.01";
+constexpr std::size_t curve_key_bytes = 32;
+constexpr std::size_t curve_key_text_bytes = 41;
+
+struct outgoing {
+    enum class kind { ask, answer, forget } what;
+    std::string to;
+    link::envelope message;
+};
+
+struct dealer {
+    zmq::socket_t socket;
+    std::uint64_t newest_stamp = 0;
+    std::uint64_t peer_incarnation = 0;
+};
+
+struct route_stamp {
+    std::uint64_t stamp = 0;
+    std::uint64_t incarnation = 0;
+};
+
+std::uint64_t random_number()
+{
+    std::random_device device;
+    std::uniform_int_distribution<std::uint64_t> numbers(1);
+    return numbers(device);
+}
+
+std::string to_key_text(const void* key)
+{
+    std::array<char, curve_key_text_bytes> text{};
+    zmq_z85_encode(text.data(), static_cast<const std::uint8_t*>(key), curve_key_bytes);
+    return text.data();
+}
+
+} // namespace detail
+
+struct messenger::state {
+    options settings;
+    handler on_message;
+    std::uint64_t incarnation = 0;
+    zmq::context_t context{1};
+    zmq::socket_t router{context, zmq::socket_type::router};
+    zmq::socket_t wake_receiver{context, zmq::socket_type::pair};
+    zmq::socket_t wake_sender{context, zmq::socket_type::pair};
+    zmq::socket_t zap{context, zmq::socket_type::rep};
+    std::string bound_address;
+    std::unordered_map<std::string, detail::dealer> dealers;
+    std::unordered_map<std::string, detail::route_stamp> routes;
+    std::mutex mutex; // guards queue, is_woken, wake_sender, is_stopping
+    std::deque<detail::outgoing> queue;
+    bool is_woken = false;
+    bool is_stopping = false;
+    std::atomic<std::uint64_t> sent_bytes{0};
+    std::atomic<std::uint64_t> received_bytes{0};
+    std::thread worker;
+
+    [[nodiscard]] bool is_encrypted() const { return !settings.keys.secret_key.empty(); }
+
+    void bind()
+    {
+        wake_receiver.bind("inproc://wake");
+        wake_sender.connect("inproc://wake");
+        router.set(zmq::sockopt::linger, 0);
+        router.set(zmq::sockopt::sndhwm, detail::peer_queue_messages);
+        router.set(zmq::sockopt::router_handover, true);
+        router.set(zmq::sockopt::heartbeat_ivl, detail::link_heartbeat_ms);
+        router.set(zmq::sockopt::heartbeat_timeout, detail::link_heartbeat_timeout_ms);
+        if (is_encrypted()) {
+            zap.set(zmq::sockopt::linger, 0);
+            zap.bind(detail::zap_address);
+            router.set(zmq::sockopt::curve_server, true);
+            router.set(zmq::sockopt::curve_secretkey, settings.keys.secret_key);
+        }
+        if (!settings.listen.empty()) {
+            router.bind("tcp://" + settings.listen);
+            bound_address = router.get(zmq::sockopt::last_endpoint).substr(6);
+        }
+    }
+
+    void enqueue(detail::outgoing item)
+    {
+        const std::lock_guard lock(mutex);
+        queue.push_back(std::move(item));
+        wake();
+    }
+
+    // precondition: the mutex is held
+    void wake()
+    {
+        if (!is_woken) {
+            is_woken = true;
+            wake_sender.send(zmq::message_t(), zmq::send_flags::dontwait);
+        }
+    }
+
+    void run()
+    {
+        std::vector<zmq::pollitem_t> items;
+        std::vector<std::string> addresses;
+        while (true) {
+            collect_sockets(items, addresses);
+            zmq::poll(items, std::chrono::milliseconds{-1});
+            if ((items[0].revents & ZMQ_POLLIN) != 0 && !send_queued()) {
+                return;
+            }
+            if ((items[1].revents & ZMQ_POLLIN) != 0) {
+                receive_questions();
+            }
+            if ((items[2].revents & ZMQ_POLLIN) != 0) {
+                authenticate_peer();
+            }
+            for (std::size_t i = 3; i < items.size(); ++i) {
+                if ((items[i].revents & ZMQ_POLLIN) != 0) {
+                    receive_answers(addresses[i - 3]);
+                }
+            }
+        }
+    }
+
+    void collect_sockets(std::vector<zmq::pollitem_t>& items, std::vector<std::string>& addresses)
+    {
+        items.clear();
+        addresses.clear();
+        items.push_back({wake_receiver.handle(), 0, ZMQ_POLLIN, 0});
+        items.push_back({router.handle(), 0, ZMQ_POLLIN, 0});
+        items.push_back({zap.handle(), 0, ZMQ_POLLIN, 0});
+        for (auto& [address, peer] : dealers) {
+            items.push_back({peer.socket.handle(), 0, ZMQ_POLLIN, 0});
+            addresses.push_back(address);
+        }
+    }
+
+    // false once the messenger is to stop
+    bool send_queued()
+    {
+        zmq::message_t token;
+        static_cast<void>(wake_receiver.recv(token, zmq::recv_flags::dontwait));
+        std::deque<detail::outgoing> batch;
+        {
+            const std::lock_guard lock(mutex);
+            is_woken = false;
+            if (is_stopping) {
+                return false;
+            }
+            batch.swap(queue);
+        }
+        for (detail::outgoing& item : batch) {
+            send(item);
+        }
+        return true;
+    }
+
+    void send(detail::outgoing& item)
+    {
+        try {
+            switch (item.what) {
+            case detail::outgoing::kind::ask:
+                send_question(item.to, item.message);
+                break;
+            case detail::outgoing::kind::answer:
+                send_answer(item.to, item.message);
+                break;
+            case detail::outgoing::kind::forget:
+                dealers.erase(item.to);
+                break;
+            }
+        }
+        catch (const zmq::error_t& failure) {
+            LOG_EVERY_N(WARNING, 1000) << "link to " << item.to << ": " << failure.what();
+        }
+    }
+
+    void send_question(const std::string& address, link::envelope& message)
+    {
+        detail::dealer& peer = connect(address);
+        stamp(message, peer.newest_stamp, peer.peer_incarnation);
+        const std::string bytes = message.SerializeAsString();
+        if (peer.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+            sent_bytes += bytes.size();
+        }
+    }
+
+    void send_answer(const std::string& route, link::envelope& message)
+    {
+        const detail::route_stamp& seen = routes[route];
+        stamp(message, seen.stamp, seen.incarnation);
+        const std::string bytes = message.SerializeAsString();
+        const zmq::send_flags flags = zmq::send_flags::dontwait;
+        if (router.send(zmq::buffer(route), flags | zmq::send_flags::sndmore) &&
+            router.send(zmq::buffer(bytes), flags)) {
+            sent_bytes += bytes.size();
+        }
+    }
+
+    void stamp(link::envelope& message, std::uint64_t echo, std::uint64_t echo_incarnation) const
+    {
+        message.set_sender(settings.name);
+        message.set_incarnation(incarnation);
+        message.set_sent_stamp(to_stamp(boot_clock::now()));
+        message.set_echo_stamp(echo);
+        message.set_echo_incarnation(echo_incarnation);
+    }
+
+    detail::dealer& connect(const std::string& address)
+    {
+        const auto found = dealers.find(address);
+        if (found != dealers.end()) {
+            return found->second;
+        }
+        detail::dealer peer{zmq::socket_t(context, zmq::socket_type::dealer)};
+        peer.socket.set(zmq::sockopt::linger, 0);
+        peer.socket.set(zmq::sockopt::sndhwm, detail::peer_queue_messages);
+        peer.socket.set(zmq::sockopt::reconnect_ivl, detail::connect_retry_ms);
+        peer.socket.set(zmq::sockopt::reconnect_ivl_max, detail::connect_retry_maximum_ms);
+        peer.socket.set(zmq::sockopt::heartbeat_ivl, detail::link_heartbeat_ms);
+        peer.socket.set(zmq::sockopt::heartbeat_timeout, detail::link_heartbeat_timeout_ms);
+        const std::string route = std::to_string(incarnation) + '/' + address;
+        peer.socket.set(zmq::sockopt::routing_id, route);
+        if (is_encrypted()) {
+            peer.socket.set(zmq::sockopt::curve_serverkey, settings.keys.public_key);
+            peer.socket.set(zmq::sockopt::curve_publickey, settings.keys.public_key);
+            peer.socket.set(zmq::sockopt::curve_secretkey, settings.keys.secret_key);
+        }
+        peer.socket.connect("tcp://" + address);
+        return dealers.emplace(address, std::move(peer)).first->second;
+    }
+
+    void receive_questions()
+    {
+        for (int i = 0; i < detail::messages_per_turn; ++i) {
+            zmq::message_t route;
+            if (!router.recv(route, zmq::recv_flags::dontwait)) {
+                return;
+            }
+            zmq::message_t bytes;
+            if (!route.more() || !router.recv(bytes, zmq::recv_flags::dontwait)) {
+                continue;
+            }
+            received_message received;
+            received.route = route.to_string();
+            if (parse(bytes, received)) {
+                detail::route_stamp& seen = routes[received.route];
+                seen.stamp = received.message.sent_stamp();
+                seen.incarnation = received.message.incarnation();
+                on_message(std::move(received));
+            }
+        }
+    }
+
+    void receive_answers(const std::string& address)
+    {
+        const auto found = dealers.find(address);
+        for (int i = 0; i < detail::messages_per_turn && found != dealers.end(); ++i) {
+            zmq::message_t bytes;
+            if (!found->second.socket.recv(bytes, zmq::recv_flags::dontwait)) {
+                return;
+            }
+            received_message received;
+            received.peer = address;
+            if (parse(bytes, received)) {
+                found->second.newest_stamp = received.message.sent_stamp();
+                found->second.peer_incarnation = received.message.incarnation();
+                on_message(std::move(received));
+            }
+        }
+    }
+
+    bool parse(const zmq::message_t& bytes, received_message& received)
+    {
+        received_bytes += bytes.size();
+        if (!received.message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+            LOG_EVERY_N(WARNING, 1000) << "link message that cannot be parsed";
+            return false;
+        }
+        const link::envelope& message = received.message;
+        if (message.echo_stamp() != 0 && message.echo_incarnation() == incarnation) {
+            received.maximum_age = boot_clock::now() - from_stamp(message.echo_stamp());
+        }
+        return true;
+    }
+
+    // one question of the ZAP protocol: does the peer's key belong to the fleet?
+    void authenticate_peer()
+    {
+        std::vector<zmq::message_t> frames;
+        do {
+            frames.emplace_back();
+            static_cast<void>(zap.recv(frames.back()));
+        } while (frames.back().more());
+        constexpr std::size_t key_frame = 6;
+        const bool is_known = frames.size() > key_frame &&
+                              frames[key_frame].size() == detail::curve_key_bytes &&
+                              is_accepted(detail::to_key_text(frames[key_frame].data()));
+        const std::array<std::string, 6> answer{"1.0",
+                                                frames.size() > 1 ? frames[1].to_string() : "",
+                                                is_known ? "200" : "400",
+                                                is_known ? "OK" : "key not accepted",
+                                                "",
+                                                ""};
+        for (std::size_t i = 0; i < answer.size(); ++i) {
+            const bool is_last = i + 1 == answer.size();
+            zap.send(zmq::buffer(answer[i]),
+                     is_last ? zmq::send_flags::none : zmq::send_flags::sndmore);
+        }
+    }
+
+    [[nodiscard]] bool is_accepted(const std::string& key) const
+    {
+        const auto& accepted = settings.keys.accepted_keys;
+        return key == settings.keys.public_key ||
+               std::find(accepted.begin(), accepted.end(), key) != accepted.end();
+    }
+};
+
+result<std::unique_ptr<messenger>> messenger::open(const options& settings, handler on_message)
+{
+    auto owned = std::make_unique<state>();
+    owned->settings = settings;
+    owned->on_message = std::move(on_message);
+    owned->incarnation = settings.incarnation != 0 ? settings.incarnation : detail::random_number();
+    try {
+        owned->bind();
+    }
+    catch (const zmq::error_t& failure) {
+        return error{error_kind::link_unreachable, "bind", settings.listen, failure.what()};
+    }
+    std::unique_ptr<messenger> opened(new messenger(std::move(owned)));
+    opened->m_state->worker = std::thread([raw = opened->m_state.get()] { raw->run(); });
+    return opened;
+}
+
+messenger::messenger(std::unique_ptr<state> owned) : m_state(std::move(owned)) {}
+
+messenger::~messenger()
+{
+    {
+        const std::lock_guard lock(m_state->mutex);
+        m_state->is_stopping = true;
+        m_state->is_woken = false;
+        m_state->wake();
+    }
+    m_state->worker.join();
+}
+
+void messenger::ask(const std::string& address, link::envelope message)
+{
+    m_state->enqueue({detail::outgoing::kind::ask, address, std::move(message)});
+}
+
+void messenger::answer(const std::string& route, link::envelope message)
+{
+    m_state->enqueue({detail::outgoing::kind::answer, route, std::move(message)});
+}
+
+void messenger::forget(const std::string& address)
+{
+    m_state->enqueue({detail::outgoing::kind::forget, address, {}});
+}
+
+std::uint64_t messenger::incarnation() const noexcept
+{
+    return m_state->incarnation;
+}
+
+const std::string& messenger::listen_address() const noexcept
+{
+    return m_state->bound_address;
+}
+
+std::uint64_t messenger::bytes_sent() const noexcept
+{
+    return m_state->sent_bytes;
+}
+
+std::uint64_t messenger::bytes_received() const noexcept
+{
+    return m_state->received_bytes;
+}
+
+} // namespace hickorykeel
--- a/src/connection/messenger.h
+++ b/src/connection/messenger.h
@@ -78,6 +78,9 @@
     /// Random number that differs for each start of a process.
     [[nodiscard]] std::uint64_t incarnation() const noexcept;
 
+    /// Address that is bound, "ip:port", with the port that the system chose for port 0.
+    [[nodiscard]] const std::string& listen_address() const noexcept;
+
     /// Bytes sent and received so far, for metrics.
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
     [[nodiscard]] std::uint64_t bytes_received() const noexcept;
