Bind a request that must not repeat to one incarnation by tickets

A ticket's code is made under a secret that dies with the process, so no ticket of a dead incarnation can verify anywhere.

--- /dev/null
+++ b/tests/request/ticket_test.cpp
@@ -0,0 +1,48 @@
+#include "request/ticket.h"
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+
+TEST_CASE("tickets")
+{
+    const ticket_mint mint("attica-a", 42, "0123456789abcdef");
+    const time_point expiry{std::chrono::seconds{90}};
+    const std::string text = mint.make("volunteers", "booking", "f00d", expiry);
+
+    SUBCASE("a text made here says what it was made for")
+    {
+        const auto verified = mint.verify(text);
+        REQUIRE(verified);
+        CHECK(verified->host == "attica-a");
+        CHECK(verified->incarnation == 42);
+        CHECK(verified->organisation == "volunteers");
+        CHECK(verified->profile == "booking");
+        CHECK(verified->id == "f00d");
+        CHECK(from_stamp(verified->expiry_stamp) == expiry);
+    }
+
+    SUBCASE("no text of another incarnation verifies, even with its number")
+    {
+        CHECK_FALSE(ticket_mint("attica-a", 43, "0123456789abcdef").verify(text));
+        CHECK_FALSE(ticket_mint("attica-a", 42, "fedcba9876543210").verify(text));
+        CHECK_FALSE(ticket_mint("attica-b", 42, "0123456789abcdef").verify(text));
+    }
+
+    SUBCASE("no changed character is accepted")
+    {
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            std::string changed = text;
+            changed[i] = changed[i] == '0' ? '1' : '0';
+            CHECK_FALSE(mint.verify(changed));
+        }
+    }
+
+    SUBCASE("other texts are not tickets")
+    {
+        for (const char* other : {"", "hkt1.", "hkt1.a~x~c~d~e~f~g", "booking-17"}) {
+            CHECK_FALSE(parse_ticket(other));
+        }
+        CHECK(parse_ticket(text)->host == "attica-a");
+    }
+}
