Serve callers and hand requests to endpoints as two processes

The entry process admits, takes tickets and passes answers on; the dispatch process queues and calls endpoints.

--- /dev/null
+++ b/src/process/dispatch_job.cpp
@@ -0,0 +1,86 @@
+#include "process/dispatch_job.h"
+
+#include <algorithm> // max
+#include <utility>   // move
+
+namespace hickorykeel {
+namespace detail {
+
+constexpr int too_many_requests = 429;
+constexpr int bad_gateway = 502;
+constexpr int service_unavailable = 503;
+constexpr int gateway_timeout = 504;
+
+// answers that say that another endpoint may do better
+bool is_retryable_status(int status)
+{
+    return status == too_many_requests || status == bad_gateway || status == service_unavailable ||
+           status == gateway_timeout;
+}
+
+refusal to_refusal(const endpoint_call::has_failed& failure, time_point deadline)
+{
+    const bool is_late = boot_clock::now() >= deadline;
+    return {is_late ? refusal_code::deadline_exceeded : refusal_code::endpoint_failed,
+            failure.may_have_run ? ran_state::unknown : ran_state::no,
+            failure.why.step,
+            failure.why.peer,
+            failure.why.message,
+            {}};
+}
+
+} // namespace detail
+
+attempt_result run_attempt(const dispatch_attempt& attempt)
+{
+    attempt_result result;
+    dispatch_job& job = *attempt.job;
+    if (auto refused = attempt.last_check()) {
+        result.outcome = attempt_result::outcome_t::refused_by_check;
+        result.why = *refused;
+        result.is_endpoint_at_fault = false;
+        return result;
+    }
+    const auto budget =
+        std::chrono::duration_cast<std::chrono::milliseconds>(job.deadline - boot_clock::now());
+    bool is_turned_away = false;
+    const auto outcome = attempt.call->run(
+        job.request, job.request_id, std::max(budget, std::chrono::milliseconds{1}),
+        [&](int status, const std::vector<link::header>& headers) {
+            if (job.request.idempotent() && detail::is_retryable_status(status)) {
+                is_turned_away = true;
+                return false;
+            }
+            result.has_head = true;
+            attempt.on_head();
+            link::dispatch_event event;
+            event.set_kind(link::dispatch_event::kind_head);
+            event.set_status(static_cast<std::uint32_t>(status));
+            event.set_endpoint(attempt.endpoint_name);
+            for (const link::header& header : headers) {
+                *event.add_headers() = header;
+            }
+            job.events->send(std::move(event));
+            return true;
+        },
+        [&](const char* bytes, std::size_t size) {
+            link::dispatch_event event;
+            event.set_kind(link::dispatch_event::kind_data);
+            event.set_data(bytes, size);
+            job.events->send(std::move(event));
+            return true;
+        });
+    if (const auto* whole = std::get_if<endpoint_call::is_whole>(&outcome)) {
+        result.outcome = attempt_result::outcome_t::whole;
+        result.used_tokens = whole->used_tokens;
+        return result;
+    }
+    result.why = detail::to_refusal(std::get<endpoint_call::has_failed>(outcome), job.deadline);
+    if (is_turned_away) {
+        result.why.message = "the endpoint turned the request away";
+        result.why.code = refusal_code::overloaded;
+    }
+    return result;
+}
+
+} // namespace hickorykeel
--- /dev/null
+++ b/src/process/dispatcher.cpp
@@ -0,0 +1,406 @@
+#include "process/dispatcher.h"
+
+#include "request/caller_request.h"
+
+#include <algorithm> // max, min
+#include <utility>   // move
+
+namespace hickorykeel {
+namespace detail {
+
+constexpr unsigned maximum_attempts = 3;
+
+// expected time of an answer before any was seen
+constexpr double default_answer_seconds = 0.5;
+
+// tokens of a typical request, for the expected wait
+constexpr std::uint64_t typical_tokens = 256;
+
+std::string to_queue_name(const link::dispatch_request& request)
+{
+    return request.organisation().empty() ? "open:" + request.profile() : request.organisation();
+}
+
+queued_request to_queued(const dispatch_job& job)
+{
+    return {job.id, to_queue_name(job.request),
+            std::max<std::uint64_t>(1, job.request.reserved_tokens()), job.request.interactive(),
+            std::min(job.start_by, job.deadline)};
+}
+
+refusal refuse_late(const dispatch_job& job)
+{
+    return {refusal_code::deadline_exceeded,
+            job.may_have_run ? ran_state::unknown : ran_state::no,
+            "queue",
+            "",
+            "no endpoint became free in time",
+            {}};
+}
+
+} // namespace detail
+
+dispatcher::dispatcher(std::string failure_domain, starter start, configuration_source in_force,
+                       std::uint64_t seed)
+    : m_failure_domain(std::move(failure_domain)), m_start(std::move(start)),
+      m_in_force(std::move(in_force)), m_random(seed)
+{
+}
+
+void dispatcher::apply(const configuration_ptr& in_force, time_point now)
+{
+    for (const auto& [name, published] : in_force->targets) {
+        target_state& target = m_targets[name];
+        target.kind = published.kind;
+        target.endpoints.clear();
+        std::vector<endpoint> own;
+        for (const endpoint& each : published.endpoints) {
+            if (each.failure_domain == m_failure_domain) {
+                own.push_back(each);
+                target.endpoints.emplace(each.name, each);
+            }
+        }
+        target.table.set_live_hosts(m_live_hosts, now);
+        target.table.assign(own, now);
+    }
+    for (auto& [name, target] : m_targets) {
+        if (!in_force->targets.contains(name)) {
+            target.endpoints.clear();
+            target.table.assign({}, now);
+        }
+    }
+    const auto jobs = m_jobs; // ending one changes the map
+    for (const auto& [id, job] : jobs) {
+        const link::dispatch_request& request = job->request;
+        auto why = check_still_allowed(*in_force, request.organisation(), request.key_digest(),
+                                       request.profile(), request.target());
+        if (why) {
+            cancel(id, now);
+        }
+    }
+    for (auto& [name, target] : m_targets) {
+        start_ready(target, now);
+    }
+}
+
+void dispatcher::set_live_hosts(std::size_t count, time_point now)
+{
+    m_live_hosts = std::max<std::size_t>(1, count);
+    for (auto& [name, target] : m_targets) {
+        target.table.set_live_hosts(m_live_hosts, now);
+    }
+}
+
+void dispatcher::submit(std::shared_ptr<dispatch_job> job, time_point now)
+{
+    const auto found = m_targets.find(job->request.target());
+    if (found == m_targets.end() || found->second.endpoints.empty()) {
+        refuse(*job, {refusal_code::no_endpoint,
+                      ran_state::no,
+                      "route",
+                      m_failure_domain,
+                      "no endpoint of the target in this failure domain",
+                      {}});
+        return;
+    }
+    target_state& target = found->second;
+    if (is_hopeless(expected_wait(target), now, job->deadline)) {
+        refuse(*job,
+               {refusal_code::overloaded, ran_state::no, "queue", m_failure_domain,
+                "the queue is longer than the deadline allows",
+                std::chrono::duration_cast<std::chrono::milliseconds>(expected_wait(target))});
+        return;
+    }
+    m_budget.on_request();
+    m_jobs.emplace(job->id, job);
+    enqueue(job, target, now);
+    start_ready(target, now);
+}
+
+void dispatcher::enqueue(const std::shared_ptr<dispatch_job>& job, target_state& target,
+                         time_point now)
+{
+    switch (target.queue.push(detail::to_queued(*job), now)) {
+    case push_outcome::queued:
+        return;
+    case push_outcome::expired:
+        refuse_and_forget(job, detail::refuse_late(*job));
+        return;
+    default:
+        refuse_and_forget(
+            job, {refusal_code::overloaded, job->may_have_run ? ran_state::unknown : ran_state::no,
+                  "queue", m_failure_domain, "the queue is full", std::chrono::milliseconds{1000}});
+        return;
+    }
+}
+
+void dispatcher::start_ready(target_state& target, time_point now)
+{
+    while (!target.table.with_room().empty()) {
+        const auto next = target.queue.pop(now);
+        if (!next) {
+            break;
+        }
+        const auto found = m_jobs.find(next->id);
+        if (found == m_jobs.end()) {
+            continue;
+        }
+        const std::shared_ptr<dispatch_job> job = found->second;
+        if (!start(job, target, now)) {
+            target.queue.put_back(*next);
+            break;
+        }
+    }
+}
+
+bool dispatcher::start(const std::shared_ptr<dispatch_job>& job, target_state& target,
+                       time_point now)
+{
+    const request_view view{job->request.prefix_hash(), job->request.reserved_tokens(),
+                            job->request.interactive(), job->request.idempotent(), job->tried};
+    const endpoint_choice choice = choose(view, target.table, m_policy, m_random);
+    if (const auto* reason = std::get_if<no_endpoint_reason>(&choice)) {
+        if (*reason == no_endpoint_reason::none_with_room) {
+            return false;
+        }
+        refuse_and_forget(job, {refusal_code::no_endpoint,
+                                job->may_have_run ? ran_state::unknown : ran_state::no,
+                                "route",
+                                m_failure_domain,
+                                "no endpoint is available",
+                                {}});
+        return true;
+    }
+    const std::size_t index = std::get<std::size_t>(choice);
+    const endpoint& where = target.endpoints.at(target.table.state(index).name);
+    target.table.on_dispatch(index, now);
+    job->tried.push_back(index);
+    job->endpoint_index = index;
+    job->endpoint_name = where.name;
+    job->sent = now;
+    job->call = std::make_shared<endpoint_call>(where, target.kind);
+    m_start({job, job->call, where.name, make_last_check(job), [] {}});
+    return true;
+}
+
+std::function<std::optional<refusal>()>
+dispatcher::make_last_check(const std::shared_ptr<dispatch_job>& job) const
+{
+    // runs on a worker: reads only what does not change after the job was queued
+    return [job, name = job->endpoint_name, in_force = m_in_force]() -> std::optional<refusal> {
+        const time_point now = boot_clock::now();
+        if (now >= job->start_by || now >= job->deadline) {
+            return detail::refuse_late(*job);
+        }
+        const configuration_ptr current = in_force();
+        const link::dispatch_request& request = job->request;
+        if (auto why = check_still_allowed(*current, request.organisation(), request.key_digest(),
+                                           request.profile(), request.target())) {
+            return why;
+        }
+        for (const endpoint& each : current->targets.at(request.target()).endpoints) {
+            if (each.name == name && !each.is_leaving) {
+                return std::nullopt;
+            }
+        }
+        return refusal{
+            refusal_code::no_endpoint, ran_state::no, "route", name, "the endpoint is leaving", {}};
+    };
+}
+
+void dispatcher::cancel(std::uint64_t job_id, time_point now)
+{
+    const auto found = m_jobs.find(job_id);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    const std::shared_ptr<dispatch_job> job = found->second;
+    job->is_cancelled = true;
+    if (job->call) {
+        // the worker's result ends the job
+        job->call->cancel();
+        return;
+    }
+    m_targets.at(job->request.target()).queue.remove(job_id);
+    refuse_and_forget(job, detail::refuse_late(*job));
+    static_cast<void>(now);
+}
+
+void dispatcher::on_head(std::uint64_t job_id, time_point now)
+{
+    const auto found = m_jobs.find(job_id);
+    if (found != m_jobs.end()) {
+        const dispatch_job& job = *found->second;
+        m_targets.at(job.request.target())
+            .table.on_first_token(job.endpoint_index, now - job.sent,
+                                  std::max<std::uint64_t>(1, job.request.reserved_tokens()), now);
+    }
+}
+
+void dispatcher::on_result(std::uint64_t job_id, const attempt_result& result, time_point now)
+{
+    const auto found = m_jobs.find(job_id);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    const std::shared_ptr<dispatch_job> job = found->second;
+    target_state& target = m_targets.at(job->request.target());
+    job->call.reset();
+    account(target, *job, result, now);
+    if (result.outcome != attempt_result::outcome_t::whole && may_try_again(*job, result, now)) {
+        job->may_have_run = job->may_have_run || result.why.ran == ran_state::unknown;
+        enqueue(job, target, now);
+    }
+    else {
+        finish(job, result);
+    }
+    start_ready(target, now);
+}
+
+void dispatcher::account(target_state& target, const dispatch_job& job,
+                         const attempt_result& result, time_point now)
+{
+    if (result.outcome == attempt_result::outcome_t::whole) {
+        target.table.on_success(job.endpoint_index, now - job.sent,
+                                std::max<std::uint64_t>(1, result.used_tokens), now);
+        if (result.used_tokens > 0) {
+            target.queue.settle(detail::to_queued(job), result.used_tokens);
+        }
+    }
+    else if (job.is_cancelled || !result.is_endpoint_at_fault) {
+        target.table.on_cancelled(job.endpoint_index, now);
+    }
+    else {
+        target.table.on_failure(job.endpoint_index, now, m_random);
+    }
+}
+
+void dispatcher::finish(const std::shared_ptr<dispatch_job>& job, const attempt_result& result)
+{
+    if (result.outcome == attempt_result::outcome_t::whole) {
+        link::dispatch_event event;
+        event.set_kind(link::dispatch_event::kind_end);
+        event.set_endpoint(job->endpoint_name);
+        event.set_used_tokens(result.used_tokens);
+        job->events->send(std::move(event));
+        m_jobs.erase(job->id);
+        return;
+    }
+    refuse_and_forget(job, result.why);
+}
+
+bool dispatcher::may_try_again(const dispatch_job& job, const attempt_result& result,
+                               time_point now)
+{
+    return !job.is_cancelled && !result.has_head &&
+           is_repeatable(result.why.ran, job.request.idempotent()) &&
+           job.tried.size() < detail::maximum_attempts && now < job.start_by &&
+           now < job.deadline && m_budget.try_take();
+}
+
+void dispatcher::refuse(dispatch_job& job, refusal why)
+{
+    link::dispatch_event event;
+    event.set_kind(link::dispatch_event::kind_failed);
+    event.set_ran(why.ran == ran_state::unknown || job.may_have_run);
+    event.set_error_code(std::string(to_kind(why.code).name));
+    event.set_error_step(why.step);
+    event.set_error_message(why.message);
+    event.set_endpoint(why.peer);
+    event.set_retry_after_ms(static_cast<std::uint32_t>(why.retry_after.count()));
+    job.events->send(std::move(event));
+}
+
+void dispatcher::refuse_and_forget(const std::shared_ptr<dispatch_job>& job, refusal why)
+{
+    refuse(*job, std::move(why));
+    m_jobs.erase(job->id);
+}
+
+void dispatcher::on_report(const std::string& target_name, const std::string& endpoint_name,
+                           const load_report& report, time_point now)
+{
+    const auto found = m_targets.find(target_name);
+    if (found == m_targets.end()) {
+        return;
+    }
+    if (const auto index = found->second.table.find(endpoint_name)) {
+        found->second.table.on_report(*index, report, now);
+        start_ready(found->second, now);
+    }
+}
+
+void dispatcher::tick(time_point now)
+{
+    for (auto& [name, target] : m_targets) {
+        target.table.refresh(now);
+        for (const queued_request& expired : target.queue.take_expired(now)) {
+            if (const auto found = m_jobs.find(expired.id); found != m_jobs.end()) {
+                refuse_and_forget(std::shared_ptr(found->second),
+                                  detail::refuse_late(*found->second));
+            }
+        }
+        start_ready(target, now);
+    }
+}
+
+void dispatcher::send_keepalives()
+{
+    for (const auto& [id, job] : m_jobs) {
+        job->events->send_keepalive();
+    }
+}
+
+std::vector<link::target_load> dispatcher::loads() const
+{
+    std::vector<link::target_load> all;
+    for (const auto& [name, target] : m_targets) {
+        link::target_load& load = all.emplace_back();
+        std::uint32_t running = 0;
+        std::uint32_t slots = 0;
+        for (const std::size_t index : target.table.available()) {
+            running += target.table.state(index).in_flight;
+            slots += target.table.state(index).slots;
+        }
+        load.set_target(name);
+        load.set_live_endpoints(static_cast<std::uint32_t>(target.table.available().size()));
+        load.set_running(running);
+        load.set_queued(static_cast<std::uint32_t>(target.queue.size()));
+        load.set_slots(slots);
+        load.set_wait_seconds(to_seconds(expected_wait(target)));
+    }
+    return all;
+}
+
+std::vector<dispatcher::observed_endpoint> dispatcher::observed() const
+{
+    std::vector<observed_endpoint> all;
+    for (const auto& [name, target] : m_targets) {
+        for (const auto& [endpoint_name, where] : target.endpoints) {
+            all.push_back({name, where});
+        }
+    }
+    return all;
+}
+
+duration dispatcher::expected_wait(const target_state& target) const
+{
+    if (!target.table.with_room().empty() && target.queue.is_empty()) {
+        return duration::zero();
+    }
+    double slots = 0;
+    double seconds = 0;
+    for (const std::size_t index : target.table.available()) {
+        slots += target.table.usable_slots(index);
+        seconds += target.table.answer_seconds(index, detail::typical_tokens);
+    }
+    if (slots <= 0) {
+        return duration::zero();
+    }
+    const double mean = seconds > 0 ? seconds / static_cast<double>(target.table.available().size())
+                                    : detail::default_answer_seconds;
+    return from_seconds(mean * static_cast<double>(target.queue.size() + 1) / slots *
+                        static_cast<double>(m_live_hosts));
+}
+
+} // namespace hickorykeel
--- /dev/null
+++ b/src/process/entry.cpp
@@ -0,0 +1,203 @@
+#include "process/entry.h"
+
+#include "process/admission_actor.h"
+#include "request/caller_request.h"
+
+#include <random>  // random_device
+#include <utility> // move
+
+#include <glog/logging.h>
+#include <httplib.h>
+
+namespace hickorykeel {
+namespace detail {
+
+constexpr auto poll_interval = std::chrono::milliseconds{200};
+
+// a host that leaves goes on accepting for this long after the last request ended, so that callers
+// that still hold an old list of hosts are served
+constexpr duration quiet_time = std::chrono::seconds{2};
+
+constexpr std::time_t caller_read_timeout_s = 10;
+constexpr std::time_t caller_write_timeout_s = 10;
+constexpr std::time_t keep_alive_timeout_s = 5;
+constexpr std::size_t secret_words = 8;
+
+std::string random_secret()
+{
+    std::random_device device;
+    std::string secret;
+    for (std::size_t i = 0; i < secret_words; ++i) {
+        const auto word = device();
+        secret.append(reinterpret_cast<const char*>(&word), sizeof word);
+    }
+    return secret;
+}
+
+struct listen_address {
+    std::string ip;
+    int port = 0;
+};
+
+listen_address to_listen_address(const std::string& address)
+{
+    const std::size_t colon = address.rfind(':');
+    return {address.substr(0, colon), std::stoi(address.substr(colon + 1))};
+}
+
+refusal to_withdrawal(refusal why)
+{
+    // whatever the endpoint did so far has run
+    why.ran = ran_state::unknown;
+    return why;
+}
+
+} // namespace detail
+
+result<std::unique_ptr<entry>> entry::open(const options& chosen)
+{
+    std::unique_ptr<entry> opened(new entry(chosen));
+    if (auto failure = opened->start(chosen)) {
+        return *failure;
+    }
+    return opened;
+}
+
+entry::entry(const options& chosen)
+    : m_actors(m_actor_config),
+      m_context(chosen.host, chosen.failure_domain, chosen.dispatch_address),
+      m_server(std::make_unique<httplib::Server>())
+{
+}
+
+entry::~entry()
+{
+    m_is_stopping = true;
+    m_server->stop();
+    if (m_drainer.joinable()) {
+        m_drainer.join();
+    }
+    if (m_poller.joinable()) {
+        m_poller.join();
+    }
+    m_context.links.reset();
+    caf::anon_send_exit(m_context.admission, caf::exit_reason::user_shutdown);
+}
+
+std::optional<error> entry::start(const options& chosen)
+{
+    m_context.actors = &m_actors;
+    m_context.ticket_life = chosen.ticket_life;
+    m_context.admission = m_actors.spawn(admission_actor);
+    auto links =
+        messenger::open({chosen.host + "/entry", chosen.link_listen, chosen.keys, 0},
+                        [this](received_message&& received) { on_message(std::move(received)); });
+    if (auto* failure = std::get_if<error>(&links)) {
+        return *failure;
+    }
+    m_context.links = std::move(std::get<0>(links));
+    m_context.mint = std::make_unique<ticket_mint>(chosen.host, m_context.links->incarnation(),
+                                                   detail::random_secret());
+    m_context.published = std::make_unique<configuration_client>(
+        *m_context.links, chosen.configd_address,
+        configuration_client::handlers{
+            [this](const configuration_ptr& in_force) { on_configuration(in_force); },
+            [this](const host_list_ptr& listed) { m_context.directory.apply(*listed); }});
+    m_poller = std::thread([this] { poll_peers(); });
+    return bind_http(chosen);
+}
+
+std::optional<error> entry::bind_http(const options& chosen)
+{
+    const std::size_t threads = chosen.http_threads;
+    m_server->new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    m_server->set_payload_max_length(chosen.maximum_body_bytes);
+    m_server->set_read_timeout(detail::caller_read_timeout_s);
+    m_server->set_write_timeout(detail::caller_write_timeout_s);
+    m_server->set_keep_alive_timeout(detail::keep_alive_timeout_s);
+    m_server->set_tcp_nodelay(true);
+    m_api.register_calls(*m_server);
+    const auto address = detail::to_listen_address(chosen.http_listen);
+    int port = address.port;
+    if (port == 0) {
+        port = m_server->bind_to_any_port(address.ip);
+    }
+    else if (!m_server->bind_to_port(address.ip, port)) {
+        port = -1;
+    }
+    if (port < 0) {
+        return error{error_kind::link_unreachable, "bind", chosen.http_listen,
+                     "the address cannot be bound"};
+    }
+    m_http_address = address.ip + ':' + std::to_string(port);
+    return std::nullopt;
+}
+
+void entry::serve()
+{
+    m_server->listen_after_bind();
+}
+
+void entry::stop()
+{
+    if (!m_context.is_leaving.exchange(true)) {
+        LOG(INFO) << "leaving";
+        m_drainer = std::thread([this] { drain(); });
+    }
+}
+
+void entry::drain()
+{
+    time_point quiet_since = boot_clock::now();
+    while (!m_is_stopping && boot_clock::now() - quiet_since < detail::quiet_time) {
+        std::this_thread::sleep_for(detail::poll_interval);
+        if (m_context.under_way > 0) {
+            quiet_since = boot_clock::now();
+        }
+    }
+    m_server->stop();
+}
+
+void entry::on_message(received_message&& received)
+{
+    link::envelope& message = received.message;
+    if (message.has_dispatch_event()) {
+        if (const auto under_way = m_context.exchanges.find(message.correlation())) {
+            under_way->deliver(std::move(*message.mutable_dispatch_event()), message.incarnation(),
+                               boot_clock::now());
+        }
+    }
+    else if (message.has_pong()) {
+        m_context.directory.on_pong(received.peer, message.incarnation(), message.pong(),
+                                    boot_clock::now());
+    }
+    else if (message.has_sync_update()) {
+        m_context.published->deliver(message.sync_update());
+    }
+}
+
+void entry::on_configuration(const configuration_ptr& in_force)
+{
+    for (const auto& under_way : m_context.exchanges.all()) {
+        const exchange::identity& who = under_way->who();
+        if (auto why = check_still_allowed(*in_force, who.organisation, who.key_digest, who.profile,
+                                           who.target)) {
+            under_way->abort(detail::to_withdrawal(*why));
+        }
+    }
+}
+
+void entry::poll_peers()
+{
+    while (!m_is_stopping) {
+        m_context.published->poll();
+        for (const std::string& address : m_context.directory.addresses()) {
+            link::envelope message;
+            message.mutable_ping()->set_leaving(m_context.is_leaving);
+            m_context.links->ask(address, std::move(message));
+        }
+        std::this_thread::sleep_for(detail::poll_interval);
+    }
+}
+
+} // namespace hickorykeel
--- /dev/null
+++ b/src/process/entry_context.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "connection/exchange.h"
+#include "connection/messenger.h"
+#include "process/configuration_client.h"
+#include "process/dispatch_directory.h"
+#include "request/ticket.h"
+
+#include <atomic>  // atomic
+#include <cstddef> // size_t
+#include <memory>  // unique_ptr
+#include <string>  // string
+#include <utility> // move
+
+#include <caf/all.hpp>
+
+namespace hickorykeel {
+
+/// What all requests of an entry process share. Outlives every request.
+///
+/// Thread safety: each member may be used from any thread, as its type says.
+struct entry_context {
+    entry_context(std::string own_host, std::string own_failure_domain,
+                  const std::string& dispatch_address)
+        : host(std::move(own_host)), failure_domain(std::move(own_failure_domain)),
+          directory(host, failure_domain, dispatch_address)
+    {
+    }
+
+    const std::string host;
+    const std::string failure_domain;
+    duration ticket_life = std::chrono::minutes{5};
+
+    dispatch_directory directory;
+    exchange_table exchanges;
+    std::unique_ptr<messenger> links;
+    std::unique_ptr<configuration_client> published;
+    std::unique_ptr<ticket_mint> mint;
+    caf::actor_system* actors = nullptr;
+    caf::actor admission;
+    std::atomic<bool> is_leaving{false};
+    std::atomic<std::size_t> under_way{0}; ///< requests that are being served
+};
+
+} // namespace hickorykeel
--- /dev/null
+++ b/src/process/request_runner.cpp
@@ -0,0 +1,254 @@
+#include "process/request_runner.h"
+
+#include <algorithm> // find, min
+#include <utility>   // move
+
+namespace hickorykeel {
+namespace detail {
+
+// the caller's connection and the dispatch process are looked at this often
+constexpr duration look_interval = std::chrono::milliseconds{200};
+
+// a dispatch process repeats its sign of life for each request well within this
+constexpr duration silence_limit = std::chrono::seconds{3};
+
+constexpr unsigned maximum_attempts = 3;
+
+// a dispatch process that gets the request later than this refuses it
+constexpr std::chrono::milliseconds start_limit{5'000};
+
+std::chrono::milliseconds to_milliseconds(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span);
+}
+
+refusal_code to_code(const std::string& name)
+{
+    for (const refusal_kind& kind : refusal_kinds) {
+        if (kind.name == name) {
+            return kind.code;
+        }
+    }
+    return refusal_code::endpoint_failed;
+}
+
+} // namespace detail
+
+request_runner::request_runner(environment provided, const admitted_request& request,
+                               std::string method, std::vector<forwarded_header> headers,
+                               std::string traceparent, time_point deadline)
+    : m_provided(std::move(provided)), m_request(request), m_method(std::move(method)),
+      m_headers(std::move(headers)), m_traceparent(std::move(traceparent)),
+      m_deadline(deadline), m_last_failure{
+                                refusal_code::no_endpoint,
+                                ran_state::no,
+                                "route",
+                                "",
+                                "no live endpoint in the regions that the profile allows",
+                                std::chrono::milliseconds{1000}}
+{
+}
+
+request_runner::~request_runner()
+{
+    end_attempt();
+}
+
+request_runner::step request_runner::next()
+{
+    while (true) {
+        if (!m_exchange && !start_attempt()) {
+            return give_up(m_last_failure);
+        }
+        const time_point now = boot_clock::now();
+        const auto outcome = m_exchange->next(std::min(m_deadline, now + detail::look_interval),
+                                              detail::silence_limit);
+        std::variant<std::monostate, step> taken;
+        if (const auto* event = std::get_if<link::dispatch_event>(&outcome)) {
+            taken = on_event(*event);
+        }
+        else if (const auto* why = std::get_if<refusal>(&outcome)) {
+            return give_up(*why);
+        }
+        else if (std::holds_alternative<exchange::is_lost>(outcome)) {
+            taken = on_lost();
+        }
+        else if (boot_clock::now() >= m_deadline) {
+            return give_up({refusal_code::deadline_exceeded,
+                            ran_state::unknown,
+                            "await answer",
+                            m_dispatch_host,
+                            "the deadline passed",
+                            {}});
+        }
+        else if (!m_provided.is_caller_connected()) {
+            return give_up({refusal_code::deadline_exceeded,
+                            ran_state::unknown,
+                            "await answer",
+                            m_dispatch_host,
+                            "the caller has gone",
+                            {}});
+        }
+        else if (!m_provided.directory.is_alive(m_exchange->who().dispatch_address,
+                                                boot_clock::now())) {
+            taken = on_lost();
+        }
+        if (auto* ready = std::get_if<step>(&taken)) {
+            return std::move(*ready);
+        }
+    }
+}
+
+bool request_runner::start_attempt()
+{
+    if (m_attempts >= detail::maximum_attempts) {
+        return false;
+    }
+    for (const dispatch_peer& peer : m_provided.candidates(m_request, m_visited)) {
+        const bool had_it =
+            std::find(m_visited.begin(), m_visited.end(), peer.address) != m_visited.end();
+        if (had_it) {
+            continue;
+        }
+        ++m_attempts;
+        m_visited.push_back(peer.address);
+        m_dispatch_host = peer.host;
+        m_failure_domain = peer.failure_domain;
+        m_exchange = m_provided.exchanges.open({m_request.organisation, m_request.key_digest,
+                                                m_request.matched_profile->name,
+                                                m_request.matched_target->name, peer.address});
+        m_provided.links.ask(peer.address, to_message(peer));
+        return true;
+    }
+    return false;
+}
+
+void request_runner::end_attempt()
+{
+    if (!m_exchange) {
+        return;
+    }
+    if (!m_has_ended) {
+        link::envelope cancel;
+        cancel.set_correlation(m_exchange->correlation());
+        cancel.mutable_dispatch_cancel();
+        m_provided.links.ask(m_exchange->who().dispatch_address, std::move(cancel));
+    }
+    m_provided.exchanges.close(m_exchange->correlation());
+    m_exchange.reset();
+}
+
+link::envelope request_runner::to_message(const dispatch_peer& peer) const
+{
+    const auto left = detail::to_milliseconds(m_deadline - boot_clock::now());
+    const auto budget = std::max(left, std::chrono::milliseconds{1});
+    link::envelope message;
+    message.set_correlation(m_exchange->correlation());
+    link::dispatch_request& request = *message.mutable_dispatch_request();
+    request.set_organisation(m_request.organisation);
+    request.set_key_digest(m_request.key_digest);
+    request.set_profile(m_request.matched_profile->name);
+    request.set_target(m_request.matched_target->name);
+    request.set_configuration_revision(m_request.revision);
+    request.set_method(m_method);
+    request.set_path(m_request.endpoint_path);
+    for (const forwarded_header& header : m_headers) {
+        link::header& copy = *request.add_headers();
+        copy.set_name(header.name);
+        copy.set_value(header.value);
+    }
+    request.set_body(m_request.body);
+    request.set_start_within_ms(
+        static_cast<std::uint32_t>(std::min(budget, detail::start_limit).count()));
+    request.set_deadline_ms(static_cast<std::uint32_t>(budget.count()));
+    request.set_idempotent(m_request.matched_profile->is_idempotent);
+    request.set_interactive(m_request.matched_profile->is_interactive);
+    request.set_stream(m_request.is_stream);
+    request.set_reserved_tokens(m_request.reserved_tokens);
+    request.set_traceparent(m_traceparent);
+    request.set_prefix_hash(m_request.prefix_hash);
+    request.add_visited(peer.failure_domain);
+    return message;
+}
+
+std::variant<std::monostate, request_runner::step>
+request_runner::on_event(const link::dispatch_event& event)
+{
+    switch (event.kind()) {
+    case link::dispatch_event::kind_head: {
+        m_has_head = true;
+        answer_head head;
+        head.status = static_cast<int>(event.status());
+        head.endpoint = event.endpoint();
+        head.dispatch_host = m_dispatch_host;
+        for (const link::header& header : event.headers()) {
+            if (header.name() == "Content-Type") {
+                head.content_type = header.value();
+            }
+        }
+        return step{head};
+    }
+    case link::dispatch_event::kind_data:
+        return step{answer_data{event.data()}};
+    case link::dispatch_event::kind_end:
+        m_has_ended = true;
+        end_attempt();
+        return step{answer_end{event.used_tokens()}};
+    case link::dispatch_event::kind_failed:
+        m_has_ended = true;
+        return on_failure(to_refusal(event));
+    default:
+        return std::monostate{};
+    }
+}
+
+std::variant<std::monostate, request_runner::step> request_runner::on_failure(refusal why)
+{
+    if (!may_try_again(why.ran)) {
+        return step{give_up(std::move(why))};
+    }
+    m_last_failure = std::move(why);
+    end_attempt();
+    m_has_ended = false;
+    return std::monostate{};
+}
+
+std::variant<std::monostate, request_runner::step> request_runner::on_lost()
+{
+    return on_failure({refusal_code::endpoint_failed,
+                       ran_state::unknown,
+                       "await answer",
+                       m_dispatch_host,
+                       "the link to the dispatch process was lost",
+                       {}});
+}
+
+bool request_runner::may_try_again(ran_state ran) const
+{
+    const bool is_safe = ran == ran_state::no || m_request.matched_profile->is_idempotent;
+    return is_safe && !m_has_head && m_attempts < detail::maximum_attempts &&
+           boot_clock::now() < m_deadline && m_provided.may_retry();
+}
+
+refusal request_runner::to_refusal(const link::dispatch_event& event) const
+{
+    const std::string peer = event.endpoint().empty() ? m_dispatch_host : event.endpoint();
+    return {detail::to_code(event.error_code()),
+            event.ran() ? ran_state::unknown : ran_state::no,
+            event.error_step(),
+            peer,
+            event.error_message(),
+            std::chrono::milliseconds{event.retry_after_ms()}};
+}
+
+refusal request_runner::give_up(refusal why)
+{
+    // an earlier attempt of an idempotent request may have run though the last one did not
+    if (m_last_failure.ran == ran_state::unknown) {
+        why.ran = ran_state::unknown;
+    }
+    end_attempt();
+    return why;
+}
+
+} // namespace hickorykeel
