--- /dev/null
+++ b/tests/support/socket_owner.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
+
+#include <sys/types.h>
+
+namespace hickorykeel::tests {
+
+/// Which of `candidates` holds the IPv4 TCP socket bound to `address` ("ip:port"); tells a relay
+/// which process connected to it. Complexity: linear in the machine's sockets. Thread safe.
+std::optional<pid_t> socket_owner(const std::string& address, const std::vector<pid_t>& candidates);
+
+} // namespace hickorykeel::tests
