Check settings and frame the programs' main

Cause: each program needs the same things around its core: a command line, checked settings, a log, and a stop that cuts no request.

A mistyped secret key is not shown.

--- /dev/null
+++ b/src/process/program.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "process/settings.h"
+#include "process/stop_signal.h"
+
+#include <functional> // function
+#include <span>       // span
+#include <string>     // string
+#include <vector>     // vector
+
+namespace hickorykeel {
+
+/// What differs between the programs.
+struct program_description {
+    std::string name;                    ///< "hickorykeel-entry"
+    std::span<const setting_rule> rules; ///< outlives the program's run
+    /// The program's work, until the stop; returns the exit code.
+    std::function<int(const settings&, stop_signal&)> run;
+    /// Checks what one rule cannot, e.g. keys that belong together. `file` need not be filled in.
+    std::function<std::vector<settings_fault>(const settings&)> check = {};
+};
+
+/// Frame of a program's `main`: command line, log to stderr, settings, signals, then `run`.
+///
+/// Options: `--settings FILE` (required), `--check` checks the settings and leaves, `--version`,
+/// `--describe-settings` prints the keys as a Markdown table and leaves.
+///
+/// @return the code of `run`; 0 after a passed check; 78 for faulty settings, after each fault was
+///         printed on a line of stderr; 64 for a wrong command line
+/// Precondition: called once, by the main thread, before any other thread starts.
+int run_program(int argc, char** argv, const program_description& description);
+
+/// Markdown tables of `rules`, one a section: key, kind, default and meaning. Thread safe.
+[[nodiscard]] std::string describe_settings(std::span<const setting_rule> rules);
+
+/// Exit code for a wrong command line (EX_USAGE of sysexits.h).
+inline constexpr int exit_usage = 64;
+
+} // namespace hickorykeel
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -35,12 +35,15 @@
     std::string_view help; ///< with the unit
 };
 
+/// What a value of `rule` must look like, for faults and docs. Thread safe.
+[[nodiscard]] std::string to_allowed(const setting_rule& rule);
+
 /// A fault in a settings file.
 struct settings_fault {
     std::string file;
     std::string section;
     std::string key;
-    std::string value;
+    std::string value;   ///< a secret is hidden
     std::string allowed; ///< what would be right
 
     [[nodiscard]] std::string to_string() const;
