Decide where a request goes and in what order requests wait

All are classes that get the time and the random source, so their rules are tested without sockets.

Ruled out: rendezvous hashing over all endpoints at each request (linear; the ranking is computed ahead for 1024 shards of the hash space when the list changes), a heap of deadlines inside each organisation (deadlines of a profile are equal, arrival order is the same), probes by requests that must not run twice.

The property test of the choices found that a half-open endpoint could take a probe beyond its slots, and several at once from the pool of all available endpoints; both are mended here.

--- /dev/null
+++ b/src/process/routing/endpoint_choice.cpp
@@ -0,0 +1,176 @@
+#include "process/routing/endpoint_choice.h"
+
+#include <algorithm> // find, min
+#include <limits>    // numeric_limits
+
+namespace hickorykeel {
+
+namespace {
+
+constexpr std::size_t no_index = endpoint_table::no_index;
+
+/// Places of a pool that are looked at before a choice gives up.
+constexpr std::size_t search_limit = 64;
+
+/// Whether `request` may use the available endpoint `index`.
+bool is_eligible(const request_view& request, const endpoint_table& table, std::size_t index)
+{
+    const auto& excluded = request.excluded;
+    if (std::find(excluded.begin(), excluded.end(), index) != excluded.end()) {
+        return false;
+    }
+    if (table.state(index).breaker != breaker_state::half_open) {
+        return true;
+    }
+    // a probe may be lost, so it must be repeatable; has_room lets one in at a time
+    return request.is_idempotent && table.has_room(index);
+}
+
+/// First eligible endpoint of `pool` from place `start` on, going round.
+std::size_t next_eligible(const request_view& request, const endpoint_table& table,
+                          std::span<const std::size_t> pool, std::size_t start)
+{
+    const std::size_t limit = std::min(pool.size(), search_limit);
+    for (std::size_t step = 0; step < limit; ++step) {
+        const std::size_t index = pool[(start + step) % pool.size()];
+        if (is_eligible(request, table, index)) {
+            return index;
+        }
+    }
+    return no_index;
+}
+
+std::size_t any_eligible(const request_view& request, const endpoint_table& table,
+                         std::span<const std::size_t> pool, random_source& random)
+{
+    return next_eligible(request, table, pool, random_index(random, pool.size()));
+}
+
+/// What the default policy compares.
+struct candidate {
+    std::size_t index = no_index;
+    bool is_hot = true;
+    double seconds = std::numeric_limits<double>::infinity();
+    double utilisation = std::numeric_limits<double>::infinity();
+};
+
+bool is_better(const candidate& lhs, const candidate& rhs)
+{
+    if (lhs.is_hot != rhs.is_hot) {
+        return rhs.is_hot;
+    }
+    return lhs.is_hot ? lhs.utilisation < rhs.utilisation : lhs.seconds < rhs.seconds;
+}
+
+candidate to_candidate(const request_view& request, const endpoint_table& table,
+                       const weigh_settings& settings, std::size_t index)
+{
+    const double utilisation = table.estimated_load(index) / table.usable_slots(index);
+    return {index, utilisation >= settings.hot_utilisation,
+            table.first_token_seconds(index, request.tokens), utilisation};
+}
+
+} // namespace
+
+std::size_t random_policy::pick(const request_view& request, const endpoint_table& table,
+                                std::span<const std::size_t> pool, random_source& random)
+{
+    return any_eligible(request, table, pool, random);
+}
+
+std::size_t round_robin_policy::pick(const request_view& request, const endpoint_table& table,
+                                     std::span<const std::size_t> pool, random_source& /*random*/)
+{
+    return next_eligible(request, table, pool, m_next++);
+}
+
+std::size_t least_outstanding_policy::pick(const request_view& request, const endpoint_table& table,
+                                           std::span<const std::size_t> pool, random_source& random)
+{
+    // ties go to whichever comes first after a random place
+    const std::size_t start = random_index(random, pool.size());
+    std::size_t best = no_index;
+    for (std::size_t step = 0; step < pool.size(); ++step) {
+        const std::size_t index = pool[(start + step) % pool.size()];
+        const bool is_less =
+            best == no_index || table.state(index).in_flight < table.state(best).in_flight;
+        if (is_less && is_eligible(request, table, index)) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+std::size_t power_of_two_policy::pick(const request_view& request, const endpoint_table& table,
+                                      std::span<const std::size_t> pool, random_source& random)
+{
+    const std::size_t start = random_index(random, pool.size());
+    const std::size_t first = next_eligible(request, table, pool, start);
+    if (first == no_index || pool.size() == 1) {
+        return first;
+    }
+    const std::size_t step = 1 + random_index(random, pool.size() - 1);
+    const std::size_t second = next_eligible(request, table, pool, start + step);
+    return table.state(second).in_flight < table.state(first).in_flight ? second : first;
+}
+
+std::size_t weigh_policy::pick(const request_view& request, const endpoint_table& table,
+                               std::span<const std::size_t> pool, random_source& random)
+{
+    candidate best;
+    for (std::size_t i = 0; i < m_settings.samples; ++i) {
+        const std::size_t index = any_eligible(request, table, pool, random);
+        if (index == no_index) {
+            return no_index;
+        }
+        const candidate sampled = to_candidate(request, table, m_settings, index);
+        if (best.index == no_index || is_better(sampled, best)) {
+            best = sampled;
+        }
+    }
+    if (request.prefix_hash == 0) {
+        return best.index;
+    }
+    const double bound = m_settings.affinity_bound * table.mean_utilisation();
+    for (const std::size_t index : table.preferred(request.prefix_hash)) {
+        const bool may_use =
+            index != no_index && table.has_room(index) && is_eligible(request, table, index);
+        if (!may_use) {
+            continue;
+        }
+        candidate preferred = to_candidate(request, table, m_settings, index);
+        // one more request than the bound, so that an idle table is within it
+        const double one_request = 1 / table.usable_slots(index);
+        if (preferred.utilisation > bound + one_request) {
+            continue;
+        }
+        preferred.seconds *= m_settings.affinity_discount;
+        if (is_better(preferred, best)) {
+            best = preferred;
+        }
+        break; // the second is asked only where the first may not be used
+    }
+    return best.index;
+}
+
+endpoint_choice choose(const request_view& request, const endpoint_table& table,
+                       endpoint_policy& policy, random_source& random, choice_pool pool)
+{
+    if (table.listed_count() == 0) {
+        return no_endpoint_reason::none_listed;
+    }
+    const auto members = pool == choice_pool::with_room ? table.with_room() : table.available();
+    if (!members.empty()) {
+        const std::size_t index = policy.pick(request, table, members, random);
+        if (index != no_index) {
+            return index;
+        }
+    }
+    const auto available = table.available();
+    const bool is_any_eligible =
+        !available.empty() && any_eligible(request, table, available, random) != no_index;
+    return is_any_eligible ? no_endpoint_reason::none_with_room
+                           : no_endpoint_reason::none_available;
+}
+
+} // namespace hickorykeel
--- /dev/null
+++ b/src/process/routing/request_queue.cpp
@@ -0,0 +1,225 @@
+#include "process/routing/request_queue.h"
+
+#include <algorithm> // max, min
+#include <cassert>   // assert
+#include <utility>   // move, exchange
+
+namespace hickorykeel {
+
+namespace {
+
+/// Idle organisations that a queue remembers beyond the waiting ones.
+constexpr std::size_t idle_organisations = 64;
+
+} // namespace
+
+request_queue::request_queue(request_queue_settings settings) : m_settings{settings} {}
+
+push_outcome request_queue::push(queued_request request, time_point now)
+{
+    if (m_places.contains(request.id)) {
+        return push_outcome::duplicate;
+    }
+    if (request.deadline <= now) {
+        return push_outcome::expired;
+    }
+    if (size() >= m_settings.capacity) {
+        return push_outcome::queue_full;
+    }
+    if (size_of(request.organisation) >= m_settings.organisation_capacity) {
+        return push_outcome::organisation_full;
+    }
+    request.tokens = std::max<std::uint64_t>(request.tokens, 1);
+    insert(std::move(request), false);
+    return push_outcome::queued;
+}
+
+std::optional<queued_request> request_queue::pop(time_point now)
+{
+    m_expired = take_expired(now);
+    if (is_empty()) {
+        return std::nullopt;
+    }
+    const class_queue& queue = queue_of(!is_batch_next());
+    const place next = m_places.at(head_of(queue).id);
+    queued_request popped = extract(next);
+    class_queue& popped_from = queue_of(popped.is_interactive);
+    popped_from.floor =
+        std::max(popped_from.floor, popped_from.organisations[popped.organisation].served);
+    charge(popped_from, popped.organisation, static_cast<double>(popped.tokens));
+    note_classes(popped);
+    forget_idle(popped_from);
+    return popped;
+}
+
+void request_queue::put_back(queued_request request)
+{
+    assert(!m_places.contains(request.id));
+    const auto tokens = static_cast<double>(request.tokens);
+    charge(queue_of(request.is_interactive), request.organisation, -tokens);
+    if (request.is_interactive) {
+        m_batch_credit = std::max(0.0, m_batch_credit - batch_part_of(tokens));
+    }
+    else if (!queue_of(true).order.empty()) {
+        m_batch_credit += tokens;
+    }
+    insert(std::move(request), true);
+}
+
+bool request_queue::remove(std::uint64_t id)
+{
+    const auto found = m_places.find(id);
+    if (found == m_places.end()) {
+        return false;
+    }
+    extract(place{found->second});
+    return true;
+}
+
+std::vector<queued_request> request_queue::take_expired(time_point now)
+{
+    std::vector<queued_request> expired = std::exchange(m_expired, {});
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        expired.push_back(extract(place{m_places.at(m_deadlines.begin()->second)}));
+    }
+    return expired;
+}
+
+void request_queue::settle(const queued_request& request, std::uint64_t used_tokens)
+{
+    charge(queue_of(request.is_interactive), request.organisation,
+           static_cast<double>(used_tokens) - static_cast<double>(request.tokens));
+}
+
+std::size_t request_queue::size_of(const std::string& organisation) const
+{
+    std::size_t waiting = 0;
+    for (const class_queue& queue : m_classes) {
+        const auto found = queue.organisations.find(organisation);
+        waiting += found == queue.organisations.end() ? 0 : found->second.waiting.size();
+    }
+    return waiting;
+}
+
+std::uint64_t request_queue::tokens_ahead(const std::string& organisation,
+                                          bool is_interactive) const
+{
+    const class_queue& queue = queue_of(is_interactive);
+    const auto found = queue.organisations.find(organisation);
+    const std::uint64_t own = found == queue.organisations.end() ? 0 : found->second.tokens;
+    const std::uint64_t others = queue.order.size() - (own > 0 ? 1 : 0);
+    // a new organisation waits for about one request of each other one
+    const std::uint64_t mean =
+        queue.order.empty() ? 0 : queue.tokens / std::max<std::uint64_t>(size(), 1);
+    const std::uint64_t each = std::max(own, mean);
+    return std::min(queue.tokens, own + others * each);
+}
+
+request_queue::class_queue& request_queue::queue_of(bool is_interactive)
+{
+    return m_classes[is_interactive ? 1 : 0];
+}
+
+const request_queue::class_queue& request_queue::queue_of(bool is_interactive) const
+{
+    return m_classes[is_interactive ? 1 : 0];
+}
+
+const queued_request& request_queue::head_of(const class_queue& queue) const
+{
+    return queue.organisations.at(queue.order.begin()->second).waiting.front();
+}
+
+bool request_queue::is_batch_next() const
+{
+    const class_queue& interactive = queue_of(true);
+    const class_queue& batch = queue_of(false);
+    if (batch.order.empty() || interactive.order.empty()) {
+        return interactive.order.empty();
+    }
+    return m_batch_credit >= static_cast<double>(head_of(batch).tokens);
+}
+
+void request_queue::insert(queued_request request, bool at_front)
+{
+    class_queue& queue = queue_of(request.is_interactive);
+    organisation_queue& own = queue.organisations[request.organisation];
+    if (own.waiting.empty()) {
+        own.served = std::max(own.served, queue.floor);
+        queue.order.emplace(own.served, request.organisation);
+    }
+    own.tokens += request.tokens;
+    queue.tokens += request.tokens;
+    m_deadlines.emplace(request.deadline, request.id);
+    const auto before = at_front ? own.waiting.begin() : own.waiting.end();
+    const auto at = own.waiting.insert(before, std::move(request));
+    m_places.emplace(at->id, place{at->is_interactive, at});
+}
+
+queued_request request_queue::extract(const place& from)
+{
+    queued_request taken = std::move(*from.at);
+    class_queue& queue = queue_of(from.is_interactive);
+    organisation_queue& own = queue.organisations.at(taken.organisation);
+    own.waiting.erase(from.at);
+    own.tokens -= taken.tokens;
+    queue.tokens -= taken.tokens;
+    if (own.waiting.empty()) {
+        queue.order.erase({own.served, taken.organisation});
+    }
+    m_deadlines.erase({taken.deadline, taken.id});
+    m_places.erase(taken.id);
+    if (queue_of(false).order.empty()) {
+        m_batch_credit = 0;
+    }
+    return taken;
+}
+
+void request_queue::charge(class_queue& queue, const std::string& organisation, double tokens)
+{
+    const auto found = queue.organisations.find(organisation);
+    if (found == queue.organisations.end()) {
+        return; // forgotten while idle
+    }
+    organisation_queue& own = found->second;
+    if (own.waiting.empty()) {
+        own.served += tokens;
+        return;
+    }
+    queue.order.erase({own.served, organisation});
+    own.served += tokens;
+    queue.order.emplace(own.served, organisation);
+}
+
+void request_queue::forget_idle(class_queue& queue)
+{
+    if (queue.organisations.size() <= 2 * queue.order.size() + idle_organisations) {
+        return;
+    }
+    // the lift would give the same counter to an organisation below the floor
+    std::erase_if(queue.organisations, [&queue](const auto& item) {
+        return item.second.waiting.empty() && item.second.served <= queue.floor;
+    });
+}
+
+double request_queue::batch_part_of(double tokens) const
+{
+    return tokens * m_settings.batch_share / (1 - m_settings.batch_share);
+}
+
+void request_queue::note_classes(const queued_request& popped)
+{
+    if (queue_of(false).order.empty()) {
+        m_batch_credit = 0;
+        return;
+    }
+    const auto tokens = static_cast<double>(popped.tokens);
+    if (popped.is_interactive) {
+        m_batch_credit += batch_part_of(tokens);
+    }
+    else {
+        m_batch_credit = std::max(0.0, m_batch_credit - tokens);
+    }
+}
+
+} // namespace hickorykeel
--- /dev/null
+++ b/tests/process/request_queue_test.cpp
@@ -0,0 +1,274 @@
+#include "process/routing/request_queue.h"
+#include "support/seeded_property.h"
+
+#include <chrono>   // seconds
+#include <optional> // optional
+#include <set>      // set
+#include <string>   // string
+#include <vector>   // vector
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{1000s};
+
+queued_request make(std::uint64_t id, const std::string& organisation, std::uint64_t tokens = 100,
+                    bool is_interactive = true)
+{
+    return {.id = id,
+            .organisation = organisation,
+            .tokens = tokens,
+            .is_interactive = is_interactive,
+            .deadline = start + 10s};
+}
+
+/// Ids in the order in which they are served.
+std::vector<std::uint64_t> drain(request_queue& queue)
+{
+    std::vector<std::uint64_t> ids;
+    while (const auto next = queue.pop(start)) {
+        ids.push_back(next->id);
+    }
+    return ids;
+}
+
+} // namespace
+
+TEST_CASE("bounds of a queue")
+{
+    request_queue queue{{.capacity = 3, .organisation_capacity = 2}};
+    CHECK(queue.push(make(1, "large"), start) == push_outcome::queued);
+    CHECK(queue.push(make(1, "large"), start) == push_outcome::duplicate);
+    CHECK(queue.push(make(2, "large"), start) == push_outcome::queued);
+    CHECK(queue.push(make(3, "large"), start) == push_outcome::organisation_full);
+    CHECK(queue.push(make(4, "small"), start) == push_outcome::queued);
+    CHECK(queue.push(make(5, "other"), start) == push_outcome::queue_full);
+}
+
+TEST_CASE("deadlines")
+{
+    request_queue queue;
+
+    SUBCASE("an expired request is not queued")
+    {
+        CHECK(queue.push(make(1, "a"), start + 10s) == push_outcome::expired);
+    }
+    SUBCASE("a request that expires while it waits is handed out as expired, once")
+    {
+        queue.push(make(1, "a"), start);
+        CHECK_FALSE(queue.pop(start + 10s));
+        const auto expired = queue.take_expired(start + 10s);
+        REQUIRE(expired.size() == 1);
+        CHECK(expired[0].id == 1);
+        CHECK(queue.take_expired(start + 11s).empty());
+        CHECK(queue.is_empty());
+    }
+    SUBCASE("waiting is hopeless when it ends after the deadline")
+    {
+        CHECK(is_hopeless(2s, start, start + 1s));
+        CHECK_FALSE(is_hopeless(1s, start, start + 1s));
+    }
+}
+
+TEST_CASE("fairness between organisations")
+{
+    request_queue queue;
+
+    SUBCASE("one that sends much waits behind its own requests, not others behind them")
+    {
+        for (std::uint64_t id = 1; id <= 5; ++id) {
+            queue.push(make(id, "large"), start);
+        }
+        queue.push(make(6, "small"), start);
+        CHECK(drain(queue) == std::vector<std::uint64_t>{1, 6, 2, 3, 4, 5});
+    }
+    SUBCASE("cost counts in tokens, not in requests")
+    {
+        for (std::uint64_t id = 1; id <= 2; ++id) {
+            queue.push(make(id, "long", 400), start);
+        }
+        for (std::uint64_t id = 3; id <= 7; ++id) {
+            queue.push(make(id, "short", 100), start);
+        }
+        CHECK(drain(queue) == std::vector<std::uint64_t>{1, 3, 4, 5, 6, 2, 7});
+    }
+    SUBCASE("an organisation saves up nothing while it does not wait")
+    {
+        for (std::uint64_t id = 1; id <= 20; ++id) {
+            queue.push(make(id, "busy"), start);
+        }
+        for (int i = 0; i < 10; ++i) {
+            queue.pop(start);
+        }
+        for (std::uint64_t id = 21; id <= 24; ++id) {
+            queue.push(make(id, "idle"), start);
+        }
+        const auto order = drain(queue);
+        const std::set<std::uint64_t> first_four(order.begin(), order.begin() + 4);
+        CHECK(first_four.contains(11));
+        CHECK(first_four.contains(12));
+    }
+    SUBCASE("unused tokens go back to the organisation")
+    {
+        queue.push(make(1, "a", 1000), start);
+        queue.push(make(2, "b", 100), start);
+        queue.push(make(3, "a", 100), start);
+        queue.push(make(4, "b", 100), start);
+        const auto first = queue.pop(start);
+        REQUIRE(first->id == 1);
+        queue.settle(*first, 50);
+        CHECK(drain(queue) == std::vector<std::uint64_t>{2, 3, 4});
+    }
+    SUBCASE("a request that found no endpoint is next again")
+    {
+        for (std::uint64_t id = 1; id <= 3; ++id) {
+            queue.push(make(id, "a"), start);
+        }
+        queue.push(make(4, "b"), start);
+        queue.put_back(*queue.pop(start));
+        CHECK(drain(queue) == std::vector<std::uint64_t>{1, 4, 2, 3});
+    }
+}
+
+TEST_CASE("interactive and batch")
+{
+    request_queue queue{{.batch_share = 0.2}};
+
+    SUBCASE("interactive goes first, batch gets its share of the tokens")
+    {
+        for (std::uint64_t id = 1; id <= 3; ++id) {
+            queue.push(make(id, "a", 100, false), start);
+        }
+        for (std::uint64_t id = 11; id <= 20; ++id) {
+            queue.push(make(id, "a", 100, true), start);
+        }
+        CHECK(drain(queue) ==
+              std::vector<std::uint64_t>{11, 12, 13, 14, 1, 15, 16, 17, 18, 2, 19, 20, 3});
+    }
+    SUBCASE("credit of batch work that went away does not stay")
+    {
+        queue.push(make(1, "a", 100, false), start);
+        for (std::uint64_t id = 11; id <= 16; ++id) {
+            queue.push(make(id, "a"), start);
+        }
+        for (int i = 0; i < 4; ++i) {
+            queue.pop(start);
+        }
+        queue.remove(1);
+        queue.push(make(2, "a", 100, false), start);
+        CHECK(drain(queue) == std::vector<std::uint64_t>{15, 16, 2});
+    }
+}
+
+TEST_CASE("tokens ahead")
+{
+    request_queue queue;
+    for (std::uint64_t id = 1; id <= 10; ++id) {
+        queue.push(make(id, "large"), start);
+    }
+    queue.push(make(11, "small"), start);
+    CHECK(queue.tokens_ahead("large", true) == 1100);
+    CHECK(queue.tokens_ahead("small", true) == 200);
+    CHECK(queue.tokens_ahead("large", false) == 0);
+}
+
+TEST_CASE("a queue neither loses nor duplicates a request")
+{
+    CHECK(holds_with_seed(21, [] {
+        request_queue queue{{.capacity = 20, .organisation_capacity = 8}};
+        std::set<std::uint64_t> waiting;
+        time_point now = start;
+        std::uint64_t next_id = 1;
+        const auto steps =
+            *rc::gen::container<std::vector<std::uint8_t>>(rc::gen::arbitrary<std::uint8_t>());
+        const auto leave = [&waiting](std::uint64_t id) { RC_ASSERT(waiting.erase(id) == 1); };
+        for (const std::uint8_t step : steps) {
+            now += 20ms * (step % 3);
+            if (step % 8 < 4) {
+                queued_request added =
+                    make(next_id++, std::string(1, 'a' + step % 5), step, step % 2 == 0);
+                added.deadline = now + 10ms * (step % 50);
+                if (queue.push(added, now) == push_outcome::queued) {
+                    waiting.insert(added.id);
+                }
+            }
+            else if (step % 8 < 6) {
+                if (const auto popped = queue.pop(now)) {
+                    RC_ASSERT(popped->deadline > now);
+                    if (step % 16 < 8) {
+                        queue.put_back(*popped);
+                    }
+                    else {
+                        leave(popped->id);
+                    }
+                }
+            }
+            else if (step % 8 == 6) {
+                const std::uint64_t id = step % next_id;
+                RC_ASSERT(queue.remove(id) == (waiting.erase(id) == 1));
+            }
+            for (const queued_request& expired : queue.take_expired(now)) {
+                RC_ASSERT(expired.deadline <= now);
+                leave(expired.id);
+            }
+            RC_ASSERT(queue.size() == waiting.size());
+        }
+        while (const auto popped = queue.pop(now)) {
+            leave(popped->id);
+        }
+        RC_ASSERT(waiting.empty());
+    }));
+}
+
+TEST_CASE("batch work is served within a bound")
+{
+    CHECK(holds_with_seed(22, [] {
+        constexpr double share = 0.15;
+        request_queue queue{{.batch_share = share}};
+        const auto batch_tokens = *rc::gen::inRange<std::uint64_t>(1, 500);
+        const auto interactive = *rc::gen::container<std::vector<std::uint64_t>>(
+            200, rc::gen::inRange<std::uint64_t>(1, 300));
+        queue.push(make(1, "batch", batch_tokens, false), start);
+        std::uint64_t id = 2;
+        for (const std::uint64_t tokens : interactive) {
+            queue.push(make(id++, "a", tokens), start);
+        }
+        double before = 0;
+        double last = 0;
+        while (const auto popped = queue.pop(start)) {
+            if (popped->id == 1) {
+                break;
+            }
+            last = static_cast<double>(popped->tokens);
+            before += last;
+        }
+        const double bound = static_cast<double>(batch_tokens) * (1 - share) / share;
+        RC_ASSERT(before <= bound + last + 1e-6);
+    }));
+}
+
+TEST_CASE("an organisation is served within a bound whatever another sends")
+{
+    CHECK(holds_with_seed(23, [] {
+        request_queue queue;
+        const auto sizes = *rc::gen::container<std::vector<std::uint64_t>>(
+            100, rc::gen::inRange<std::uint64_t>(1, 300));
+        std::uint64_t id = 100;
+        for (const std::uint64_t tokens : sizes) {
+            queue.push(make(id++, "large", tokens), start);
+        }
+        const auto served_first = *rc::gen::inRange<int>(0, 50);
+        for (int i = 0; i < served_first; ++i) {
+            queue.pop(start);
+        }
+        queue.push(make(1, "small"), start);
+        // one request of the large organisation makes its counter larger than the small one's
+        const auto first = queue.pop(start);
+        const auto second = queue.pop(start);
+        RC_ASSERT((first->id == 1 || second->id == 1));
+    }));
+}
