Decide fleet-wide limits without shared state

Token buckets that lend their capacity with the tokens, weights of failure domains, shares of the hosts within one, and the limiter of one host.

The written rule for shares had a gap: two hosts could both raise on each other's earlier answer. Consent is now given pair by pair, and an answer carries it in the entry for the asker.

--- /dev/null
+++ b/src/process/limits/host_shares.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "process/clock.h"
+#include "process/limits/limit_messages.h"
+#include "version/configuration.h"
+
+#include <chrono>  // seconds, hours
+#include <cstdint> // uint64_t
+#include <map>     // map
+#include <string>  // string
+#include <vector>  // vector
+
+namespace hickorykeel {
+
+/// Terms of the shares within a failure domain, and switches for tests.
+struct share_options {
+    duration hold_term = std::chrono::seconds{10};   ///< full consent
+    duration isolation_term = std::chrono::hours{2}; ///< reduced consent
+    duration settle_term = std::chrono::seconds{2};  ///< after a fall, until loans have ended
+    double floor_part = 0.5;                         ///< of a consent after the hold term
+    double drift = clock_drift_bound;
+
+    /// @name test only: each false shows that the rule is needed
+    /// @{
+    bool waits_for_consent = true;
+    bool falls_without_consent = true;
+    bool counts_settling = true;
+    bool bounds_old_consents = true;
+    /// @}
+};
+
+/// Splits a failure domain's rights among its hosts without shared state.
+///
+/// Each host keeps, for every other, the fraction that it has consented to, and uses no more than
+/// what these consents leave and what every other listed host has consented to. Rights of a pair
+/// of hosts are so bounded by their own messages, whatever their lists say.
+///
+/// Thread safety: none; the owner serialises calls. Complexity of each call: linear in the hosts
+/// of the failure domain, but where noted.
+class host_shares {
+public:
+    host_shares(std::string name, std::string failure_domain, std::uint64_t incarnation,
+                share_options options);
+
+    /// @name input
+    /// @{
+    void apply(const host_list& list, time_point now);
+
+    /// Answers a claim; consent is in the entry for the asker.
+    /// `others` of the answer names every host that isn't live in this host's list.
+    share_answer on_claim(const std::string& from, std::uint64_t incarnation,
+                          const share_claim& claim, time_point now);
+
+    /// Takes the answer to the claim that this host sent at `asked`.
+    void on_answer(const std::string& from, std::uint64_t incarnation, const share_answer& answer,
+                   time_point asked, time_point now);
+
+    /// That incarnation uses nothing any more.
+    void on_goodbye(const std::string& from, std::uint64_t incarnation, time_point now);
+
+    /// Moves to `now`: what has ended by then is counted no more.
+    void advance(time_point now);
+    /// @}
+
+    /// @name state
+    /// @{
+
+    /// Fraction of the failure domain's rights that this host uses since the last call above.
+    /// Constant time.
+    [[nodiscard]] double fraction() const noexcept { return m_fraction; }
+
+    /// Next moment at which the fraction falls unless an answer comes; `time_point::max()`: none.
+    [[nodiscard]] time_point next_fall(time_point now) const;
+
+    /// Hosts to send a claim to.
+    [[nodiscard]] std::vector<std::string> hosts_to_ask() const;
+
+    [[nodiscard]] std::uint64_t host_list_revision() const noexcept { return m_revision; }
+    /// @}
+
+private:
+    /// Consent received from another host.
+    struct consent {
+        double fraction = 0;
+        time_point asked; // both terms count from here
+    };
+
+    /// What another host may use.
+    struct peer {
+        std::uint64_t incarnation = 0;
+        std::vector<std::uint64_t> retired; // earlier incarnations, oldest first
+        double lingering = 0;               // of the last one
+        time_point lingers_until;
+        bool is_listed = false;
+        bool is_live = false; // listed as live
+        bool has_claimed = false;
+        double granted = 0; // by this host
+        time_point granted_at;
+        consent received;
+        bool has_consented = false;
+        time_point promised_at; // last answer given to it
+        double promised = 0;
+        bool has_promise = false;
+        time_point reports_asked;
+        std::vector<held_share> reports; // of third hosts, with the ends beside
+        std::vector<time_point> report_ends;
+    };
+
+    peer* accept(const std::string& from, std::uint64_t incarnation, time_point now);
+    void retire(peer& other, time_point now);
+    [[nodiscard]] static bool is_retired(const peer& other, std::uint64_t incarnation);
+    [[nodiscard]] double allowance(const peer& other, time_point now) const;
+    [[nodiscard]] double consented(const peer& other, time_point now) const;
+    [[nodiscard]] std::map<std::string, double> allowances(time_point now) const;
+    [[nodiscard]] std::map<std::string, double> reported(time_point now) const;
+    [[nodiscard]] double target() const;
+    [[nodiscard]] double scale(const std::map<std::string, double>& allowed) const;
+    [[nodiscard]] double committed(time_point now) const;
+    [[nodiscard]] std::vector<held_share> to_others(time_point now) const;
+    [[nodiscard]] duration lengthened(duration term) const;
+    double grant(const std::string& to, peer& asker, const share_claim& claim, time_point now);
+    void update(time_point now);
+
+    std::string m_name;
+    std::string m_failure_domain;
+    std::uint64_t m_incarnation;
+    share_options m_options;
+    std::uint64_t m_revision = 0;
+    bool m_is_live = false; // this host, by its own list
+    std::map<std::string, peer> m_peers;
+    std::map<std::string, std::uint64_t> m_newcomers; // of newer lists, with their revision
+    double m_fraction = 0;
+    double m_settling = 0; // fraction that loans may still rest on
+    time_point m_settled_at;
+};
+
+} // namespace hickorykeel
--- /dev/null
+++ b/src/process/limits/limiter.cpp
@@ -0,0 +1,703 @@
+#include "process/limits/limiter.h"
+
+#include <algorithm> // any_of, clamp, find, find_if, max, min, stable_sort
+#include <random>    // uniform_real_distribution
+#include <utility>   // move
+
+namespace hickorykeel {
+
+namespace detail {
+
+constexpr double rounding = 1e-6;          // tokens
+constexpr std::size_t most_considered = 8; // hosts of one failure domain
+constexpr duration shortest_retry = std::chrono::milliseconds{50};
+constexpr duration longest_retry = std::chrono::seconds{60};
+constexpr double unknown_level = 1; // of the capacity, where no hint is fresh
+
+// A term as the granter counts it: certain to end after the holder's.
+duration lengthened(duration term, double drift)
+{
+    return from_seconds(to_seconds(term) * (1 + 2 * drift)) + std::chrono::milliseconds{1};
+}
+
+std::string to_changed_key(std::string_view account)
+{
+    return std::string{account.substr(0, account.find('/'))};
+}
+
+} // namespace detail
+
+limiter::limiter(std::string host, std::string failure_domain, std::uint64_t incarnation,
+                 limiter_options options, time_point now)
+    : m_host{std::move(host)}, m_failure_domain{std::move(failure_domain)}, m_options{options},
+      m_shares{m_host, m_failure_domain, incarnation, options.shares},
+      m_weights{m_failure_domain, options.weights}, m_now{now}, m_accrues_from{now},
+      m_rights_since{now}, m_last_id{incarnation}, m_next_claim{now}, m_random{incarnation}
+{
+    if (options.waits_after_start) {
+        // an earlier incarnation's loans may be spent until then
+        m_accrues_from = now + detail::lengthened(options.loan_term, options.shares.drift);
+        m_rights_since = m_accrues_from;
+    }
+}
+
+void limiter::apply(const configuration_ptr& published, time_point now)
+{
+    now = advance(now);
+    if (m_published && published->revision <= m_published->revision) {
+        return;
+    }
+    m_weights.apply(published);
+    note_changes(*published, now);
+    m_published = published;
+    m_revisions[published->revision] = now;
+    set_all_rights(now);
+    m_next_claim = now;
+    confirm_weights(now);
+}
+
+void limiter::apply(const host_list_ptr& hosts, time_point now)
+{
+    now = advance(now);
+    if (m_hosts && hosts->revision <= m_hosts->revision) {
+        return;
+    }
+    m_hosts = hosts;
+    m_live.clear();
+    for (const host& listed : hosts->hosts) {
+        if (listed.state == host_state::live && listed.name != m_host) {
+            m_live[listed.failure_domain].push_back(listed.name);
+        }
+    }
+    m_shares.apply(*hosts, now);
+    after_share_change(now);
+    m_next_claim = now;
+    confirm_weights(now);
+}
+
+reservation_result limiter::reserve(const std::vector<std::string>& accounts, double tokens,
+                                    time_point now)
+{
+    now = advance(now);
+    reservation_result result;
+    result.id = ++m_last_id;
+    reservation kept;
+    kept.tokens = tokens;
+    for (const std::string& account : accounts) {
+        if (!m_published || tokens > to_limit(*m_published, account).burst) {
+            return result;
+        }
+        kept.parts.push_back({});
+        kept.parts.back().account = account;
+    }
+    if (take_all(kept, now)) {
+        kept.is_granted = true;
+        result.state = reservation_state::granted;
+        m_reservations.emplace(result.id, std::move(kept));
+        return result;
+    }
+    hold_own(kept, now);
+    if (!ask_more(result.id, kept, now, result.messages)) {
+        result.retry_after = to_retry_after(kept);
+        close(kept, false, now, result.messages);
+        return result;
+    }
+    result.state = reservation_state::waiting;
+    m_waiting.insert(result.id);
+    m_reservations.emplace(result.id, std::move(kept));
+    return result;
+}
+
+void limiter::settle(std::uint64_t id, double used, time_point now)
+{
+    now = advance(now);
+    const auto found = m_reservations.find(id);
+    if (found == m_reservations.end() || !found->second.is_granted) {
+        return;
+    }
+    const double unused = std::max(0.0, found->second.tokens - used);
+    for (const part& charged : found->second.parts) {
+        find_account(charged.account, now).bucket.give_back(unused, now);
+    }
+    m_reservations.erase(found);
+}
+
+loan_grant limiter::on_loan_request(const loan_request& request, time_point now)
+{
+    now = advance(now);
+    loan_grant grant;
+    grant.account = request.account;
+    if (!m_published || to_limit(*m_published, request.account).rate <= 0) {
+        return grant;
+    }
+    token_bucket& bucket = find_account(request.account, now).bucket;
+    const duration hold = detail::lengthened(m_options.loan_term, m_options.shares.drift);
+    grant.tokens = bucket.lend(m_last_id + 1, request.tokens, request.minimum, hold, now);
+    if (grant.tokens > 0) {
+        grant.loan = ++m_last_id;
+        m_open_loans[grant.loan] = {request.account, now + hold};
+    }
+    grant.term = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.loan_term);
+    grant.level = bucket.level(now);
+    return grant;
+}
+
+void limiter::on_loan_settle(const loan_settle& settled, time_point now)
+{
+    now = advance(now);
+    const auto found = m_open_loans.find(settled.loan);
+    if (found == m_open_loans.end()) {
+        return;
+    }
+    find_account(found->second.account, now).bucket.settle(settled.loan, settled.returned, now);
+    m_open_loans.erase(found);
+}
+
+limiter_events limiter::on_loan_grant(const std::string& from, std::uint64_t id,
+                                      const loan_grant& grant, time_point now)
+{
+    now = advance(now);
+    limiter_events events;
+    const auto asked = m_questions.find(id);
+    if (asked == m_questions.end() || asked->second.host != from ||
+        asked->second.reservation == 0) {
+        return events;
+    }
+    const question answered = asked->second;
+    m_questions.erase(asked);
+    m_silent_until.erase(from);
+    account_state& state = find_account(grant.account, now);
+    remember_hint(state, from, grant.level, now);
+    const time_point ends = answered.asked + std::min<duration>(grant.term, m_options.loan_term);
+    const auto found = m_reservations.find(answered.reservation);
+    if (found == m_reservations.end() || found->second.is_granted) {
+        if (grant.tokens > 0) {
+            events.messages.push_back({from, 0, loan_settle{grant.loan, 0, grant.tokens}});
+        }
+        return events;
+    }
+    part& wanted = found->second.parts[answered.part];
+    // a late answer belongs to an earlier round
+    wanted.open_questions -= wanted.open_questions > 0 ? 1 : 0;
+    if (grant.tokens > 0) {
+        wanted.loans.push_back({from, grant.loan, grant.tokens, ends});
+        state.borrowed += grant.tokens;
+    }
+    reservation_result result = progress(answered.reservation, false, now);
+    if (result.state != reservation_state::waiting || !result.messages.empty()) {
+        events.results.push_back(std::move(result));
+    }
+    return events;
+}
+
+share_answer limiter::on_share_claim(const std::string& from, std::uint64_t incarnation,
+                                     const share_claim& claim, time_point now)
+{
+    now = advance(now);
+    share_answer answer;
+    const bool is_listed_elsewhere =
+        m_hosts && std::any_of(m_hosts->hosts.begin(), m_hosts->hosts.end(), [&](const host& it) {
+            return it.name == from && it.failure_domain != m_failure_domain;
+        });
+    if (!is_listed_elsewhere) {
+        answer = m_shares.on_claim(from, incarnation, claim, now);
+        after_share_change(now);
+    }
+    const auto confirmed = m_confirmed_by.find(from);
+    if (confirmed != m_confirmed_by.end() && confirmed->second.incarnation != incarnation) {
+        m_confirmed_by.erase(confirmed);
+    }
+    answer.host_list_revision = m_shares.host_list_revision();
+    answer.configuration_revision = settled_revision(now);
+    answer.is_confirmed = m_weights.is_confirmed();
+    return answer;
+}
+
+void limiter::on_share_answer(const std::string& from, std::uint64_t incarnation, std::uint64_t id,
+                              const share_answer& answer, time_point now)
+{
+    now = advance(now);
+    const auto asked = m_questions.find(id);
+    if (asked == m_questions.end() || asked->second.host != from ||
+        asked->second.reservation != 0) {
+        return;
+    }
+    const time_point when = asked->second.asked;
+    m_questions.erase(asked);
+    m_silent_until.erase(from);
+    m_confirmed_by[from] = {incarnation, answer.configuration_revision};
+    const bool is_near =
+        std::any_of(m_hosts->hosts.begin(), m_hosts->hosts.end(), [&](const host& it) {
+            return it.name == from && it.failure_domain == m_failure_domain;
+        });
+    if (is_near) {
+        m_shares.on_answer(from, incarnation, answer, when, now);
+        after_share_change(now);
+    }
+    if (is_near && answer.is_confirmed && m_published &&
+        answer.configuration_revision == m_published->revision && !m_weights.is_confirmed()) {
+        m_weights.confirm(answer.configuration_revision);
+        m_rights_since = std::max(now, m_accrues_from);
+        set_all_rights(now);
+    }
+    confirm_weights(now);
+}
+
+void limiter::on_goodbye(const std::string& from, std::uint64_t incarnation, time_point now)
+{
+    now = advance(now);
+    m_shares.on_goodbye(from, incarnation, now);
+    after_share_change(now);
+}
+
+limiter_events limiter::tick(time_point now)
+{
+    now = advance(now);
+    limiter_events events;
+    m_shares.advance(now);
+    after_share_change(now);
+    end_questions(now);
+    std::erase_if(m_open_loans, [&](const auto& entry) { return entry.second.ends <= now; });
+    const std::vector<std::uint64_t> waiting{m_waiting.begin(), m_waiting.end()};
+    for (const std::uint64_t id : waiting) {
+        if (m_reservations.at(id).round_ends > now) {
+            continue;
+        }
+        reservation_result result = progress(id, true, now);
+        if (result.state != reservation_state::waiting || !result.messages.empty()) {
+            events.results.push_back(std::move(result));
+        }
+    }
+    if (now < m_next_claim || !m_hosts) {
+        return events;
+    }
+    m_next_claim = now + next_claim_interval();
+    std::vector<std::string> hosts = m_shares.hosts_to_ask();
+    if (!m_weights.is_confirmed()) {
+        for (const host& listed : m_hosts->hosts) {
+            if (listed.failure_domain != m_failure_domain) {
+                hosts.push_back(listed.name);
+            }
+        }
+    }
+    for (const std::string& name : hosts) {
+        m_questions[++m_last_id] = {name, 0, 0, now};
+        events.messages.push_back(
+            {name, m_last_id,
+             share_claim{m_shares.host_list_revision(), m_published ? m_published->revision : 0}});
+    }
+    return events;
+}
+
+std::vector<account_status> limiter::status(time_point now)
+{
+    now = advance(now);
+    std::vector<account_status> rows;
+    rows.reserve(m_accounts.size());
+    for (auto& [name, state] : m_accounts) {
+        rows.push_back({name, state.bucket.rate(), state.bucket.capacity(), state.bucket.level(now),
+                        state.bucket.lent(), state.borrowed});
+    }
+    return rows;
+}
+
+// Two hosts that ask each other at the same moment can't raise each other's bound, so the interval
+// varies between half and three halves.
+duration limiter::next_claim_interval()
+{
+    std::uniform_real_distribution<double> factor{0.5, 1.5};
+    return from_seconds(to_seconds(m_options.claim_interval) * factor(m_random));
+}
+
+// Moves to `now` through every moment at which rights fall; returns the moment reached.
+time_point limiter::advance(time_point now)
+{
+    now = std::max(now, m_now);
+    while (m_next_fall <= now) {
+        const time_point fall = m_next_fall;
+        m_shares.advance(fall);
+        m_now = fall;
+        after_share_change(fall);
+    }
+    m_now = now;
+    return now;
+}
+
+void limiter::after_share_change(time_point now)
+{
+    m_next_fall = m_shares.next_fall(now);
+    if (m_shares.fraction() != m_applied_fraction) {
+        m_applied_fraction = m_shares.fraction();
+        m_rights_since = std::max(now, m_accrues_from);
+        set_all_rights(now);
+    }
+}
+
+void limiter::set_all_rights(time_point now)
+{
+    for (auto& [name, state] : m_accounts) {
+        set_rights(name, state, now);
+    }
+}
+
+void limiter::set_rights(const std::string& account, account_state& state, time_point now) const
+{
+    const account_limit limit = to_limit(*m_published, account);
+    const double share = m_weights.weight(account) * m_shares.fraction();
+    state.bucket.set_rights(limit.rate * share, limit.burst * share, now);
+}
+
+// State of the account, made on first use as if it had been there since its rights last changed.
+limiter::account_state& limiter::find_account(const std::string& account, time_point now)
+{
+    const auto found = m_accounts.find(account);
+    if (found != m_accounts.end()) {
+        return found->second;
+    }
+    time_point since = m_rights_since;
+    const auto changed = m_changed.find(detail::to_changed_key(account));
+    if (changed != m_changed.end()) {
+        since = std::max(since, changed->second);
+    }
+    const std::size_t slash = account.find('/');
+    if (slash != std::string::npos) {
+        const auto profile = m_changed.find(to_open_account(account.substr(slash + 1)));
+        since = profile == m_changed.end() ? since : std::max(since, profile->second);
+    }
+    account_state& state = m_accounts.try_emplace(account, since).first->second;
+    set_rights(account, state, std::min(since, now));
+    return state;
+}
+
+// Notes which accounts' rights a configuration changes; all others go on as they were.
+void limiter::note_changes(const configuration& after, time_point now)
+{
+    const time_point since = std::max(now, m_accrues_from);
+    if (!m_published || m_published->failure_domains.size() != after.failure_domains.size()) {
+        m_rights_since = since;
+        return;
+    }
+    for (const auto& [name, organisation] : after.organisations) {
+        const auto before = m_published->organisations.find(name);
+        if (before == m_published->organisations.end() ||
+            before->second.rate != organisation.rate ||
+            before->second.burst != organisation.burst ||
+            before->second.home != organisation.home) {
+            m_changed[name] = since;
+        }
+    }
+    for (const auto& [name, profile] : after.profiles) {
+        const auto before = m_published->profiles.find(name);
+        const std::string account = to_open_account(name);
+        if (before == m_published->profiles.end() || before->second.rate != profile.rate ||
+            before->second.burst != profile.burst ||
+            to_home(*m_published, account) != to_home(after, account)) {
+            m_changed[account] = since;
+        }
+    }
+}
+
+void limiter::confirm_weights(time_point now)
+{
+    if (!m_published || m_weights.is_confirmed() || !is_confirmed_by_all()) {
+        return;
+    }
+    m_weights.confirm(m_published->revision);
+    m_rights_since = std::max(now, m_accrues_from);
+    set_all_rights(now);
+}
+
+bool limiter::is_confirmed_by_all() const
+{
+    if (!m_hosts) {
+        return false;
+    }
+    for (const host& listed : m_hosts->hosts) {
+        if (listed.name == m_host) {
+            continue;
+        }
+        const auto found = m_confirmed_by.find(listed.name);
+        if (found == m_confirmed_by.end() || found->second.revision != m_published->revision) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// Newest revision since which all loans made under earlier ones have ended.
+std::uint64_t limiter::settled_revision(time_point now) const
+{
+    const duration hold = detail::lengthened(m_options.loan_term, m_options.shares.drift);
+    std::uint64_t settled = 0;
+    for (const auto& [revision, applied] : m_revisions) {
+        if (applied + hold <= now) {
+            settled = std::max(settled, revision);
+        }
+    }
+    return settled;
+}
+
+bool limiter::take_all(const reservation& kept, time_point now)
+{
+    for (const part& wanted : kept.parts) {
+        if (find_account(wanted.account, now).bucket.level(now) < kept.tokens) {
+            return false;
+        }
+    }
+    for (const part& wanted : kept.parts) {
+        find_account(wanted.account, now).bucket.take_up_to(kept.tokens, now);
+    }
+    return true;
+}
+
+// Keeps own tokens for a waiting request; they hold their capacity like a loan.
+void limiter::hold_own(reservation& kept, time_point now)
+{
+    const duration hold = detail::lengthened(m_options.loan_term, m_options.shares.drift);
+    for (part& wanted : kept.parts) {
+        token_bucket& bucket = find_account(wanted.account, now).bucket;
+        wanted.own = bucket.lend(m_last_id + 1, kept.tokens, 0, hold, now);
+        wanted.own_ends = now + m_options.loan_term;
+        if (wanted.own > 0) {
+            wanted.own_loan = ++m_last_id;
+        }
+    }
+}
+
+// Asks for all that is missing; false where the hosts left can't be expected to have it.
+bool limiter::ask_more(std::uint64_t id, reservation& kept, time_point now,
+                       std::vector<limit_message>& messages)
+{
+    for (std::size_t i = 0; i < kept.parts.size(); ++i) {
+        if (!ask_for_part(id, i, kept, now, messages)) {
+            return false;
+        }
+    }
+    kept.round_ends = now + m_options.loan_wait;
+    return true;
+}
+
+bool limiter::ask_for_part(std::uint64_t id, std::size_t index, reservation& kept, time_point now,
+                           std::vector<limit_message>& messages)
+{
+    part& wanted = kept.parts[index];
+    const double lacking = missing(kept, wanted, now);
+    if (lacking <= detail::rounding) {
+        return true;
+    }
+    std::vector<candidate> chosen = candidates(wanted, now);
+    double expected = 0;
+    std::size_t count = 0;
+    while (count < chosen.size() && expected < lacking) {
+        expected += chosen[count].level;
+        ++count;
+    }
+    if (expected < lacking) {
+        return false;
+    }
+    chosen.resize(count);
+    for (const candidate& lender : chosen) {
+        const std::uint64_t asked = ++m_last_id;
+        // a lone lender grants all or nothing; several each give what they can
+        const double minimum =
+            count == 1 && wanted.asked.size() + 1 == m_options.most_asked ? lacking : 0;
+        m_questions[asked] = {lender.host, id, index, now};
+        messages.push_back({lender.host, asked,
+                            loan_request{wanted.account, lacking, minimum, m_published->revision}});
+        ++wanted.open_questions;
+    }
+    for (const candidate& lender : chosen) {
+        wanted.asked.push_back(lender.host);
+    }
+    return true;
+}
+
+// Hosts to ask, nearest first, then by what they are expected to hold.
+std::vector<limiter::candidate> limiter::candidates(const part& wanted, time_point now)
+{
+    std::vector<candidate> found;
+    const std::string home = to_home(*m_published, wanted.account);
+    add_candidates(m_failure_domain, wanted, now, found);
+    if (home != m_failure_domain) {
+        add_candidates(home, wanted, now, found);
+    }
+    if (!m_live.empty()) {
+        // then another failure domain, a different one each time
+        auto other = m_live.begin();
+        std::advance(other, static_cast<std::ptrdiff_t>(++m_rotation % m_live.size()));
+        for (std::size_t i = 0; i < std::min<std::size_t>(m_live.size(), 4); ++i) {
+            if (other->first != home && other->first != m_failure_domain) {
+                add_candidates(other->first, wanted, now, found);
+            }
+            if (++other == m_live.end()) {
+                other = m_live.begin();
+            }
+        }
+    }
+    const std::size_t left =
+        m_options.most_asked - std::min(m_options.most_asked, wanted.asked.size());
+    found.resize(std::min(found.size(), left));
+    return found;
+}
+
+void limiter::add_candidates(const std::string& failure_domain, const part& wanted, time_point now,
+                             std::vector<candidate>& found)
+{
+    const auto live = m_live.find(failure_domain);
+    if (live == m_live.end()) {
+        return;
+    }
+    const std::vector<std::string>& hosts = live->second;
+    const std::size_t count = std::min(hosts.size(), detail::most_considered);
+    const auto first = static_cast<std::ptrdiff_t>(found.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::string& name = hosts[(m_rotation + i) % hosts.size()];
+        const auto silent = m_silent_until.find(name);
+        const bool is_silent = silent != m_silent_until.end() && silent->second > now;
+        const bool was_asked =
+            std::find(wanted.asked.begin(), wanted.asked.end(), name) != wanted.asked.end();
+        const double level = expected_level(name, failure_domain, wanted.account, now);
+        if (!is_silent && !was_asked && level > detail::rounding) {
+            found.push_back({name, level});
+        }
+    }
+    std::stable_sort(
+        found.begin() + first, found.end(),
+        [](const candidate& lhs, const candidate& rhs) { return lhs.level > rhs.level; });
+}
+
+double limiter::expected_level(const std::string& name, const std::string& failure_domain,
+                               const std::string& account, time_point now)
+{
+    const account_limit limit = to_limit(*m_published, account);
+    const std::size_t own = failure_domain == m_failure_domain ? 1 : 0;
+    const auto hosts = static_cast<double>(m_live.at(failure_domain).size() + own);
+    const double weight = to_weight(*m_published, account, failure_domain, m_options.weights).full;
+    const double share = weight / hosts;
+    const account_state& state = find_account(account, now);
+    const auto known = std::find_if(state.hints.begin(), state.hints.end(),
+                                    [&](const hint& it) { return it.host == name; });
+    if (known == state.hints.end() || now - known->at > m_options.hint_age) {
+        return limit.burst * share * detail::unknown_level;
+    }
+    return std::min(limit.burst * share,
+                    known->level + limit.rate * share * to_seconds(now - known->at));
+}
+
+double limiter::missing(const reservation& kept, const part& wanted, time_point now)
+{
+    double left = kept.tokens - (now < wanted.own_ends ? wanted.own : 0);
+    for (const borrowed_loan& loan : wanted.loans) {
+        left -= now < loan.ends ? loan.tokens : 0;
+    }
+    return left;
+}
+
+bool limiter::is_complete(const reservation& kept, time_point now)
+{
+    return std::all_of(kept.parts.begin(), kept.parts.end(), [&](const part& wanted) {
+        return missing(kept, wanted, now) <= detail::rounding;
+    });
+}
+
+bool limiter::is_answered(const reservation& kept)
+{
+    return std::all_of(kept.parts.begin(), kept.parts.end(),
+                       [](const part& wanted) { return wanted.open_questions == 0; });
+}
+
+// Grants what is complete, asks on once a round is over, refuses where nobody is left to ask.
+reservation_result limiter::progress(std::uint64_t id, bool is_round_over, time_point now)
+{
+    reservation& kept = m_reservations.at(id);
+    reservation_result result;
+    result.id = id;
+    result.state = reservation_state::waiting;
+    if (is_complete(kept, now)) {
+        close(kept, true, now, result.messages);
+        m_waiting.erase(id);
+        kept.is_granted = true;
+        result.state = reservation_state::granted;
+        return result;
+    }
+    if (!is_round_over && !is_answered(kept)) {
+        return result;
+    }
+    for (part& wanted : kept.parts) {
+        wanted.open_questions = 0;
+    }
+    std::vector<limit_message> messages;
+    if (ask_more(id, kept, now, messages)) {
+        result.messages = std::move(messages);
+        return result;
+    }
+    result.state = reservation_state::refused;
+    result.retry_after = to_retry_after(kept);
+    close(kept, false, now, result.messages);
+    m_waiting.erase(id);
+    m_reservations.erase(id);
+    return result;
+}
+
+// Ends the loans of a reservation: spent where it was granted, else returned.
+void limiter::close(reservation& kept, bool is_granted, time_point now,
+                    std::vector<limit_message>& messages)
+{
+    for (part& wanted : kept.parts) {
+        double left = is_granted ? kept.tokens : 0;
+        if (wanted.own_loan != 0) {
+            const double spent = std::min(left, wanted.own);
+            find_account(wanted.account, now)
+                .bucket.settle(wanted.own_loan, wanted.own - spent, now);
+            left -= spent;
+        }
+        for (const borrowed_loan& loan : wanted.loans) {
+            const bool is_usable = now < loan.ends;
+            const double spent = is_usable ? std::min(left, loan.tokens) : 0;
+            left -= spent;
+            messages.push_back(
+                {loan.host, 0, loan_settle{loan.loan, spent, is_usable ? loan.tokens - spent : 0}});
+        }
+        wanted.loans.clear();
+    }
+}
+
+void limiter::remember_hint(account_state& state, const std::string& name, double level,
+                            time_point now) const
+{
+    const auto known = std::find_if(state.hints.begin(), state.hints.end(),
+                                    [&](const hint& it) { return it.host == name; });
+    if (known != state.hints.end()) {
+        *known = {name, level, now};
+        return;
+    }
+    std::erase_if(state.hints, [&](const hint& it) { return now - it.at > m_options.hint_age; });
+    state.hints.push_back({name, level, now});
+}
+
+// Forgets questions whose answer would come too late, and notes who didn't answer.
+void limiter::end_questions(time_point now)
+{
+    std::erase_if(m_questions, [&](const auto& entry) {
+        const question& open = entry.second;
+        if (open.reservation != 0 && open.asked + m_options.loan_wait <= now) {
+            m_silent_until[open.host] = open.asked + m_options.loan_wait + m_options.silence;
+        }
+        return open.asked + m_options.shares.hold_term <= now;
+    });
+    std::erase_if(m_silent_until, [&](const auto& entry) { return entry.second <= now; });
+}
+
+duration limiter::to_retry_after(const reservation& kept) const
+{
+    duration longest = detail::shortest_retry;
+    for (const part& wanted : kept.parts) {
+        const account_limit limit = to_limit(*m_published, wanted.account);
+        if (limit.rate > 0) {
+            longest = std::max(longest, from_seconds(kept.tokens / limit.rate));
+        }
+    }
+    return std::min(longest, detail::longest_retry);
+}
+
+} // namespace hickorykeel
--- /dev/null
+++ b/src/process/limits/limiter.h
@@ -0,0 +1,251 @@
+#pragma once
+
+#include "process/clock.h"
+#include "process/limits/domain_weight.h"
+#include "process/limits/host_shares.h"
+#include "process/limits/limit_messages.h"
+#include "process/limits/token_bucket.h"
+#include "version/configuration.h"
+
+#include <chrono>        // milliseconds, seconds
+#include <cstdint>       // uint64_t
+#include <map>           // map
+#include <random>        // mt19937_64
+#include <set>           // set
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <variant>       // variant
+#include <vector>        // vector
+
+namespace hickorykeel {
+
+/// Terms of a limiter.
+struct limiter_options {
+    weight_options weights;
+    share_options shares;
+    duration loan_term = std::chrono::seconds{2};        ///< from the borrower's question
+    duration loan_wait = std::chrono::milliseconds{300}; ///< for the answers to one round
+    duration silence = std::chrono::seconds{1};          ///< a host without answer isn't asked
+    duration hint_age = std::chrono::seconds{1};         ///< after that a level hint is unknown
+    duration claim_interval = std::chrono::seconds{1};
+    std::size_t most_asked = 4; ///< hosts asked for one request and account
+
+    /// @name test only: each false shows that the rule is needed
+    /// @{
+    bool lends_capacity = true;
+    bool waits_after_start = true;
+    /// @}
+};
+
+/// A message to another host's limiter. `question` comes back with the answer; 0: none expected.
+struct limit_message {
+    std::string host;
+    std::uint64_t question = 0;
+    std::variant<loan_request, loan_settle, share_claim> body;
+};
+
+enum class reservation_state { granted, waiting, refused };
+
+/// Where a reservation stands, and what to send for it.
+struct reservation_result {
+    std::uint64_t id = 0;
+    reservation_state state = reservation_state::refused;
+    duration retry_after{0}; ///< of a refusal; 0: never, the request is above the burst
+    std::vector<limit_message> messages;
+};
+
+/// What a call has brought about.
+struct limiter_events {
+    std::vector<reservation_result> results;
+    std::vector<limit_message> messages;
+};
+
+/// One account as seen by this host.
+struct account_status {
+    std::string account;
+    double rate = 0;     ///< tokens a second, this host's share
+    double capacity = 0; ///< tokens, this host's share
+    double level = 0;
+    double lent = 0;
+    double borrowed = 0; ///< since the start
+};
+
+/// Fleet-wide limits at one host: buckets, loans, and shares of the rights.
+///
+/// Every call first moves the limiter to its `now`, so a pause of the process costs rights and
+/// never makes any. A moment before an earlier one counts as that one.
+///
+/// Thread safety: none; the owner serialises calls. Complexity: `reserve` and the loan calls are
+/// constant in the number of accounts and hosts; `apply` and `tick` are linear.
+class limiter {
+public:
+    limiter(std::string host, std::string failure_domain, std::uint64_t incarnation,
+            limiter_options options, time_point now);
+
+    /// @name what is published
+    /// @{
+    void apply(const configuration_ptr& published, time_point now);
+    void apply(const host_list_ptr& hosts, time_point now);
+    /// @}
+
+    /// @name requests
+    /// @{
+
+    /// Reserves `tokens` of each account. A waiting reservation ends by `on_loan_grant` or
+    /// `tick`; each granted one must be settled.
+    reservation_result reserve(const std::vector<std::string>& accounts, double tokens,
+                               time_point now);
+
+    /// Gives back what a granted reservation didn't use. An unknown one changes nothing.
+    void settle(std::uint64_t reservation, double used, time_point now);
+    /// @}
+
+    /// @name messages of other hosts
+    /// @{
+    loan_grant on_loan_request(const loan_request& request, time_point now);
+    void on_loan_settle(const loan_settle& settled, time_point now);
+    limiter_events on_loan_grant(const std::string& from, std::uint64_t question,
+                                 const loan_grant& grant, time_point now);
+    share_answer on_share_claim(const std::string& from, std::uint64_t incarnation,
+                                const share_claim& claim, time_point now);
+    void on_share_answer(const std::string& from, std::uint64_t incarnation, std::uint64_t question,
+                         const share_answer& answer, time_point now);
+    void on_goodbye(const std::string& from, std::uint64_t incarnation, time_point now);
+    /// @}
+
+    /// Ends what has waited too long and asks for consents; call it at least every 100 ms.
+    limiter_events tick(time_point now);
+
+    /// @name state
+    /// @{
+    [[nodiscard]] std::vector<account_status> status(time_point now);
+    [[nodiscard]] double fraction() const noexcept { return m_shares.fraction(); }
+    [[nodiscard]] bool is_confirmed() const noexcept { return m_weights.is_confirmed(); }
+    /// @}
+
+private:
+    struct hint {
+        std::string host;
+        double level;
+        time_point at;
+    };
+
+    struct account_state {
+        explicit account_state(time_point since) : bucket{since} {}
+
+        token_bucket bucket;
+        double borrowed = 0;
+        std::vector<hint> hints; // of the hosts asked, at most one a host
+    };
+
+    struct borrowed_loan {
+        std::string host;
+        std::uint64_t loan;
+        double tokens;
+        time_point ends;
+    };
+
+    // one account of a reservation
+    struct part {
+        std::string account;
+        std::uint64_t own_loan = 0; // own tokens are kept as a loan to this host
+        double own = 0;
+        time_point own_ends;
+        std::vector<borrowed_loan> loans;
+        std::vector<std::string> asked;
+        std::size_t open_questions = 0;
+    };
+
+    struct reservation {
+        double tokens = 0;
+        bool is_granted = false;
+        time_point round_ends;
+        std::vector<part> parts;
+    };
+
+    struct question {
+        std::string host;
+        std::uint64_t reservation = 0; // 0: a share_claim
+        std::size_t part = 0;
+        time_point asked;
+    };
+
+    struct open_loan {
+        std::string account;
+        time_point ends;
+    };
+
+    struct confirmation {
+        std::uint64_t incarnation;
+        std::uint64_t revision; // of the configuration
+    };
+
+    struct candidate {
+        std::string host;
+        double level; // expected
+    };
+
+    duration next_claim_interval();
+    time_point advance(time_point now);
+    void after_share_change(time_point now);
+    void set_all_rights(time_point now);
+    void set_rights(const std::string& account, account_state& state, time_point now) const;
+    account_state& find_account(const std::string& account, time_point now);
+    void note_changes(const configuration& after, time_point now);
+    void confirm_weights(time_point now);
+    [[nodiscard]] bool is_confirmed_by_all() const;
+    [[nodiscard]] std::uint64_t settled_revision(time_point now) const;
+
+    bool take_all(const reservation& kept, time_point now);
+    void hold_own(reservation& kept, time_point now);
+    bool ask_more(std::uint64_t id, reservation& kept, time_point now,
+                  std::vector<limit_message>& messages);
+    bool ask_for_part(std::uint64_t id, std::size_t index, reservation& kept, time_point now,
+                      std::vector<limit_message>& messages);
+    std::vector<candidate> candidates(const part& wanted, time_point now);
+    void add_candidates(const std::string& failure_domain, const part& wanted, time_point now,
+                        std::vector<candidate>& found);
+    double expected_level(const std::string& host, const std::string& failure_domain,
+                          const std::string& account, time_point now);
+    [[nodiscard]] static double missing(const reservation& kept, const part& wanted,
+                                        time_point now);
+    [[nodiscard]] static bool is_complete(const reservation& kept, time_point now);
+    [[nodiscard]] static bool is_answered(const reservation& kept);
+    reservation_result progress(std::uint64_t id, bool is_round_over, time_point now);
+    void remember_hint(account_state& state, const std::string& host, double level,
+                       time_point now) const;
+    void end_questions(time_point now);
+    void close(reservation& kept, bool is_granted, time_point now,
+               std::vector<limit_message>& messages);
+    [[nodiscard]] duration to_retry_after(const reservation& kept) const;
+
+    std::string m_host;
+    std::string m_failure_domain;
+    limiter_options m_options;
+    host_shares m_shares;
+    held_weights m_weights;
+    configuration_ptr m_published;
+    host_list_ptr m_hosts;
+    time_point m_now;
+    time_point m_accrues_from;
+    time_point m_rights_since; // all rights were constant since, but for m_changed
+    std::unordered_map<std::string, time_point> m_changed; // organisations and "open:" profiles
+    std::map<std::uint64_t, time_point> m_revisions;       // applied and not yet settled
+    std::uint64_t m_settled_revision = 0;
+    std::map<std::string, confirmation> m_confirmed_by;     // by host
+    std::map<std::string, std::vector<std::string>> m_live; // failure domain to its live hosts
+    std::map<std::string, time_point> m_silent_until;
+    std::unordered_map<std::string, account_state> m_accounts;
+    std::unordered_map<std::uint64_t, reservation> m_reservations;
+    std::set<std::uint64_t> m_waiting; // ids of the waiting reservations
+    std::map<std::uint64_t, question> m_questions;
+    std::map<std::uint64_t, open_loan> m_open_loans;
+    std::uint64_t m_last_id; // of reservations, questions and loans
+    time_point m_next_fall = time_point::max();
+    double m_applied_fraction = 0;
+    std::size_t m_rotation = 0;
+    time_point m_next_claim;
+    std::mt19937_64 m_random; // of the moments to ask
+};
+
+} // namespace hickorykeel
--- /dev/null
+++ b/tests/support/limiter_fleet.cpp
@@ -0,0 +1,277 @@
+#include "support/limiter_fleet.h"
+
+#include <algorithm> // max, min
+#include <limits>    // numeric_limits
+#include <utility>   // move
+
+namespace hickorykeel {
+
+namespace {
+
+constexpr duration tick_interval = std::chrono::milliseconds{100};
+
+// bytes of an envelope with its names and stamps, then of each body
+constexpr std::uint64_t envelope_bytes = 64;
+
+struct to_bytes {
+    std::uint64_t operator()(const loan_request& it) const { return 24 + it.account.size(); }
+    std::uint64_t operator()(const loan_grant& it) const { return 32 + it.account.size(); }
+    std::uint64_t operator()(const loan_settle&) const { return 26; }
+    std::uint64_t operator()(const share_claim&) const { return 6; }
+    std::uint64_t operator()(const share_answer& it) const { return 16 + 36 * it.others.size(); }
+};
+
+} // namespace
+
+double largest_excess(const std::vector<charge>& charges, double rate, double burst)
+{
+    double sum = 0;
+    double lowest = std::numeric_limits<double>::infinity();
+    double excess = -burst;
+    for (const charge& it : charges) {
+        const double allowed = rate * to_seconds(it.at.time_since_epoch());
+        lowest = std::min(lowest, sum - allowed);
+        sum += it.tokens;
+        excess = std::max(excess, sum - allowed - lowest - burst);
+    }
+    return excess;
+}
+
+limiter_fleet::limiter_fleet(std::uint64_t seed, limiter_options options, link_faults faults)
+    : m_random{seed}, m_options{options}, m_faults{faults}
+{
+}
+
+void limiter_fleet::start(const std::string& name, const std::string& failure_domain)
+{
+    member& host = m_hosts[name];
+    host.failure_domain = failure_domain;
+    host.incarnation = m_random() >> 1U;
+    host.paused_until = m_now;
+    host.decisions =
+        std::make_unique<limiter>(name, failure_domain, host.incarnation, m_options, m_now);
+    tick(name, host.incarnation);
+}
+
+void limiter_fleet::stop(const std::string& name)
+{
+    m_hosts[name].decisions.reset();
+}
+
+void limiter_fleet::pause(const std::string& name, time_point until)
+{
+    m_hosts[name].paused_until = until;
+}
+
+void limiter_fleet::set_cut(const std::string& one, const std::string& other, bool is_cut)
+{
+    for (const std::string& pair : {one + ' ' + other, other + ' ' + one}) {
+        if (is_cut) {
+            m_cuts.insert(pair);
+        }
+        else {
+            m_cuts.erase(pair);
+        }
+    }
+}
+
+void limiter_fleet::cut_domain(const std::string& failure_domain, bool is_cut)
+{
+    for (const auto& [one, inside] : m_hosts) {
+        for (const auto& [other, outside] : m_hosts) {
+            if (inside.failure_domain == failure_domain &&
+                outside.failure_domain != failure_domain) {
+                set_cut(one, other, is_cut);
+            }
+        }
+    }
+}
+
+void limiter_fleet::publish(const std::string& name, const configuration_ptr& published)
+{
+    when_awake(name, m_hosts[name].incarnation,
+               [this, published](limiter& decisions) { decisions.apply(published, m_now); });
+}
+
+void limiter_fleet::publish(const std::string& name, const host_list_ptr& hosts)
+{
+    when_awake(name, m_hosts[name].incarnation,
+               [this, hosts](limiter& decisions) { decisions.apply(hosts, m_now); });
+}
+
+void limiter_fleet::reserve(const std::string& name, const std::vector<std::string>& accounts,
+                            double tokens, double used, duration lasting)
+{
+    member& host = m_hosts.at(name);
+    if (!host.decisions || host.paused_until > m_now) {
+        return;
+    }
+    const reservation_result outcome = host.decisions->reserve(accounts, tokens, m_now);
+    m_pending[{name, outcome.id}] = {accounts, tokens, used < 0 ? tokens : used, lasting, m_now};
+    take(name, outcome);
+}
+
+void limiter_fleet::run_until(time_point end)
+{
+    while (!m_events.empty() && m_events.top().at <= end) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_now = std::max(m_now, next.at);
+        next.run();
+    }
+    m_now = end;
+}
+
+bool limiter_fleet::is_running(const std::string& name) const
+{
+    const auto found = m_hosts.find(name);
+    return found != m_hosts.end() && found->second.decisions != nullptr;
+}
+
+void limiter_fleet::schedule(time_point at, std::function<void()> run)
+{
+    m_events.push({at, ++m_order, std::move(run)});
+}
+
+// Runs now, or when the pause is over; never for an incarnation that has ended.
+void limiter_fleet::when_awake(const std::string& name, std::uint64_t incarnation,
+                               const std::function<void(limiter&)>& run)
+{
+    const member& host = m_hosts.at(name);
+    if (!host.decisions || host.incarnation != incarnation) {
+        return;
+    }
+    if (host.paused_until > m_now) {
+        schedule(host.paused_until,
+                 [this, name, incarnation, run] { when_awake(name, incarnation, run); });
+        return;
+    }
+    run(*host.decisions);
+}
+
+void limiter_fleet::send(const std::string& from, const std::string& to, std::uint64_t question,
+                         const body& content)
+{
+    ++m_counts.messages;
+    m_counts.bytes += envelope_bytes + std::visit(to_bytes{}, content);
+    const member& sender = m_hosts.at(from);
+    const auto receiver = m_hosts.find(to);
+    if (receiver == m_hosts.end() || m_cuts.contains(from + ' ' + to)) {
+        return;
+    }
+    const bool is_near = sender.failure_domain == receiver->second.failure_domain;
+    const std::uint64_t incarnation = sender.incarnation;
+    const int copies = random() < m_faults.duplication ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        if (random() < m_faults.loss) {
+            continue;
+        }
+        const duration delay = (is_near ? m_faults.near_delay : m_faults.far_delay) +
+                               from_seconds(to_seconds(m_faults.jitter) * random());
+        schedule(m_now + delay, [=, this] { deliver(from, incarnation, to, question, content); });
+    }
+}
+
+void limiter_fleet::deliver(const std::string& from, std::uint64_t incarnation,
+                            const std::string& to, std::uint64_t question, const body& content)
+{
+    if (m_cuts.contains(from + ' ' + to)) {
+        return;
+    }
+    when_awake(to, m_hosts.at(to).incarnation, [=, this](limiter& decisions) {
+        handle(from, incarnation, to, decisions, question, content);
+    });
+}
+
+void limiter_fleet::handle(const std::string& from, std::uint64_t incarnation,
+                           const std::string& to, limiter& decisions, std::uint64_t question,
+                           const body& content)
+{
+    if (const auto* request = std::get_if<loan_request>(&content)) {
+        send(to, from, question, decisions.on_loan_request(*request, m_now));
+    }
+    else if (const auto* grant = std::get_if<loan_grant>(&content)) {
+        take(to, decisions.on_loan_grant(from, question, *grant, m_now));
+    }
+    else if (const auto* settled = std::get_if<loan_settle>(&content)) {
+        decisions.on_loan_settle(*settled, m_now);
+    }
+    else if (const auto* claim = std::get_if<share_claim>(&content)) {
+        send(to, from, question, decisions.on_share_claim(from, incarnation, *claim, m_now));
+    }
+    else if (const auto* answer = std::get_if<share_answer>(&content)) {
+        decisions.on_share_answer(from, incarnation, question, *answer, m_now);
+    }
+}
+
+void limiter_fleet::send_all(const std::string& from, const std::vector<limit_message>& messages)
+{
+    for (const limit_message& message : messages) {
+        std::visit(
+            [&](const auto& content) { send(from, message.host, message.question, content); },
+            message.body);
+    }
+}
+
+void limiter_fleet::take(const std::string& name, const limiter_events& events)
+{
+    send_all(name, events.messages);
+    for (const reservation_result& outcome : events.results) {
+        take(name, outcome);
+    }
+}
+
+void limiter_fleet::take(const std::string& name, const reservation_result& outcome)
+{
+    send_all(name, outcome.messages);
+    if (outcome.state == reservation_state::waiting) {
+        return;
+    }
+    const auto found = m_pending.find({name, outcome.id});
+    if (found == m_pending.end()) {
+        return; // reserved past the fleet
+    }
+    const pending request = found->second;
+    m_pending.erase(found);
+    for (const std::string& account : request.accounts) {
+        counts& own = m_by_account[account];
+        if (outcome.state == reservation_state::refused) {
+            ++own.refused;
+            continue;
+        }
+        ++own.granted;
+        own.granted_tokens += request.tokens;
+        m_charges[account].push_back({m_now, request.tokens});
+    }
+    if (outcome.state == reservation_state::refused) {
+        ++m_counts.refused;
+        return;
+    }
+    ++m_counts.granted;
+    m_counts.granted_tokens += request.tokens;
+    m_counts.waited += m_now - request.since;
+    const std::uint64_t incarnation = m_hosts.at(name).incarnation;
+    schedule(m_now + request.lasting, [=, this, id = outcome.id] {
+        when_awake(name, incarnation, [=, this](limiter& decisions) {
+            decisions.settle(id, request.used, m_now);
+            for (const std::string& account : request.accounts) {
+                m_charges[account].push_back({m_now, request.used - request.tokens});
+            }
+        });
+    });
+}
+
+void limiter_fleet::tick(const std::string& name, std::uint64_t incarnation)
+{
+    when_awake(name, incarnation, [=, this](limiter& decisions) {
+        take(name, decisions.tick(m_now));
+        schedule(m_now + tick_interval, [=, this] { tick(name, incarnation); });
+    });
+}
+
+double limiter_fleet::random()
+{
+    return std::uniform_real_distribution<double>{0, 1}(m_random);
+}
+
+} // namespace hickorykeel
--- /dev/null
+++ b/tests/support/limiter_fleet.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "process/limits/limiter.h"
+
+#include <cstdint>    // uint64_t
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // unique_ptr
+#include <queue>      // priority_queue
+#include <random>     // mt19937_64
+#include <set>        // set
+#include <string>     // string
+#include <variant>    // variant
+#include <vector>     // vector
+
+namespace hickorykeel {
+
+/// What an account was charged at a moment; below 0: given back.
+struct charge {
+    time_point at;
+    double tokens;
+};
+
+/// Largest amount by which any window of `charges` lies above `burst + rate * t`; at most 0: none.
+/// Precondition: in order of time. Complexity: linear.
+double largest_excess(const std::vector<charge>& charges, double rate, double burst);
+
+/// Limiters joined by a fake link on a simulated clock.
+class limiter_fleet {
+public:
+    struct link_faults {
+        double loss = 0;
+        double duplication = 0;
+        duration jitter{0}; ///< added at random to each message, which reorders them
+        duration near_delay = std::chrono::milliseconds{1};
+        duration far_delay = std::chrono::milliseconds{80};
+    };
+
+    struct counts {
+        std::uint64_t granted = 0;
+        std::uint64_t refused = 0;
+        double granted_tokens = 0;
+        std::uint64_t messages = 0;
+        std::uint64_t bytes = 0;
+        duration waited{0}; ///< from reservation to grant, in sum
+    };
+
+    limiter_fleet(std::uint64_t seed, limiter_options options, link_faults faults);
+    limiter_fleet(const limiter_fleet&) = delete; // scheduled events refer to it
+    limiter_fleet& operator=(const limiter_fleet&) = delete;
+
+    /// Starts a host, or replaces it without memory.
+    void start(const std::string& name, const std::string& failure_domain);
+    void stop(const std::string& name);
+    /// The host handles nothing until `until`; its messages wait.
+    void pause(const std::string& name, time_point until);
+    /// Cuts or joins a pair, in both directions.
+    void set_cut(const std::string& one, const std::string& other, bool is_cut);
+    void cut_domain(const std::string& failure_domain, bool is_cut);
+    void publish(const std::string& name, const configuration_ptr& published);
+    void publish(const std::string& name, const host_list_ptr& hosts);
+
+    /// `used` of the tokens are kept, the rest is given back after `lasting`.
+    void reserve(const std::string& name, const std::vector<std::string>& accounts, double tokens,
+                 double used = -1, duration lasting = duration::zero());
+
+    void run_until(time_point end);
+
+    [[nodiscard]] time_point now() const noexcept { return m_now; }
+    [[nodiscard]] bool is_running(const std::string& name) const;
+    [[nodiscard]] limiter& at(const std::string& name) { return *m_hosts.at(name).decisions; }
+    [[nodiscard]] const std::vector<charge>& charges(const std::string& account)
+    {
+        return m_charges[account];
+    }
+    [[nodiscard]] const counts& totals() const noexcept { return m_counts; }
+    /// Counts of one account.
+    [[nodiscard]] const counts& totals(const std::string& account) { return m_by_account[account]; }
+
+private:
+    using body = std::variant<loan_request, loan_grant, loan_settle, share_claim, share_answer>;
+
+    struct event {
+        time_point at;
+        std::uint64_t order;
+        std::function<void()> run;
+        bool operator<(const event& other) const // the earliest is the top of the queue
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    struct member {
+        std::string failure_domain;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<limiter> decisions; // null: stopped
+        time_point paused_until;
+    };
+
+    struct pending {
+        std::vector<std::string> accounts;
+        double tokens;
+        double used;
+        duration lasting;
+        time_point since;
+    };
+
+    void schedule(time_point at, std::function<void()> run);
+    void when_awake(const std::string& name, std::uint64_t incarnation,
+                    const std::function<void(limiter&)>& run);
+    void send(const std::string& from, const std::string& to, std::uint64_t question,
+              const body& content);
+    void deliver(const std::string& from, std::uint64_t incarnation, const std::string& to,
+                 std::uint64_t question, const body& content);
+    void handle(const std::string& from, std::uint64_t incarnation, const std::string& to,
+                limiter& decisions, std::uint64_t question, const body& content);
+    void send_all(const std::string& from, const std::vector<limit_message>& messages);
+    void take(const std::string& name, const limiter_events& events);
+    void take(const std::string& name, const reservation_result& outcome);
+    void tick(const std::string& name, std::uint64_t incarnation);
+    double random();
+
+    std::mt19937_64 m_random;
+    limiter_options m_options;
+    link_faults m_faults;
+    time_point m_now;
+    std::uint64_t m_order = 0;
+    std::priority_queue<event> m_events;
+    std::map<std::string, member> m_hosts;
+    std::set<std::string> m_cuts; // "one other", both ways
+    std::map<std::pair<std::string, std::uint64_t>, pending> m_pending;
+    std::map<std::string, std::vector<charge>> m_charges;
+    std::map<std::string, counts> m_by_account;
+    counts m_counts;
+};
+
+} // namespace hickorykeel
