--- a/src/process/configuration_client.cpp
+++ b/src/process/configuration_client.cpp
@@ -17,8 +17,7 @@
     link::envelope message;
     {
         const std::lock_guard lock(m_mutex);
-        message.mutable_sync_request()->set_configuration_revision(m_replica.revision());
-        message.mutable_sync_request()->set_host_list_revision(m_replica.hosts_revision());
+        *message.mutable_sync_request() = make_request(m_replica);
     }
     m_links.ask(m_address, std::move(message));
 }
--- /dev/null
+++ b/src/programs/configd.cpp
@@ -0,0 +1,37 @@
+#include "process/configd.h"
+#include "process/common_settings.h"
+#include "process/program.h"
+
+#include <iostream> // cout, cerr
+
+namespace {
+
+using namespace hickorykeel;
+
+constexpr auto rules = with_common_rules(std::array{
+    setting_rule{"peers", "seeds", setting_kind::address_list, false, "", 0, 0,
+                 "link addresses of other hosts' hickorykeel-configd, asked first after a start"},
+    setting_rule{"platform", "address", setting_kind::address, true, "", 0, 0,
+                 "the platform's configuration service"},
+});
+
+int run(const settings& chosen, stop_signal& stop)
+{
+    auto opened = configd::open({chosen.text("process", "host"), chosen.text("link", "listen"),
+                                 chosen.text("platform", "address"), chosen.list("peers", "seeds"),
+                                 to_link_keys(chosen)});
+    if (const auto* failure = std::get_if<error>(&opened)) {
+        std::cerr << failure->to_string() << '\n';
+        return EXIT_FAILURE;
+    }
+    std::cout << "listening " << std::get<0>(opened)->link_address() << std::endl;
+    stop.wait();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    return run_program(argc, argv, {"hickorykeel-configd", rules, run, check_common});
+}
