--- a/src/process/caller_api.cpp
+++ b/src/process/caller_api.cpp
@@ -311,7 +311,8 @@
                                 "the host is leaving", detail::ready_retry},
                                response);
     }
-    else if (!m_shared.published->current() || !m_shared.published->hosts()) {
+    else if (!m_shared.published->current() || !m_shared.published->hosts() ||
+             !m_shared.directory.is_any_ready(boot_clock::now())) {
         detail::answer_refusal(detail::not_ready(), response);
     }
     else {
--- a/src/process/dispatch_directory.cpp
+++ b/src/process/dispatch_directory.cpp
@@ -1,6 +1,6 @@
 #include "process/dispatch_directory.h"
 
-#include <algorithm> // stable_sort
+#include <algorithm> // any_of, stable_sort
 #include <utility>   // move, swap
 
 namespace hickorykeel {
@@ -102,4 +102,14 @@
            now - found->second.last_heard < silence_limit;
 }
 
+bool dispatch_directory::is_any_ready(time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& row) {
+        const dispatch_peer& peer = row.second;
+        return peer.incarnation != 0 && now - peer.last_heard < silence_limit && !peer.is_leaving &&
+               !peer.loads.empty();
+    });
+}
+
 } // namespace hickorykeel
