--- a/tests/process/platform_standin_test.cpp
+++ b/tests/process/platform_standin_test.cpp
@@ -15,20 +15,20 @@
 
 json get(httplib::Client& client, const std::string& path)
 {
-    const auto answer = client.Get(path.c_str());
+    const auto answer = client.Get(path);
     REQUIRE(answer);
     return json::parse(answer->body, nullptr, false);
 }
 
 int status_of(httplib::Client& client, const std::string& path)
 {
-    const auto answer = client.Get(path.c_str());
+    const auto answer = client.Get(path);
     return answer ? answer->status : 0;
 }
 
 json put(httplib::Client& client, const std::string& path, const json& body)
 {
-    const auto answer = client.Put(path.c_str(), body.dump(), "application/json");
+    const auto answer = client.Put(path, body.dump(), "application/json");
     REQUIRE(answer);
     return json::parse(answer->body, nullptr, false);
 }
