--- a/src/process/configuration_watch.cpp
+++ b/src/process/configuration_watch.cpp
@@ -100,13 +100,7 @@
 
 void configuration_watch::run(reader& own)
 {
-    while (true) {
-        {
-            const std::lock_guard lock{m_mutex};
-            if (m_is_stopping) {
-                return;
-            }
-        }
+    while (!is_stopping()) {
         const auto planned = m_handlers.current_plan();
         pause(planned.should_read ? read_once(own, planned) : detail::idle_pause);
     }
@@ -148,7 +142,7 @@
 
 duration configuration_watch::fail(reader& own, const error& why, duration retry_after)
 {
-    if (own.failures == 0) {
+    if (own.failures == 0 && !is_stopping()) {
         m_handlers.on_error(why);
     }
     const double draw = std::uniform_real_distribution<double>{0, 1}(own.random);
@@ -157,6 +151,12 @@
     return std::max(wait, retry_after + wait / 2);
 }
 
+bool configuration_watch::is_stopping()
+{
+    const std::lock_guard lock{m_mutex};
+    return m_is_stopping;
+}
+
 void configuration_watch::pause(duration wait)
 {
     std::unique_lock lock{m_mutex};
--- a/src/process/configuration_watch.h
+++ b/src/process/configuration_watch.h
@@ -66,6 +66,7 @@
     void run(reader& own);
     duration read_once(reader& own, const plan& planned);
     duration fail(reader& own, const error& why, duration retry_after);
+    bool is_stopping();
     void pause(duration wait);
 
     std::string m_address;
