--- a/tests/process/engine_standin_test.cpp
+++ b/tests/process/engine_standin_test.cpp
@@ -18,9 +18,10 @@
 TEST_CASE("prefix cache")
 {
     constexpr std::size_t capacity = 4;
+    constexpr std::size_t prompt_bytes = capacity * 256;
     prefix_cache cache{capacity};
-    const std::string first(4 * 256, 'a');
-    const std::string second(4 * 256, 'b');
+    const std::string first(prompt_bytes, 'a');
+    const std::string second(prompt_bytes, 'b');
 
     SUBCASE("a known prefix costs nothing")
     {
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdlib> // mkdtemp
 #include <fstream> // ifstream, ofstream
+#include <sstream> // ostringstream
 #include <utility> // move
 
 #include <httplib.h>
@@ -353,11 +354,11 @@
     };
     for (const char* part : {"configd", "dispatch", "entry"}) {
         const auto& [link_address, own_sections] = parts.at(part);
-        const std::string text = "[process]\nhost = " + item.name +
-                                 "\nfailure_domain = " + item.failure_domain +
-                                 "\n[link]\nlisten = " + link_address + '\n' + own_sections +
-                                 "[admin]\nlisten = " + item.admin_addresses.at(part) + '\n';
-        const std::string file = write_file(item.name + '-' + part + ".ini", text);
+        std::ostringstream text;
+        text << "[process]\nhost = " << item.name << "\nfailure_domain = " << item.failure_domain
+             << "\n[link]\nlisten = " << link_address << '\n'
+             << own_sections << "[admin]\nlisten = " << item.admin_addresses.at(part) << '\n';
+        const std::string file = write_file(item.name + '-' + part + ".ini", text.str());
         add(item.name + '/' + part, std::string{"hickorykeel-"} + part, {"--settings", file},
             item.failure_domain);
     }
@@ -414,6 +415,7 @@
         failure_domains_by_process = m_failure_domain_by_process;
     }
     std::vector<pid_t> processes;
+    processes.reserve(failure_domains_by_process.size());
     for (const auto& [process, failure_domain] : failure_domains_by_process) {
         processes.push_back(process);
     }
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -237,7 +237,9 @@
     item.server = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     detail::set_up(item.client);
     detail::set_up(item.server);
-    ::connect(item.server, reinterpret_cast<const sockaddr*>(&target), sizeof target);
+    // does not wait; a refusal shows at the first read
+    static_cast<void>(
+        ::connect(item.server, reinterpret_cast<const sockaddr*>(&target), sizeof target));
     item.upward.from = item.client;
     item.upward.to = item.server;
     item.downward.from = item.server;
