--- a/tests/support/http_caller.cpp
+++ b/standins/http_caller.cpp
@@ -1,4 +1,4 @@
-#include "support/http_caller.h"
+#include "standins/http_caller.h"
 
 #include "standins/answer.h"
 
@@ -8,7 +8,7 @@
 
 #include <httplib.h>
 
-namespace hickorykeel::tests {
+namespace hickorykeel::standins {
 
 namespace detail {
 
@@ -61,6 +61,7 @@
         received.status = response.status;
         received.endpoint = response.get_header_value("X-Hickorykeel-Endpoint");
         received.host = response.get_header_value("X-Hickorykeel-Host");
+        received.is_repeat = response.has_header("X-Hickorykeel-Repeat");
         return true;
     };
     httplib::Client client = make_client(entry);
@@ -164,6 +165,18 @@
                   : nlohmann::json(nlohmann::json::value_t::discarded);
 }
 
+std::vector<std::string> http_caller::tickets(const std::string& profile) const
+{
+    std::vector<std::string> found;
+    const nlohmann::json answer = hosts(profile);
+    if (answer.is_object()) {
+        for (const nlohmann::json& row : answer.value("tickets", nlohmann::json::array())) {
+            found.push_back(row.value("ticket", ""));
+        }
+    }
+    return found;
+}
+
 outcome http_caller::ask(const chat_question& question) const
 {
     const nlohmann::json body{
@@ -195,7 +208,7 @@
     if (!question.is_stream) {
         received.text = detail::text_of_whole(received.body);
     }
-    const std::string expected = standins::answer_text(question.text, question.output_tokens);
+    const std::string expected = answer_text(question.text, question.output_tokens);
     received.kind = received.text == expected ? outcome_kind::whole : outcome_kind::wrong;
     return received;
 }
@@ -227,4 +240,4 @@
     return received;
 }
 
-} // namespace hickorykeel::tests
+} // namespace hickorykeel::standins
