--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -350,6 +350,7 @@
         {"dispatch", {item.dispatch_address, "[peers]\nconfigd = " + item.configd_address + '\n'}},
         {"entry",
          {item.entry_address, "[peers]\nconfigd = " + item.configd_address +
+                                  "\ndispatch = " + item.dispatch_address +
                                   "\n[http]\nlisten = " + item.caller_address + '\n'}},
     };
     for (const char* part : {"configd", "dispatch", "entry"}) {
