Add hickorykeelctl for operators

Cause: operators check a publication before they publish it, and ask a process what it sees and does.

Each command is a row of a table; what its answer looks like is a table of columns, so members that a newer process adds do no harm. A caller's key stays at the operator's machine: explain sends its digest.

Test support shares one namespace and one way of waiting.

--- /dev/null
+++ b/src/process/ctl/ctl.cpp
@@ -0,0 +1,268 @@
+#include "process/ctl/ctl.h"
+
+#include "process/build_info.h"
+#include "process/ctl/publication.h"
+#include "process/ctl/remote.h"
+#include "process/ctl/table.h"
+
+#include <algorithm>   // find_if
+#include <array>       // array
+#include <span>        // span
+#include <string_view> // string_view
+
+namespace hickorykeel::ctl {
+
+namespace {
+
+/// Where a command prints.
+struct streams {
+    std::ostream& out;
+    std::ostream& err;
+};
+
+using arguments_list = std::vector<std::string>;
+
+/// Parser of one command's options.
+class command_line : public TCLAP::CmdLine {
+public:
+    explicit command_line(const std::string& help)
+        : TCLAP::CmdLine{help, ' ', std::string{build_version()}}
+    {
+        setExceptionHandling(false);
+    }
+};
+
+// --- what the answers look like ------------------------------------------------------------
+
+constexpr std::array status_columns{
+    column{"PROGRAM", "program"},
+    column{"VERSION", "version"},
+    column{"HOST", "host"},
+    column{"FAILURE DOMAIN", "failure_domain"},
+    column{"STATE", "state"},
+    column{"REVISION", "revision"},
+    column{"HOST LIST", "host_list_revision"},
+    column{"RUNNING", "requests_running"},
+    column{"WAITING", "requests_waiting"},
+    column{"UP MS", "uptime_ms"},
+};
+constexpr std::array status_views{view{"", status_columns}};
+
+constexpr std::array host_columns{
+    column{"NAME", "name"},
+    column{"FAILURE DOMAIN", "failure_domain"},
+    column{"STATE", "state"},
+    column{"CALLERS", "caller_address"},
+    column{"ENTRY", "entry_address"},
+    column{"DISPATCH", "dispatch_address"},
+    column{"CONFIGD", "configd_address"},
+    column{"HEARD MS AGO", "heard_ms_ago"},
+};
+constexpr std::array host_views{view{"hosts", host_columns}};
+
+constexpr std::array limit_columns{
+    column{"ACCOUNT", "account"}, column{"RATE", "rate"}, column{"CAPACITY", "capacity"},
+    column{"LEVEL", "level"},     column{"LENT", "lent"}, column{"BORROWED", "borrowed"},
+};
+constexpr std::array limit_views{view{"accounts", limit_columns}};
+
+constexpr std::array decision_columns{
+    column{"DECISION", "decision"},
+    column{"CODE", "code"},
+    column{"MESSAGE", "message"},
+    column{"REVISION", "revision"},
+};
+constexpr std::array step_columns{
+    column{"STEP", "step"},
+    column{"OUTCOME", "outcome"},
+    column{"REASON", "reason"},
+};
+constexpr std::array need_columns{
+    column{"ACCOUNT", "account"},
+    column{"NEEDED", "needed"},
+    column{"LEVEL", "level"},
+};
+constexpr std::array endpoint_columns{
+    column{"ENDPOINT", "name"},
+    column{"FAILURE DOMAIN", "failure_domain"},
+    column{"ALLOWED", "is_allowed"},
+    column{"REASON", "reason"},
+};
+constexpr std::array explain_views{
+    view{"", decision_columns},
+    view{"steps", step_columns},
+    view{"accounts", need_columns},
+    view{"endpoints", endpoint_columns},
+};
+
+constexpr std::array drain_columns{
+    column{"STATE", "state"},
+    column{"RUNNING", "requests_running"},
+};
+constexpr std::array drain_views{view{"", drain_columns}};
+
+// --- the commands --------------------------------------------------------------------------
+
+void print(const nlohmann::json& answer, bool is_json, std::span<const view> views,
+           std::ostream& out)
+{
+    if (is_json) {
+        out << answer.dump(2) << '\n';
+        return;
+    }
+    bool is_first = true;
+    for (const auto& shown : views) {
+        const auto text = to_text(answer, shown);
+        if (text.empty()) {
+            continue;
+        }
+        out << (is_first ? "" : "\n") << text;
+        is_first = false;
+    }
+}
+
+exit_code ask_and_print(const remote_options& options, const admin_call& wanted,
+                        std::span<const view> views, const streams& to)
+{
+    const auto outcome = ask(options, wanted, to.err);
+    if (const auto* code = std::get_if<exit_code>(&outcome)) {
+        return *code;
+    }
+    print(std::get<nlohmann::json>(outcome), options.is_json.getValue(), views, to.out);
+    return exit_code::ok;
+}
+
+/// A command that is one call without parameters.
+template <admin_method Method, const char* Path, const auto& Views>
+exit_code run_call(arguments_list& arguments, const streams& to)
+{
+    command_line line{arguments.front()};
+    const remote_options options{line};
+    line.parse(arguments);
+    return ask_and_print(options, {Method, Path, ""}, Views, to);
+}
+
+exit_code run_validate(arguments_list& arguments, const streams& to)
+{
+    command_line line{"check a file of entries as every process does"};
+    TCLAP::UnlabeledValueArg<std::string> path{
+        "file", "JSON object of keys and values", true, "", "FILE", line};
+    TCLAP::SwitchArg is_json{"j", "json", "print the result as JSON", line};
+    line.parse(arguments);
+    const auto entries = read_entries(path.getValue());
+    if (const auto* failure = std::get_if<error>(&entries)) {
+        to.err << failure->to_string() << '\n';
+        return exit_code::usage;
+    }
+    return validate(std::get<published_entries>(entries), is_json.getValue(), to.out);
+}
+
+std::string to_explain_path(const std::string& caller, const std::string& profile,
+                            const std::string& target, std::uint64_t tokens)
+{
+    return "/admin/v1/explain?" + caller + "&profile=" + to_query_value(profile) +
+           "&target=" + to_query_value(target) + "&tokens=" + std::to_string(tokens);
+}
+
+exit_code run_explain(arguments_list& arguments, const streams& to)
+{
+    command_line line{"tell what would become of a request, and why"};
+    const remote_options options{line};
+    TCLAP::ValueArg<std::string> key{"",   "key-file", "file that holds the caller's key",
+                                     true, "",         "FILE"};
+    TCLAP::ValueArg<std::string> organisation{
+        "o", "organisation", "organisation of the caller", true, "", "NAME"};
+    TCLAP::ValueArg<std::string> profile{"p",    "profile", "profile it names", true, "",
+                                         "NAME", line};
+    TCLAP::ValueArg<std::string> target{"t",    "target", "model or service it names", true, "",
+                                        "NAME", line};
+    TCLAP::ValueArg<std::uint64_t> tokens{"n", "tokens", "tokens it needs", false, 1, "N", line};
+    line.xorAdd(key, organisation);
+    line.parse(arguments);
+    auto caller = "organisation=" + to_query_value(organisation.getValue());
+    if (key.isSet()) {
+        const auto read = read_key(key.getValue());
+        if (const auto* failure = std::get_if<error>(&read)) {
+            to.err << failure->to_string() << '\n';
+            return exit_code::usage;
+        }
+        // the key itself stays here
+        caller = "key_digest=" + to_key_digest(std::get<std::string>(read));
+    }
+    const auto path =
+        to_explain_path(caller, profile.getValue(), target.getValue(), tokens.getValue());
+    return ask_and_print(options, {admin_method::get, path, ""}, explain_views, to);
+}
+
+constexpr char status_path[] = "/admin/v1/status";
+constexpr char hosts_path[] = "/admin/v1/hosts";
+constexpr char limits_path[] = "/admin/v1/limits";
+constexpr char drain_path[] = "/admin/v1/drain";
+
+struct command {
+    std::string_view name;
+    std::string_view help;
+    exit_code (*run)(arguments_list&, const streams&);
+};
+
+constexpr std::array commands{
+    command{"validate", "check a file of entries", run_validate},
+    command{"status", "state of a process", run_call<admin_method::get, status_path, status_views>},
+    command{"hosts", "hosts as a process sees them",
+            run_call<admin_method::get, hosts_path, host_views>},
+    command{"limits", "accounts and levels at a process",
+            run_call<admin_method::get, limits_path, limit_views>},
+    command{"explain", "what would become of a request", run_explain},
+    command{"drain", "have a process end gracefully",
+            run_call<admin_method::post, drain_path, drain_views>},
+};
+
+void print_usage(std::ostream& to)
+{
+    to << "hickorykeelctl COMMAND [options]; COMMAND --help tells the options\n\n";
+    table shown{{"COMMAND", "MEANING"}};
+    for (const auto& row : commands) {
+        shown.add({std::string{row.name}, std::string{row.help}});
+    }
+    to << shown.to_string()
+       << "\nexit codes: 0 done, 1 refused or faults found, 2 wrong usage, 3 unreachable, "
+          "4 unauthorised\n";
+}
+
+exit_code run_command(const command& chosen, arguments_list arguments, const streams& to)
+{
+    try {
+        return chosen.run(arguments, to);
+    }
+    catch (const TCLAP::ArgException& fault) {
+        to.err << arguments.front() << ": " << fault.error() << ' ' << fault.argId() << '\n';
+        return exit_code::usage;
+    }
+    catch (const TCLAP::ExitException& done) {
+        return done.getExitStatus() == 0 ? exit_code::ok : exit_code::usage;
+    }
+}
+
+} // namespace
+
+exit_code run(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& err)
+{
+    const std::string name = arguments.size() > 1 ? arguments[1] : "";
+    if (name == "--help" || name == "-h") {
+        print_usage(out);
+        return exit_code::ok;
+    }
+    if (name == "--version") {
+        out << "hickorykeelctl " << build_version() << '\n';
+        return exit_code::ok;
+    }
+    const auto* const chosen = std::find_if(commands.begin(), commands.end(),
+                                            [&](const command& row) { return row.name == name; });
+    if (chosen == commands.end()) {
+        print_usage(err);
+        return exit_code::usage;
+    }
+    return run_command(*chosen, {arguments.begin() + 1, arguments.end()}, {out, err});
+}
+
+} // namespace hickorykeel::ctl
--- a/tests/process/common_settings_test.cpp
+++ b/tests/process/common_settings_test.cpp
@@ -8,7 +8,7 @@
 #include <zmq.h> // zmq_curve_keypair
 
 using namespace hickorykeel;
-using hickorykeel::testing::scratch_file;
+using hickorykeel::tests::scratch_file;
 
 namespace {
 
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -7,7 +7,7 @@
 #include <doctest/doctest.h>
 
 using namespace hickorykeel;
-using hickorykeel::testing::scratch_file;
+using hickorykeel::tests::scratch_file;
 
 namespace {
 
--- a/tests/process/trace_exporter_test.cpp
+++ b/tests/process/trace_exporter_test.cpp
@@ -1,7 +1,7 @@
 #include "process/trace_exporter.h"
 
-#include "support/eventually.h"
 #include "support/fake_server.h"
+#include "support/wait_for.h"
 
 #include <mutex>  // mutex, lock_guard
 #include <string> // string
@@ -10,8 +10,8 @@
 #include <doctest/doctest.h>
 
 using namespace hickorykeel;
-using hickorykeel::testing::eventually;
-using hickorykeel::testing::fake_server;
+using hickorykeel::tests::fake_server;
+using hickorykeel::tests::wait_for;
 
 namespace {
 
@@ -101,7 +101,7 @@
         exporter.add(to_span());
         exporter.add(to_span({{0, 10}, {12}, false}));
         exporter.add(to_span());
-        CHECK(eventually([&] { return exporter.exported() == 2; }));
+        CHECK(wait_for([&] { return exporter.exported() == 2; }));
         CHECK(exporter.dropped() == 0);
         const std::lock_guard lock{collector.mutex};
         CHECK(collector.spans.size() == 2);
@@ -133,14 +133,14 @@
         collector.status = 500;
         trace_exporter exporter{to_options(collector.address())};
         exporter.add(to_span());
-        CHECK(eventually([&] { return exporter.dropped() == 1; }));
+        CHECK(wait_for([&] { return exporter.dropped() == 1; }));
     }
     SUBCASE("nobody listens")
     {
         const std::string closed = [] { return fake_server{}.address(); }();
         trace_exporter exporter{to_options(closed)};
         exporter.add(to_span());
-        CHECK(eventually([&] { return exporter.dropped() == 1; }));
+        CHECK(wait_for([&] { return exporter.dropped() == 1; }));
     }
     SUBCASE("switched off")
     {
--- a/tests/support/fake_server.h
+++ b/tests/support/fake_server.h
@@ -6,7 +6,7 @@
 
 #include <httplib.h>
 
-namespace hickorykeel::testing {
+namespace hickorykeel::tests {
 
 /// An HTTP server on a free port of the loopback; routes are set before `start`.
 class fake_server {
@@ -43,4 +43,4 @@
     std::thread m_thread;
 };
 
-} // namespace hickorykeel::testing
+} // namespace hickorykeel::tests
--- a/tests/support/scratch_file.h
+++ b/tests/support/scratch_file.h
@@ -8,7 +8,7 @@
 
 #include <unistd.h> // close, unlink
 
-namespace hickorykeel::testing {
+namespace hickorykeel::tests {
 
 /// A file with some content that is removed at the end of its life.
 class scratch_file {
@@ -35,4 +35,4 @@
     std::string m_path;
 };
 
-} // namespace hickorykeel::testing
+} // namespace hickorykeel::tests
