--- a/src/process/routing/domain_choice.cpp
+++ b/src/process/routing/domain_choice.cpp
@@ -2,7 +2,7 @@
 
 #include "request/residency.h"
 
-#include <algorithm> // find, any_of
+#include <algorithm> // find, any_of, max, none_of
 #include <utility>   // move
 
 namespace hickorykeel {
@@ -66,9 +66,9 @@
         return duration{0};
     }
     if (view.domain.region == m_own.region) {
-        return 2 * m_settings.domain_way;
+        return 2 * std::max(m_settings.domain_way, view.measured_way);
     }
-    return 2 * m_settings.region_way +
+    return 2 * std::max(m_settings.region_way, view.measured_way) +
            from_seconds(static_cast<double>(bytes) / m_settings.bytes_per_second);
 }
 
--- a/src/process/routing/domain_choice.h
+++ b/src/process/routing/domain_choice.h
@@ -17,6 +17,7 @@
     failure_domain domain;
     std::size_t live_endpoints = 0; ///< 0 also where the failure domain cannot be reached
     duration expected_wait{0};      ///< of a new request
+    duration measured_way{0};       ///< one way, from round trips; used where above the settings
 };
 
 /// A request that needs a failure domain.
--- a/src/process/routing/endpoint_table.cpp
+++ b/src/process/routing/endpoint_table.cpp
@@ -225,6 +225,16 @@
     return faded(asked.whole_answer, m_whole_answer) * static_cast<double>(tokens);
 }
 
+double endpoint_table::tokens_per_second() const
+{
+    double sum = 0;
+    for (const std::size_t index : m_available) {
+        const double seconds = answer_seconds(index, 1);
+        sum += seconds > 0 ? usable_slots(index) / seconds : 0;
+    }
+    return sum / static_cast<double>(m_live_hosts);
+}
+
 std::size_t endpoint_table::add(const endpoint& listed)
 {
     std::size_t index = 0;
--- a/src/process/routing/endpoint_table.h
+++ b/src/process/routing/endpoint_table.h
@@ -160,6 +160,10 @@
     /// The same for the whole answer.
     [[nodiscard]] double answer_seconds(std::size_t index, std::uint64_t tokens) const;
 
+    /// Tokens a second that this host's part of the slots of the available endpoints serves; 0
+    /// until a speed was learned. O(n).
+    [[nodiscard]] double tokens_per_second() const;
+
     /// @}
 
 private:
--- a/tests/process/domain_choice_test.cpp
+++ b/tests/process/domain_choice_test.cpp
@@ -19,10 +19,10 @@
 /// Own failure domain, another of the own region, two other regions.
 std::vector<domain_view> make_views()
 {
-    return {{{"crete-1", "crete"}, 6, 0ms},
-            {{"attica-2", "attica"}, 6, 0ms},
-            {{"attica-1", "attica"}, 6, 0ms},
-            {{"epirus-1", "epirus"}, 6, 0ms}};
+    return {{{"crete-1", "crete"}, 6, 0ms, 0ms},
+            {{"attica-2", "attica"}, 6, 0ms, 0ms},
+            {{"attica-1", "attica"}, 6, 0ms, 0ms},
+            {{"epirus-1", "epirus"}, 6, 0ms, 0ms}};
 }
 
 constexpr std::size_t crete = 0;
@@ -75,6 +75,16 @@
         views[own].expected_wait = 170ms;
         CHECK(chooser.choose(request, views) == domain_choice{own});
     }
+    SUBCASE("a measured way that is longer than the usual one counts")
+    {
+        views[neighbour].live_endpoints = 0;
+        views[own].expected_wait = 370ms;
+        views[crete].measured_way = 600ms;
+        views[epirus].measured_way = 100ms;
+        CHECK(chooser.choose(request, views) == domain_choice{own});
+        views[own].expected_wait = 410ms;
+        CHECK(chooser.choose(request, views) == domain_choice{epirus});
+    }
     SUBCASE("the time to send the body counts")
     {
         views[neighbour].live_endpoints = 0;
@@ -132,7 +142,8 @@
         for (std::size_t i = 0; i < count; ++i) {
             views.push_back({{"d" + std::to_string(i), "r" + std::to_string(i / 2)},
                              *rc::gen::inRange<std::size_t>(0, 3),
-                             1ms * *rc::gen::inRange(0, 2000)});
+                             1ms * *rc::gen::inRange(0, 2000),
+                             0ms});
         }
         std::vector<std::string> allowed;
         for (std::size_t i = 0; i <= count / 2; ++i) {
