Compare the backlog of each class when a request may leave its failure domain

Batch requests waited up to their deadline while other regions were idle: the wait that was compared was that of a new interactive request. A mean over all classes was ruled out: interactive requests would leave for a backlog of batch work that they never wait for.

--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -92,8 +92,11 @@
 
     [[nodiscard]] std::size_t live_endpoints() const { return m_table.available().size(); }
 
-    /// Expected wait of a new request of an organisation that has none waiting.
-    [[nodiscard]] duration expected_wait() const { return wait_of("", true); }
+    /// Time to serve all that waits before a new request of the class.
+    [[nodiscard]] duration expected_wait(bool is_interactive) const
+    {
+        return time_for(m_queue.backlog_tokens(is_interactive));
+    }
 
     /// Takes over a report of the endpoint `index` that describes the moment `age` ago.
     void on_report(std::size_t index, load_report report)
@@ -107,10 +110,14 @@
 
 private:
     [[nodiscard]] duration wait_of(const std::string& organisation, bool is_interactive) const
+    {
+        return time_for(m_queue.tokens_ahead(organisation, is_interactive));
+    }
+
+    [[nodiscard]] duration time_for(std::uint64_t tokens) const
     {
         const double rate = m_table.tokens_per_second();
-        const auto ahead = static_cast<double>(m_queue.tokens_ahead(organisation, is_interactive));
-        return rate > 0 ? from_seconds(ahead / rate) : duration{0};
+        return rate > 0 ? from_seconds(static_cast<double>(tokens) / rate) : duration{0};
     }
 
     void enqueue(const request_ptr& taken)
@@ -307,9 +314,11 @@
         for (std::size_t region = 0; region < region_count; ++region) {
             const std::string name = region_name(region);
             for (std::size_t target = 0; target < 2; ++target) {
-                m_views[target].push_back({{name, name}, 6, duration{0}, duration{0}});
-                for (std::size_t host = 0; host < hosts[region]; ++host) {
-                    m_choosers[region][target].emplace_back(failure_domain{name, name});
+                for (std::size_t kind = 0; kind < 2; ++kind) {
+                    m_views[target][kind].push_back({{name, name}, 6, duration{0}, duration{0}});
+                    for (std::size_t host = 0; host < hosts[region]; ++host) {
+                        m_choosers[region][target][kind].emplace_back(failure_domain{name, name});
+                    }
                 }
             }
         }
@@ -323,11 +332,13 @@
         const std::size_t region = taken->region;
         const std::size_t host = random_index(m_random, hosts[region]);
         const std::size_t target = kinds[taken->kind].is_service ? 1 : 0;
-        auto views = m_views[target];
+        const bool is_interactive = taken->asked.is_interactive;
+        auto views = m_views[target][is_interactive ? 1 : 0];
         const dispatcher& own = *m_dispatchers[region][target][host];
-        views[region].expected_wait = own.expected_wait();
+        views[region].expected_wait = own.expected_wait(is_interactive);
         views[region].live_endpoints = own.live_endpoints();
-        const auto choice = m_choosers[region][target][host].choose(
+        domain_chooser& chooser = m_choosers[region][target][is_interactive ? 1 : 0][host];
+        const auto choice = chooser.choose(
             {.allowed_regions = m_regions, .visited = taken->visited, .bytes = 20'000}, views);
         const auto* chosen = std::get_if<std::size_t>(&choice);
         if (chosen == nullptr) {
@@ -399,23 +410,27 @@
     {
         for (std::size_t region = 0; region < region_count; ++region) {
             for (std::size_t target = 0; target < 2; ++target) {
-                duration wait{0};
-                for (const auto& each : m_dispatchers[region][target]) {
-                    wait += each->expected_wait();
+                for (std::size_t kind = 0; kind < 2; ++kind) {
+                    renew(m_views[target][kind][region], m_dispatchers[region][target], kind == 1);
+                    m_views[target][kind][region].measured_way =
+                        region > 0 ? way_between(1, 2) : duration{0};
                 }
-                domain_view& view = m_views[target][region];
-                view.expected_wait = wait / hosts[region];
-                view.live_endpoints = m_dispatchers[region][target][0]->live_endpoints();
-            }
-        }
-        for (auto& views : m_views) {
-            for (std::size_t region = 1; region < region_count; ++region) {
-                views[region].measured_way = way_between(1, 2);
             }
         }
         m_clock.after(ping_interval, [this] { ping(); });
     }
 
+    void renew(domain_view& view, const std::vector<std::unique_ptr<dispatcher>>& dispatchers,
+               bool is_interactive) const
+    {
+        duration wait{0};
+        for (const auto& each : dispatchers) {
+            wait += each->expected_wait(is_interactive);
+        }
+        view.expected_wait = wait / static_cast<std::int64_t>(dispatchers.size());
+        view.live_endpoints = dispatchers.front()->live_endpoints();
+    }
+
     void report()
     {
         for (std::size_t region = 0; region < region_count; ++region) {
@@ -456,7 +471,8 @@
     }
 
     using dispatchers_by_target = std::array<std::vector<std::unique_ptr<dispatcher>>, 2>;
-    using choosers_by_target = std::array<std::vector<domain_chooser>, 2>;
+    using choosers_by_class = std::array<std::vector<domain_chooser>, 2>; // batch, interactive
+    using views_by_class = std::array<std::vector<domain_view>, 2>;
 
     simulation& m_clock;
     const contestant& m_way;
@@ -466,8 +482,8 @@
     std::array<std::vector<fake_endpoint*>, region_count> m_models;
     std::array<std::vector<fake_endpoint*>, region_count> m_services;
     std::array<dispatchers_by_target, region_count> m_dispatchers;
-    std::array<choosers_by_target, region_count> m_choosers;
-    std::array<std::vector<domain_view>, 2> m_views; // by target
+    std::array<std::array<choosers_by_class, 2>, region_count> m_choosers; // by region and target
+    std::array<views_by_class, 2> m_views;                                 // by target
     std::size_t m_slow_link = region_count * 2;
 };
 
--- a/src/process/routing/request_queue.cpp
+++ b/src/process/routing/request_queue.cpp
@@ -109,12 +109,17 @@
     const std::uint64_t own = found == queue.organisations.end() ? 0 : found->second.tokens;
     const std::uint64_t others = queue.order.size() - (own > 0 ? 1 : 0);
     // a new organisation waits for about one request of each other one
-    const std::uint64_t mean =
-        queue.order.empty() ? 0 : queue.tokens / std::max<std::uint64_t>(size(), 1);
+    const std::uint64_t mean = queue.tokens / std::max<std::size_t>(queue.size, 1);
     const std::uint64_t each = std::max(own, mean);
     return std::min(queue.tokens, own + others * each);
 }
 
+std::uint64_t request_queue::backlog_tokens(bool is_interactive) const
+{
+    const std::uint64_t before = is_interactive ? 0 : queue_of(true).tokens;
+    return before + queue_of(is_interactive).tokens;
+}
+
 request_queue::class_queue& request_queue::queue_of(bool is_interactive)
 {
     return m_classes[is_interactive ? 1 : 0];
@@ -150,6 +155,7 @@
     }
     own.tokens += request.tokens;
     queue.tokens += request.tokens;
+    ++queue.size;
     m_deadlines.emplace(request.deadline, request.id);
     const auto before = at_front ? own.waiting.begin() : own.waiting.end();
     const auto at = own.waiting.insert(before, std::move(request));
@@ -164,6 +170,7 @@
     own.waiting.erase(from.at);
     own.tokens -= taken.tokens;
     queue.tokens -= taken.tokens;
+    --queue.size;
     if (own.waiting.empty()) {
         queue.order.erase({own.served, taken.organisation});
     }
--- a/src/process/routing/request_queue.h
+++ b/src/process/routing/request_queue.h
@@ -92,6 +92,10 @@
     [[nodiscard]] std::uint64_t tokens_ahead(const std::string& organisation,
                                              bool is_interactive) const;
 
+    /// Tokens that wait in a class and in the one before it: the backlog that another failure
+    /// domain could take over.
+    [[nodiscard]] std::uint64_t backlog_tokens(bool is_interactive) const;
+
     /// @}
 
 private:
@@ -107,6 +111,7 @@
         std::set<std::pair<double, std::string>> order; ///< served, organisation; those that wait
         double floor = 0;                               ///< served of the one popped last
         std::uint64_t tokens = 0;
+        std::size_t size = 0;
     };
 
     struct place {
--- a/tests/process/request_queue_test.cpp
+++ b/tests/process/request_queue_test.cpp
@@ -174,6 +174,10 @@
     CHECK(queue.tokens_ahead("large", true) == 1100);
     CHECK(queue.tokens_ahead("small", true) == 200);
     CHECK(queue.tokens_ahead("large", false) == 0);
+    queue.push(make(12, "small", 500, false), start);
+    CHECK(queue.tokens_ahead("other", true) == 200);
+    CHECK(queue.backlog_tokens(true) == 1100);
+    CHECK(queue.backlog_tokens(false) == 1600);
 }
 
 TEST_CASE("a queue neither loses nor duplicates a request")
