Let requests wait for a usual endpoint instead of a much slower one

With endpoints of tenfold speeds the tail was the slow endpoints: they have room first. An interactive request now waits where a usual endpoint is likely to answer earlier, and no request takes an endpoint that would miss its deadline where a usual one keeps it; batch work may be taken out of its turn for what interactive work leaves.

--- a/src/process/routing/endpoint_choice.cpp
+++ b/src/process/routing/endpoint_choice.cpp
@@ -62,6 +62,21 @@
     return lhs.is_hot ? lhs.utilisation < rhs.utilisation : lhs.seconds < rhs.seconds;
 }
 
+/// Whether waiting for a usual endpoint is better than taking `index`.
+bool is_too_slow(const request_view& request, const endpoint_table& table,
+                 const weigh_settings& settings, std::size_t index)
+{
+    const std::uint64_t tokens = request.tokens;
+    const double time_left = request.seconds_left / settings.deadline_margin;
+    const bool misses_deadline = table.answer_seconds(index, tokens) > time_left;
+    if (misses_deadline && table.usual_answer_seconds(tokens) <= time_left) {
+        return true;
+    }
+    const double usual = table.usual_first_token_seconds(tokens);
+    return request.is_interactive && table.first_token_seconds(index, tokens) >
+                                         settings.slow_factor * usual + request.expected_wait;
+}
+
 candidate to_candidate(const request_view& request, const endpoint_table& table,
                        const weigh_settings& settings, std::size_t index)
 {
@@ -123,6 +138,9 @@
         if (index == no_index) {
             return no_index;
         }
+        if (is_too_slow(request, table, m_settings, index)) {
+            continue;
+        }
         const candidate sampled = to_candidate(request, table, m_settings, index);
         if (best.index == no_index || is_better(sampled, best)) {
             best = sampled;
@@ -133,8 +151,9 @@
     }
     const double bound = m_settings.affinity_bound * table.mean_utilisation();
     for (const std::size_t index : table.preferred(request.prefix_hash)) {
-        const bool may_use =
-            index != no_index && table.has_room(index) && is_eligible(request, table, index);
+        const bool may_use = index != no_index && table.has_room(index) &&
+                             is_eligible(request, table, index) &&
+                             !is_too_slow(request, table, m_settings, index);
         if (!may_use) {
             continue;
         }
@@ -167,10 +186,16 @@
         }
     }
     const auto available = table.available();
-    const bool is_any_eligible =
-        !available.empty() && any_eligible(request, table, available, random) != no_index;
-    return is_any_eligible ? no_endpoint_reason::none_with_room
-                           : no_endpoint_reason::none_available;
+    const std::size_t other =
+        available.empty() ? no_index : any_eligible(request, table, available, random);
+    if (other == no_index) {
+        return no_endpoint_reason::none_available;
+    }
+    // a caller that takes any available endpoint has no queue to wait in
+    if (pool == choice_pool::available) {
+        return other;
+    }
+    return no_endpoint_reason::none_with_room;
 }
 
 } // namespace hickorykeel
--- a/src/process/routing/endpoint_choice.h
+++ b/src/process/routing/endpoint_choice.h
@@ -5,6 +5,7 @@
 
 #include <cstddef> // size_t
 #include <cstdint> // uint64_t
+#include <limits>  // numeric_limits
 #include <span>    // span
 #include <variant> // variant
 
@@ -16,6 +17,8 @@
     std::uint64_t tokens = 1;      ///< reserved
     bool is_interactive = true;
     bool is_idempotent = true;
+    double seconds_left = std::numeric_limits<double>::infinity(); ///< until its deadline
+    double expected_wait = 0;                ///< seconds that it would wait on for another endpoint
     std::span<const std::size_t> excluded{}; ///< endpoints that already had it
 };
 
@@ -84,11 +87,15 @@
     double affinity_discount =
         0.5;                      ///< factor of the expected time where the prefix is likely cached
     double affinity_bound = 1.25; ///< times the mean utilisation that a preferred one may have
+    double deadline_margin = 1.5; ///< times the expected time that must be left to the deadline
+    double slow_factor = 1.5; ///< times the usual time to the first token from which on it waits
 };
 
 /// The default. Candidates are some at random and the endpoints that the prefix prefers, as long
 /// as their load is bounded. Of the cold ones the shortest expected time to the first token wins;
-/// where all are hot, the least utilised. O(samples).
+/// where all are hot, the least utilised. An endpoint that would miss the deadline where a usual one
+/// would keep it is not taken, nor one so slow that waiting for a usual one is likely to be
+/// shorter: the request waits. O(samples).
 class weigh_policy final : public endpoint_policy {
 public:
     explicit weigh_policy(weigh_settings settings = {}) : m_settings{settings} {}
--- a/src/process/routing/endpoint_table.cpp
+++ b/src/process/routing/endpoint_table.cpp
@@ -225,6 +225,16 @@
     return faded(asked.whole_answer, m_whole_answer) * static_cast<double>(tokens);
 }
 
+double endpoint_table::usual_first_token_seconds(std::uint64_t tokens) const noexcept
+{
+    return m_first_token.per_token() * static_cast<double>(tokens);
+}
+
+double endpoint_table::usual_answer_seconds(std::uint64_t tokens) const noexcept
+{
+    return m_whole_answer.per_token() * static_cast<double>(tokens);
+}
+
 double endpoint_table::tokens_per_second() const
 {
     double sum = 0;
--- a/src/process/routing/endpoint_table.h
+++ b/src/process/routing/endpoint_table.h
@@ -160,6 +160,10 @@
     /// The same for the whole answer.
     [[nodiscard]] double answer_seconds(std::size_t index, std::uint64_t tokens) const;
 
+    /// The same at the endpoints that served most lately; 0 until a speed was learned.
+    [[nodiscard]] double usual_first_token_seconds(std::uint64_t tokens) const noexcept;
+    [[nodiscard]] double usual_answer_seconds(std::uint64_t tokens) const noexcept;
+
     /// Tokens a second that this host's part of the slots of the available endpoints serves; 0
     /// until a speed was learned. O(n).
     [[nodiscard]] double tokens_per_second() const;
--- a/src/process/routing/request_queue.cpp
+++ b/src/process/routing/request_queue.cpp
@@ -40,16 +40,16 @@
     if (is_empty()) {
         return std::nullopt;
     }
-    const class_queue& queue = queue_of(!is_batch_next());
-    const place next = m_places.at(head_of(queue).id);
-    queued_request popped = extract(next);
-    class_queue& popped_from = queue_of(popped.is_interactive);
-    popped_from.floor =
-        std::max(popped_from.floor, popped_from.organisations[popped.organisation].served);
-    charge(popped_from, popped.organisation, static_cast<double>(popped.tokens));
-    note_classes(popped);
-    forget_idle(popped_from);
-    return popped;
+    return pop_from(queue_of(!is_batch_next()));
+}
+
+std::optional<queued_request> request_queue::pop_batch(time_point now)
+{
+    m_expired = take_expired(now);
+    if (queue_of(false).order.empty()) {
+        return std::nullopt;
+    }
+    return pop_from(queue_of(false));
 }
 
 void request_queue::put_back(queued_request request)
@@ -145,6 +145,17 @@
     return m_batch_credit >= static_cast<double>(head_of(batch).tokens);
 }
 
+queued_request request_queue::pop_from(class_queue& queue)
+{
+    const place next = m_places.at(head_of(queue).id);
+    queued_request popped = extract(next);
+    queue.floor = std::max(queue.floor, queue.organisations[popped.organisation].served);
+    charge(queue, popped.organisation, static_cast<double>(popped.tokens));
+    note_classes(popped);
+    forget_idle(queue);
+    return popped;
+}
+
 void request_queue::insert(queued_request request, bool at_front)
 {
     class_queue& queue = queue_of(request.is_interactive);
--- a/src/process/routing/request_queue.h
+++ b/src/process/routing/request_queue.h
@@ -66,6 +66,9 @@
     /// The request that is next, if any. Expired ones are skipped; see take_expired.
     std::optional<queued_request> pop(time_point now);
 
+    /// The batch request that is next, for an endpoint that interactive ones do not take.
+    std::optional<queued_request> pop_batch(time_point now);
+
     /// Puts back a request that was popped and found no endpoint: it is next in its organisation
     /// again and its tokens are not charged. Precondition: not waiting.
     void put_back(queued_request request);
@@ -123,6 +126,7 @@
     [[nodiscard]] const class_queue& queue_of(bool is_interactive) const;
     [[nodiscard]] const queued_request& head_of(const class_queue& queue) const;
     [[nodiscard]] bool is_batch_next() const;
+    queued_request pop_from(class_queue& queue);
     void insert(queued_request request, bool at_front);
     queued_request extract(const place& from);
     void charge(class_queue& queue, const std::string& organisation, double tokens);
--- a/tests/process/request_queue_test.cpp
+++ b/tests/process/request_queue_test.cpp
@@ -149,6 +149,14 @@
         CHECK(drain(queue) ==
               std::vector<std::uint64_t>{11, 12, 13, 14, 1, 15, 16, 17, 18, 2, 19, 20, 3});
     }
+    SUBCASE("batch work can be taken out of its turn")
+    {
+        queue.push(make(11, "a"), start);
+        CHECK_FALSE(queue.pop_batch(start));
+        queue.push(make(1, "a", 100, false), start);
+        CHECK(queue.pop_batch(start)->id == 1);
+        CHECK(drain(queue) == std::vector<std::uint64_t>{11});
+    }
     SUBCASE("credit of batch work that went away does not stay")
     {
         queue.push(make(1, "a", 100, false), start);
