--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -58,9 +58,10 @@
 class dispatcher {
 public:
     dispatcher(simulation& clock, const contestant& way, std::vector<fake_endpoint*> endpoints,
-               std::size_t hosts, std::uint64_t seed)
-        : m_clock{clock}, m_way{way},
-          m_endpoints{std::move(endpoints)}, m_policy{way.make_policy()}, m_random{seed}
+               std::size_t hosts, std::uint64_t seed,
+               std::function<void(const request_ptr&)> refuse)
+        : m_clock{clock}, m_way{way}, m_endpoints{std::move(endpoints)},
+          m_policy{way.make_policy()}, m_random{seed}, m_refuse{std::move(refuse)}
     {
         std::vector<endpoint> listed(m_endpoints.size());
         for (std::size_t i = 0; i < listed.size(); ++i) {
@@ -90,7 +91,7 @@
         pump();
     }
 
-    [[nodiscard]] std::size_t live_endpoints() const { return m_table.available().size(); }
+    [[nodiscard]] std::size_t live_endpoints() const { return m_table.live_count(); }
 
     /// Time to serve all that waits before a new request of the class.
     [[nodiscard]] duration expected_wait(bool is_interactive) const
@@ -138,8 +139,11 @@
     void pump()
     {
         while (!m_table.with_room().empty() && try_next(m_queue.pop(m_clock.now()))) {}
-        // an endpoint that is too slow for interactive work may do for batch work
-        while (!m_table.with_room().empty() && try_next(m_queue.pop_batch(m_clock.now()))) {}
+        // what the request whose turn it is does not take may do for the other class
+        for (const bool is_interactive : {true, false}) {
+            while (!m_table.with_room().empty() &&
+                   try_next(m_queue.pop_class(is_interactive, m_clock.now()))) {}
+        }
         drop_expired();
     }
 
@@ -189,7 +193,7 @@
             submit(taken, *index);
         }
         else {
-            give_up(taken);
+            refuse_not_run(taken);
         }
     }
 
@@ -266,7 +270,15 @@
         }
         const ran_state state = ran ? ran_state::unknown : ran_state::no;
         const bool may_repeat = is_repeatable(state, kinds[taken->kind].is_idempotent);
-        if (taken->has_first || !may_repeat || !m_budget.try_take()) {
+        if (taken->has_first || !may_repeat) {
+            give_up(taken);
+            return;
+        }
+        if (m_table.live_count() == 0) {
+            refuse_not_run(taken);
+            return;
+        }
+        if (!m_budget.try_take()) {
             give_up(taken);
             return;
         }
@@ -281,11 +293,36 @@
 
     static void give_up(const request_ptr& taken) { taken->is_over = true; }
 
+    /// The entry host may try another failure domain.
+    void refuse_not_run(const request_ptr& taken)
+    {
+        if (m_budget.try_take()) {
+            ++m_retries;
+            m_refuse(taken);
+        }
+        else {
+            give_up(taken);
+        }
+    }
+
+    /// Without a live endpoint waiting is of no use.
+    void refuse_waiting()
+    {
+        if (m_table.live_count() > 0) {
+            return;
+        }
+        while (const auto next = m_queue.pop(m_clock.now())) {
+            refuse_not_run(m_waiting.at(next->id));
+            m_waiting.erase(next->id);
+        }
+    }
+
     void tick()
     {
         m_table.refresh(m_clock.now());
         drop_expired();
         pump();
+        refuse_waiting();
         m_clock.after(std::chrono::milliseconds{100}, [this] { tick(); });
     }
 
@@ -294,6 +331,7 @@
     std::vector<fake_endpoint*> m_endpoints;
     std::unique_ptr<endpoint_policy> m_policy;
     random_source m_random;
+    std::function<void(const request_ptr&)> m_refuse; // not run here
     endpoint_table m_table;
     request_queue m_queue;
     retry_budget m_budget;
@@ -353,6 +391,9 @@
             taken->is_over = true;
             return;
         }
+        taken->visited.push_back(views[*chosen].domain.name);
+        taken->excluded.clear();
+        taken->copies.clear();
         if (*chosen == region) {
             m_dispatchers[region][target][host]->receive(taken);
             return;
@@ -400,8 +441,9 @@
         for (std::size_t host = 0; host < hosts[region]; ++host) {
             for (std::size_t target = 0; target < 2; ++target) {
                 const auto& used = target == 0 ? m_models[region] : m_services[region];
-                m_dispatchers[region][target].push_back(
-                    std::make_unique<dispatcher>(m_clock, m_way, used, hosts[region], m_random()));
+                m_dispatchers[region][target].push_back(std::make_unique<dispatcher>(
+                    m_clock, m_way, used, hosts[region], m_random(),
+                    [this](const request_ptr& refused) { arrive(refused); }));
             }
         }
     }
--- a/src/process/routing/endpoint_choice.cpp
+++ b/src/process/routing/endpoint_choice.cpp
@@ -69,7 +69,8 @@
     const std::uint64_t tokens = request.tokens;
     const double time_left = request.seconds_left / settings.deadline_margin;
     const bool misses_deadline = table.answer_seconds(index, tokens) > time_left;
-    if (misses_deadline && table.usual_answer_seconds(tokens) <= time_left) {
+    const double usual_answer = request.expected_wait + table.usual_answer_seconds(tokens);
+    if (misses_deadline && usual_answer <= time_left) {
         return true;
     }
     const double usual = table.usual_first_token_seconds(tokens);
--- a/src/process/routing/endpoint_choice.h
+++ b/src/process/routing/endpoint_choice.h
@@ -87,7 +87,7 @@
     double affinity_discount =
         0.5;                      ///< factor of the expected time where the prefix is likely cached
     double affinity_bound = 1.25; ///< times the mean utilisation that a preferred one may have
-    double deadline_margin = 1.5; ///< times the expected time that must be left to the deadline
+    double deadline_margin = 2;   ///< times the expected time that must be left to the deadline
     double slow_factor = 1.5; ///< times the usual time to the first token from which on it waits
 };
 
--- a/src/process/routing/endpoint_table.cpp
+++ b/src/process/routing/endpoint_table.cpp
@@ -1,9 +1,8 @@
 #include "process/routing/endpoint_table.h"
 
-#include <algorithm>  // clamp, max, min, any_of
-#include <cassert>    // assert
-#include <cmath>      // exp, floor
-#include <functional> // hash
+#include <algorithm> // clamp, count_if, max, min
+#include <cassert>   // assert
+#include <cmath>     // exp, floor
 
 namespace hickorykeel {
 
@@ -96,6 +95,11 @@
     if (report.slots > 0) {
         reported.state.slots = report.slots;
     }
+    const bool is_half_open = reported.state.breaker == breaker_state::half_open;
+    if (is_half_open && !reported.is_probing && moment >= reported.open_until) {
+        reported.state.breaker = breaker_state::closed;
+        reported.returned = m_now;
+    }
     update(index);
 }
 
@@ -103,6 +107,7 @@
 {
     m_now = std::max(m_now, now);
     entry& used = m_entries.at(index);
+    used.usual_load += m_settings.sample_weight * (load_of(used) - used.usual_load);
     ++used.state.in_flight;
     used.is_probing = used.is_probing || used.state.breaker == breaker_state::half_open;
     note_change(used, 1);
@@ -182,6 +187,15 @@
     return std::nullopt;
 }
 
+std::size_t endpoint_table::live_count() const
+{
+    const auto is_closed = [this](std::size_t index) {
+        return m_entries[index].state.breaker == breaker_state::closed;
+    };
+    return static_cast<std::size_t>(
+        std::count_if(m_available.begin(), m_available.end(), is_closed));
+}
+
 bool endpoint_table::is_available(std::size_t index) const
 {
     return m_entries.at(index).available_at != no_index;
@@ -215,8 +229,9 @@
 
 double endpoint_table::first_token_seconds(std::size_t index, std::uint64_t tokens) const
 {
-    const endpoint_state& asked = m_entries.at(index).state;
-    return faded(asked.first_token, m_first_token) * static_cast<double>(tokens);
+    const entry& asked = m_entries.at(index);
+    const double crowding = (1 + load_of(asked)) / (1 + asked.usual_load);
+    return faded(asked.state.first_token, m_first_token) * static_cast<double>(tokens) * crowding;
 }
 
 double endpoint_table::answer_seconds(std::size_t index, std::uint64_t tokens) const
--- a/src/process/routing/endpoint_table.h
+++ b/src/process/routing/endpoint_table.h
@@ -97,6 +97,8 @@
     /// Precondition: the index came from this table. O(1) amortised.
     /// @{
 
+    /// Takes over a report. One from an endpoint that is half-open and not being probed closes its
+    /// breaker, so that an endpoint without requests comes back; it opens at the next failure.
     void on_report(std::size_t index, const load_report& report, time_point now);
     void on_dispatch(std::size_t index, time_point now);
 
@@ -128,6 +130,9 @@
     /// Available endpoints that may take one more request of this process.
     [[nodiscard]] std::span<const std::size_t> with_room() const noexcept { return m_with_room; }
 
+    /// Available endpoints whose breaker is closed: what a failure domain counts as live. O(n).
+    [[nodiscard]] std::size_t live_count() const;
+
     [[nodiscard]] bool is_available(std::size_t index) const;
     [[nodiscard]] bool has_room(std::size_t index) const;
 
@@ -187,6 +192,7 @@
         time_point open_until{};
         std::uint32_t times_opened = 0;
         bool is_probing = false;
+        double usual_load = 0;               ///< moving average at dispatches
         double utilisation = 0;              ///< its part of m_utilisation_sum
         std::size_t available_at = no_index; ///< place in m_available
         std::size_t with_room_at = no_index; ///< place in m_with_room
--- a/src/process/routing/request_queue.cpp
+++ b/src/process/routing/request_queue.cpp
@@ -43,13 +43,14 @@
     return pop_from(queue_of(!is_batch_next()));
 }
 
-std::optional<queued_request> request_queue::pop_batch(time_point now)
+std::optional<queued_request> request_queue::pop_class(bool is_interactive, time_point now)
 {
     m_expired = take_expired(now);
-    if (queue_of(false).order.empty()) {
+    class_queue& queue = queue_of(is_interactive);
+    if (queue.order.empty()) {
         return std::nullopt;
     }
-    return pop_from(queue_of(false));
+    return pop_from(queue);
 }
 
 void request_queue::put_back(queued_request request)
--- a/src/process/routing/request_queue.h
+++ b/src/process/routing/request_queue.h
@@ -66,8 +66,9 @@
     /// The request that is next, if any. Expired ones are skipped; see take_expired.
     std::optional<queued_request> pop(time_point now);
 
-    /// The batch request that is next, for an endpoint that interactive ones do not take.
-    std::optional<queued_request> pop_batch(time_point now);
+    /// The request that is next in one class, out of turn: for an endpoint that the request whose
+    /// turn it is does not take.
+    std::optional<queued_request> pop_class(bool is_interactive, time_point now);
 
     /// Puts back a request that was popped and found no endpoint: it is next in its organisation
     /// again and its tokens are not charged. Precondition: not waiting.
--- a/tests/process/endpoint_choice_test.cpp
+++ b/tests/process/endpoint_choice_test.cpp
@@ -212,6 +212,23 @@
         table.on_success(0, 1s, 10, start + 3s);
         CHECK(table.state(0).breaker == breaker_state::closed);
     }
+    SUBCASE("a report of a half-open endpoint closes it, the next failure opens it for longer")
+    {
+        break_endpoint(table, 0, start, random);
+        CHECK(table.live_count() == 0);
+        table.on_report(0, {.running = 0, .waiting = 0, .slots = 8, .age = 0ms}, start);
+        CHECK(table.state(0).breaker == breaker_state::open);
+        table.refresh(start + 1s);
+        table.on_report(0, {.running = 0, .waiting = 0, .slots = 8, .age = 900ms}, start + 1s);
+        CHECK(table.live_count() == 0); // describes a moment before the backoff ended
+        table.on_report(0, {.running = 0, .waiting = 0, .slots = 8, .age = 0ms}, start + 1s);
+        CHECK(table.live_count() == 1);
+        table.on_dispatch(0, start + 1s);
+        table.on_failure(0, start + 1s, random);
+        CHECK(table.state(0).breaker == breaker_state::open);
+        table.refresh(start + 1s + 999ms);
+        CHECK(table.state(0).breaker == breaker_state::open);
+    }
     SUBCASE("a probe that is cancelled lets the next one in")
     {
         break_endpoint(table, 0, start, random);
@@ -360,23 +377,31 @@
     endpoint_table table = make_table(2);
     weigh_policy policy{{.samples = 16}};
     table.on_first_token(0, 100ms, 100, start);
-    table.on_first_token(1, 150ms, 100, start);
+    table.on_first_token(1, 300ms, 100, start);
+    const request_view patient{.is_interactive = false}; // takes any speed
 
-    SUBCASE("of two cold ones the faster wins though it runs more")
+    SUBCASE("of two cold ones the faster wins though it has run more")
+    {
+        dispatch(table, 0, 1, start);
+        CHECK(chosen(patient, table, policy, random) == std::set<std::size_t>{0});
+    }
+    SUBCASE("the expected time grows with the load beyond the usual one")
     {
+        const double before = table.first_token_seconds(0, 100);
         dispatch(table, 0, 3, start);
-        CHECK(chosen({}, table, policy, random) == std::set<std::size_t>{0});
+        CHECK(table.first_token_seconds(0, 100) > 2 * before);
+        CHECK(chosen(patient, table, policy, random) == std::set<std::size_t>{1});
     }
     SUBCASE("a cold slow one wins over a hot fast one")
     {
         dispatch(table, 0, 7, start);
-        CHECK(chosen({}, table, policy, random) == std::set<std::size_t>{1});
+        CHECK(chosen(patient, table, policy, random) == std::set<std::size_t>{1});
     }
     SUBCASE("where all are hot the least utilised wins")
     {
         table.on_report(0, {.running = 20, .waiting = 0, .slots = 8, .age = 0ms}, start);
         table.on_report(1, {.running = 10, .waiting = 0, .slots = 8, .age = 0ms}, start);
-        CHECK(chosen({}, table, policy, random) == std::set<std::size_t>{1});
+        CHECK(chosen(patient, table, policy, random) == std::set<std::size_t>{1});
     }
     SUBCASE("a speed that gets no sample fades to the mean of all")
     {
--- a/tests/process/request_queue_test.cpp
+++ b/tests/process/request_queue_test.cpp
@@ -149,13 +149,14 @@
         CHECK(drain(queue) ==
               std::vector<std::uint64_t>{11, 12, 13, 14, 1, 15, 16, 17, 18, 2, 19, 20, 3});
     }
-    SUBCASE("batch work can be taken out of its turn")
+    SUBCASE("either class can be taken out of its turn")
     {
         queue.push(make(11, "a"), start);
-        CHECK_FALSE(queue.pop_batch(start));
+        CHECK_FALSE(queue.pop_class(false, start));
         queue.push(make(1, "a", 100, false), start);
-        CHECK(queue.pop_batch(start)->id == 1);
-        CHECK(drain(queue) == std::vector<std::uint64_t>{11});
+        CHECK(queue.pop_class(false, start)->id == 1);
+        CHECK(queue.pop_class(true, start)->id == 11);
+        CHECK_FALSE(queue.pop_class(true, start));
     }
     SUBCASE("credit of batch work that went away does not stay")
     {
