--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -10,12 +10,6 @@
 
 constexpr unsigned maximum_attempts = 3;
 
-// expected time of an answer before any was seen
-constexpr double default_answer_seconds = 0.5;
-
-// tokens of a typical request, for the expected wait
-constexpr std::uint64_t typical_tokens = 256;
-
 std::string to_queue_name(const link::dispatch_request& request)
 {
     return request.organisation().empty() ? "open:" + request.profile() : request.organisation();
@@ -104,11 +98,13 @@
         return;
     }
     target_state& target = found->second;
-    if (is_hopeless(expected_wait(target), now, job->deadline)) {
-        refuse(*job,
-               {refusal_code::overloaded, ran_state::no, "queue", m_failure_domain,
-                "the queue is longer than the deadline allows",
-                std::chrono::duration_cast<std::chrono::milliseconds>(expected_wait(target))});
+    const duration wait =
+        time_for(target, target.queue.tokens_ahead(detail::to_queue_name(job->request),
+                                                   job->request.interactive()));
+    if (is_hopeless(wait, now, job->deadline)) {
+        refuse(*job, {refusal_code::overloaded, ran_state::no, "queue", m_failure_domain,
+                      "the queue is longer than the deadline allows",
+                      std::chrono::duration_cast<std::chrono::milliseconds>(wait)});
         return;
     }
     m_budget.on_request();
@@ -136,28 +132,43 @@
 
 void dispatcher::start_ready(target_state& target, time_point now)
 {
-    while (!target.table.with_room().empty()) {
-        const auto next = target.queue.pop(now);
-        if (!next) {
-            break;
-        }
-        const auto found = m_jobs.find(next->id);
-        if (found == m_jobs.end()) {
-            continue;
-        }
-        const std::shared_ptr<dispatch_job> job = found->second;
-        if (!start(job, target, now)) {
-            target.queue.put_back(*next);
-            break;
-        }
+    while (!target.table.with_room().empty() && start_next(target.queue.pop(now), target, now)) {}
+    // what the request whose turn it is does not take may do for the other class
+    for (const bool is_interactive : {true, false}) {
+        while (!target.table.with_room().empty() &&
+               start_next(target.queue.pop_class(is_interactive, now), target, now)) {}
     }
 }
 
+bool dispatcher::start_next(const std::optional<queued_request>& next, target_state& target,
+                            time_point now)
+{
+    if (!next) {
+        return false;
+    }
+    const auto found = m_jobs.find(next->id);
+    if (found == m_jobs.end()) {
+        return true;
+    }
+    const std::shared_ptr<dispatch_job> job = found->second;
+    if (!start(job, target, now)) {
+        target.queue.put_back(*next);
+        return false;
+    }
+    return true;
+}
+
 bool dispatcher::start(const std::shared_ptr<dispatch_job>& job, target_state& target,
                        time_point now)
 {
-    const request_view view{job->request.prefix_hash(), job->request.reserved_tokens(),
-                            job->request.interactive(), job->request.idempotent(), job->tried};
+    request_view view;
+    view.prefix_hash = job->request.prefix_hash();
+    view.tokens = std::max<std::uint64_t>(1, job->request.reserved_tokens());
+    view.is_interactive = job->request.interactive();
+    view.is_idempotent = job->request.idempotent();
+    view.seconds_left = to_seconds(job->deadline - now);
+    view.expected_wait = to_seconds(expected_wait(target, view.is_interactive));
+    view.excluded = job->tried;
     const endpoint_choice choice = choose(view, target.table, m_policy, m_random);
     if (const auto* reason = std::get_if<no_endpoint_reason>(&choice)) {
         if (*reason == no_endpoint_reason::none_with_room) {
@@ -363,11 +374,11 @@
             slots += target.table.state(index).slots;
         }
         load.set_target(name);
-        load.set_live_endpoints(static_cast<std::uint32_t>(target.table.available().size()));
+        load.set_live_endpoints(static_cast<std::uint32_t>(target.table.live_count()));
         load.set_running(running);
         load.set_queued(static_cast<std::uint32_t>(target.queue.size()));
         load.set_slots(slots);
-        load.set_wait_seconds(to_seconds(expected_wait(target)));
+        load.set_wait_seconds(to_seconds(expected_wait(target, true)));
     }
     return all;
 }
@@ -383,24 +394,15 @@
     return all;
 }
 
-duration dispatcher::expected_wait(const target_state& target) const
+duration dispatcher::expected_wait(const target_state& target, bool is_interactive)
 {
-    if (!target.table.with_room().empty() && target.queue.is_empty()) {
-        return duration::zero();
-    }
-    double slots = 0;
-    double seconds = 0;
-    for (const std::size_t index : target.table.available()) {
-        slots += target.table.usable_slots(index);
-        seconds += target.table.answer_seconds(index, detail::typical_tokens);
-    }
-    if (slots <= 0) {
-        return duration::zero();
-    }
-    const double mean = seconds > 0 ? seconds / static_cast<double>(target.table.available().size())
-                                    : detail::default_answer_seconds;
-    return from_seconds(mean * static_cast<double>(target.queue.size() + 1) / slots *
-                        static_cast<double>(m_live_hosts));
+    return time_for(target, target.queue.backlog_tokens(is_interactive));
+}
+
+duration dispatcher::time_for(const target_state& target, std::uint64_t tokens)
+{
+    const double rate = target.table.tokens_per_second();
+    return rate > 0 ? from_seconds(static_cast<double>(tokens) / rate) : duration::zero();
 }
 
 } // namespace hickorykeel
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -12,6 +12,7 @@
 #include <functional>    // function
 #include <map>           // map
 #include <memory>        // shared_ptr
+#include <optional>      // optional
 #include <string>        // string
 #include <unordered_map> // unordered_map
 #include <vector>        // vector
@@ -105,6 +106,8 @@
     void refuse_and_forget(const std::shared_ptr<dispatch_job>& job, refusal why);
     void enqueue(const std::shared_ptr<dispatch_job>& job, target_state& target, time_point now);
     void start_ready(target_state& target, time_point now);
+    bool start_next(const std::optional<queued_request>& next, target_state& target,
+                    time_point now);
     bool start(const std::shared_ptr<dispatch_job>& job, target_state& target, time_point now);
     [[nodiscard]] std::function<std::optional<refusal>()>
     make_last_check(const std::shared_ptr<dispatch_job>& job) const;
@@ -113,7 +116,8 @@
     void finish(const std::shared_ptr<dispatch_job>& job, const attempt_result& result);
     [[nodiscard]] bool may_try_again(const dispatch_job& job, const attempt_result& result,
                                      time_point now);
-    [[nodiscard]] duration expected_wait(const target_state& target) const;
+    [[nodiscard]] static duration expected_wait(const target_state& target, bool is_interactive);
+    [[nodiscard]] static duration time_for(const target_state& target, std::uint64_t tokens);
 
     const std::string m_failure_domain;
     const starter m_start;
