--- a/src/process/configd.cpp
+++ b/src/process/configd.cpp
@@ -2,7 +2,6 @@
 
 #include "process/configd_actor.h"
 
-#include <atomic>  // atomic
 #include <utility> // move
 
 #include <glog/logging.h>
@@ -10,21 +9,27 @@
 namespace hickorykeel {
 
 /// What the actor tells other threads.
-struct configd::shared_plan {
+struct configd::shared_state {
     std::mutex mutex;
-    configuration_watch::plan plan; // guarded by mutex
-    caf::actor actor;               // guarded by mutex; null until there is one
+    configuration_status status; // guarded by mutex
+    caf::actor actor;            // guarded by mutex; null until there is one
 
-    void set(const configuration_watch::plan& changed)
+    void set(configuration_status&& changed)
     {
         const std::lock_guard lock{mutex};
-        plan = changed;
+        status = std::move(changed);
     }
 
-    [[nodiscard]] configuration_watch::plan current()
+    [[nodiscard]] configuration_status current()
     {
         const std::lock_guard lock{mutex};
-        return plan;
+        return status;
+    }
+
+    [[nodiscard]] configuration_watch::plan current_plan()
+    {
+        const std::lock_guard lock{mutex};
+        return status.plan;
     }
 
     template <typename Message>
@@ -47,8 +52,8 @@
 }
 
 configd::configd(options chosen)
-    : m_options{std::move(chosen)}, m_actors{m_actor_config}, m_plan{
-                                                                  std::make_shared<shared_plan>()}
+    : m_options{std::move(chosen)}, m_actors{m_actor_config}, m_shared{
+                                                                  std::make_shared<shared_state>()}
 {
 }
 
@@ -59,8 +64,8 @@
         caf::scoped_actor self{m_actors};
         self->send_exit(m_actor, caf::exit_reason::user_shutdown);
         self->wait_for(m_actor);
-        const std::lock_guard lock{m_plan->mutex};
-        m_plan->actor = nullptr;
+        const std::lock_guard lock{m_shared->mutex};
+        m_shared->actor = nullptr;
     }
     m_links.reset();
 }
@@ -70,8 +75,8 @@
     // messages that arrive before the actor is there are dropped; the askers ask again
     auto links = messenger::open(
         {m_options.host + "/configd", m_options.link_listen, m_options.keys, 0},
-        [plan = m_plan](received_message&& received) {
-            plan->send(configuring::link_message{
+        [shared = m_shared](received_message&& received) {
+            shared->send(configuring::link_message{
                 std::make_shared<received_message>(std::move(received)), boot_clock::now()});
         });
     if (auto* failure = std::get_if<error>(&links)) {
@@ -82,10 +87,10 @@
                                              m_options.seeds};
     m_actor = m_actors.spawn(
         configd_actor, peers, m_links.get(),
-        [plan = m_plan](const configuration_watch::plan& changed) { plan->set(changed); });
+        [shared = m_shared](configuration_status&& changed) { shared->set(std::move(changed)); });
     {
-        const std::lock_guard lock{m_plan->mutex};
-        m_plan->actor = m_actor;
+        const std::lock_guard lock{m_shared->mutex};
+        m_shared->actor = m_actor;
     }
     watch_platform();
     return std::nullopt;
@@ -96,13 +101,13 @@
     m_watch = std::make_unique<configuration_watch>(
         m_options.platform_address,
         configuration_watch::handlers{
-            [plan = m_plan] { return plan->current(); },
-            [plan = m_plan](entries_update&& update) {
-                plan->send(configuring::platform_entries{
+            [shared = m_shared] { return shared->current_plan(); },
+            [shared = m_shared](entries_update&& update) {
+                shared->send(configuring::platform_entries{
                     std::make_shared<entries_update>(std::move(update)), boot_clock::now()});
             },
-            [plan = m_plan](hosts_update&& update) {
-                plan->send(
+            [shared = m_shared](hosts_update&& update) {
+                shared->send(
                     configuring::platform_hosts{std::make_shared<hosts_update>(std::move(update))});
             },
             [](const error& why) { LOG(WARNING) << why.to_string(); }});
@@ -113,6 +118,11 @@
     return m_links->listen_address();
 }
 
+configuration_status configd::status() const
+{
+    return m_shared->current();
+}
+
 std::uint64_t configd::platform_reads() const noexcept
 {
     return m_watch->reads();
--- a/src/process/configd.h
+++ b/src/process/configd.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/messenger.h"
+#include "process/configd_actor.h"
 #include "process/configuration_watch.h"
 #include "process/error.h"
 
@@ -44,11 +45,14 @@
     /// Where other processes connect, "ip:port".
     [[nodiscard]] const std::string& link_address() const noexcept;
 
+    /// What is held, in force and refused. At most a tick of the actor (100 ms) old.
+    [[nodiscard]] configuration_status status() const;
+
     /// Reads of the platform so far, for metrics.
     [[nodiscard]] std::uint64_t platform_reads() const noexcept;
 
 private:
-    struct shared_plan;
+    struct shared_state;
 
     explicit configd(options chosen);
 
@@ -58,7 +62,7 @@
     const options m_options;
     caf::actor_system_config m_actor_config;
     caf::actor_system m_actors;
-    std::shared_ptr<shared_plan> m_plan;
+    std::shared_ptr<shared_state> m_shared;
     std::unique_ptr<messenger> m_links;
     caf::actor m_actor;
     std::unique_ptr<configuration_watch> m_watch;
--- a/src/process/configd_actor.cpp
+++ b/src/process/configd_actor.cpp
@@ -29,11 +29,21 @@
     }
 }
 
-void publish_plan(configd_state& state, time_point now)
+void publish_status(configd_state& state, time_point now)
 {
+    const auto& held = state.held;
+    configuration_status status;
+    status.held = to_held(held);
+    status.in_force = held.in_force() ? held.in_force()->revision : 0;
+    status.hosts_in_force = held.hosts() ? held.hosts()->revision : 0;
+    status.refused_entries = held.refused_entries();
+    status.refused_hosts = held.refused_hosts();
+    status.confirmed_at = held.confirmed_at();
+    status.is_watcher = state.relay->is_watcher();
     const bool should_read =
-        state.relay->should_read_platform(now, to_held(state.held), state.held.confirmed_at());
-    state.on_plan({should_read, state.held.revision(), state.held.hosts_revision()});
+        state.relay->should_read_platform(now, status.held, held.confirmed_at());
+    status.plan = {should_read, status.held.entries, status.held.hosts};
+    state.on_status(std::move(status));
 }
 
 void log_outcome(const char* what, update_outcome outcome, std::uint64_t revision,
@@ -68,7 +78,7 @@
     if (is_taken(outcome.entries) || is_taken(outcome.hosts)) {
         ask(state, state.relay->take_behind(to_held(state.held), now));
     }
-    publish_plan(state, now);
+    publish_status(state, now);
 }
 
 void on_question(configd_state& state, const received_message& received, time_point now)
@@ -125,7 +135,7 @@
     auto& state = self->state;
     const auto now = boot_clock::now();
     ask(state, state.relay->take_due(now));
-    publish_plan(state, now);
+    publish_status(state, now);
     self->delayed_send(self, tick_interval, configuring::tick{});
 }
 
@@ -134,11 +144,11 @@
 
 caf::behavior configd_actor(caf::stateful_actor<configd_state>* self,
                             const configuration_relay::options& chosen, messenger* links,
-                            std::function<void(const configuration_watch::plan&)> on_plan)
+                            std::function<void(configuration_status&&)> on_status)
 {
     self->state.relay = std::make_unique<configuration_relay>(chosen, boot_clock::now());
     self->state.links = links;
-    self->state.on_plan = std::move(on_plan);
+    self->state.on_status = std::move(on_status);
     self->send(self, configuring::tick{});
     return {
         [self](const configuring::link_message& message) {
--- a/src/process/configd_actor.h
+++ b/src/process/configd_actor.h
@@ -5,6 +5,7 @@
 #include "process/configuration_watch.h"
 #include "version/replica.h"
 
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // shared_ptr, unique_ptr
 #include <optional>   // optional
@@ -36,21 +37,33 @@
 
 } // namespace configuring
 
+/// What the published state of a process looks like, for metrics and administration.
+struct configuration_status {
+    held_revisions held;
+    std::uint64_t in_force = 0;       ///< revision of the configuration in force; 0: none
+    std::uint64_t hosts_in_force = 0; ///< revision of the list of hosts in force; 0: none
+    std::optional<refused_revision> refused_entries;
+    std::optional<refused_revision> refused_hosts;
+    std::optional<time_point> confirmed_at; ///< last known to be the newest
+    bool is_watcher = false;
+    configuration_watch::plan plan; ///< what to read of the platform
+};
+
 /// State of the actor.
 struct configd_state {
     replica held;
     std::unique_ptr<configuration_relay> relay;
     messenger* links = nullptr;
-    std::function<void(const configuration_watch::plan&)> on_plan;
+    std::function<void(configuration_status&&)> on_status;
     std::uint64_t applied_hosts = 0; ///< revision of the list that the relay has
 };
 
 /// Behaviour of the actor; messages are structs of `configuring`.
 /// @param links outlives the actor
-/// @param on_plan told what to read of the platform whenever that may have changed; must not block
+/// @param on_status told whenever the status may have changed; must not block
 caf::behavior configd_actor(caf::stateful_actor<configd_state>* self,
                             const configuration_relay::options& chosen, messenger* links,
-                            std::function<void(const configuration_watch::plan&)> on_plan);
+                            std::function<void(configuration_status&&)> on_status);
 
 } // namespace hickorykeel
 
--- a/src/version/diff.cpp
+++ b/src/version/diff.cpp
@@ -61,8 +61,9 @@
     into[path + "/home"] = {item_kind::home, value.home};
     into[path + "/rate"].value = to_text(value.rate);
     into[path + "/burst"].value = to_text(value.burst);
+    const auto keys_path = path + "/key_digests/";
     for (const auto& digest : value.key_digests) {
-        into[path + "/key_digests/" + digest] = {item_kind::key, digest};
+        into[keys_path + digest] = {item_kind::key, digest};
     }
 }
 
--- a/tests/process/configd_test.cpp
+++ b/tests/process/configd_test.cpp
@@ -135,7 +135,11 @@
 
     SUBCASE("a refused state does not, the next valid one does")
     {
-        publish(fleet, "failure_domains/crete-2", {{"region", 7}});
+        const auto refused = publish(fleet, "failure_domains/crete-2", {{"region", 7}});
+        REQUIRE(tests::wait_for([&] { return process->status().held.entries == refused; }));
+        CHECK(process->status().in_force == 1);
+        CHECK(process->status().refused_entries->faults.size() == 1);
+        CHECK(reader.revision() == 1);
         publish(fleet, "failure_domains/crete-3", crete_two);
         const auto revision = publish(fleet, "failure_domains/crete-2", crete_two);
         CHECK(tests::wait_for([&] { return reader.revision() > 1; }));
