--- a/src/process/routing/request_queue.h
+++ b/src/process/routing/request_queue.h
@@ -66,6 +66,10 @@
     /// The request that is next, if any. Expired ones are skipped; see take_expired.
     std::optional<queued_request> pop(time_point now);
 
+    /// The request that is next in one class, out of turn: for an endpoint that the request whose
+    /// turn it is does not take.
+    std::optional<queued_request> pop_class(bool is_interactive, time_point now);
+
     /// Puts back a request that was popped and found no endpoint: it is next in its organisation
     /// again and its tokens are not charged. Precondition: not waiting.
     void put_back(queued_request request);
@@ -92,6 +96,10 @@
     [[nodiscard]] std::uint64_t tokens_ahead(const std::string& organisation,
                                              bool is_interactive) const;
 
+    /// Tokens that wait in a class and in the one before it: the backlog that another failure
+    /// domain could take over.
+    [[nodiscard]] std::uint64_t backlog_tokens(bool is_interactive) const;
+
     /// @}
 
 private:
@@ -107,6 +115,7 @@
         std::set<std::pair<double, std::string>> order; ///< served, organisation; those that wait
         double floor = 0;                               ///< served of the one popped last
         std::uint64_t tokens = 0;
+        std::size_t size = 0;
     };
 
     struct place {
@@ -118,6 +127,7 @@
     [[nodiscard]] const class_queue& queue_of(bool is_interactive) const;
     [[nodiscard]] const queued_request& head_of(const class_queue& queue) const;
     [[nodiscard]] bool is_batch_next() const;
+    queued_request pop_from(class_queue& queue);
     void insert(queued_request request, bool at_front);
     queued_request extract(const place& from);
     void charge(class_queue& queue, const std::string& organisation, double tokens);
