--- a/standins/caller.cpp
+++ b/standins/caller.cpp
@@ -1,6 +1,7 @@
 #include "standins/caller.h"
 
 #include <algorithm> // sort
+#include <cmath>     // lround
 #include <map>       // map
 #include <mutex>     // mutex
 #include <optional>  // optional
@@ -66,7 +67,7 @@
             return nullptr;
         }
         const auto last = static_cast<double>(samples.size() - 1);
-        return samples[static_cast<std::size_t>(part * last + 0.5)];
+        return samples[static_cast<std::size_t>(std::lround(part * last))];
     };
     return {{"p50", at(0.5)}, {"p95", at(0.95)}, {"p99", at(0.99)}};
 }
