--- a/src/process/routing/request_queue.cpp
+++ b/src/process/routing/request_queue.cpp
@@ -40,16 +40,17 @@
     if (is_empty()) {
         return std::nullopt;
     }
-    const class_queue& queue = queue_of(!is_batch_next());
-    const place next = m_places.at(head_of(queue).id);
-    queued_request popped = extract(next);
-    class_queue& popped_from = queue_of(popped.is_interactive);
-    popped_from.floor =
-        std::max(popped_from.floor, popped_from.organisations[popped.organisation].served);
-    charge(popped_from, popped.organisation, static_cast<double>(popped.tokens));
-    note_classes(popped);
-    forget_idle(popped_from);
-    return popped;
+    return pop_from(queue_of(!is_batch_next()));
+}
+
+std::optional<queued_request> request_queue::pop_class(bool is_interactive, time_point now)
+{
+    m_expired = take_expired(now);
+    class_queue& queue = queue_of(is_interactive);
+    if (queue.order.empty()) {
+        return std::nullopt;
+    }
+    return pop_from(queue);
 }
 
 void request_queue::put_back(queued_request request)
@@ -109,12 +110,17 @@
     const std::uint64_t own = found == queue.organisations.end() ? 0 : found->second.tokens;
     const std::uint64_t others = queue.order.size() - (own > 0 ? 1 : 0);
     // a new organisation waits for about one request of each other one
-    const std::uint64_t mean =
-        queue.order.empty() ? 0 : queue.tokens / std::max<std::uint64_t>(size(), 1);
+    const std::uint64_t mean = queue.tokens / std::max<std::size_t>(queue.size, 1);
     const std::uint64_t each = std::max(own, mean);
     return std::min(queue.tokens, own + others * each);
 }
 
+std::uint64_t request_queue::backlog_tokens(bool is_interactive) const
+{
+    const std::uint64_t before = is_interactive ? 0 : queue_of(true).tokens;
+    return before + queue_of(is_interactive).tokens;
+}
+
 request_queue::class_queue& request_queue::queue_of(bool is_interactive)
 {
     return m_classes[is_interactive ? 1 : 0];
@@ -140,6 +146,17 @@
     return m_batch_credit >= static_cast<double>(head_of(batch).tokens);
 }
 
+queued_request request_queue::pop_from(class_queue& queue)
+{
+    const place next = m_places.at(head_of(queue).id);
+    queued_request popped = extract(next);
+    queue.floor = std::max(queue.floor, queue.organisations[popped.organisation].served);
+    charge(queue, popped.organisation, static_cast<double>(popped.tokens));
+    note_classes(popped);
+    forget_idle(queue);
+    return popped;
+}
+
 void request_queue::insert(queued_request request, bool at_front)
 {
     class_queue& queue = queue_of(request.is_interactive);
@@ -150,6 +167,7 @@
     }
     own.tokens += request.tokens;
     queue.tokens += request.tokens;
+    ++queue.size;
     m_deadlines.emplace(request.deadline, request.id);
     const auto before = at_front ? own.waiting.begin() : own.waiting.end();
     const auto at = own.waiting.insert(before, std::move(request));
@@ -164,6 +182,7 @@
     own.waiting.erase(from.at);
     own.tokens -= taken.tokens;
     queue.tokens -= taken.tokens;
+    --queue.size;
     if (own.waiting.empty()) {
         queue.order.erase({own.served, taken.organisation});
     }
--- a/tests/process/request_queue_test.cpp
+++ b/tests/process/request_queue_test.cpp
@@ -149,6 +149,15 @@
         CHECK(drain(queue) ==
               std::vector<std::uint64_t>{11, 12, 13, 14, 1, 15, 16, 17, 18, 2, 19, 20, 3});
     }
+    SUBCASE("either class can be taken out of its turn")
+    {
+        queue.push(make(11, "a"), start);
+        CHECK_FALSE(queue.pop_class(false, start));
+        queue.push(make(1, "a", 100, false), start);
+        CHECK(queue.pop_class(false, start)->id == 1);
+        CHECK(queue.pop_class(true, start)->id == 11);
+        CHECK_FALSE(queue.pop_class(true, start));
+    }
     SUBCASE("credit of batch work that went away does not stay")
     {
         queue.push(make(1, "a", 100, false), start);
@@ -174,6 +183,10 @@
     CHECK(queue.tokens_ahead("large", true) == 1100);
     CHECK(queue.tokens_ahead("small", true) == 200);
     CHECK(queue.tokens_ahead("large", false) == 0);
+    queue.push(make(12, "small", 500, false), start);
+    CHECK(queue.tokens_ahead("other", true) == 200);
+    CHECK(queue.backlog_tokens(true) == 1100);
+    CHECK(queue.backlog_tokens(false) == 1600);
 }
 
 TEST_CASE("a queue neither loses nor duplicates a request")
