--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -285,6 +285,8 @@
     made.push_back(make_variant("bound-2", &weigh_settings::affinity_bound, 2.0));
     made.push_back(make_variant("hot-1", &weigh_settings::hot_utilisation, 1.0));
     made.push_back(make_variant("slow-1.2", &weigh_settings::slow_factor, 1.2));
+    made.push_back(make_variant("slow-2.5", &weigh_settings::slow_factor, 2.5));
+    made.push_back(make_variant("slow-4", &weigh_settings::slow_factor, 4.0));
     made.push_back(make_variant("slow-off", &weigh_settings::slow_factor, 1e9));
     made.push_back(make_variant("margin-1", &weigh_settings::deadline_margin, 1.0));
     made.push_back(make_variant("margin-3", &weigh_settings::deadline_margin, 3.0));
