Keep one organisation's questions from going before all batch work of others

While one organisation sends five times its share, its interactive requests went before the others' batch requests, and those missed their deadlines. A queue now compares what both were served lately, each by its share, before interactive goes first.

--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -32,6 +32,7 @@
     std::size_t kind = 0;
     std::size_t organisation = 0;
     std::size_t region = 0;
+    double weight = 1; ///< share of its organisation
     work asked;
     time_point arrived{};
     duration first_token{0};
@@ -128,6 +129,7 @@
         queued.organisation = std::to_string(taken->organisation);
         queued.tokens = taken->tokens();
         queued.is_interactive = taken->asked.is_interactive;
+        queued.weight = taken->weight;
         queued.deadline = taken->deadline();
         m_waiting[taken->id] = taken;
         if (m_queue.push(queued, m_clock.now()) != push_outcome::queued) {
--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -121,6 +121,7 @@
                 is_extra ? greedy_organisation : weighted_index(random, plan.user->organisations);
             made->kind = weighted_index(random, plan.user->mix);
             made->region = region;
+            made->weight = plan.user->organisations[made->organisation];
             made->arrived = moment;
             made->asked = make_work(kinds[made->kind], made->organisation, random);
             drawn.push_back(made);
--- a/src/process/routing/request_queue.cpp
+++ b/src/process/routing/request_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // max, min
 #include <cassert>   // assert
+#include <cmath>     // exp
 #include <utility>   // move, exchange
 
 namespace hickorykeel {
@@ -40,7 +41,7 @@
     if (is_empty()) {
         return std::nullopt;
     }
-    return pop_from(queue_of(!is_batch_next()));
+    return pop_from(queue_of(!is_batch_next(now)), now);
 }
 
 std::optional<queued_request> request_queue::pop_class(bool is_interactive, time_point now)
@@ -50,7 +51,7 @@
     if (queue.order.empty()) {
         return std::nullopt;
     }
-    return pop_from(queue);
+    return pop_from(queue, now);
 }
 
 void request_queue::put_back(queued_request request)
@@ -58,6 +59,8 @@
     assert(!m_places.contains(request.id));
     const auto tokens = static_cast<double>(request.tokens);
     charge(queue_of(request.is_interactive), request.organisation, -tokens);
+    recent_use& use = m_uses[request.organisation];
+    use.tokens = std::max(0.0, use.tokens - tokens);
     if (request.is_interactive) {
         m_batch_credit = std::max(0.0, m_batch_credit - batch_part_of(tokens));
     }
@@ -136,22 +139,54 @@
     return queue.organisations.at(queue.order.begin()->second).waiting.front();
 }
 
-bool request_queue::is_batch_next() const
+bool request_queue::is_batch_next(time_point now) const
 {
     const class_queue& interactive = queue_of(true);
     const class_queue& batch = queue_of(false);
     if (batch.order.empty() || interactive.order.empty()) {
         return interactive.order.empty();
     }
-    return m_batch_credit >= static_cast<double>(head_of(batch).tokens);
+    return m_batch_credit >= static_cast<double>(head_of(batch).tokens) ||
+           is_in_excess(head_of(interactive), head_of(batch), now);
 }
 
-queued_request request_queue::pop_from(class_queue& queue)
+bool request_queue::is_in_excess(const queued_request& interactive, const queued_request& batch,
+                                 time_point now) const
+{
+    const double use = use_of(interactive.organisation, now) / interactive.weight;
+    // the batch request counts as served, so that a first one does not go before all
+    const double other_tokens = use_of(batch.organisation, now) + static_cast<double>(batch.tokens);
+    return use > m_settings.excess_factor * other_tokens / batch.weight;
+}
+
+double request_queue::use_of(const std::string& organisation, time_point now) const
+{
+    const auto found = m_uses.find(organisation);
+    if (found == m_uses.end()) {
+        return 0;
+    }
+    const double age = to_seconds(now - found->second.moment) / to_seconds(m_settings.use_memory);
+    return found->second.tokens * std::exp(-age);
+}
+
+void request_queue::note_use(const std::string& organisation, double tokens, time_point now)
+{
+    const double before = use_of(organisation, now);
+    m_uses[organisation] = {before + tokens, now};
+    if (m_uses.size() > idle_organisations + 2 * m_deadlines.size()) {
+        std::erase_if(m_uses, [this, now](const auto& item) {
+            return now - item.second.moment > 10 * m_settings.use_memory;
+        });
+    }
+}
+
+queued_request request_queue::pop_from(class_queue& queue, time_point now)
 {
     const place next = m_places.at(head_of(queue).id);
     queued_request popped = extract(next);
     queue.floor = std::max(queue.floor, queue.organisations[popped.organisation].served);
     charge(queue, popped.organisation, static_cast<double>(popped.tokens));
+    note_use(popped.organisation, static_cast<double>(popped.tokens), now);
     note_classes(popped);
     forget_idle(queue);
     return popped;
--- a/src/process/routing/request_queue.h
+++ b/src/process/routing/request_queue.h
@@ -3,6 +3,7 @@
 #include "process/clock.h"
 
 #include <array>         // array
+#include <chrono>        // seconds
 #include <cstddef>       // size_t
 #include <cstdint>       // uint64_t
 #include <list>          // list
@@ -22,6 +23,7 @@
     std::string organisation;
     std::uint64_t tokens = 1; ///< reserved; at least 1
     bool is_interactive = true;
+    double weight = 1;     ///< share of its organisation, e.g. its rate; above 0
     time_point deadline{}; ///< when an answer must have begun to be of use
 };
 
@@ -38,6 +40,10 @@
 struct request_queue_settings {
     std::size_t capacity = 4096;
     std::size_t organisation_capacity = 1024;
+    /// Times the use of another organisation, each by its weight, from which on interactive
+    /// requests do not go before the other's batch requests.
+    double excess_factor = 2;
+    duration use_memory{std::chrono::seconds{60}}; ///< tokens served count less over this
     double batch_share = 0.15; ///< of the tokens, least share of batch work while both kinds wait
 };
 
@@ -48,7 +54,8 @@
 }
 
 /// Queue of one target. Between interactive and batch work: interactive first, but batch work gets
-/// its share of the tokens. Within each: fair by organisation, after "Fairness in Serving Large
+/// its share of the tokens, and interactive requests of an organisation far above its share do not go
+/// before batch requests of others. Within each: fair by organisation, after "Fairness in Serving Large
 /// Language Models" (Sheng et al., OSDI 2024): each organisation has a counter of tokens served,
 /// the smallest is next, and an organisation that starts to wait is lifted to the counters of
 /// those that wait. So one that sends too much lengthens only its own queue.
@@ -118,6 +125,12 @@
         std::size_t size = 0;
     };
 
+    /// Tokens served lately to an organisation in both classes, fading with time.
+    struct recent_use {
+        double tokens = 0;
+        time_point moment{};
+    };
+
     struct place {
         bool is_interactive;
         std::list<queued_request>::iterator at;
@@ -126,8 +139,12 @@
     [[nodiscard]] class_queue& queue_of(bool is_interactive);
     [[nodiscard]] const class_queue& queue_of(bool is_interactive) const;
     [[nodiscard]] const queued_request& head_of(const class_queue& queue) const;
-    [[nodiscard]] bool is_batch_next() const;
-    queued_request pop_from(class_queue& queue);
+    [[nodiscard]] bool is_batch_next(time_point now) const;
+    [[nodiscard]] bool is_in_excess(const queued_request& interactive, const queued_request& batch,
+                                    time_point now) const;
+    [[nodiscard]] double use_of(const std::string& organisation, time_point now) const;
+    void note_use(const std::string& organisation, double tokens, time_point now);
+    queued_request pop_from(class_queue& queue, time_point now);
     void insert(queued_request request, bool at_front);
     queued_request extract(const place& from);
     void charge(class_queue& queue, const std::string& organisation, double tokens);
@@ -140,6 +157,7 @@
     std::unordered_map<std::uint64_t, place> m_places;
     std::set<std::pair<time_point, std::uint64_t>> m_deadlines;
     std::vector<queued_request> m_expired;
+    std::map<std::string, recent_use> m_uses;
     double m_batch_credit = 0; // tokens that batch work may use before interactive work
 };
 
--- a/tests/process/request_queue_test.cpp
+++ b/tests/process/request_queue_test.cpp
@@ -173,6 +173,45 @@
     }
 }
 
+TEST_CASE("organisation in excess of its share")
+{
+    request_queue queue{{.excess_factor = 2}};
+    const auto push_interactive = [&queue](double weight) {
+        for (std::uint64_t id = 1; id <= 8; ++id) {
+            queued_request added = make(id, "large");
+            added.weight = weight;
+            queue.push(added, start);
+        }
+    };
+
+    SUBCASE("its interactive requests do not go before the batch request of another")
+    {
+        push_interactive(1);
+        queue.push(make(11, "small", 100, false), start);
+        CHECK(drain(queue) == std::vector<std::uint64_t>{1, 2, 3, 11, 4, 5, 6, 7, 8});
+    }
+    SUBCASE("a larger share allows more")
+    {
+        push_interactive(2);
+        queue.push(make(11, "small", 100, false), start);
+        CHECK(drain(queue) == std::vector<std::uint64_t>{1, 2, 3, 4, 5, 11, 6, 7, 8});
+    }
+    SUBCASE("use fades with time")
+    {
+        push_interactive(1);
+        for (int i = 0; i < 3; ++i) {
+            queue.pop(start);
+        }
+        queued_request late = make(11, "small", 100, false);
+        late.deadline = start + 200s;
+        queue.push(late, start);
+        queued_request last = make(12, "large");
+        last.deadline = start + 200s;
+        queue.push(last, start + 60s);
+        CHECK(queue.pop(start + 60s)->id == 12);
+    }
+}
+
 TEST_CASE("tokens ahead")
 {
     request_queue queue;
