Check the limits over random schedules with a fake link

Reports of earlier holders were passed on without joining equal ones, so a run of the property grew without end; they are joined now.

Four rules are shown to be needed: each switched off breaks its property (capacity lent with the tokens, consent before a gain, fall without renewed consent, confirmation of weights).

--- a/src/process/limits/host_shares.cpp
+++ b/src/process/limits/host_shares.cpp
@@ -15,6 +15,19 @@
     return std::chrono::ceil<std::chrono::milliseconds>(span);
 }
 
+// Adds `share`, or joins it with an entry for the same incarnation.
+void merge(std::vector<held_share>& shares, const held_share& share)
+{
+    for (held_share& known : shares) {
+        if (known.host == share.host && known.incarnation == share.incarnation) {
+            known.fraction = std::max(known.fraction, share.fraction);
+            known.remaining = std::max(known.remaining, share.remaining);
+            return;
+        }
+    }
+    shares.push_back(share);
+}
+
 } // namespace detail
 
 host_shares::host_shares(std::string name, std::string failure_domain, std::uint64_t incarnation,
@@ -312,8 +325,9 @@
                 about != m_peers.end() && (about->second.has_claimed || about->second.is_live ||
                                            is_retired(about->second, other.reports[i].incarnation));
             if (!is_known && other.report_ends[i] > now) {
-                others.push_back(other.reports[i]);
-                others.back().remaining = detail::to_milliseconds_up(other.report_ends[i] - now);
+                held_share share = other.reports[i];
+                share.remaining = detail::to_milliseconds_up(other.report_ends[i] - now);
+                detail::merge(others, share);
             }
         }
     }
--- a/src/process/limits/limiter.cpp
+++ b/src/process/limits/limiter.cpp
@@ -365,6 +365,9 @@
         since = profile == m_changed.end() ? since : std::max(since, profile->second);
     }
     account_state& state = m_accounts.try_emplace(account, since).first->second;
+    if (!m_options.lends_capacity) {
+        state.bucket.keep_capacity_when_lending();
+    }
     set_rights(account, state, std::min(since, now));
     return state;
 }
--- /dev/null
+++ b/tests/process/limits_property_test.cpp
@@ -0,0 +1,348 @@
+#include "process/limits/limiter.h"
+#include "support/limiter_fleet.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm> // find, max, min
+#include <map>       // map
+#include <memory>    // make_shared
+#include <random>    // mt19937_64
+#include <string>    // string
+#include <vector>    // vector
+
+using namespace hickorykeel;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double rounding = 1e-3; // tokens, of sums over a whole run
+
+// short terms, so that a run of seconds sees each of them end
+limiter_options short_terms()
+{
+    limiter_options options;
+    options.weights.minimum_slots = 2; // all slots are in use, so that nothing is left unused
+    options.loan_term = 400ms;
+    options.loan_wait = 150ms;
+    options.claim_interval = 100ms;
+    options.shares.hold_term = 1s;
+    options.shares.isolation_term = 4s;
+    options.shares.settle_term = 400ms;
+    return options;
+}
+
+// What the schedules do often; rates of events a step.
+struct pressure {
+    double loss = 0.05;
+    double duplication = 0.05;
+    duration jitter = 30ms;
+    double cut = 0.02;
+    double pause = 0.005;
+    double replacement = 0.003;
+    double relist = 0.002;
+    double republish = 0.005;
+    bool changes_home = true;
+    bool changes_rate = true;
+    double burst_seconds = 0.5; // of the rate
+    duration near_delay = 1ms;
+    duration far_delay = 20ms;
+    double most_tokens = 40;
+    bool drops_running = false; // a host is dropped from the list while it runs, cut off
+};
+
+// One random run: hosts in two failure domains, all published states lag differently at each.
+class random_run {
+public:
+    random_run(std::uint64_t seed, const limiter_options& options, const pressure& wanted)
+        : m_random{seed}, m_pressure{wanted}, m_fleet{seed,
+                                                      options,
+                                                      {wanted.loss, wanted.duplication,
+                                                       wanted.jitter, wanted.near_delay,
+                                                       wanted.far_delay}}
+    {
+        const int count = 3 + static_cast<int>(m_random() % 5);
+        for (int i = 0; i < count; ++i) {
+            const std::string domain = i % 3 == 2 ? "b" : "a";
+            m_names.push_back(domain + std::to_string(i));
+        }
+        m_listed = m_names;
+        publish_configuration();
+        publish_list();
+        for (const std::string& name : m_names) {
+            replace(name);
+        }
+    }
+
+    // Largest excess over any window, with the largest rate and burst that were in force.
+    double excess()
+    {
+        bool is_busy = true;
+        for (int step = 0; step < 1'500; ++step) {
+            disturb();
+            // buckets fill in the quiet, then all hosts drain them together
+            is_busy = happens(0.04) ? !is_busy : is_busy;
+            const int requests = is_busy ? 6 : 0;
+            for (int i = 0; i < requests; ++i) {
+                request();
+            }
+            m_fleet.run_until(m_fleet.now() + 10ms);
+            add_up_shares();
+        }
+        double largest = -m_largest_burst;
+        for (const std::string account : {"volunteers", "volunteers/summary"}) {
+            const bool is_own = account == "volunteers";
+            const double part = is_own ? 1 : 0.25;
+            largest =
+                std::max(largest, largest_excess(m_fleet.charges(account), m_largest_rate * part,
+                                                 m_largest_burst * part));
+        }
+        return largest;
+    }
+
+    // Largest sum of the fractions in use within a failure domain at any step.
+    [[nodiscard]] double largest_share() const { return m_largest_share; }
+
+    double granted() { return m_fleet.totals("volunteers").granted_tokens; }
+
+private:
+    bool happens(double rate)
+    {
+        return std::uniform_real_distribution<double>{0, 1}(m_random) < rate;
+    }
+
+    const std::string& any_host() { return m_names[m_random() % m_names.size()]; }
+
+    void publish_configuration()
+    {
+        auto published = std::make_shared<configuration>();
+        published->revision = m_configurations.size() + 1;
+        published->failure_domains["a"] = {"a", "a"};
+        published->failure_domains["b"] = {"b", "b"};
+        const double rate = m_pressure.changes_rate && happens(0.5) ? 500 : 1000;
+        const std::string home = m_pressure.changes_home && happens(0.5) ? "b" : "a";
+        published->organisations["volunteers"] = {
+            "volunteers", home, rate, rate * m_pressure.burst_seconds, {}};
+        published->profiles["summary"].rate = rate / 4;
+        published->profiles["summary"].burst = rate * m_pressure.burst_seconds / 4;
+        m_largest_rate = std::max(m_largest_rate, rate);
+        m_largest_burst = std::max(m_largest_burst, rate * m_pressure.burst_seconds);
+        m_configurations.push_back(published);
+    }
+
+    // The platform drops a host only after it has stopped.
+    void publish_list()
+    {
+        auto list = std::make_shared<host_list>();
+        list->revision = m_lists.size() + 1;
+        for (const std::string& name : m_listed) {
+            list->hosts.push_back({name, name.substr(0, 1), host_state::live, {}, {}, {}, {}});
+        }
+        m_lists.push_back(list);
+    }
+
+    void replace(const std::string& name)
+    {
+        m_fleet.start(name, name.substr(0, 1));
+        learn(name);
+    }
+
+    void learn(const std::string& name)
+    {
+        m_fleet.publish(name, m_configurations.back());
+        m_fleet.publish(name, m_lists.back());
+    }
+
+    void disturb()
+    {
+        if (happens(m_pressure.cut)) {
+            m_fleet.set_cut(any_host(), any_host(), happens(0.2));
+        }
+        if (happens(m_pressure.pause)) {
+            m_fleet.pause(any_host(), m_fleet.now() + 10ms * (m_random() % 200));
+        }
+        if (happens(m_pressure.replacement)) {
+            replace(any_host());
+        }
+        if (happens(m_pressure.relist)) {
+            relist();
+        }
+        if (happens(m_pressure.republish)) {
+            publish_configuration();
+        }
+        const std::string& learner = any_host();
+        if (m_fleet.is_running(learner) && is_listed(learner) && happens(0.2)) {
+            learn(learner);
+        }
+    }
+
+    // A host stops and leaves the list, or comes back under a new name's memory: none.
+    void relist()
+    {
+        const std::string& name = any_host();
+        const auto found = std::find(m_listed.begin(), m_listed.end(), name);
+        if (found != m_listed.end() && m_listed.size() > 2) {
+            if (m_pressure.drops_running) {
+                cut_off(name, true);
+            }
+            else {
+                m_fleet.stop(name);
+            }
+            m_listed.erase(found);
+            publish_list();
+        }
+        else if (found == m_listed.end()) {
+            m_listed.push_back(name);
+            publish_list();
+            if (m_pressure.drops_running) {
+                cut_off(name, false);
+            }
+            else {
+                replace(name);
+            }
+        }
+    }
+
+    void cut_off(const std::string& name, bool is_cut)
+    {
+        for (const std::string& other : m_names) {
+            m_fleet.set_cut(name, other, is_cut);
+        }
+    }
+
+    bool is_listed(const std::string& name)
+    {
+        return std::find(m_listed.begin(), m_listed.end(), name) != m_listed.end();
+    }
+
+    void add_up_shares()
+    {
+        std::map<std::string, double> sums;
+        for (const std::string& name : m_names) {
+            if (m_fleet.is_awake(name)) {
+                m_fleet.at(name).settle(0, 0, m_fleet.now()); // moves it to this moment
+                sums[name.substr(0, 1)] += m_fleet.at(name).fraction();
+            }
+        }
+        for (const auto& [domain, sum] : sums) {
+            m_largest_share = std::max(m_largest_share, sum);
+        }
+    }
+
+    void request()
+    {
+        const std::string& name = any_host();
+        if (!m_fleet.is_running(name)) {
+            return;
+        }
+        const double tokens =
+            1 +
+            static_cast<double>(m_random() % static_cast<std::uint64_t>(m_pressure.most_tokens));
+        const double used = happens(0.5) ? tokens : tokens / 4;
+        const std::vector<std::string> accounts =
+            happens(0.3) ? std::vector<std::string>{"volunteers", "volunteers/summary"}
+                         : std::vector<std::string>{"volunteers"};
+        m_fleet.reserve(name, accounts, tokens, used, 50ms);
+    }
+
+    std::mt19937_64 m_random;
+    pressure m_pressure;
+    std::vector<std::string> m_names;
+    std::vector<std::string> m_listed;
+    std::vector<configuration_ptr> m_configurations;
+    std::vector<host_list_ptr> m_lists;
+    double m_largest_rate = 0;
+    double m_largest_burst = 0;
+    double m_largest_share = 0;
+    limiter_fleet m_fleet;
+};
+
+// Largest excess over `runs` seeds.
+double worst_excess(const limiter_options& options, const pressure& wanted, int runs)
+{
+    double worst = -1e9;
+    for (int i = 0; i < runs; ++i) {
+        worst = std::max(worst,
+                         random_run{static_cast<std::uint64_t>(i + 1), options, wanted}.excess());
+    }
+    return worst;
+}
+
+// Largest sum of shares over `runs` seeds.
+double worst_share(const limiter_options& options, const pressure& wanted, int runs)
+{
+    double worst = 0;
+    for (int i = 0; i < runs; ++i) {
+        random_run run{static_cast<std::uint64_t>(i + 1), options, wanted};
+        run.excess();
+        worst = std::max(worst, run.largest_share());
+    }
+    return worst;
+}
+
+constexpr int mutant_runs = 60;
+constexpr double whole = 1 + 1e-6; // with the rounding of sums
+
+} // namespace
+
+TEST_CASE("limits hold over every window of random schedules")
+{
+    const bool is_kept = rc::check("admitted <= burst + rate * t", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        random_run run{seed, short_terms(), {}};
+        RC_ASSERT(run.excess() <= rounding);
+        RC_ASSERT(run.largest_share() <= whole);
+        RC_ASSERT(run.granted() > 0);
+    });
+    CHECK(is_kept);
+}
+
+TEST_CASE("limits hold without disturbance and use most of the rate")
+{
+    random_run run{1, short_terms(), {0, 0, 0ms, 0, 0, 0, 0, 0, false, false}};
+    CHECK(run.excess() <= rounding);
+    CHECK(run.granted() > 0);
+}
+
+TEST_CASE("limits break without each rule")
+{
+    limiter_options options = short_terms();
+    pressure wanted;
+    wanted.changes_rate = false;
+    wanted.changes_home = false;
+    wanted.loss = 0;
+    wanted.most_tokens = 20;
+    SUBCASE("lending without capacity")
+    {
+        options.lends_capacity = false;
+        wanted.cut = 0;
+        wanted.burst_seconds = 0.1;
+        wanted.near_delay = 50ms;
+        wanted.far_delay = 60ms;
+        CHECK(worst_excess(options, wanted, mutant_runs) > rounding);
+    }
+    SUBCASE("gain of a share without consent")
+    {
+        options.shares.waits_for_consent = false;
+        wanted.cut = 0;
+        wanted.relist = 0.01;
+        CHECK(worst_share(options, wanted, mutant_runs) > whole);
+    }
+    SUBCASE("full use without renewed consent")
+    {
+        wanted.cut = 0;
+        wanted.pause = 0;
+        wanted.replacement = 0;
+        wanted.drops_running = true;
+        CHECK(worst_share(options, wanted, mutant_runs) <= whole);
+        options.shares.falls_without_consent = false;
+        CHECK(worst_share(options, wanted, mutant_runs) > whole);
+    }
+    SUBCASE("gain of a failure domain's weight without confirmation")
+    {
+        options.weights.waits_for_confirmation = false;
+        wanted.changes_home = true;
+        wanted.most_tokens = 40;
+        CHECK(worst_excess(options, wanted, mutant_runs) > rounding);
+    }
+}
--- a/tests/process/token_bucket_test.cpp
+++ b/tests/process/token_bucket_test.cpp
@@ -119,7 +119,7 @@
         std::uint64_t loan = 0;
         for (const int step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5000))) {
             now += (step % 10) * 0.1;
-            const double amount = step / 50;
+            const double amount = step * 0.02;
             switch (step % 5) {
             case 0:
                 bucket.set_rights(amount, amount * 2, at(now));
--- a/tests/support/limiter_fleet.cpp
+++ b/tests/support/limiter_fleet.cpp
@@ -65,14 +65,13 @@
 
 void limiter_fleet::set_cut(const std::string& one, const std::string& other, bool is_cut)
 {
-    for (const std::string& pair : {one + ' ' + other, other + ' ' + one}) {
-        if (is_cut) {
-            m_cuts.insert(pair);
-        }
-        else {
-            m_cuts.erase(pair);
-        }
+    if (is_cut) {
+        m_cuts.insert({one, other});
+        m_cuts.insert({other, one});
+        return;
     }
+    m_cuts.erase({one, other});
+    m_cuts.erase({other, one});
 }
 
 void limiter_fleet::cut_domain(const std::string& failure_domain, bool is_cut)
@@ -128,6 +127,11 @@
     return found != m_hosts.end() && found->second.decisions != nullptr;
 }
 
+bool limiter_fleet::is_awake(const std::string& name) const
+{
+    return is_running(name) && m_hosts.at(name).paused_until <= m_now;
+}
+
 void limiter_fleet::schedule(time_point at, std::function<void()> run)
 {
     m_events.push({at, ++m_order, std::move(run)});
@@ -156,7 +160,7 @@
     m_counts.bytes += envelope_bytes + std::visit(to_bytes{}, content);
     const member& sender = m_hosts.at(from);
     const auto receiver = m_hosts.find(to);
-    if (receiver == m_hosts.end() || m_cuts.contains(from + ' ' + to)) {
+    if (receiver == m_hosts.end() || m_cuts.contains({from, to})) {
         return;
     }
     const bool is_near = sender.failure_domain == receiver->second.failure_domain;
@@ -175,7 +179,7 @@
 void limiter_fleet::deliver(const std::string& from, std::uint64_t incarnation,
                             const std::string& to, std::uint64_t question, const body& content)
 {
-    if (m_cuts.contains(from + ' ' + to)) {
+    if (m_cuts.contains({from, to})) {
         return;
     }
     when_awake(to, m_hosts.at(to).incarnation, [=, this](limiter& decisions) {
--- a/tests/support/limiter_fleet.h
+++ b/tests/support/limiter_fleet.h
@@ -68,6 +68,8 @@
 
     [[nodiscard]] time_point now() const noexcept { return m_now; }
     [[nodiscard]] bool is_running(const std::string& name) const;
+    /// Whether it runs and isn't paused.
+    [[nodiscard]] bool is_awake(const std::string& name) const;
     [[nodiscard]] limiter& at(const std::string& name) { return *m_hosts.at(name).decisions; }
     [[nodiscard]] const std::vector<charge>& charges(const std::string& account)
     {
@@ -127,7 +129,7 @@
     std::uint64_t m_order = 0;
     std::priority_queue<event> m_events;
     std::map<std::string, member> m_hosts;
-    std::set<std::string> m_cuts; // "one other", both ways
+    std::set<std::pair<std::string, std::string>> m_cuts; // both ways
     std::map<std::pair<std::string, std::uint64_t>, pending> m_pending;
     std::map<std::string, std::vector<charge>> m_charges;
     std::map<std::string, counts> m_by_account;
