--- a/src/process/limits/limiter.cpp
+++ b/src/process/limits/limiter.cpp
@@ -97,7 +97,7 @@
         return result;
     }
     hold_own(kept, now);
-    if (!ask_more(result.id, kept, now, result.messages)) {
+    if (!ask_more(result.id, kept, now, result.messages) && !postpone(kept, now, result.messages)) {
         result.retry_after = to_retry_after(kept);
         close(kept, false, now, result.messages);
         return result;
@@ -170,7 +170,9 @@
     remember_hint(state, from, grant.level, now);
     const time_point ends = answered.asked + std::min<duration>(grant.term, m_options.loan_term);
     const auto found = m_reservations.find(answered.reservation);
-    if (found == m_reservations.end() || found->second.is_granted) {
+    const bool is_over = found == m_reservations.end() || found->second.is_granted ||
+                         found->second.tries != answered.attempt;
+    if (is_over) {
         if (grant.tokens > 0) {
             events.messages.push_back({from, 0, loan_settle{grant.loan, 0, grant.tokens}});
         }
@@ -281,7 +283,7 @@
         }
     }
     for (const std::string& name : hosts) {
-        m_questions[++m_last_id] = {name, 0, 0, now};
+        m_questions[++m_last_id] = {name, 0, 0, 0, now};
         events.messages.push_back(
             {name, m_last_id,
              share_claim{m_shares.host_list_revision(), m_published ? m_published->revision : 0}});
@@ -488,7 +490,7 @@
     if (lacking <= detail::rounding) {
         return true;
     }
-    std::vector<candidate> chosen = candidates(wanted, now);
+    std::vector<candidate> chosen = candidates(wanted, lacking, now);
     double expected = 0;
     std::size_t count = 0;
     while (count < chosen.size() && expected < lacking) {
@@ -504,7 +506,7 @@
         // a lone lender grants all or nothing; several each give what they can
         const double minimum =
             count == 1 && wanted.asked.size() + 1 == m_options.most_asked ? lacking : 0;
-        m_questions[asked] = {lender.host, id, index, now};
+        m_questions[asked] = {lender.host, id, index, kept.tries, now};
         messages.push_back({lender.host, asked,
                             loan_request{wanted.account, lacking, minimum, m_published->revision}});
         ++wanted.open_questions;
@@ -516,13 +518,16 @@
 }
 
 // Hosts to ask, nearest first, then by what they are expected to hold.
-std::vector<limiter::candidate> limiter::candidates(const part& wanted, time_point now)
+std::vector<limiter::candidate> limiter::candidates(const part& wanted, double lacking,
+                                                    time_point now)
 {
     std::vector<candidate> found;
     const std::string home = to_home(*m_published, wanted.account);
-    add_candidates(m_failure_domain, wanted, now, found);
+    // hosts that can only add a little would take the place of better ones
+    const double least = lacking / static_cast<double>(2 * m_options.most_asked);
+    add_candidates(m_failure_domain, wanted, least, now, found);
     if (home != m_failure_domain) {
-        add_candidates(home, wanted, now, found);
+        add_candidates(home, wanted, least, now, found);
     }
     if (!m_live.empty()) {
         // then another failure domain, a different one each time
@@ -530,7 +535,7 @@
         std::advance(other, static_cast<std::ptrdiff_t>(++m_rotation % m_live.size()));
         for (std::size_t i = 0; i < std::min<std::size_t>(m_live.size(), 4); ++i) {
             if (other->first != home && other->first != m_failure_domain) {
-                add_candidates(other->first, wanted, now, found);
+                add_candidates(other->first, wanted, least, now, found);
             }
             if (++other == m_live.end()) {
                 other = m_live.begin();
@@ -543,8 +548,8 @@
     return found;
 }
 
-void limiter::add_candidates(const std::string& failure_domain, const part& wanted, time_point now,
-                             std::vector<candidate>& found)
+void limiter::add_candidates(const std::string& failure_domain, const part& wanted, double least,
+                             time_point now, std::vector<candidate>& found)
 {
     const auto live = m_live.find(failure_domain);
     if (live == m_live.end()) {
@@ -560,7 +565,7 @@
         const bool was_asked =
             std::find(wanted.asked.begin(), wanted.asked.end(), name) != wanted.asked.end();
         const double level = expected_level(name, failure_domain, wanted.account, now);
-        if (!is_silent && !was_asked && level > detail::rounding) {
+        if (!is_silent && !was_asked && level >= least) {
             found.push_back({name, level});
         }
     }
@@ -616,10 +621,24 @@
     reservation_result result;
     result.id = id;
     result.state = reservation_state::waiting;
-    if (is_complete(kept, now)) {
+    if (kept.is_postponed && !is_round_over) {
+        return result;
+    }
+    if (kept.is_postponed) {
+        kept.is_postponed = false;
+        if (take_all(kept, now)) {
+            kept.is_granted = true;
+        }
+        else {
+            hold_own(kept, now);
+        }
+    }
+    else if (is_complete(kept, now)) {
         close(kept, true, now, result.messages);
-        m_waiting.erase(id);
         kept.is_granted = true;
+    }
+    if (kept.is_granted) {
+        m_waiting.erase(id);
         result.state = reservation_state::granted;
         return result;
     }
@@ -634,6 +653,9 @@
         result.messages = std::move(messages);
         return result;
     }
+    if (postpone(kept, now, result.messages)) {
+        return result;
+    }
     result.state = reservation_state::refused;
     result.retry_after = to_retry_after(kept);
     close(kept, false, now, result.messages);
@@ -642,6 +664,23 @@
     return result;
 }
 
+// Gives all back and tries anew a little later; false where it was tried often enough.
+bool limiter::postpone(reservation& kept, time_point now, std::vector<limit_message>& messages)
+{
+    if (++kept.tries >= m_options.most_tries || m_waiting.size() >= m_options.most_waiting) {
+        return false;
+    }
+    close(kept, false, now, messages);
+    for (part& wanted : kept.parts) {
+        part fresh;
+        fresh.account = wanted.account;
+        wanted = std::move(fresh);
+    }
+    kept.is_postponed = true;
+    kept.round_ends = now + m_options.retry_wait;
+    return true;
+}
+
 // Ends the loans of a reservation: spent where it was granted, else returned.
 void limiter::close(reservation& kept, bool is_granted, time_point now,
                     std::vector<limit_message>& messages)
--- a/src/process/limits/limiter.h
+++ b/src/process/limits/limiter.h
@@ -28,7 +28,10 @@
     duration silence = std::chrono::seconds{1};          ///< a host without answer isn't asked
     duration hint_age = std::chrono::seconds{1};         ///< after that a level hint is unknown
     duration claim_interval = std::chrono::seconds{1};
-    std::size_t most_asked = 4; ///< hosts asked for one request and account
+    std::size_t most_asked = 4; ///< hosts asked in one try for one request and account
+    duration retry_wait = std::chrono::milliseconds{150}; ///< between the tries for a request
+    std::size_t most_tries = 3;
+    std::size_t most_waiting = 64; ///< requests; above it none is tried again
 
     /// @name test only: each false shows that the rule is needed
     /// @{
@@ -159,6 +162,8 @@
     struct reservation {
         double tokens = 0;
         bool is_granted = false;
+        bool is_postponed = false; // holds nothing until the round ends
+        std::size_t tries = 0;     // that failed
         time_point round_ends;
         std::vector<part> parts;
     };
@@ -167,6 +172,7 @@
         std::string host;
         std::uint64_t reservation = 0; // 0: a share_claim
         std::size_t part = 0;
+        std::size_t attempt = 0; // of the reservation
         time_point asked;
     };
 
@@ -202,9 +208,9 @@
                   std::vector<limit_message>& messages);
     bool ask_for_part(std::uint64_t id, std::size_t index, reservation& kept, time_point now,
                       std::vector<limit_message>& messages);
-    std::vector<candidate> candidates(const part& wanted, time_point now);
-    void add_candidates(const std::string& failure_domain, const part& wanted, time_point now,
-                        std::vector<candidate>& found);
+    std::vector<candidate> candidates(const part& wanted, double lacking, time_point now);
+    void add_candidates(const std::string& failure_domain, const part& wanted, double least,
+                        time_point now, std::vector<candidate>& found);
     double expected_level(const std::string& host, const std::string& failure_domain,
                           const std::string& account, time_point now);
     [[nodiscard]] static double missing(const reservation& kept, const part& wanted,
@@ -215,6 +221,7 @@
     void remember_hint(account_state& state, const std::string& host, double level,
                        time_point now) const;
     void end_questions(time_point now);
+    bool postpone(reservation& kept, time_point now, std::vector<limit_message>& messages);
     void close(reservation& kept, bool is_granted, time_point now,
                std::vector<limit_message>& messages);
     [[nodiscard]] duration to_retry_after(const reservation& kept) const;
--- a/tests/process/limits_property_test.cpp
+++ b/tests/process/limits_property_test.cpp
@@ -342,6 +342,8 @@
     {
         options.weights.waits_for_confirmation = false;
         wanted.changes_home = true;
+        wanted.cut = 0;
+        wanted.republish = 0.02;
         wanted.most_tokens = 40;
         CHECK(worst_excess(options, wanted, mutant_runs) > rounding);
     }
