Test the bound of the prefix affinity by itself

With an interactive request the rule against slow endpoints hid it: without the bound the test passed. 23 rules were broken one at a time; this was the only one that no test noticed.

--- a/tests/process/endpoint_choice_test.cpp
+++ b/tests/process/endpoint_choice_test.cpp
@@ -481,7 +481,8 @@
     SUBCASE("beyond the bound on its load the second preferred one takes its place")
     {
         dispatch(table, preferred, 3, start);
-        CHECK(chosen({.prefix_hash = prefix}, table, policy, random) ==
+        const request_view patient{.prefix_hash = prefix, .is_interactive = false};
+        CHECK(chosen(patient, table, policy, random) ==
               std::set<std::size_t>{table.preferred(prefix)[1]});
     }
 }
