Keep the fleet-wide limits in the entry process

One actor owns the limiter and the ticket book; a reservation that waits for loans is answered when they arrive. Unused tokens go back; a caller that leaves early is charged what arrived, rounded up.

--- a/src/connection/messenger.cpp
+++ b/src/connection/messenger.cpp
@@ -52,7 +52,8 @@
 std::uint64_t random_number()
 {
     std::random_device device;
-    std::uniform_int_distribution<std::uint64_t> numbers(1);
+    // identifiers count upwards from an incarnation, and must not overflow
+    std::uniform_int_distribution<std::uint64_t> numbers(1, std::uint64_t{1} << 62U);
     return numbers(device);
 }
 
--- a/src/process/admission_actor.cpp
+++ b/src/process/admission_actor.cpp
@@ -1,21 +1,197 @@
 #include "process/admission_actor.h"
 
+#include "connection/limit_codec.h"
+
 #include <utility> // move
 
 namespace hickorykeel {
+namespace detail {
+
+using admission_self = caf::stateful_actor<admission_state>;
+
+constexpr auto limits_tick_interval = std::chrono::milliseconds{50};
+
+// "attica-a/entry" is a process of the host "attica-a"
+std::string to_host(const std::string& sender)
+{
+    return sender.substr(0, sender.find('/'));
+}
+
+admission::reserve_result to_result(const reservation_result& result)
+{
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(result.retry_after);
+    return {result.state == reservation_state::granted ? result.id : 0, wait};
+}
+
+void send_messages(admission_state& state, const std::vector<limit_message>& messages)
+{
+    for (const limit_message& item : messages) {
+        const auto address = state.entry_addresses.find(item.host);
+        if (address == state.entry_addresses.end()) {
+            continue;
+        }
+        link::envelope message;
+        message.set_correlation(item.question);
+        if (const auto* request = std::get_if<loan_request>(&item.body)) {
+            *message.mutable_loan_request() = to_link(*request);
+        }
+        else if (const auto* settled = std::get_if<loan_settle>(&item.body)) {
+            *message.mutable_loan_settle() = to_link(*settled);
+        }
+        else {
+            *message.mutable_share_claim() = to_link(std::get<share_claim>(item.body));
+        }
+        state.links->ask(address->second, std::move(message));
+    }
+}
+
+void take_events(admission_state& state, const limiter_events& events)
+{
+    send_messages(state, events.messages);
+    for (const reservation_result& result : events.results) {
+        send_messages(state, result.messages);
+        const auto found = state.waiting.find(result.id);
+        if (found != state.waiting.end() && result.state != reservation_state::waiting) {
+            caf::response_promise promise = found->second;
+            state.waiting.erase(found);
+            promise.deliver(to_result(result));
+        }
+    }
+}
 
-caf::behavior admission_actor(caf::stateful_actor<ticket_book>* self)
+void on_question(admission_state& state, const received_message& received)
 {
+    const link::envelope& message = received.message;
+    const time_point now = boot_clock::now();
+    const std::string from = to_host(message.sender());
+    link::envelope answer;
+    answer.set_correlation(message.correlation());
+    if (message.has_loan_request()) {
+        *answer.mutable_loan_grant() =
+            to_link(state.limits->on_loan_request(from_link(message.loan_request()), now));
+        state.links->answer(received.route, std::move(answer));
+    }
+    else if (message.has_share_claim()) {
+        *answer.mutable_share_answer() = to_link(state.limits->on_share_claim(
+            from, message.incarnation(), from_link(message.share_claim()), now));
+        state.links->answer(received.route, std::move(answer));
+    }
+    else if (message.has_loan_settle()) {
+        state.limits->on_loan_settle(from_link(message.loan_settle()), now);
+    }
+    else if (message.has_ping() && message.ping().leaving()) {
+        state.limits->on_goodbye(from, message.incarnation(), now);
+    }
+}
+
+void on_answer(admission_state& state, const received_message& received)
+{
+    const link::envelope& message = received.message;
+    const time_point now = boot_clock::now();
+    const std::string from = to_host(message.sender());
+    if (message.has_loan_grant()) {
+        take_events(state, state.limits->on_loan_grant(from, message.correlation(),
+                                                       from_link(message.loan_grant()), now));
+    }
+    else if (message.has_share_answer()) {
+        state.limits->on_share_answer(from, message.incarnation(), message.correlation(),
+                                      from_link(message.share_answer()), now);
+    }
+}
+
+void apply_hosts(admission_state& state, const host_list_ptr& listed)
+{
+    // hosts that the list has dropped keep their addresses: they may still hold rights
+    for (const host& each : listed->hosts) {
+        if (each.name != state.host) {
+            state.entry_addresses.insert_or_assign(each.name, each.entry_address);
+        }
+    }
+    state.limits->apply(listed, boot_clock::now());
+}
+
+void say_goodbye(admission_state& state)
+{
+    for (const auto& [name, address] : state.entry_addresses) {
+        link::envelope message;
+        message.mutable_ping()->set_leaving(true);
+        state.links->ask(address, std::move(message));
+    }
+}
+
+caf::result<admission::reserve_result> reserve(admission_self* self,
+                                               const admission::reserve& request)
+{
+    admission_state& state = self->state;
+    const reservation_result result = state.limits->reserve(
+        request.accounts, static_cast<double>(request.tokens), boot_clock::now());
+    send_messages(state, result.messages);
+    if (result.state != reservation_state::waiting) {
+        return to_result(result);
+    }
+    caf::response_promise promise = self->make_response_promise();
+    state.waiting.emplace(result.id, promise);
+    return promise;
+}
+
+} // namespace detail
+
+caf::behavior admission_actor(caf::stateful_actor<admission_state>* self, messenger* links,
+                              std::string host, std::string failure_domain,
+                              std::atomic<bool>* is_accruing)
+{
+    admission_state& state = self->state;
+    state.is_accruing = is_accruing;
+    state.links = links;
+    state.host = host;
+    state.limits =
+        std::make_unique<limiter>(std::move(host), std::move(failure_domain), links->incarnation(),
+                                  limiter_options{}, boot_clock::now());
+    self->delayed_send(self, detail::limits_tick_interval, admission::tick{});
     return {
         [self](const admission::begin_ticket& request) {
-            return self->state.begin(request.id, request.expiry, request.fingerprint,
-                                     boot_clock::now());
+            return self->state.tickets.begin(request.id, request.expiry, request.fingerprint,
+                                             boot_clock::now());
         },
         [self](admission::finish_ticket& request) {
-            self->state.finish(request.id, std::move(request.answer));
+            self->state.tickets.finish(request.id, std::move(request.answer));
+        },
+        [self](const admission::lose_ticket& request) { self->state.tickets.lose(request.id); },
+        [self](const admission::release_ticket& request) {
+            self->state.tickets.release(request.id);
+        },
+        [self](const admission::reserve& request) { return detail::reserve(self, request); },
+        [self](const admission::settle& request) {
+            self->state.limits->settle(request.reservation,
+                                       static_cast<double>(request.used_tokens), boot_clock::now());
+        },
+        [self](const admission::link_message& message) {
+            if (message.received->route.empty()) {
+                detail::on_answer(self->state, *message.received);
+            }
+            else {
+                detail::on_question(self->state, *message.received);
+            }
+        },
+        [self](const admission::new_configuration& message) {
+            self->state.limits->apply(message.in_force, boot_clock::now());
+        },
+        [self](const admission::new_hosts& message) {
+            detail::apply_hosts(self->state, message.listed);
+        },
+        [self](const admission::say_goodbye&) {
+            detail::say_goodbye(self->state);
+            return true;
+        },
+        [self](const admission::describe_limits&) -> admission::limits_description {
+            return self->state.limits->status(boot_clock::now());
+        },
+        [self](const admission::tick&) {
+            const time_point now = boot_clock::now();
+            detail::take_events(self->state, self->state.limits->tick(now));
+            *self->state.is_accruing = self->state.limits->is_accruing(now);
+            self->delayed_send(self, detail::limits_tick_interval, admission::tick{});
         },
-        [self](const admission::lose_ticket& request) { self->state.lose(request.id); },
-        [self](const admission::release_ticket& request) { self->state.release(request.id); },
     };
 }
 
--- a/src/process/admission_actor.h
+++ b/src/process/admission_actor.h
@@ -1,17 +1,28 @@
 #pragma once
 
+#include "connection/messenger.h"
 #include "process/clock.h"
+#include "process/limits/limiter.h"
 #include "process/ticket_book.h"
+#include "request/caller_request.h"
 
-#include <string> // string
+#include <atomic>        // atomic
+#include <cstdint>       // uint64_t
+#include <map>           // map
+#include <memory>        // shared_ptr, unique_ptr
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
 
 #include <caf/all.hpp>
 
 namespace hickorykeel {
 
-/// Messages to the actor that owns what all requests of an entry process share: the ticket book.
+/// Messages to the actor that owns what all requests of an entry process share: the ticket book and
+/// the limiter.
 namespace admission {
 
+/// Answered with a ticket_book::verdict.
 struct begin_ticket {
     std::string id;
     time_point expiry;
@@ -31,11 +42,64 @@
     std::string id;
 };
 
+/// Answered with a reserve_result.
+struct reserve {
+    std::vector<account_name> accounts;
+    std::uint64_t tokens;
+};
+
+struct reserve_result {
+    std::uint64_t reservation; ///< 0: refused
+    std::chrono::milliseconds retry_after;
+};
+
+/// Gives back what a granted reservation did not use.
+struct settle {
+    std::uint64_t reservation;
+    std::uint64_t used_tokens;
+};
+
+/// A loan or share message, or a ping, of another host's entry process.
+struct link_message {
+    std::shared_ptr<received_message> received;
+};
+
+struct new_configuration {
+    configuration_ptr in_force;
+};
+
+struct new_hosts {
+    host_list_ptr listed;
+};
+
+/// Tells the other entry processes that this one uses no rights any more. Answered when sent.
+struct say_goodbye {};
+
+/// Answered with the accounts' states.
+struct describe_limits {};
+
+using limits_description = std::vector<account_status>;
+
+struct tick {};
+
 } // namespace admission
 
-/// Behaviour of that actor. `begin_ticket` answers with a ticket_book::verdict, in the order of
-/// arrival; the others answer nothing.
-caf::behavior admission_actor(caf::stateful_actor<ticket_book>* self);
+/// State of the actor.
+struct admission_state {
+    ticket_book tickets;
+    std::unique_ptr<limiter> limits;
+    messenger* links = nullptr;
+    std::atomic<bool>* is_accruing = nullptr;
+    std::string host;
+    std::map<std::string, std::string> entry_addresses;               ///< of other hosts, by name
+    std::unordered_map<std::uint64_t, caf::response_promise> waiting; ///< by reservation
+};
+
+/// Behaviour of the actor. Precondition: `links` and `is_accruing` outlive it.
+/// @param is_accruing  kept at whether the limiter's buckets fill
+caf::behavior admission_actor(caf::stateful_actor<admission_state>* self, messenger* links,
+                              std::string host, std::string failure_domain,
+                              std::atomic<bool>* is_accruing);
 
 } // namespace hickorykeel
 
@@ -43,4 +107,14 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::finish_ticket)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::lose_ticket)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::release_ticket)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::reserve)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::reserve_result)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::settle)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::link_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::new_configuration)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::new_hosts)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::say_goodbye)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::describe_limits)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::limits_description)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::admission::tick)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::ticket_book::verdict)
--- a/src/process/caller_api.cpp
+++ b/src/process/caller_api.cpp
@@ -312,7 +312,7 @@
                                response);
     }
     else if (!m_shared.published->current() || !m_shared.published->hosts() ||
-             !m_shared.directory.is_any_ready(boot_clock::now())) {
+             !m_shared.directory.is_any_ready(boot_clock::now()) || !m_shared.is_accruing) {
         detail::answer_refusal(detail::not_ready(), response);
     }
     else {
--- a/src/process/dispatch_job.h
+++ b/src/process/dispatch_job.h
@@ -23,6 +23,7 @@
     std::string request_id; ///< the endpoint's X-Request-Id, the same for each attempt
     link::dispatch_request request;
     std::unique_ptr<event_sender> events;
+    double weight = 1;     ///< of its organisation among those that wait
     time_point start_by{}; ///< no attempt begins later
     time_point deadline{};
     std::vector<std::size_t> tried;      ///< endpoints, by index in the table of the target
--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -17,9 +17,21 @@
 
 queued_request to_queued(const dispatch_job& job)
 {
-    return {job.id, to_queue_name(job.request),
-            std::max<std::uint64_t>(1, job.request.reserved_tokens()), job.request.interactive(),
-            std::min(job.start_by, job.deadline)};
+    queued_request queued;
+    queued.id = job.id;
+    queued.organisation = to_queue_name(job.request);
+    queued.tokens = std::max<std::uint64_t>(1, job.request.reserved_tokens());
+    queued.is_interactive = job.request.interactive();
+    queued.weight = job.weight;
+    queued.deadline = std::min(job.start_by, job.deadline);
+    return queued;
+}
+
+// an organisation's share of the endpoints follows its rate
+double to_weight(const configuration& in_force, const link::dispatch_request& request)
+{
+    const auto found = in_force.organisations.find(request.organisation());
+    return found == in_force.organisations.end() ? 1.0 : std::max(1.0, found->second.rate);
 }
 
 refusal refuse_late(const dispatch_job& job)
@@ -98,6 +110,7 @@
         return;
     }
     target_state& target = found->second;
+    job->weight = detail::to_weight(*m_in_force(), job->request);
     const duration wait =
         time_for(target, target.queue.tokens_ahead(detail::to_queue_name(job->request),
                                                    job->request.interactive()));
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -18,6 +18,9 @@
 // that still hold an old list of hosts are served
 constexpr duration quiet_time = std::chrono::seconds{2};
 
+// time for the last messages to leave the process
+constexpr auto goodbye_time = std::chrono::milliseconds{100};
+
 constexpr std::time_t caller_read_timeout_s = 10;
 constexpr std::time_t caller_write_timeout_s = 10;
 constexpr std::time_t keep_alive_timeout_s = 5;
@@ -80,15 +83,18 @@
     if (m_poller.joinable()) {
         m_poller.join();
     }
+    if (m_context.admission) {
+        caf::scoped_actor self{m_actors};
+        self->send_exit(m_context.admission, caf::exit_reason::user_shutdown);
+        self->wait_for(m_context.admission);
+    }
     m_context.links.reset();
-    caf::anon_send_exit(m_context.admission, caf::exit_reason::user_shutdown);
 }
 
 std::optional<error> entry::start(const options& chosen)
 {
     m_context.actors = &m_actors;
     m_context.ticket_life = chosen.ticket_life;
-    m_context.admission = m_actors.spawn(admission_actor);
     auto links =
         messenger::open({chosen.host + "/entry", chosen.link_listen, chosen.keys, 0},
                         [this](received_message&& received) { on_message(std::move(received)); });
@@ -96,13 +102,16 @@
         return *failure;
     }
     m_context.links = std::move(std::get<0>(links));
+    m_context.admission = m_actors.spawn(admission_actor, m_context.links.get(), chosen.host,
+                                         chosen.failure_domain, &m_context.is_accruing);
     m_context.mint = std::make_unique<ticket_mint>(chosen.host, m_context.links->incarnation(),
                                                    detail::random_secret());
     m_context.published = std::make_unique<configuration_client>(
         *m_context.links, chosen.configd_address,
         configuration_client::handlers{
             [this](const configuration_ptr& in_force) { on_configuration(in_force); },
-            [this](const host_list_ptr& listed) { m_context.directory.apply(*listed); }});
+            [this](const host_list_ptr& listed) { on_hosts(listed); }});
+    m_is_open = true;
     m_poller = std::thread([this] { poll_peers(); });
     return bind_http(chosen);
 }
@@ -156,10 +165,22 @@
         }
     }
     m_server->stop();
+    say_goodbye();
+}
+
+void entry::say_goodbye()
+{
+    caf::scoped_actor self{m_actors};
+    self->request(m_context.admission, caf::infinite, admission::say_goodbye{})
+        .receive([](bool) {}, [](const caf::error&) {});
+    std::this_thread::sleep_for(detail::goodbye_time);
 }
 
 void entry::on_message(received_message&& received)
 {
+    if (!m_is_open) {
+        return;
+    }
     link::envelope& message = received.message;
     if (message.has_dispatch_event()) {
         if (const auto under_way = m_context.exchanges.find(message.correlation())) {
@@ -174,10 +195,22 @@
     else if (message.has_sync_update()) {
         m_context.published->deliver(message.sync_update());
     }
+    else {
+        caf::anon_send(
+            m_context.admission,
+            admission::link_message{std::make_shared<received_message>(std::move(received))});
+    }
+}
+
+void entry::on_hosts(const host_list_ptr& listed)
+{
+    m_context.directory.apply(*listed);
+    caf::anon_send(m_context.admission, admission::new_hosts{listed});
 }
 
 void entry::on_configuration(const configuration_ptr& in_force)
 {
+    caf::anon_send(m_context.admission, admission::new_configuration{in_force});
     for (const auto& under_way : m_context.exchanges.all()) {
         const exchange::identity& who = under_way->who();
         if (auto why = check_still_allowed(*in_force, who.organisation, who.key_digest, who.profile,
--- a/src/process/entry.h
+++ b/src/process/entry.h
@@ -62,6 +62,8 @@
     std::optional<error> bind_http(const options& chosen);
     void on_message(received_message&& received);
     void on_configuration(const configuration_ptr& in_force);
+    void on_hosts(const host_list_ptr& listed);
+    void say_goodbye();
     void poll_peers();
     void drain();
 
@@ -71,6 +73,7 @@
     caller_api m_api{m_context};
     std::unique_ptr<httplib::Server> m_server;
     std::string m_http_address;
+    std::atomic<bool> m_is_open{false}; // all members are set
     std::atomic<bool> m_is_stopping{false};
     std::thread m_poller;
     std::thread m_drainer;
--- a/src/process/entry_context.h
+++ b/src/process/entry_context.h
@@ -39,6 +39,7 @@
     caf::actor_system* actors = nullptr;
     caf::actor admission;
     std::atomic<bool> is_leaving{false};
+    std::atomic<bool> is_accruing{false};  ///< the limiter's buckets fill
     std::atomic<std::size_t> under_way{0}; ///< requests that are being served
 };
 
--- a/src/process/limits/limiter.h
+++ b/src/process/limits/limiter.h
@@ -123,6 +123,12 @@
     /// @{
     [[nodiscard]] std::vector<account_status> status(time_point now);
     [[nodiscard]] double fraction() const noexcept { return m_shares.fraction(); }
+
+    /// Whether this host's rights fill its buckets: it has a share and its start wait is over.
+    [[nodiscard]] bool is_accruing(time_point now) const noexcept
+    {
+        return now >= m_accrues_from && fraction() > 0;
+    }
     [[nodiscard]] bool is_confirmed() const noexcept { return m_weights.is_confirmed(); }
     /// @}
 
--- a/src/process/served_request.cpp
+++ b/src/process/served_request.cpp
@@ -3,7 +3,7 @@
 #include "process/admission_actor.h"
 #include "version/check.h"
 
-#include <algorithm> // find
+#include <algorithm> // find, min
 #include <utility>   // move
 
 namespace hickorykeel {
@@ -15,6 +15,9 @@
 // a whole answer is held in memory before its first byte is sent
 constexpr std::size_t maximum_whole_bytes = 64U << 20U;
 
+// tokens that an engine may have made beyond those that arrived
+constexpr std::uint64_t tokens_under_way = 16;
+
 refusal ticket_refusal(refusal_code code, ran_state ran, std::string peer, std::string message)
 {
     return {code, ran, "ticket", std::move(peer), std::move(message), {}};
@@ -42,6 +45,8 @@
         // the answer was not read to its end
         caf::anon_send(m_shared.admission, admission::lose_ticket{m_ticket->id});
     }
+    // the caller went away before the end
+    settle_reservation(tokens_so_far());
     m_runner.reset();
     --m_shared.under_way;
 }
@@ -57,10 +62,50 @@
         }
         return std::get<refusal>(*taken);
     }
+    if (auto refused = reserve()) {
+        settle_ticket(*refused);
+        return *refused;
+    }
     start();
     return read_head();
 }
 
+std::optional<refusal> served_request::reserve()
+{
+    admission::reserve_result answered{0, {}};
+    caf::scoped_actor self{*m_shared.actors};
+    self->request(m_shared.admission, caf::infinite,
+                  admission::reserve{m_admitted.accounts, m_admitted.reserved_tokens})
+        .receive([&](const admission::reserve_result& result) { answered = result; },
+                 [](const caf::error&) {});
+    m_reservation = answered.reservation;
+    if (m_reservation != 0) {
+        return std::nullopt;
+    }
+    return refusal{refusal_code::over_limit,
+                   ran_state::no,
+                   "reserve",
+                   "",
+                   "the organisation's rate and burst do not allow these tokens now",
+                   answered.retry_after};
+}
+
+// what is not known to be unused stays charged
+void served_request::settle_reservation(std::uint64_t used_tokens)
+{
+    if (m_reservation != 0) {
+        caf::anon_send(
+            m_shared.admission,
+            admission::settle{m_reservation, std::min(used_tokens, m_admitted.reserved_tokens)});
+        m_reservation = 0;
+    }
+}
+
+std::uint64_t served_request::tokens_so_far() const
+{
+    return m_admitted.prompt_tokens + to_tokens(m_received_bytes) + detail::tokens_under_way;
+}
+
 std::optional<refusal> served_request::prepare()
 {
     m_in_force = m_shared.published->current();
@@ -193,7 +238,7 @@
 {
     const request_runner::step first = m_runner->next();
     if (const auto* why = std::get_if<refusal>(&first)) {
-        settle_ticket(*why);
+        settle(*why);
         return *why;
     }
     const auto& head = std::get<request_runner::answer_head>(first);
@@ -210,11 +255,12 @@
     while (true) {
         request_runner::step step = m_runner->next();
         if (const auto* why = std::get_if<refusal>(&step)) {
-            settle_ticket(*why);
+            settle(*why);
             return *why;
         }
         if (const auto* more = std::get_if<request_runner::answer_data>(&step)) {
             answer.body += more->bytes;
+            m_received_bytes += more->bytes.size();
         }
         if (answer.body.size() > detail::maximum_whole_bytes) {
             const refusal why{refusal_code::endpoint_failed,
@@ -223,9 +269,12 @@
                               head.endpoint,
                               "the answer is too large to be held",
                               {}};
-            settle_ticket(why);
+            settle(why);
             return why;
         }
+        if (const auto* end = std::get_if<request_runner::answer_end>(&step)) {
+            settle_reservation(to_used(*end));
+        }
         if (std::holds_alternative<request_runner::answer_end>(step)) {
             record(answer);
             return whole_answer{std::move(answer), head.dispatch_host, false};
@@ -237,19 +286,32 @@
 {
     request_runner::step step = m_runner->next();
     if (const auto* why = std::get_if<refusal>(&step)) {
-        settle_ticket(*why);
+        settle(*why);
         return *why;
     }
     if (auto* more = std::get_if<request_runner::answer_data>(&step)) {
         if (m_ticket && m_stream_record->body.size() <= detail::maximum_recorded_bytes) {
             m_stream_record->body += more->bytes;
         }
+        m_received_bytes += more->bytes.size();
         return std::move(more->bytes);
     }
+    settle_reservation(to_used(std::get<request_runner::answer_end>(step)));
     record(*m_stream_record);
     return stream_end{};
 }
 
+std::uint64_t served_request::to_used(const request_runner::answer_end& end) const
+{
+    return end.used_tokens != 0 ? end.used_tokens : m_admitted.reserved_tokens;
+}
+
+void served_request::settle(const refusal& why)
+{
+    settle_reservation(why.ran == ran_state::no ? 0 : m_admitted.reserved_tokens);
+    settle_ticket(why);
+}
+
 void served_request::settle_ticket(const refusal& why)
 {
     if (!m_ticket) {
--- a/src/process/served_request.h
+++ b/src/process/served_request.h
@@ -5,6 +5,8 @@
 #include "process/ticket_book.h"
 #include "request/caller_request.h"
 
+#include <cstddef>    // size_t
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // unique_ptr
 #include <optional>   // optional
@@ -60,6 +62,11 @@
     void start();
     opening read_head();
     opening read_whole(const request_runner::answer_head& head);
+    std::optional<refusal> reserve();
+    void settle(const refusal& why);
+    void settle_reservation(std::uint64_t used_tokens);
+    [[nodiscard]] std::uint64_t tokens_so_far() const;
+    [[nodiscard]] std::uint64_t to_used(const request_runner::answer_end& end) const;
     void settle_ticket(const refusal& why);
     void record(const recorded_answer& answer);
 
@@ -68,7 +75,9 @@
     std::function<bool()> m_is_caller_connected;
     configuration_ptr m_in_force;
     admitted_request m_admitted;
-    std::optional<ticket> m_ticket; // set while this request holds it
+    std::optional<ticket> m_ticket;  // set while this request holds it
+    std::uint64_t m_reservation = 0; // 0: none, or settled
+    std::size_t m_received_bytes = 0;
     std::unique_ptr<request_runner> m_runner;
     time_point m_deadline{};
     std::optional<recorded_answer> m_stream_record; // what a stream sent, for repeats
