--- a/src/programs/configd.cpp
+++ b/src/programs/configd.cpp
@@ -1,8 +1,10 @@
-#include "process/configd.h"
 #include "process/common_settings.h"
+#include "process/configd_admin.h"
 #include "process/program.h"
 
+#include <cstdlib>  // EXIT_FAILURE, EXIT_SUCCESS
 #include <iostream> // cout, cerr
+#include <utility>  // move
 
 namespace {
 
@@ -17,15 +19,26 @@
 
 int run(const settings& chosen, stop_signal& stop)
 {
-    auto opened =
-        configd::open({chosen.text("process", "host"), chosen.text("process", "failure_domain"),
-                       chosen.text("link", "listen"), chosen.text("platform", "address"),
-                       chosen.list("peers", "seeds"), to_link_keys(chosen)});
+    const configd::options wanted{
+        chosen.text("process", "host"), chosen.text("process", "failure_domain"),
+        chosen.text("link", "listen"),  chosen.text("platform", "address"),
+        chosen.list("peers", "seeds"),  to_link_keys(chosen)};
+    auto opened = configd::open(wanted);
     if (const auto* failure = std::get_if<error>(&opened)) {
         std::cerr << failure->to_string() << '\n';
         return EXIT_FAILURE;
     }
-    std::cout << "listening " << std::get<0>(opened)->link_address() << std::endl;
+    const configd& process = *std::get<0>(opened);
+    metrics registry{wanted.host, wanted.failure_domain};
+    auto administration = to_admin_options(wanted, process, registry);
+    administration.listen = chosen.text("admin", "listen");
+    administration.key_digest = chosen.text("admin", "key_digest");
+    const auto server = admin_server::open(std::move(administration));
+    if (const auto* failure = std::get_if<error>(&server)) {
+        std::cerr << failure->to_string() << '\n';
+        return EXIT_FAILURE;
+    }
+    std::cout << "listening " << process.link_address() << std::endl;
     stop.wait();
     return EXIT_SUCCESS;
 }
