--- a/src/process/limits/limiter.cpp
+++ b/src/process/limits/limiter.cpp
@@ -482,6 +482,19 @@
     return true;
 }
 
+// How many of the first candidates are expected to hold `lacking` together; 0: all don't.
+std::size_t limiter::count_needed(const std::vector<candidate>& found, double lacking)
+{
+    double expected = 0;
+    for (std::size_t count = 0; count < found.size(); ++count) {
+        expected += found[count].level;
+        if (expected >= lacking) {
+            return count + 1;
+        }
+    }
+    return 0;
+}
+
 bool limiter::ask_for_part(std::uint64_t id, std::size_t index, reservation& kept, time_point now,
                            std::vector<limit_message>& messages)
 {
@@ -490,14 +503,15 @@
     if (lacking <= detail::rounding) {
         return true;
     }
-    std::vector<candidate> chosen = candidates(wanted, lacking, now);
-    double expected = 0;
-    std::size_t count = 0;
-    while (count < chosen.size() && expected < lacking) {
-        expected += chosen[count].level;
-        ++count;
+    // hosts that can only add a little are asked where the others don't suffice
+    const double least = lacking / static_cast<double>(2 * m_options.most_asked);
+    std::vector<candidate> chosen = candidates(wanted, least, now);
+    std::size_t count = count_needed(chosen, lacking);
+    if (count == 0) {
+        chosen = candidates(wanted, detail::rounding, now);
+        count = count_needed(chosen, lacking);
     }
-    if (expected < lacking) {
+    if (count == 0) {
         return false;
     }
     chosen.resize(count);
@@ -518,13 +532,11 @@
 }
 
 // Hosts to ask, nearest first, then by what they are expected to hold.
-std::vector<limiter::candidate> limiter::candidates(const part& wanted, double lacking,
+std::vector<limiter::candidate> limiter::candidates(const part& wanted, double least,
                                                     time_point now)
 {
     std::vector<candidate> found;
     const std::string home = to_home(*m_published, wanted.account);
-    // hosts that can only add a little would take the place of better ones
-    const double least = lacking / static_cast<double>(2 * m_options.most_asked);
     add_candidates(m_failure_domain, wanted, least, now, found);
     if (home != m_failure_domain) {
         add_candidates(home, wanted, least, now, found);
--- a/src/process/limits/limiter.h
+++ b/src/process/limits/limiter.h
@@ -208,7 +208,9 @@
                   std::vector<limit_message>& messages);
     bool ask_for_part(std::uint64_t id, std::size_t index, reservation& kept, time_point now,
                       std::vector<limit_message>& messages);
-    std::vector<candidate> candidates(const part& wanted, double lacking, time_point now);
+    std::vector<candidate> candidates(const part& wanted, double least, time_point now);
+    [[nodiscard]] static std::size_t count_needed(const std::vector<candidate>& found,
+                                                  double lacking);
     void add_candidates(const std::string& failure_domain, const part& wanted, double least,
                         time_point now, std::vector<candidate>& found);
     double expected_level(const std::string& host, const std::string& failure_domain,
