--- a/src/process/ctl/remote.cpp
+++ b/src/process/ctl/remote.cpp
@@ -12,7 +12,7 @@
 /// The message of a refusal, or its status alone.
 std::string to_message(const admin_answer& answer)
 {
-    const std::string status = "status " + std::to_string(answer.status);
+    std::string status = "status " + std::to_string(answer.status);
     if (!answer.body.is_object() || !answer.body.contains("error")) {
         return status;
     }
