--- a/tests/process/request_queue_test.cpp
+++ b/tests/process/request_queue_test.cpp
@@ -149,6 +149,15 @@
         CHECK(drain(queue) ==
               std::vector<std::uint64_t>{11, 12, 13, 14, 1, 15, 16, 17, 18, 2, 19, 20, 3});
     }
+    SUBCASE("either class can be taken out of its turn")
+    {
+        queue.push(make(11, "a"), start);
+        CHECK_FALSE(queue.pop_class(false, start));
+        queue.push(make(1, "a", 100, false), start);
+        CHECK(queue.pop_class(false, start)->id == 1);
+        CHECK(queue.pop_class(true, start)->id == 11);
+        CHECK_FALSE(queue.pop_class(true, start));
+    }
     SUBCASE("credit of batch work that went away does not stay")
     {
         queue.push(make(1, "a", 100, false), start);
@@ -164,6 +173,45 @@
     }
 }
 
+TEST_CASE("organisation in excess of its share")
+{
+    request_queue queue{{.excess_factor = 2}};
+    const auto push_interactive = [&queue](double weight) {
+        for (std::uint64_t id = 1; id <= 8; ++id) {
+            queued_request added = make(id, "large");
+            added.weight = weight;
+            queue.push(added, start);
+        }
+    };
+
+    SUBCASE("its interactive requests do not go before the batch request of another")
+    {
+        push_interactive(1);
+        queue.push(make(11, "small", 100, false), start);
+        CHECK(drain(queue) == std::vector<std::uint64_t>{1, 2, 3, 11, 4, 5, 6, 7, 8});
+    }
+    SUBCASE("a larger share allows more")
+    {
+        push_interactive(2);
+        queue.push(make(11, "small", 100, false), start);
+        CHECK(drain(queue) == std::vector<std::uint64_t>{1, 2, 3, 4, 5, 11, 6, 7, 8});
+    }
+    SUBCASE("use fades with time")
+    {
+        push_interactive(1);
+        for (int i = 0; i < 3; ++i) {
+            queue.pop(start);
+        }
+        queued_request late = make(11, "small", 100, false);
+        late.deadline = start + 200s;
+        queue.push(late, start);
+        queued_request last = make(12, "large");
+        last.deadline = start + 200s;
+        queue.push(last, start + 60s);
+        CHECK(queue.pop(start + 60s)->id == 12);
+    }
+}
+
 TEST_CASE("tokens ahead")
 {
     request_queue queue;
@@ -174,6 +222,10 @@
     CHECK(queue.tokens_ahead("large", true) == 1100);
     CHECK(queue.tokens_ahead("small", true) == 200);
     CHECK(queue.tokens_ahead("large", false) == 0);
+    queue.push(make(12, "small", 500, false), start);
+    CHECK(queue.tokens_ahead("other", true) == 200);
+    CHECK(queue.backlog_tokens(true) == 1100);
+    CHECK(queue.backlog_tokens(false) == 1600);
 }
 
 TEST_CASE("a queue neither loses nor duplicates a request")
