Show what a publication changes

Cause: operators look at a publication before it goes out; diff names what to look at twice, such as a withdrawn key.

--- a/src/process/ctl/ctl.cpp
+++ b/src/process/ctl/ctl.cpp
@@ -157,6 +157,27 @@
     return validate(std::get<published_entries>(entries), is_json.getValue(), to.out);
 }
 
+exit_code run_diff(arguments_list& arguments, const streams& to)
+{
+    command_line line{"tell what a new file of entries changes"};
+    TCLAP::UnlabeledValueArg<std::string> before{"old", "entries as they are", true, "", "OLD",
+                                                 line};
+    TCLAP::UnlabeledValueArg<std::string> after{"new", "entries as they shall be", true, "", "NEW",
+                                                line};
+    TCLAP::SwitchArg is_json{"j", "json", "print the changes as JSON", line};
+    line.parse(arguments);
+    const auto old_entries = read_entries(before.getValue());
+    const auto new_entries = read_entries(after.getValue());
+    for (const auto* entries : {&old_entries, &new_entries}) {
+        if (const auto* failure = std::get_if<error>(entries)) {
+            to.err << failure->to_string() << '\n';
+            return exit_code::usage;
+        }
+    }
+    return print_diff(std::get<published_entries>(old_entries),
+                      std::get<published_entries>(new_entries), is_json.getValue(), to.out, to.err);
+}
+
 std::string to_explain_path(const std::string& caller, const std::string& profile,
                             const std::string& target, std::uint64_t tokens)
 {
@@ -207,6 +228,7 @@
 
 constexpr std::array commands{
     command{"validate", "check a file of entries", run_validate},
+    command{"diff", "what a new file of entries changes", run_diff},
     command{"status", "state of a process", run_call<admin_method::get, status_path, status_views>},
     command{"hosts", "hosts as a process sees them",
             run_call<admin_method::get, hosts_path, host_views>},
--- a/src/process/ctl/publication.cpp
+++ b/src/process/ctl/publication.cpp
@@ -1,6 +1,7 @@
 #include "process/ctl/publication.h"
 
 #include "process/ctl/table.h"
+#include "version/diff.h"
 
 #include <fstream> // ifstream
 
@@ -34,6 +35,39 @@
     return shown.to_string();
 }
 
+std::string_view to_name(change_kind kind)
+{
+    return change_kind_names[static_cast<std::size_t>(kind)];
+}
+
+std::string_view to_name(change_warning warning)
+{
+    return change_warning_names[static_cast<std::size_t>(warning)];
+}
+
+nlohmann::json to_json(const std::vector<configuration_change>& changes)
+{
+    auto list = nlohmann::json::array();
+    for (const auto& change : changes) {
+        list.push_back({{"path", change.path},
+                        {"kind", to_name(change.kind)},
+                        {"before", change.before},
+                        {"after", change.after},
+                        {"warning", to_name(change.warning)}});
+    }
+    return {{"changes", std::move(list)}};
+}
+
+std::string to_text(const std::vector<configuration_change>& changes)
+{
+    table shown{{"CHANGE", "PATH", "BEFORE", "AFTER", "WARNING"}};
+    for (const auto& change : changes) {
+        shown.add({std::string{to_name(change.kind)}, change.path, to_cell(change.before),
+                   to_cell(change.after), to_cell(to_name(change.warning))});
+    }
+    return shown.to_string();
+}
+
 } // namespace
 
 result<published_entries> read_entries(const std::string& path)
@@ -69,4 +103,26 @@
     return faults.empty() ? exit_code::ok : exit_code::refused;
 }
 
+exit_code print_diff(const published_entries& before, const published_entries& after, bool is_json,
+                     std::ostream& out, std::ostream& err)
+{
+    const auto old_state = check(any_revision, before);
+    const auto new_state = check(any_revision, after);
+    for (const auto* state : {&old_state, &new_state}) {
+        if (const auto* faults = std::get_if<std::vector<configuration_fault>>(state)) {
+            err << (state == &old_state ? "old" : "new") << " entries:\n" << to_text(*faults);
+            return exit_code::refused;
+        }
+    }
+    const auto changes =
+        diff(std::get<configuration>(old_state), std::get<configuration>(new_state));
+    if (is_json) {
+        out << to_json(changes).dump(2) << '\n';
+    }
+    else {
+        out << (changes.empty() ? "no changes\n" : to_text(changes));
+    }
+    return exit_code::ok;
+}
+
 } // namespace hickorykeel::ctl
--- a/src/process/ctl/publication.h
+++ b/src/process/ctl/publication.h
@@ -16,4 +16,8 @@
 /// Checks the entries as every process does, and prints the result.
 [[nodiscard]] exit_code validate(const published_entries& entries, bool is_json, std::ostream& out);
 
+/// Prints what changes from `before` to `after`; both must be without faults.
+[[nodiscard]] exit_code print_diff(const published_entries& before, const published_entries& after,
+                                   bool is_json, std::ostream& out, std::ostream& err);
+
 } // namespace hickorykeel::ctl
--- a/tests/process/ctl_test.cpp
+++ b/tests/process/ctl_test.cpp
@@ -207,6 +207,23 @@
     }
 }
 
+TEST_CASE("hickorykeelctl diff")
+{
+    const auto entries = tests::published_example();
+    auto changed = entries;
+    changed["organisations/offices"]["rate"] = 20;
+    const scratch_file before{entries.dump()};
+    const scratch_file after{changed.dump()};
+    CHECK(run({"diff", before.path(), before.path()}).out == "no changes\n");
+    const auto result = run({"diff", before.path(), after.path()});
+    CHECK(result.code == exit_code::ok);
+    CHECK(result.out.find("organisations/offices/rate") != std::string::npos);
+    const auto json = run({"diff", before.path(), after.path(), "--json"}).out;
+    CHECK(nlohmann::json::parse(json)["changes"].size() == 1);
+    const scratch_file faulty{R"({"what/is": {}})"};
+    CHECK(run({"diff", before.path(), faulty.path()}).code == exit_code::refused);
+}
+
 TEST_CASE("cells")
 {
     CHECK(ctl::to_cell(nullptr) == "-");
