--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -3,12 +3,10 @@
 #include "demand.h"
 #include "fake_endpoint.h"
 #include "process/routing/domain_choice.h"
-#include "process/routing/endpoint_choice.h"
 #include "process/routing/hedge_policy.h"
-#include "process/routing/request_queue.h"
-#include "process/routing/retry_budget.h"
+#include "process/routing/target_scheduler.h"
 
-#include <algorithm>     // max, find
+#include <algorithm>     // find
 #include <functional>    // function
 #include <memory>        // unique_ptr, shared_ptr
 #include <string>        // string, to_string
@@ -55,143 +53,107 @@
 
 using request_ptr = std::shared_ptr<request>;
 
-/// One dispatcher's part for one target: the decisions of the product, on the simulated clock.
+/// One dispatcher's part for one target: the scheduling of the product, on the simulated clock.
 class dispatcher {
 public:
     dispatcher(simulation& clock, const contestant& way, std::vector<fake_endpoint*> endpoints,
                std::size_t hosts, std::uint64_t seed,
                std::function<void(const request_ptr&)> refuse)
         : m_clock{clock}, m_way{way}, m_endpoints{std::move(endpoints)},
-          m_policy{way.make_policy()}, m_random{seed}, m_refuse{std::move(refuse)}
+          m_scheduler{way.make_policy(), seed}, m_refuse{std::move(refuse)}
     {
         std::vector<endpoint> listed(m_endpoints.size());
         for (std::size_t i = 0; i < listed.size(); ++i) {
             listed[i].name = m_endpoints[i]->name();
             listed[i].slots = m_endpoints[i]->slots();
         }
-        m_table.assign(listed, clock.now());
-        m_table.set_live_hosts(hosts, clock.now());
+        m_scheduler.assign(listed, clock.now());
+        m_scheduler.set_live_hosts(hosts, clock.now());
         tick();
     }
 
     /// Takes a request; one that cannot be served here is given up.
     void receive(const request_ptr& taken)
     {
-        m_budget.on_request();
+        const auto hopeless_wait = m_scheduler.check_hopeless(to_scheduled(taken), m_clock.now());
         if (!m_way.uses_queue) {
             send(taken);
             return;
         }
-        const std::string organisation = std::to_string(taken->organisation);
-        const bool is_interactive = taken->asked.is_interactive;
-        if (is_hopeless(wait_of(organisation, is_interactive), m_clock.now(), taken->deadline())) {
+        if (hopeless_wait) {
             give_up(taken);
             return;
         }
         enqueue(taken);
-        pump();
+        apply(m_scheduler.pick(m_clock.now()));
     }
 
-    [[nodiscard]] std::size_t live_endpoints() const { return m_table.live_count(); }
+    [[nodiscard]] std::size_t live_endpoints() const { return m_scheduler.table().live_count(); }
 
     /// Time to serve all that waits before a new request of the class.
     [[nodiscard]] duration expected_wait(bool is_interactive) const
     {
-        return time_for(m_queue.backlog_tokens(is_interactive));
+        return m_scheduler.expected_wait(is_interactive);
     }
 
     /// Takes over a report of the endpoint `index` that describes the moment `age` ago.
     void on_report(std::size_t index, load_report report)
     {
-        m_table.on_report(index, report, m_clock.now());
-        pump();
+        m_scheduler.on_report(index, report, m_clock.now());
+        apply(m_scheduler.pick(m_clock.now()));
     }
 
     [[nodiscard]] std::uint64_t retries() const noexcept { return m_retries; }
     [[nodiscard]] std::uint64_t hedges() const noexcept { return m_hedges; }
 
 private:
-    [[nodiscard]] duration wait_of(const std::string& organisation, bool is_interactive) const
-    {
-        return time_for(m_queue.tokens_ahead(organisation, is_interactive));
-    }
-
-    [[nodiscard]] duration time_for(std::uint64_t tokens) const
+    static scheduled_request to_scheduled(const request_ptr& taken)
     {
-        const double rate = m_table.tokens_per_second();
-        return rate > 0 ? from_seconds(static_cast<double>(tokens) / rate) : duration{0};
+        scheduled_request asked;
+        asked.queued.id = taken->id;
+        asked.queued.organisation = std::to_string(taken->organisation);
+        asked.queued.tokens = taken->tokens();
+        asked.queued.is_interactive = taken->asked.is_interactive;
+        asked.queued.weight = taken->weight;
+        asked.queued.deadline = taken->deadline();
+        asked.answer_deadline = taken->deadline();
+        asked.prefix_hash = taken->asked.prefix;
+        asked.is_idempotent = kinds[taken->kind].is_idempotent;
+        asked.excluded = taken->excluded;
+        return asked;
     }
 
     void enqueue(const request_ptr& taken)
     {
-        queued_request queued;
-        queued.id = taken->id;
-        queued.organisation = std::to_string(taken->organisation);
-        queued.tokens = taken->tokens();
-        queued.is_interactive = taken->asked.is_interactive;
-        queued.weight = taken->weight;
-        queued.deadline = taken->deadline();
-        m_waiting[taken->id] = taken;
-        if (m_queue.push(queued, m_clock.now()) != push_outcome::queued) {
-            m_waiting.erase(taken->id);
+        if (m_scheduler.push(to_scheduled(taken), m_clock.now()) != push_outcome::queued) {
             give_up(taken);
+            return;
         }
+        m_waiting[taken->id] = taken;
     }
 
-    void pump()
+    void apply(const schedule_step& step)
     {
-        while (!m_table.with_room().empty() && try_next(m_queue.pop(m_clock.now()))) {}
-        // what the request whose turn it is does not take may do for the other class
-        for (const bool is_interactive : {true, false}) {
-            while (!m_table.with_room().empty() &&
-                   try_next(m_queue.pop_class(is_interactive, m_clock.now()))) {}
+        for (const std::uint64_t id : step.expired) {
+            give_up(extract(id));
         }
-        drop_expired();
-    }
-
-    /// Sends a popped request or puts it back. Returns whether it was sent.
-    bool try_next(const std::optional<queued_request>& next)
-    {
-        if (!next) {
-            return false;
+        for (const schedule_step::assignment& each : step.started) {
+            submit(extract(each.id), each.endpoint);
         }
-        const request_ptr taken = m_waiting.at(next->id);
-        const endpoint_choice choice = choose_for(taken, choice_pool::with_room);
-        const auto* index = std::get_if<std::size_t>(&choice);
-        if (index == nullptr) {
-            m_queue.put_back(*next);
-            return false;
+        for (const std::uint64_t id : step.unservable) {
+            refuse_not_run(extract(id));
         }
-        m_waiting.erase(next->id);
-        submit(taken, *index);
-        return true;
     }
 
-    void drop_expired()
-    {
-        for (const queued_request& expired : m_queue.take_expired(m_clock.now())) {
-            give_up(m_waiting.at(expired.id));
-            m_waiting.erase(expired.id);
-        }
-    }
-
-    endpoint_choice choose_for(const request_ptr& taken, choice_pool pool)
-    {
-        request_view view;
-        view.prefix_hash = taken->asked.prefix;
-        view.tokens = taken->tokens();
-        view.is_interactive = taken->asked.is_interactive;
-        view.is_idempotent = kinds[taken->kind].is_idempotent;
-        view.seconds_left = to_seconds(taken->deadline() - m_clock.now());
-        view.expected_wait = to_seconds(expected_wait(view.is_interactive));
-        view.excluded = taken->excluded;
-        return choose(view, m_table, *m_policy, m_random, pool);
-    }
+    request_ptr extract(std::uint64_t id) { return m_waiting.extract(id).mapped(); }
 
     void send(const request_ptr& taken)
     {
-        const endpoint_choice choice = choose_for(taken, choice_pool::available);
+        const time_point now = m_clock.now();
+        const endpoint_choice choice =
+            m_scheduler.choose_now(to_scheduled(taken), choice_pool::available, now);
         if (const auto* index = std::get_if<std::size_t>(&choice)) {
+            m_scheduler.on_dispatch(*index, now);
             submit(taken, *index);
         }
         else {
@@ -199,6 +161,7 @@
         }
     }
 
+    // precondition: the scheduler counts it at the endpoint
     void submit(const request_ptr& taken, std::size_t index)
     {
         ++taken->tries;
@@ -207,7 +170,7 @@
         sent_copy->asked = taken->asked;
         sent_copy->on_first_token = [this, taken, index, sent, raw = sent_copy.get()] {
             const duration elapsed = m_clock.now() - sent;
-            m_table.on_first_token(index, elapsed, taken->tokens(), m_clock.now());
+            m_scheduler.on_first_token(index, elapsed, taken->tokens(), m_clock.now());
             m_hedge.on_first_token(elapsed);
             if (!taken->has_first) {
                 taken->has_first = true;
@@ -216,14 +179,13 @@
             }
         };
         sent_copy->on_end = [this, taken, index, sent] {
-            m_table.on_success(index, m_clock.now() - sent, taken->tokens(), m_clock.now());
+            m_scheduler.on_success(index, m_clock.now() - sent, taken->tokens(), m_clock.now());
             taken->last_token = m_clock.now() - taken->arrived;
             taken->is_over = true;
             taken->is_served = taken->last_token <= kinds[taken->kind].deadline;
-            pump();
+            apply(m_scheduler.pick(m_clock.now()));
         };
         sent_copy->on_failure = [this, taken, index](bool ran) { fail(taken, index, ran); };
-        m_table.on_dispatch(index, sent);
         taken->copies.emplace_back(m_endpoints[index], sent_copy);
         m_endpoints[index]->submit(sent_copy);
         plan_hedge(taken, index);
@@ -241,10 +203,13 @@
                 return;
             }
             taken->excluded.push_back(index);
-            const endpoint_choice choice = choose_for(taken, choice_pool::with_room);
+            const time_point now = m_clock.now();
+            const endpoint_choice choice =
+                m_scheduler.choose_now(to_scheduled(taken), choice_pool::with_room, now);
             const auto* other = std::get_if<std::size_t>(&choice);
-            if (other != nullptr && m_hedge.try_hedge(true, delay, m_budget)) {
+            if (other != nullptr && m_hedge.try_hedge(true, delay, m_scheduler.budget())) {
                 ++m_hedges;
+                m_scheduler.on_dispatch(*other, now);
                 submit(taken, *other);
             }
         });
@@ -256,15 +221,15 @@
             if (each.get() != winner && !each->is_over) {
                 const auto found = std::find(m_endpoints.begin(), m_endpoints.end(), at);
                 at->cancel(each);
-                m_table.on_cancelled(static_cast<std::size_t>(found - m_endpoints.begin()),
-                                     m_clock.now());
+                m_scheduler.on_cancelled(static_cast<std::size_t>(found - m_endpoints.begin()),
+                                         m_clock.now());
             }
         }
     }
 
     void fail(const request_ptr& taken, std::size_t index, bool ran)
     {
-        m_table.on_failure(index, m_clock.now(), m_random);
+        m_scheduler.on_failure(index, m_clock.now());
         taken->excluded.push_back(index);
         const auto is_going_on = [](const auto& item) { return !item.second->is_over; };
         if (std::any_of(taken->copies.begin(), taken->copies.end(), is_going_on)) {
@@ -276,11 +241,11 @@
             give_up(taken);
             return;
         }
-        if (m_table.live_count() == 0) {
+        if (m_scheduler.table().live_count() == 0) {
             refuse_not_run(taken);
             return;
         }
-        if (!m_budget.try_take()) {
+        if (!m_scheduler.budget().try_take()) {
             give_up(taken);
             return;
         }
@@ -298,7 +263,7 @@
     /// The entry host may try another failure domain.
     void refuse_not_run(const request_ptr& taken)
     {
-        if (m_budget.try_take()) {
+        if (m_scheduler.budget().try_take()) {
             ++m_retries;
             m_refuse(taken);
         }
@@ -307,36 +272,17 @@
         }
     }
 
-    /// Without a live endpoint waiting is of no use.
-    void refuse_waiting()
-    {
-        if (m_table.live_count() > 0) {
-            return;
-        }
-        while (const auto next = m_queue.pop(m_clock.now())) {
-            refuse_not_run(m_waiting.at(next->id));
-            m_waiting.erase(next->id);
-        }
-    }
-
     void tick()
     {
-        m_table.refresh(m_clock.now());
-        drop_expired();
-        pump();
-        refuse_waiting();
+        apply(m_scheduler.tick(m_clock.now()));
         m_clock.after(std::chrono::milliseconds{100}, [this] { tick(); });
     }
 
     simulation& m_clock;
     const contestant& m_way;
     std::vector<fake_endpoint*> m_endpoints;
-    std::unique_ptr<endpoint_policy> m_policy;
-    random_source m_random;
+    target_scheduler m_scheduler;
     std::function<void(const request_ptr&)> m_refuse; // not run here
-    endpoint_table m_table;
-    request_queue m_queue;
-    retry_budget m_budget;
     hedge_policy m_hedge;
     std::unordered_map<std::uint64_t, request_ptr> m_waiting;
     std::uint64_t m_retries = 0;
--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "process/dispatcher.h"
 
 #include "request/caller_request.h"
+#include "request/residency.h"
 
 #include <algorithm> // max, min
 #include <utility>   // move
@@ -15,16 +16,20 @@
     return request.organisation().empty() ? "open:" + request.profile() : request.organisation();
 }
 
-queued_request to_queued(const dispatch_job& job)
+scheduled_request to_scheduled(const dispatch_job& job)
 {
-    queued_request queued;
-    queued.id = job.id;
-    queued.organisation = to_queue_name(job.request);
-    queued.tokens = std::max<std::uint64_t>(1, job.request.reserved_tokens());
-    queued.is_interactive = job.request.interactive();
-    queued.weight = job.weight;
-    queued.deadline = std::min(job.start_by, job.deadline);
-    return queued;
+    scheduled_request scheduled;
+    scheduled.queued.id = job.id;
+    scheduled.queued.organisation = to_queue_name(job.request);
+    scheduled.queued.tokens = std::max<std::uint64_t>(1, job.request.reserved_tokens());
+    scheduled.queued.is_interactive = job.request.interactive();
+    scheduled.queued.weight = job.weight;
+    scheduled.queued.deadline = std::min(job.start_by, job.deadline);
+    scheduled.answer_deadline = job.deadline;
+    scheduled.prefix_hash = job.request.prefix_hash();
+    scheduled.is_idempotent = job.request.idempotent();
+    scheduled.excluded = job.tried;
+    return scheduled;
 }
 
 // an organisation's share of the endpoints follows its rate
@@ -34,6 +39,13 @@
     return found == in_force.organisations.end() ? 1.0 : std::max(1.0, found->second.rate);
 }
 
+// where no breaker is closed, requests are needed that probe the half-open ones
+std::uint32_t count_usable(const endpoint_table& table)
+{
+    const std::size_t live = table.live_count();
+    return static_cast<std::uint32_t>(live > 0 ? live : table.available().size());
+}
+
 refusal refuse_late(const dispatch_job& job)
 {
     return {refusal_code::deadline_exceeded,
@@ -44,6 +56,26 @@
             {}};
 }
 
+// the entry process filters by region before it chooses; a request that comes here all the same
+// does not reach an endpoint
+std::optional<refusal> check_residency(const configuration& in_force,
+                                       const std::string& failure_domain_name,
+                                       const dispatch_job& job)
+{
+    const auto matched = in_force.profiles.find(job.request.profile());
+    const auto own = in_force.failure_domains.find(failure_domain_name);
+    if (matched != in_force.profiles.end() && own != in_force.failure_domains.end() &&
+        is_allowed_region(matched->second.regions, own->second.region)) {
+        return std::nullopt;
+    }
+    return refusal{refusal_code::no_endpoint,
+                   job.may_have_run ? ran_state::unknown : ran_state::no,
+                   "residency",
+                   failure_domain_name,
+                   "the profile does not allow this region",
+                   {}};
+}
+
 } // namespace detail
 
 dispatcher::dispatcher(std::string failure_domain, starter start, configuration_source in_force,
@@ -56,7 +88,7 @@
 void dispatcher::apply(const configuration_ptr& in_force, time_point now)
 {
     for (const auto& [name, published] : in_force->targets) {
-        target_state& target = m_targets[name];
+        target_state& target = state_of(name);
         target.kind = published.kind;
         target.endpoints.clear();
         std::vector<endpoint> own;
@@ -66,13 +98,13 @@
                 target.endpoints.emplace(each.name, each);
             }
         }
-        target.table.set_live_hosts(m_live_hosts, now);
-        target.table.assign(own, now);
+        target.scheduler.set_live_hosts(m_live_hosts, now);
+        target.scheduler.assign(own, now);
     }
     for (auto& [name, target] : m_targets) {
         if (!in_force->targets.contains(name)) {
             target.endpoints.clear();
-            target.table.assign({}, now);
+            target.scheduler.assign({}, now);
         }
     }
     const auto jobs = m_jobs; // ending one changes the map
@@ -93,7 +125,7 @@
 {
     m_live_hosts = std::max<std::size_t>(1, count);
     for (auto& [name, target] : m_targets) {
-        target.table.set_live_hosts(m_live_hosts, now);
+        target.scheduler.set_live_hosts(m_live_hosts, now);
     }
 }
 
@@ -110,26 +142,48 @@
         return;
     }
     target_state& target = found->second;
-    job->weight = detail::to_weight(*m_in_force(), job->request);
-    const duration wait =
-        time_for(target, target.queue.tokens_ahead(detail::to_queue_name(job->request),
-                                                   job->request.interactive()));
-    if (is_hopeless(wait, now, job->deadline)) {
+    const configuration_ptr in_force = m_in_force();
+    if (auto why = detail::check_residency(*in_force, m_failure_domain, *job)) {
+        refuse(*job, std::move(*why));
+        return;
+    }
+    if (target.scheduler.table().available().empty()) {
+        refuse(*job, refuse_unservable(*job));
+        return;
+    }
+    job->weight = detail::to_weight(*in_force, job->request);
+    if (const auto wait = target.scheduler.check_hopeless(detail::to_scheduled(*job), now)) {
         refuse(*job, {refusal_code::overloaded, ran_state::no, "queue", m_failure_domain,
                       "the queue is longer than the deadline allows",
-                      std::chrono::duration_cast<std::chrono::milliseconds>(wait)});
+                      std::chrono::duration_cast<std::chrono::milliseconds>(*wait)});
         return;
     }
-    m_budget.on_request();
     m_jobs.emplace(job->id, job);
     enqueue(job, target, now);
     start_ready(target, now);
 }
 
+refusal dispatcher::refuse_unservable(const dispatch_job& job) const
+{
+    return {refusal_code::no_endpoint,
+            job.may_have_run ? ran_state::unknown : ran_state::no,
+            "route",
+            m_failure_domain,
+            "no endpoint is available",
+            {}};
+}
+
+dispatcher::target_state& dispatcher::state_of(const std::string& target_name)
+{
+    const auto found = m_targets.find(target_name);
+    return found != m_targets.end() ? found->second
+                                    : m_targets.emplace(target_name, m_random()).first->second;
+}
+
 void dispatcher::enqueue(const std::shared_ptr<dispatch_job>& job, target_state& target,
                          time_point now)
 {
-    switch (target.queue.push(detail::to_queued(*job), now)) {
+    switch (target.scheduler.push(detail::to_scheduled(*job), now)) {
     case push_outcome::queued:
         return;
     case push_outcome::expired:
@@ -145,73 +199,42 @@
 
 void dispatcher::start_ready(target_state& target, time_point now)
 {
-    while (!target.table.with_room().empty() && start_next(target.queue.pop(now), target, now)) {}
-    // what the request whose turn it is does not take may do for the other class
-    for (const bool is_interactive : {true, false}) {
-        while (!target.table.with_room().empty() &&
-               start_next(target.queue.pop_class(is_interactive, now), target, now)) {}
-    }
+    apply_step(target.scheduler.pick(now), target, now);
 }
 
-bool dispatcher::start_next(const std::optional<queued_request>& next, target_state& target,
-                            time_point now)
+void dispatcher::apply_step(const schedule_step& step, target_state& target, time_point now)
 {
-    if (!next) {
-        return false;
+    for (const std::uint64_t id : step.expired) {
+        const std::shared_ptr<dispatch_job> job = m_jobs.at(id);
+        refuse_and_forget(job, detail::refuse_late(*job));
     }
-    const auto found = m_jobs.find(next->id);
-    if (found == m_jobs.end()) {
-        return true;
+    for (const std::uint64_t id : step.unservable) {
+        const std::shared_ptr<dispatch_job> job = m_jobs.at(id);
+        refuse_and_forget(job, refuse_unservable(*job));
     }
-    const std::shared_ptr<dispatch_job> job = found->second;
-    if (!start(job, target, now)) {
-        target.queue.put_back(*next);
-        return false;
+    for (const schedule_step::assignment& each : step.started) {
+        start(m_jobs.at(each.id), each.endpoint, target, now);
     }
-    return true;
 }
 
-bool dispatcher::start(const std::shared_ptr<dispatch_job>& job, target_state& target,
-                       time_point now)
+void dispatcher::start(const std::shared_ptr<dispatch_job>& job, std::size_t index,
+                       target_state& target, time_point now)
 {
-    request_view view;
-    view.prefix_hash = job->request.prefix_hash();
-    view.tokens = std::max<std::uint64_t>(1, job->request.reserved_tokens());
-    view.is_interactive = job->request.interactive();
-    view.is_idempotent = job->request.idempotent();
-    view.seconds_left = to_seconds(job->deadline - now);
-    view.expected_wait = to_seconds(expected_wait(target, view.is_interactive));
-    view.excluded = job->tried;
-    const endpoint_choice choice = choose(view, target.table, m_policy, m_random);
-    if (const auto* reason = std::get_if<no_endpoint_reason>(&choice)) {
-        if (*reason == no_endpoint_reason::none_with_room) {
-            return false;
-        }
-        refuse_and_forget(job, {refusal_code::no_endpoint,
-                                job->may_have_run ? ran_state::unknown : ran_state::no,
-                                "route",
-                                m_failure_domain,
-                                "no endpoint is available",
-                                {}});
-        return true;
-    }
-    const std::size_t index = std::get<std::size_t>(choice);
-    const endpoint& where = target.endpoints.at(target.table.state(index).name);
-    target.table.on_dispatch(index, now);
+    const endpoint& where = target.endpoints.at(target.scheduler.table().state(index).name);
     job->tried.push_back(index);
     job->endpoint_index = index;
     job->endpoint_name = where.name;
     job->sent = now;
     job->call = std::make_shared<endpoint_call>(where, target.kind);
     m_start({job, job->call, where.name, make_last_check(job), [] {}});
-    return true;
 }
 
 std::function<std::optional<refusal>()>
 dispatcher::make_last_check(const std::shared_ptr<dispatch_job>& job) const
 {
     // runs on a worker: reads only what does not change after the job was queued
-    return [job, name = job->endpoint_name, in_force = m_in_force]() -> std::optional<refusal> {
+    return [job, name = job->endpoint_name, domain = m_failure_domain,
+            in_force = m_in_force]() -> std::optional<refusal> {
         const time_point now = boot_clock::now();
         if (now >= job->start_by || now >= job->deadline) {
             return detail::refuse_late(*job);
@@ -222,6 +245,9 @@
                                            request.profile(), request.target())) {
             return why;
         }
+        if (auto why = detail::check_residency(*current, domain, *job)) {
+            return why;
+        }
         for (const endpoint& each : current->targets.at(request.target()).endpoints) {
             if (each.name == name && !each.is_leaving) {
                 return std::nullopt;
@@ -245,7 +271,7 @@
         job->call->cancel();
         return;
     }
-    m_targets.at(job->request.target()).queue.remove(job_id);
+    m_targets.at(job->request.target()).scheduler.remove(job_id);
     refuse_and_forget(job, detail::refuse_late(*job));
     static_cast<void>(now);
 }
@@ -256,8 +282,9 @@
     if (found != m_jobs.end()) {
         const dispatch_job& job = *found->second;
         m_targets.at(job.request.target())
-            .table.on_first_token(job.endpoint_index, now - job.sent,
-                                  std::max<std::uint64_t>(1, job.request.reserved_tokens()), now);
+            .scheduler.on_first_token(job.endpoint_index, now - job.sent,
+                                      std::max<std::uint64_t>(1, job.request.reserved_tokens()),
+                                      now);
     }
 }
 
@@ -271,7 +298,8 @@
     target_state& target = m_targets.at(job->request.target());
     job->call.reset();
     account(target, *job, result, now);
-    if (result.outcome != attempt_result::outcome_t::whole && may_try_again(*job, result, now)) {
+    if (result.outcome != attempt_result::outcome_t::whole &&
+        may_try_again(target, *job, result, now)) {
         job->may_have_run = job->may_have_run || result.why.ran == ran_state::unknown;
         enqueue(job, target, now);
     }
@@ -285,17 +313,17 @@
                          const attempt_result& result, time_point now)
 {
     if (result.outcome == attempt_result::outcome_t::whole) {
-        target.table.on_success(job.endpoint_index, now - job.sent,
-                                std::max<std::uint64_t>(1, result.used_tokens), now);
+        target.scheduler.on_success(job.endpoint_index, now - job.sent,
+                                    std::max<std::uint64_t>(1, result.used_tokens), now);
         if (result.used_tokens > 0) {
-            target.queue.settle(detail::to_queued(job), result.used_tokens);
+            target.scheduler.settle(detail::to_scheduled(job).queued, result.used_tokens);
         }
     }
     else if (job.is_cancelled || !result.is_endpoint_at_fault) {
-        target.table.on_cancelled(job.endpoint_index, now);
+        target.scheduler.on_cancelled(job.endpoint_index, now);
     }
     else {
-        target.table.on_failure(job.endpoint_index, now, m_random);
+        target.scheduler.on_failure(job.endpoint_index, now);
     }
 }
 
@@ -313,13 +341,13 @@
     refuse_and_forget(job, result.why);
 }
 
-bool dispatcher::may_try_again(const dispatch_job& job, const attempt_result& result,
-                               time_point now)
+bool dispatcher::may_try_again(target_state& target, const dispatch_job& job,
+                               const attempt_result& result, time_point now)
 {
     return !job.is_cancelled && !result.has_head &&
            is_repeatable(result.why.ran, job.request.idempotent()) &&
            job.tried.size() < detail::maximum_attempts && now < job.start_by &&
-           now < job.deadline && m_budget.try_take();
+           now < job.deadline && target.scheduler.budget().try_take();
 }
 
 void dispatcher::refuse(dispatch_job& job, refusal why)
@@ -348,8 +376,8 @@
     if (found == m_targets.end()) {
         return;
     }
-    if (const auto index = found->second.table.find(endpoint_name)) {
-        found->second.table.on_report(*index, report, now);
+    if (const auto index = found->second.scheduler.table().find(endpoint_name)) {
+        found->second.scheduler.on_report(*index, report, now);
         start_ready(found->second, now);
     }
 }
@@ -357,14 +385,7 @@
 void dispatcher::tick(time_point now)
 {
     for (auto& [name, target] : m_targets) {
-        target.table.refresh(now);
-        for (const queued_request& expired : target.queue.take_expired(now)) {
-            if (const auto found = m_jobs.find(expired.id); found != m_jobs.end()) {
-                refuse_and_forget(std::shared_ptr(found->second),
-                                  detail::refuse_late(*found->second));
-            }
-        }
-        start_ready(target, now);
+        apply_step(target.scheduler.tick(now), target, now);
     }
 }
 
@@ -380,18 +401,20 @@
     std::vector<link::target_load> all;
     for (const auto& [name, target] : m_targets) {
         link::target_load& load = all.emplace_back();
+        const endpoint_table& table = target.scheduler.table();
         std::uint32_t running = 0;
         std::uint32_t slots = 0;
-        for (const std::size_t index : target.table.available()) {
-            running += target.table.state(index).in_flight;
-            slots += target.table.state(index).slots;
+        for (const std::size_t index : table.available()) {
+            running += table.state(index).in_flight;
+            slots += table.state(index).slots;
         }
         load.set_target(name);
-        load.set_live_endpoints(static_cast<std::uint32_t>(target.table.live_count()));
+        load.set_live_endpoints(detail::count_usable(table));
         load.set_running(running);
-        load.set_queued(static_cast<std::uint32_t>(target.queue.size()));
+        load.set_queued(static_cast<std::uint32_t>(target.scheduler.queued_count()));
         load.set_slots(slots);
-        load.set_wait_seconds(to_seconds(expected_wait(target, true)));
+        load.set_wait_seconds(to_seconds(target.scheduler.expected_wait(true)));
+        load.set_batch_wait_seconds(to_seconds(target.scheduler.expected_wait(false)));
     }
     return all;
 }
@@ -407,15 +430,4 @@
     return all;
 }
 
-duration dispatcher::expected_wait(const target_state& target, bool is_interactive)
-{
-    return time_for(target, target.queue.backlog_tokens(is_interactive));
-}
-
-duration dispatcher::time_for(const target_state& target, std::uint64_t tokens)
-{
-    const double rate = target.table.tokens_per_second();
-    return rate > 0 ? from_seconds(static_cast<double>(tokens) / rate) : duration::zero();
-}
-
 } // namespace hickorykeel
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -1,11 +1,8 @@
 #pragma once
 
 #include "process/dispatch_job.h"
-#include "process/routing/endpoint_choice.h"
-#include "process/routing/endpoint_table.h"
 #include "process/routing/random_source.h"
-#include "process/routing/request_queue.h"
-#include "process/routing/retry_budget.h"
+#include "process/routing/target_scheduler.h"
 #include "version/configuration.h"
 
 #include <cstdint>       // uint64_t
@@ -96,36 +93,38 @@
 
 private:
     struct target_state {
+        explicit target_state(std::uint64_t seed)
+            : scheduler(std::make_unique<weigh_policy>(), seed)
+        {
+        }
+
         target_kind kind = target_kind::model;
         std::map<std::string, endpoint> endpoints;
-        endpoint_table table;
-        request_queue queue;
+        target_scheduler scheduler;
     };
 
     static void refuse(dispatch_job& job, refusal why);
     void refuse_and_forget(const std::shared_ptr<dispatch_job>& job, refusal why);
+    [[nodiscard]] refusal refuse_unservable(const dispatch_job& job) const;
+    target_state& state_of(const std::string& target_name);
     void enqueue(const std::shared_ptr<dispatch_job>& job, target_state& target, time_point now);
     void start_ready(target_state& target, time_point now);
-    bool start_next(const std::optional<queued_request>& next, target_state& target,
-                    time_point now);
-    bool start(const std::shared_ptr<dispatch_job>& job, target_state& target, time_point now);
+    void apply_step(const schedule_step& step, target_state& target, time_point now);
+    void start(const std::shared_ptr<dispatch_job>& job, std::size_t index, target_state& target,
+               time_point now);
     [[nodiscard]] std::function<std::optional<refusal>()>
     make_last_check(const std::shared_ptr<dispatch_job>& job) const;
-    void account(target_state& target, const dispatch_job& job, const attempt_result& result,
-                 time_point now);
+    static void account(target_state& target, const dispatch_job& job, const attempt_result& result,
+                        time_point now);
     void finish(const std::shared_ptr<dispatch_job>& job, const attempt_result& result);
-    [[nodiscard]] bool may_try_again(const dispatch_job& job, const attempt_result& result,
-                                     time_point now);
-    [[nodiscard]] static duration expected_wait(const target_state& target, bool is_interactive);
-    [[nodiscard]] static duration time_for(const target_state& target, std::uint64_t tokens);
+    [[nodiscard]] static bool may_try_again(target_state& target, const dispatch_job& job,
+                                            const attempt_result& result, time_point now);
 
     const std::string m_failure_domain;
     const starter m_start;
     const configuration_source m_in_force;
     std::map<std::string, target_state> m_targets;
     std::unordered_map<std::uint64_t, std::shared_ptr<dispatch_job>> m_jobs;
-    weigh_policy m_policy;
-    retry_budget m_budget;
     random_source m_random;
     std::size_t m_live_hosts = 1;
 };
--- /dev/null
+++ b/src/process/routing/target_scheduler.cpp
@@ -0,0 +1,180 @@
+#include "process/routing/target_scheduler.h"
+
+#include <utility> // move
+#include <variant> // get_if
+
+namespace hickorykeel {
+
+target_scheduler::target_scheduler(std::unique_ptr<endpoint_policy> policy, std::uint64_t seed)
+    : m_policy{std::move(policy)}, m_random{seed}
+{
+}
+
+void target_scheduler::assign(std::span<const endpoint> endpoints, time_point now)
+{
+    m_table.assign(endpoints, now);
+}
+
+void target_scheduler::set_live_hosts(std::size_t count, time_point now)
+{
+    m_table.set_live_hosts(count, now);
+}
+
+void target_scheduler::on_report(std::size_t endpoint, const load_report& report, time_point now)
+{
+    m_table.on_report(endpoint, report, now);
+}
+
+std::optional<duration> target_scheduler::check_hopeless(const scheduled_request& asked,
+                                                         time_point now)
+{
+    m_budget.on_request();
+    const duration wait =
+        time_for(m_queue.tokens_ahead(asked.queued.organisation, asked.queued.is_interactive));
+    if (is_hopeless(wait, now, asked.answer_deadline)) {
+        return wait;
+    }
+    return std::nullopt;
+}
+
+push_outcome target_scheduler::push(scheduled_request asked, time_point now)
+{
+    const push_outcome outcome = m_queue.push(asked.queued, now);
+    if (outcome == push_outcome::queued) {
+        const std::uint64_t id = asked.queued.id;
+        m_waiting.insert_or_assign(id, std::move(asked));
+    }
+    return outcome;
+}
+
+bool target_scheduler::remove(std::uint64_t id)
+{
+    m_waiting.erase(id);
+    return m_queue.remove(id);
+}
+
+schedule_step target_scheduler::pick(time_point now)
+{
+    schedule_step step;
+    start_ready(step, now);
+    take_expired(step, now);
+    return step;
+}
+
+schedule_step target_scheduler::tick(time_point now)
+{
+    schedule_step step;
+    m_table.refresh(now);
+    take_expired(step, now);
+    start_ready(step, now);
+    take_unservable(step, now);
+    take_expired(step, now);
+    return step;
+}
+
+void target_scheduler::start_ready(schedule_step& step, time_point now)
+{
+    while (!m_table.with_room().empty() && start_next(m_queue.pop(now), step, now)) {}
+    // what the request whose turn it is does not take may do for the other class
+    for (const bool is_interactive : {true, false}) {
+        while (!m_table.with_room().empty() &&
+               start_next(m_queue.pop_class(is_interactive, now), step, now)) {}
+    }
+}
+
+bool target_scheduler::start_next(const std::optional<queued_request>& next, schedule_step& step,
+                                  time_point now)
+{
+    if (!next) {
+        return false;
+    }
+    const auto found = m_waiting.find(next->id);
+    const endpoint_choice choice = choose_now(found->second, choice_pool::with_room, now);
+    if (const auto* index = std::get_if<std::size_t>(&choice)) {
+        m_waiting.erase(found);
+        m_table.on_dispatch(*index, now);
+        step.started.push_back({next->id, *index});
+        return true;
+    }
+    m_queue.put_back(*next);
+    return false;
+}
+
+void target_scheduler::take_expired(schedule_step& step, time_point now)
+{
+    for (const queued_request& expired : m_queue.take_expired(now)) {
+        m_waiting.erase(expired.id);
+        step.expired.push_back(expired.id);
+    }
+}
+
+// without a live endpoint waiting is of no use
+void target_scheduler::take_unservable(schedule_step& step, time_point now)
+{
+    if (m_table.live_count() > 0) {
+        return;
+    }
+    while (const auto next = m_queue.pop(now)) {
+        m_waiting.erase(next->id);
+        step.unservable.push_back(next->id);
+    }
+}
+
+endpoint_choice target_scheduler::choose_now(const scheduled_request& asked, choice_pool pool,
+                                             time_point now)
+{
+    request_view view;
+    view.prefix_hash = asked.prefix_hash;
+    view.tokens = asked.queued.tokens;
+    view.is_interactive = asked.queued.is_interactive;
+    view.is_idempotent = asked.is_idempotent;
+    view.seconds_left = to_seconds(asked.answer_deadline - now);
+    view.expected_wait = to_seconds(expected_wait(view.is_interactive));
+    view.excluded = asked.excluded;
+    return choose(view, m_table, *m_policy, m_random, pool);
+}
+
+void target_scheduler::on_dispatch(std::size_t endpoint, time_point now)
+{
+    m_table.on_dispatch(endpoint, now);
+}
+
+void target_scheduler::on_first_token(std::size_t endpoint, duration elapsed, std::uint64_t tokens,
+                                      time_point now)
+{
+    m_table.on_first_token(endpoint, elapsed, tokens, now);
+}
+
+void target_scheduler::on_success(std::size_t endpoint, duration elapsed, std::uint64_t tokens,
+                                  time_point now)
+{
+    m_table.on_success(endpoint, elapsed, tokens, now);
+}
+
+void target_scheduler::on_failure(std::size_t endpoint, time_point now)
+{
+    m_table.on_failure(endpoint, now, m_random);
+}
+
+void target_scheduler::on_cancelled(std::size_t endpoint, time_point now)
+{
+    m_table.on_cancelled(endpoint, now);
+}
+
+void target_scheduler::settle(const queued_request& served, std::uint64_t used_tokens)
+{
+    m_queue.settle(served, used_tokens);
+}
+
+duration target_scheduler::expected_wait(bool is_interactive) const
+{
+    return time_for(m_queue.backlog_tokens(is_interactive));
+}
+
+duration target_scheduler::time_for(std::uint64_t tokens) const
+{
+    const double rate = m_table.tokens_per_second();
+    return rate > 0 ? from_seconds(static_cast<double>(tokens) / rate) : duration::zero();
+}
+
+} // namespace hickorykeel
--- /dev/null
+++ b/tests/process/target_scheduler_test.cpp
@@ -0,0 +1,123 @@
+#include "process/routing/target_scheduler.h"
+
+#include <chrono>  // seconds
+#include <cstdint> // uint64_t, uint32_t
+#include <memory>  // make_unique
+#include <vector>  // vector
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace std::chrono_literals;
+
+namespace {
+
+endpoint make_endpoint(const std::string& name, std::uint32_t slots)
+{
+    endpoint made;
+    made.name = name;
+    made.slots = slots;
+    return made;
+}
+
+scheduled_request make_request(std::uint64_t id, time_point deadline, bool is_interactive = true)
+{
+    scheduled_request made;
+    made.queued.id = id;
+    made.queued.organisation = "volunteers";
+    made.queued.tokens = 100;
+    made.queued.is_interactive = is_interactive;
+    made.queued.deadline = deadline;
+    made.answer_deadline = deadline;
+    return made;
+}
+
+// 10 s for 100 tokens at both endpoints
+void learn_speed(target_scheduler& scheduler, time_point now)
+{
+    for (const std::uint64_t id : {101, 102}) {
+        scheduler.push(make_request(id, now + 60s), now);
+    }
+    for (const schedule_step::assignment& each : scheduler.pick(now).started) {
+        scheduler.on_success(each.endpoint, 10s, 100, now);
+    }
+}
+
+} // namespace
+
+TEST_CASE("target scheduler")
+{
+    const time_point start{};
+    const time_point later = start + 60s;
+    target_scheduler scheduler{std::make_unique<weigh_policy>(), 1};
+    const std::vector<endpoint> listed{make_endpoint("as-1", 1), make_endpoint("as-2", 1)};
+    scheduler.assign(listed, start);
+
+    SUBCASE("takes no more than there is room for, and goes on when one ends")
+    {
+        for (const std::uint64_t id : {1, 2, 3}) {
+            CHECK(scheduler.push(make_request(id, later), start) == push_outcome::queued);
+        }
+        const schedule_step first = scheduler.pick(start);
+        REQUIRE(first.started.size() == 2);
+        CHECK(first.started[0].endpoint != first.started[1].endpoint);
+        CHECK(scheduler.queued_count() == 1);
+        CHECK(scheduler.pick(start).started.empty());
+        scheduler.on_success(first.started[0].endpoint, 1s, 100, start + 1s);
+        const schedule_step second = scheduler.pick(start + 1s);
+        REQUIRE(second.started.size() == 1);
+        CHECK(second.started[0].id == 3);
+    }
+    SUBCASE("a request does not go to an endpoint that had it")
+    {
+        scheduled_request again = make_request(1, later);
+        again.excluded = {0};
+        scheduler.push(again, start);
+        const schedule_step step = scheduler.pick(start);
+        REQUIRE(step.started.size() == 1);
+        CHECK(step.started[0].endpoint == 1);
+    }
+    SUBCASE("what expires while it waits is told once")
+    {
+        for (const std::uint64_t id : {1, 2, 3}) {
+            scheduler.push(make_request(id, start + 2s), start);
+        }
+        scheduler.pick(start);
+        const schedule_step step = scheduler.tick(start + 3s);
+        CHECK(step.expired == std::vector<std::uint64_t>{3});
+        CHECK(scheduler.tick(start + 4s).expired.empty());
+    }
+    SUBCASE("a request that would wait beyond its deadline is refused early")
+    {
+        learn_speed(scheduler, start);
+        for (std::uint64_t id = 10; id < 20; ++id) {
+            scheduler.push(make_request(id, later), start);
+        }
+        const auto wait = scheduler.check_hopeless(make_request(2, start + 1s), start);
+        REQUIRE(wait);
+        CHECK(*wait > 1s);
+        CHECK_FALSE(scheduler.check_hopeless(make_request(2, later + 1h), start));
+    }
+    SUBCASE("interactive requests do not wait for batch ones")
+    {
+        learn_speed(scheduler, start);
+        scheduler.push(make_request(1, later, false), start);
+        CHECK(scheduler.expected_wait(true) == duration::zero());
+        CHECK(scheduler.expected_wait(false) > duration::zero());
+    }
+    SUBCASE("without a live endpoint nothing waits")
+    {
+        scheduler.push(make_request(1, later), start);
+        scheduler.push(make_request(2, later), start);
+        scheduler.assign({}, start);
+        CHECK(scheduler.tick(start).unservable == std::vector<std::uint64_t>{1, 2});
+        CHECK(scheduler.queued_count() == 0);
+    }
+    SUBCASE("one that is removed does not start")
+    {
+        scheduler.push(make_request(1, later), start);
+        CHECK(scheduler.remove(1));
+        CHECK_FALSE(scheduler.remove(1));
+        CHECK(scheduler.pick(start).started.empty());
+    }
+}
