--- a/src/process/routing/target_scheduler.cpp
+++ b/src/process/routing/target_scheduler.cpp
@@ -96,8 +96,14 @@
         step.started.push_back({next->id, *index});
         return true;
     }
-    m_queue.put_back(*next);
-    return false;
+    if (std::get<no_endpoint_reason>(choice) == no_endpoint_reason::none_with_room) {
+        m_queue.put_back(*next);
+        return false;
+    }
+    // it would hold up the others of its class
+    m_waiting.erase(found);
+    step.unservable.push_back(next->id);
+    return true;
 }
 
 void target_scheduler::take_expired(schedule_step& step, time_point now)
--- a/src/process/routing/target_scheduler.h
+++ b/src/process/routing/target_scheduler.h
@@ -37,7 +37,7 @@
 
     std::vector<assignment> started;       ///< in the order of their turns
     std::vector<std::uint64_t> expired;    ///< no endpoint became free in time
-    std::vector<std::uint64_t> unservable; ///< no endpoint is live
+    std::vector<std::uint64_t> unservable; ///< no endpoint is live, or each available one had it
 };
 
 /// Which request goes to which endpoint of one target at one dispatch process: queue, endpoint
--- a/tests/process/target_scheduler_test.cpp
+++ b/tests/process/target_scheduler_test.cpp
@@ -77,6 +77,17 @@
         REQUIRE(step.started.size() == 1);
         CHECK(step.started[0].endpoint == 1);
     }
+    SUBCASE("one that every endpoint had does not hold up the others")
+    {
+        scheduled_request again = make_request(1, later);
+        again.excluded = {0, 1};
+        scheduler.push(again, start);
+        scheduler.push(make_request(2, later), start);
+        const schedule_step step = scheduler.pick(start);
+        CHECK(step.unservable == std::vector<std::uint64_t>{1});
+        REQUIRE(step.started.size() == 1);
+        CHECK(step.started[0].id == 2);
+    }
     SUBCASE("what expires while it waits is told once")
     {
         for (const std::uint64_t id : {1, 2, 3}) {
