Choose the dispatch process by domain_chooser in the entry process

served_request took the first of a list of all hosts of the fleet, without regard to waits, and every retry was allowed. entry_router now owns a domain_chooser for each target and class, and the process's retry budget. The views come from the heartbeats: waits of interactive and batch requests, and half the round trip of the newest echo as the way. Own host's dispatch process first, else any of the failure domain. A failure domain that refused is visited; after a lost link another host of the own failure domain may get the request; one forward to another at most.

The cost on a request's path depends on the failure domains that serve its target; the hosts are gone through each 200 ms and when a heartbeat changes who can take requests. What remains: each renewal is linear in hosts times targets, and the own dispatch process's wait is up to 200 ms old.

Not run for this commit: the other process tests.

--- a/src/process/dispatch_directory.cpp
+++ b/src/process/dispatch_directory.cpp
@@ -1,9 +1,33 @@
 #include "process/dispatch_directory.h"
 
-#include <algorithm> // any_of, stable_sort
+#include <algorithm> // all_of, any_of, max, min
 #include <utility>   // move, swap
 
 namespace hickorykeel {
+namespace detail {
+
+// what a dispatch process can take, without how long it takes
+bool is_same_offer(const dispatch_peer& peer, std::uint64_t incarnation, const link::pong& pong)
+{
+    if (peer.incarnation != incarnation || peer.is_leaving != pong.leaving() ||
+        peer.loads.size() != static_cast<std::size_t>(pong.loads_size())) {
+        return false;
+    }
+    return std::all_of(pong.loads().begin(), pong.loads().end(),
+                       [&](const link::target_load& load) {
+                           const auto known = peer.loads.find(load.target());
+                           return known != peer.loads.end() &&
+                                  (known->second.live_endpoints > 0) == (load.live_endpoints() > 0);
+                       });
+}
+
+// adds one more sample to a mean
+duration add_to_mean(duration mean, std::size_t count, duration sample)
+{
+    return mean + (sample - mean) / static_cast<std::int64_t>(count + 1);
+}
+
+} // namespace detail
 
 dispatch_directory::dispatch_directory(std::string own_host, std::string own_failure_domain,
                                        std::string own_address)
@@ -17,7 +41,7 @@
     m_peers.emplace(m_own_address, std::move(own));
 }
 
-void dispatch_directory::apply(const host_list& listed)
+void dispatch_directory::apply(const host_list& listed, time_point now)
 {
     const std::lock_guard lock(m_mutex);
     std::map<std::string, dispatch_peer> peers;
@@ -37,10 +61,19 @@
         peers.insert_or_assign(each.dispatch_address, std::move(peer));
     }
     m_peers.swap(peers);
+    renew_routes(now);
+}
+
+void dispatch_directory::apply(const configuration& in_force, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_failure_domains = in_force.failure_domains;
+    renew_routes(now);
 }
 
 void dispatch_directory::on_pong(const std::string& address, std::uint64_t incarnation,
-                                 const link::pong& pong, time_point now)
+                                 const link::pong& pong, std::optional<duration> round_trip,
+                                 time_point now)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_peers.find(address);
@@ -48,14 +81,96 @@
         return;
     }
     dispatch_peer& peer = found->second;
+    const bool is_news = !is_live(peer, now) || !detail::is_same_offer(peer, incarnation, pong);
     peer.incarnation = incarnation;
     peer.is_leaving = pong.leaving();
     peer.last_heard = now;
+    peer.way = round_trip.value_or(2 * peer.way) / 2;
     peer.loads.clear();
     for (const link::target_load& load : pong.loads()) {
-        peer.loads[load.target()] = {load.live_endpoints(), load.running(), load.queued(),
-                                     load.slots(), load.wait_seconds()};
+        peer.loads[load.target()] = {load.live_endpoints(), load.running(),
+                                     load.queued(),         load.slots(),
+                                     load.wait_seconds(),   load.batch_wait_seconds()};
+    }
+    if (is_news) {
+        renew_routes(now);
+    }
+}
+
+void dispatch_directory::refresh(time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    renew_routes(now);
+}
+
+bool dispatch_directory::is_live(const dispatch_peer& peer, time_point now)
+{
+    return peer.incarnation != 0 && now - peer.last_heard < silence_limit;
+}
+
+// precondition: the mutex is held
+void dispatch_directory::renew_routes(time_point now)
+{
+    std::map<std::string, std::shared_ptr<target_route>> routes;
+    const auto add = [&](const dispatch_peer& peer) {
+        for (const auto& [target_name, load] : peer.loads) {
+            if (load.live_endpoints > 0) {
+                auto& route = routes[target_name];
+                if (!route) {
+                    route = std::make_shared<target_route>();
+                }
+                add_to(*route, peer, load);
+            }
+        }
+    };
+    // the own one is the first of its failure domain
+    const auto own = m_peers.find(m_own_address);
+    if (own != m_peers.end() && is_live(own->second, now) && !own->second.is_leaving) {
+        add(own->second);
+    }
+    for (const auto& [address, peer] : m_peers) {
+        if (address != m_own_address && is_live(peer, now) && !peer.is_leaving) {
+            add(peer);
+        }
+    }
+    m_routes = {routes.begin(), routes.end()};
+}
+
+void dispatch_directory::add_to(target_route& route, const dispatch_peer& peer,
+                                const dispatch_load& load) const
+{
+    const std::size_t at = place_in(route, peer.failure_domain);
+    auto& members = route.members[at];
+    const auto add = [&](domain_view& view, double wait_seconds) {
+        const bool is_first = members.empty();
+        view.live_endpoints = std::max<std::size_t>(view.live_endpoints, load.live_endpoints);
+        view.measured_way = is_first ? peer.way : std::min(view.measured_way, peer.way);
+        // where the own dispatch process can take a request, it does
+        const bool is_own_known = !is_first && members.front().address == m_own_address;
+        if (!is_own_known) {
+            view.expected_wait =
+                detail::add_to_mean(view.expected_wait, members.size(), from_seconds(wait_seconds));
+        }
+    };
+    add(route.interactive[at], load.wait_seconds);
+    add(route.batch[at], load.batch_wait_seconds);
+    members.push_back({peer.host, peer.failure_domain, peer.address});
+}
+
+std::size_t dispatch_directory::place_in(target_route& route, const std::string& domain) const
+{
+    for (std::size_t i = 0; i < route.members.size(); ++i) {
+        if (route.interactive[i].domain.name == domain) {
+            return i;
+        }
     }
+    const auto known = m_failure_domains.find(domain);
+    domain_view view;
+    view.domain = {domain, known != m_failure_domains.end() ? known->second.region : ""};
+    route.interactive.push_back(view);
+    route.batch.push_back(view);
+    route.members.emplace_back();
+    return route.members.size() - 1;
 }
 
 std::vector<std::string> dispatch_directory::addresses() const
@@ -68,38 +183,18 @@
     return all;
 }
 
-std::vector<dispatch_peer> dispatch_directory::candidates(const std::string& target_name,
-                                                          time_point now) const
+target_route_ptr dispatch_directory::route_to(const std::string& target_name) const
 {
     const std::lock_guard lock(m_mutex);
-    std::vector<dispatch_peer> live;
-    for (const auto& [address, peer] : m_peers) {
-        const auto load = peer.loads.find(target_name);
-        const bool is_live = peer.incarnation != 0 && now - peer.last_heard < silence_limit;
-        if (is_live && !peer.is_leaving && load != peer.loads.end() &&
-            load->second.live_endpoints > 0) {
-            live.push_back(peer);
-        }
-    }
-    const auto distance = [this](const dispatch_peer& peer) {
-        if (peer.address == m_own_address) {
-            return 0;
-        }
-        return peer.failure_domain == m_own_failure_domain ? 1 : 2;
-    };
-    std::stable_sort(live.begin(), live.end(),
-                     [&](const dispatch_peer& left, const dispatch_peer& right) {
-                         return distance(left) < distance(right);
-                     });
-    return live;
+    const auto found = m_routes.find(target_name);
+    return found == m_routes.end() ? nullptr : found->second;
 }
 
 bool dispatch_directory::is_alive(const std::string& address, time_point now) const
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_peers.find(address);
-    return found != m_peers.end() && found->second.incarnation != 0 &&
-           now - found->second.last_heard < silence_limit;
+    return found != m_peers.end() && is_live(found->second, now);
 }
 
 bool dispatch_directory::is_any_ready(time_point now) const
@@ -107,8 +202,7 @@
     const std::lock_guard lock(m_mutex);
     return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& row) {
         const dispatch_peer& peer = row.second;
-        return peer.incarnation != 0 && now - peer.last_heard < silence_limit && !peer.is_leaving &&
-               !peer.loads.empty();
+        return is_live(peer, now) && !peer.is_leaving && !peer.loads.empty();
     });
 }
 
--- a/src/process/dispatch_directory.h
+++ b/src/process/dispatch_directory.h
@@ -2,10 +2,13 @@
 
 #include "generated/link.pb.h"
 #include "process/clock.h"
+#include "process/routing/domain_choice.h"
 #include "version/configuration.h"
 
+#include <cstddef>  // size_t
 #include <cstdint>  // uint64_t
 #include <map>      // map
+#include <memory>   // shared_ptr
 #include <mutex>    // mutex
 #include <optional> // optional
 #include <string>   // string
@@ -19,7 +22,8 @@
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     std::uint32_t slots = 0;
-    double wait_seconds = 0;
+    double wait_seconds = 0;       ///< of a new interactive request
+    double batch_wait_seconds = 0; ///< of a new batch request
 };
 
 /// One dispatch process that an entry process may hand requests to.
@@ -30,9 +34,26 @@
     std::uint64_t incarnation = 0; ///< 0: never heard
     bool is_leaving = false;
     time_point last_heard{};
+    duration way{0}; ///< one way, from the last round trip; 0: not measured
     std::map<std::string, dispatch_load> loads; ///< by target
 };
 
+/// Where a dispatch process is.
+struct dispatch_address {
+    std::string host;
+    std::string failure_domain;
+    std::string address; ///< of its link
+};
+
+/// Failure domains that serve one target, as the heartbeats said; the same order in all members.
+struct target_route {
+    std::vector<domain_view> interactive; ///< with the wait of a new interactive request
+    std::vector<domain_view> batch;       ///< with the wait of a new batch request
+    std::vector<std::vector<dispatch_address>> members; ///< never empty; the own host first
+};
+
+using target_route_ptr = std::shared_ptr<const target_route>;
+
 /// The dispatch processes of all listed hosts and what their heartbeats said.
 ///
 /// Thread safety: all methods may be called from any thread.
@@ -48,12 +69,20 @@
     /// @name modifiers
     /// @{
 
-    /// Takes over a new host list. Linear in its size.
-    void apply(const host_list& listed);
+    /// Takes over a new host list. Renews the routes.
+    void apply(const host_list& listed, time_point now);
+
+    /// Takes over the regions of the failure domains. Renews the routes.
+    void apply(const configuration& in_force, time_point now);
 
-    /// Notes a heartbeat.
+    /// Notes a heartbeat. Renews the routes where it changes who can take requests.
+    /// @param round_trip  from a question until this answer to it or a later one; nothing: unknown
     void on_pong(const std::string& address, std::uint64_t incarnation, const link::pong& pong,
-                 time_point now);
+                 std::optional<duration> round_trip, time_point now);
+
+    /// Renews the routes: the waits, and who was silent. Call it each 200 ms or so. Linear in the
+    /// number of listed hosts times their targets.
+    void refresh(time_point now);
 
     /// @}
     /// @name observers
@@ -62,10 +91,15 @@
     /// Addresses to send heartbeats to.
     [[nodiscard]] std::vector<std::string> addresses() const;
 
-    /// Live dispatch processes with a live endpoint of `target_name`, own host first, then the own
-    /// failure domain, then the others. Linear in the number of listed hosts.
-    [[nodiscard]] std::vector<dispatch_peer> candidates(const std::string& target_name,
-                                                        time_point now) const;
+    /// Failure domains with a live dispatch process that has a live endpoint of `target_name`; null
+    /// where there is none. Logarithmic in the number of targets.
+    [[nodiscard]] target_route_ptr route_to(const std::string& target_name) const;
+
+    /// Whether it is the address of the own host's dispatch process.
+    [[nodiscard]] bool is_own_address(const std::string& address) const
+    {
+        return address == m_own_address;
+    }
 
     /// Whether the dispatch process at `address` was heard within the silence limit.
     [[nodiscard]] bool is_alive(const std::string& address, time_point now) const;
@@ -76,11 +110,18 @@
     /// @}
 
 private:
+    [[nodiscard]] static bool is_live(const dispatch_peer& peer, time_point now);
+    void renew_routes(time_point now);
+    void add_to(target_route& route, const dispatch_peer& peer, const dispatch_load& load) const;
+    [[nodiscard]] std::size_t place_in(target_route& route, const std::string& domain) const;
+
     const std::string m_own_host;
     const std::string m_own_failure_domain;
     const std::string m_own_address;
     mutable std::mutex m_mutex;
-    std::map<std::string, dispatch_peer> m_peers; // by address
+    std::map<std::string, dispatch_peer> m_peers;            // by address
+    std::map<std::string, target_route_ptr> m_routes;        // by target
+    std::map<std::string, failure_domain> m_failure_domains; // by name
 };
 
 } // namespace hickorykeel
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -190,7 +190,7 @@
     }
     else if (message.has_pong()) {
         m_context.directory.on_pong(received.peer, message.incarnation(), message.pong(),
-                                    boot_clock::now());
+                                    received.maximum_age, boot_clock::now());
     }
     else if (message.has_sync_update()) {
         m_context.published->deliver(message.sync_update());
@@ -204,12 +204,14 @@
 
 void entry::on_hosts(const host_list_ptr& listed)
 {
-    m_context.directory.apply(*listed);
+    m_context.directory.apply(*listed, boot_clock::now());
     caf::anon_send(m_context.admission, admission::new_hosts{listed});
 }
 
 void entry::on_configuration(const configuration_ptr& in_force)
 {
+    m_context.directory.apply(*in_force, boot_clock::now());
+    m_context.router.apply(*in_force);
     caf::anon_send(m_context.admission, admission::new_configuration{in_force});
     for (const auto& under_way : m_context.exchanges.all()) {
         const exchange::identity& who = under_way->who();
@@ -224,6 +226,7 @@
 {
     while (!m_is_stopping) {
         m_context.published->poll();
+        m_context.directory.refresh(boot_clock::now());
         for (const std::string& address : m_context.directory.addresses()) {
             link::envelope message;
             message.mutable_ping()->set_leaving(m_context.is_leaving);
--- a/src/process/entry_context.h
+++ b/src/process/entry_context.h
@@ -4,11 +4,13 @@
 #include "connection/messenger.h"
 #include "process/configuration_client.h"
 #include "process/dispatch_directory.h"
+#include "process/entry_router.h"
 #include "request/ticket.h"
 
 #include <atomic>  // atomic
 #include <cstddef> // size_t
 #include <memory>  // unique_ptr
+#include <random>  // random_device
 #include <string>  // string
 #include <utility> // move
 
@@ -23,7 +25,8 @@
     entry_context(std::string own_host, std::string own_failure_domain,
                   const std::string& dispatch_address)
         : host(std::move(own_host)), failure_domain(std::move(own_failure_domain)),
-          directory(host, failure_domain, dispatch_address)
+          directory(host, failure_domain, dispatch_address),
+          router(directory, failure_domain, std::random_device{}())
     {
     }
 
@@ -32,6 +35,7 @@
     duration ticket_life = std::chrono::minutes{5};
 
     dispatch_directory directory;
+    entry_router router;
     exchange_table exchanges;
     std::unique_ptr<messenger> links;
     std::unique_ptr<configuration_client> published;
--- a/src/process/request_runner.cpp
+++ b/src/process/request_runner.cpp
@@ -1,6 +1,6 @@
 #include "process/request_runner.h"
 
-#include <algorithm> // find, min
+#include <algorithm> // find, max, min
 #include <utility>   // move
 
 namespace hickorykeel {
@@ -77,7 +77,7 @@
             return give_up({refusal_code::deadline_exceeded,
                             ran_state::unknown,
                             "await answer",
-                            m_dispatch_host,
+                            m_at.host,
                             "the deadline passed",
                             {}});
         }
@@ -85,7 +85,7 @@
             return give_up({refusal_code::deadline_exceeded,
                             ran_state::unknown,
                             "await answer",
-                            m_dispatch_host,
+                            m_at.host,
                             "the caller has gone",
                             {}});
         }
@@ -104,23 +104,27 @@
     if (m_attempts >= detail::maximum_attempts) {
         return false;
     }
-    for (const dispatch_peer& peer : m_provided.candidates(m_request, m_visited)) {
-        const bool had_it =
-            std::find(m_visited.begin(), m_visited.end(), peer.address) != m_visited.end();
-        if (had_it) {
-            continue;
-        }
-        ++m_attempts;
-        m_visited.push_back(peer.address);
-        m_dispatch_host = peer.host;
-        m_failure_domain = peer.failure_domain;
-        m_exchange = m_provided.exchanges.open({m_request.organisation, m_request.key_digest,
-                                                m_request.matched_profile->name,
-                                                m_request.matched_target->name, peer.address});
-        m_provided.links.ask(peer.address, to_message(peer));
-        return true;
+    const auto chosen = m_provided.router.choose(m_request, m_visited);
+    if (!chosen || (m_attempts > 0 && !m_provided.router.may_retry())) {
+        return false;
+    }
+    ++m_attempts;
+    m_at = *chosen;
+    m_visited.addresses.push_back(m_at.address);
+    m_exchange = m_provided.exchanges.open({m_request.organisation, m_request.key_digest,
+                                            m_request.matched_profile->name,
+                                            m_request.matched_target->name, m_at.address});
+    m_provided.links.ask(m_at.address, to_message());
+    return true;
+}
+
+// a failure domain that refused a request does not get it again, nor does one that it was
+// forwarded to; after a lost link another host of the own failure domain may
+void request_runner::note_visit(bool is_domain_at_fault)
+{
+    if (is_domain_at_fault || !m_provided.router.is_own(m_at)) {
+        m_visited.failure_domains.push_back(m_at.failure_domain);
     }
-    return false;
 }
 
 void request_runner::end_attempt()
@@ -138,7 +142,7 @@
     m_exchange.reset();
 }
 
-link::envelope request_runner::to_message(const dispatch_peer& peer) const
+link::envelope request_runner::to_message() const
 {
     const auto left = detail::to_milliseconds(m_deadline - boot_clock::now());
     const auto budget = std::max(left, std::chrono::milliseconds{1});
@@ -167,7 +171,10 @@
     request.set_reserved_tokens(m_request.reserved_tokens);
     request.set_traceparent(m_traceparent);
     request.set_prefix_hash(m_request.prefix_hash);
-    request.add_visited(peer.failure_domain);
+    for (const std::string& visited : m_visited.failure_domains) {
+        request.add_visited(visited);
+    }
+    request.add_visited(m_at.failure_domain);
     return message;
 }
 
@@ -180,7 +187,7 @@
         answer_head head;
         head.status = static_cast<int>(event.status());
         head.endpoint = event.endpoint();
-        head.dispatch_host = m_dispatch_host;
+        head.dispatch_host = m_at.host;
         for (const link::header& header : event.headers()) {
             if (header.name() == "Content-Type") {
                 head.content_type = header.value();
@@ -196,43 +203,53 @@
         return step{answer_end{event.used_tokens()}};
     case link::dispatch_event::kind_failed:
         m_has_ended = true;
-        return on_failure(to_refusal(event));
+        return on_refused(to_refusal(event));
     default:
         return std::monostate{};
     }
 }
 
-std::variant<std::monostate, request_runner::step> request_runner::on_failure(refusal why)
+std::variant<std::monostate, request_runner::step>
+request_runner::on_failure(refusal why, bool is_domain_at_fault)
 {
     if (!may_try_again(why.ran)) {
         return step{give_up(std::move(why))};
     }
     m_last_failure = std::move(why);
+    note_visit(is_domain_at_fault);
     end_attempt();
     m_has_ended = false;
     return std::monostate{};
 }
 
+std::variant<std::monostate, request_runner::step> request_runner::on_refused(refusal why)
+{
+    const bool is_process_at_fault =
+        why.code == refusal_code::not_ready || why.code == refusal_code::leaving;
+    return on_failure(std::move(why), !is_process_at_fault);
+}
+
 std::variant<std::monostate, request_runner::step> request_runner::on_lost()
 {
     return on_failure({refusal_code::endpoint_failed,
                        ran_state::unknown,
                        "await answer",
-                       m_dispatch_host,
+                       m_at.host,
                        "the link to the dispatch process was lost",
-                       {}});
+                       {}},
+                      false);
 }
 
 bool request_runner::may_try_again(ran_state ran) const
 {
     const bool is_safe = ran == ran_state::no || m_request.matched_profile->is_idempotent;
     return is_safe && !m_has_head && m_attempts < detail::maximum_attempts &&
-           boot_clock::now() < m_deadline && m_provided.may_retry();
+           boot_clock::now() < m_deadline;
 }
 
 refusal request_runner::to_refusal(const link::dispatch_event& event) const
 {
-    const std::string peer = event.endpoint().empty() ? m_dispatch_host : event.endpoint();
+    const std::string peer = event.endpoint().empty() ? m_at.host : event.endpoint();
     return {detail::to_code(event.error_code()),
             event.ran() ? ran_state::unknown : ran_state::no,
             event.error_step(),
--- a/src/process/request_runner.h
+++ b/src/process/request_runner.h
@@ -3,6 +3,7 @@
 #include "connection/exchange.h"
 #include "connection/messenger.h"
 #include "process/dispatch_directory.h"
+#include "process/entry_router.h"
 #include "request/caller_request.h"
 
 #include <cstdint>    // uint64_t
@@ -14,9 +15,6 @@
 
 namespace hickorykeel {
 
-/// Names of failure domains that a request may be handed to, best first.
-using failure_domain_order = std::vector<dispatch_peer>;
-
 /// One admitted request on its way: hands it to a dispatch process, and to another one where that
 /// is safe, and passes the answer on.
 ///
@@ -28,12 +26,7 @@
         messenger& links;
         exchange_table& exchanges;
         dispatch_directory& directory;
-        /// Candidates in the order to try, after the residency filter.
-        std::function<failure_domain_order(const admitted_request&,
-                                           const std::vector<std::string>& visited)>
-            candidates;
-        /// Whether one more attempt fits the process's retry budget.
-        std::function<bool()> may_retry;
+        entry_router& router;
         /// Whether the caller is still connected; asked a few times a second.
         std::function<bool()> is_caller_connected;
     };
@@ -78,15 +71,17 @@
     /// Failure domain that has the request.
     [[nodiscard]] const std::string& failure_domain_name() const noexcept
     {
-        return m_failure_domain;
+        return m_at.failure_domain;
     }
 
 private:
     bool start_attempt();
     void end_attempt();
-    link::envelope to_message(const dispatch_peer& peer) const;
+    void note_visit(bool is_domain_at_fault);
+    [[nodiscard]] link::envelope to_message() const;
     std::variant<std::monostate, step> on_event(const link::dispatch_event& event);
-    std::variant<std::monostate, step> on_failure(refusal why);
+    std::variant<std::monostate, step> on_failure(refusal why, bool is_domain_at_fault);
+    std::variant<std::monostate, step> on_refused(refusal why);
     std::variant<std::monostate, step> on_lost();
     [[nodiscard]] bool may_try_again(ran_state ran) const;
     [[nodiscard]] refusal to_refusal(const link::dispatch_event& event) const;
@@ -98,10 +93,9 @@
     std::vector<forwarded_header> m_headers;
     std::string m_traceparent;
     time_point m_deadline;
-    std::vector<std::string> m_visited; // addresses that had the request
+    visited_places m_visited;
     std::shared_ptr<exchange> m_exchange;
-    std::string m_dispatch_host;
-    std::string m_failure_domain;
+    dispatch_address m_at; // has the request, or had it last
     unsigned m_attempts = 0;
     bool m_has_head = false;
     bool m_has_ended = false;
--- a/src/process/served_request.cpp
+++ b/src/process/served_request.cpp
@@ -3,7 +3,7 @@
 #include "process/admission_actor.h"
 #include "version/check.h"
 
-#include <algorithm> // find, min
+#include <algorithm> // min
 #include <utility>   // move
 
 namespace hickorykeel {
@@ -208,27 +208,9 @@
 void served_request::start()
 {
     entry_context& shared = m_shared;
-    request_runner::environment provided{
-        *shared.links,
-        shared.exchanges,
-        shared.directory,
-        [&shared](const admitted_request& request, const std::vector<std::string>&) {
-            const auto in_force = shared.published->current();
-            const auto& regions = request.matched_profile->regions;
-            failure_domain_order allowed;
-            for (dispatch_peer& peer :
-                 shared.directory.candidates(request.matched_target->name, boot_clock::now())) {
-                const auto domain = in_force->failure_domains.find(peer.failure_domain);
-                if (domain != in_force->failure_domains.end() &&
-                    std::find(regions.begin(), regions.end(), domain->second.region) !=
-                        regions.end()) {
-                    allowed.push_back(std::move(peer));
-                }
-            }
-            return allowed;
-        },
-        [] { return true; },
-        m_is_caller_connected};
+    shared.router.on_request();
+    request_runner::environment provided{*shared.links, shared.exchanges, shared.directory,
+                                         shared.router, m_is_caller_connected};
     m_runner =
         std::make_unique<request_runner>(std::move(provided), m_admitted, m_request.method,
                                          m_request.headers, m_request.traceparent, m_deadline);
