Serve administration and metrics of entry and dispatch

The programs read [admin] and [trace] and opened nothing. Entry and dispatch now serve health, metrics, status, hosts, drain and validate, entry also limits and explain; configd gained drain and validate. `explain` is a pure function of the configuration, the accounts and the dispatch processes that are heard; it refuses only what is above the burst of an account, as a host that lacks tokens asks others. Accounts are named by one public function for both.

Labels are the published names and fixed words; a request whose profile is not published counts as `none`, so that no caller makes series.

--- a/src/connection/endpoint_call.cpp
+++ b/src/connection/endpoint_call.cpp
@@ -39,7 +39,8 @@
     return to_kind(failure) == error_kind::endpoint_unreachable;
 }
 
-httplib::Request to_http(const link::dispatch_request& request, const std::string& request_id)
+httplib::Request to_http(const link::dispatch_request& request,
+                         const endpoint_call::identity& known_by)
 {
     httplib::Request http;
     http.method = request.method();
@@ -47,10 +48,10 @@
     for (const link::header& header : request.headers()) {
         http.headers.emplace(header.name(), header.value());
     }
-    http.headers.emplace("X-Request-Id", request_id);
+    http.headers.emplace("X-Request-Id", known_by.request_id);
     http.headers.emplace("X-Priority", request.interactive() ? "interactive" : "batch");
-    if (!request.traceparent().empty()) {
-        http.headers.emplace("traceparent", request.traceparent());
+    if (!known_by.traceparent.empty()) {
+        http.headers.emplace("traceparent", known_by.traceparent);
     }
     http.body = request.body();
     return http;
@@ -79,8 +80,14 @@
 
 endpoint_call::~endpoint_call() = default;
 
+void endpoint_call::set_tls(const tls_settings& files)
+{
+    const std::lock_guard lock(m_mutex);
+    prepare_client(*m_client, files);
+}
+
 endpoint_call::outcome endpoint_call::run(const link::dispatch_request& request,
-                                          const std::string& request_id,
+                                          const identity& known_by,
                                           std::chrono::milliseconds budget,
                                           const head_handler& on_head, const data_handler& on_data)
 {
@@ -100,7 +107,7 @@
     usage_scanner scanner;
     bool is_event_stream = false;
     bool is_stopped_by_us = false;
-    httplib::Request http = detail::to_http(request, request_id);
+    httplib::Request http = detail::to_http(request, known_by);
     http.response_handler = [&](const httplib::Response& head) {
         is_event_stream =
             head.get_header_value("Content-Type").starts_with(detail::event_stream_type);
--- a/src/connection/endpoint_call.h
+++ b/src/connection/endpoint_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/tls_settings.h"
 #include "generated/link.pb.h"
 #include "process/error.h"
 #include "version/configuration.h"
@@ -41,6 +42,12 @@
     };
     using outcome = std::variant<is_whole, has_failed>;
 
+    /// What the endpoint knows a call by.
+    struct identity {
+        std::string request_id;  ///< X-Request-Id, the same for each attempt
+        std::string traceparent; ///< empty: none is sent
+    };
+
     endpoint_call(const endpoint& where, target_kind kind);
     endpoint_call(const endpoint_call&) = delete;
     endpoint_call& operator=(const endpoint_call&) = delete;
@@ -48,9 +55,12 @@
     endpoint_call& operator=(endpoint_call&&) = delete;
     ~endpoint_call();
 
+    /// How endpoints with TLS are verified. Call before `run`.
+    void set_tls(const tls_settings& files);
+
     /// Sends the request and passes on its answer. Blocks until the end.
     /// @param budget  longest time for the whole call
-    outcome run(const link::dispatch_request& request, const std::string& request_id,
+    outcome run(const link::dispatch_request& request, const identity& known_by,
                 std::chrono::milliseconds budget, const head_handler& on_head,
                 const data_handler& on_data);
 
--- a/src/process/admin_server.cpp
+++ b/src/process/admin_server.cpp
@@ -1,6 +1,8 @@
 #include "process/admin_server.h"
 
-#include <array>       // array
+#include "connection/own_port.h"
+#include "version/check.h"
+
 #include <chrono>      // milliseconds
 #include <cstddef>     // size_t
 #include <string_view> // string_view
@@ -9,8 +11,6 @@
 
 #include <httplib.h>
 #include <openssl/crypto.h> // CRYPTO_memcmp
-#include <openssl/evp.h>    // EVP_Digest, EVP_sha256
-#include <sys/socket.h>     // setsockopt
 
 namespace hickorykeel {
 
@@ -23,27 +23,13 @@
 
 constexpr std::string_view bearer = "Bearer ";
 
-std::string to_hex_sha256(std::string_view text)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int size = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
-    std::string hex;
-    constexpr std::string_view digits = "0123456789abcdef";
-    for (unsigned int i = 0; i < size; ++i) {
-        hex += digits[digest[i] >> 4U];
-        hex += digits[digest[i] & 15U];
-    }
-    return hex;
-}
-
 /// Compares digests in constant time.
 bool is_key(std::string_view header, const std::string& expected_digest)
 {
     if (header.substr(0, bearer.size()) != bearer) {
         return false;
     }
-    const auto digest = to_hex_sha256(header.substr(bearer.size()));
+    const auto digest = to_key_digest(std::string{header.substr(bearer.size())});
     return digest.size() == expected_digest.size() &&
            CRYPTO_memcmp(digest.data(), expected_digest.data(), digest.size()) == 0;
 }
@@ -59,14 +45,6 @@
     response.set_content(answer.body.dump(), "application/json");
 }
 
-/// Without SO_REUSEPORT, which the library sets by default: two processes would share a port
-/// unnoticed.
-void set_socket_options(socket_t socket)
-{
-    const int yes = 1;
-    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-}
-
 admin_request to_request(const httplib::Request& request)
 {
     admin_request taken;
@@ -115,7 +93,7 @@
     void build()
     {
         server.new_task_queue = [] { return new httplib::ThreadPool(admin_threads); };
-        server.set_socket_options(set_socket_options);
+        own_port(server);
         // an idle connection would hold one of the few threads
         server.set_keep_alive_max_count(1);
         server.set_payload_max_length(maximum_body);
--- a/src/process/caller_api.cpp
+++ b/src/process/caller_api.cpp
@@ -265,6 +265,8 @@
         if (!wanted->is_idempotent && !m_shared.is_leaving) {
             body["tickets"] = detail::make_tickets(m_shared, detail::to_ticket_count(http),
                                                    organisation, profile_name);
+            m_shared.counts.tickets.with({"made"}).Increment(
+                static_cast<double>(body["tickets"].size()));
         }
     }
     response.set_content(body.dump(), detail::json_type);
@@ -311,8 +313,7 @@
                                 "the host is leaving", detail::ready_retry},
                                response);
     }
-    else if (!m_shared.published->current() || !m_shared.published->hosts() ||
-             !m_shared.directory.is_any_ready(boot_clock::now()) || !m_shared.is_accruing) {
+    else if (!m_shared.is_ready()) {
         detail::answer_refusal(detail::not_ready(), response);
     }
     else {
--- a/src/process/common_settings.cpp
+++ b/src/process/common_settings.cpp
@@ -1,7 +1,8 @@
 #include "process/common_settings.h"
 
-#include <array>  // array
-#include <string> // string
+#include <array>   // array
+#include <string>  // string
+#include <utility> // move
 
 #include <zmq.h> // zmq_curve_public
 
@@ -40,6 +41,14 @@
     return {};
 }
 
+result<std::unique_ptr<admin_server>> open_admin(const settings& checked,
+                                                 admin_server::options program)
+{
+    program.listen = checked.text("admin", "listen");
+    program.key_digest = checked.text("admin", "key_digest");
+    return admin_server::open(std::move(program));
+}
+
 link_keys to_link_keys(const settings& checked)
 {
     return {checked.text("link", "public_key"), checked.text("link", "secret_key"),
--- a/src/process/common_settings.h
+++ b/src/process/common_settings.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "connection/messenger.h"
+#include "process/admin_server.h"
 #include "process/settings.h"
 
 #include <array>   // array
 #include <cstddef> // size_t
+#include <memory>  // unique_ptr
 #include <span>    // span
 #include <vector>  // vector
 
@@ -32,24 +34,38 @@
                  "OTLP/HTTP collector of spans; empty: none are sent"},
 };
 
-/// Table of the common rules followed by a program's own.
-template <std::size_t Count>
-[[nodiscard]] constexpr auto with_common_rules(const std::array<setting_rule, Count>& own)
+/// Table of `first` followed by `second`.
+template <std::size_t First, std::size_t Second>
+[[nodiscard]] constexpr auto join_rules(const std::array<setting_rule, First>& first,
+                                        const std::array<setting_rule, Second>& second)
 {
-    std::array<setting_rule, common_setting_rules.size() + Count> all{};
+    std::array<setting_rule, First + Second> all{};
     std::size_t next = 0;
-    for (const auto& rule : common_setting_rules) {
+    for (const auto& rule : first) {
         all[next++] = rule;
     }
-    for (const auto& rule : own) {
+    for (const auto& rule : second) {
         all[next++] = rule;
     }
     return all;
 }
 
+/// Table of the common rules followed by a program's own.
+template <std::size_t Count>
+[[nodiscard]] constexpr auto with_common_rules(const std::array<setting_rule, Count>& own)
+{
+    return join_rules(common_setting_rules, own);
+}
+
 /// Faults between the common keys: CURVE keys that do not belong together. Thread safe.
 [[nodiscard]] std::vector<settings_fault> check_common(const settings& checked);
 
+/// Serves administration at the address and with the key of `[admin]`.
+/// @param program  what the process offers
+/// @return link_unreachable where the address cannot be bound
+[[nodiscard]] result<std::unique_ptr<admin_server>> open_admin(const settings& checked,
+                                                               admin_server::options program);
+
 /// CURVE keys of `[link]`. Precondition: `check_common` found no fault. Thread safe.
 [[nodiscard]] link_keys to_link_keys(const settings& checked);
 
--- a/src/process/configd_admin.cpp
+++ b/src/process/configd_admin.cpp
@@ -1,6 +1,7 @@
 #include "process/configd_admin.h"
 
 #include "process/build_info.h"
+#include "process/common_admin.h"
 
 #include <optional> // optional
 #include <utility>  // move
@@ -84,7 +85,7 @@
 }
 
 admin_server::options to_admin_options(const configd::options& chosen, const configd& process,
-                                       metrics& registry)
+                                       metrics& registry, stop_signal& stop)
 {
     detail::register_metrics(process, registry);
     admin_server::options built;
@@ -97,6 +98,8 @@
              body["failure_domain"] = chosen.failure_domain;
              return admin_answer{200, std::move(body)};
          }});
+    built.routes.push_back(make_drain_route([] { return std::size_t{0}; }, stop));
+    built.routes.push_back(make_validate_route());
     built.is_ready = [&process] { return process.status().in_force != 0; };
     built.registry = &registry;
     return built;
--- a/src/process/configd_admin.h
+++ b/src/process/configd_admin.h
@@ -3,6 +3,7 @@
 #include "process/admin_server.h"
 #include "process/configd.h"
 #include "process/metrics.h"
+#include "process/stop_signal.h"
 
 #include <string> // string
 
@@ -18,6 +19,7 @@
 /// configuration is in force.
 /// @param registry gets the process's metrics; outlives the server
 [[nodiscard]] admin_server::options to_admin_options(const configd::options& chosen,
-                                                     const configd& process, metrics& registry);
+                                                     const configd& process, metrics& registry,
+                                                     stop_signal& stop);
 
 } // namespace hickorykeel
--- a/src/process/dispatch.cpp
+++ b/src/process/dispatch.cpp
@@ -1,5 +1,7 @@
 #include "process/dispatch.h"
 
+#include "process/process_metrics.h"
+
 #include <utility> // move
 
 #include <glog/logging.h>
@@ -23,7 +25,12 @@
     return opened;
 }
 
-dispatch::dispatch(const options&) : m_actors(m_actor_config) {}
+dispatch::dispatch(const options& chosen)
+    : m_actors(m_actor_config), m_registry(chosen.host, chosen.failure_domain),
+      m_telemetry(m_registry, {chosen.trace_address, "hickorykeel-dispatch", chosen.host,
+                               chosen.failure_domain})
+{
+}
 
 dispatch::~dispatch()
 {
@@ -58,8 +65,12 @@
                                        [this](const host_list_ptr& listed) {
                                            caf::anon_send(m_actor, dispatching::new_hosts{listed});
                                        }});
-    m_actor =
-        m_actors.spawn(dispatch_actor, chosen.failure_domain, m_links.get(), m_published.get());
+    m_actor = m_actors.spawn(dispatch_actor,
+                             dispatch_environment{chosen.failure_domain, m_links.get(),
+                                                  m_published.get(), &m_telemetry, chosen.tls});
+    m_registry.before_collect([this, shared = process_metrics{m_registry}]() mutable {
+        shared.refresh(*m_links, *m_published);
+    });
     m_is_open = true;
     m_poller = std::thread([this] { poll(); });
     return std::nullopt;
@@ -72,7 +83,7 @@
     time_point quiet_since = boot_clock::now();
     while (boot_clock::now() - quiet_since < detail::quiet_time) {
         std::this_thread::sleep_for(detail::configuration_poll_interval);
-        if (requests_under_way() > 0) {
+        if (describe().size > 0) {
             quiet_since = boot_clock::now();
         }
     }
@@ -110,13 +121,21 @@
     }
 }
 
-std::size_t dispatch::requests_under_way()
+serving_status dispatch::status()
+{
+    const dispatching::description described = describe();
+    return {described.is_leaving, m_published->current(), m_published->hosts(),
+            described.size - described.waiting, described.waiting};
+}
+
+dispatching::description dispatch::describe()
 {
-    std::size_t count = 0;
+    dispatching::description described;
     caf::scoped_actor self{m_actors};
-    self->request(m_actor, caf::infinite, dispatching::count_requests{})
-        .receive([&](std::size_t answered) { count = answered; }, [](const caf::error&) {});
-    return count;
+    self->request(m_actor, caf::infinite, dispatching::describe{})
+        .receive([&](const dispatching::description& answered) { described = answered; },
+                 [](const caf::error&) {});
+    return described;
 }
 
 } // namespace hickorykeel
--- a/src/process/dispatch.h
+++ b/src/process/dispatch.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "connection/tls_settings.h"
+#include "process/common_admin.h"
 #include "process/dispatch_actor.h"
+#include "process/dispatch_telemetry.h"
 #include "process/error.h"
 
 #include <atomic>   // atomic
@@ -22,6 +25,8 @@
         std::string link_listen;     ///< "ip:port" for other processes
         std::string configd_address; ///< link address of this host's hickorykeel-configd
         link_keys keys;
+        std::string trace_address; ///< collector of spans, "ip:port"; empty: none are sent
+        tls_settings tls;          ///< how endpoints are verified
     };
 
     /// Binds, and starts to follow the configuration.
@@ -44,16 +49,23 @@
     /// Whether a configuration is in force.
     [[nodiscard]] bool is_ready() const;
 
+    /// What administration shows. Waits for the actor.
+    [[nodiscard]] serving_status status();
+
+    [[nodiscard]] const metrics& registry() const noexcept { return m_registry; }
+
 private:
     explicit dispatch(const options& chosen);
 
     std::optional<error> start(const options& chosen);
     void on_message(received_message&& received);
     void poll();
-    std::size_t requests_under_way();
+    dispatching::description describe();
 
     caf::actor_system_config m_actor_config;
     caf::actor_system m_actors;
+    metrics m_registry;
+    dispatch_telemetry m_telemetry;
     std::unique_ptr<messenger> m_links;
     std::unique_ptr<configuration_client> m_published;
     caf::actor m_actor;
--- a/src/process/dispatch_actor.cpp
+++ b/src/process/dispatch_actor.cpp
@@ -88,6 +88,7 @@
     const duration age = received.maximum_age.value_or(duration::zero());
     job->request = std::move(*received.message.mutable_dispatch_request());
     job->id = state.next_job_id++;
+    job->waiting_since = trace_span::clock::now();
     job->request_id = to_request_id(*state.links, job->id);
     job->start_by = arrived + std::chrono::milliseconds{job->request.start_within_ms()} - age;
     job->deadline = arrived + std::chrono::milliseconds{job->request.deadline_ms()};
@@ -149,10 +150,29 @@
 void ask_loads(actor_t* self)
 {
     for (const dispatcher::observed_endpoint& each : self->state.decisions->observed()) {
-        caf::anon_send(take_worker(self), working::ask_load{each.target_name, each.where});
+        caf::anon_send(take_worker(self),
+                       working::ask_load{each.target_name, each.where, self->state.tls});
     }
 }
 
+void begin_attempt(actor_t* self, dispatch_attempt&& attempt)
+{
+    dispatch_state& state = self->state;
+    state.telemetry->on_taken(*attempt.job);
+    attempt.observer = state.telemetry;
+    attempt.call->set_tls(state.tls);
+    caf::anon_send(take_worker(self), working::run{std::move(attempt)});
+}
+
+dispatching::description describe(const dispatch_state& state)
+{
+    dispatching::description described{state.decisions->size(), 0, state.is_leaving};
+    for (const link::target_load& load : state.decisions->loads()) {
+        described.waiting += load.queued();
+    }
+    return described;
+}
+
 void on_tick(actor_t* self)
 {
     dispatch_state& state = self->state;
@@ -164,6 +184,7 @@
     }
     if (state.ticks % ticks_between_reports == 0) {
         ask_loads(self);
+        state.telemetry->set_state(state.decisions->loads(), state.decisions->endpoint_statuses());
     }
     self->delayed_send(self, tick_interval, dispatching::tick{});
 }
@@ -178,18 +199,19 @@
 
 } // namespace detail
 
-caf::behavior dispatch_actor(caf::stateful_actor<dispatch_state>* self, std::string failure_domain,
-                             messenger* links, configuration_client* published)
+caf::behavior dispatch_actor(caf::stateful_actor<dispatch_state>* self,
+                             dispatch_environment provided)
 {
     dispatch_state& state = self->state;
-    state.failure_domain = failure_domain;
-    state.links = links;
+    configuration_client* published = provided.published;
+    state.failure_domain = provided.failure_domain;
+    state.links = provided.links;
     state.published = published;
+    state.telemetry = provided.telemetry;
+    state.tls = std::move(provided.tls);
     state.decisions = std::make_unique<dispatcher>(
-        std::move(failure_domain),
-        [self](dispatch_attempt attempt) {
-            caf::anon_send(detail::take_worker(self), working::run{std::move(attempt)});
-        },
+        std::move(provided.failure_domain),
+        [self](dispatch_attempt attempt) { detail::begin_attempt(self, std::move(attempt)); },
         [published] { return published->current(); }, std::random_device{}());
     self->delayed_send(self, detail::tick_interval, dispatching::tick{});
     return {
@@ -218,7 +240,7 @@
         },
         [self](const dispatching::tick&) { detail::on_tick(self); },
         [self](const dispatching::leave&) { self->state.is_leaving = true; },
-        [self](const dispatching::count_requests&) { return self->state.decisions->size(); },
+        [self](const dispatching::describe&) { return detail::describe(self->state); },
     };
 }
 
--- a/src/process/dispatch_actor.h
+++ b/src/process/dispatch_actor.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "connection/messenger.h"
+#include "connection/tls_settings.h"
 #include "process/configuration_client.h"
+#include "process/dispatch_telemetry.h"
 #include "process/dispatcher.h"
 
+#include <cstddef>       // size_t
 #include <cstdint>       // uint64_t
 #include <map>           // map
 #include <memory>        // unique_ptr
@@ -55,16 +58,34 @@
 /// Leaving begins; new requests are still taken.
 struct leave {};
 
-/// Asks for the number of requests under way.
-struct count_requests {};
+/// Asks for a description.
+struct describe {};
+
+/// What is under way.
+struct description {
+    std::size_t size = 0;    ///< requests that wait or run
+    std::size_t waiting = 0; ///< requests
+    bool is_leaving = false;
+};
 
 } // namespace dispatching
 
+/// What a process provides to its actor; all outlives it.
+struct dispatch_environment {
+    std::string failure_domain;
+    messenger* links = nullptr;
+    configuration_client* published = nullptr;
+    dispatch_telemetry* telemetry = nullptr;
+    tls_settings tls; ///< how endpoints are verified
+};
+
 /// State of the actor.
 struct dispatch_state {
     std::string failure_domain;
     messenger* links = nullptr;
     configuration_client* published = nullptr;
+    dispatch_telemetry* telemetry = nullptr;
+    tls_settings tls;
     std::unique_ptr<dispatcher> decisions;
     std::vector<caf::actor> idle_workers;
     std::map<std::string, std::uint64_t> jobs_by_question; ///< "route correlation" to job
@@ -76,8 +97,8 @@
 };
 
 /// Behaviour of the actor; messages are structs of `dispatching`.
-caf::behavior dispatch_actor(caf::stateful_actor<dispatch_state>* self, std::string failure_domain,
-                             messenger* links, configuration_client* published);
+caf::behavior dispatch_actor(caf::stateful_actor<dispatch_state>* self,
+                             dispatch_environment provided);
 
 } // namespace hickorykeel
 
@@ -89,4 +110,6 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::dispatching::endpoint_report)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::dispatching::tick)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::dispatching::leave)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::dispatching::count_requests)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::dispatching::describe)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::dispatching::description)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(hickorykeel::dispatch_environment)
--- /dev/null
+++ b/src/process/dispatch_admin.cpp
@@ -0,0 +1,33 @@
+#include "process/dispatch_admin.h"
+
+#include "process/common_admin.h"
+
+#include <optional> // nullopt
+
+namespace hickorykeel {
+
+admin_server::options to_admin_options(const dispatch::options& chosen, dispatch& process,
+                                       stop_signal& stop)
+{
+    const process_identity who{"hickorykeel-dispatch", chosen.host, chosen.failure_domain,
+                               boot_clock::now()};
+    admin_server::options built;
+    built.registry = &process.registry();
+    built.is_ready = [&process] { return process.is_ready(); };
+    built.routes = {
+        {admin_method::get, "/admin/v1/status",
+         [who, &process](const admin_request&) {
+             return admin_answer{200, to_json(who, process.status(), boot_clock::now())};
+         }},
+        {admin_method::get, "/admin/v1/hosts",
+         [&process](const admin_request&) {
+             const auto never = [](const host&) { return std::nullopt; };
+             return admin_answer{200, to_json(process.status().hosts, never, boot_clock::now())};
+         }},
+        make_drain_route([&process] { return process.status().running; }, stop),
+        make_validate_route(),
+    };
+    return built;
+}
+
+} // namespace hickorykeel
--- a/src/process/dispatch_directory.cpp
+++ b/src/process/dispatch_directory.cpp
@@ -102,6 +102,16 @@
            now - found->second.last_heard < silence_limit;
 }
 
+std::optional<time_point> dispatch_directory::last_heard(const std::string& address) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_peers.find(address);
+    if (found == m_peers.end() || found->second.incarnation == 0) {
+        return std::nullopt;
+    }
+    return found->second.last_heard;
+}
+
 bool dispatch_directory::is_any_ready(time_point now) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/process/dispatch_directory.h
+++ b/src/process/dispatch_directory.h
@@ -70,6 +70,9 @@
     /// Whether the dispatch process at `address` was heard within the silence limit.
     [[nodiscard]] bool is_alive(const std::string& address, time_point now) const;
 
+    /// When the dispatch process at `address` was last heard; nothing: never.
+    [[nodiscard]] std::optional<time_point> last_heard(const std::string& address) const;
+
     /// Whether any dispatch process can take requests.
     [[nodiscard]] bool is_any_ready(time_point now) const;
 
--- a/src/process/dispatch_job.cpp
+++ b/src/process/dispatch_job.cpp
@@ -31,7 +31,9 @@
 
 } // namespace detail
 
-attempt_result run_attempt(const dispatch_attempt& attempt)
+namespace {
+
+attempt_result call_endpoint(const dispatch_attempt& attempt, const std::string& traceparent)
 {
     attempt_result result;
     dispatch_job& job = *attempt.job;
@@ -45,13 +47,14 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(job.deadline - boot_clock::now());
     bool is_turned_away = false;
     const auto outcome = attempt.call->run(
-        job.request, job.request_id, std::max(budget, std::chrono::milliseconds{1}),
+        job.request, {job.request_id, traceparent}, std::max(budget, std::chrono::milliseconds{1}),
         [&](int status, const std::vector<link::header>& headers) {
             if (job.request.idempotent() && detail::is_retryable_status(status)) {
                 is_turned_away = true;
                 return false;
             }
             result.has_head = true;
+            result.status = status;
             attempt.on_head();
             link::dispatch_event event;
             event.set_kind(link::dispatch_event::kind_head);
@@ -83,4 +86,20 @@
     return result;
 }
 
+} // namespace
+
+attempt_result run_attempt(const dispatch_attempt& attempt)
+{
+    if (attempt.observer == nullptr) {
+        return call_endpoint(attempt, attempt.job->request.traceparent());
+    }
+    const auto begun = trace_span::clock::now();
+    const span_place place = attempt.observer->begin_call(*attempt.job);
+    const bool is_traced = place.context != trace_context{};
+    const attempt_result result =
+        call_endpoint(attempt, is_traced ? to_traceparent(place.context) : std::string{});
+    attempt.observer->end_call(attempt, place, begun, result);
+    return result;
+}
+
 } // namespace hickorykeel
--- a/src/process/dispatch_job.h
+++ b/src/process/dispatch_job.h
@@ -3,6 +3,8 @@
 #include "connection/endpoint_call.h"
 #include "connection/event_sender.h"
 #include "process/clock.h"
+#include "process/span_place.h"
+#include "process/trace_exporter.h"
 #include "request/refusal.h"
 
 #include <atomic>     // atomic
@@ -30,11 +32,14 @@
     std::shared_ptr<endpoint_call> call; ///< while a worker runs it
     std::size_t endpoint_index = 0;
     std::string endpoint_name;
+    trace_span::clock::time_point waiting_since; ///< this time in the queue
     time_point sent{};
     bool is_cancelled = false;
     bool may_have_run = false; ///< an earlier attempt may have
 };
 
+class attempt_observer;
+
 /// One attempt, as a worker runs it.
 struct dispatch_attempt {
     std::shared_ptr<dispatch_job> job;
@@ -44,6 +49,7 @@
     std::function<std::optional<refusal>()> last_check;
     /// Told when the endpoint's answer begins.
     std::function<void()> on_head;
+    attempt_observer* observer = nullptr; ///< outlives the attempt; null: none
 };
 
 /// How an attempt ended.
@@ -57,9 +63,27 @@
     refusal why{refusal_code::endpoint_failed, ran_state::unknown, "", "", "", {}};
     bool has_head = false; ///< part of the answer was passed on
     bool is_endpoint_at_fault = true;
+    int status = 0; ///< of the answer; 0: none began
     std::uint64_t used_tokens = 0;
 };
 
+/// Told of each call of an endpoint. Thread safety: called from several threads.
+class attempt_observer {
+public:
+    attempt_observer() = default;
+    attempt_observer(const attempt_observer&) = delete;
+    attempt_observer& operator=(const attempt_observer&) = delete;
+    attempt_observer(attempt_observer&&) = delete;
+    attempt_observer& operator=(attempt_observer&&) = delete;
+    virtual ~attempt_observer() = default;
+
+    /// Place of the call's span, which the endpoint is told; of no trace: nothing is told.
+    [[nodiscard]] virtual span_place begin_call(const dispatch_job& job) const = 0;
+
+    virtual void end_call(const dispatch_attempt& attempt, const span_place& place,
+                          trace_span::clock::time_point begun, const attempt_result& result) = 0;
+};
+
 /// Runs one attempt: last check, call, events to the entry process. Blocks until it ended.
 /// Thread safety: one attempt of a job at a time.
 [[nodiscard]] attempt_result run_attempt(const dispatch_attempt& attempt);
--- a/src/process/dispatch_worker.cpp
+++ b/src/process/dispatch_worker.cpp
@@ -13,9 +13,10 @@
 
 constexpr std::chrono::milliseconds load_timeout{500};
 
-std::optional<load_report> ask_load(const endpoint& where)
+std::optional<load_report> ask_load(const endpoint& where, const tls_settings& tls)
 {
     httplib::Client client((where.uses_tls ? "https://" : "http://") + where.address);
+    prepare_client(client, tls);
     client.set_connection_timeout(load_timeout);
     client.set_read_timeout(load_timeout);
     const auto answer = client.Get("/v1/load");
@@ -49,13 +50,16 @@
                 caf::anon_send(owner, dispatching::attempt_head{id});
             };
             attempt_result result = run_attempt(order.attempt);
+            // should it wait once more
+            order.attempt.job->waiting_since = trace_span::clock::now();
             caf::anon_send(owner, dispatching::attempt_end{id, std::move(result),
                                                            caf::actor_cast<caf::actor>(self)});
         },
         [self, owner](const working::ask_load& order) {
-            caf::anon_send(owner, dispatching::endpoint_report{order.target_name, order.where.name,
-                                                               detail::ask_load(order.where),
-                                                               caf::actor_cast<caf::actor>(self)});
+            caf::anon_send(owner,
+                           dispatching::endpoint_report{order.target_name, order.where.name,
+                                                        detail::ask_load(order.where, order.tls),
+                                                        caf::actor_cast<caf::actor>(self)});
         },
     };
 }
--- a/src/process/dispatch_worker.h
+++ b/src/process/dispatch_worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/tls_settings.h"
 #include "process/dispatch_job.h"
 #include "process/routing/endpoint_table.h"
 #include "version/configuration.h"
@@ -20,6 +21,7 @@
 struct ask_load {
     std::string target_name;
     endpoint where;
+    tls_settings tls; ///< how it is verified
 };
 
 } // namespace working
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -86,6 +86,15 @@
     };
     [[nodiscard]] std::vector<observed_endpoint> observed() const;
 
+    /// Circuit breaker of each listed endpoint.
+    struct endpoint_status {
+        std::string target_name;
+        std::string endpoint_name;
+        breaker_state breaker = breaker_state::closed;
+        std::uint32_t in_flight = 0;
+    };
+    [[nodiscard]] std::vector<endpoint_status> endpoint_statuses() const;
+
     /// Requests queued or running.
     [[nodiscard]] std::size_t size() const noexcept { return m_jobs.size(); }
 
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -1,6 +1,8 @@
 #include "process/entry.h"
 
+#include "connection/own_port.h"
 #include "process/admission_actor.h"
+#include "process/process_metrics.h"
 #include "request/caller_request.h"
 
 #include <random>  // random_device
@@ -95,6 +97,10 @@
 {
     m_context.actors = &m_actors;
     m_context.ticket_life = chosen.ticket_life;
+    if (!chosen.trace_address.empty()) {
+        m_context.spans = std::make_unique<trace_exporter>(trace_exporter::options{
+            chosen.trace_address, "hickorykeel-entry", chosen.host, chosen.failure_domain});
+    }
     auto links =
         messenger::open({chosen.host + "/entry", chosen.link_listen, chosen.keys, 0},
                         [this](received_message&& received) { on_message(std::move(received)); });
@@ -111,13 +117,40 @@
         configuration_client::handlers{
             [this](const configuration_ptr& in_force) { on_configuration(in_force); },
             [this](const host_list_ptr& listed) { on_hosts(listed); }});
+    register_gauges();
     m_is_open = true;
     m_poller = std::thread([this] { poll_peers(); });
     return bind_http(chosen);
 }
 
+void entry::register_gauges()
+{
+    metrics& registry = m_context.registry;
+    auto under_way = registry.gauges("hickorykeel_requests_under_way", "Requests being served");
+    registry.before_collect([this, under_way, shared = process_metrics{registry}]() mutable {
+        under_way.with({}).Set(static_cast<double>(m_context.under_way));
+        shared.refresh(*m_context.links, *m_context.published);
+    });
+}
+
+std::vector<account_status> entry::limits()
+{
+    std::vector<account_status> all;
+    caf::scoped_actor self{m_actors};
+    self->request(m_context.admission, caf::infinite, admission::describe_limits{})
+        .receive([&](const admission::limits_description& described) { all = described; },
+                 [](const caf::error&) {});
+    return all;
+}
+
 std::optional<error> entry::bind_http(const options& chosen)
 {
+    auto made = to_server(chosen.tls);
+    if (auto* failure = std::get_if<error>(&made)) {
+        return *failure;
+    }
+    m_server = std::move(std::get<0>(made));
+    own_port(*m_server);
     const std::size_t threads = chosen.http_threads;
     m_server->new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
     m_server->set_payload_max_length(chosen.maximum_body_bytes);
--- a/src/process/entry.h
+++ b/src/process/entry.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "connection/tls_settings.h"
 #include "process/caller_api.h"
 #include "process/entry_context.h"
 #include "process/error.h"
+#include "process/limits/limiter.h"
 
 #include <atomic>   // atomic
 #include <cstddef>  // size_t
@@ -10,6 +12,7 @@
 #include <optional> // optional
 #include <string>   // string
 #include <thread>   // thread
+#include <vector>   // vector
 
 #include <caf/all.hpp>
 
@@ -31,6 +34,8 @@
         std::size_t http_threads = 256; ///< connections served at once
         std::size_t maximum_body_bytes = 4U << 20U;
         duration ticket_life = std::chrono::minutes{5};
+        std::string trace_address; ///< collector of spans, "ip:port"; empty: none are sent
+        tls_settings tls;
     };
 
     /// Binds, and starts to follow the configuration and the dispatch processes.
@@ -55,7 +60,11 @@
 
     [[nodiscard]] entry_context& context() noexcept { return m_context; }
 
+    /// This host's view of all accounts. Waits for the limiter.
+    [[nodiscard]] std::vector<account_status> limits();
+
 private:
+    void register_gauges();
     explicit entry(const options& chosen);
 
     std::optional<error> start(const options& chosen);
--- a/src/process/entry_context.h
+++ b/src/process/entry_context.h
@@ -4,6 +4,9 @@
 #include "connection/messenger.h"
 #include "process/configuration_client.h"
 #include "process/dispatch_directory.h"
+#include "process/metrics.h"
+#include "process/request_record.h"
+#include "process/trace_exporter.h"
 #include "request/ticket.h"
 
 #include <atomic>  // atomic
@@ -23,7 +26,7 @@
     entry_context(std::string own_host, std::string own_failure_domain,
                   const std::string& dispatch_address)
         : host(std::move(own_host)), failure_domain(std::move(own_failure_domain)),
-          directory(host, failure_domain, dispatch_address)
+          registry(host, failure_domain), directory(host, failure_domain, dispatch_address)
     {
     }
 
@@ -31,6 +34,10 @@
     const std::string failure_domain;
     duration ticket_life = std::chrono::minutes{5};
 
+    metrics registry;
+    entry_metrics counts{registry};
+    std::unique_ptr<trace_exporter> spans; ///< null: none are sent
+
     dispatch_directory directory;
     exchange_table exchanges;
     std::unique_ptr<messenger> links;
@@ -41,6 +48,13 @@
     std::atomic<bool> is_leaving{false};
     std::atomic<bool> is_accruing{false};  ///< the limiter's buckets fill
     std::atomic<std::size_t> under_way{0}; ///< requests that are being served
+
+    /// Whether requests can be served now.
+    [[nodiscard]] bool is_ready() const
+    {
+        return !is_leaving && published->current() && published->hosts() &&
+               directory.is_any_ready(boot_clock::now()) && is_accruing;
+    }
 };
 
 } // namespace hickorykeel
--- a/src/process/served_request.cpp
+++ b/src/process/served_request.cpp
@@ -34,8 +34,10 @@
 served_request::served_request(entry_context& shared, caller_request request,
                                std::function<bool()> is_caller_connected)
     : m_shared(shared), m_request(std::move(request)),
+      m_told(shared.counts, shared.spans.get(), m_request.traceparent),
       m_is_caller_connected(std::move(is_caller_connected))
 {
+    m_request.traceparent = m_told.traceparent();
     ++m_shared.under_way;
 }
 
@@ -47,11 +49,34 @@
     }
     // the caller went away before the end
     settle_reservation(tokens_so_far());
+    if (m_runner) {
+        m_told.on_attempts(m_runner->attempts());
+    }
     m_runner.reset();
     --m_shared.under_way;
 }
 
 served_request::opening served_request::open()
+{
+    opening opened = run();
+    record_opening(opened);
+    return opened;
+}
+
+void served_request::record_opening(const opening& opened)
+{
+    if (const auto* why = std::get_if<refusal>(&opened)) {
+        m_told.on_refused(*why);
+    }
+    else if (const auto* whole = std::get_if<whole_answer>(&opened)) {
+        m_told.on_whole(whole->is_repeat);
+    }
+    else {
+        m_told.on_stream();
+    }
+}
+
+served_request::opening served_request::run()
 {
     if (auto refused = prepare()) {
         return *refused;
@@ -80,8 +105,10 @@
                  [](const caf::error&) {});
     m_reservation = answered.reservation;
     if (m_reservation != 0) {
+        m_told.on_reserved(m_admitted.reserved_tokens);
         return std::nullopt;
     }
+    m_told.on_reservation_refused();
     return refusal{refusal_code::over_limit,
                    ran_state::no,
                    "reserve",
@@ -94,9 +121,9 @@
 void served_request::settle_reservation(std::uint64_t used_tokens)
 {
     if (m_reservation != 0) {
-        caf::anon_send(
-            m_shared.admission,
-            admission::settle{m_reservation, std::min(used_tokens, m_admitted.reserved_tokens)});
+        const std::uint64_t charged = std::min(used_tokens, m_admitted.reserved_tokens);
+        caf::anon_send(m_shared.admission, admission::settle{m_reservation, charged});
+        m_told.on_used(charged);
         m_reservation = 0;
     }
 }
@@ -123,6 +150,7 @@
     }
     m_admitted = std::move(std::get<admitted_request>(outcome));
     m_deadline = boot_clock::now() + m_admitted.deadline;
+    m_told.on_admitted(m_admitted);
     return std::nullopt;
 }
 
@@ -138,6 +166,7 @@
             "the profile is not idempotent: use a ticket of GET /v1/hosts as Idempotency-Key");
     }
     if (auto refused = check_ticket(*parsed)) {
+        m_shared.counts.tickets.with({"refused"}).Increment();
         return *refused;
     }
     caf::scoped_actor self{*m_shared.actors};
@@ -153,9 +182,19 @@
     if (!early) {
         m_ticket = parsed;
     }
+    m_shared.counts.tickets.with({to_ticket_event(early)}).Increment();
     return early;
 }
 
+std::string_view
+served_request::to_ticket_event(const std::optional<std::variant<whole_answer, refusal>>& early)
+{
+    if (!early) {
+        return "first_use";
+    }
+    return std::holds_alternative<whole_answer>(*early) ? "repeat" : "refused";
+}
+
 std::optional<refusal> served_request::check_ticket(const ticket& presented)
 {
     if (!m_shared.mint->verify(m_request.idempotency_key)) {
@@ -242,6 +281,7 @@
         return *why;
     }
     const auto& head = std::get<request_runner::answer_head>(first);
+    m_told.on_first_byte();
     if (!m_admitted.is_stream) {
         return read_whole(head);
     }
@@ -286,6 +326,7 @@
 {
     request_runner::step step = m_runner->next();
     if (const auto* why = std::get_if<refusal>(&step)) {
+        m_told.on_refused(*why);
         settle(*why);
         return *why;
     }
@@ -298,6 +339,7 @@
     }
     settle_reservation(to_used(std::get<request_runner::answer_end>(step)));
     record(*m_stream_record);
+    m_told.on_whole(false);
     return stream_end{};
 }
 
--- a/src/process/served_request.h
+++ b/src/process/served_request.h
@@ -1,17 +1,19 @@
 #pragma once
 
 #include "process/entry_context.h"
+#include "process/request_record.h"
 #include "process/request_runner.h"
 #include "process/ticket_book.h"
 #include "request/caller_request.h"
 
-#include <cstddef>    // size_t
-#include <cstdint>    // uint64_t
-#include <functional> // function
-#include <memory>     // unique_ptr
-#include <optional>   // optional
-#include <string>     // string
-#include <variant>    // variant
+#include <cstddef>     // size_t
+#include <cstdint>     // uint64_t
+#include <functional>  // function
+#include <memory>      // unique_ptr
+#include <optional>    // optional
+#include <string>      // string
+#include <string_view> // string_view
+#include <variant>     // variant
 
 namespace hickorykeel {
 
@@ -54,10 +56,14 @@
     chunk next_chunk();
 
 private:
+    opening run();
+    void record_opening(const opening& opened);
     std::optional<refusal> prepare();
     std::optional<std::variant<whole_answer, refusal>> take_ticket();
     std::optional<std::variant<whole_answer, refusal>>
     to_opening(const ticket_book::verdict& verdict);
+    static std::string_view
+    to_ticket_event(const std::optional<std::variant<whole_answer, refusal>>& early);
     std::optional<refusal> check_ticket(const ticket& presented);
     void start();
     opening read_head();
@@ -72,6 +78,7 @@
 
     entry_context& m_shared;
     caller_request m_request;
+    request_record m_told;
     std::function<bool()> m_is_caller_connected;
     configuration_ptr m_in_force;
     admitted_request m_admitted;
--- a/src/programs/configd.cpp
+++ b/src/programs/configd.cpp
@@ -4,7 +4,6 @@
 
 #include <cstdlib>  // EXIT_FAILURE, EXIT_SUCCESS
 #include <iostream> // cout, cerr
-#include <utility>  // move
 
 namespace {
 
@@ -30,10 +29,7 @@
     }
     const configd& process = *std::get<0>(opened);
     metrics registry{wanted.host, wanted.failure_domain};
-    auto administration = to_admin_options(wanted, process, registry);
-    administration.listen = chosen.text("admin", "listen");
-    administration.key_digest = chosen.text("admin", "key_digest");
-    const auto server = admin_server::open(std::move(administration));
+    const auto server = open_admin(chosen, to_admin_options(wanted, process, registry, stop));
     if (const auto* failure = std::get_if<error>(&server)) {
         std::cerr << failure->to_string() << '\n';
         return EXIT_FAILURE;
--- a/src/request/caller_request.cpp
+++ b/src/request/caller_request.cpp
@@ -195,21 +195,6 @@
     return std::nullopt;
 }
 
-// see docs/design/limits.md for the names of accounts
-void name_accounts(admitted_request& admitted)
-{
-    const profile& matched = *admitted.matched_profile;
-    if (matched.is_open) {
-        admitted.accounts.push_back("open:" + matched.name);
-    }
-    else if (matched.rate > 0) {
-        admitted.accounts.push_back(admitted.organisation + '/' + matched.name);
-    }
-    if (!admitted.organisation.empty()) {
-        admitted.accounts.push_back(admitted.organisation);
-    }
-}
-
 } // namespace detail
 
 std::variant<admitted_request, refusal> admit(const configuration& in_force,
@@ -247,10 +232,25 @@
     if (refused) {
         return *refused;
     }
-    detail::name_accounts(admitted);
+    admitted.accounts = name_accounts(*admitted.matched_profile, admitted.organisation);
     return admitted;
 }
 
+std::vector<account_name> name_accounts(const profile& matched, const std::string& organisation)
+{
+    std::vector<account_name> accounts;
+    if (matched.is_open) {
+        accounts.push_back("open:" + matched.name);
+    }
+    else if (matched.rate > 0) {
+        accounts.push_back(organisation + '/' + matched.name);
+    }
+    if (!organisation.empty()) {
+        accounts.push_back(organisation);
+    }
+    return accounts;
+}
+
 std::optional<refusal> check_still_allowed(const configuration& in_force,
                                            const std::string& organisation,
                                            const std::string& key_digest,
--- a/src/request/caller_request.h
+++ b/src/request/caller_request.h
@@ -57,6 +57,11 @@
 [[nodiscard]] std::variant<admitted_request, refusal> admit(const configuration& in_force,
                                                             const caller_request& request);
 
+/// Accounts that a request of `organisation` (empty: none) with `matched` is charged to; see
+/// docs/design/limits.md. Pure; thread safe.
+[[nodiscard]] std::vector<account_name> name_accounts(const profile& matched,
+                                                      const std::string& organisation);
+
 /// Whether a request admitted earlier is still allowed: key, profile and target still published.
 /// Pure; thread safe.
 [[nodiscard]] std::optional<refusal> check_still_allowed(const configuration& in_force,
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -3,13 +3,16 @@
 #include "support/free_port.h"
 #include "support/socket_owner.h"
 #include "support/wait_for.h"
+#include "version/check.h"
 
+#include <array>   // array
 #include <cstdlib> // mkdtemp
 #include <fstream> // ifstream, ofstream
 #include <sstream> // ostringstream
 #include <utility> // move
 
 #include <httplib.h>
+#include <zmq.h> // zmq_curve_keypair
 
 namespace hickorykeel::tests {
 
@@ -74,6 +77,12 @@
       m_entries(detail::read_sample(m_options.sample, "entries.json")),
       m_keys(detail::read_sample(m_options.sample, "keys.json")), m_platform_address(free_address())
 {
+    for (const auto& [name, key] : m_options.further_keys) {
+        m_keys[name] = key;
+    }
+    if (m_options.is_link_encrypted) {
+        make_link_keys();
+    }
     if (m_options.adjust) {
         m_options.adjust(m_entries);
     }
@@ -135,6 +144,40 @@
     return m_entries;
 }
 
+const std::vector<std::string>& fleet::process_names() const noexcept
+{
+    return m_order;
+}
+
+std::string fleet::admin_key()
+{
+    return "sample-key-of-operators";
+}
+
+const std::string& fleet::link_secret_key() const noexcept
+{
+    return m_link_secret_key;
+}
+
+void fleet::make_link_keys()
+{
+    constexpr std::size_t z85_key_size = 41; // with the closing zero
+    std::array<char, z85_key_size> public_key{};
+    std::array<char, z85_key_size> secret_key{};
+    zmq_curve_keypair(public_key.data(), secret_key.data());
+    m_link_public_key = public_key.data();
+    m_link_secret_key = secret_key.data();
+}
+
+std::string fleet::link_section(const std::string& address) const
+{
+    std::string text = "[link]\nlisten = " + address + '\n';
+    if (!m_link_secret_key.empty()) {
+        text += "public_key = " + m_link_public_key + "\nsecret_key = " + m_link_secret_key + '\n';
+    }
+    return text;
+}
+
 http_caller fleet::caller(std::size_t host, const std::string& organisation) const
 {
     const std::string key = organisation.empty() ? "" : m_keys.value(organisation, "");
@@ -188,7 +231,7 @@
 bool fleet::wait_until_ready(std::size_t host) const
 {
     return wait_for([&] {
-        httplib::Client client{"http://" + m_hosts.at(host).caller_address};
+        httplib::Client client{"http://" + m_hosts.at(host).admin_addresses.at("entry")};
         const httplib::Result answer = client.Get("/readyz");
         return answer && answer->status == 200;
     });
@@ -359,8 +402,16 @@
         const auto& [link_address, own_sections] = parts.at(part);
         std::ostringstream text;
         text << "[process]\nhost = " << item.name << "\nfailure_domain = " << item.failure_domain
-             << "\n[link]\nlisten = " << link_address << '\n'
-             << own_sections << "[admin]\nlisten = " << item.admin_addresses.at(part) << '\n';
+             << '\n'
+             << link_section(link_address) << own_sections
+             << "[admin]\nlisten = " << item.admin_addresses.at(part)
+             << "\nkey_digest = " << to_key_digest(admin_key()) << '\n';
+        if (!m_options.trace_address.empty()) {
+            text << "[trace]\notlp = " << m_options.trace_address << '\n';
+        }
+        if (std::string_view{part} != "configd") {
+            text << m_options.own_settings;
+        }
         const std::string file = write_file(item.name + '-' + part + ".ini", text.str());
         add(item.name + '/' + part, std::string{"hickorykeel-"} + part, {"--settings", file},
             item.failure_domain);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -25,6 +25,10 @@
     bool has_relays = false; ///< links between processes and to the platform can be cut
     std::vector<std::string> engine_arguments;                ///< further ones of every engine
     std::function<void(nlohmann::json& entries)> adjust = {}; ///< changes what is published first
+    std::string trace_address;      ///< collector of every process's spans; empty: none
+    bool is_link_encrypted = false; ///< all processes share one pair of CURVE keys
+    std::string own_settings;       ///< further sections of every entry and dispatch process
+    std::map<std::string, std::string> further_keys = {}; ///< keys of organisations, by name
 };
 
 /// One host of a fleet; the addresses are those the programs listen at.
@@ -65,6 +69,15 @@
     [[nodiscard]] std::vector<std::string> failure_domains() const;
     [[nodiscard]] const nlohmann::json& entries() const noexcept; ///< as published last
 
+    /// Names of all processes, in the order of their start.
+    [[nodiscard]] const std::vector<std::string>& process_names() const noexcept;
+
+    /// Key of every process's administration.
+    [[nodiscard]] static std::string admin_key();
+
+    /// The CURVE secret key; empty: links are not encrypted.
+    [[nodiscard]] const std::string& link_secret_key() const noexcept;
+
     /// A caller at host number `host` with the key of `organisation` (empty: none).
     [[nodiscard]] http_caller caller(std::size_t host, const std::string& organisation) const;
 
@@ -130,6 +143,8 @@
     void add_endpoints();
     void add_platform();
     void add_host(const fleet_host& item);
+    [[nodiscard]] std::string link_section(const std::string& address) const;
+    void make_link_keys();
     void add(const std::string& name, const std::string& program_name,
              std::vector<std::string> arguments, const std::string& failure_domain);
     std::string listed(const std::string& address) const;
@@ -146,6 +161,8 @@
     nlohmann::json m_entries;
     nlohmann::json m_keys;
     std::string m_platform_address;
+    std::string m_link_public_key; // both empty: not encrypted
+    std::string m_link_secret_key;
     std::vector<fleet_host> m_hosts;
     std::vector<std::string> m_order; // of starting
     std::map<std::string, program> m_programs;
