--- a/src/process/entry_context.h
+++ b/src/process/entry_context.h
@@ -5,6 +5,9 @@
 #include "process/configuration_client.h"
 #include "process/dispatch_directory.h"
 #include "process/entry_router.h"
+#include "process/metrics.h"
+#include "process/request_record.h"
+#include "process/trace_exporter.h"
 #include "request/ticket.h"
 
 #include <atomic>  // atomic
@@ -25,7 +28,7 @@
     entry_context(std::string own_host, std::string own_failure_domain,
                   const std::string& dispatch_address)
         : host(std::move(own_host)), failure_domain(std::move(own_failure_domain)),
-          directory(host, failure_domain, dispatch_address),
+          registry(host, failure_domain), directory(host, failure_domain, dispatch_address),
           router(directory, failure_domain, std::random_device{}())
     {
     }
@@ -34,6 +37,10 @@
     const std::string failure_domain;
     duration ticket_life = std::chrono::minutes{5};
 
+    metrics registry;
+    entry_metrics counts{registry};
+    std::unique_ptr<trace_exporter> spans; ///< null: none are sent
+
     dispatch_directory directory;
     entry_router router;
     exchange_table exchanges;
@@ -45,6 +52,13 @@
     std::atomic<bool> is_leaving{false};
     std::atomic<bool> is_accruing{false};  ///< the limiter's buckets fill
     std::atomic<std::size_t> under_way{0}; ///< requests that are being served
+
+    /// Whether requests can be served now.
+    [[nodiscard]] bool is_ready() const
+    {
+        return !is_leaving && published->current() && published->hosts() &&
+               directory.is_any_ready(boot_clock::now()) && is_accruing;
+    }
 };
 
 } // namespace hickorykeel
