Don't begin a ticket whose record has expired

Cause: served_request checks the expiry, then asks the admission actor, which removes expired records before it looks the ticket up. A repeat that was held up between the two (a pause, a long mailbox) over the moment of expiry found no record and ran a second time. Now a ticket without a record that has expired is refused as ticket_expired, ran: unknown; one that still runs is answered as before.

--- a/src/process/served_request.cpp
+++ b/src/process/served_request.cpp
@@ -156,6 +156,10 @@
         return detail::ticket_refusal(refusal_code::overloaded, ran_state::no, "",
                                       "no room to remember one more ticket");
     }
+    if (std::holds_alternative<ticket_book::has_expired>(verdict)) {
+        return detail::ticket_refusal(refusal_code::ticket_expired, ran_state::unknown, "",
+                                      "the ticket has expired");
+    }
     return detail::ticket_refusal(refusal_code::endpoint_failed, ran_state::unknown, "",
                                   "the first use of the ticket ended without an answer");
 }
--- a/src/process/ticket_book.cpp
+++ b/src/process/ticket_book.cpp
@@ -10,6 +10,10 @@
     expire(now);
     const auto found = m_records.find(id);
     if (found == m_records.end()) {
+        // the caller checked the expiry earlier; since then the record may have gone
+        if (expiry <= now) {
+            return has_expired{};
+        }
         if (m_records.size() >= m_capacity) {
             return is_full{};
         }
--- a/src/process/ticket_book.h
+++ b/src/process/ticket_book.h
@@ -33,8 +33,10 @@
     struct may_have_run {}; ///< it was begun and its outcome is not known
     struct body_differs {}; ///< the ticket was used for another request
     struct is_full {};      ///< no room to remember one more
+    struct has_expired {};  ///< it may have run: its record may be gone
     using has_run = std::shared_ptr<const recorded_answer>;
-    using verdict = std::variant<may_run, is_running, may_have_run, body_differs, is_full, has_run>;
+    using verdict = std::variant<may_run, is_running, may_have_run, body_differs, is_full,
+                                 has_expired, has_run>;
 
     explicit ticket_book(std::size_t capacity = default_capacity) : m_capacity(capacity) {}
 
--- a/tests/process/ticket_book_test.cpp
+++ b/tests/process/ticket_book_test.cpp
@@ -44,6 +44,15 @@
         CHECK(std::holds_alternative<ticket_book::may_run>(book.begin("t", at(60), "f", at(1))));
     }
 
+    SUBCASE("an expired ticket does not run, as its record may be gone")
+    {
+        book.finish("t", {201, "application/json", "{}", "b-1"});
+        const auto late = book.begin("t", at(60), "f", at(60));
+        CHECK_FALSE(std::holds_alternative<ticket_book::may_run>(late));
+        const auto later = book.begin("t", at(60), "f", at(61));
+        CHECK_FALSE(std::holds_alternative<ticket_book::may_run>(later));
+    }
+
     SUBCASE("another request under the same ticket is refused")
     {
         CHECK(
