--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -222,9 +222,10 @@
     const host_list_ptr all = listed(hosts, 47);
     auto made =
         std::make_shared<dispatch_directory>("domain-0-host-0", "domain-0", "10.2.0.1:7200");
-    made->apply(*all);
+    made->apply(*all, boot_clock::now());
     for (const host& each : all->hosts) {
-        made->on_pong(each.dispatch_address, 7, make_pong(targets), boot_clock::now());
+        made->on_pong(each.dispatch_address, 7, make_pong(targets), std::nullopt,
+                      boot_clock::now());
     }
     return made;
 }
@@ -438,12 +439,15 @@
 {
     const auto directory = make_directory(hosts, 9);
     const time_point now = boot_clock::now();
-    to.add("decision", "candidates of a target, by hosts", hosts,
-           microseconds_of([&] { sink = sink + directory->candidates("model-1", now).size(); }),
+    to.add("decision", "candidates of a target, by hosts", hosts, microseconds_of([&] {
+               sink = sink + static_cast<std::size_t>(directory->route_to("model-1") != nullptr);
+           }),
            "us");
     const link::pong pong = make_pong(9);
-    to.add("decision", "note a heartbeat's answer, by hosts", hosts,
-           microseconds_of_small([&] { directory->on_pong("10.2.0.1:7200", 7, pong, now); }), "us");
+    to.add("decision", "note a heartbeat's answer, by hosts", hosts, microseconds_of_small([&] {
+               directory->on_pong("10.2.0.1:7200", 7, pong, std::nullopt, now);
+           }),
+           "us");
 }
 
 /// The whole state of a fleet of the size that docs/CAPACITY.md is about.
--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -424,8 +424,8 @@
     std::vector<endpoint_status> all;
     for (const auto& [name, target] : m_targets) {
         for (const auto& [endpoint_name, where] : target.endpoints) {
-            if (const auto index = target.table.find(endpoint_name)) {
-                const endpoint_state& state = target.table.state(*index);
+            if (const auto index = target.scheduler.table().find(endpoint_name)) {
+                const endpoint_state& state = target.scheduler.table().state(*index);
                 all.push_back({name, endpoint_name, state.breaker, state.in_flight});
             }
         }
--- a/src/process/entry_admin.cpp
+++ b/src/process/entry_admin.cpp
@@ -56,6 +56,18 @@
     return {200, {{"accounts", std::move(rows)}}};
 }
 
+std::vector<dispatch_address> to_candidates(const dispatch_directory& directory,
+                                            const std::string& target_name)
+{
+    std::vector<dispatch_address> all;
+    if (const auto route = directory.route_to(target_name)) {
+        for (const auto& members : route->members) {
+            all.insert(all.end(), members.begin(), members.end());
+        }
+    }
+    return all;
+}
+
 admin_answer answer_explain(entry& process, const admin_request& request)
 {
     const auto asked = to_question(request);
@@ -67,8 +79,7 @@
         return to_admin_fault(503, "not_ready", "no configuration is in force yet");
     }
     const auto accounts = process.limits();
-    const auto candidates =
-        process.context().directory.candidates(asked->target, boot_clock::now());
+    const auto candidates = to_candidates(process.context().directory, asked->target);
     return {200, to_json(explain(*asked, {*in_force, accounts, candidates}))};
 }
 
--- a/src/process/explain.h
+++ b/src/process/explain.h
@@ -27,7 +27,7 @@
 struct explain_state {
     const configuration& in_force;
     const std::vector<account_status>& accounts;
-    const std::vector<dispatch_peer>& candidates; ///< live dispatch processes for the target
+    const std::vector<dispatch_address>& candidates; ///< live dispatch processes for the target
 };
 
 /// One check and how it ended.
