Cancel the requests of callers that have gone

served_request was told that the caller is always there, so an endpoint went on for a caller that had hung up, until the deadline or the next write. The library's server shows handlers no socket, and DataSink::is_writable is also false for a slow reader; a chunked answer begun before its head would fix the status at 200. caller_server overrides the one virtual function that owns the connection, and asks the socket for a hang-up. It serves plain requests as well as streams.

--- a/src/process/caller_api.cpp
+++ b/src/process/caller_api.cpp
@@ -1,5 +1,6 @@
 #include "process/caller_api.h"
 
+#include "connection/caller_server.h"
 #include "connection/refusal_json.h"
 #include "process/served_request.h"
 #include "version/check.h"
@@ -322,8 +323,9 @@
 
 void caller_api::answer_request(const httplib::Request& http, httplib::Response& response)
 {
-    const auto served =
-        std::make_shared<served_request>(m_shared, detail::to_request(http), [] { return true; });
+    const int socket = caller_server::current_socket();
+    const auto served = std::make_shared<served_request>(
+        m_shared, detail::to_request(http), [socket] { return is_peer_connected(socket); });
     const served_request::opening opened = served->open();
     if (const auto* why = std::get_if<refusal>(&opened)) {
         detail::answer_refusal(*why, response);
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -69,7 +69,7 @@
 entry::entry(const options& chosen)
     : m_actors(m_actor_config),
       m_context(chosen.host, chosen.failure_domain, chosen.dispatch_address),
-      m_server(std::make_unique<httplib::Server>())
+      m_server(std::make_unique<caller_server>())
 {
 }
 
--- a/src/process/entry.h
+++ b/src/process/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/caller_server.h"
 #include "process/caller_api.h"
 #include "process/entry_context.h"
 #include "process/error.h"
@@ -71,7 +72,7 @@
     caf::actor_system m_actors;
     entry_context m_context;
     caller_api m_api{m_context};
-    std::unique_ptr<httplib::Server> m_server;
+    std::unique_ptr<caller_server> m_server;
     std::string m_http_address;
     std::atomic<bool> m_is_open{false}; // all members are set
     std::atomic<bool> m_is_stopping{false};
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -137,8 +137,12 @@
 
 http_caller fleet::caller(std::size_t host, const std::string& organisation) const
 {
-    const std::string key = organisation.empty() ? "" : m_keys.value(organisation, "");
-    return http_caller{m_hosts.at(host).caller_address, key};
+    return http_caller{m_hosts.at(host).caller_address, key(organisation)};
+}
+
+std::string fleet::key(const std::string& organisation) const
+{
+    return organisation.empty() ? "" : m_keys.value(organisation, "");
 }
 
 nlohmann::json fleet::ledger(const std::string& endpoint) const
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -68,6 +68,8 @@
     /// A caller at host number `host` with the key of `organisation` (empty: none).
     [[nodiscard]] http_caller caller(std::size_t host, const std::string& organisation) const;
 
+    [[nodiscard]] std::string key(const std::string& organisation) const; ///< empty: none
+
     /// What the endpoint's ledger holds.
     [[nodiscard]] nlohmann::json ledger(const std::string& endpoint) const;
 
