--- a/src/process/dispatch_telemetry.cpp
+++ b/src/process/dispatch_telemetry.cpp
@@ -92,6 +92,7 @@
         m_running.with({load.target()}).Set(load.running());
         m_live.with({load.target()}).Set(load.live_endpoints());
     }
+    forget_unlisted(endpoints);
     for (const dispatcher::endpoint_status& each : endpoints) {
         m_in_flight.with({each.target_name, each.endpoint_name}).Set(each.in_flight);
         for (const auto& [state, name] : detail::breaker_names) {
@@ -101,6 +102,24 @@
     }
 }
 
+void dispatch_telemetry::forget_unlisted(const std::vector<dispatcher::endpoint_status>& endpoints)
+{
+    std::set<std::pair<std::string, std::string>> listed;
+    for (const dispatcher::endpoint_status& each : endpoints) {
+        listed.emplace(each.target_name, each.endpoint_name);
+    }
+    for (const auto& [target_name, endpoint_name] : m_shown) {
+        if (listed.contains({target_name, endpoint_name})) {
+            continue;
+        }
+        m_in_flight.with({target_name, endpoint_name}).Set(0);
+        for (const detail::breaker_name& each : detail::breaker_names) {
+            m_breakers.with({target_name, endpoint_name, each.name}).Set(0);
+        }
+    }
+    m_shown = std::move(listed);
+}
+
 span_place dispatch_telemetry::begin_call(const dispatch_job& job) const
 {
     const std::string& above = job.request.traceparent();
--- a/src/process/dispatch_telemetry.h
+++ b/src/process/dispatch_telemetry.h
@@ -7,7 +7,9 @@
 
 #include <cstddef> // size_t
 #include <memory>  // unique_ptr
+#include <set>     // set
 #include <string>  // string
+#include <utility> // pair
 #include <vector>  // vector
 
 namespace hickorykeel {
@@ -24,7 +26,8 @@
     /// The request of an attempt leaves the queue.
     void on_taken(const dispatch_job& job);
 
-    /// State of the queues and the endpoints. Linear in their number.
+    /// State of the queues and the endpoints; endpoints that are not listed any more are in none.
+    /// O(n log n) in their number. Only one thread calls it.
     void set_state(const std::vector<link::target_load>& loads,
                    const std::vector<dispatcher::endpoint_status>& endpoints);
 
@@ -34,8 +37,10 @@
                   trace_span::clock::time_point begun, const attempt_result& result) override;
 
 private:
+    void forget_unlisted(const std::vector<dispatcher::endpoint_status>& endpoints);
     void add_queue_span(const dispatch_job& job, trace_span::clock::time_point now);
 
+    std::set<std::pair<std::string, std::string>> m_shown; // targets and endpoints
     gauge_family m_queued;
     gauge_family m_wait;
     gauge_family m_running;
