--- a/tests/process/admin_server_test.cpp
+++ b/tests/process/admin_server_test.cpp
@@ -50,6 +50,14 @@
 
 } // namespace
 
+TEST_CASE("an address is bound by one server alone")
+{
+    const auto first = open(to_options());
+    auto chosen = to_options();
+    chosen.listen = "127.0.0.1:" + std::to_string(first->port());
+    CHECK(!is_ok(admin_server::open(chosen)));
+}
+
 TEST_CASE("administration server")
 {
     metrics registry{"attica-a", "attica-1"};
