--- a/src/process/configuration_watch.cpp
+++ b/src/process/configuration_watch.cpp
@@ -38,8 +38,8 @@
 
 /// One thread with its connection.
 struct configuration_watch::reader {
-    reader(const std::string& address, const char* what_, std::uint64_t plan::*after_)
-        : what{what_}, after{after_}, client{"http://" + address}
+    reader(const std::string& address, const char* watched, std::uint64_t plan::*newest)
+        : what{watched}, after{newest}, client{"http://" + address}
     {
         client.set_keep_alive(true);
         client.set_tcp_nodelay(true);
--- a/src/process/dispatch_worker.cpp
+++ b/src/process/dispatch_worker.cpp
@@ -41,7 +41,7 @@
 
 } // namespace detail
 
-caf::behavior dispatch_worker(caf::event_based_actor* self, caf::actor owner)
+caf::behavior dispatch_worker(caf::event_based_actor* self, const caf::actor& owner)
 {
     return {
         [self, owner](working::run& order) {
--- a/src/process/dispatch_worker.h
+++ b/src/process/dispatch_worker.h
@@ -27,7 +27,7 @@
 } // namespace working
 
 /// Behaviour of a worker; answers go to `owner` as messages of `dispatching`.
-caf::behavior dispatch_worker(caf::event_based_actor* self, caf::actor owner);
+caf::behavior dispatch_worker(caf::event_based_actor* self, const caf::actor& owner);
 
 } // namespace hickorykeel
 
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -145,11 +145,14 @@
 
 std::optional<error> entry::bind_http(const options& chosen)
 {
-    auto made = to_server(chosen.tls);
-    if (auto* failure = std::get_if<error>(&made)) {
-        return *failure;
+    // a server with TLS notices a gone caller only when it writes to it
+    if (!chosen.tls.certificate.empty()) {
+        auto made = to_server(chosen.tls);
+        if (auto* failure = std::get_if<error>(&made)) {
+            return *failure;
+        }
+        m_server = std::move(std::get<0>(made));
     }
-    m_server = std::move(std::get<0>(made));
     own_port(*m_server);
     const std::size_t threads = chosen.http_threads;
     m_server->new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
--- a/src/process/entry.h
+++ b/src/process/entry.h
@@ -81,7 +81,7 @@
     caf::actor_system m_actors;
     entry_context m_context;
     caller_api m_api{m_context};
-    std::unique_ptr<caller_server> m_server;
+    std::unique_ptr<httplib::Server> m_server;
     std::string m_http_address;
     std::atomic<bool> m_is_open{false}; // all members are set
     std::atomic<bool> m_is_stopping{false};
--- a/src/process/limits/limiter.h
+++ b/src/process/limits/limiter.h
@@ -194,7 +194,7 @@
 
     struct candidate {
         std::string host;
-        double level; // expected
+        double level = 0; // expected
     };
 
     duration next_claim_interval();
--- a/src/process/limits/token_bucket.h
+++ b/src/process/limits/token_bucket.h
@@ -68,9 +68,9 @@
 
 private:
     struct open_loan {
-        std::uint64_t id;
-        double tokens;
-        time_point ends;
+        std::uint64_t id = 0;
+        double tokens = 0;
+        time_point ends{};
     };
 
     void advance(time_point now);
--- a/src/process/routing/endpoint_table.h
+++ b/src/process/routing/endpoint_table.h
@@ -177,8 +177,8 @@
 
 private:
     struct load_event {
-        time_point moment;
-        int change;
+        time_point moment{};
+        int change = 0;
     };
 
     struct entry {
--- a/src/process/routing/request_queue.h
+++ b/src/process/routing/request_queue.h
@@ -132,7 +132,7 @@
     };
 
     struct place {
-        bool is_interactive;
+        bool is_interactive = true;
         std::list<queued_request>::iterator at;
     };
 
--- a/src/request/ticket.cpp
+++ b/src/request/ticket.cpp
@@ -65,7 +65,7 @@
 
 std::optional<ticket> ticket_mint::verify(std::string_view text) const
 {
-    const auto parsed = parse_ticket(text);
+    auto parsed = parse_ticket(text);
     if (!parsed || parsed->host != m_host || parsed->incarnation != m_incarnation) {
         return std::nullopt;
     }
