Let the actors' threads sleep while there is no work

The three programs of a node used 22% of a core at rest (3 hosts), against 4.2%. Cause: the scheduler's default policy gives each of its threads (one a core) a queue of its own, and threads without work wake up all the time to look for some elsewhere. The ticks of 50 and 100 ms and the heartbeats were ruled out: they stayed, and the time went. With one shared queue the threads sleep on it.

Worker calls that block run on threads of their own, as before.

--- a/src/process/configd.h
+++ b/src/process/configd.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/messenger.h"
+#include "process/actor_config.h"
 #include "process/configd_actor.h"
 #include "process/configuration_watch.h"
 #include "process/error.h"
@@ -60,7 +61,7 @@
     void watch_platform();
 
     const options m_options;
-    caf::actor_system_config m_actor_config;
+    actor_config m_actor_config;
     caf::actor_system m_actors;
     std::shared_ptr<shared_state> m_shared;
     std::unique_ptr<messenger> m_links;
--- a/src/process/dispatch.h
+++ b/src/process/dispatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/actor_config.h"
 #include "process/dispatch_actor.h"
 #include "process/error.h"
 
@@ -52,7 +53,7 @@
     void poll();
     std::size_t requests_under_way();
 
-    caf::actor_system_config m_actor_config;
+    actor_config m_actor_config;
     caf::actor_system m_actors;
     std::unique_ptr<messenger> m_links;
     std::unique_ptr<configuration_client> m_published;
--- a/src/process/entry.h
+++ b/src/process/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/actor_config.h"
 #include "process/caller_api.h"
 #include "process/entry_context.h"
 #include "process/error.h"
@@ -67,7 +68,7 @@
     void poll_peers();
     void drain();
 
-    caf::actor_system_config m_actor_config;
+    actor_config m_actor_config;
     caf::actor_system m_actors;
     entry_context m_context;
     caller_api m_api{m_context};
