Keep the other hosts' shares while one host is replaced

A host that came back under a new incarnation was consented to at once, while its last incarnation's loans were still counted: both filled the room, and all other hosts of the failure domain lost their shares until the loans had ended.

The rule grants less than before, never more.

--- a/src/process/limits/host_shares.cpp
+++ b/src/process/limits/host_shares.cpp
@@ -350,13 +350,16 @@
         return 0;
     }
     const std::map<std::string, double> allowed = allowances(now);
-    double room = 1 - committed(now);
+    // loans of the asker's last incarnation take room like any other host
+    const double lingering = now < asker.lingers_until ? asker.lingering : 0;
+    double room = 1 - committed(now) - lingering;
     for (const auto& [name, fraction] : allowed) {
         room -= name == to ? 0 : fraction;
     }
-    const double before = asker.has_claimed ? allowance(asker, now) : 0;
+    room = room < detail::rounding ? 0 : room;
+    const double before = asker.has_claimed ? allowance(asker, now) - lingering : 0;
     const double wanted = target() * scale(allowed);
-    const double granted = std::min(wanted, std::max({0.0, room, before}));
+    const double granted = std::min(wanted, std::max(room, before));
     asker.granted = std::max(before, granted);
     asker.granted_at = now;
     asker.has_claimed = true;
