--- a/src/process/dispatch.h
+++ b/src/process/dispatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/tls_settings.h"
+#include "process/actor_config.h"
 #include "process/common_admin.h"
 #include "process/dispatch_actor.h"
 #include "process/dispatch_telemetry.h"
@@ -62,7 +63,7 @@
     void poll();
     dispatching::description describe();
 
-    caf::actor_system_config m_actor_config;
+    actor_config m_actor_config;
     caf::actor_system m_actors;
     metrics m_registry;
     dispatch_telemetry m_telemetry;
--- a/src/process/dispatch_directory.cpp
+++ b/src/process/dispatch_directory.cpp
@@ -1,6 +1,8 @@
 #include "process/dispatch_directory.h"
 
-#include <algorithm> // all_of, any_of, max, min
+#include "process/configuration_relay.h"
+
+#include <algorithm> // all_of, any_of, max, min, sort
 #include <utility>   // move, swap
 
 namespace hickorykeel {
@@ -27,6 +29,33 @@
     return mean + (sample - mean) / static_cast<std::int64_t>(count + 1);
 }
 
+bool is_silent(const dispatch_peer& peer, time_point now)
+{
+    return peer.unanswered_since &&
+           now - *peer.unanswered_since >= dispatch_directory::silence_limit;
+}
+
+void ask(dispatch_peer& peer, time_point now, std::vector<std::string>& due)
+{
+    peer.last_asked = now;
+    if (!peer.unanswered_since) {
+        peer.unanswered_since = now;
+    }
+    due.push_back(peer.address);
+}
+
+using peers_by_address = std::map<std::string, dispatch_peer>;
+
+void rank(const peers_by_address& peers, const std::string& own_host,
+          std::vector<std::string>& addresses)
+{
+    std::sort(addresses.begin(), addresses.end(),
+              [&](const std::string& left, const std::string& right) {
+                  return rendezvous_score(own_host, peers.at(left).host) >
+                         rendezvous_score(own_host, peers.at(right).host);
+              });
+}
+
 } // namespace detail
 
 dispatch_directory::dispatch_directory(std::string own_host, std::string own_failure_domain,
@@ -45,6 +74,7 @@
 {
     const std::lock_guard lock(m_mutex);
     std::map<std::string, dispatch_peer> peers;
+    m_elsewhere.clear();
     // the own dispatch process is used whether or not the list knows it already
     peers.insert(m_peers.extract(m_own_address));
     for (const host& each : listed.hosts) {
@@ -58,8 +88,14 @@
         peer.host = each.name;
         peer.failure_domain = each.failure_domain;
         peer.address = each.dispatch_address;
+        if (!is_near(peer)) {
+            m_elsewhere[peer.failure_domain].push_back(peer.address);
+        }
         peers.insert_or_assign(each.dispatch_address, std::move(peer));
     }
+    for (auto& [name, addresses] : m_elsewhere) {
+        detail::rank(peers, m_own_host, addresses);
+    }
     m_peers.swap(peers);
     renew_routes(now);
 }
@@ -81,11 +117,13 @@
         return;
     }
     dispatch_peer& peer = found->second;
-    const bool is_news = !is_live(peer, now) || !detail::is_same_offer(peer, incarnation, pong);
+    const bool is_news =
+        !may_take_requests(peer, now) || !detail::is_same_offer(peer, incarnation, pong);
     peer.incarnation = incarnation;
     peer.is_leaving = pong.leaving();
     peer.last_heard = now;
     peer.way = round_trip.value_or(2 * peer.way) / 2;
+    peer.unanswered_since.reset();
     peer.loads.clear();
     for (const link::target_load& load : pong.loads()) {
         peer.loads[load.target()] = {load.live_endpoints(), load.running(),
@@ -103,11 +141,6 @@
     renew_routes(now);
 }
 
-bool dispatch_directory::is_live(const dispatch_peer& peer, time_point now)
-{
-    return peer.incarnation != 0 && now - peer.last_heard < silence_limit;
-}
-
 // precondition: the mutex is held
 void dispatch_directory::renew_routes(time_point now)
 {
@@ -125,11 +158,11 @@
     };
     // the own one is the first of its failure domain
     const auto own = m_peers.find(m_own_address);
-    if (own != m_peers.end() && is_live(own->second, now) && !own->second.is_leaving) {
+    if (own != m_peers.end() && may_take_requests(own->second, now)) {
         add(own->second);
     }
     for (const auto& [address, peer] : m_peers) {
-        if (address != m_own_address && is_live(peer, now) && !peer.is_leaving) {
+        if (address != m_own_address && may_take_requests(peer, now)) {
             add(peer);
         }
     }
@@ -173,14 +206,46 @@
     return route.members.size() - 1;
 }
 
-std::vector<std::string> dispatch_directory::addresses() const
+std::vector<std::string> dispatch_directory::take_due(time_point now)
 {
     const std::lock_guard lock(m_mutex);
-    std::vector<std::string> all;
-    for (const auto& [address, peer] : m_peers) {
-        all.push_back(address);
+    std::vector<std::string> due;
+    for (auto& [address, peer] : m_peers) {
+        if (is_near(peer)) {
+            detail::ask(peer, now, due);
+        }
+    }
+    for (const auto& [name, ranked] : m_elsewhere) {
+        take_due_elsewhere(ranked, now, due);
+    }
+    return due;
+}
+
+void dispatch_directory::take_due_elsewhere(const std::vector<std::string>& ranked, time_point now,
+                                            std::vector<std::string>& due)
+{
+    std::size_t count = 0;
+    for (const std::string& address : ranked) {
+        dispatch_peer& peer = m_peers.at(address);
+        if (peer.last_asked == time_point{} || now - peer.last_asked >= far_interval) {
+            detail::ask(peer, now, due);
+        }
+        if (!peer.is_leaving && !detail::is_silent(peer, now) && ++count == asked_elsewhere) {
+            return;
+        }
     }
-    return all;
+}
+
+bool dispatch_directory::is_near(const dispatch_peer& peer) const
+{
+    return peer.failure_domain == m_own_failure_domain;
+}
+
+bool dispatch_directory::may_take_requests(const dispatch_peer& peer, time_point now) const
+{
+    // what one said that is asked no more is out of date
+    const duration oldest = silence_limit + (is_near(peer) ? duration{0} : far_interval);
+    return peer.incarnation != 0 && !peer.is_leaving && now - peer.last_heard < oldest;
 }
 
 target_route_ptr dispatch_directory::route_to(const std::string& target_name) const
@@ -194,7 +259,8 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_peers.find(address);
-    return found != m_peers.end() && is_live(found->second, now);
+    return found != m_peers.end() && found->second.incarnation != 0 &&
+           !detail::is_silent(found->second, now);
 }
 
 std::optional<time_point> dispatch_directory::last_heard(const std::string& address) const
@@ -211,8 +277,7 @@
 {
     const std::lock_guard lock(m_mutex);
     return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& row) {
-        const dispatch_peer& peer = row.second;
-        return is_live(peer, now) && !peer.is_leaving && !peer.loads.empty();
+        return may_take_requests(row.second, now) && !row.second.loads.empty();
     });
 }
 
--- a/src/process/entry.h
+++ b/src/process/entry.h
@@ -2,6 +2,7 @@
 
 #include "connection/caller_server.h"
 #include "connection/tls_settings.h"
+#include "process/actor_config.h"
 #include "process/caller_api.h"
 #include "process/entry_context.h"
 #include "process/error.h"
@@ -77,7 +78,7 @@
     void poll_peers();
     void drain();
 
-    caf::actor_system_config m_actor_config;
+    actor_config m_actor_config;
     caf::actor_system m_actors;
     entry_context m_context;
     caller_api m_api{m_context};
--- a/tests/process/explain_test.cpp
+++ b/tests/process/explain_test.cpp
@@ -12,9 +12,7 @@
     const auto checked = check(1, to_entries(published_example()));
     const auto& in_force = std::get<configuration>(checked);
     std::vector<account_status> accounts;
-    dispatch_peer peer;
-    peer.failure_domain = "crete-1";
-    std::vector<dispatch_peer> candidates{peer};
+    std::vector<dispatch_address> candidates{{"crete-a", "crete-1", ""}};
     const explain_state state{in_force, accounts, candidates};
     explain_question asked{"volunteers", "", "visit-summary", "assistant", 2000};
 
