Tell a caller of a running request why it was withdrawn

Cause: the dispatch process may hear of a withdrawn key before the entry process does. It cancelled the endpoint's call, and the caller got what the cancelled call knew: 'endpoint_failed, Read'. Where no part of the answer had been passed on, the entry process took this for a failed attempt, which it may repeat elsewhere. Now the dispatcher answers with the reason of the withdrawal, and the entry process doesn't repeat a withdrawn request that may have run.

The repeat elsewhere was found by reading and has no test of its own.

--- a/src/process/dispatch_job.h
+++ b/src/process/dispatch_job.h
@@ -32,7 +32,8 @@
     std::string endpoint_name;
     time_point sent{};
     bool is_cancelled = false;
-    bool may_have_run = false; ///< an earlier attempt may have
+    std::optional<refusal> withdrawal; ///< why a newer configuration ended it
+    bool may_have_run = false;         ///< an earlier attempt may have
 };
 
 /// One attempt, as a worker runs it.
--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -81,6 +81,7 @@
         auto why = check_still_allowed(*in_force, request.organisation(), request.key_digest(),
                                        request.profile(), request.target());
         if (why) {
+            job->withdrawal = std::move(why);
             cancel(id, now);
         }
     }
@@ -246,7 +247,7 @@
         return;
     }
     m_targets.at(job->request.target()).queue.remove(job_id);
-    refuse_and_forget(job, detail::refuse_late(*job));
+    refuse_and_forget(job, job->withdrawal.value_or(detail::refuse_late(*job)));
     static_cast<void>(now);
 }
 
@@ -310,7 +311,13 @@
         m_jobs.erase(job->id);
         return;
     }
-    refuse_and_forget(job, result.why);
+    refusal why = result.why;
+    if (job->withdrawal) {
+        // the cancelled call only knows that its connection ended
+        why = *job->withdrawal;
+        why.ran = result.why.ran;
+    }
+    refuse_and_forget(job, std::move(why));
 }
 
 bool dispatcher::may_try_again(const dispatch_job& job, const attempt_result& result,
--- a/src/process/request_runner.cpp
+++ b/src/process/request_runner.cpp
@@ -1,6 +1,7 @@
 #include "process/request_runner.h"
 
 #include <algorithm> // find, min
+#include <array>     // array
 #include <utility>   // move
 
 namespace hickorykeel {
@@ -17,6 +18,16 @@
 // a dispatch process that gets the request later than this refuses it
 constexpr std::chrono::milliseconds start_limit{5'000};
 
+// a newer configuration than the one that admitted the request has ended it while it ran
+bool is_withdrawn(const refusal& why)
+{
+    constexpr std::array withdrawals{refusal_code::key_withdrawn, refusal_code::unauthorised,
+                                     refusal_code::profile_unknown, refusal_code::profile_forbidden,
+                                     refusal_code::target_unknown};
+    return why.ran == ran_state::unknown &&
+           std::find(withdrawals.begin(), withdrawals.end(), why.code) != withdrawals.end();
+}
+
 std::chrono::milliseconds to_milliseconds(duration span)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span);
@@ -204,7 +215,7 @@
 
 std::variant<std::monostate, request_runner::step> request_runner::on_failure(refusal why)
 {
-    if (!may_try_again(why.ran)) {
+    if (detail::is_withdrawn(why) || !may_try_again(why.ran)) {
         return step{give_up(std::move(why))};
     }
     m_last_failure = std::move(why);
