--- a/src/process/dispatch_job.h
+++ b/src/process/dispatch_job.h
@@ -35,7 +35,8 @@
     trace_span::clock::time_point waiting_since; ///< this time in the queue
     time_point sent{};
     bool is_cancelled = false;
-    bool may_have_run = false; ///< an earlier attempt may have
+    std::optional<refusal> withdrawal; ///< why a newer configuration ended it
+    bool may_have_run = false;         ///< an earlier attempt may have
 };
 
 class attempt_observer;
