--- a/models/configuration.pml
+++ b/models/configuration.pml
@@ -23,7 +23,7 @@
 byte in_force[HOSTS];
 byte force_even[HOSTS], force_odd[HOSTS];
 byte highest[HOSTS];         /* ever in force in this process */
-byte heard[HOSTS];           /* newest that a peer answered to this process */
+byte heard[HOSTS];           /* newest that a peer told in a form that applies */
 byte restarts = 0;
 
 /* updates on the way: to a host, with a base; base 0 is a snapshot */
@@ -96,7 +96,7 @@
 
 inline take(u) {
     if
-    :: from[u] != PLATFORM ->
+    :: from[u] != PLATFORM && base[u] <= held[to[u]] ->
         heard[to[u]] = (revision[u] > heard[to[u]] -> revision[u] : heard[to[u]])
     :: else -> skip
     fi;
@@ -125,13 +125,11 @@
         :: published > 1 ->                                                                  \
             send(0, h, PLATFORM, published - 1, EVEN((published - 1)), ODD((published - 1)), 0) \
         fi }                                                                                 \
-    /* a new process of the host */                                                          \
+    /* a new process of the host; answers to the earlier one may still come */              \
     :: atomic { restarts < RESTARTS ->                                                       \
         restarts++;                                                                          \
         held[h] = 0; even[h] = 0; odd[h] = 0;                                                \
-        in_force[h] = 0; force_even[h] = 0; force_odd[h] = 0; highest[h] = 0; heard[h] = 0;  \
-        if :: is_used[0] && to[0] == h -> free(0) :: else -> skip fi;                        \
-        if :: is_used[1] && to[1] == h -> free(1) :: else -> skip fi }                       \
+        in_force[h] = 0; force_even[h] = 0; force_odd[h] = 0; highest[h] = 0; heard[h] = 0 } \
     /* a host that heard a peer puts nothing lower in force after it */                      \
     :: heard[h] > held[h] -> assert(false)
 
