--- a/src/process/dispatch.cpp
+++ b/src/process/dispatch.cpp
@@ -58,8 +58,8 @@
                                        [this](const host_list_ptr& listed) {
                                            caf::anon_send(m_actor, dispatching::new_hosts{listed});
                                        }});
-    m_actor =
-        m_actors.spawn(dispatch_actor, chosen.failure_domain, m_links.get(), m_published.get());
+    m_actor = m_actors.spawn<caf::detached>(dispatch_actor, chosen.failure_domain, m_links.get(),
+                                            m_published.get());
     m_is_open = true;
     m_poller = std::thread([this] { poll(); });
     return std::nullopt;
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -102,8 +102,9 @@
         return *failure;
     }
     m_context.links = std::move(std::get<0>(links));
-    m_context.admission = m_actors.spawn(admission_actor, m_context.links.get(), chosen.host,
-                                         chosen.failure_domain, &m_context.is_accruing);
+    m_context.admission =
+        m_actors.spawn<caf::detached>(admission_actor, m_context.links.get(), chosen.host,
+                                      chosen.failure_domain, &m_context.is_accruing);
     m_context.mint = std::make_unique<ticket_mint>(chosen.host, m_context.links->incarnation(),
                                                    detail::random_secret());
     m_context.published = std::make_unique<configuration_client>(
