--- a/src/process/dispatch.cpp
+++ b/src/process/dispatch.cpp
@@ -65,9 +65,9 @@
                                        [this](const host_list_ptr& listed) {
                                            caf::anon_send(m_actor, dispatching::new_hosts{listed});
                                        }});
-    m_actor = m_actors.spawn(dispatch_actor,
-                             dispatch_environment{chosen.failure_domain, m_links.get(),
-                                                  m_published.get(), &m_telemetry, chosen.tls});
+    m_actor = m_actors.spawn<caf::detached>(
+        dispatch_actor, dispatch_environment{chosen.failure_domain, m_links.get(),
+                                             m_published.get(), &m_telemetry, chosen.tls});
     m_registry.before_collect([this, shared = process_metrics{m_registry}]() mutable {
         shared.refresh(*m_links, *m_published);
     });
