--- a/src/process/dispatch_job.cpp
+++ b/src/process/dispatch_job.cpp
@@ -96,7 +96,7 @@
     const auto begun = trace_span::clock::now();
     const span_place place = attempt.observer->begin_call(*attempt.job);
     const bool is_traced = place.context != trace_context{};
-    const attempt_result result =
+    attempt_result result =
         call_endpoint(attempt, is_traced ? to_traceparent(place.context) : std::string{});
     attempt.observer->end_call(attempt, place, begun, result);
     return result;
