--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -112,7 +112,7 @@
         request.set_method("POST");
         request.set_path("/v1/chat/completions");
         request.set_body(make_body());
-        request.set_start_within_ms(5'000);
+        request.set_maximum_age_ms(5'000);
         request.set_deadline_ms(5'000);
         request.set_idempotent(true);
         request.set_interactive(true);
--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -577,7 +577,7 @@
     request.set_method("POST");
     request.set_path("/v1/chat/completions");
     request.set_body(make_caller_request().body);
-    request.set_start_within_ms(30'000);
+    request.set_maximum_age_ms(30'000);
     request.set_deadline_ms(30'000);
     request.set_reserved_tokens(400);
     request.set_prefix_hash(1ULL << 60);
--- a/src/process/admission_actor.cpp
+++ b/src/process/admission_actor.cpp
@@ -79,7 +79,7 @@
     else if (message.has_loan_settle()) {
         state.limits->on_loan_settle(from_link(message.loan_settle()), now);
     }
-    else if (message.has_ping() && message.ping().leaving()) {
+    else if (message.has_ping() && message.ping().ended()) {
         state.limits->on_goodbye(from, message.incarnation(), now);
     }
 }
@@ -114,7 +114,7 @@
 {
     for (const auto& [name, address] : state.entry_addresses) {
         link::envelope message;
-        message.mutable_ping()->set_leaving(true);
+        message.mutable_ping()->set_ended(true);
         state.links->ask(address, std::move(message));
     }
 }
--- a/src/process/caller_api.cpp
+++ b/src/process/caller_api.cpp
@@ -96,11 +96,14 @@
                               const profile* wanted)
 {
     std::vector<host> usable;
+    const time_point now = boot_clock::now();
     const auto listed = shared.published->hosts();
     for (const host& each : listed ? listed->hosts : std::vector<host>{}) {
-        const bool is_self_leaving = each.name == shared.host && shared.is_leaving;
+        const bool is_known_leaving = each.name == shared.host
+                                          ? shared.is_leaving.load()
+                                          : shared.leaving_peers.is_leaving(each.name, now);
         const std::string region = region_of(in_force, each.failure_domain);
-        if (each.state == host_state::live && !is_self_leaving &&
+        if (each.state == host_state::live && !is_known_leaving &&
             (wanted == nullptr || contains(wanted->regions, region))) {
             usable.push_back(each);
         }
@@ -325,6 +328,15 @@
 void caller_api::answer_request(const httplib::Request& http, httplib::Response& response)
 {
     const int socket = caller_server::current_socket();
+    if (m_shared.is_refusing) {
+        // what an earlier use of a ticket did is not looked up any more
+        const bool has_ticket = http.has_header("Idempotency-Key");
+        detail::answer_refusal(
+            {refusal_code::leaving, has_ticket ? ran_state::unknown : ran_state::no, "admit", "",
+             "the host is leaving; GET /v1/hosts names others", detail::ready_retry},
+            response);
+        return;
+    }
     const auto served = std::make_shared<served_request>(
         m_shared, detail::to_request(http), [socket] { return is_peer_connected(socket); });
     const served_request::opening opened = served->open();
--- a/src/process/dispatch_actor.cpp
+++ b/src/process/dispatch_actor.cpp
@@ -41,7 +41,7 @@
 std::optional<refusal> check_age(const received_message& received)
 {
     const link::dispatch_request& request = received.message.dispatch_request();
-    const std::chrono::milliseconds limit{request.start_within_ms()};
+    const std::chrono::milliseconds limit{request.maximum_age_ms()};
     const bool is_known = received.maximum_age.has_value();
     const bool is_too_old = is_known && *received.maximum_age > limit;
     if (is_too_old || (!is_known && !request.idempotent())) {
@@ -85,12 +85,10 @@
         send_refusal(*job->events, *why);
         return;
     }
-    const duration age = received.maximum_age.value_or(duration::zero());
     job->request = std::move(*received.message.mutable_dispatch_request());
     job->id = state.next_job_id++;
     job->waiting_since = trace_span::clock::now();
     job->request_id = to_request_id(*state.links, job->id);
-    job->start_by = arrived + std::chrono::milliseconds{job->request.start_within_ms()} - age;
     job->deadline = arrived + std::chrono::milliseconds{job->request.deadline_ms()};
     const std::string question = to_question(received);
     state.jobs_by_question[question] = job->id;
--- a/src/process/dispatch_job.h
+++ b/src/process/dispatch_job.h
@@ -25,9 +25,8 @@
     std::string request_id; ///< the endpoint's X-Request-Id, the same for each attempt
     link::dispatch_request request;
     std::unique_ptr<event_sender> events;
-    double weight = 1;     ///< of its organisation among those that wait
-    time_point start_by{}; ///< no attempt begins later
-    time_point deadline{};
+    double weight = 1;                   ///< of its organisation among those that wait
+    time_point deadline{};               ///< of the whole answer; no attempt begins later
     std::vector<std::size_t> tried;      ///< endpoints, by index in the table of the target
     std::shared_ptr<endpoint_call> call; ///< while a worker runs it
     std::size_t endpoint_index = 0;
--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -24,7 +24,7 @@
     scheduled.queued.tokens = std::max<std::uint64_t>(1, job.request.reserved_tokens());
     scheduled.queued.is_interactive = job.request.interactive();
     scheduled.queued.weight = job.weight;
-    scheduled.queued.deadline = std::min(job.start_by, job.deadline);
+    scheduled.queued.deadline = job.deadline;
     scheduled.answer_deadline = job.deadline;
     scheduled.prefix_hash = job.request.prefix_hash();
     scheduled.is_idempotent = job.request.idempotent();
@@ -130,7 +130,7 @@
     }
 }
 
-void dispatcher::submit(std::shared_ptr<dispatch_job> job, time_point now)
+void dispatcher::submit(const std::shared_ptr<dispatch_job>& job, time_point now)
 {
     const auto found = m_targets.find(job->request.target());
     if (found == m_targets.end() || found->second.endpoints.empty()) {
@@ -227,7 +227,12 @@
     job->endpoint_name = where.name;
     job->sent = now;
     job->call = std::make_shared<endpoint_call>(where, target.kind);
-    m_start({job, job->call, where.name, make_last_check(job), [] {}});
+    dispatch_attempt attempt;
+    attempt.job = job;
+    attempt.call = job->call;
+    attempt.endpoint_name = where.name;
+    attempt.last_check = make_last_check(job);
+    m_start(std::move(attempt));
 }
 
 std::function<std::optional<refusal>()>
@@ -237,7 +242,7 @@
     return [job, name = job->endpoint_name, domain = m_failure_domain,
             in_force = m_in_force]() -> std::optional<refusal> {
         const time_point now = boot_clock::now();
-        if (now >= job->start_by || now >= job->deadline) {
+        if (now >= job->deadline) {
             return detail::refuse_late(*job);
         }
         const configuration_ptr current = in_force();
@@ -353,8 +358,8 @@
 {
     return !job.is_cancelled && !result.has_head &&
            is_repeatable(result.why.ran, job.request.idempotent()) &&
-           job.tried.size() < detail::maximum_attempts && now < job.start_by &&
-           now < job.deadline && target.scheduler.budget().try_take();
+           job.tried.size() < detail::maximum_attempts && now < job.deadline &&
+           target.scheduler.budget().try_take();
 }
 
 void dispatcher::refuse(dispatch_job& job, refusal why)
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -45,7 +45,7 @@
     /// @{
 
     /// Takes a request in; one that cannot be served is refused through its event sender.
-    void submit(std::shared_ptr<dispatch_job> job, time_point now);
+    void submit(const std::shared_ptr<dispatch_job>& job, time_point now);
 
     /// The caller has gone.
     void cancel(std::uint64_t job_id, time_point now);
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -20,6 +20,9 @@
 // that still hold an old list of hosts are served
 constexpr duration quiet_time = std::chrono::seconds{2};
 
+// callers that go on coming after this long are refused, so that the process ends
+constexpr duration acceptance_time = std::chrono::seconds{10};
+
 // time for the last messages to leave the process
 constexpr auto goodbye_time = std::chrono::milliseconds{100};
 
@@ -195,8 +198,10 @@
 void entry::drain()
 {
     time_point quiet_since = boot_clock::now();
+    const time_point refuse_at = quiet_since + detail::acceptance_time;
     while (!m_is_stopping && boot_clock::now() - quiet_since < detail::quiet_time) {
         std::this_thread::sleep_for(detail::poll_interval);
+        m_context.is_refusing = boot_clock::now() >= refuse_at;
         if (m_context.under_way > 0) {
             quiet_since = boot_clock::now();
         }
@@ -232,6 +237,10 @@
     else if (message.has_sync_update()) {
         m_context.published->deliver(message.sync_update());
     }
+    else if (message.has_ping() && message.ping().leaving()) {
+        const std::string& sender = message.sender();
+        m_context.leaving_peers.note(sender.substr(0, sender.find('/')), boot_clock::now());
+    }
     else {
         caf::anon_send(
             m_context.admission,
@@ -269,8 +278,23 @@
             message.mutable_ping()->set_leaving(m_context.is_leaving);
             m_context.links->ask(address, std::move(message));
         }
+        if (m_context.is_leaving) {
+            tell_leaving();
+        }
         std::this_thread::sleep_for(detail::poll_interval);
     }
 }
 
+void entry::tell_leaving()
+{
+    const host_list_ptr listed = m_context.published->hosts();
+    for (const host& each : listed ? listed->hosts : std::vector<host>{}) {
+        if (each.name != m_context.host) {
+            link::envelope message;
+            message.mutable_ping()->set_leaving(true);
+            m_context.links->ask(each.entry_address, std::move(message));
+        }
+    }
+}
+
 } // namespace hickorykeel
--- a/src/process/entry.h
+++ b/src/process/entry.h
@@ -76,6 +76,7 @@
     void on_hosts(const host_list_ptr& listed);
     void say_goodbye();
     void poll_peers();
+    void tell_leaving();
     void drain();
 
     actor_config m_actor_config;
--- a/src/process/entry_context.h
+++ b/src/process/entry_context.h
@@ -5,6 +5,7 @@
 #include "process/configuration_client.h"
 #include "process/dispatch_directory.h"
 #include "process/entry_router.h"
+#include "process/leaving_hosts.h"
 #include "process/metrics.h"
 #include "process/request_record.h"
 #include "process/trace_exporter.h"
@@ -50,6 +51,8 @@
     caf::actor_system* actors = nullptr;
     caf::actor admission;
     std::atomic<bool> is_leaving{false};
+    std::atomic<bool> is_refusing{false}; ///< leaving for so long that new requests are refused
+    leaving_hosts leaving_peers;
     std::atomic<bool> is_accruing{false};  ///< the limiter's buckets fill
     std::atomic<std::size_t> under_way{0}; ///< requests that are being served
 
--- a/src/process/request_runner.cpp
+++ b/src/process/request_runner.cpp
@@ -15,8 +15,8 @@
 
 constexpr unsigned maximum_attempts = 3;
 
-// a dispatch process that gets the request later than this refuses it
-constexpr std::chrono::milliseconds start_limit{5'000};
+// a dispatch process refuses a request that may have been longer on its way
+constexpr std::chrono::milliseconds age_limit{5'000};
 
 // a newer configuration than the one that admitted the request has ended it while it ran
 bool is_withdrawn(const refusal& why)
@@ -84,20 +84,12 @@
         else if (std::holds_alternative<exchange::is_lost>(outcome)) {
             taken = on_lost();
         }
-        else if (boot_clock::now() >= m_deadline) {
+        else if (const std::string reason = reason_to_stop(); !reason.empty()) {
             return give_up({refusal_code::deadline_exceeded,
                             ran_state::unknown,
                             "await answer",
                             m_at.host,
-                            "the deadline passed",
-                            {}});
-        }
-        else if (!m_provided.is_caller_connected()) {
-            return give_up({refusal_code::deadline_exceeded,
-                            ran_state::unknown,
-                            "await answer",
-                            m_at.host,
-                            "the caller has gone",
+                            reason,
                             {}});
         }
         else if (!m_provided.directory.is_alive(m_exchange->who().dispatch_address,
@@ -110,6 +102,15 @@
     }
 }
 
+// empty: none
+std::string request_runner::reason_to_stop() const
+{
+    if (boot_clock::now() >= m_deadline) {
+        return "the deadline passed";
+    }
+    return m_provided.is_caller_connected() ? "" : "the caller has gone";
+}
+
 bool request_runner::start_attempt()
 {
     if (m_attempts >= detail::maximum_attempts) {
@@ -173,8 +174,8 @@
         copy.set_value(header.value);
     }
     request.set_body(m_request.body);
-    request.set_start_within_ms(
-        static_cast<std::uint32_t>(std::min(budget, detail::start_limit).count()));
+    request.set_maximum_age_ms(
+        static_cast<std::uint32_t>(std::min(budget, detail::age_limit).count()));
     request.set_deadline_ms(static_cast<std::uint32_t>(budget.count()));
     request.set_idempotent(m_request.matched_profile->is_idempotent);
     request.set_interactive(m_request.matched_profile->is_interactive);
--- a/src/process/request_runner.h
+++ b/src/process/request_runner.h
@@ -75,6 +75,7 @@
     }
 
 private:
+    [[nodiscard]] std::string reason_to_stop() const;
     bool start_attempt();
     void end_attempt();
     void note_visit(bool is_domain_at_fault);
--- a/tests/process/configd_test.cpp
+++ b/tests/process/configd_test.cpp
@@ -185,6 +185,7 @@
         // three reads a second come from each watcher; the third host stays where it is
         const auto is_one_still = [&] {
             std::vector<std::uint64_t> before;
+            before.reserve(processes.size());
             for (const auto& process : processes) {
                 before.push_back(process->platform_reads());
             }
--- a/tests/scenarios/at_most_once_test.cpp
+++ b/tests/scenarios/at_most_once_test.cpp
@@ -212,6 +212,7 @@
 void strike_at_every_step(fleet& running, const fault& chosen)
 {
     std::vector<booking> bookings;
+    bookings.reserve(steps.size());
     for (const step at : steps) {
         bookings.push_back(prepare(running, at, chosen));
     }
--- a/tests/scenarios/receiver_residency_test.cpp
+++ b/tests/scenarios/receiver_residency_test.cpp
@@ -70,7 +70,7 @@
     request.set_method("POST");
     request.set_path("/v1/chat/completions");
     request.set_body(R"({"model":"assistant","messages":[{"role":"user","content":"hello"}]})");
-    request.set_start_within_ms(5000);
+    request.set_maximum_age_ms(5000);
     request.set_deadline_ms(10'000);
     request.set_idempotent(true);
     request.set_interactive(true);
--- a/tests/scenarios/residency_test.cpp
+++ b/tests/scenarios/residency_test.cpp
@@ -170,11 +170,12 @@
     REQUIRE_FALSE(key.empty());
     std::size_t runs = 0;
     for (const char* target : {"assistant", "bookings"}) {
-        for (const auto& [endpoint, book] : running.ledgers(target)) {
-            for (const nlohmann::json& run : book.at("requests")) {
+        for (const auto& row : running.ledgers(target)) {
+            const std::string& name = row.first;
+            for (const nlohmann::json& run : row.second.at("requests")) {
                 ++runs;
                 for (const auto& header : run.at("headers").items()) {
-                    INFO(endpoint, " saw ", header.key());
+                    INFO(name, " saw ", header.key());
                     CHECK(allowed.contains(to_lower(header.key())));
                     const std::string value = header.value();
                     CHECK(value.find(key) == std::string::npos);
--- a/tests/support/limiter_fleet.h
+++ b/tests/support/limiter_fleet.h
@@ -17,8 +17,8 @@
 
 /// What an account was charged at a moment; below 0: given back.
 struct charge {
-    time_point at;
-    double tokens;
+    time_point at{};
+    double tokens = 0;
 };
 
 /// Largest amount by which any window of `charges` lies above `burst + rate * t`; at most 0: none.
@@ -46,8 +46,11 @@
     };
 
     limiter_fleet(std::uint64_t seed, limiter_options options, link_faults faults);
+    ~limiter_fleet() = default;
     limiter_fleet(const limiter_fleet&) = delete; // scheduled events refer to it
     limiter_fleet& operator=(const limiter_fleet&) = delete;
+    limiter_fleet(limiter_fleet&&) = delete;
+    limiter_fleet& operator=(limiter_fleet&&) = delete;
 
     /// Starts a host, or replaces it without memory.
     void start(const std::string& name, const std::string& failure_domain);
