--- a/src/process/dispatch_actor.cpp
+++ b/src/process/dispatch_actor.cpp
@@ -93,7 +93,7 @@
     const std::string question = to_question(received);
     state.jobs_by_question[question] = job->id;
     state.questions_by_job[job->id] = question;
-    state.decisions->submit(std::move(job), boot_clock::now());
+    state.decisions->submit(job, boot_clock::now());
 }
 
 void answer_ping(actor_t* self, const received_message& received)
