--- a/src/process/request_runner.cpp
+++ b/src/process/request_runner.cpp
@@ -81,19 +81,10 @@
         else if (const auto* why = std::get_if<refusal>(&outcome)) {
             return give_up(*why);
         }
-        else if (std::holds_alternative<exchange::is_lost>(outcome)) {
-            taken = on_lost();
-        }
-        else if (const std::string reason = reason_to_stop(); !reason.empty()) {
-            return give_up({refusal_code::deadline_exceeded,
-                            ran_state::unknown,
-                            "await answer",
-                            m_at.host,
-                            reason,
-                            {}});
+        else if (std::holds_alternative<exchange::nothing_yet>(outcome)) {
+            taken = on_nothing_yet();
         }
-        else if (!m_provided.directory.is_alive(m_exchange->who().dispatch_address,
-                                                boot_clock::now())) {
+        else {
             taken = on_lost();
         }
         if (auto* ready = std::get_if<step>(&taken)) {
@@ -102,10 +93,27 @@
     }
 }
 
+std::variant<std::monostate, request_runner::step> request_runner::on_nothing_yet()
+{
+    const time_point now = boot_clock::now();
+    if (const std::string reason = reason_to_stop(now); !reason.empty()) {
+        return step{give_up({refusal_code::deadline_exceeded,
+                             ran_state::unknown,
+                             "await answer",
+                             m_at.host,
+                             reason,
+                             {}})};
+    }
+    if (!m_provided.directory.is_alive(m_exchange->who().dispatch_address, now)) {
+        return on_lost();
+    }
+    return std::monostate{};
+}
+
 // empty: none
-std::string request_runner::reason_to_stop() const
+std::string request_runner::reason_to_stop(time_point now) const
 {
-    if (boot_clock::now() >= m_deadline) {
+    if (now >= m_deadline) {
         return "the deadline passed";
     }
     return m_provided.is_caller_connected() ? "" : "the caller has gone";
--- a/src/process/request_runner.h
+++ b/src/process/request_runner.h
@@ -75,7 +75,8 @@
     }
 
 private:
-    [[nodiscard]] std::string reason_to_stop() const;
+    [[nodiscard]] std::string reason_to_stop(time_point now) const;
+    std::variant<std::monostate, step> on_nothing_yet();
     bool start_attempt();
     void end_attempt();
     void note_visit(bool is_domain_at_fault);
