--- a/tests/scenarios/crossed_answers_test.cpp
+++ b/tests/scenarios/crossed_answers_test.cpp
@@ -125,8 +125,8 @@
     for (const outcome& answer : outcomes.unfair()) {
         MESSAGE(answer.to_string());
     }
-    for (const auto& [id, runs] : running.service_runs("bookings")) {
-        INFO(id);
-        CHECK(runs == 1);
+    for (const auto& row : running.service_runs("bookings")) {
+        INFO(row.first);
+        CHECK(row.second == 1);
     }
 }
