Let the streams before a planned stop last until all run

Cause: nine streams of about a second each begin one after another; on a busy machine the first had ended before the last began, and the condition "nine run at once" failed. Ruled out: a cut request (no run showed one), and lost streams (each answered whole). Change: the engines are slowed 60 times while the streams begin, and 8 times as before once all run. All checks stay.

--- a/tests/scenarios/graceful_stop_test.cpp
+++ b/tests/scenarios/graceful_stop_test.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t flow_callers = 6;
 constexpr std::size_t long_answer = 64;
 constexpr double slow_factor = 8;
+constexpr double stream_slow_factor = 60; // a stream lasts until all others run too
 
 chat_question make_question(std::size_t output_tokens)
 {
@@ -125,6 +126,13 @@
     std::vector<std::thread> m_threads;
 };
 
+void slow_down(fleet& running, double factor)
+{
+    for (const auto& [endpoint, book] : running.ledgers("assistant")) {
+        REQUIRE(running.set_faults(endpoint, {{"slow_factor", factor}}));
+    }
+}
+
 std::size_t count_running(const fleet& running)
 {
     std::size_t count = 0;
@@ -159,8 +167,11 @@
     CAPTURE(name);
     steady_flow flow{running};
     CHECK(flow.wait_for_whole(20));
+    // an engine reads its factor when a request begins
+    slow_down(running, stream_slow_factor);
     auto streams = begin_streams(running);
     CHECK(wait_for([&] { return count_running(running) == streams.size(); }));
+    slow_down(running, slow_factor);
     running.process(name).terminate();
     const auto code = running.process(name).wait_for_exit();
     CHECK(code == 0);
@@ -188,9 +199,7 @@
 {
     fleet running;
     REQUIRE(running.start() == "");
-    for (const auto& [endpoint, book] : running.ledgers("assistant")) {
-        REQUIRE(running.set_faults(endpoint, {{"slow_factor", slow_factor}}));
-    }
+    slow_down(running, slow_factor);
 
     check_stop(running, "attica-1-a/dispatch");
 
