--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -13,6 +13,7 @@
 #include "sample_state.h"
 #include "standins/caller.h"
 #include "support/fleet.h"
+#include "support/paths.h"
 #include "version/check_hosts.h"
 #include "version/replica.h"
 
@@ -765,7 +766,7 @@
 
 std::string load_key()
 {
-    std::ifstream file{std::string{HICKORYKEEL_SOURCE_DIR} + "/examples/kapnos/keys.json"};
+    std::ifstream file{tests::source_path("examples/kapnos/keys.json")};
     return nlohmann::json::parse(file).at("volunteers");
 }
 
--- a/tests/process/platform_answer_test.cpp
+++ b/tests/process/platform_answer_test.cpp
@@ -1,5 +1,6 @@
 #include "process/platform_answer.h"
 #include "support/fuzz_configuration.h"
+#include "support/paths.h"
 
 #include <filesystem> // directory_iterator
 #include <fstream>    // ifstream
@@ -17,7 +18,7 @@
 std::vector<std::string> read_corpus()
 {
     std::vector<std::string> bodies;
-    const auto folder = std::string{HICKORYKEEL_SOURCE_DIR} + "/tests/corpus/configuration";
+    const auto folder = tests::source_path("tests/corpus/configuration");
     for (const auto& file : std::filesystem::directory_iterator{folder}) {
         std::ifstream stream{file.path()};
         bodies.emplace_back(std::istreambuf_iterator<char>{stream},
--- a/tests/process/settings_document_test.cpp
+++ b/tests/process/settings_document_test.cpp
@@ -1,4 +1,5 @@
 #include "support/child_process.h"
+#include "support/paths.h"
 
 #include <algorithm> // min
 #include <fstream>   // ifstream
@@ -13,7 +14,7 @@
 
 std::string read_document()
 {
-    std::ifstream file{std::string{HICKORYKEEL_SOURCE_DIR} + "/docs/CONFIGURATION.md"};
+    std::ifstream file{source_path("docs/CONFIGURATION.md")};
     return {std::istreambuf_iterator<char>{file}, {}};
 }
 
--- a/tests/scenarios/residency_test.cpp
+++ b/tests/scenarios/residency_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet.h"
+#include "support/paths.h"
 #include "support/repeat.h"
 #include "support/wait_for.h"
 
@@ -70,7 +71,7 @@
 
 std::string read_key(const std::string& organisation)
 {
-    std::ifstream in{std::string{HICKORYKEEL_SOURCE_DIR} + "/examples/kapnos/keys.json"};
+    std::ifstream in{source_path("examples/kapnos/keys.json")};
     return nlohmann::json::parse(in).at(organisation);
 }
 
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,5 +1,6 @@
 #include "support/child_process.h"
 
+#include "support/paths.h"
 #include "support/wait_for.h"
 
 #include <array>      // array
@@ -42,11 +43,6 @@
 
 } // namespace detail
 
-std::string program_path(const std::string& name)
-{
-    return std::string{HICKORYKEEL_BIN_DIR} + '/' + name;
-}
-
 child_process::child_process(const std::string& name, std::vector<std::string> arguments)
     : m_output(detail::open_unnamed_file()), m_errors(detail::open_unnamed_file())
 {
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -11,9 +11,6 @@
 
 namespace hickorykeel::tests {
 
-/// Path of a program of this build.
-std::string program_path(const std::string& name);
-
 /// A started program of the build. Ends only the process that it started itself.
 ///
 /// Thread safety: one thread uses it.
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -1,6 +1,7 @@
 #include "support/fleet.h"
 
 #include "support/free_port.h"
+#include "support/paths.h"
 #include "support/socket_owner.h"
 #include "support/wait_for.h"
 #include "version/check.h"
@@ -29,7 +30,7 @@
 
 nlohmann::json read_sample(const std::string& sample, const std::string& file)
 {
-    std::ifstream in{std::string{HICKORYKEEL_SOURCE_DIR} + "/examples/" + sample + '/' + file};
+    std::ifstream in{source_path("examples/" + sample + '/' + file)};
     return nlohmann::json::parse(in, nullptr, false);
 }
 
--- a/tests/support/limiter_fleet.h
+++ b/tests/support/limiter_fleet.h
@@ -104,9 +104,9 @@
 
     struct pending {
         std::vector<std::string> accounts;
-        double tokens;
-        double used;
-        duration lasting;
+        double tokens = 0;
+        double used = 0;
+        duration lasting{};
         time_point since;
     };
 
