Answer a POST without a length in administration

Cause: curl -X POST sends neither Content-Length nor a body, which is a request without one (RFC 9112, section 6.3). The library waits for a body there until its read timeout (10 s) and answers 400, so that an operator's drain by curl did nothing. Such calls now go to their route at once.

The test runs curl, since the library's own client always sends a length; child_process can start programs of the machine for it.

--- a/src/process/admin_server.cpp
+++ b/src/process/admin_server.cpp
@@ -3,6 +3,7 @@
 #include "connection/own_port.h"
 #include "version/check.h"
 
+#include <algorithm>   // find_if
 #include <chrono>      // milliseconds
 #include <cstddef>     // size_t
 #include <string_view> // string_view
@@ -119,8 +120,10 @@
     void add_routes()
     {
         server.set_pre_routing_handler([this](const auto& request, auto& response) {
-            return is_admitted(request, response) ? httplib::Server::HandlerResponse::Unhandled
-                                                  : httplib::Server::HandlerResponse::Handled;
+            const bool is_answered =
+                !is_admitted(request, response) || answer_bodiless(request, response);
+            return is_answered ? httplib::Server::HandlerResponse::Handled
+                               : httplib::Server::HandlerResponse::Unhandled;
         });
         for (const auto& route : chosen.routes) {
             if (route.method == admin_method::get) {
@@ -149,6 +152,23 @@
         return true;
     }
 
+    // without a length there is no body (RFC 9112, section 6.3); the library would wait for one
+    bool answer_bodiless(const httplib::Request& request, httplib::Response& response) const
+    {
+        if (request.method != "POST" || request.has_header("Content-Length") ||
+            request.has_header("Transfer-Encoding")) {
+            return false;
+        }
+        const auto route =
+            std::find_if(chosen.routes.begin(), chosen.routes.end(), [&](const admin_route& each) {
+                return each.method == admin_method::post && each.path == request.path;
+            });
+        put(response, route == chosen.routes.end()
+                          ? to_admin_fault(404, "not_found", "no such path")
+                          : route->handle(to_request(request)));
+        return true;
+    }
+
     void add_faults()
     {
         server.set_exception_handler([](const auto&, auto& response, const auto&) {
--- a/tests/process/admin_server_test.cpp
+++ b/tests/process/admin_server_test.cpp
@@ -1,4 +1,5 @@
 #include "process/admin_server.h"
+#include "support/child_process.h"
 
 #include <memory>    // unique_ptr
 #include <stdexcept> // runtime_error
@@ -85,6 +86,20 @@
               R"({"a":"1","b":"x y"})");
         CHECK(client.Post("/admin/v1/size", right_key, "12345", "text/plain")->body == "5");
     }
+    SUBCASE("a call that tells no length has no body (RFC 9112, section 6.3)")
+    {
+        const auto server = open(chosen);
+        const std::string address = "http://127.0.0.1:" + std::to_string(server->port());
+        const auto post = [&](const std::string& path, const std::string& key) {
+            tests::child_process curl{{"curl", "--silent", "--max-time", "60", "--request", "POST",
+                                       "--header", "Authorization: Bearer " + key, address + path}};
+            curl.wait_for_exit();
+            return curl.output();
+        };
+        CHECK(post("/admin/v1/size", "open sesame") == "0");
+        CHECK(post("/admin/v1/size", "another").find("unauthorised") != std::string::npos);
+        CHECK(post("/admin/v1/nothing", "open sesame").find("not_found") != std::string::npos);
+    }
     SUBCASE("a missing or wrong key")
     {
         const auto server = open(chosen);
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -7,6 +7,7 @@
 #include <csignal>    // kill, SIGTERM
 #include <cstdlib>    // mkstemp
 #include <filesystem> // temp_directory_path
+#include <utility>    // move
 
 #include <spawn.h>
 #include <sys/wait.h>
@@ -41,22 +42,32 @@
     }
 }
 
+std::vector<std::string> prepend(std::string first, std::vector<std::string> others)
+{
+    others.insert(others.begin(), std::move(first));
+    return others;
+}
+
 } // namespace detail
 
 child_process::child_process(const std::string& name, std::vector<std::string> arguments)
+    : child_process(detail::prepend(program_path(name), std::move(arguments)))
+{
+}
+
+child_process::child_process(std::vector<std::string> command)
     : m_output(detail::open_unnamed_file()), m_errors(detail::open_unnamed_file())
 {
-    std::string path = program_path(name);
-    std::vector<char*> words{path.data()};
-    for (std::string& argument : arguments) {
-        words.push_back(argument.data());
+    std::vector<char*> words;
+    for (std::string& word : command) {
+        words.push_back(word.data());
     }
     words.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, m_output, STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, m_errors, STDERR_FILENO);
-    if (::posix_spawn(&m_id, path.c_str(), &actions, nullptr, words.data(), environ) != 0) {
+    if (::posix_spawnp(&m_id, words.front(), &actions, nullptr, words.data(), environ) != 0) {
         m_id = 0;
         m_exit_code = detail::signal_exit_base - 1;
     }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -19,6 +19,10 @@
     /// Starts `name` of the build with `arguments`; its output goes to unnamed temporary files.
     child_process(const std::string& name, std::vector<std::string> arguments);
 
+    /// Starts a program of the machine, found by PATH, in the same way.
+    /// @param command  its name or path, and its arguments; not empty
+    explicit child_process(std::vector<std::string> command);
+
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
     child_process(child_process&&) = delete;
