Run every example of the API page in a scenario

docs/API.md has an example with its answer for each call of callers and of administration. A scenario runs them with curl over a fleet and compares status, header lines and bodies: objects member by member, … for what varies. It also compares the calls that the page names, those that its examples make and those that are served, each way; for that the routes stand in one table each (caller_api::calls, admin_calls), which the servers and hickorykeelctl use too.

--- a/src/process/admin_server.h
+++ b/src/process/admin_server.h
@@ -3,6 +3,7 @@
 #include "process/error.h"
 #include "process/metrics.h"
 
+#include <array>      // array
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // unique_ptr
@@ -39,6 +40,23 @@
     std::function<admin_answer(const admin_request&)> handle;
 };
 
+/// One call of administration.
+struct known_admin_call {
+    admin_method method;
+    const char* path;
+};
+
+inline constexpr known_admin_call status_call{admin_method::get, "/admin/v1/status"};
+inline constexpr known_admin_call hosts_call{admin_method::get, "/admin/v1/hosts"};
+inline constexpr known_admin_call limits_call{admin_method::get, "/admin/v1/limits"};
+inline constexpr known_admin_call explain_call{admin_method::get, "/admin/v1/explain"};
+inline constexpr known_admin_call drain_call{admin_method::post, "/admin/v1/drain"};
+inline constexpr known_admin_call validate_call{admin_method::post, "/admin/v1/validate"};
+
+/// All calls that some program serves, as docs/API.md describes them.
+inline constexpr std::array admin_calls{status_call,  hosts_call, limits_call,
+                                        explain_call, drain_call, validate_call};
+
 /// Serves health, metrics and administration of one process on a thread of its own.
 ///
 /// Every path below `/admin` needs `Authorization: Bearer <key>`: 401 without the right key, 403
--- a/src/process/caller_api.cpp
+++ b/src/process/caller_api.cpp
@@ -205,27 +205,72 @@
         });
 }
 
+constexpr std::string_view service_paths = "/v1/services/.*";
+
+constexpr std::array caller_calls{
+    caller_call{"GET", "/v1/hosts"},
+    caller_call{"GET", "/v1/models"},
+    caller_call{"GET", "/healthz"},
+    caller_call{"GET", "/readyz"},
+    caller_call{"POST", "/v1/chat/completions"},
+    caller_call{"POST", "/v1/completions"},
+    caller_call{"GET", service_paths},
+    caller_call{"POST", service_paths},
+    caller_call{"PUT", service_paths},
+    caller_call{"PATCH", service_paths},
+    caller_call{"DELETE", service_paths},
+};
+
+void add(httplib::Server& server, const caller_call& call, const httplib::Server::Handler& handle)
+{
+    const std::string path{call.path};
+    if (call.method == "GET") {
+        server.Get(path, handle);
+    }
+    else if (call.method == "POST") {
+        server.Post(path, handle);
+    }
+    else if (call.method == "PUT") {
+        server.Put(path, handle);
+    }
+    else if (call.method == "PATCH") {
+        server.Patch(path, handle);
+    }
+    else {
+        server.Delete(path, handle);
+    }
+}
+
 } // namespace detail
 
+std::span<const caller_call> caller_api::calls() noexcept
+{
+    return detail::caller_calls;
+}
+
+caller_api::answer caller_api::answer_of(std::string_view path) noexcept
+{
+    if (path == "/v1/hosts") {
+        return &caller_api::answer_hosts;
+    }
+    if (path == "/v1/models") {
+        return &caller_api::answer_models;
+    }
+    if (path == "/healthz") {
+        return &caller_api::answer_health;
+    }
+    return path == "/readyz" ? &caller_api::answer_readiness : &caller_api::answer_request;
+}
+
 void caller_api::register_calls(httplib::Server& server)
 {
     using request_t = const httplib::Request&;
     using response_t = httplib::Response&;
-    server.Get("/v1/hosts", [this](request_t http, response_t res) { answer_hosts(http, res); });
-    server.Get("/v1/models", [this](request_t http, response_t res) { answer_models(http, res); });
-    server.Get("/healthz", [this](request_t, response_t res) { answer_health(res); });
-    server.Get("/readyz", [this](request_t, response_t res) { answer_readiness(res); });
-    const httplib::Server::Handler run = [this](request_t http, response_t res) {
-        answer_request(http, res);
-    };
-    server.Post("/v1/chat/completions", run);
-    server.Post("/v1/completions", run);
-    const char* services = "/v1/services/.*";
-    server.Get(services, run);
-    server.Post(services, run);
-    server.Put(services, run);
-    server.Patch(services, run);
-    server.Delete(services, run);
+    for (const caller_call& each : calls()) {
+        const answer chosen = answer_of(each.path);
+        detail::add(server, each,
+                    [this, chosen](request_t http, response_t res) { (this->*chosen)(http, res); });
+    }
     server.set_error_handler([](request_t, response_t res) {
         if (res.body.empty()) {
             const bool is_large = res.status == 413;
@@ -305,12 +350,12 @@
                          detail::json_type);
 }
 
-void caller_api::answer_health(httplib::Response& response)
+void caller_api::answer_health(const httplib::Request& /*http*/, httplib::Response& response)
 {
     response.set_content(R"({"status":"ok"})", detail::json_type);
 }
 
-void caller_api::answer_readiness(httplib::Response& response)
+void caller_api::answer_readiness(const httplib::Request& /*http*/, httplib::Response& response)
 {
     if (m_shared.is_leaving) {
         detail::answer_refusal({refusal_code::leaving, ran_state::no, "admit", "",
--- a/src/process/common_admin.cpp
+++ b/src/process/common_admin.cpp
@@ -83,7 +83,7 @@
 
 admin_route make_drain_route(std::function<std::size_t()> count_running, stop_signal& stop)
 {
-    return {admin_method::post, "/admin/v1/drain",
+    return {drain_call.method, drain_call.path,
             [count_running = std::move(count_running), &stop](const admin_request&) {
                 const std::size_t running = count_running();
                 stop.request();
@@ -93,7 +93,7 @@
 
 admin_route make_validate_route()
 {
-    return {admin_method::post, "/admin/v1/validate", detail::validate};
+    return {validate_call.method, validate_call.path, detail::validate};
 }
 
 } // namespace hickorykeel
--- a/src/process/configd_admin.cpp
+++ b/src/process/configd_admin.cpp
@@ -90,7 +90,7 @@
     detail::register_metrics(process, registry);
     admin_server::options built;
     built.routes.push_back(
-        {admin_method::get, "/admin/v1/status", [chosen, &process](const admin_request&) {
+        {status_call.method, status_call.path, [chosen, &process](const admin_request&) {
              auto body = to_json(process.status(), boot_clock::now());
              body["program"] = "hickorykeel-configd";
              body["version"] = build_version();
--- a/src/process/ctl/ctl.cpp
+++ b/src/process/ctl/ctl.cpp
@@ -133,13 +133,13 @@
 }
 
 /// A command that is one call without parameters.
-template <admin_method Method, const char* Path, const auto& Views>
+template <const known_admin_call& Call, const auto& Views>
 exit_code run_call(arguments_list& arguments, const streams& to)
 {
     command_line line{arguments.front()};
     const remote_options options{line};
     line.parse(arguments);
-    return ask_and_print(options, {Method, Path, ""}, Views, to);
+    return ask_and_print(options, {Call.method, Call.path, ""}, Views, to);
 }
 
 exit_code run_validate(arguments_list& arguments, const streams& to)
@@ -181,7 +181,7 @@
 std::string to_explain_path(const std::string& caller, const std::string& profile,
                             const std::string& target, std::uint64_t tokens)
 {
-    return "/admin/v1/explain?" + caller + "&profile=" + to_query_value(profile) +
+    return std::string{explain_call.path} + '?' + caller + "&profile=" + to_query_value(profile) +
            "&target=" + to_query_value(target) + "&tokens=" + std::to_string(tokens);
 }
 
@@ -215,11 +215,6 @@
     return ask_and_print(options, {admin_method::get, path, ""}, explain_views, to);
 }
 
-constexpr char status_path[] = "/admin/v1/status";
-constexpr char hosts_path[] = "/admin/v1/hosts";
-constexpr char limits_path[] = "/admin/v1/limits";
-constexpr char drain_path[] = "/admin/v1/drain";
-
 struct command {
     std::string_view name;
     std::string_view help;
@@ -229,14 +224,11 @@
 constexpr std::array commands{
     command{"validate", "check a file of entries", run_validate},
     command{"diff", "what a new file of entries changes", run_diff},
-    command{"status", "state of a process", run_call<admin_method::get, status_path, status_views>},
-    command{"hosts", "hosts as a process sees them",
-            run_call<admin_method::get, hosts_path, host_views>},
-    command{"limits", "accounts and levels at a process",
-            run_call<admin_method::get, limits_path, limit_views>},
+    command{"status", "state of a process", run_call<status_call, status_views>},
+    command{"hosts", "hosts as a process sees them", run_call<hosts_call, host_views>},
+    command{"limits", "accounts and levels at a process", run_call<limits_call, limit_views>},
     command{"explain", "what would become of a request", run_explain},
-    command{"drain", "have a process end gracefully",
-            run_call<admin_method::post, drain_path, drain_views>},
+    command{"drain", "have a process end gracefully", run_call<drain_call, drain_views>},
 };
 
 void print_usage(std::ostream& to)
--- a/src/process/dispatch_admin.cpp
+++ b/src/process/dispatch_admin.cpp
@@ -15,11 +15,11 @@
     built.registry = &process.registry();
     built.is_ready = [&process] { return process.is_ready(); };
     built.routes = {
-        {admin_method::get, "/admin/v1/status",
+        {status_call.method, status_call.path,
          [who, &process](const admin_request&) {
              return admin_answer{200, to_json(who, process.status(), boot_clock::now())};
          }},
-        {admin_method::get, "/admin/v1/hosts",
+        {hosts_call.method, hosts_call.path,
          [&process](const admin_request&) {
              const auto never = [](const host&) { return std::nullopt; };
              return admin_answer{200, to_json(process.status().hosts, never, boot_clock::now())};
--- a/src/process/entry_admin.cpp
+++ b/src/process/entry_admin.cpp
@@ -103,15 +103,15 @@
     built.registry = &shared.registry;
     built.is_ready = [&shared] { return shared.is_ready(); };
     built.routes = {
-        {admin_method::get, "/admin/v1/status",
+        {status_call.method, status_call.path,
          [who, &shared](const admin_request&) {
              return admin_answer{200, to_json(who, detail::to_status(shared), boot_clock::now())};
          }},
-        {admin_method::get, "/admin/v1/hosts",
+        {hosts_call.method, hosts_call.path,
          [&shared](const admin_request&) { return detail::answer_hosts(shared); }},
-        {admin_method::get, "/admin/v1/limits",
+        {limits_call.method, limits_call.path,
          [&process](const admin_request&) { return detail::answer_limits(process); }},
-        {admin_method::get, "/admin/v1/explain",
+        {explain_call.method, explain_call.path,
          [&process](const admin_request& request) {
              return detail::answer_explain(process, request);
          }},
