Give configd's status the members of every program, and its list of hosts

The status of hickorykeel-configd had no requests_running, requests_waiting and uptime_ms, and never said leaving; /admin/v1/hosts answered 404.

--- a/src/process/common_admin.cpp
+++ b/src/process/common_admin.cpp
@@ -3,8 +3,9 @@
 #include "process/build_info.h"
 #include "version/check.h"
 
-#include <utility> // move
-#include <variant> // get_if
+#include <optional> // nullopt
+#include <utility>  // move
+#include <variant>  // get_if
 
 namespace hickorykeel {
 
@@ -73,7 +74,7 @@
                            {"dispatch_address", each.dispatch_address},
                            {"configd_address", each.configd_address},
                            {"heard_ms_ago", nullptr}};
-        if (const auto heard = last_heard(each)) {
+        if (const auto heard = last_heard ? last_heard(each) : std::nullopt) {
             row["heard_ms_ago"] = detail::to_milliseconds(now - *heard);
         }
         rows.push_back(std::move(row));
@@ -81,6 +82,14 @@
     return {{"revision", listed ? listed->revision : 0}, {"hosts", std::move(rows)}};
 }
 
+admin_route make_hosts_route(std::function<host_list_ptr()> listed, heard_source last_heard)
+{
+    return {hosts_call.method, hosts_call.path,
+            [listed = std::move(listed), last_heard = std::move(last_heard)](const admin_request&) {
+                return admin_answer{200, to_json(listed(), last_heard, boot_clock::now())};
+            }};
+}
+
 admin_route make_drain_route(std::function<std::size_t()> count_running, stop_signal& stop)
 {
     return {drain_call.method, drain_call.path,
--- a/src/process/common_admin.h
+++ b/src/process/common_admin.h
@@ -40,6 +40,7 @@
 
 /// The answer of `GET /admin/v1/hosts`.
 /// @param listed  may be null
+/// @param last_heard  empty: the process hears no host
 [[nodiscard]] nlohmann::json to_json(const host_list_ptr& listed, const heard_source& last_heard,
                                      time_point now);
 
@@ -47,6 +48,12 @@
 /// What they are given outlives the server. Thread safe.
 /// @{
 
+/// `GET /admin/v1/hosts`.
+/// @param listed  the list in force; null before the first
+/// @param last_heard  empty: the process hears no host
+[[nodiscard]] admin_route make_hosts_route(std::function<host_list_ptr()> listed,
+                                           heard_source last_heard = {});
+
 /// `POST /admin/v1/drain`: the same as SIGTERM.
 [[nodiscard]] admin_route make_drain_route(std::function<std::size_t()> count_running,
                                            stop_signal& stop);
--- a/src/process/configd_actor.cpp
+++ b/src/process/configd_actor.cpp
@@ -34,8 +34,8 @@
     const auto& held = state.held;
     configuration_status status;
     status.held = to_held(held);
-    status.in_force = held.in_force() ? held.in_force()->revision : 0;
-    status.hosts_in_force = held.hosts() ? held.hosts()->revision : 0;
+    status.in_force = held.in_force();
+    status.hosts = held.hosts();
     status.refused_entries = held.refused_entries();
     status.refused_hosts = held.refused_hosts();
     status.confirmed_at = held.confirmed_at();
--- a/src/process/configd_actor.h
+++ b/src/process/configd_actor.h
@@ -40,8 +40,8 @@
 /// What the published state of a process looks like, for metrics and administration.
 struct configuration_status {
     held_revisions held;
-    std::uint64_t in_force = 0;       ///< revision of the configuration in force; 0: none
-    std::uint64_t hosts_in_force = 0; ///< revision of the list of hosts in force; 0: none
+    configuration_ptr in_force; ///< null before the first
+    host_list_ptr hosts;        ///< in force; null before the first
     std::optional<refused_revision> refused_entries;
     std::optional<refused_revision> refused_hosts;
     std::optional<time_point> confirmed_at; ///< last known to be the newest
--- a/src/process/configd_admin.cpp
+++ b/src/process/configd_admin.cpp
@@ -1,8 +1,5 @@
 #include "process/configd_admin.h"
 
-#include "process/build_info.h"
-#include "process/common_admin.h"
-
 #include <optional> // optional
 #include <utility>  // move
 
@@ -33,12 +30,22 @@
     return refused ? refused->faults.size() : 0;
 }
 
+std::uint64_t in_force_revision(const configuration_status& status)
+{
+    return status.in_force ? status.in_force->revision : 0;
+}
+
+std::uint64_t host_list_revision(const configuration_status& status)
+{
+    return status.hosts ? status.hosts->revision : 0;
+}
+
 void set_gauges(gauge_family& revisions, gauge_family& faults, const configuration_status& status)
 {
     revisions.with({"entries", "held"}).Set(static_cast<double>(status.held.entries));
-    revisions.with({"entries", "in_force"}).Set(static_cast<double>(status.in_force));
+    revisions.with({"entries", "in_force"}).Set(static_cast<double>(in_force_revision(status)));
     revisions.with({"hosts", "held"}).Set(static_cast<double>(status.held.hosts));
-    revisions.with({"hosts", "in_force"}).Set(static_cast<double>(status.hosts_in_force));
+    revisions.with({"hosts", "in_force"}).Set(static_cast<double>(host_list_revision(status)));
     faults.with({"entries"}).Set(static_cast<double>(count_faults(status.refused_entries)));
     faults.with({"hosts"}).Set(static_cast<double>(count_faults(status.refused_hosts)));
 }
@@ -67,17 +74,16 @@
 } // namespace
 } // namespace detail
 
-nlohmann::json to_json(const configuration_status& status, time_point now)
+nlohmann::json to_json(const process_identity& who, const configuration_status& status,
+                       bool is_leaving, time_point now)
 {
-    nlohmann::json built{{"revision", status.in_force},
-                         {"held_revision", status.held.entries},
-                         {"host_list_revision", status.hosts_in_force},
-                         {"held_host_list_revision", status.held.hosts},
-                         {"refused", detail::to_json(status.refused_entries)},
-                         {"refused_host_list", detail::to_json(status.refused_hosts)},
-                         {"confirmed_ms_ago", nullptr},
-                         {"watches_platform", status.is_watcher},
-                         {"state", status.in_force == 0 ? "starting" : "live"}};
+    auto built = to_json(who, serving_status{is_leaving, status.in_force, status.hosts, 0, 0}, now);
+    built.update({{"held_revision", status.held.entries},
+                  {"held_host_list_revision", status.held.hosts},
+                  {"refused", detail::to_json(status.refused_entries)},
+                  {"refused_host_list", detail::to_json(status.refused_hosts)},
+                  {"confirmed_ms_ago", nullptr},
+                  {"watches_platform", status.is_watcher}});
     if (status.confirmed_at) {
         built["confirmed_ms_ago"] = detail::to_milliseconds(now - *status.confirmed_at);
     }
@@ -88,19 +94,20 @@
                                        metrics& registry, stop_signal& stop)
 {
     detail::register_metrics(process, registry);
+    const process_identity who{"hickorykeel-configd", chosen.host, chosen.failure_domain,
+                               boot_clock::now()};
     admin_server::options built;
-    built.routes.push_back(
-        {status_call.method, status_call.path, [chosen, &process](const admin_request&) {
-             auto body = to_json(process.status(), boot_clock::now());
-             body["program"] = "hickorykeel-configd";
-             body["version"] = build_version();
-             body["host"] = chosen.host;
-             body["failure_domain"] = chosen.failure_domain;
-             return admin_answer{200, std::move(body)};
-         }});
-    built.routes.push_back(make_drain_route([] { return std::size_t{0}; }, stop));
-    built.routes.push_back(make_validate_route());
-    built.is_ready = [&process] { return process.status().in_force != 0; };
+    built.routes = {
+        {status_call.method, status_call.path,
+         [who, &process, &stop](const admin_request&) {
+             return admin_answer{
+                 200, to_json(who, process.status(), stop.is_stopping(), boot_clock::now())};
+         }},
+        make_hosts_route([&process] { return process.status().hosts; }),
+        make_drain_route([] { return std::size_t{0}; }, stop),
+        make_validate_route(),
+    };
+    built.is_ready = [&process] { return process.status().in_force != nullptr; };
     built.registry = &registry;
     return built;
 }
--- a/src/process/dispatch_admin.cpp
+++ b/src/process/dispatch_admin.cpp
@@ -2,8 +2,6 @@
 
 #include "process/common_admin.h"
 
-#include <optional> // nullopt
-
 namespace hickorykeel {
 
 admin_server::options to_admin_options(const dispatch::options& chosen, dispatch& process,
@@ -19,11 +17,7 @@
          [who, &process](const admin_request&) {
              return admin_answer{200, to_json(who, process.status(), boot_clock::now())};
          }},
-        {hosts_call.method, hosts_call.path,
-         [&process](const admin_request&) {
-             const auto never = [](const host&) { return std::nullopt; };
-             return admin_answer{200, to_json(process.status().hosts, never, boot_clock::now())};
-         }},
+        make_hosts_route([&process] { return process.status().hosts; }),
         make_drain_route([&process] { return process.status().running; }, stop),
         make_validate_route(),
     };
--- a/src/process/entry_admin.cpp
+++ b/src/process/entry_admin.cpp
@@ -83,14 +83,6 @@
     return {200, to_json(explain(*asked, {*in_force, accounts, candidates}))};
 }
 
-admin_answer answer_hosts(const entry_context& shared)
-{
-    const auto heard = [&](const host& each) {
-        return shared.directory.last_heard(each.dispatch_address);
-    };
-    return {200, to_json(shared.published->hosts(), heard, boot_clock::now())};
-}
-
 } // namespace
 } // namespace detail
 
@@ -107,8 +99,10 @@
          [who, &shared](const admin_request&) {
              return admin_answer{200, to_json(who, detail::to_status(shared), boot_clock::now())};
          }},
-        {hosts_call.method, hosts_call.path,
-         [&shared](const admin_request&) { return detail::answer_hosts(shared); }},
+        make_hosts_route([&shared] { return shared.published->hosts(); },
+                         [&shared](const host& each) {
+                             return shared.directory.last_heard(each.dispatch_address);
+                         }),
         {limits_call.method, limits_call.path,
          [&process](const admin_request&) { return detail::answer_limits(process); }},
         {explain_call.method, explain_call.path,
--- a/tests/process/configd_test.cpp
+++ b/tests/process/configd_test.cpp
@@ -137,7 +137,8 @@
     {
         const auto refused = publish(fleet, "failure_domains/crete-2", {{"region", 7}});
         REQUIRE(tests::wait_for([&] { return process->status().held.entries == refused; }));
-        CHECK(process->status().in_force == 1);
+        REQUIRE(process->status().in_force);
+        CHECK(process->status().in_force->revision == 1);
         CHECK(process->status().refused_entries->faults.size() == 1);
         CHECK(reader.revision() == 1);
         publish(fleet, "failure_domains/crete-3", crete_two);
--- a/tests/scenarios/operators_test.cpp
+++ b/tests/scenarios/operators_test.cpp
@@ -89,14 +89,17 @@
             CHECK(status["state"] == "live");
             CHECK(status["revision"] > 0);
             CHECK(status["host_list_revision"] > 0);
+            CHECK(status["requests_running"] == 0);
+            CHECK(status["requests_waiting"] == 0);
+            CHECK(status["uptime_ms"] > 0);
         }
         console.run("status", first.admin_addresses.at("entry"), {}, false);
         CHECK(contains(console.text, "hickorykeel-entry"));
     }
 
-    // hosts, as entry and dispatch know them
+    // hosts, as every program knows them
     {
-        for (const char* part : {"entry", "dispatch"}) {
+        for (const char* part : {"entry", "dispatch", "configd"}) {
             const auto hosts = console.run("hosts", first.admin_addresses.at(part));
             REQUIRE(console.code == exit_code::ok);
             CHECK(hosts["hosts"].size() == running.hosts().size());
