Have hickorykeelctl say where and why, and print plain tables

Read as an operator, it printed the help of a command to the process's standard output whatever stream it was given, under the command's name alone and without its meaning; a refusal without address and step; an unknown option under the option's own name; "Connection" for a process that isn't there; nothing at all for an empty list; 4e+07 for a bucket of 40 million tokens; and columns out of line after letters beyond ASCII.

The case "nobody listens" asked a socket that was bound and never answered: it now asks a free address and demands "no connection"; the silent one is a case of its own, as strict (it takes the client's 30 s, as before).

--- a/src/process/ctl/admin_client.cpp
+++ b/src/process/ctl/admin_client.cpp
@@ -20,6 +20,19 @@
     return client.Post(wanted.path, headers, wanted.body, "application/json");
 }
 
+std::string to_message(httplib::Error fault)
+{
+    switch (fault) {
+    case httplib::Error::Connection:
+    case httplib::Error::ConnectionTimeout:
+        return "no connection";
+    case httplib::Error::Read:
+        return "the connection ended before the answer did, or no answer came in time";
+    default:
+        return httplib::to_string(fault);
+    }
+}
+
 } // namespace
 
 result<admin_answer> call(const std::string& address, const std::string& key,
@@ -36,7 +49,7 @@
     const auto answer = send(client, headers, wanted);
     if (!answer) {
         return error{error_kind::link_unreachable, "administer", address,
-                     httplib::to_string(answer.error())};
+                     to_message(answer.error())};
     }
     auto body = nlohmann::json::parse(answer->body, nullptr, false);
     if (body.is_discarded()) {
--- a/src/process/ctl/ctl.cpp
+++ b/src/process/ctl/ctl.cpp
@@ -14,22 +14,54 @@
 
 namespace {
 
-/// Where a command prints.
+/// Where a command prints, and what its help says.
 struct streams {
     std::ostream& out;
     std::ostream& err;
+    std::string_view meaning;
 };
 
 using arguments_list = std::vector<std::string>;
 
+/// Prints a command's help as a table of its options.
+class help_printer : public TCLAP::StdOutput {
+public:
+    explicit help_printer(std::ostream& out) : m_out{out} {}
+
+    void usage(TCLAP::CmdLineInterface& line) override
+    {
+        table options{{"OPTION", "MEANING"}};
+        for (const auto* option : line.getArgList()) {
+            if (option->getName() != TCLAP::Arg::ignoreNameString()) {
+                options.add({option->longID(), option->getDescription()});
+            }
+        }
+        m_out << line.getProgramName() << ": " << line.getMessage() << "\n\n"
+              << options.to_string();
+    }
+
+    void version(TCLAP::CmdLineInterface& line) override
+    {
+        m_out << "hickorykeelctl " << line.getVersion() << '\n';
+    }
+
+private:
+    std::ostream& m_out;
+};
+
 /// Parser of one command's options.
 class command_line : public TCLAP::CmdLine {
 public:
-    explicit command_line(const std::string& help)
-        : TCLAP::CmdLine{help, ' ', std::string{build_version()}}
+    explicit command_line(const streams& to)
+        : TCLAP::CmdLine{std::string{to.meaning}, ' ', std::string{build_version()}}, m_printer{
+                                                                                          to.out}
     {
         setExceptionHandling(false);
+        setOutput(&m_printer);
     }
+
+private:
+    help_printer m_printer;
 };
 
 // --- what the answers look like ------------------------------------------------------------
@@ -136,7 +168,7 @@
 template <const known_admin_call& Call, const auto& Views>
 exit_code run_call(arguments_list& arguments, const streams& to)
 {
-    command_line line{arguments.front()};
+    command_line line{to};
     const remote_options options{line};
     line.parse(arguments);
     return ask_and_print(options, {Call.method, Call.path, ""}, Views, to);
@@ -144,7 +176,7 @@
 
 exit_code run_validate(arguments_list& arguments, const streams& to)
 {
-    command_line line{"check a file of entries as every process does"};
+    command_line line{to};
     TCLAP::UnlabeledValueArg<std::string> path{
         "file", "JSON object of keys and values", true, "", "FILE", line};
     TCLAP::SwitchArg is_json{"j", "json", "print the result as JSON", line};
@@ -159,7 +191,7 @@
 
 exit_code run_diff(arguments_list& arguments, const streams& to)
 {
-    command_line line{"tell what a new file of entries changes"};
+    command_line line{to};
     TCLAP::UnlabeledValueArg<std::string> before{"old", "entries as they are", true, "", "OLD",
                                                  line};
     TCLAP::UnlabeledValueArg<std::string> after{"new", "entries as they shall be", true, "", "NEW",
@@ -187,7 +219,7 @@
 
 exit_code run_explain(arguments_list& arguments, const streams& to)
 {
-    command_line line{"tell what would become of a request, and why"};
+    command_line line{to};
     const remote_options options{line};
     TCLAP::ValueArg<std::string> key{"",   "key-file", "file that holds the caller's key",
                                      true, "",         "FILE"};
@@ -222,12 +254,12 @@
 };
 
 constexpr std::array commands{
-    command{"validate", "check a file of entries", run_validate},
+    command{"validate", "check a file of entries as every process does", run_validate},
     command{"diff", "what a new file of entries changes", run_diff},
     command{"status", "state of a process", run_call<status_call, status_views>},
     command{"hosts", "hosts as a process sees them", run_call<hosts_call, host_views>},
     command{"limits", "accounts and levels at a process", run_call<limits_call, limit_views>},
-    command{"explain", "what would become of a request", run_explain},
+    command{"explain", "what would become of a request, and why", run_explain},
     command{"drain", "have a process end gracefully", run_call<drain_call, drain_views>},
 };
 
@@ -245,11 +277,17 @@
 
 exit_code run_command(const command& chosen, arguments_list arguments, const streams& to)
 {
+    // the parser takes the name away
+    const std::string program = "hickorykeelctl " + std::string{chosen.name};
+    arguments.front() = program;
     try {
         return chosen.run(arguments, to);
     }
     catch (const TCLAP::ArgException& fault) {
-        to.err << arguments.front() << ": " << fault.error() << ' ' << fault.argId() << '\n';
+        // a missing argument's name is part of the error, and then this is a blank
+        const bool is_named = fault.argId().size() > 1;
+        to.err << program << ": " << fault.error() << (is_named ? ", " + fault.argId() : "") << " ("
+               << program << " --help tells the options)\n";
         return exit_code::usage;
     }
     catch (const TCLAP::ExitException& done) {
@@ -273,10 +311,13 @@
     const auto* const chosen = std::find_if(commands.begin(), commands.end(),
                                             [&](const command& row) { return row.name == name; });
     if (chosen == commands.end()) {
+        if (!name.empty()) {
+            err << "hickorykeelctl: no command " << name << "\n\n";
+        }
         print_usage(err);
         return exit_code::usage;
     }
-    return run_command(*chosen, {arguments.begin() + 1, arguments.end()}, {out, err});
+    return run_command(*chosen, {arguments.begin() + 1, arguments.end()}, {out, err, chosen->help});
 }
 
 } // namespace hickorykeel::ctl
--- a/src/process/ctl/remote.cpp
+++ b/src/process/ctl/remote.cpp
@@ -54,7 +54,8 @@
     return text;
 }
 
-exit_code check_answer(const result<admin_answer>& answer, std::ostream& err)
+exit_code check_answer(const std::string& address, const result<admin_answer>& answer,
+                       std::ostream& err)
 {
     if (const auto* failure = std::get_if<error>(&answer)) {
         err << failure->to_string() << '\n';
@@ -64,7 +65,7 @@
     if (given.status < first_failure_status) {
         return exit_code::ok;
     }
-    err << to_message(given) << '\n';
+    err << "administer " << address << ": " << to_message(given) << '\n';
     const bool is_unauthorised = given.status == 401 || given.status == 403;
     return is_unauthorised ? exit_code::unauthorised : exit_code::refused;
 }
@@ -73,7 +74,7 @@
                                             std::ostream& err)
 {
     if (!is_address(options.address.getValue())) {
-        err << "--admin: not ip:port\n";
+        err << "--admin " << options.address.getValue() << ": not ip:port\n";
         return exit_code::usage;
     }
     std::string key;
@@ -86,7 +87,7 @@
         key = std::get<std::string>(read);
     }
     const auto answer = call(options.address.getValue(), key, wanted);
-    const auto code = check_answer(answer, err);
+    const auto code = check_answer(options.address.getValue(), answer, err);
     if (code != exit_code::ok) {
         return code;
     }
--- a/src/process/ctl/remote.h
+++ b/src/process/ctl/remote.h
@@ -25,9 +25,10 @@
 /// @return settings_invalid where it cannot be read
 [[nodiscard]] result<std::string> read_key(const std::string& path);
 
-/// Prints why a call failed or was refused.
+/// Prints why a call of the process at `address` failed or was refused.
 /// @return ok where `answer` is a success, and nothing was printed
-[[nodiscard]] exit_code check_answer(const result<admin_answer>& answer, std::ostream& err);
+[[nodiscard]] exit_code check_answer(const std::string& address, const result<admin_answer>& answer,
+                                     std::ostream& err);
 
 /// Asks the process that `options` name.
 /// @return the exit code with which to end where there is no successful answer
--- a/src/process/ctl/table.cpp
+++ b/src/process/ctl/table.cpp
@@ -1,7 +1,8 @@
 #include "process/ctl/table.h"
 
-#include <algorithm> // max
+#include <algorithm> // count_if, max
 #include <cassert>   // assert
+#include <cmath>     // abs
 #include <cstddef>   // size_t
 #include <iomanip>   // setprecision
 #include <sstream>   // ostringstream
@@ -13,11 +14,17 @@
 
 constexpr std::size_t gap = 2; // blanks between columns
 constexpr int significant_digits = 7;
+constexpr double largest_plain = 1e6; // larger ones are shown whole
 
 std::string to_number(double value)
 {
     std::ostringstream text;
-    text << std::setprecision(significant_digits) << value;
+    text << std::setprecision(significant_digits);
+    // levels and rates are read, not computed with: no powers of ten
+    if (std::abs(value) >= largest_plain) {
+        text << std::fixed << std::setprecision(0);
+    }
+    text << value;
     return text.str();
 }
 
@@ -30,12 +37,20 @@
     return text.empty() ? "-" : text;
 }
 
+/// Columns of a terminal that UTF-8 text takes: all bytes but those that go on a character.
+std::size_t to_width(const std::string& text)
+{
+    return static_cast<std::size_t>(std::count_if(text.begin(), text.end(), [](char c) {
+        return (static_cast<unsigned char>(c) & 0xc0U) != 0x80U;
+    }));
+}
+
 std::vector<std::size_t> to_widths(const std::vector<std::vector<std::string>>& rows)
 {
     std::vector<std::size_t> widths(rows.front().size(), 0);
     for (const auto& row : rows) {
         for (std::size_t i = 0; i < row.size(); ++i) {
-            widths[i] = std::max(widths[i], row[i].size());
+            widths[i] = std::max(widths[i], to_width(row[i]));
         }
     }
     return widths;
@@ -81,7 +96,7 @@
         std::string line;
         for (std::size_t i = 0; i < row.size(); ++i) {
             line += row[i];
-            line.append(widths[i] - row[i].size() + gap, ' ');
+            line.append(widths[i] - to_width(row[i]) + gap, ' ');
         }
         line.erase(line.find_last_not_of(' ') + 1);
         text += line + '\n';
@@ -115,9 +130,12 @@
     const bool is_single = chosen.list.empty();
     const auto rows =
         is_single ? nlohmann::json::array({answer}) : answer.value(chosen.list, nlohmann::json{});
-    if (!rows.is_array() || rows.empty()) {
+    if (!rows.is_array()) {
         return {};
     }
+    if (rows.empty()) {
+        return "no " + std::string{chosen.list} + '\n';
+    }
     std::vector<std::string> headers;
     for (const auto& shown : chosen.columns) {
         headers.emplace_back(shown.header);
--- a/tests/process/ctl_test.cpp
+++ b/tests/process/ctl_test.cpp
@@ -2,6 +2,7 @@
 
 #include "process/ctl/table.h"
 #include "support/fake_server.h"
+#include "support/free_port.h"
 #include "support/published.h"
 #include "support/scratch_file.h"
 
@@ -92,6 +93,19 @@
         process.answer = R"({"accounts":[{"account":"volunteers","level":12.5}]})";
         CHECK(ask({"limits"}).out.find("12.5") != std::string::npos);
     }
+    SUBCASE("an empty list")
+    {
+        process.answer = R"({"accounts":[]})";
+        CHECK(ask({"limits"}).out == "no accounts\n");
+    }
+    SUBCASE("columns stand under each other also after other letters than ASCII's")
+    {
+        process.answer =
+            R"({"accounts":[{"account":"χώρος","rate":1},{"account":"depot","rate":2}]})";
+        const auto out = ask({"limits"}).out;
+        CHECK(out.find("\nχώρος    1 ") != std::string::npos);
+        CHECK(out.find("\ndepot    2 ") != std::string::npos);
+    }
     SUBCASE("drain is a POST")
     {
         CHECK(ask({"drain"}).code == exit_code::ok);
@@ -126,7 +140,8 @@
         process.answer = R"({"error":{"code":"leaving","message":"drains already"}})";
         const auto result = ask({"drain"});
         CHECK(result.code == exit_code::refused);
-        CHECK(result.err == "status 409, leaving: drains already\n");
+        CHECK(result.err ==
+              "administer " + process.address() + ": status 409, leaving: drains already\n");
     }
     SUBCASE("no key or a wrong one")
     {
@@ -154,8 +169,17 @@
 {
     SUBCASE("nobody listens")
     {
-        const std::string closed = [] { return fake_server{}.address(); }();
-        CHECK(run({"status", "--admin", closed}).code == exit_code::unreachable);
+        const std::string closed = tests::free_address();
+        const auto result = run({"status", "--admin", closed});
+        CHECK(result.code == exit_code::unreachable);
+        CHECK(result.err == "[401] administer " + closed + ": no connection\n");
+    }
+    SUBCASE("somebody listens and never answers")
+    {
+        const std::string silent = [] { return fake_server{}.address(); }();
+        const auto result = run({"status", "--admin", silent});
+        CHECK(result.code == exit_code::unreachable);
+        CHECK(result.err.starts_with("[401] administer " + silent + ": "));
     }
     SUBCASE("wrong usage")
     {
@@ -167,6 +191,26 @@
         CHECK(run({"status", "--admin", "127.0.0.1:1", "--admin-key-file", "/nowhere"}).code ==
               exit_code::usage);
     }
+    SUBCASE("wrong usage is told with the command and what is wrong")
+    {
+        CHECK(run({"statsu"}).err.starts_with("hickorykeelctl: no command statsu\n"));
+        CHECK(run({"status"}).err.starts_with("hickorykeelctl status: Required argument missing"));
+        CHECK(run({"status", "--nope"}).err.starts_with("hickorykeelctl status: "));
+        CHECK(run({"status", "--admin", "here"}).err == "--admin here: not ip:port\n");
+    }
+    SUBCASE("help of each command")
+    {
+        for (const std::string command :
+             {"validate", "diff", "status", "hosts", "limits", "explain", "drain"}) {
+            CAPTURE(command);
+            const auto result = run({command, "--help"});
+            CHECK(result.code == exit_code::ok);
+            CHECK(result.out.starts_with("hickorykeelctl " + command + ": "));
+            CHECK(result.out.find("OPTION") != std::string::npos);
+            CHECK(result.out.find("--json") != std::string::npos);
+            CHECK(run({command, "--version"}).out == run({"--version"}).out);
+        }
+    }
     SUBCASE("help and version")
     {
         CHECK(run({"--help"}).out.find("validate") != std::string::npos);
@@ -229,6 +273,7 @@
     CHECK(ctl::to_cell(nullptr) == "-");
     CHECK(ctl::to_cell(true) == "yes");
     CHECK(ctl::to_cell(0.5) == "0.5");
+    CHECK(ctl::to_cell(40'000'000.0) == "40000000");
     CHECK(ctl::to_cell(12'345'678) == "12345678");
     CHECK(ctl::to_cell({"a", "b"}) == "a, b");
     CHECK(ctl::to_cell("a\x1b[2Jb") == "a?[2Jb");
