Make the scenarios' questions and bookings in one place

Nine scenarios wrote out the same question to the sample fleets' model, and two the same booking. Both stand in tests/support/questions.h now; texts that no assertion reads became its default. No assertion changed.

--- a/tests/scenarios/configuration_test.cpp
+++ b/tests/scenarios/configuration_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet.h"
+#include "support/questions.h"
 #include "support/repeat.h"
 #include "support/wait_for.h"
 
@@ -23,19 +24,9 @@
 constexpr const char* withdrawn_profile = "visit-summary-crete";
 constexpr const char* added_profile = "visit-letter";
 
-chat_question make_question(const std::string& profile)
-{
-    chat_question question;
-    question.profile = profile;
-    question.model = "assistant";
-    question.text = "the lamp above the stairs";
-    question.output_tokens = 4;
-    return question;
-}
-
 outcome ask(const fleet& running, std::size_t host, const std::string& profile)
 {
-    return running.caller(host, "volunteers").ask(make_question(profile));
+    return running.caller(host, "volunteers").ask(make_question(profile, false, 4));
 }
 
 bool becomes_whole(const fleet& running, std::size_t host, const std::string& profile)
--- a/tests/scenarios/crossed_answers_test.cpp
+++ b/tests/scenarios/crossed_answers_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet.h"
+#include "support/questions.h"
 #include "support/repeat.h"
 
 #include <array>   // array
@@ -22,15 +23,11 @@
 constexpr std::size_t various_lengths = 16;
 
 /// Every caller's questions differ from all others by text and length.
-chat_question make_question(std::size_t caller, std::size_t number)
+chat_question make_question_of(std::size_t caller, std::size_t number)
 {
-    chat_question question;
-    question.profile = "visit-summary";
-    question.model = "assistant";
-    question.text = "caller " + std::to_string(caller) + " asks " + std::to_string(number);
-    question.output_tokens = least_tokens + (caller * 7 + number * 3) % various_lengths;
-    question.is_stream = (caller + number) % 2 == 0;
-    return question;
+    return make_question("visit-summary", (caller + number) % 2 == 0,
+                         least_tokens + (caller * 7 + number * 3) % various_lengths,
+                         "caller " + std::to_string(caller) + " asks " + std::to_string(number));
 }
 
 service_question make_call(std::size_t caller, std::size_t number)
@@ -89,7 +86,8 @@
 void ask_all(const http_caller& caller, std::size_t number, tally& outcomes)
 {
     for (std::size_t i = 0; i < questions_of_caller; ++i) {
-        outcomes.add(repeat_passing_refusals([&] { return caller.ask(make_question(number, i)); }));
+        outcomes.add(
+            repeat_passing_refusals([&] { return caller.ask(make_question_of(number, i)); }));
         outcomes.add(repeat_passing_refusals([&] { return caller.call(make_call(number, i)); }));
     }
 }
--- a/tests/scenarios/graceful_stop_test.cpp
+++ b/tests/scenarios/graceful_stop_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet.h"
+#include "support/questions.h"
 #include "support/repeat.h"
 #include "support/wait_for.h"
 
@@ -24,17 +25,6 @@
 constexpr double slow_factor = 8;
 constexpr double stream_slow_factor = 60; // a stream lasts until all others run too
 
-chat_question make_question(std::size_t output_tokens)
-{
-    chat_question question;
-    question.profile = "visit-summary";
-    question.model = "assistant";
-    question.text = "the alarm of the attic";
-    question.output_tokens = output_tokens;
-    question.is_stream = true;
-    return question;
-}
-
 /// Callers that ask which hosts to use before each request, and keep what was not whole.
 class steady_flow {
 public:
@@ -98,7 +88,7 @@
             const auto found = std::find(m_addresses.begin(), m_addresses.end(), row.at("address"));
             const http_caller& caller =
                 m_callers.at(static_cast<std::size_t>(found - m_addresses.begin()));
-            const outcome answer = caller.ask(make_question(8));
+            const outcome answer = caller.ask(make_question("visit-summary", true, 8));
             if (answer.kind != outcome_kind::unreachable) {
                 note(answer);
                 return;
@@ -153,8 +143,9 @@
         for (std::size_t i = 0; i < streams_of_host; ++i) {
             streams.push_back(
                 std::async(std::launch::async, [caller = running.caller(host, "volunteers")] {
-                    return repeat_passing_refusals(
-                        [&] { return caller.ask(make_question(long_answer)); });
+                    return repeat_passing_refusals([&] {
+                        return caller.ask(make_question("visit-summary", true, long_answer));
+                    });
                 }));
         }
     }
--- a/tests/scenarios/key_withdrawal_test.cpp
+++ b/tests/scenarios/key_withdrawal_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet.h"
+#include "support/questions.h"
 #include "support/repeat.h"
 #include "support/wait_for.h"
 
@@ -22,17 +23,6 @@
 constexpr std::size_t long_answer = 200;
 constexpr double slow_factor = 100;
 
-chat_question make_question(const std::string& profile, std::size_t output_tokens)
-{
-    chat_question question;
-    question.profile = profile;
-    question.model = "assistant";
-    question.text = "the alarm in the hall is silent";
-    question.output_tokens = output_tokens;
-    question.is_stream = true;
-    return question;
-}
-
 bool is_unauthorised(const outcome& answer)
 {
     return answer.kind == outcome_kind::refused &&
@@ -63,7 +53,7 @@
 bool is_served(const fleet& running, std::size_t host, const std::string& profile)
 {
     const http_caller caller = running.caller(host, "volunteers");
-    const auto ask = [&] { return caller.ask(make_question(profile, 4)); };
+    const auto ask = [&] { return caller.ask(make_question(profile, true, 4)); };
     return wait_for([&] { return repeat_passing_refusals(ask).kind == outcome_kind::whole; });
 }
 
@@ -71,7 +61,7 @@
 {
     for (std::size_t host = 0; host < running.hosts().size(); ++host) {
         const http_caller caller = running.caller(host, "volunteers");
-        const auto ask = [&] { return caller.ask(make_question("visit-summary", 4)); };
+        const auto ask = [&] { return caller.ask(make_question("visit-summary", true, 4)); };
         // one that was admitted just before may have begun
         const auto is_refused_at_once = [&] {
             const outcome answer = ask();
@@ -99,11 +89,11 @@
                 // an engine as slow as these gets no third request
                 continue;
             }
-            streams.push_back(
-                std::async(std::launch::async, [caller = running.caller(host, "volunteers"),
-                                                question = make_question(profile, long_answer)] {
-                    return caller.ask(question);
-                }));
+            streams.push_back(std::async(std::launch::async,
+                                         [caller = running.caller(host, "volunteers"),
+                                          question = make_question(profile, true, long_answer)] {
+                                             return caller.ask(question);
+                                         }));
         }
     }
     return streams;
--- a/tests/scenarios/leaving_endpoint_test.cpp
+++ b/tests/scenarios/leaving_endpoint_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet.h"
+#include "support/questions.h"
 #include "support/repeat.h"
 #include "support/wait_for.h"
 
@@ -22,17 +23,6 @@
 constexpr std::size_t quiet_requests = 10;
 constexpr std::size_t checked_requests = 40;
 
-chat_question make_question(std::size_t number, std::size_t output_tokens)
-{
-    chat_question question;
-    question.profile = "visit-summary";
-    question.model = "assistant";
-    question.text = "alarm number " + std::to_string(number);
-    question.output_tokens = output_tokens;
-    question.is_stream = true;
-    return question;
-}
-
 std::size_t count_runs(const fleet& running, const std::string& name, const std::string& state)
 {
     std::size_t count = 0;
@@ -65,7 +55,9 @@
 {
     for (std::size_t i = 0; i < times; ++i) {
         for (std::size_t host = 0; host < running.hosts().size(); ++host) {
-            const outcome answer = ask(running, host, make_question(i, 2));
+            const outcome answer =
+                ask(running, host,
+                    make_question("visit-summary", true, 2, "alarm number " + std::to_string(i)));
             INFO(answer.to_string());
             CHECK(answer.kind == outcome_kind::whole);
         }
@@ -79,7 +71,9 @@
     streams.reserve(count);
     for (std::size_t i = 0; i < count; ++i) {
         streams.push_back(std::async(std::launch::async, [&running, i] {
-            return ask(running, attica, make_question(i, long_answer));
+            return ask(running, attica,
+                       make_question("visit-summary", true, long_answer,
+                                     "alarm number " + std::to_string(i)));
         }));
     }
     return streams;
--- a/tests/scenarios/operators_test.cpp
+++ b/tests/scenarios/operators_test.cpp
@@ -1,5 +1,6 @@
 #include "process/ctl/ctl.h"
 #include "support/fleet.h"
+#include "support/questions.h"
 #include "support/scratch_file.h"
 #include "support/wait_for.h"
 
@@ -55,16 +56,6 @@
     return text.find(part) != std::string::npos;
 }
 
-chat_question make_question(bool is_stream)
-{
-    chat_question question;
-    question.profile = "visit-summary";
-    question.model = "assistant";
-    question.text = "the alarm in the kitchen beeps once a minute";
-    question.is_stream = is_stream;
-    return question;
-}
-
 } // namespace
 
 TEST_CASE("what operators see of a fleet")
@@ -74,7 +65,7 @@
     const fleet_host& first = running.hosts()[0];
     operator_console console{fleet::admin_key()};
     for (const bool is_stream : {false, true}) {
-        CHECK(running.caller(0, "volunteers").ask(make_question(is_stream)).kind ==
+        CHECK(running.caller(0, "volunteers").ask(make_question("visit-summary", is_stream)).kind ==
               outcome_kind::whole);
     }
 
--- a/tests/scenarios/residency_test.cpp
+++ b/tests/scenarios/residency_test.cpp
@@ -1,5 +1,6 @@
 #include "support/fleet.h"
 #include "support/paths.h"
+#include "support/questions.h"
 #include "support/repeat.h"
 #include "support/wait_for.h"
 
@@ -19,16 +20,6 @@
 
 constexpr const char* crete_domain = "crete-1";
 
-chat_question make_question(bool is_stream)
-{
-    chat_question question;
-    question.profile = "visit-summary-crete";
-    question.model = "assistant";
-    question.text = "a household of Chania";
-    question.is_stream = is_stream;
-    return question;
-}
-
 std::set<std::string> endpoints_of(const fleet& running, const std::string& target,
                                    bool is_in_crete)
 {
@@ -59,16 +50,6 @@
     entries["profiles/booking-crete"] = limited;
 }
 
-service_question make_booking(const std::string& id)
-{
-    service_question question;
-    question.profile = "booking-crete";
-    question.service = "bookings";
-    question.path = "visits";
-    question.id = id;
-    return question;
-}
-
 std::string read_key(const std::string& organisation)
 {
     std::ifstream in{source_path("examples/kapnos/keys.json")};
@@ -95,14 +76,15 @@
     for (std::size_t host = 0; host < running.hosts().size(); ++host) {
         const http_caller caller = running.caller(host, "volunteers");
         for (const bool is_stream : {false, true}) {
-            const outcome answer =
-                repeat_passing_refusals([&] { return caller.ask(make_question(is_stream)); });
+            const outcome answer = repeat_passing_refusals(
+                [&] { return caller.ask(make_question("visit-summary-crete", is_stream)); });
             INFO(answer.to_string());
             CHECK(answer.kind == outcome_kind::whole);
             CHECK(endpoints_of(running, "assistant", true).contains(answer.endpoint));
         }
-        const outcome booked = repeat_passing_refusals(
-            [&] { return caller.call(make_booking("visit-" + std::to_string(host))); });
+        const outcome booked = repeat_passing_refusals([&] {
+            return caller.call(make_booking("visit-" + std::to_string(host), "", "booking-crete"));
+        });
         INFO(booked.to_string());
         CHECK(booked.kind == outcome_kind::whole);
     }
@@ -117,12 +99,13 @@
     for (std::size_t host = 0; host < running.hosts().size(); ++host) {
         const http_caller caller = running.caller(host, "volunteers");
         for (const bool is_stream : {false, true}) {
-            const outcome answer = caller.ask(make_question(is_stream));
+            const outcome answer = caller.ask(make_question("visit-summary-crete", is_stream));
             INFO(answer.to_string());
             CHECK(answer.kind == outcome_kind::refused);
             CHECK(answer.ran == "no");
         }
-        const outcome booked = caller.call(make_booking("visit-without-endpoint"));
+        const outcome booked =
+            caller.call(make_booking("visit-without-endpoint", "", "booking-crete"));
         INFO(booked.to_string());
         CHECK(booked.kind == outcome_kind::refused);
         CHECK(booked.ran == "no");
@@ -136,7 +119,8 @@
     for (const std::size_t host : {std::size_t{0}, std::size_t{2}}) {
         outcome answer;
         CHECK(wait_for([&] {
-            answer = running.caller(host, "volunteers").ask(make_question(true));
+            answer =
+                running.caller(host, "volunteers").ask(make_question("visit-summary-crete", true));
             return answer.kind == outcome_kind::refused && answer.ran == "no";
         }));
         INFO(answer.to_string());
@@ -155,13 +139,14 @@
 
     for (std::size_t host = 0; host < running.hosts().size(); ++host) {
         const http_caller caller = running.caller(host, "volunteers");
-        chat_question question = make_question(true);
+        chat_question question = make_question("visit-summary-crete", true);
         question.profile = "visit-summary";
         question.idempotency_key = "a key of the caller";
         question.deadline_ms = 10'000;
         CHECK(repeat_passing_refusals([&] { return caller.ask(question); }).kind ==
               outcome_kind::whole);
-        service_question booking = make_booking("visit-" + std::to_string(host));
+        service_question booking =
+            make_booking("visit-" + std::to_string(host), "", "booking-crete");
         booking.profile = "booking";
         booking.idempotency_key = caller.tickets("booking").at(0);
         CHECK(repeat_passing_refusals([&] { return caller.call(booking); }).kind ==
--- a/tests/scenarios/secrets_test.cpp
+++ b/tests/scenarios/secrets_test.cpp
@@ -1,5 +1,6 @@
 #include "support/fake_collector.h"
 #include "support/fleet.h"
+#include "support/questions.h"
 #include "support/wait_for.h"
 #include "version/check.h"
 
@@ -59,16 +60,6 @@
     return client.Post("/v1/services/bookings/" + path, headers, planted_body, "text/plain");
 }
 
-chat_question make_question(bool is_stream)
-{
-    chat_question question;
-    question.profile = "visit-summary";
-    question.model = "assistant";
-    question.text = planted_prompt;
-    question.is_stream = is_stream;
-    return question;
-}
-
 std::string get(const std::string& address, const std::string& path)
 {
     const httplib::Headers headers{{"Authorization", "Bearer " + fleet::admin_key()}};
@@ -123,7 +114,8 @@
         planted_key,  stranger_key,  planted_prompt,     planted_answer,
         planted_body, planted_trace, fleet::admin_key(), running.link_secret_key()};
     for (const bool is_stream : {false, true}) {
-        const outcome answer = caller.ask(make_question(is_stream));
+        const outcome answer =
+            caller.ask(make_question("visit-summary", is_stream, 16, planted_prompt));
         REQUIRE(answer.kind == outcome_kind::whole);
         secrets.push_back(answer.text);
     }
--- a/tests/scenarios/thin_path_test.cpp
+++ b/tests/scenarios/thin_path_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet.h"
+#include "support/questions.h"
 
 #include <doctest/doctest.h>
 
@@ -7,27 +8,6 @@
 
 namespace {
 
-chat_question make_question(bool is_stream)
-{
-    chat_question question;
-    question.profile = "visit-summary";
-    question.model = "assistant";
-    question.text = "the alarm in the kitchen beeps once a minute";
-    question.is_stream = is_stream;
-    return question;
-}
-
-service_question make_booking(const std::string& ticket)
-{
-    service_question question;
-    question.profile = "booking";
-    question.service = "bookings";
-    question.path = "visits";
-    question.id = "visit-1";
-    question.idempotency_key = ticket;
-    return question;
-}
-
 } // namespace
 
 TEST_CASE("whole path over three failure domains")
@@ -40,7 +20,7 @@
         for (std::size_t host = 0; host < running.hosts().size(); ++host) {
             const http_caller caller = running.caller(host, "volunteers");
             for (const bool is_stream : {false, true}) {
-                const outcome answer = caller.ask(make_question(is_stream));
+                const outcome answer = caller.ask(make_question("visit-summary", is_stream));
                 INFO(answer.to_string());
                 CHECK(answer.kind == outcome_kind::whole);
                 CHECK(answer.host == running.hosts()[host].name);
@@ -53,7 +33,8 @@
         const http_caller caller = running.caller(0, "volunteers");
         const auto hosts = caller.hosts("booking");
         REQUIRE(hosts.contains("tickets"));
-        const auto booking = make_booking(hosts["tickets"][0]["ticket"].get<std::string>());
+        const auto booking =
+            make_booking("visit-1", hosts["tickets"][0]["ticket"].get<std::string>());
         for (int i = 0; i < 2; ++i) {
             const outcome answer = caller.call(booking);
             INFO(answer.to_string());
@@ -68,7 +49,7 @@
 
     SUBCASE("a stranger is refused, and nothing ran")
     {
-        const outcome answer = running.caller(0, "").ask(make_question(false));
+        const outcome answer = running.caller(0, "").ask(make_question("visit-summary", false));
         CHECK(answer.kind == outcome_kind::refused);
         CHECK(answer.code == "unauthorised");
         CHECK(answer.ran == "no");
