--- a/src/process/program.h
+++ b/src/process/program.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "process/error.h"
 #include "process/settings.h"
 #include "process/stop_signal.h"
 
 #include <functional> // function
+#include <iostream>   // cerr
 #include <span>       // span
 #include <string>     // string
+#include <variant>    // get_if
 #include <vector>     // vector
 
 namespace hickorykeel {
@@ -33,6 +36,18 @@
 /// Markdown tables of `rules`, one a section: key, kind, default and meaning. Thread safe.
 [[nodiscard]] std::string describe_settings(std::span<const setting_rule> rules);
 
+/// Prints why `opened` failed on stderr. Thread safe.
+/// @return whether it failed
+template <typename Value>
+[[nodiscard]] bool report_failure(const result<Value>& opened)
+{
+    const auto* failure = std::get_if<error>(&opened);
+    if (failure != nullptr) {
+        std::cerr << failure->to_string() << '\n';
+    }
+    return failure != nullptr;
+}
+
 /// Exit code for a wrong command line (EX_USAGE of sysexits.h).
 inline constexpr int exit_usage = 64;
 
--- a/src/programs/configd.cpp
+++ b/src/programs/configd.cpp
@@ -3,7 +3,7 @@
 #include "process/program.h"
 
 #include <cstdlib>  // EXIT_FAILURE, EXIT_SUCCESS
-#include <iostream> // cout, cerr
+#include <iostream> // cout
 
 namespace {
 
@@ -23,15 +23,13 @@
         chosen.text("link", "listen"),  chosen.text("platform", "address"),
         chosen.list("peers", "seeds"),  to_link_keys(chosen)};
     auto opened = configd::open(wanted);
-    if (const auto* failure = std::get_if<error>(&opened)) {
-        std::cerr << failure->to_string() << '\n';
+    if (report_failure(opened)) {
         return EXIT_FAILURE;
     }
     const configd& process = *std::get<0>(opened);
     metrics registry{wanted.host, wanted.failure_domain};
     const auto server = open_admin(chosen, to_admin_options(wanted, process, registry, stop));
-    if (const auto* failure = std::get_if<error>(&server)) {
-        std::cerr << failure->to_string() << '\n';
+    if (report_failure(server)) {
         return EXIT_FAILURE;
     }
     std::cout << "listening " << process.link_address() << std::endl;
