--- a/src/process/dispatch_admin.cpp
+++ b/src/process/dispatch_admin.cpp
@@ -2,8 +2,6 @@
 
 #include "process/common_admin.h"
 
-#include <optional> // nullopt
-
 namespace hickorykeel {
 
 admin_server::options to_admin_options(const dispatch::options& chosen, dispatch& process,
@@ -15,15 +13,11 @@
     built.registry = &process.registry();
     built.is_ready = [&process] { return process.is_ready(); };
     built.routes = {
-        {admin_method::get, "/admin/v1/status",
+        {status_call.method, status_call.path,
          [who, &process](const admin_request&) {
              return admin_answer{200, to_json(who, process.status(), boot_clock::now())};
          }},
-        {admin_method::get, "/admin/v1/hosts",
-         [&process](const admin_request&) {
-             const auto never = [](const host&) { return std::nullopt; };
-             return admin_answer{200, to_json(process.status().hosts, never, boot_clock::now())};
-         }},
+        make_hosts_route([&process] { return process.status().hosts; }),
         make_drain_route([&process] { return process.status().running; }, stop),
         make_validate_route(),
     };
--- a/src/process/entry_admin.cpp
+++ b/src/process/entry_admin.cpp
@@ -83,14 +83,6 @@
     return {200, to_json(explain(*asked, {*in_force, accounts, candidates}))};
 }
 
-admin_answer answer_hosts(const entry_context& shared)
-{
-    const auto heard = [&](const host& each) {
-        return shared.directory.last_heard(each.dispatch_address);
-    };
-    return {200, to_json(shared.published->hosts(), heard, boot_clock::now())};
-}
-
 } // namespace
 } // namespace detail
 
@@ -103,15 +95,17 @@
     built.registry = &shared.registry;
     built.is_ready = [&shared] { return shared.is_ready(); };
     built.routes = {
-        {admin_method::get, "/admin/v1/status",
+        {status_call.method, status_call.path,
          [who, &shared](const admin_request&) {
              return admin_answer{200, to_json(who, detail::to_status(shared), boot_clock::now())};
          }},
-        {admin_method::get, "/admin/v1/hosts",
-         [&shared](const admin_request&) { return detail::answer_hosts(shared); }},
-        {admin_method::get, "/admin/v1/limits",
+        make_hosts_route([&shared] { return shared.published->hosts(); },
+                         [&shared](const host& each) {
+                             return shared.directory.last_heard(each.dispatch_address);
+                         }),
+        {limits_call.method, limits_call.path,
          [&process](const admin_request&) { return detail::answer_limits(process); }},
-        {admin_method::get, "/admin/v1/explain",
+        {explain_call.method, explain_call.path,
          [&process](const admin_request& request) {
              return detail::answer_explain(process, request);
          }},
--- a/tests/scenarios/operators_test.cpp
+++ b/tests/scenarios/operators_test.cpp
@@ -1,5 +1,6 @@
 #include "process/ctl/ctl.h"
 #include "support/fleet.h"
+#include "support/questions.h"
 #include "support/scratch_file.h"
 #include "support/wait_for.h"
 
@@ -55,16 +56,6 @@
     return text.find(part) != std::string::npos;
 }
 
-chat_question make_question(bool is_stream)
-{
-    chat_question question;
-    question.profile = "visit-summary";
-    question.model = "assistant";
-    question.text = "the alarm in the kitchen beeps once a minute";
-    question.is_stream = is_stream;
-    return question;
-}
-
 } // namespace
 
 TEST_CASE("what operators see of a fleet")
@@ -74,7 +65,7 @@
     const fleet_host& first = running.hosts()[0];
     operator_console console{fleet::admin_key()};
     for (const bool is_stream : {false, true}) {
-        CHECK(running.caller(0, "volunteers").ask(make_question(is_stream)).kind ==
+        CHECK(running.caller(0, "volunteers").ask(make_question("visit-summary", is_stream)).kind ==
               outcome_kind::whole);
     }
 
@@ -89,14 +80,17 @@
             CHECK(status["state"] == "live");
             CHECK(status["revision"] > 0);
             CHECK(status["host_list_revision"] > 0);
+            CHECK(status["requests_running"] == 0);
+            CHECK(status["requests_waiting"] == 0);
+            CHECK(status["uptime_ms"] > 0);
         }
         console.run("status", first.admin_addresses.at("entry"), {}, false);
         CHECK(contains(console.text, "hickorykeel-entry"));
     }
 
-    // hosts, as entry and dispatch know them
+    // hosts, as every program knows them
     {
-        for (const char* part : {"entry", "dispatch"}) {
+        for (const char* part : {"entry", "dispatch", "configd"}) {
             const auto hosts = console.run("hosts", first.admin_addresses.at(part));
             REQUIRE(console.code == exit_code::ok);
             CHECK(hosts["hosts"].size() == running.hosts().size());
