Suspect a lost dispatch process early, and pay for its requests apart

Cause: an entry process went on choosing a killed dispatch process until it had been silent for 1.5 s, and every request lost with it was paid by the budget of 10 that guards the endpoints, so that what was above it was refused.

- A dispatch process that missed two reports (400 ms beside the way), or with which a request was lost or found it unready, is suspected until its next report and is a last resort: chosen only where no other may have the request.
It still counts as lost after 1.5 s.
- What a lost or unready process had is paid by a budget of its own: one for each request, at most 1000 saved up.
- An answer that is handed over whole may be tried again after its head: its caller has seen nothing.

Ruled out: taking a missing acknowledgement as a sign that nothing ran. It may be lost with the process; and as a sign of loss it says no more than a missing report. Leaving suspected ones out altogether: a profile whose regions hold no other would be refused for two late reports.

dispatch_kill_test, 16 callers of idempotent work, SIGKILL of their host's dispatch process, restart.

--- a/src/process/dispatch_directory.cpp
+++ b/src/process/dispatch_directory.cpp
@@ -35,6 +35,13 @@
            now - *peer.unanswered_since >= dispatch_directory::silence_limit;
 }
 
+bool is_suspect(const dispatch_peer& peer, time_point now)
+{
+    return peer.is_suspect ||
+           (peer.unanswered_since &&
+            now - *peer.unanswered_since >= dispatch_directory::suspect_limit + 2 * peer.way);
+}
+
 void ask(dispatch_peer& peer, time_point now, std::vector<std::string>& due)
 {
     peer.last_asked = now;
@@ -117,13 +124,14 @@
         return;
     }
     dispatch_peer& peer = found->second;
-    const bool is_news =
-        !may_take_requests(peer, now) || !detail::is_same_offer(peer, incarnation, pong);
+    const bool is_news = !may_take_requests(peer, now) || detail::is_suspect(peer, now) ||
+                         !detail::is_same_offer(peer, incarnation, pong);
     peer.incarnation = incarnation;
     peer.is_leaving = pong.leaving();
     peer.last_heard = now;
     peer.way = round_trip.value_or(2 * peer.way) / 2;
     peer.unanswered_since.reset();
+    peer.is_suspect = false;
     peer.loads.clear();
     for (const link::target_load& load : pong.loads()) {
         peer.loads[load.target()] = {load.live_endpoints(), load.running(),
@@ -135,6 +143,17 @@
     }
 }
 
+void dispatch_directory::suspect(const std::string& address, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_peers.find(address);
+    if (found == m_peers.end() || found->second.is_suspect) {
+        return;
+    }
+    found->second.is_suspect = true;
+    renew_routes(now);
+}
+
 void dispatch_directory::refresh(time_point now)
 {
     const std::lock_guard lock(m_mutex);
@@ -143,8 +162,23 @@
 
 // precondition: the mutex is held
 void dispatch_directory::renew_routes(time_point now)
+{
+    const bool is_any_suspect = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& row) {
+        return detail::is_suspect(row.second, now);
+    });
+    m_routes = make_routes(route_scope::trusted, now);
+    m_last_resort = is_any_suspect ? make_routes(route_scope::all, now) : m_routes;
+}
+
+// precondition: the mutex is held
+dispatch_directory::routes_by_target dispatch_directory::make_routes(route_scope scope,
+                                                                     time_point now) const
 {
     std::map<std::string, std::shared_ptr<target_route>> routes;
+    const auto is_in_scope = [&](const dispatch_peer& peer) {
+        return may_take_requests(peer, now) &&
+               (scope == route_scope::all || !detail::is_suspect(peer, now));
+    };
     const auto add = [&](const dispatch_peer& peer) {
         for (const auto& [target_name, load] : peer.loads) {
             if (load.live_endpoints > 0) {
@@ -158,15 +192,15 @@
     };
     // the own one is the first of its failure domain
     const auto own = m_peers.find(m_own_address);
-    if (own != m_peers.end() && may_take_requests(own->second, now)) {
+    if (own != m_peers.end() && is_in_scope(own->second)) {
         add(own->second);
     }
     for (const auto& [address, peer] : m_peers) {
-        if (address != m_own_address && may_take_requests(peer, now)) {
+        if (address != m_own_address && is_in_scope(peer)) {
             add(peer);
         }
     }
-    m_routes = {routes.begin(), routes.end()};
+    return {routes.begin(), routes.end()};
 }
 
 void dispatch_directory::add_to(target_route& route, const dispatch_peer& peer,
@@ -248,11 +282,13 @@
     return peer.incarnation != 0 && !peer.is_leaving && now - peer.last_heard < oldest;
 }
 
-target_route_ptr dispatch_directory::route_to(const std::string& target_name) const
+target_route_ptr dispatch_directory::route_to(const std::string& target_name,
+                                              route_scope scope) const
 {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_routes.find(target_name);
-    return found == m_routes.end() ? nullptr : found->second;
+    const routes_by_target& routes = scope == route_scope::all ? m_last_resort : m_routes;
+    const auto found = routes.find(target_name);
+    return found == routes.end() ? nullptr : found->second;
 }
 
 bool dispatch_directory::is_alive(const std::string& address, time_point now) const
--- a/src/process/dispatch_directory.h
+++ b/src/process/dispatch_directory.h
@@ -37,6 +37,7 @@
     duration way{0}; ///< one way, from the last round trip; 0: not measured
     time_point last_asked{};
     std::optional<time_point> unanswered_since; ///< first heartbeat after the last answer
+    bool is_suspect = false; ///< failed a request of this entry process since the last answer
     std::map<std::string, dispatch_load> loads; ///< by target
 };
 
@@ -56,11 +57,19 @@
 
 using target_route_ptr = std::shared_ptr<const target_route>;
 
+/// Which dispatch processes a route leads to.
+enum class route_scope {
+    trusted, ///< those that are not suspected to be gone
+    all,     ///< also suspected ones: the last resort
+};
+
 /// The dispatch processes of all listed hosts and what their heartbeats said.
 ///
 /// Those of the own failure domain are all asked, at each call of `take_due`. Of each other failure
 /// domain the two that are first in this host's own order are asked once a second, and further ones
-/// in their place while they are silent or leave. Only those that answer are candidates.
+/// in their place while they are silent or leave. Only those that answer are candidates. One that
+/// missed two reports, or failed a request, is suspected until its next report: it is chosen only
+/// where there is no other, long before it counts as dead.
 ///
 /// Thread safety: all methods may be called from any thread.
 class dispatch_directory {
@@ -68,6 +77,10 @@
     /// A dispatch process that owes an answer for this long is taken for dead.
     static constexpr duration silence_limit = std::chrono::milliseconds{1500};
 
+    /// One that owes an answer for this long, beside the way there and back, is suspected: two
+    /// reports missed.
+    static constexpr duration suspect_limit = std::chrono::milliseconds{400};
+
     /// Between two heartbeats to a process of another failure domain.
     static constexpr duration far_interval = std::chrono::seconds{1};
 
@@ -92,6 +105,10 @@
     void on_pong(const std::string& address, std::uint64_t incarnation, const link::pong& pong,
                  std::optional<duration> round_trip, time_point now);
 
+    /// Suspects the dispatch process at `address` until its next report, and renews the routes: it
+    /// failed a request, and the fault was its own or the link's.
+    void suspect(const std::string& address, time_point now);
+
     /// Renews the routes: the waits, and who was silent. Call it each 200 ms or so. Linear in the
     /// number of listed hosts times their targets.
     void refresh(time_point now);
@@ -105,7 +122,8 @@
 
     /// Failure domains with a live dispatch process that has a live endpoint of `target_name`; null
     /// where there is none. Logarithmic in the number of targets.
-    [[nodiscard]] target_route_ptr route_to(const std::string& target_name) const;
+    [[nodiscard]] target_route_ptr route_to(const std::string& target_name,
+                                            route_scope scope = route_scope::trusted) const;
 
     /// Whether it is the address of the own host's dispatch process.
     [[nodiscard]] bool is_own_address(const std::string& address) const
@@ -126,7 +144,10 @@
     /// @}
 
 private:
+    using routes_by_target = std::map<std::string, target_route_ptr>;
+
     void renew_routes(time_point now);
+    [[nodiscard]] routes_by_target make_routes(route_scope scope, time_point now) const;
     void add_to(target_route& route, const dispatch_peer& peer, const dispatch_load& load) const;
     [[nodiscard]] std::size_t place_in(target_route& route, const std::string& domain) const;
     [[nodiscard]] bool is_near(const dispatch_peer& peer) const;
@@ -138,8 +159,9 @@
     const std::string m_own_failure_domain;
     const std::string m_own_address;
     mutable std::mutex m_mutex;
-    std::map<std::string, dispatch_peer> m_peers;            // by address
-    std::map<std::string, target_route_ptr> m_routes;        // by target
+    std::map<std::string, dispatch_peer> m_peers; // by address
+    routes_by_target m_routes;
+    routes_by_target m_last_resort; // with the suspected ones; the same routes where there are none
     std::map<std::string, failure_domain> m_failure_domains; // by name
     std::map<std::string, std::vector<std::string>>
         m_elsewhere; // addresses by failure domain, in this host's own order
--- a/src/process/entry_router.cpp
+++ b/src/process/entry_router.cpp
@@ -28,13 +28,26 @@
 std::optional<dispatch_address> entry_router::choose(const admitted_request& request,
                                                      const visited_places& visited)
 {
-    const target_route_ptr route = m_directory.route_to(request.matched_target->name);
-    if (!route) {
-        return std::nullopt;
+    const std::lock_guard lock(m_mutex);
+    for (const route_scope scope : {route_scope::trusted, route_scope::all}) {
+        const target_route_ptr route = m_directory.route_to(request.matched_target->name, scope);
+        if (!route) {
+            continue;
+        }
+        if (auto chosen = choose_from(*route, request, visited)) {
+            return chosen;
+        }
     }
-    const auto& views = request.matched_profile->is_interactive ? route->interactive : route->batch;
+    return std::nullopt;
+}
+
+// precondition: the mutex is held
+std::optional<dispatch_address> entry_router::choose_from(const target_route& route,
+                                                          const admitted_request& request,
+                                                          const visited_places& visited)
+{
+    const auto& views = request.matched_profile->is_interactive ? route.interactive : route.batch;
     std::vector<std::string> visited_domains = visited.failure_domains;
-    const std::lock_guard lock(m_mutex);
     domain_chooser& chooser = chooser_of(request);
     while (true) {
         const domain_choice choice =
@@ -46,7 +59,7 @@
         if (at == nullptr) {
             return std::nullopt;
         }
-        if (auto member = pick_member(route->members[*at], visited)) {
+        if (auto member = pick_member(route.members[*at], visited)) {
             return member;
         }
         visited_domains.push_back(views[*at].domain.name);
@@ -91,12 +104,13 @@
 {
     const std::lock_guard lock(m_mutex);
     m_budget.on_request();
+    m_lost_budget.on_request();
 }
 
-bool entry_router::may_retry()
+bool entry_router::may_retry(retry_cause cause)
 {
     const std::lock_guard lock(m_mutex);
-    return m_budget.try_take();
+    return (cause == retry_cause::process_lost ? m_lost_budget : m_budget).try_take();
 }
 
 } // namespace hickorykeel
--- a/src/process/request_runner.cpp
+++ b/src/process/request_runner.cpp
@@ -125,7 +125,7 @@
         return false;
     }
     const auto chosen = m_provided.router.choose(m_request, m_visited);
-    if (!chosen || (m_attempts > 0 && !m_provided.router.may_retry())) {
+    if (!chosen || (m_attempts > 0 && !m_provided.router.may_retry(m_last_cause))) {
         return false;
     }
     ++m_attempts;
@@ -140,9 +140,9 @@
 
 // a failure domain that refused a request does not get it again, nor does one that it was
 // forwarded to; after a lost link another host of the own failure domain may
-void request_runner::note_visit(bool is_domain_at_fault)
+void request_runner::note_visit(retry_cause cause)
 {
-    if (is_domain_at_fault || !m_provided.router.is_own(m_at)) {
+    if (cause == retry_cause::endpoint_failed || !m_provided.router.is_own(m_at)) {
         m_visited.failure_domains.push_back(m_at.failure_domain);
     }
 }
@@ -229,14 +229,18 @@
     }
 }
 
-std::variant<std::monostate, request_runner::step>
-request_runner::on_failure(refusal why, bool is_domain_at_fault)
+std::variant<std::monostate, request_runner::step> request_runner::on_failure(refusal why,
+                                                                              retry_cause cause)
 {
+    if (cause == retry_cause::process_lost) {
+        m_provided.directory.suspect(m_at.address, boot_clock::now());
+    }
     if (detail::is_withdrawn(why) || !may_try_again(why.ran)) {
         return step{give_up(std::move(why))};
     }
     m_last_failure = std::move(why);
-    note_visit(is_domain_at_fault);
+    m_last_cause = cause;
+    note_visit(cause);
     end_attempt();
     m_has_ended = false;
     return std::monostate{};
@@ -246,7 +250,8 @@
 {
     const bool is_process_at_fault =
         why.code == refusal_code::not_ready || why.code == refusal_code::leaving;
-    return on_failure(std::move(why), !is_process_at_fault);
+    return on_failure(std::move(why), is_process_at_fault ? retry_cause::process_lost
+                                                          : retry_cause::endpoint_failed);
 }
 
 std::variant<std::monostate, request_runner::step> request_runner::on_lost()
@@ -257,13 +262,15 @@
                        m_at.host,
                        "the link to the dispatch process was lost",
                        {}},
-                      false);
+                      retry_cause::process_lost);
 }
 
 bool request_runner::may_try_again(ran_state ran) const
 {
     const bool is_safe = ran == ran_state::no || m_request.matched_profile->is_idempotent;
-    return is_safe && !m_has_head && m_attempts < detail::maximum_attempts &&
+    // of an answer that is handed over whole, the caller has seen nothing yet
+    const bool is_begun = m_has_head && m_request.is_stream;
+    return is_safe && !is_begun && m_attempts < detail::maximum_attempts &&
            boot_clock::now() < m_deadline;
 }
 
--- a/src/process/request_runner.h
+++ b/src/process/request_runner.h
@@ -62,7 +62,8 @@
     /// Cancels at the dispatch process what has not ended.
     ~request_runner();
 
-    /// Waits for the next step of the answer. After answer_end or a refusal there is none.
+    /// Waits for the next step of the answer. After answer_end or a refusal there is none. A further
+    /// answer_head, where no stream was asked for, begins the answer anew: what came before is void.
     step next();
 
     /// Attempts made so far, for metrics.
@@ -79,10 +80,10 @@
     std::variant<std::monostate, step> on_nothing_yet();
     bool start_attempt();
     void end_attempt();
-    void note_visit(bool is_domain_at_fault);
+    void note_visit(retry_cause cause);
     [[nodiscard]] link::envelope to_message() const;
     std::variant<std::monostate, step> on_event(const link::dispatch_event& event);
-    std::variant<std::monostate, step> on_failure(refusal why, bool is_domain_at_fault);
+    std::variant<std::monostate, step> on_failure(refusal why, retry_cause cause);
     std::variant<std::monostate, step> on_refused(refusal why);
     std::variant<std::monostate, step> on_lost();
     [[nodiscard]] bool may_try_again(ran_state ran) const;
@@ -102,6 +103,7 @@
     bool m_has_head = false;
     bool m_has_ended = false;
     refusal m_last_failure;
+    retry_cause m_last_cause = retry_cause::endpoint_failed;
 };
 
 } // namespace hickorykeel
--- a/src/process/served_request.cpp
+++ b/src/process/served_request.cpp
@@ -278,12 +278,18 @@
 served_request::opening served_request::read_whole(const request_runner::answer_head& head)
 {
     recorded_answer answer{head.status, head.content_type, "", head.endpoint};
+    std::string dispatch_host = head.dispatch_host;
     while (true) {
         request_runner::step step = m_runner->next();
         if (const auto* why = std::get_if<refusal>(&step)) {
             settle(*why);
             return *why;
         }
+        if (const auto* again = std::get_if<request_runner::answer_head>(&step)) {
+            dispatch_host = again->dispatch_host;
+            answer = {again->status, again->content_type, "", again->endpoint};
+            m_received_bytes = 0;
+        }
         if (const auto* more = std::get_if<request_runner::answer_data>(&step)) {
             answer.body += more->bytes;
             m_received_bytes += more->bytes.size();
@@ -292,7 +298,7 @@
             const refusal why{refusal_code::endpoint_failed,
                               ran_state::unknown,
                               "await answer",
-                              head.endpoint,
+                              answer.endpoint,
                               "the answer is too large to be held",
                               {}};
             settle(why);
@@ -303,7 +309,7 @@
         }
         if (std::holds_alternative<request_runner::answer_end>(step)) {
             record(answer);
-            return whole_answer{std::move(answer), head.dispatch_host, false};
+            return whole_answer{std::move(answer), dispatch_host, false};
         }
     }
 }
--- a/tests/process/dispatch_directory_test.cpp
+++ b/tests/process/dispatch_directory_test.cpp
@@ -80,11 +80,12 @@
 }
 
 /// Dispatch processes that new requests may go to.
-std::vector<dispatch_address> candidates(dispatch_directory& asked, time_point now)
+std::vector<dispatch_address> candidates(dispatch_directory& asked, time_point now,
+                                         route_scope scope = route_scope::trusted)
 {
     asked.refresh(now);
     std::vector<dispatch_address> all;
-    if (const auto route = asked.route_to("assistant")) {
+    if (const auto route = asked.route_to("assistant", scope)) {
         for (const auto& members : route->members) {
             all.insert(all.end(), members.begin(), members.end());
         }
@@ -92,6 +93,14 @@
     return all;
 }
 
+bool is_candidate(dispatch_directory& asked, time_point now, const std::string& address,
+                  route_scope scope)
+{
+    const auto all = candidates(asked, now, scope);
+    return std::any_of(all.begin(), all.end(),
+                       [&](const dispatch_address& peer) { return peer.address == address; });
+}
+
 } // namespace
 
 TEST_CASE("heartbeats to dispatch processes")
@@ -144,6 +153,37 @@
         CHECK_FALSE(directory.is_alive("here-1:7200", now));
     }
 
+    SUBCASE("one that missed two reports is a last resort until its next report")
+    {
+        run(directory, now, 1s);
+        run(directory, now, dispatch_directory::suspect_limit, {"here-1:7200"});
+        CHECK(is_candidate(directory, now - poll, "here-1:7200", route_scope::trusted));
+        CHECK_FALSE(is_candidate(directory, now, "here-1:7200", route_scope::trusted));
+        CHECK(is_candidate(directory, now, "here-1:7200", route_scope::all));
+        CHECK(directory.is_alive("here-1:7200", now));
+        directory.on_pong("here-1:7200", 1, make_pong(), std::nullopt, now);
+        CHECK(is_candidate(directory, now, "here-1:7200", route_scope::trusted));
+    }
+
+    SUBCASE("one that failed a request is a last resort at once, until its next report")
+    {
+        run(directory, now, 1s);
+        directory.suspect("here-1:7200", now);
+        CHECK_FALSE(is_candidate(directory, now, "here-1:7200", route_scope::trusted));
+        CHECK(is_candidate(directory, now, "here-1:7200", route_scope::all));
+        CHECK(directory.is_alive("here-1:7200", now));
+        run(directory, now, poll);
+        CHECK(is_candidate(directory, now, "here-1:7200", route_scope::trusted));
+        directory.suspect("unlisted:7200", now);
+    }
+
+    SUBCASE("a long way is no reason to suspect one")
+    {
+        directory.on_pong("here-1:7200", 1, make_pong(), 1200ms, now);
+        run(directory, now, 1s, {"here-1:7200"});
+        CHECK(is_candidate(directory, now, "here-1:7200", route_scope::trusted));
+    }
+
     SUBCASE("one that leaves takes no requests, and another is asked in its place")
     {
         directory.on_pong(chosen[0], 1, make_pong(true), std::nullopt, now);
--- a/tests/process/entry_router_test.cpp
+++ b/tests/process/entry_router_test.cpp
@@ -156,12 +156,36 @@
         fleet.directory().refresh(start + dispatch_directory::silence_limit);
         CHECK(fleet.choose().empty());
     }
+    SUBCASE("a suspected dispatch process gets only what no other may have")
+    {
+        fleet.pong_all();
+        fleet.directory().suspect("attica-1-a", start);
+        CHECK(fleet.choose() == "attica-1-b");
+        fleet.directory().suspect("attica-1-b", start);
+        CHECK_FALSE(fleet.choose().starts_with("attica-1"));
+        fleet.matched_profile().regions = {"attica"};
+        CHECK(fleet.choose() == "attica-1-a");
+        CHECK(fleet.choose({{}, {"attica-1-a"}}) == "attica-1-b");
+    }
+    SUBCASE("what a lost process had under way is not paid by the endpoints' budget")
+    {
+        int lost = 0;
+        while (fleet.router().may_retry(retry_cause::process_lost)) {
+            ++lost;
+        }
+        CHECK(lost == 1'000);
+        CHECK(fleet.router().may_retry(retry_cause::endpoint_failed));
+        // one for each request from here on
+        fleet.router().on_request();
+        CHECK(fleet.router().may_retry(retry_cause::process_lost));
+        CHECK_FALSE(fleet.router().may_retry(retry_cause::process_lost));
+    }
     SUBCASE("retries are a part of the requests")
     {
         int retries = 0;
         for (int i = 0; i < 1000; ++i) {
             fleet.router().on_request();
-            retries += fleet.router().may_retry() ? 1 : 0;
+            retries += fleet.router().may_retry(retry_cause::endpoint_failed) ? 1 : 0;
         }
         CHECK(retries <= 110);
         CHECK(retries >= 100);
--- /dev/null
+++ b/tests/scenarios/dispatch_kill_test.cpp
@@ -0,0 +1,145 @@
+#include "support/fleet.h"
+#include "support/repeat.h"
+#include "support/wait_for.h"
+
+#include <atomic>  // atomic
+#include <cstddef> // size_t
+#include <map>     // map
+#include <mutex>   // mutex, lock_guard
+#include <string>  // string
+#include <thread>  // thread
+#include <utility> // pair
+#include <vector>  // vector
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace hickorykeel::tests;
+
+namespace {
+
+constexpr std::size_t attica = 0;
+constexpr std::size_t callers = 16;
+constexpr int work_time_ms = 100;
+constexpr const char* killed = "attica-1-a/dispatch";
+
+/// Callers of one host that ask for idempotent work without a pause, and keep what they got.
+class steady_flow {
+public:
+    explicit steady_flow(const fleet& running) : m_caller(running.caller(attica, "volunteers"))
+    {
+        for (std::size_t i = 0; i < callers; ++i) {
+            m_threads.emplace_back([this, i] { run(i); });
+        }
+    }
+
+    steady_flow(const steady_flow&) = delete;
+    steady_flow& operator=(const steady_flow&) = delete;
+    steady_flow(steady_flow&&) = delete;
+    steady_flow& operator=(steady_flow&&) = delete;
+
+    ~steady_flow() { stop(); }
+
+    /// Lets each caller end its request.
+    void stop()
+    {
+        m_is_over = true;
+        for (std::thread& each : m_threads) {
+            each.join();
+        }
+        m_threads.clear();
+    }
+
+    /// Waits until so many more requests were answered whole.
+    [[nodiscard]] bool wait_for_whole(std::size_t more) const
+    {
+        const std::size_t wanted = m_whole + more;
+        return wait_for([&] { return m_whole >= wanted; });
+    }
+
+    /// Requests and what became of them. Precondition: stopped.
+    [[nodiscard]] const std::vector<std::pair<std::string, outcome>>& outcomes() const
+    {
+        return m_outcomes;
+    }
+
+private:
+    void run(std::size_t number)
+    {
+        std::size_t turn = 0;
+        while (!m_is_over) {
+            // a repeat has an identifier of its own, so that the ledgers tell the two apart
+            repeat_passing_refusals(
+                [&] { return call(std::to_string(number) + '/' + std::to_string(turn++)); });
+        }
+    }
+
+    outcome call(const std::string& id)
+    {
+        service_question question;
+        question.profile = "lookup";
+        question.service = "bookings";
+        question.path = "visits";
+        question.id = id;
+        const outcome answer = m_caller.call(question);
+        m_whole += answer.kind == outcome_kind::whole ? 1 : 0;
+        const std::lock_guard lock{m_mutex};
+        m_outcomes.emplace_back(question.id, answer);
+        return answer;
+    }
+
+    http_caller m_caller;
+    std::atomic<bool> m_is_over{false};
+    std::atomic<std::size_t> m_whole{0};
+    std::mutex m_mutex; // guards m_outcomes
+    std::vector<std::pair<std::string, outcome>> m_outcomes;
+    std::vector<std::thread> m_threads;
+};
+
+/// Bookings that may run twice, for an organisation without a limit that matters here.
+void add_lookups(nlohmann::json& entries)
+{
+    nlohmann::json lookup = entries.at("profiles/booking");
+    lookup["idempotent"] = true;
+    entries["profiles/lookup"] = lookup;
+    entries["organisations/volunteers"]["rate"] = 1'000'000;
+    entries["organisations/volunteers"]["burst"] = 4'000'000;
+    for (nlohmann::json& endpoint : entries.at("targets/bookings").at("endpoints")) {
+        endpoint["slots"] = 2 * callers;
+    }
+}
+
+} // namespace
+
+TEST_CASE("a killed dispatch process costs no caller an idempotent request")
+{
+    fleet_options options;
+    options.adjust = add_lookups;
+    fleet running{options};
+    REQUIRE(running.start() == "");
+    for (const auto& [endpoint, book] : running.ledgers("bookings")) {
+        REQUIRE(running.set_faults(endpoint, {{"late_ms", work_time_ms}}));
+    }
+    steady_flow flow{running};
+    REQUIRE(flow.wait_for_whole(2 * callers));
+    running.process(killed).kill();
+    CHECK(flow.wait_for_whole(10 * callers));
+    REQUIRE(running.restart(killed));
+    CHECK(flow.wait_for_whole(10 * callers));
+    flow.stop();
+
+    const auto runs = running.service_runs("bookings");
+    std::map<std::string, std::size_t> counts;
+    for (const auto& [id, answer] : flow.outcomes()) {
+        INFO(id, ": ", answer.to_string());
+        // another failure domain may run it, so a lost link is no reason to refuse
+        const bool is_whole = answer.kind == outcome_kind::whole;
+        CHECK((is_whole || is_passing_refusal(answer)));
+        CHECK((!is_whole || runs.contains(id)));
+        CHECK((answer.ran != "no" || !runs.contains(id)));
+        ++counts[answer.kind == outcome_kind::whole ? "whole" : answer.code + ' ' + answer.ran];
+    }
+    for (const auto& [name, count] : counts) {
+        MESSAGE(name << ": " << count);
+    }
+}
