Take a slow endpoint where the usual ones are stuck or gone

Cause: a request waits rather than take an endpoint much slower than usual, and its expected wait is the backlog before it over the learned speeds. A usual endpoint that slows down says so only when a request ends there, so with an empty queue the expected wait stayed 0; and where no endpoint of usual speed was left at all, the usual time stayed that of the past. In both cases an idle slower endpoint was passed over until its speed had faded to the mean (20 s) or the deadline came.

Now the expected wait is at least as long as no endpoint of usual speed has ended a request, once that exceeds its mean answer, and unbounded where there is none. Computed with each refresh, so that a choice scans nothing.

Test first: a request beside a stuck usual endpoint and an idle one five times slower was not started in 20 s (interactive), after 8.9 s (batch, 15 s deadline), and not in 20 s where the usual one left; now within the 5 s that the slow one takes, or at once.

--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -33,9 +33,9 @@
 constexpr std::size_t greedy_organisation = 1;
 constexpr double greedy_factor = 5;
 
-enum class scenario { steady, greedy, region_lost, endpoint_slow, link_slow };
-constexpr std::array scenario_names{"steady", "greedy", "region_lost", "endpoint_slow",
-                                    "link_slow"};
+enum class scenario { steady, greedy, region_lost, endpoint_slow, region_slow, link_slow };
+constexpr std::array scenario_names{"steady",        "greedy",      "region_lost",
+                                    "endpoint_slow", "region_slow", "link_slow"};
 
 /// One run of one contestant.
 struct run_plan {
@@ -160,6 +160,13 @@
         at(fault_begin, [slowed, speed] { slowed->set_speed(speed / 20); });
         at(fault_end, [slowed, speed] { slowed->set_speed(speed); });
     }
+    if (what == scenario::region_slow) {
+        for (fake_endpoint* each : system.endpoints_of(0)) {
+            const double speed = each->speed();
+            at(fault_begin, [each, speed] { each->set_speed(speed / 100); });
+            at(fault_end, [each, speed] { each->set_speed(speed); });
+        }
+    }
     if (what == scenario::link_slow) {
         at(fault_begin, [&system] { system.slow_link(); });
     }
@@ -347,7 +354,7 @@
     plan_group{scenario::steady, 0.5},      plan_group{scenario::steady, 0.8},
     plan_group{scenario::steady, 0.95},     plan_group{scenario::greedy, 0.6},
     plan_group{scenario::region_lost, 0.6}, plan_group{scenario::endpoint_slow, 0.6},
-    plan_group{scenario::link_slow, 0.8},
+    plan_group{scenario::region_slow, 0.6}, plan_group{scenario::link_slow, 0.8},
 };
 
 } // namespace
--- a/src/process/routing/endpoint_table.cpp
+++ b/src/process/routing/endpoint_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // clamp, count_if, max, min
 #include <cassert>   // assert
 #include <cmath>     // exp, floor
+#include <limits>    // numeric_limits
 
 namespace hickorykeel {
 
@@ -170,6 +171,7 @@
         }
         update(index);
     }
+    m_usual_wait = find_usual_wait();
 }
 
 const endpoint_state& endpoint_table::state(std::size_t index) const
@@ -305,10 +307,12 @@
     used.is_probing = false;
     note_change(used, -1);
     update(index);
+    m_usual_wait = 0; // until the next refresh
 }
 
 void endpoint_table::note_change(entry& changed, int change)
 {
+    changed.changed = m_now;
     changed.events.push_back({m_now, change});
     changed.change_since_report += change;
     // older events belong to a report that has expired
@@ -364,6 +368,23 @@
     }
 }
 
+double endpoint_table::find_usual_wait() const
+{
+    double least = std::numeric_limits<double>::infinity();
+    const double usual = m_settings.usual_factor * m_first_token.per_token();
+    for (const std::size_t index : m_available) {
+        const entry& each = m_entries[index];
+        if (each.state.breaker != breaker_state::closed ||
+            faded(each.state.first_token, m_first_token) > usual) {
+            continue;
+        }
+        const double unchanged = to_seconds(m_now - each.changed);
+        const bool is_stuck = !has_room(index) && unchanged > each.state.whole_answer.seconds;
+        least = std::min(least, is_stuck ? unchanged : 0);
+    }
+    return least;
+}
+
 bool endpoint_table::is_report_fresh(const entry& reported) const
 {
     return reported.reported && m_now - *reported.reported <= m_settings.report_expiry;
--- a/src/process/routing/endpoint_table.h
+++ b/src/process/routing/endpoint_table.h
@@ -37,6 +37,7 @@
     duration speed_memory{
         std::chrono::seconds{20}}; ///< a learned speed fades to the mean over this
     double sample_weight = 0.1;    ///< of a new sample in a moving average
+    double usual_factor = 1.5;     ///< times the usual time to the first token that is still usual
 };
 
 /// Moving averages of a time and of the tokens that it was spent on. Their quotient weighs each
@@ -169,6 +170,12 @@
     [[nodiscard]] double usual_first_token_seconds(std::uint64_t tokens) const noexcept;
     [[nodiscard]] double usual_answer_seconds(std::uint64_t tokens) const noexcept;
 
+    /// Seconds that a request must be expected to wait at least for an endpoint about as fast as
+    /// usual, as of the last refresh: 0 where one has room or ended a request within its mean
+    /// answer, else for how long none of them did, since what has taken longer than usual is
+    /// likely to take as long again; infinite where there is none.
+    [[nodiscard]] double usual_wait_seconds() const noexcept { return m_usual_wait; }
+
     /// Tokens a second that this host's part of the slots of the available endpoints serves; 0
     /// until a speed was learned. O(n).
     [[nodiscard]] double tokens_per_second() const;
@@ -192,6 +199,7 @@
         time_point open_until{};
         std::uint32_t times_opened = 0;
         bool is_probing = false;
+        time_point changed{};                ///< last own dispatch or end
         double usual_load = 0;               ///< moving average at dispatches
         double utilisation = 0;              ///< its part of m_utilisation_sum
         std::size_t available_at = no_index; ///< place in m_available
@@ -205,6 +213,7 @@
     void close_breaker(entry& closed);
     void open_breaker(entry& opened, random_source& random);
     void rebuild_shards();
+    [[nodiscard]] double find_usual_wait() const;
     [[nodiscard]] bool is_report_fresh(const entry& reported) const;
     [[nodiscard]] bool may_take(const entry& asked) const;
     [[nodiscard]] double load_of(const entry& asked) const;
@@ -223,6 +232,7 @@
     double m_utilisation_sum = 0;
     speed_average m_first_token; // of all endpoints
     speed_average m_whole_answer;
+    double m_usual_wait = 0;
     time_point m_now{};
 };
 
--- a/src/process/routing/target_scheduler.cpp
+++ b/src/process/routing/target_scheduler.cpp
@@ -1,7 +1,8 @@
 #include "process/routing/target_scheduler.h"
 
-#include <utility> // move
-#include <variant> // get_if
+#include <algorithm> // max
+#include <utility>   // move
+#include <variant>   // get_if
 
 namespace hickorykeel {
 
@@ -135,7 +136,8 @@
     view.is_interactive = asked.queued.is_interactive;
     view.is_idempotent = asked.is_idempotent;
     view.seconds_left = to_seconds(asked.answer_deadline - now);
-    view.expected_wait = to_seconds(expected_wait(view.is_interactive));
+    view.expected_wait =
+        std::max(to_seconds(expected_wait(view.is_interactive)), m_table.usual_wait_seconds());
     view.excluded = asked.excluded;
     return choose(view, m_table, *m_policy, m_random, pool);
 }
--- a/tests/process/target_scheduler_test.cpp
+++ b/tests/process/target_scheduler_test.cpp
@@ -1,9 +1,10 @@
 #include "process/routing/target_scheduler.h"
 
-#include <chrono>  // seconds
-#include <cstdint> // uint64_t, uint32_t
-#include <memory>  // make_unique
-#include <vector>  // vector
+#include <chrono>   // seconds
+#include <cstdint>  // uint64_t, uint32_t
+#include <memory>   // make_unique
+#include <optional> // optional
+#include <vector>   // vector
 
 #include <doctest/doctest.h>
 
@@ -43,8 +44,78 @@
     }
 }
 
+// as-1 gives the first token of 100 after 1 s and ends after 2 s, as-2 takes five times as long
+void learn_two_speeds(target_scheduler& scheduler, time_point now)
+{
+    for (int i = 0; i < 20; ++i) {
+        // the slow one serves less
+        const bool is_slow = i == 0;
+        scheduler.on_dispatch(is_slow ? 1 : 0, now);
+        scheduler.on_first_token(is_slow ? 1 : 0, is_slow ? 5s : 1s, 100, now);
+        scheduler.on_success(is_slow ? 1 : 0, is_slow ? 10s : 2s, 100, now);
+    }
+}
+
+// when the request waiting as 2 is started, at most `limit` from `now` on; nothing: not
+std::optional<duration> wait_until_started(target_scheduler& scheduler, time_point now,
+                                           duration limit)
+{
+    for (duration waited{0}; waited <= limit; waited += 100ms) {
+        for (const schedule_step::assignment& each : scheduler.tick(now + waited).started) {
+            CHECK(each.id == 2);
+            return waited;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
+TEST_CASE("a usual endpoint is full and a slow one is idle")
+{
+    time_point now{};
+    target_scheduler scheduler{std::make_unique<weigh_policy>(), 1};
+    const std::vector<endpoint> listed{make_endpoint("as-1", 1), make_endpoint("as-2", 1)};
+    scheduler.assign(listed, now);
+    learn_two_speeds(scheduler, now);
+    now += 1s;
+    scheduler.push(make_request(1, now + 1h), now);
+    const schedule_step first = scheduler.pick(now);
+    REQUIRE(first.started.size() == 1);
+    REQUIRE(first.started[0].endpoint == 0);
+
+    SUBCASE("a request waits for the usual one")
+    {
+        scheduler.push(make_request(2, now + 20s), now);
+        CHECK_FALSE(wait_until_started(scheduler, now, 1s));
+        scheduler.on_success(0, 1s, 100, now + 1s);
+        const schedule_step next = scheduler.pick(now + 1s);
+        REQUIRE(next.started.size() == 1);
+        CHECK(next.started[0].endpoint == 0);
+    }
+    SUBCASE("it takes the slow one where the usual one does not end: that is the shorter wait")
+    {
+        scheduler.push(make_request(2, now + 20s), now);
+        const auto waited = wait_until_started(scheduler, now, 20s);
+        // as long as the slow one takes to the first token
+        CHECK(waited.value_or(1h) <= 5s);
+    }
+    SUBCASE("it takes the slow one at once where the usual one leaves")
+    {
+        std::vector<endpoint> left = listed;
+        left[0].is_leaving = true;
+        scheduler.assign(left, now);
+        scheduler.push(make_request(2, now + 20s), now);
+        CHECK(wait_until_started(scheduler, now, 20s).value_or(1h) == 0s);
+    }
+    SUBCASE("batch work does too, though only a usual one would keep its deadline")
+    {
+        scheduler.push(make_request(2, now + 15s, false), now);
+        const auto waited = wait_until_started(scheduler, now, 15s);
+        CHECK(waited.value_or(1h) <= 5s);
+    }
+}
+
 TEST_CASE("target scheduler")
 {
     const time_point start{};
