Replay the models' traces on the tickets and the replica

Cause: the specifications and the C++ classes were written side by side and compared by nobody; docs/design/models.md said so.

Comments "model:" name the step beside the function.

Ruled out: a transition function written by hand in the tests would be a third text to keep alike.

Not held: served_request, request_runner and the dispatch side are named in comments only.

--- a/models/at_most_once.pml
+++ b/models/at_most_once.pml
@@ -3,10 +3,29 @@
  * and an endpoint whose answer may be lost.
  *
  * Each choice of `main` is one step of one process; the names of the C++ functions stand beside.
- * Options: LINK_DOUBLES lets the link double a message (the links of the project don't).
+ * The printed lines are the trace that tests/process/ticket_trace_test.cpp holds the code against.
+ * Options: LINK_DOUBLES lets the link double a message (the links of the project don't). For traces,
+ * LATE holds the ends of process and ticket back, MAY_END and MAY_EXPIRE one; with CALM links and
+ * dispatch processes don't fail, and no deadline passes.
  */
 
+#ifndef CALLS
 #define CALLS 3      /* presentations of the ticket */
+#endif
+#ifndef LATE
+#define LATE 0       /* presentations before the process ends or the ticket expires, for traces */
+#endif
+#ifndef MAY_END
+#define MAY_END true
+#endif
+#ifndef MAY_EXPIRE
+#define MAY_EXPIRE true
+#endif
+#ifdef CALM
+#define MAY_FAIL false
+#else
+#define MAY_FAIL true
+#endif
 #define ATTEMPTS 2   /* attempts of one request, one at each dispatch process */
 #define ENTRY 0      /* the host that made the ticket; host 1 is the other one */
 #define OLD 3        /* age at which a message is too old to start */
@@ -50,6 +69,7 @@
 inline settle(answer) {
     entry_runs = false;
     attempt = 0;
+    printf("settle %e\n", answer);
     if
     :: answer == no ->
         book = unused;
@@ -99,7 +119,8 @@
     :: made_by_this -> presented = !expired
     :: else -> skip      /* ticket_invalid, unknown */
 #endif
-    fi
+    fi;
+    printf("present %d\n", presented)
 }
 
 #ifdef MUTANT_BEGIN_EXPIRED
@@ -113,9 +134,12 @@
     presented = false;
     if
 #ifndef MUTANT_BEGIN_EXPIRED
-    :: expired -> skip   /* has_expired: its record may be gone */
+    /* its record may be gone */
+    :: expired && book == running -> printf("begin running\n")
+    :: expired && book != running -> printf("begin expired\n")
 #endif
     :: !expired_and_refused && book == unused ->
+        printf("begin unused\n");
 #ifndef MUTANT_REMEMBER_AFTER_SEND
         book = running;
 #endif
@@ -123,7 +147,7 @@
         attempt = 0;
         told_no = false;
         tried[0] = false; tried[1] = false
-    :: !expired_and_refused && book != unused -> skip
+    :: !expired_and_refused && book != unused -> printf("begin %e\n", book)
     fi
 }
 
@@ -181,10 +205,10 @@
     :: atomic { job[d] == handed && event[d] == none -> send_event(d, whole); end_job(d) }   \
     /* the endpoint's answer is lost */                                                      \
     :: atomic { job[d] == handed && event[d] == none -> send_event(d, LOST_ANSWER); end_job(d) } \
-    :: atomic { job[d] != idle && crashes < 2 -> crashes++; end_job(d) }                     \
+    :: atomic { job[d] != idle && crashes < 2 && MAY_FAIL -> crashes++; end_job(d) }         \
     /* the links lose and delay */                                                           \
-    :: atomic { request[d] == travelling -> request[d] = none }                              \
-    :: atomic { event[d] == travelling -> event[d] = none }                                  \
+    :: atomic { request[d] == travelling && MAY_FAIL -> request[d] = none }                  \
+    :: atomic { event[d] == travelling && MAY_FAIL -> event[d] = none }                      \
     :: atomic { request[d] == travelling && request_age[d] < OLD -> request_age[d]++ }       \
     :: atomic { job[d] == queued && job_age[d] < OLD -> job_age[d]++ }                       \
     /* request_runner::on_event */                                                           \
@@ -237,13 +261,15 @@
     DISPATCH(1)
     /* no attempt is left to begin */
     :: atomic { entry_runs && attempt == 0 && tried[0] && tried[1] -> settle(no) }
+#ifndef CALM
     /* request_runner: the deadline, a gone caller, a lost link, a silent dispatch process */
     :: atomic { entry_runs && attempt != 0 -> on_failure(SILENCE) }
+#endif
     /* the entry process ends; the next incarnation has another secret and an empty book */
-    :: atomic { made_by_this -> made_by_this = false; book = unused; entry_runs = false;
-        presented = false; attempt = 0; drop_current() }
+    :: atomic { made_by_this && calls >= LATE && MAY_END -> made_by_this = false; book = unused; entry_runs = false;
+        presented = false; attempt = 0; drop_current(); printf("restart\n") }
     /* ticket_book::expire: the record goes once the ticket has expired, unless it runs */
-    :: atomic { !expired -> expired = true }
+    :: atomic { !expired && calls >= LATE && MAY_EXPIRE -> expired = true; printf("expire\n") }
     :: atomic { expired && (book == lost || book == finished) -> book = unused }
     /* the rules */
     :: atomic { checked_late -> assert(false) }
--- a/models/configuration.pml
+++ b/models/configuration.pml
@@ -4,12 +4,18 @@
  * Names follow src/version/replica.cpp and docs/design/configuration.md. Entries are two keys;
  * the value of a key is the revision that set it. Revision r sets key r modulo 2. A host's answer
  * is the state it has when it answers; it may come late, doubled, out of order or never.
+ *
+ * The printed lines are the trace that tests/version/replica_trace_test.cpp holds replica against.
  */
 
 #define HOSTS 3
+#ifndef REVISIONS
 #define REVISIONS 3
+#endif
 #define FAULTY(r) ((r) == 2)
+#ifndef RESTARTS
 #define RESTARTS 1
+#endif
 #define ANSWERS 2            /* on the way at once */
 
 /* entries of revision r: the newest revision that set each key */
@@ -33,6 +39,14 @@
 
 #define PLATFORM HOSTS
 
+/* for traces: only hosts to which changes are on their way */
+#ifdef RESTART_BEFORE_CHANGES
+#define MAY_RESTART(h) ((is_used[0] && base[0] > 0 && to[0] == h) || \
+    (is_used[1] && base[1] > 0 && to[1] == h))
+#else
+#define MAY_RESTART(h) true
+#endif
+
 inline check(h) {
     assert(in_force[h] >= highest[h]);
     highest[h] = in_force[h];
@@ -45,12 +59,17 @@
 inline accept_held(h) {
     if
 #ifndef MUTANT_FAULTY_IN_FORCE
-    :: FAULTY(held[h]) -> skip
+    :: FAULTY(held[h]) -> printf("outcome refused\n")
 #endif
-    :: else -> in_force[h] = held[h]; force_even[h] = even[h]; force_odd[h] = odd[h]
+    :: else -> in_force[h] = held[h]; force_even[h] = even[h]; force_odd[h] = odd[h];
+        printf("outcome accepted\n")
     fi
 }
 
+#define PRINT_STATE(h)                                                                       \
+    printf("state %d %d %d %d %d %d %d\n", h, held[h], even[h], odd[h], in_force[h],         \
+        force_even[h], force_odd[h])
+
 /* changes of the update are those after its base */
 #define NEWER(value, u) (value > base[u])
 
@@ -58,10 +77,10 @@
 inline apply(h, u) {
     if
 #ifndef MUTANT_ACCEPT_LOWER_REVISION
-    :: revision[u] <= held[h] -> skip                  /* ignored */
+    :: revision[u] <= held[h] -> printf("outcome ignored\n")
 #endif
 #ifndef MUTANT_CHANGES_ABOVE_HELD
-    :: base[u] > held[h] -> skip                       /* needs_snapshot */
+    :: base[u] > held[h] -> printf("outcome needs_snapshot\n")
 #endif
     :: else ->
         if
@@ -73,6 +92,7 @@
         held[h] = revision[u];
         accept_held(h)
     fi;
+    PRINT_STATE(h);
     check(h)
 }
 
@@ -86,7 +106,8 @@
     is_used[u] = true;
     to[u] = h; from[u] = sender;
     base[u] = after;
-    revision[u] = r; new_even[u] = e; new_odd[u] = o
+    revision[u] = r; new_even[u] = e; new_odd[u] = o;
+    printf("send %d %d %d %d %d\n", u, sender, r, after, h)
 }
 
 #define UPDATE(u)                                                                            \
@@ -95,6 +116,7 @@
     :: atomic { is_used[u] -> free(u) }          /* lost */
 
 inline take(u) {
+    printf("take %d %d\n", u, to[u]);
     if
     :: from[u] != PLATFORM && base[u] <= held[to[u]] ->
         heard[to[u]] = (revision[u] > heard[to[u]] -> revision[u] : heard[to[u]])
@@ -126,10 +148,11 @@
             send(0, h, PLATFORM, published - 1, EVEN((published - 1)), ODD((published - 1)), 0) \
         fi }                                                                                 \
     /* a new process of the host; answers to the earlier one may still come */              \
-    :: atomic { restarts < RESTARTS ->                                                       \
+    :: atomic { restarts < RESTARTS && MAY_RESTART(h) ->                                     \
         restarts++;                                                                          \
         held[h] = 0; even[h] = 0; odd[h] = 0;                                                \
-        in_force[h] = 0; force_even[h] = 0; force_odd[h] = 0; highest[h] = 0; heard[h] = 0 } \
+        in_force[h] = 0; force_even[h] = 0; force_odd[h] = 0; highest[h] = 0; heard[h] = 0;  \
+        printf("restart %d\n", h) }                                                          \
     /* a host that heard a peer puts nothing lower in force after it */                      \
     :: heard[h] > held[h] -> assert(false)
 
--- a/src/process/dispatch_actor.cpp
+++ b/src/process/dispatch_actor.cpp
@@ -38,6 +38,7 @@
 }
 
 // a request whose age cannot be bounded, or that is too old, must not begin
+// model: at_most_once.pml, TOO_OLD on the step to queued
 std::optional<refusal> check_age(const received_message& received)
 {
     const link::dispatch_request& request = received.message.dispatch_request();
--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -235,6 +235,7 @@
     m_start(std::move(attempt));
 }
 
+// model: at_most_once.pml, the step from queued to checked
 std::function<std::optional<refusal>()>
 dispatcher::make_last_check(const std::shared_ptr<dispatch_job>& job) const
 {
--- a/src/process/request_runner.cpp
+++ b/src/process/request_runner.cpp
@@ -119,6 +119,7 @@
     return m_provided.is_caller_connected() ? "" : "the caller has gone";
 }
 
+// model: at_most_once.pml, start_attempt
 bool request_runner::start_attempt()
 {
     if (m_attempts >= detail::maximum_attempts) {
@@ -229,6 +230,7 @@
     }
 }
 
+// model: at_most_once.pml, on_failure
 std::variant<std::monostate, request_runner::step>
 request_runner::on_failure(refusal why, bool is_domain_at_fault)
 {
--- a/src/process/served_request.cpp
+++ b/src/process/served_request.cpp
@@ -195,6 +195,7 @@
     return std::holds_alternative<whole_answer>(*early) ? "repeat" : "refused";
 }
 
+// model: at_most_once.pml, present
 std::optional<refusal> served_request::check_ticket(const ticket& presented)
 {
     if (!m_shared.mint->verify(m_request.idempotency_key)) {
@@ -340,6 +341,7 @@
     settle_ticket(why);
 }
 
+// model: at_most_once.pml, settle
 void served_request::settle_ticket(const refusal& why)
 {
     if (!m_ticket) {
--- a/src/process/ticket_book.cpp
+++ b/src/process/ticket_book.cpp
@@ -4,6 +4,7 @@
 
 namespace hickorykeel {
 
+// model: at_most_once.pml, begin
 ticket_book::verdict ticket_book::begin(const std::string& id, time_point expiry,
                                         const std::string& fingerprint, time_point now)
 {
@@ -34,6 +35,7 @@
     return may_have_run{};
 }
 
+// model: at_most_once.pml, settle(whole)
 void ticket_book::finish(const std::string& id, recorded_answer answer)
 {
     const auto found = m_records.find(id);
@@ -43,6 +45,7 @@
     }
 }
 
+// model: at_most_once.pml, settle(unknown)
 void ticket_book::lose(const std::string& id)
 {
     const auto found = m_records.find(id);
@@ -51,11 +54,13 @@
     }
 }
 
+// model: at_most_once.pml, settle(no)
 void ticket_book::release(const std::string& id)
 {
     m_records.erase(id);
 }
 
+// model: at_most_once.pml, the step after "expired"
 void ticket_book::expire(time_point now)
 {
     while (!m_expiries.empty() && m_expiries.top().when <= now) {
--- a/src/version/replica.cpp
+++ b/src/version/replica.cpp
@@ -41,6 +41,7 @@
 
 } // namespace
 
+// model: configuration.pml, apply
 update_outcome replica::apply(const entries_update& update)
 {
     if (!is_well_formed(update)) {
@@ -83,6 +84,7 @@
     m_confirmed_at = std::max(m_confirmed_at.value_or(moment), moment);
 }
 
+// model: configuration.pml, send by a peer
 entries_update replica::changes_since(std::uint64_t after) const
 {
     if (after >= m_revision) {
@@ -148,6 +150,7 @@
     }
 }
 
+// model: configuration.pml, accept_held
 update_outcome replica::accept_held()
 {
     auto checked = check(m_revision, m_entries);
