Take [DONE] for a stream's end only on a line of its own

Cause: usage_scanner looked for "data: [DONE]" anywhere. A stream that was cut right after these words in a model's own text counted as whole. A usage of null took the next number of the answer, for example its time stamp, as the tokens used.

--- a/src/connection/usage_scanner.cpp
+++ b/src/connection/usage_scanner.cpp
@@ -26,7 +26,7 @@
     if (found == std::string::npos) {
         return 0;
     }
-    const std::size_t begin = m_tail.find_first_of("0123456789", found);
+    const std::size_t begin = m_tail.find_first_not_of(" \t", found + detail::total_member.size());
     std::uint64_t total = 0;
     if (begin != std::string::npos) {
         std::from_chars(m_tail.data() + begin, m_tail.data() + m_tail.size(), total);
@@ -37,8 +37,17 @@
 bool usage_scanner::is_done() const
 {
     const std::size_t found = m_tail.rfind(detail::done_event);
-    return found != std::string::npos &&
+    // the same words at the end of a cut line may be a model's text
+    return found != std::string::npos && is_line_begin(found) &&
            m_tail.find_first_not_of("\r\n", found + detail::done_event.size()) == std::string::npos;
 }
 
+bool usage_scanner::is_line_begin(std::size_t place) const
+{
+    if (place == 0) {
+        return m_tail.size() < detail::tail_bytes;
+    }
+    return m_tail[place - 1] == '\n' || m_tail[place - 1] == '\r';
+}
+
 } // namespace hickorykeel
--- a/src/connection/usage_scanner.h
+++ b/src/connection/usage_scanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>     // size_t
 #include <cstdint>     // uint64_t
 #include <string>      // string
 #include <string_view> // string_view
@@ -17,10 +18,12 @@
     /// Total tokens that the engine reported last; 0: none seen.
     [[nodiscard]] std::uint64_t used_tokens() const;
 
-    /// Whether the answer ended with the event "[DONE]".
+    /// Whether the answer ended with the event "[DONE]", on a line of its own.
     [[nodiscard]] bool is_done() const;
 
 private:
+    [[nodiscard]] bool is_line_begin(std::size_t place) const;
+
     std::string m_tail;
 };
 
