Drop max_tokens where max_completion_tokens is the limit

Cause: of two limits in one body only max_completion_tokens was bounded and reserved for; max_tokens went on as the caller sent it. An engine that knows only max_tokens would have made 100,000 tokens for a reservation of 1.

Seen as "the engine is asked for no more than was reserved" with the body of tests/corpus/caller_request/both_limits. The test gives the same body to admit.

--- a/src/request/caller_request.cpp
+++ b/src/request/caller_request.cpp
@@ -122,6 +122,8 @@
         }
         limit = std::min(allowed, body[member].get<std::uint64_t>());
     }
+    // an engine that knows only the older member must not take it for the limit
+    body.erase("max_tokens");
     body[member] = limit;
     return std::nullopt;
 }
