Refuse JSON from outside that is nested deeper than 128

Cause: the JSON library walks values by recursion when it writes, copies and compares them, and so did the count of a prompt's bytes. A caller with a key could end an entry process with one body of brackets; the same held for an answer of the platform, and for an update of a peer.

parse_json counts the depth before the library reads. Used for callers' bodies, the platform's answers, peers' updates, POST to the administration's check, and the load of endpoints.

Ruled out: a limit by the library (none), a bound by the body's size (100 KB of brackets are enough, a prompt may be longer).

An answer of the platform, or a peer's update, with such a value is now malformed as a whole until the value is mended; the check would refuse the value in any case.

--- a/src/connection/sync_codec.cpp
+++ b/src/connection/sync_codec.cpp
@@ -1,5 +1,7 @@
 #include "connection/sync_codec.h"
 
+#include "version/json_text.h"
+
 #include <algorithm> // clamp, min
 #include <limits>    // numeric_limits
 #include <optional>  // optional
@@ -26,7 +28,7 @@
     if (entry.deleted()) {
         return entry_change{entry.key(), nullptr, true, entry.revision()};
     }
-    auto value = nlohmann::json::parse(entry.value(), nullptr, false);
+    auto value = parse_json(entry.value());
     if (value.is_discarded()) {
         return std::nullopt;
     }
@@ -60,7 +62,7 @@
     if (update.host_list().empty() || update.host_list_revision() <= held.hosts_revision()) {
         return update_outcome::ignored;
     }
-    auto hosts = nlohmann::json::parse(update.host_list(), nullptr, false);
+    auto hosts = parse_json(update.host_list());
     if (hosts.is_discarded()) {
         return update_outcome::malformed;
     }
--- a/src/process/common_admin.cpp
+++ b/src/process/common_admin.cpp
@@ -2,6 +2,7 @@
 
 #include "process/build_info.h"
 #include "version/check.h"
+#include "version/json_text.h"
 
 #include <utility> // move
 #include <variant> // get_if
@@ -29,7 +30,7 @@
 
 admin_answer validate(const admin_request& request)
 {
-    const auto entries = nlohmann::json::parse(request.body, nullptr, false);
+    const auto entries = parse_json(request.body);
     if (!entries.is_object()) {
         return to_admin_fault(400, "bad_request", "the body is no object of keys and values");
     }
--- a/src/process/dispatch_worker.cpp
+++ b/src/process/dispatch_worker.cpp
@@ -1,6 +1,7 @@
 #include "process/dispatch_worker.h"
 
 #include "process/dispatch_actor.h"
+#include "version/json_text.h"
 
 #include <optional> // optional
 #include <utility>  // move
@@ -23,7 +24,7 @@
     if (!answer || answer->status != 200) {
         return std::nullopt;
     }
-    const auto body = nlohmann::json::parse(answer->body, nullptr, false);
+    const auto body = parse_json(answer->body);
     if (!body.is_object()) {
         return std::nullopt;
     }
--- a/src/process/platform_answer.cpp
+++ b/src/process/platform_answer.cpp
@@ -1,5 +1,7 @@
 #include "process/platform_answer.h"
 
+#include "version/json_text.h"
+
 #include <algorithm> // min
 #include <optional>  // optional
 #include <utility>   // move
@@ -47,7 +49,7 @@
 
 result<entries_update> to_entries_update(const std::string& body)
 {
-    const auto object = nlohmann::json::parse(body, nullptr, false);
+    const auto object = parse_json(body);
     if (!object.is_object() || !object.contains("entries") || !object["entries"].is_array()) {
         return detail::to_invalid("no object with a list of entries");
     }
@@ -69,7 +71,7 @@
 
 result<hosts_update> to_hosts_update(const std::string& body)
 {
-    auto object = nlohmann::json::parse(body, nullptr, false);
+    auto object = parse_json(body);
     if (!object.is_object() || !object.contains("hosts")) {
         return detail::to_invalid("no object with a list of hosts");
     }
--- a/src/request/caller_request.cpp
+++ b/src/request/caller_request.cpp
@@ -1,6 +1,7 @@
 #include "request/caller_request.h"
 
 #include "version/check.h"
+#include "version/json_text.h"
 
 #include <algorithm>   // find, min
 #include <array>       // array
@@ -131,7 +132,7 @@
 std::optional<refusal> admit_model(const configuration& in_force, const caller_request& request,
                                    admitted_request& admitted)
 {
-    nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+    nlohmann::json body = parse_json(request.body);
     if (!body.is_object() || !body.contains("model") || !body["model"].is_string()) {
         return refuse(refusal_code::bad_request, "parse",
                       "the body must be a JSON object with the text member 'model'");
