Refuse numbers that are none in the limiter's messages

Cause: NaN, infinities and fractions outside 0 to 1 went from a peer's message into the limiter, whose comparisons they pass.

Ruled out: checks inside the limiter, whose callers in the process send only finite numbers. Sums of shares may exceed 1 by rounding, so 1e-6 is allowed.

--- a/src/connection/limit_codec.cpp
+++ b/src/connection/limit_codec.cpp
@@ -1,7 +1,36 @@
 #include "connection/limit_codec.h"
 
+#include <algorithm>        // all_of
+#include <cmath>            // isfinite
+#include <initializer_list> // initializer_list
+
 namespace hickorykeel {
 
+namespace {
+
+// sums of shares may be above 1 by their rounding
+constexpr double rounding = 1e-6;
+
+bool are_finite(std::initializer_list<double> numbers)
+{
+    return std::all_of(numbers.begin(), numbers.end(),
+                       [](double number) { return std::isfinite(number); });
+}
+
+// false for NaN
+bool is_fraction(double number)
+{
+    return number >= 0 && number <= 1 + rounding;
+}
+
+error to_invalid()
+{
+    return {error_kind::link_message_invalid, "read limits", "",
+            "a number is not finite, or no fraction"};
+}
+
+} // namespace
+
 link::loan_request to_link(const loan_request& request)
 {
     link::loan_request message;
@@ -57,21 +86,30 @@
     return message;
 }
 
-loan_request from_link(const link::loan_request& request)
+result<loan_request> from_link(const link::loan_request& request)
 {
-    return {request.account(), request.tokens(), request.minimum(),
-            request.configuration_revision()};
+    if (!are_finite({request.tokens(), request.minimum()})) {
+        return to_invalid();
+    }
+    return loan_request{request.account(), request.tokens(), request.minimum(),
+                        request.configuration_revision()};
 }
 
-loan_grant from_link(const link::loan_grant& grant)
+result<loan_grant> from_link(const link::loan_grant& grant)
 {
-    return {grant.account(), grant.loan(), grant.tokens(),
-            std::chrono::milliseconds{grant.term_ms()}, grant.level()};
+    if (!are_finite({grant.tokens(), grant.level()})) {
+        return to_invalid();
+    }
+    return loan_grant{grant.account(), grant.loan(), grant.tokens(),
+                      std::chrono::milliseconds{grant.term_ms()}, grant.level()};
 }
 
-loan_settle from_link(const link::loan_settle& settled)
+result<loan_settle> from_link(const link::loan_settle& settled)
 {
-    return {settled.loan(), settled.spent(), settled.returned()};
+    if (!are_finite({settled.spent(), settled.returned()})) {
+        return to_invalid();
+    }
+    return loan_settle{settled.loan(), settled.spent(), settled.returned()};
 }
 
 share_claim from_link(const link::share_claim& claim)
@@ -79,14 +117,20 @@
     return {claim.host_list_revision(), claim.configuration_revision()};
 }
 
-share_answer from_link(const link::share_answer& answer)
+result<share_answer> from_link(const link::share_answer& answer)
 {
+    if (!is_fraction(answer.fraction())) {
+        return to_invalid();
+    }
     share_answer message{answer.host_list_revision(),
                          answer.configuration_revision(),
                          answer.fraction(),
                          {},
                          answer.confirmed()};
     for (const link::held_share& held : answer.others()) {
+        if (!is_fraction(held.fraction())) {
+            return to_invalid();
+        }
         message.others.push_back({held.host(), held.incarnation(), held.fraction(),
                                   std::chrono::milliseconds{held.remaining_ms()}});
     }
--- a/src/process/admission_actor.cpp
+++ b/src/process/admission_actor.cpp
@@ -2,7 +2,11 @@
 
 #include "connection/limit_codec.h"
 
-#include <utility> // move
+#include <optional> // optional
+#include <utility>  // move
+#include <variant>  // get, get_if, variant_alternative_t
+
+#include <glog/logging.h>
 
 namespace hickorykeel {
 namespace detail {
@@ -59,6 +63,20 @@
     }
 }
 
+/// A message of the limiter, or nothing and a line in the log: it counts as lost.
+template <typename Message>
+auto read(const Message& message, const std::string& from)
+{
+    auto outcome = from_link(message);
+    using value_t = std::variant_alternative_t<0, decltype(outcome)>;
+    if (auto* why = std::get_if<error>(&outcome)) {
+        why->peer = from;
+        LOG_EVERY_N(WARNING, 1000) << why->to_string();
+        return std::optional<value_t>{};
+    }
+    return std::optional<value_t>{std::move(std::get<value_t>(outcome))};
+}
+
 void on_question(admission_state& state, const received_message& received)
 {
     const link::envelope& message = received.message;
@@ -67,9 +85,10 @@
     link::envelope answer;
     answer.set_correlation(message.correlation());
     if (message.has_loan_request()) {
-        *answer.mutable_loan_grant() =
-            to_link(state.limits->on_loan_request(from_link(message.loan_request()), now));
-        state.links->answer(received.route, std::move(answer));
+        if (const auto request = read(message.loan_request(), from)) {
+            *answer.mutable_loan_grant() = to_link(state.limits->on_loan_request(*request, now));
+            state.links->answer(received.route, std::move(answer));
+        }
     }
     else if (message.has_share_claim()) {
         *answer.mutable_share_answer() = to_link(state.limits->on_share_claim(
@@ -77,7 +96,9 @@
         state.links->answer(received.route, std::move(answer));
     }
     else if (message.has_loan_settle()) {
-        state.limits->on_loan_settle(from_link(message.loan_settle()), now);
+        if (const auto settled = read(message.loan_settle(), from)) {
+            state.limits->on_loan_settle(*settled, now);
+        }
     }
     else if (message.has_ping() && message.ping().ended()) {
         state.limits->on_goodbye(from, message.incarnation(), now);
@@ -90,12 +111,16 @@
     const time_point now = boot_clock::now();
     const std::string from = to_host(message.sender());
     if (message.has_loan_grant()) {
-        take_events(state, state.limits->on_loan_grant(from, message.correlation(),
-                                                       from_link(message.loan_grant()), now));
+        if (const auto grant = read(message.loan_grant(), from)) {
+            take_events(state,
+                        state.limits->on_loan_grant(from, message.correlation(), *grant, now));
+        }
     }
     else if (message.has_share_answer()) {
-        state.limits->on_share_answer(from, message.incarnation(), message.correlation(),
-                                      from_link(message.share_answer()), now);
+        if (const auto answer = read(message.share_answer(), from)) {
+            state.limits->on_share_answer(from, message.incarnation(), message.correlation(),
+                                          *answer, now);
+        }
     }
 }
 
