Bound max_tokens beside max_completion_tokens instead of dropping it

Both members now carry the limit where the caller sent both. Request tests pass.

Not mended: a caller that sends max_completion_tokens alone to an engine that knows only max_tokens gets that engine's default.

--- a/src/request/caller_request.cpp
+++ b/src/request/caller_request.cpp
@@ -123,9 +123,11 @@
         }
         limit = std::min(allowed, body[member].get<std::uint64_t>());
     }
-    // an engine that knows only the older member must not take it for the limit
-    body.erase("max_tokens");
     body[member] = limit;
+    if (body.contains("max_tokens")) {
+        // an engine that knows only the older member keeps to the same limit
+        body["max_tokens"] = limit;
+    }
     return std::nullopt;
 }
 
