Answer callers' calls without a length at once

POST, PUT and PATCH that tell neither a length nor a transfer coding now go to their call with an empty body (RFC 9112, section 6.3); all others take the way they took.

--- a/src/process/caller_api.cpp
+++ b/src/process/caller_api.cpp
@@ -9,6 +9,7 @@
 #include <array>       // array
 #include <charconv>    // from_chars
 #include <cstdio>      // snprintf
+#include <optional>    // optional
 #include <random>      // random_device
 #include <string_view> // string_view
 #include <utility>     // move
@@ -221,6 +222,24 @@
     caller_call{"DELETE", service_paths},
 };
 
+// the call of a request of a method that may have a body, but tells none
+std::optional<caller_call> find_bodiless(const httplib::Request& http)
+{
+    const bool has_body = http.has_header("Content-Length") || http.has_header("Transfer-Encoding");
+    if (has_body || (http.method != "POST" && http.method != "PUT" && http.method != "PATCH")) {
+        return std::nullopt;
+    }
+    for (const caller_call& each : caller_calls) {
+        const std::string_view fixed = each.path.substr(0, each.path.find(".*"));
+        const bool is_at =
+            fixed.size() == each.path.size() ? http.path == fixed : http.path.starts_with(fixed);
+        if (each.method == http.method && is_at) {
+            return each;
+        }
+    }
+    return std::nullopt;
+}
+
 void add(httplib::Server& server, const caller_call& call, const httplib::Server::Handler& handle)
 {
     const std::string path{call.path};
@@ -271,6 +290,15 @@
         detail::add(server, each,
                     [this, chosen](request_t http, response_t res) { (this->*chosen)(http, res); });
     }
+    // without a length there is no body (RFC 9112, section 6.3); the library would wait for one
+    server.set_pre_routing_handler([this](request_t http, response_t res) {
+        const auto call = detail::find_bodiless(http);
+        if (!call) {
+            return httplib::Server::HandlerResponse::Unhandled;
+        }
+        (this->*answer_of(call->path))(http, res);
+        return httplib::Server::HandlerResponse::Handled;
+    });
     server.set_error_handler([](request_t, response_t res) {
         if (res.body.empty()) {
             const bool is_large = res.status == 413;
