--- a/tests/scenarios/dispatch_kill_test.cpp
+++ b/tests/scenarios/dispatch_kill_test.cpp
@@ -81,7 +81,7 @@
         question.service = "bookings";
         question.path = "visits";
         question.id = id;
-        const outcome answer = m_caller.call(question);
+        outcome answer = m_caller.call(question);
         m_whole += answer.kind == outcome_kind::whole ? 1 : 0;
         const std::lock_guard lock{m_mutex};
         m_outcomes.emplace_back(question.id, answer);
@@ -130,7 +130,9 @@
 
     const auto runs = running.service_runs("bookings");
     std::map<std::string, std::size_t> counts;
-    for (const auto& [id, answer] : flow.outcomes()) {
+    for (const auto& row : flow.outcomes()) {
+        const std::string& id = row.first;
+        const outcome& answer = row.second;
         INFO(id, ": ", answer.to_string());
         // another failure domain may run it, so a lost link is no reason to refuse
         const bool is_whole = answer.kind == outcome_kind::whole;
