Mend sums of shares above the whole after a restart, and add a wait for forgotten consents

Cause: a restarted host counted nothing for hosts that already used a share by consents of its earlier incarnation; a late answer of an earlier incarnation retired the newer one (found by the model with DROPS, 31 steps); reports of third hosts went with the incarnation that gave them. A host that starts counts what first answers say, ignores overtaken answers and keeps reports. counts_forgotten (off) adds the wait for a dropped running host that nobody remembers.

Tests: the new cases of host_shares_test failed against the code before (sum 1.5, 1.25; late answer 1.5).

--- a/models/limits.pml
+++ b/models/limits.pml
@@ -69,6 +69,8 @@
 byte rest[HOSTS];            /* of its loans, not known to it */
 byte rest_left[HOSTS];
 byte least_list[HOSTS];      /* a new process takes no list older than its predecessor's */
+bool is_complete[HOSTS];      /* knows of every host that may use something */
+byte start_age[HOSTS];       /* of its process */
 byte restarts = 0;
 byte claims = 0;
 
@@ -96,6 +98,8 @@
 bool since[SLOTS];           /* the asker has answered the asked host since */
 bool is_older[SLOTS];        /* a newer question was sent */
 bool is_stale[SLOTS];        /* the answer to a newer question has come */
+bool is_overtaken[SLOTS];    /* the asker has since taken the asked host's incarnation as new */
+bool vouches[SLOTS];         /* the answerer is complete */
 byte told[SLOTS];            /* fraction of the answerer */
 byte consent[SLOTS];
 #if HOSTS == 3
@@ -170,6 +174,15 @@
 #define COMMITTED(i) (settle_left[i] > 0 -> MAX(fraction[i], settling[i]) : fraction[i])
 #endif
 
+/* host_shares::forgotten: what hosts may use by consents that the host has forgotten; the rule
+ * (counts_forgotten) is needed and on where a list drops a running host */
+#if defined(USES_AT_ONCE) || !defined(DROPS)
+#define UNKNOWN(i) 0
+#else
+#define UNKNOWN(i) (is_complete[i] -> 0 : (start_age[i] < HOLD + GRANTER_SETTLE -> UNIT : \
+    (start_age[i] < ISOLATION + GRANTER_SETTLE -> (UNIT + 1) / 2 : 0)))
+#endif
+
 #define IS_RETIRED(p, n) ((retired[p] >> (n)) & 1)
 
 /* host_shares::allowances and reported, into allowed[] */
@@ -218,7 +231,7 @@
     :: else -> break
     od;
     each = (live == 0 -> 0 : UNIT / live);
-    remaining = UNIT;
+    remaining = UNIT - UNKNOWN(i);
     targets = UNIT;
     k = 0;
     do
@@ -249,7 +262,7 @@
     find_wanted(i);
     usable = (revision[i] > 0 && IS_LIVE(revision[i], i) -> wanted : 0);
 #ifndef MUTANT_GAIN_WITHOUT_WAIT
-    room = UNIT;
+    room = UNIT - UNKNOWN(i);
     k = 0;
     do
     :: k < HOSTS -> room = room - (k != i -> allowed[k] : 0); k++
@@ -348,7 +361,9 @@
 
 inline clear(s) {
     message[s] = none; asker_is[s] = 0; asked_is[s] = 0; age[s] = 0; claim_revision[s] = 0;
-    since[s] = false; is_older[s] = false; is_stale[s] = false; told[s] = 0; consent[s] = 0;
+    since[s] = false; is_older[s] = false; is_stale[s] = false; vouches[s] = false;
+    is_overtaken[s] = false;
+    told[s] = 0; consent[s] = 0;
     clear_report(s)
 }
 
@@ -362,7 +377,7 @@
     :: else ->
         find_allowances(j);
         find_wanted(j);
-        room = UNIT - COMMITTED(j);
+        room = UNIT - COMMITTED(j) - UNKNOWN(j);
         k = 0;
         do
         :: k < HOSTS -> room = room - (k != j && k != i -> allowed[k] : 0); k++
@@ -372,7 +387,7 @@
         p = P(j, i);
         before = (has_claimed[p] -> ALLOWANCE(p) : 0);
         room = MAX(room, before);
-#ifdef MUTANT_GRANT_WITHOUT_ROOM
+#ifdef GRANTS_WITHOUT_ROOM
         was = wanted;
 #else
         was = (room <= 0 -> 0 : MIN(wanted, room));
@@ -389,6 +404,18 @@
     if
     :: IS_RETIRED(P(j, i), asker_is[s]) -> clear(s)
     :: else ->
+        b = 0;
+        do
+        :: b < QUESTIONS ->
+            if
+            :: known[P(j, i)] != asker_is[s] && message[P(j, i) * QUESTIONS + b] != none ->
+                is_overtaken[P(j, i) * QUESTIONS + b] = true
+            :: else -> skip
+            fi;
+            b++
+        :: else -> break
+        od;
+        b = 0;
         accept(P(j, i), asker_is[s]);
         if
         :: !(revision[j] > 0 && IS_LISTED(revision[j], i)) && claim_revision[s] > revision[j] ->
@@ -401,6 +428,7 @@
         was = 0;
         update(j);
         told[s] = COMMITTED(j);
+        vouches[s] = is_complete[j];
         p = P(j, i);
         promised[p] = told[s];
         has_promise[p] = true;
@@ -457,10 +485,22 @@
 inline on_answer(i, j, s) {
     if
     :: IS_RETIRED(P(i, j), asked_is[s]) || asker_is[s] != incarnation[i] -> skip
+#ifndef OLD_ANSWER_REPLACES
+    /* it may come from the incarnation before the known one */
+    :: is_overtaken[s] && known[P(i, j)] != asked_is[s] -> skip
+#endif
     :: else ->
         accept(P(i, j), asked_is[s]);
         p = P(i, j);
         if
+#ifndef FORGETS_WITNESS
+        :: (!has_claimed[p] || !is_complete[i]) && told[s] > 0 ->
+            has_claimed[p] = true; granted[p] = MAX(granted[p], told[s]); granted_age[p] = 0
+#endif
+        :: else -> skip
+        fi;
+        is_complete[i] = is_complete[i] || vouches[s];
+        if
 #ifdef MUTANT_ANSWER_UNDOES_GRANT
         :: true ->
 #else
@@ -526,6 +566,8 @@
     :: a < HOSTS ->
         if :: settle_left[a] > 0 -> settle_left[a]-- :: else -> skip fi;
         if :: settle_left[a] == 0 -> settling[a] = 0 :: else -> skip fi;
+        if :: !is_complete[a] && start_age[a] < OLDEST -> start_age[a]++ :: else -> skip fi;
+        if :: start_age[a] == OLDEST -> is_complete[a] = true; start_age[a] = 0 :: else -> skip fi;
         if :: rest_left[a] > 0 -> rest_left[a]-- :: else -> skip fi;
         if :: rest_left[a] == 0 -> rest[a] = 0 :: else -> skip fi;
         a++
@@ -559,6 +601,7 @@
 #ifndef LISTS_GO_BACK
     least_list[i] = revision[i];
 #endif
+    is_complete[i] = false; start_age[i] = 0;
     revision[i] = 0; fraction[i] = 0; settling[i] = 0; settle_left[i] = 0;
     x = 0;
     do
@@ -622,7 +665,7 @@
     d_step {
         a = 0;
         do
-        :: a < HOSTS -> incarnation[a] = 1; revision[a] = FIRST_LIST; a++
+        :: a < HOSTS -> incarnation[a] = 1; revision[a] = FIRST_LIST; is_complete[a] = true; a++
         :: else -> break
         od;
         a = 0;
--- a/src/process/limits/host_shares.cpp
+++ b/src/process/limits/host_shares.cpp
@@ -1,6 +1,6 @@
 #include "process/limits/host_shares.h"
 
-#include <algorithm> // clamp, find, max, min
+#include <algorithm> // any_of, clamp, find, max, min, none_of
 #include <utility>   // move
 
 namespace hickorykeel {
@@ -8,7 +8,11 @@
 namespace detail {
 
 constexpr std::size_t retired_limit = 16;
-constexpr double rounding = 1e-9; // of sums of fractions
+constexpr double rounding = 1e-9;           // of sums of fractions
+constexpr std::uint64_t first_revision = 1; // of host lists
+
+// stands in answers for all hosts that the answering host may have forgotten
+constexpr const char* forgotten_name = "";
 
 std::chrono::milliseconds to_milliseconds_up(duration span)
 {
@@ -42,6 +46,10 @@
     if (list.revision <= m_revision) {
         return;
     }
+    note_start(now);
+    if (list.revision <= detail::first_revision) {
+        m_is_complete = true;
+    }
     m_revision = list.revision;
     m_is_live = false;
     for (auto& [name, other] : m_peers) {
@@ -68,6 +76,7 @@
 share_answer host_shares::on_claim(const std::string& from, std::uint64_t incarnation,
                                    const share_claim& claim, time_point now)
 {
+    note_start(now);
     share_answer answer;
     answer.host_list_revision = m_revision;
     peer* asker = accept(from, incarnation, now);
@@ -88,6 +97,10 @@
         asker->received.fraction = std::min(asker->received.fraction, answer.fraction);
     }
     answer.others = to_others(now);
+    if (forgotten(now) > 0) {
+        answer.others.push_back({detail::forgotten_name, m_incarnation, forgotten(now),
+                                 detail::to_milliseconds_up(m_options.isolation_term)});
+    }
     answer.others.push_back(
         {from, incarnation, granted, detail::to_milliseconds_up(m_options.hold_term)});
     return answer;
@@ -96,10 +109,23 @@
 void host_shares::on_answer(const std::string& from, std::uint64_t incarnation,
                             const share_answer& answer, time_point asked, time_point now)
 {
+    note_start(now);
+    // the answer may come from the incarnation before the known one
+    const auto known = m_peers.find(from);
+    if (m_options.ignores_overtaken && known != m_peers.end() && known->second.incarnation != 0 &&
+        known->second.incarnation != incarnation && asked <= known->second.known_since) {
+        return;
+    }
     peer* other = accept(from, incarnation, now);
     if (other == nullptr) {
         return;
     }
+    // what it had before this host started counts like a consent
+    if ((!other->has_claimed || forgotten(now) > 0) && answer.fraction > 0) {
+        other->has_claimed = true;
+        other->granted = std::max(other->granted, answer.fraction);
+        other->granted_at = now;
+    }
     // a grant made after the question may have raised the other beyond this answer
     if (!other->has_claimed || other->granted_at < asked) {
         other->granted = std::min(other->granted, answer.fraction);
@@ -120,14 +146,7 @@
     }
     if (other->reports_asked <= asked) {
         other->reports_asked = asked;
-        other->reports.clear();
-        other->report_ends.clear();
-        for (const held_share& share : answer.others) {
-            if (share.host != m_name) {
-                other->reports.push_back(share);
-                other->report_ends.push_back(now + lengthened(share.remaining));
-            }
-        }
+        take_reports(*other, answer, now);
     }
     update(now);
 }
@@ -175,6 +194,52 @@
     return hosts;
 }
 
+// Takes what the answer says of third hosts. An incomplete host may have forgotten what the incarnation
+// before it reported.
+void host_shares::take_reports(peer& other, const share_answer& answer, time_point now)
+{
+    const bool is_complete =
+        std::none_of(answer.others.begin(), answer.others.end(),
+                     [](const held_share& share) { return share.host == detail::forgotten_name; });
+    if (is_complete) {
+        m_is_complete = true;
+        other.reports.clear();
+        other.report_ends.clear();
+    }
+    for (const held_share& share : answer.others) {
+        const bool is_kept =
+            std::any_of(other.reports.begin(), other.reports.end(), [&](const held_share& kept) {
+                return kept.host == share.host && kept.incarnation == share.incarnation;
+            });
+        if (share.host != m_name && share.host != detail::forgotten_name && !is_kept) {
+            other.reports.push_back(share);
+            other.report_ends.push_back(now + lengthened(share.remaining));
+        }
+    }
+}
+
+void host_shares::note_start(time_point now)
+{
+    if (!m_started) {
+        m_started = now;
+    }
+}
+
+// What hosts may use by consents that an earlier incarnation gave and this one has forgotten.
+double host_shares::forgotten(time_point now) const
+{
+    if (m_is_complete || !m_options.counts_forgotten) {
+        return 0;
+    }
+    const duration since = m_started ? now - *m_started : duration::zero();
+    if (since < lengthened(m_options.hold_term + m_options.settle_term)) {
+        return 1;
+    }
+    return since < lengthened(m_options.isolation_term + m_options.settle_term)
+               ? m_options.floor_part
+               : 0;
+}
+
 // Record of the sender, or null where the message comes from an incarnation that has ended.
 host_shares::peer* host_shares::accept(const std::string& from, std::uint64_t incarnation,
                                        time_point now)
@@ -188,6 +253,7 @@
             retire(other, now);
         }
         other.incarnation = incarnation;
+        other.known_since = now;
     }
     return &other;
 }
@@ -203,6 +269,9 @@
     if (next.retired.size() > detail::retired_limit) {
         next.retired.erase(next.retired.begin());
     }
+    // of third hosts, so the end of this incarnation doesn't end them
+    next.reports = std::move(other.reports);
+    next.report_ends = std::move(other.report_ends);
     next.is_listed = other.is_listed;
     next.is_live = other.is_live;
     other = std::move(next);
@@ -282,10 +351,10 @@
 }
 
 // Factor on every target that makes room for hosts that may use more than theirs.
-double host_shares::scale(const std::map<std::string, double>& allowed) const
+double host_shares::scale(const std::map<std::string, double>& allowed, time_point now) const
 {
     const double each = target();
-    double rest = 1;
+    double rest = 1 - forgotten(now);
     double targets = 1;
     for (const auto& [name, fraction] : allowed) {
         const auto found = m_peers.find(name);
@@ -352,13 +421,13 @@
     const std::map<std::string, double> allowed = allowances(now);
     // loans of the asker's last incarnation take room like any other host
     const double lingering = now < asker.lingers_until ? asker.lingering : 0;
-    double room = 1 - committed(now) - lingering;
+    double room = 1 - committed(now) - lingering - forgotten(now);
     for (const auto& [name, fraction] : allowed) {
         room -= name == to ? 0 : fraction;
     }
     room = room < detail::rounding ? 0 : room;
     const double before = asker.has_claimed ? allowance(asker, now) - lingering : 0;
-    const double wanted = target() * scale(allowed);
+    const double wanted = target() * scale(allowed, now);
     const double granted = std::min(wanted, std::max(room, before));
     asker.granted = std::max(before, granted);
     asker.granted_at = now;
@@ -369,9 +438,9 @@
 void host_shares::update(time_point now)
 {
     const std::map<std::string, double> allowed = allowances(now);
-    double usable = m_is_live ? target() * scale(allowed) : 0;
+    double usable = m_is_live ? target() * scale(allowed, now) : 0;
     if (m_options.waits_for_consent) {
-        double rest = 1;
+        double rest = 1 - forgotten(now);
         for (const auto& [name, fraction] : allowed) {
             rest -= fraction;
         }
--- a/src/process/limits/host_shares.h
+++ b/src/process/limits/host_shares.h
@@ -4,11 +4,12 @@
 #include "process/limits/limit_messages.h"
 #include "version/configuration.h"
 
-#include <chrono>  // seconds, hours
-#include <cstdint> // uint64_t
-#include <map>     // map
-#include <string>  // string
-#include <vector>  // vector
+#include <chrono>   // seconds, hours
+#include <cstdint>  // uint64_t
+#include <map>      // map
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
 
 namespace hickorykeel {
 
@@ -20,12 +21,19 @@
     double floor_part = 0.5;                         ///< of a consent after the hold term
     double drift = clock_drift_bound;
 
+    /// A started host uses nothing for the hold term, then half until the isolation term has ended,
+    /// unless a host that knows has answered or its list is the first. Needed where the platform
+    /// drops running hosts from its list; off, since a started failure domain would have half of
+    /// its rights for the isolation term.
+    bool counts_forgotten = false;
+
     /// @name test only: each false shows that the rule is needed
     /// @{
     bool waits_for_consent = true;
     bool falls_without_consent = true;
     bool counts_settling = true;
     bool bounds_old_consents = true;
+    bool ignores_overtaken = true;
     /// @}
 };
 
@@ -35,6 +43,9 @@
 /// what these consents leave and what every other listed host has consented to. Rights of a pair
 /// of hosts are so bounded by their own messages, whatever their lists say.
 ///
+/// A started host doesn't know which consents its earlier incarnation gave, perhaps to a host that
+/// no list names any more; `counts_forgotten` makes it wait for them.
+///
 /// Thread safety: none; the owner serialises calls. Complexity of each call: linear in the hosts
 /// of the failure domain, but where noted.
 class host_shares {
@@ -88,6 +99,7 @@
     /// What another host may use.
     struct peer {
         std::uint64_t incarnation = 0;
+        time_point known_since;             // that incarnation
         std::vector<std::uint64_t> retired; // earlier incarnations, oldest first
         double lingering = 0;               // of the last one
         time_point lingers_until;
@@ -106,6 +118,9 @@
         std::vector<time_point> report_ends;
     };
 
+    [[nodiscard]] double forgotten(time_point now) const;
+    void note_start(time_point now);
+    void take_reports(peer& other, const share_answer& answer, time_point now);
     peer* accept(const std::string& from, std::uint64_t incarnation, time_point now);
     void retire(peer& other, time_point now);
     [[nodiscard]] static bool is_retired(const peer& other, std::uint64_t incarnation);
@@ -114,7 +129,7 @@
     [[nodiscard]] std::map<std::string, double> allowances(time_point now) const;
     [[nodiscard]] std::map<std::string, double> reported(time_point now) const;
     [[nodiscard]] double target() const;
-    [[nodiscard]] double scale(const std::map<std::string, double>& allowed) const;
+    [[nodiscard]] double scale(const std::map<std::string, double>& allowed, time_point now) const;
     [[nodiscard]] double committed(time_point now) const;
     [[nodiscard]] std::vector<held_share> to_others(time_point now) const;
     [[nodiscard]] duration lengthened(duration term) const;
@@ -126,7 +141,9 @@
     std::uint64_t m_incarnation;
     share_options m_options;
     std::uint64_t m_revision = 0;
-    bool m_is_live = false; // this host, by its own list
+    std::optional<time_point> m_started; // first call
+    bool m_is_complete = false;          // knows of every host that may use something
+    bool m_is_live = false;              // this host, by its own list
     std::map<std::string, peer> m_peers;
     std::map<std::string, std::uint64_t> m_newcomers; // of newer lists, with their revision
     double m_fraction = 0;
--- a/tests/process/host_shares_test.cpp
+++ b/tests/process/host_shares_test.cpp
@@ -82,6 +82,7 @@
 {
     member a{"a", 1};
     CHECK(a.shares.fraction() == 0);
+    a.shares.apply(make_list(1, {"a"}), start);
     a.shares.apply(make_list(2, {"a"}), start);
     CHECK(a.shares.fraction() == 1);
 
@@ -264,6 +265,89 @@
     }
 }
 
+TEST_CASE("a host that restarts has forgotten the consents of its earlier incarnation")
+{
+    share_options terms;
+    terms.counts_forgotten = true;
+    pair_of_hosts both;
+    const time_point restarted = start + 5s;
+    const auto sum = [&](member& host, time_point now) {
+        host.shares.advance(now);
+        both.b.shares.advance(now);
+        return host.shares.fraction() + both.b.shares.fraction();
+    };
+
+    SUBCASE("a running host that the list dropped keeps within what is left")
+    {
+        member again{"a", 7, terms};
+        again.shares.apply(make_list(2, {"a"}), restarted);
+        CHECK(again.shares.fraction() == 0);
+        for (const duration later : {0s, 6s, 13s, 600s, 7'000s, 8'000s}) {
+            CHECK(sum(again, restarted + later) <= 1);
+        }
+        CHECK(again.shares.fraction() == 1);
+    }
+
+    SUBCASE("a lone host serves with half of the rights after the hold term")
+    {
+        member again{"a", 7, terms};
+        again.shares.apply(make_list(2, {"a"}), restarted);
+        again.shares.advance(restarted + terms.hold_term + 2 * terms.settle_term);
+        CHECK(again.shares.fraction() == doctest::Approx(0.5));
+    }
+
+    SUBCASE("the first list drops nobody")
+    {
+        member again{"a", 7, terms};
+        again.shares.apply(make_list(1, {"a"}), restarted);
+        CHECK(again.shares.fraction() == 1);
+    }
+
+    SUBCASE("a dropped host that answers is counted with what it has, and it stops")
+    {
+        member again{"a", 7, terms};
+        again.shares.apply(make_list(1, {"a", "b"}), restarted);
+        claim(again, both.b, restarted);
+        CHECK(both.b.shares.fraction() == 0);
+        again.shares.apply(make_list(2, {"a"}), restarted);
+        CHECK(again.shares.fraction() <= 0.5);
+    }
+
+    SUBCASE("hosts that all restarted share what is left")
+    {
+        member a{"a", 7, terms};
+        member c{"c", 8, terms};
+        for (member* each : {&a, &c}) {
+            each->shares.apply(make_list(2, {"a", "c"}), restarted);
+        }
+        claim(a, c, restarted);
+        claim(c, a, restarted + 1ms);
+        CHECK(a.shares.fraction() + c.shares.fraction() == 0);
+        const time_point later = restarted + terms.hold_term + 2 * terms.settle_term;
+        claim(a, c, later);
+        claim(c, a, later + 1ms);
+        CHECK(a.shares.fraction() + c.shares.fraction() == doctest::Approx(0.5));
+        CHECK(a.shares.fraction() == doctest::Approx(0.25));
+    }
+
+    SUBCASE("a late answer of the incarnation before doesn't end the newer one")
+    {
+        member a{"a", 1};
+        member b{"b", 2};
+        member again{"b", 9};
+        for (member* each : {&a, &b, &again}) {
+            each->shares.apply(make_list(1, {"a", "b"}), start);
+        }
+        const share_answer late = ask(a, b, start);
+        claim(again, a, start + 1s);
+        REQUIRE(again.shares.fraction() == doctest::Approx(0.5));
+        a.shares.on_answer("b", 2, late, start, start + 2s);
+        a.shares.apply(make_list(2, {"a"}), start + 2s);
+        a.shares.advance(start + 2s + 2 * terms.settle_term);
+        CHECK(a.shares.fraction() + again.shares.fraction() <= 1);
+    }
+}
+
 TEST_CASE("the others keep their shares while one host is replaced")
 {
     std::vector<std::string> names;
@@ -340,6 +424,14 @@
         b.shares.apply(make_list(2, {"a", "b"}), start);
         CHECK(ask(b, a, start).fraction == 0);
     }
+    SUBCASE("consents of an earlier incarnation")
+    {
+        options.counts_forgotten = false;
+        const pair_of_hosts both;
+        member again{"a", 7, options};
+        again.shares.apply(make_list(2, {"a"}), start + 1s);
+        CHECK(again.shares.fraction() + both.b.shares.fraction() > 1);
+    }
     SUBCASE("promises")
     {
         options.bounds_old_consents = false;
--- a/tests/process/limits_property_test.cpp
+++ b/tests/process/limits_property_test.cpp
@@ -4,7 +4,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <algorithm> // find, max, min
+#include <algorithm> // any_of, find, max, min
 #include <map>       // map
 #include <memory>    // make_shared
 #include <random>    // mt19937_64
@@ -29,6 +29,7 @@
     options.shares.hold_term = 1s;
     options.shares.isolation_term = 4s;
     options.shares.settle_term = 400ms;
+    options.shares.counts_forgotten = true;
     return options;
 }
 
@@ -48,7 +49,7 @@
     duration near_delay = 1ms;
     duration far_delay = 20ms;
     double most_tokens = 40;
-    bool drops_running = false; // a host is dropped from the list while it runs, cut off
+    double drops_running = 0.5; // of the dropped hosts: goes on running, cut off
 };
 
 // One random run: hosts in two failure domains, all published states lag differently at each.
@@ -130,7 +131,6 @@
         m_configurations.push_back(published);
     }
 
-    // The platform drops a host only after it has stopped.
     void publish_list()
     {
         auto list = std::make_shared<host_list>();
@@ -151,6 +151,7 @@
     {
         m_fleet.publish(name, m_configurations.back());
         m_fleet.publish(name, m_lists.back());
+        m_learnt[name] = m_lists.back();
     }
 
     void disturb()
@@ -176,13 +177,13 @@
         }
     }
 
-    // A host stops and leaves the list, or comes back under a new name's memory: none.
+    // A host leaves the list, stopped or (the platform believes it stopped) cut off; or it comes back.
     void relist()
     {
         const std::string& name = any_host();
         const auto found = std::find(m_listed.begin(), m_listed.end(), name);
         if (found != m_listed.end() && m_listed.size() > 2) {
-            if (m_pressure.drops_running) {
+            if (has_listed_neighbour(name) && happens(m_pressure.drops_running)) {
                 cut_off(name, true);
             }
             else {
@@ -194,7 +195,7 @@
         else if (found == m_listed.end()) {
             m_listed.push_back(name);
             publish_list();
-            if (m_pressure.drops_running) {
+            if (m_fleet.is_running(name)) {
                 cut_off(name, false);
             }
             else {
@@ -203,6 +204,16 @@
         }
     }
 
+    // A host that knows of no other uses the whole for as long as it runs.
+    bool has_listed_neighbour(const std::string& name)
+    {
+        const auto& known = m_learnt.at(name)->hosts;
+        return std::any_of(known.begin(), known.end(), [&](const host& other) {
+            return other.name != name && other.failure_domain == name.substr(0, 1) &&
+                   is_listed(other.name);
+        });
+    }
+
     void cut_off(const std::string& name, bool is_cut)
     {
         for (const std::string& other : m_names) {
@@ -251,6 +262,7 @@
     std::vector<std::string> m_listed;
     std::vector<configuration_ptr> m_configurations;
     std::vector<host_list_ptr> m_lists;
+    std::map<std::string, host_list_ptr> m_learnt;
     double m_largest_rate = 0;
     double m_largest_burst = 0;
     double m_largest_share = 0;
@@ -333,7 +345,7 @@
         wanted.cut = 0;
         wanted.pause = 0;
         wanted.replacement = 0;
-        wanted.drops_running = true;
+        wanted.drops_running = 1;
         CHECK(worst_share(options, wanted, mutant_runs) <= whole);
         options.shares.falls_without_consent = false;
         CHECK(worst_share(options, wanted, mutant_runs) > whole);
