--- a/src/process/limits/host_shares.cpp
+++ b/src/process/limits/host_shares.cpp
@@ -121,8 +121,7 @@
         return;
     }
     // what it had before this host started counts like a consent
-    if (m_options.counts_forgotten && (!other->has_claimed || !m_is_complete) &&
-        answer.fraction > 0) {
+    if ((!other->has_claimed || forgotten(now) > 0) && answer.fraction > 0) {
         other->has_claimed = true;
         other->granted = std::max(other->granted, answer.fraction);
         other->granted_at = now;
--- a/src/process/limits/host_shares.h
+++ b/src/process/limits/host_shares.h
@@ -21,13 +21,18 @@
     double floor_part = 0.5;                         ///< of a consent after the hold term
     double drift = clock_drift_bound;
 
+    /// A started host uses nothing for the hold term, then half until the isolation term has ended,
+    /// unless a host that knows has answered or its list is the first. Needed where the platform
+    /// drops running hosts from its list; off, since a started failure domain would have half of
+    /// its rights for the isolation term.
+    bool counts_forgotten = false;
+
     /// @name test only: each false shows that the rule is needed
     /// @{
     bool waits_for_consent = true;
     bool falls_without_consent = true;
     bool counts_settling = true;
     bool bounds_old_consents = true;
-    bool counts_forgotten = true;
     bool ignores_overtaken = true;
     /// @}
 };
@@ -39,8 +44,7 @@
 /// of hosts are so bounded by their own messages, whatever their lists say.
 ///
 /// A started host doesn't know which consents its earlier incarnation gave, perhaps to a host that
-/// no list names any more. Until a host that knows has answered, it counts them as the whole, after
-/// the hold term as half, and after the isolation term as nothing. The first list drops nobody.
+/// no list names any more; `counts_forgotten` makes it wait for them.
 ///
 /// Thread safety: none; the owner serialises calls. Complexity of each call: linear in the hosts
 /// of the failure domain, but where noted.
--- a/tests/process/limits_property_test.cpp
+++ b/tests/process/limits_property_test.cpp
@@ -29,6 +29,7 @@
     options.shares.hold_term = 1s;
     options.shares.isolation_term = 4s;
     options.shares.settle_term = 400ms;
+    options.shares.counts_forgotten = true;
     return options;
 }
 
