Measure the hand-overs of a request, and streams and context switches in the bench

Cause: the own share misses its target, and the bench said nothing of where. Ruled out: polling loops, a missing TCP_NODELAY.

--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -7,8 +7,11 @@
 #include <chrono>             // seconds
 #include <condition_variable> // condition_variable
 #include <cstdio>             // printf
+#include <filesystem>         // directory_iterator
+#include <fstream>            // ifstream
 #include <functional>         // function
 #include <mutex>              // mutex
+#include <optional>           // optional
 #include <string>             // string
 #include <thread>             // jthread, sleep_for
 #include <vector>             // vector
@@ -25,6 +28,9 @@
 constexpr std::size_t largest_concurrency = 64;
 constexpr std::size_t warm_up_requests = 50;
 constexpr std::size_t paused_requests = 50;
+constexpr std::size_t stream_tokens = 32;
+constexpr std::size_t stream_part = 4; ///< one stream for so many requests
+constexpr duration idle_window{std::chrono::milliseconds{500}};
 constexpr duration idle_time{std::chrono::milliseconds{50}}; ///< in which idle threads fall asleep
 
 /// One failure domain, one organisation without a limit in reach, one engine.
@@ -51,10 +57,11 @@
         {"targets/assistant", {{"kind", "model"}, {"endpoints", nlohmann::json::array({engine})}}}};
 }
 
-std::string make_body()
+std::string make_body(std::size_t tokens = 1, bool is_stream = false)
 {
     return nlohmann::json{{"model", "assistant"},
-                          {"max_tokens", 1},
+                          {"max_tokens", tokens},
+                          {"stream", is_stream},
                           {"messages", {{{"role", "user"}, {"content", "hello"}}}}}
         .dump();
 }
@@ -75,6 +82,37 @@
     };
 }
 
+/// Times of one stream.
+struct stream_times {
+    std::vector<double> first{};     ///< to the first bytes of the answer, ms
+    std::vector<double> per_token{}; ///< from the first bytes to the end, ms a token
+
+    void ask(const std::string& address, const std::string& key)
+    {
+        httplib::Client client{"http://" + address};
+        client.set_tcp_nodelay(true);
+        httplib::Request http;
+        http.method = "POST";
+        http.path = "/v1/chat/completions";
+        http.headers = {{"Authorization", "Bearer " + key},
+                        {"X-Hickorykeel-Profile", "visit-summary"},
+                        {"X-Fencing-Token", "1"},
+                        {"Content-Type", "application/json"}};
+        http.body = make_body(stream_tokens, true);
+        const time_point begin = boot_clock::now();
+        std::optional<time_point> first_bytes;
+        http.content_receiver = [&](const char*, std::size_t, std::uint64_t, std::uint64_t) {
+            first_bytes = first_bytes.value_or(boot_clock::now());
+            return true;
+        };
+        const auto answer = client.send(http);
+        if (answer && first_bytes) {
+            first.push_back(to_seconds(*first_bytes - begin) * 1e3);
+            per_token.push_back(to_seconds(boot_clock::now() - *first_bytes) * 1e3 / stream_tokens);
+        }
+    }
+};
+
 question make_health(const std::string& address)
 {
     return [address] {
@@ -204,6 +242,65 @@
     difference("  of it entry", 3, 2);
 }
 
+/// Streams of engine and gateway in turn.
+void print_streams(const std::string& engine, const std::string& gateway, const std::string& key,
+                   std::size_t rounds)
+{
+    stream_times direct;
+    stream_times through;
+    for (std::size_t i = 0; i < rounds; ++i) {
+        direct.ask(engine, "");
+        through.ask(gateway, key);
+    }
+    std::printf("\n%-34s %8s %8s %7s\n", "streams of 32 tokens, ms", "p50", "p99", "count");
+    const auto print = [](const char* name, const std::vector<double>& times) {
+        std::printf("%-34s %8.3f %8.3f %7zu\n", name, percentile(times, 0.5),
+                    percentile(times, 0.99), times.size());
+    };
+    print("engine: first bytes", direct.first);
+    print("gateway: first bytes", through.first);
+    print("engine: each token after them", direct.per_token);
+    print("gateway: each token after them", through.per_token);
+}
+
+/// Context switches of all threads of a process since its start.
+std::uint64_t context_switches(pid_t process)
+{
+    std::uint64_t sum = 0;
+    const std::string threads = "/proc/" + std::to_string(process) + "/task";
+    for (const auto& thread : std::filesystem::directory_iterator(threads)) {
+        std::ifstream status(thread.path() / "status");
+        std::string line;
+        while (std::getline(status, line)) {
+            if (line.find("ctxt_switches:") != std::string::npos) {
+                sum += std::stoull(line.substr(line.find(':') + 1));
+            }
+        }
+    }
+    return sum;
+}
+
+/// Context switches for each request, without those that the same process makes while idle.
+void print_switches(tests::fleet& running, const question& ask, std::size_t requests)
+{
+    std::printf("\n");
+    for (const char* program : {"/entry", "/dispatch"}) {
+        const pid_t process = running.process(running.hosts().front().name + program).id();
+        const std::uint64_t before_idle = context_switches(process);
+        std::this_thread::sleep_for(idle_window);
+        const std::uint64_t before = context_switches(process);
+        const time_point begin = boot_clock::now();
+        for (std::size_t i = 0; i < requests; ++i) {
+            static_cast<void>(ask());
+        }
+        const double windows = to_seconds(boot_clock::now() - begin) / to_seconds(idle_window);
+        const double idle = static_cast<double>(before - before_idle) * windows;
+        const double all = static_cast<double>(context_switches(process) - before);
+        std::printf("context switches a request of %-10s %8.2f\n", program + 1,
+                    (all - idle) / static_cast<double>(requests));
+    }
+}
+
 /// Asks from `concurrency` threads for one step; the times of all.
 measured run_step(const question& ask, std::size_t concurrency)
 {
@@ -257,6 +354,7 @@
     TCLAP::CmdLine line{"Measures the gateway's own latency over loopback.", ' ', "0.1.0"};
     const TCLAP::ValueArg<std::size_t> requests{"n",   "requests", "of each way", false,
                                                 1'000, "number",   line};
+    TCLAP::SwitchArg is_brief{"b", "brief", "no pauses, no throughput", line};
     line.parse(argc, argv);
 
     tests::fleet_options options;
@@ -284,6 +382,12 @@
     }
     run_rounds(ways, requests.getValue(), duration{0});
     print_shares("one after the other, ms", ways);
+    print_streams(engine, host.caller_address, running.key("volunteers"),
+                  requests.getValue() / stream_part);
+    print_switches(running, through, requests.getValue());
+    if (is_brief.getValue()) {
+        return 0;
+    }
     run_rounds(paused, paused_requests, idle_time);
     std::printf("\n");
     print_shares("each after a pause of 50 ms, ms", paused);
