Send a short whole answer as one event, from the worker itself

Cause: a short whole answer went as head, data and end, each with five wake-ups, and the end took one more hand-over, worker to dispatch actor, which decides nothing after a whole answer. Change: where the entry process says so (takes_whole, so that older processes understand each other) up to 64 KiB are held and go with the end; the worker sends the end. What came before a failure is passed on as before it.

--- a/src/process/dispatch_job.cpp
+++ b/src/process/dispatch_job.cpp
@@ -1,5 +1,7 @@
 #include "process/dispatch_job.h"
 
+#include "connection/answer_events.h"
+
 #include <algorithm> // max
 #include <utility>   // move
 
@@ -33,7 +35,8 @@
 
 namespace {
 
-attempt_result call_endpoint(const dispatch_attempt& attempt, const std::string& traceparent)
+attempt_result call_endpoint(const dispatch_attempt& attempt, const std::string& traceparent,
+                             answer_events& answer)
 {
     attempt_result result;
     dispatch_job& job = *attempt.job;
@@ -55,22 +58,12 @@
             }
             result.has_head = true;
             result.status = status;
+            answer.on_head(status, headers);
             attempt.on_head();
-            link::dispatch_event event;
-            event.set_kind(link::dispatch_event::kind_head);
-            event.set_status(static_cast<std::uint32_t>(status));
-            event.set_endpoint(attempt.endpoint_name);
-            for (const link::header& header : headers) {
-                *event.add_headers() = header;
-            }
-            job.events->send(std::move(event));
             return true;
         },
         [&](const char* bytes, std::size_t size) {
-            link::dispatch_event event;
-            event.set_kind(link::dispatch_event::kind_data);
-            event.set_data(bytes, size);
-            job.events->send(std::move(event));
+            answer.on_data({bytes, size});
             return true;
         });
     if (const auto* whole = std::get_if<endpoint_call::is_whole>(&outcome)) {
@@ -78,6 +71,7 @@
         result.used_tokens = whole->used_tokens;
         return result;
     }
+    answer.flush();
     result.why = detail::to_refusal(std::get<endpoint_call::has_failed>(outcome), job.deadline);
     if (is_turned_away) {
         result.why.message = "the endpoint turned the request away";
@@ -86,20 +80,32 @@
     return result;
 }
 
-} // namespace
-
-attempt_result run_attempt(const dispatch_attempt& attempt)
+attempt_result observe_call(const dispatch_attempt& attempt, answer_events& answer)
 {
     if (attempt.observer == nullptr) {
-        return call_endpoint(attempt, attempt.job->request.traceparent());
+        return call_endpoint(attempt, attempt.job->request.traceparent(), answer);
     }
     const auto begun = trace_span::clock::now();
     const span_place place = attempt.observer->begin_call(*attempt.job);
     const bool is_traced = place.context != trace_context{};
     attempt_result result =
-        call_endpoint(attempt, is_traced ? to_traceparent(place.context) : std::string{});
+        call_endpoint(attempt, is_traced ? to_traceparent(place.context) : std::string{}, answer);
     attempt.observer->end_call(attempt, place, begun, result);
     return result;
 }
 
+} // namespace
+
+attempt_result run_attempt(const dispatch_attempt& attempt)
+{
+    const dispatch_job& job = *attempt.job;
+    answer_events answer{*job.events, attempt.endpoint_name, job.request.takes_whole()};
+    attempt_result result = observe_call(attempt, answer);
+    // sent from here, as the owner of the job has nothing to decide after a whole answer
+    if (result.outcome == attempt_result::outcome_t::whole) {
+        answer.on_end(result.used_tokens);
+    }
+    return result;
+}
+
 } // namespace hickorykeel
--- a/src/process/dispatch_job.h
+++ b/src/process/dispatch_job.h
@@ -47,7 +47,7 @@
     std::string endpoint_name;
     /// Whether the request may still begin, asked right before it does.
     std::function<std::optional<refusal>()> last_check;
-    /// Told when the endpoint's answer begins.
+    /// Told when the endpoint's answer has begun and its head is on its way.
     std::function<void()> on_head;
     attempt_observer* observer = nullptr; ///< outlives the attempt; null: none
 };
@@ -84,7 +84,8 @@
                           trace_span::clock::time_point begun, const attempt_result& result) = 0;
 };
 
-/// Runs one attempt: last check, call, events to the entry process. Blocks until it ended.
+/// Runs one attempt: last check, call, events to the entry process; of a whole answer the end too,
+/// of a failure none. Blocks until it ended.
 /// Thread safety: one attempt of a job at a time.
 [[nodiscard]] attempt_result run_attempt(const dispatch_attempt& attempt);
 
--- a/src/process/dispatcher.cpp
+++ b/src/process/dispatcher.cpp
@@ -336,11 +336,7 @@
 void dispatcher::finish(const std::shared_ptr<dispatch_job>& job, const attempt_result& result)
 {
     if (result.outcome == attempt_result::outcome_t::whole) {
-        link::dispatch_event event;
-        event.set_kind(link::dispatch_event::kind_end);
-        event.set_endpoint(job->endpoint_name);
-        event.set_used_tokens(result.used_tokens);
-        job->events->send(std::move(event));
+        // the attempt has sent the end
         m_jobs.erase(job->id);
         return;
     }
--- a/src/process/request_runner.cpp
+++ b/src/process/request_runner.cpp
@@ -67,15 +67,20 @@
 
 request_runner::step request_runner::next()
 {
+    if (!m_ready.empty()) {
+        step ready = std::move(m_ready.front());
+        m_ready.pop_front();
+        return ready;
+    }
     while (true) {
         if (!m_exchange && !start_attempt()) {
             return give_up(m_last_failure);
         }
         const time_point now = boot_clock::now();
-        const auto outcome = m_exchange->next(std::min(m_deadline, now + detail::look_interval),
-                                              detail::silence_limit);
+        auto outcome = m_exchange->next(std::min(m_deadline, now + detail::look_interval),
+                                        detail::silence_limit);
         std::variant<std::monostate, step> taken;
-        if (const auto* event = std::get_if<link::dispatch_event>(&outcome)) {
+        if (auto* event = std::get_if<link::dispatch_event>(&outcome)) {
             taken = on_event(*event);
         }
         else if (const auto* why = std::get_if<refusal>(&outcome)) {
@@ -188,6 +193,7 @@
     request.set_idempotent(m_request.matched_profile->is_idempotent);
     request.set_interactive(m_request.matched_profile->is_interactive);
     request.set_stream(m_request.is_stream);
+    request.set_takes_whole(!m_request.is_stream);
     request.set_reserved_tokens(m_request.reserved_tokens);
     request.set_traceparent(m_traceparent);
     request.set_prefix_hash(m_request.prefix_hash);
@@ -199,28 +205,22 @@
 }
 
 std::variant<std::monostate, request_runner::step>
-request_runner::on_event(const link::dispatch_event& event)
+request_runner::on_event(link::dispatch_event& event)
 {
     switch (event.kind()) {
-    case link::dispatch_event::kind_head: {
-        m_has_head = true;
-        answer_head head;
-        head.status = static_cast<int>(event.status());
-        head.endpoint = event.endpoint();
-        head.dispatch_host = m_at.host;
-        for (const link::header& header : event.headers()) {
-            if (header.name() == "Content-Type") {
-                head.content_type = header.value();
-            }
-        }
-        return step{head};
-    }
+    case link::dispatch_event::kind_head:
+        return step{to_head(event)};
     case link::dispatch_event::kind_data:
-        return step{answer_data{event.data()}};
+        return step{answer_data{std::move(*event.mutable_data())}};
     case link::dispatch_event::kind_end:
         m_has_ended = true;
         end_attempt();
-        return step{answer_end{event.used_tokens()}};
+        if (event.status() == 0) {
+            return step{answer_end{event.used_tokens()}};
+        }
+        m_ready.emplace_back(answer_data{std::move(*event.mutable_data())});
+        m_ready.emplace_back(answer_end{event.used_tokens()});
+        return step{to_head(event)};
     case link::dispatch_event::kind_failed:
         m_has_ended = true;
         return on_refused(to_refusal(event));
@@ -229,6 +229,21 @@
     }
 }
 
+request_runner::answer_head request_runner::to_head(const link::dispatch_event& event)
+{
+    m_has_head = true;
+    answer_head head;
+    head.status = static_cast<int>(event.status());
+    head.endpoint = event.endpoint();
+    head.dispatch_host = m_at.host;
+    for (const link::header& header : event.headers()) {
+        if (header.name() == "Content-Type") {
+            head.content_type = header.value();
+        }
+    }
+    return head;
+}
+
 std::variant<std::monostate, request_runner::step>
 request_runner::on_failure(refusal why, bool is_domain_at_fault)
 {
--- a/src/process/request_runner.h
+++ b/src/process/request_runner.h
@@ -7,6 +7,7 @@
 #include "request/caller_request.h"
 
 #include <cstdint>    // uint64_t
+#include <deque>      // deque
 #include <functional> // function
 #include <memory>     // shared_ptr
 #include <string>     // string
@@ -81,7 +82,8 @@
     void end_attempt();
     void note_visit(bool is_domain_at_fault);
     [[nodiscard]] link::envelope to_message() const;
-    std::variant<std::monostate, step> on_event(const link::dispatch_event& event);
+    std::variant<std::monostate, step> on_event(link::dispatch_event& event);
+    answer_head to_head(const link::dispatch_event& event);
     std::variant<std::monostate, step> on_failure(refusal why, bool is_domain_at_fault);
     std::variant<std::monostate, step> on_refused(refusal why);
     std::variant<std::monostate, step> on_lost();
@@ -99,6 +101,7 @@
     std::shared_ptr<exchange> m_exchange;
     dispatch_address m_at; // has the request, or had it last
     unsigned m_attempts = 0;
+    std::deque<step> m_ready; // rest of an answer that came in one event
     bool m_has_head = false;
     bool m_has_ended = false;
     refusal m_last_failure;
