--- a/src/process/admission_actor.cpp
+++ b/src/process/admission_actor.cpp
@@ -88,7 +88,8 @@
     const std::lock_guard lock(state.desk->mutex);
     if (message.has_loan_request()) {
         if (const auto request = read(message.loan_request(), from)) {
-            *answer.mutable_loan_grant() = to_link(state.desk->limits->on_loan_request(*request, now));
+            *answer.mutable_loan_grant() =
+                to_link(state.desk->limits->on_loan_request(*request, now));
             state.links->answer(received.route, std::move(answer));
         }
     }
