Wait for the entry process's own refusal after a withdrawal

Cause: the scenario took a dispatch process's refusal (key_withdrawn, not run) for the sign that the host has the newer revision, and then asked for the same of the next request; that one may begin before the entry process hears of the revision, and ends truly with "unknown". Ruled out: an answer after the withdrawal (none in any run). Now the wait is for the entry process's code, "unauthorised", and the next request must get the same and not have run: as strict, and not a race.

--- a/tests/scenarios/key_withdrawal_test.cpp
+++ b/tests/scenarios/key_withdrawal_test.cpp
@@ -62,18 +62,20 @@
     for (std::size_t host = 0; host < running.hosts().size(); ++host) {
         const http_caller caller = running.caller(host, "volunteers");
         const auto ask = [&] { return caller.ask(make_question("visit-summary", true, 4)); };
-        // one that was admitted just before may have begun
-        const auto is_refused_at_once = [&] {
+        // "unauthorised": the entry process itself has the newer revision. A dispatch process may
+        // have it earlier ("key_withdrawn"), and then the next request can begin and end with it.
+        const auto is_refused_by_entry = [&] {
             const outcome answer = ask();
-            return is_unauthorised(answer) && answer.ran == "no";
+            return answer.kind == outcome_kind::refused && answer.code == "unauthorised" &&
+                   answer.ran == "no";
         };
-        if (!wait_for(is_refused_at_once)) {
+        if (!wait_for(is_refused_by_entry)) {
             return false;
         }
         // it stays withdrawn
         const outcome again = ask();
         INFO(again.to_string());
-        CHECK(is_unauthorised(again));
+        CHECK(again.code == "unauthorised");
         CHECK(again.ran == "no");
     }
     return true;
