Hold the engine stand-in's streams at a token count for the stop's scenario

The graceful stop's scenario needs nine streams at once. They were slowed by a factor that an engine reads when a request begins, and some ended before the last began. The engine stand-in now holds requests at a number of tokens, read at each token. The scenario also lifts the organisation's limit, since the flow's small requests took the rights that the streams waited for.

--- a/src/process/limits/limiter.h
+++ b/src/process/limits/limiter.h
@@ -244,9 +244,8 @@
     time_point m_now;
     time_point m_accrues_from;
     time_point m_rights_since; // all rights were constant since, but for m_changed
-    std::unordered_map<std::string, time_point> m_changed; // organisations and "open:" profiles
-    std::map<std::uint64_t, time_point> m_revisions;       // applied and not yet settled
-    std::uint64_t m_settled_revision = 0;
+    std::unordered_map<std::string, time_point> m_changed;  // organisations and "open:" profiles
+    std::map<std::uint64_t, time_point> m_revisions;        // applied and not yet settled
     std::map<std::string, confirmation> m_confirmed_by;     // by host
     std::map<std::string, std::vector<std::string>> m_live; // failure domain to its live hosts
     std::map<std::string, time_point> m_silent_until;
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -268,8 +268,26 @@
     return true;
 }
 
+bool engine::wait_while_held(const job& work)
+{
+    constexpr duration slice = std::chrono::milliseconds{10};
+    const auto is_held = [&] {
+        const int limit = m_faults.current().hold_at_tokens;
+        return limit >= 0 && work.next_word >= static_cast<std::size_t>(limit);
+    };
+    while (is_held()) {
+        if (!m_server->wait(*work.request, slice)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool engine::make_token(job& work)
 {
+    if (!wait_while_held(work)) {
+        return false;
+    }
     duration span{m_options.token_time};
     {
         const std::lock_guard lock{m_mutex};
--- a/standins/engine.h
+++ b/standins/engine.h
@@ -116,6 +116,7 @@
     bool stream_next(job& work, httplib::DataSink& sink);
     bool start(job& work);
     bool wait_for_slot(job& work);
+    bool wait_while_held(const job& work);
     bool make_token(job& work);
     void finish(job& work, run_state state);
     void cancel(job& work);
--- a/standins/faults.cpp
+++ b/standins/faults.cpp
@@ -9,6 +9,7 @@
     return {{"silent", faults.silent},
             {"slow_factor", faults.slow_factor},
             {"cut_after_chunks", faults.cut_after_chunks},
+            {"hold_at_tokens", faults.hold_at_tokens},
             {"refuse", faults.refuse},
             {"late_ms", faults.late.count()}};
 }
@@ -40,6 +41,7 @@
     m_settings.silent = whole["silent"];
     m_settings.slow_factor = whole["slow_factor"];
     m_settings.cut_after_chunks = whole["cut_after_chunks"];
+    m_settings.hold_at_tokens = whole["hold_at_tokens"];
     m_settings.refuse = whole["refuse"];
     m_settings.late = std::chrono::milliseconds{whole["late_ms"].get<std::int64_t>()};
     return true;
--- a/standins/faults.h
+++ b/standins/faults.h
@@ -11,10 +11,11 @@
 
 /// Faults that a test sets at an endpoint.
 struct fault_settings {
-    bool silent = false;               ///< accepts requests and never answers
-    double slow_factor = 1;            ///< multiplies the time of every step
-    int cut_after_chunks = -1;         ///< runs, then cuts after so many chunks; -1: never
-    bool refuse = false;               ///< answers 503 without running
+    bool silent = false;       ///< accepts requests and never answers
+    double slow_factor = 1;    ///< multiplies the time of every step
+    int cut_after_chunks = -1; ///< runs, then cuts after so many chunks; -1: never
+    int hold_at_tokens = -1;   ///< a run makes no more tokens until this is raised; -1: never
+    bool refuse = false;       ///< answers 503 without running
     std::chrono::milliseconds late{0}; ///< waits before the answer of a request that ran
 };
 
--- a/tests/process/engine_standin_test.cpp
+++ b/tests/process/engine_standin_test.cpp
@@ -5,6 +5,7 @@
 #include "support/http_caller.h"
 #include "support/wait_for.h"
 
+#include <future> // async
 #include <string> // string
 
 #include <doctest/doctest.h>
@@ -112,6 +113,21 @@
         CHECK(ledger().at("requests")[0].at("output_tokens") == 2);
     }
 
+    SUBCASE("a held stream ends once it is released")
+    {
+        REQUIRE(set_faults(R"({"hold_at_tokens": 2})"));
+        auto held = std::async(std::launch::async, [&] { return ask("7", "", 4); });
+        CHECK(wait_for([&] {
+            const nlohmann::json runs = ledger().at("requests");
+            return !runs.empty() && runs[0].at("output_tokens") == 2;
+        }));
+        CHECK(ledger().at("requests")[0].at("state") == "running");
+        REQUIRE(set_faults(R"({"hold_at_tokens": -1})"));
+        const auto answer = held.get();
+        REQUIRE(answer);
+        CHECK(answer->body.ends_with("data: [DONE]\n\n"));
+    }
+
     SUBCASE("a caller that hangs up frees the only slot")
     {
         REQUIRE(set_faults(R"({"slow_factor": 1000.0})"));
--- a/tests/support/published.h
+++ b/tests/support/published.h
@@ -49,6 +49,22 @@
     };
 }
 
+/// Lets the samples' summaries wait for what a test does meanwhile.
+inline void lengthen_deadlines(nlohmann::json& entries)
+{
+    constexpr int long_deadline_ms = 120'000;
+    for (const char* key : {"profiles/visit-summary", "profiles/visit-summary-crete"}) {
+        entries.at(key)["deadline_ms"] = long_deadline_ms;
+    }
+}
+
+/// Gives the samples' organisation "volunteers" a limit that matters to no test.
+inline void lift_limit(nlohmann::json& entries)
+{
+    entries.at("organisations/volunteers")["rate"] = 1'000'000;
+    entries.at("organisations/volunteers")["burst"] = 4'000'000;
+}
+
 inline published_entries to_entries(const nlohmann::json& object)
 {
     return object.get<published_entries>();
