--- /dev/null
+++ b/src/gateway/configuration/publication.cpp
@@ -0,0 +1,71 @@
+#include "gateway/configuration/publication.h"
+
+#include <algorithm> // upper_bound
+#include <array>     // array
+#include <utility>   // move
+
+namespace hickorykeel::gateway {
+
+std::string_view to_name(request_kind kind) noexcept
+{
+    constexpr std::array<std::string_view, 3> names{"safe", "non_idempotent", "streaming"};
+    return names[static_cast<std::size_t>(kind)];
+}
+
+void publication::add(route added)
+{
+    auto& routes = m_routes[added.host];
+    const auto at = std::upper_bound(routes.begin(), routes.end(), added,
+                                     [](const route& lhs, const route& rhs) {
+                                         return lhs.prefix.size() > rhs.prefix.size();
+                                     });
+    routes.insert(at, std::move(added));
+    ++m_route_count;
+}
+
+void publication::add(service added)
+{
+    std::string name = added.name;
+    m_services.insert_or_assign(std::move(name), std::move(added));
+}
+
+void publication::add(organisation added, const std::vector<std::string>& keys)
+{
+    for (const std::string& key : keys) {
+        m_holder_by_key.insert_or_assign(key, added.name);
+    }
+    std::string name = added.name;
+    m_organisations.insert_or_assign(std::move(name), std::move(added));
+}
+
+const route* publication::find_route(std::string_view host, std::string_view path) const
+{
+    const auto found = m_routes.find(std::string{host});
+    if (found == m_routes.end()) {
+        return nullptr;
+    }
+    for (const route& candidate : found->second) {
+        if (path.starts_with(candidate.prefix)) {
+            return &candidate;
+        }
+    }
+    return nullptr;
+}
+
+const service* publication::find_service(const std::string& name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+const organisation* publication::find_holder(const std::string& key) const
+{
+    const auto found = m_holder_by_key.find(key);
+    if (found == m_holder_by_key.end()) {
+        return nullptr;
+    }
+    const auto holder = m_organisations.find(found->second);
+    return holder == m_organisations.end() ? nullptr : &holder->second;
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,96 @@
+#include "gateway/gateway_settings.h"
+
+#include <array>    // array
+#include <charconv> // from_chars
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+constexpr std::array rules{
+    setting_rule{"host", "name", setting_kind::name, true, "", 0, 0, "name of this host"},
+    setting_rule{"host", "ip", setting_kind::text, true, "", 0, 0, "IPv4 address of this host"},
+    setting_rule{"host", "failure_domain", setting_kind::name, true, "", 0, 0,
+                 "where this host stands"},
+    setting_rule{"host", "region", setting_kind::name, true, "", 0, 0, "region of that domain"},
+    setting_rule{"host", "failure_domains", setting_kind::pair_list, true, "", 0, 0,
+                 "domain:region of all failure domains"},
+    setting_rule{"listen", "callers", setting_kind::address, true, "", 0, 0,
+                 "where callers connect"},
+    setting_rule{"listen", "readiness", setting_kind::address, true, "", 0, 0,
+                 "where operators ask whether this host is ready"},
+    setting_rule{"listen", "directory", setting_kind::address, true, "", 0, 0,
+                 "where callers ask which hosts to use"},
+    setting_rule{"listen", "peers", setting_kind::address, true, "", 0, 0,
+                 "where other hosts connect (TCP) and send heartbeats (UDP)"},
+    setting_rule{"listen", "metrics", setting_kind::address, true, "", 0, 0,
+                 "counters and histograms at /metrics"},
+    setting_rule{"peers", "seeds", setting_kind::address_list, false, "", 0, 0,
+                 "peers' addresses of some hosts; they may be stale"},
+    setting_rule{"source", "address", setting_kind::address, true, "", 0, 0,
+                 "of the published configuration"},
+    setting_rule{"limits", "key_withdrawal_ms", setting_kind::number, false, "5000", 1'000, 600'000,
+                 "a withdrawn key is refused after so many milliseconds"},
+    setting_rule{"limits", "retry_ratio", setting_kind::decimal, false, "0.2", 0, 1,
+                 "retries for each request"},
+    setting_rule{"limits", "retry_slack", setting_kind::decimal, false, "50", 0, 1'000'000,
+                 "retries of all hosts together beyond the ratio"},
+    setting_rule{"limits", "stop_grace_s", setting_kind::number, false, "8", 1, 3'600,
+                 "seconds from the stop signal to the kill"},
+    setting_rule{"log", "request_lines_per_s", setting_kind::number, false, "400", 1, 1'000'000,
+                 "lines on requests in a second; the rest is counted"},
+};
+
+double to_decimal(const std::string& text)
+{
+    double value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+} // namespace
+
+std::span<const setting_rule> gateway_rules() noexcept { return rules; }
+
+std::uint16_t gateway_settings::peers_port() const
+{
+    std::uint16_t port = 0;
+    const std::size_t colon = peers_address.rfind(':');
+    std::from_chars(peers_address.data() + colon + 1, peers_address.data() + peers_address.size(),
+                    port);
+    return port;
+}
+
+std::string gateway_settings::region_of(const std::string& failure_domain_name) const
+{
+    const auto found = regions.find(failure_domain_name);
+    return found == regions.end() ? std::string{} : found->second;
+}
+
+gateway_settings to_gateway_settings(const settings& chosen)
+{
+    gateway_settings made;
+    made.host = chosen.text("host", "name");
+    made.ip = chosen.text("host", "ip");
+    made.failure_domain = chosen.text("host", "failure_domain");
+    made.region = chosen.text("host", "region");
+    for (const std::string& pair : chosen.list("host", "failure_domains")) {
+        const std::size_t colon = pair.find(':');
+        made.regions[pair.substr(0, colon)] = pair.substr(colon + 1);
+    }
+    made.callers_address = chosen.text("listen", "callers");
+    made.readiness_address = chosen.text("listen", "readiness");
+    made.directory_address = chosen.text("listen", "directory");
+    made.peers_address = chosen.text("listen", "peers");
+    made.metrics_address = chosen.text("listen", "metrics");
+    made.seeds = chosen.list("peers", "seeds");
+    made.source_address = chosen.text("source", "address");
+    made.key_withdrawal = std::chrono::milliseconds{chosen.number("limits", "key_withdrawal_ms")};
+    made.retry_ratio = to_decimal(chosen.text("limits", "retry_ratio"));
+    made.retry_slack = to_decimal(chosen.text("limits", "retry_slack"));
+    made.stop_grace = std::chrono::seconds{chosen.number("limits", "stop_grace_s")};
+    made.request_log_rate = chosen.number("log", "request_lines_per_s");
+    return made;
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/http/http_client.cpp
@@ -0,0 +1,273 @@
+#include "gateway/http/http_client.h"
+
+#include <algorithm> // find_if, min
+#include <array>     // array
+#include <charconv>  // from_chars
+#include <utility>   // move
+
+#include <asio/post.hpp> // post
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+constexpr std::size_t response_head_bytes = 65'536;
+constexpr std::size_t most_idle = 64; // connections to one address
+
+/// Idle time after which a connection isn't used again, where the peer states none.
+constexpr duration default_idle_time = std::chrono::seconds{4};
+
+/// Margin below the peer's own limit: a request may be on its way when the peer closes.
+constexpr duration idle_margin = std::chrono::milliseconds{1'000};
+
+} // namespace
+
+std::string_view to_name(call_end end) noexcept
+{
+    constexpr std::array<std::string_view, 5> names{"complete", "not_connected", "no_response",
+                                                    "broken", "malformed"};
+    return names[static_cast<std::size_t>(end)];
+}
+
+client_connection::client_connection(asio::io_context& loop, http_client& owner,
+                                     std::string address)
+    : m_owner{owner}, m_address{std::move(address)},
+      m_channel{std::make_shared<tcp_channel>(loop)}, m_parser{message_role::response, {}}
+{
+}
+
+void client_connection::begin(std::string request, bool has_no_body, const call_options& options,
+                              call_handlers handlers)
+{
+    ++m_calls;
+    m_is_busy = true;
+    m_head_delivered = false;
+    m_handlers = std::move(handlers);
+    m_parser.restart();
+    if (has_no_body) {
+        m_parser.expect_no_body();
+    }
+    if (m_is_connected) {
+        m_channel->send(request);
+        if (m_handlers.on_sent) {
+            m_handlers.on_sent();
+        }
+        return;
+    }
+    m_request = std::move(request);
+    open(options.connect_timeout);
+}
+
+void client_connection::open(duration timeout)
+{
+    const auto peer = to_tcp_endpoint(m_address);
+    if (!peer) {
+        asio::post(m_owner.m_loop, [self = shared_from_this()] {
+            if (self->m_is_busy) {
+                self->fail(call_end::not_connected);
+            }
+        });
+        return;
+    }
+    // the channel's handlers keep this connection alive until the channel is closed
+    const auto self = shared_from_this();
+    m_channel->set_handlers({
+        .on_bytes = [self](std::string_view bytes) { self->on_bytes(bytes); },
+        .on_end = [self](channel_end how) { self->on_end(how); },
+        .on_connected =
+            [self] {
+                self->m_is_connected = true;
+                self->m_channel->send(self->m_request);
+                self->m_request = {};
+                if (self->m_handlers.on_sent) {
+                    self->m_handlers.on_sent();
+                }
+            },
+    });
+    m_channel->connect(*peer, timeout);
+}
+
+void client_connection::cancel()
+{
+    m_is_busy = false;
+    // one of the handlers may be running: they are destroyed after it has returned
+    asio::post(m_owner.m_loop, [keep = std::move(m_handlers)] {});
+    m_handlers = {};
+    m_owner.drop(*this);
+    m_channel->close();
+}
+
+void client_connection::on_bytes(std::string_view bytes)
+{
+    if (!m_is_busy) {
+        // nothing was asked: whatever this is, it answers no request
+        m_owner.drop(*this);
+        m_channel->close();
+        return;
+    }
+    const std::size_t used = m_parser.feed(bytes);
+    if (m_parser.is_failed()) {
+        fail(call_end::malformed);
+        return;
+    }
+    const auto self = shared_from_this();
+    deliver();
+    if (m_is_busy && m_parser.state() == parse_state::complete) {
+        complete(used < bytes.size());
+    }
+}
+
+void client_connection::deliver()
+{
+    if (m_parser.state() == parse_state::reading_head) {
+        return;
+    }
+    if (!m_head_delivered) {
+        m_head_delivered = true;
+        if (m_handlers.on_head) {
+            m_handlers.on_head(m_parser.head());
+        }
+    }
+    if (m_is_busy && m_handlers.on_body && !m_parser.body().empty()) {
+        m_handlers.on_body(m_parser.body());
+    }
+}
+
+void client_connection::on_end(channel_end how)
+{
+    m_owner.drop(*this);
+    if (!m_is_busy) {
+        return;
+    }
+    if (!m_is_connected) {
+        fail(call_end::not_connected);
+        return;
+    }
+    if (!m_parser.has_begun()) {
+        fail(call_end::no_response);
+        return;
+    }
+    if (how == channel_end::finished) {
+        m_parser.finish();
+        if (m_parser.state() == parse_state::complete) {
+            finish(call_end::complete);
+            return;
+        }
+    }
+    fail(call_end::broken);
+}
+
+duration client_connection::idle_time() const
+{
+    const std::string_view text = m_parser.head().headers.find("Keep-Alive");
+    const std::size_t at = text.find("timeout=");
+    if (at == std::string_view::npos) {
+        return default_idle_time;
+    }
+    std::int64_t seconds = 0;
+    const char* first = text.data() + at + std::string_view{"timeout="}.size();
+    std::from_chars(first, text.data() + text.size(), seconds);
+    return std::min<duration>(std::chrono::seconds{seconds}, default_idle_time + idle_margin) -
+           idle_margin;
+}
+
+void client_connection::complete(bool has_extra_bytes)
+{
+    const duration idle = idle_time();
+    const bool is_reusable = m_parser.head().keeps_alive && !has_extra_bytes &&
+                             m_channel->unsent() == 0 && idle > duration{0};
+    if (!is_reusable) {
+        finish(call_end::complete);
+        return;
+    }
+    const auto handlers = std::move(m_handlers);
+    m_handlers = {};
+    m_is_busy = false;
+    m_reusable_until = boot_clock::now() + idle;
+    m_owner.keep(shared_from_this());
+    handlers.on_end(call_end::complete);
+}
+
+void client_connection::fail(call_end how) { finish(how); }
+
+void client_connection::finish(call_end how)
+{
+    const auto self = shared_from_this();
+    const auto handlers = std::move(m_handlers);
+    m_handlers = {};
+    m_is_busy = false;
+    m_channel->close();
+    if (handlers.on_end) {
+        handlers.on_end(how);
+    }
+}
+
+std::shared_ptr<client_connection> http_client::call(const call_options& options,
+                                                     std::string request, call_handlers handlers)
+{
+    const bool has_no_body = request.starts_with("HEAD ");
+    auto connection = options.needs_new_connection ? nullptr : take_idle(options.address);
+    if (connection == nullptr) {
+        ++m_opened;
+        connection = std::make_shared<client_connection>(m_loop, *this, options.address);
+    }
+    connection->begin(std::move(request), has_no_body, options, std::move(handlers));
+    return connection;
+}
+
+std::shared_ptr<client_connection> http_client::take_idle(const std::string& address)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    const time_point now = boot_clock::now();
+    auto& idle = found->second;
+    while (!idle.empty()) {
+        // the one used last is the least likely to be closed by the peer
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->m_reusable_until > now && connection->m_channel->is_open()) {
+            return connection;
+        }
+        connection->m_channel->close();
+    }
+    return nullptr;
+}
+
+void http_client::keep(const std::shared_ptr<client_connection>& connection)
+{
+    auto& idle = m_idle[connection->m_address];
+    if (idle.size() >= most_idle) {
+        idle.front()->m_channel->close();
+        idle.erase(idle.begin());
+    }
+    idle.push_back(connection);
+}
+
+void http_client::drop(const client_connection& connection)
+{
+    const auto found = m_idle.find(connection.m_address);
+    if (found == m_idle.end()) {
+        return;
+    }
+    auto& idle = found->second;
+    const auto at = std::find_if(idle.begin(), idle.end(),
+                                 [&](const auto& held) { return held.get() == &connection; });
+    if (at != idle.end()) {
+        idle.erase(at);
+    }
+}
+
+void http_client::forget(const std::string& address)
+{
+    const auto found = m_idle.find(address);
+    if (found != m_idle.end()) {
+        for (const auto& connection : found->second) {
+            connection->m_channel->close();
+        }
+        m_idle.erase(found);
+    }
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/http/http_server.cpp
@@ -0,0 +1,284 @@
+#include "gateway/http/http_server.h"
+
+#include <algorithm> // max
+#include <utility>   // move, exchange
+
+#include <fmt/format.h> // format
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+/// Bytes that a caller may send ahead while its request is being answered.
+constexpr std::size_t most_pending_bytes = 65'536;
+
+} // namespace
+
+// server_exchange
+
+void server_exchange::finish(bool keeps_alive)
+{
+    m_is_done = true;
+    m_on_gone = nullptr;
+    const auto connection = m_connection.lock();
+    if (connection == nullptr) {
+        return;
+    }
+    if (keeps_alive && connection->keeps_alive()) {
+        connection->next_request();
+    }
+    else {
+        connection->m_channel->close_after_sending();
+        connection->on_end();
+    }
+}
+
+void server_exchange::respond(int status, const header_list& headers, std::string_view body)
+{
+    const auto connection = m_connection.lock();
+    if (m_is_done || connection == nullptr) {
+        return;
+    }
+    const bool keeps_alive = connection->keeps_alive();
+    const std::string_view shown = m_head.method == "HEAD" ? std::string_view{} : body;
+    connection->m_channel->send(format_response(status, headers, shown, keeps_alive));
+    finish(keeps_alive);
+}
+
+void server_exchange::begin(int status, const header_list& headers)
+{
+    if (const auto connection = m_connection.lock(); !m_is_done && connection != nullptr) {
+        connection->m_channel->send(
+            format_chunked_head(status, headers, connection->keeps_alive()));
+    }
+}
+
+void server_exchange::send(std::string_view bytes)
+{
+    if (const auto connection = m_connection.lock();
+        !m_is_done && connection != nullptr && !bytes.empty()) {
+        connection->m_channel->send(format_chunk(bytes));
+    }
+}
+
+void server_exchange::end()
+{
+    if (const auto connection = m_connection.lock(); !m_is_done && connection != nullptr) {
+        connection->m_channel->send(last_chunk);
+        finish(true);
+    }
+}
+
+void server_exchange::break_off()
+{
+    const auto connection = m_connection.lock();
+    if (!m_is_done && connection != nullptr) {
+        m_is_done = true;
+        m_on_gone = nullptr;
+        connection->m_channel->close();
+        connection->on_end();
+    }
+}
+
+std::size_t server_exchange::unsent() const
+{
+    const auto connection = m_connection.lock();
+    return connection == nullptr ? 0 : connection->m_channel->unsent();
+}
+
+// server_connection
+
+server_connection::server_connection(http_server& owner, asio::ip::tcp::socket socket)
+    : m_owner{owner}, m_channel{std::make_shared<tcp_channel>(std::move(socket))},
+      m_timer{owner.m_loop}, m_parser{message_role::request, owner.m_limits.message}
+{
+    ++m_owner.m_connections;
+}
+
+void server_connection::start()
+{
+    const auto self = shared_from_this();
+    m_channel->set_handlers({
+        .on_bytes = [self](std::string_view bytes) { self->on_bytes(bytes); },
+        .on_end = [self](channel_end) { self->on_end(); },
+    });
+    m_limit = boot_clock::now() + m_owner.m_limits.idle_timeout;
+    arm();
+    m_channel->start_reading();
+}
+
+bool server_connection::keeps_alive() const
+{
+    return !m_owner.m_is_closing && m_parser.state() == parse_state::complete &&
+           m_parser.head().keeps_alive;
+}
+
+void server_connection::on_bytes(std::string_view bytes)
+{
+    if (m_exchange != nullptr) {
+        m_pending.append(bytes);
+        if (m_pending.size() > most_pending_bytes) {
+            m_channel->pause_reading();
+        }
+        return;
+    }
+    parse(bytes);
+}
+
+void server_connection::parse(std::string_view bytes)
+{
+    if (!m_parser.has_begun()) {
+        m_limit = boot_clock::now() + m_owner.m_limits.head_timeout;
+        arm();
+    }
+    const std::size_t used = m_parser.feed(bytes);
+    switch (m_parser.state()) {
+    case parse_state::reading_head:
+        break;
+    case parse_state::reading_body:
+        m_limit = boot_clock::now() + m_owner.m_limits.idle_timeout;
+        if (!m_sent_continue && is_same_name(m_parser.head().headers.find("Expect"), "100-continue")) {
+            m_sent_continue = true;
+            m_channel->send("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        break;
+    case parse_state::complete:
+        m_pending.assign(bytes.substr(used));
+        take_request();
+        break;
+    case parse_state::malformed:
+        reject(400);
+        break;
+    case parse_state::head_too_large:
+        reject(431);
+        break;
+    case parse_state::body_too_large:
+        reject(413);
+        break;
+    }
+}
+
+void server_connection::take_request()
+{
+    m_exchange = std::make_shared<server_exchange>(weak_from_this(), m_parser.head(),
+                                                   std::move(m_parser.body()));
+    ++m_owner.m_active;
+    m_timer.cancel();
+    const auto exchange = m_exchange;
+    m_owner.m_on_request(exchange);
+}
+
+void server_connection::reject(int status)
+{
+    m_channel->send(format_response(status, {}, {}, false));
+    m_channel->close_after_sending();
+    on_end();
+}
+
+void server_connection::next_request()
+{
+    m_exchange = nullptr;
+    --m_owner.m_active;
+    m_parser.restart();
+    m_sent_continue = false;
+    m_limit = boot_clock::now() + m_owner.m_limits.idle_timeout;
+    arm();
+    m_channel->resume_reading();
+    if (!m_pending.empty()) {
+        const std::string bytes = std::exchange(m_pending, {});
+        parse(bytes);
+    }
+}
+
+void server_connection::on_end()
+{
+    if (!std::exchange(m_is_counted, false)) {
+        return;
+    }
+    m_timer.cancel();
+    --m_owner.m_connections;
+    const auto exchange = std::exchange(m_exchange, nullptr);
+    if (exchange == nullptr) {
+        return;
+    }
+    --m_owner.m_active;
+    if (!std::exchange(exchange->m_is_done, true) && exchange->m_on_gone) {
+        const auto on_gone = std::move(exchange->m_on_gone);
+        on_gone();
+    }
+}
+
+void server_connection::arm()
+{
+    m_timer.expires_after(
+        std::max<duration>(m_limit - boot_clock::now(), std::chrono::milliseconds{1}));
+    m_timer.async_wait([weak = weak_from_this()](const asio::error_code& failure) {
+        if (const auto self = weak.lock(); !failure && self != nullptr) {
+            self->on_timeout();
+        }
+    });
+}
+
+void server_connection::on_timeout()
+{
+    if (m_exchange != nullptr || !m_channel->is_open()) {
+        return;
+    }
+    if (boot_clock::now() < m_limit) {
+        arm();
+        return;
+    }
+    if (m_parser.has_begun()) {
+        reject(408);
+        return;
+    }
+    m_channel->close();
+    on_end();
+}
+
+// http_server
+
+result<bool> http_server::listen(const std::string& address)
+{
+    const auto local = to_tcp_endpoint(address);
+    if (!local) {
+        return error{error_kind::settings_invalid, "listen", address, "not an ip:port"};
+    }
+    asio::error_code failure;
+    m_acceptor.open(local->protocol(), failure);
+    if (!failure) {
+        m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address{true}, failure);
+    }
+    if (!failure) {
+        m_acceptor.bind(*local, failure);
+    }
+    if (!failure) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    }
+    if (failure) {
+        return error{error_kind::settings_invalid, "listen", address, failure.message()};
+    }
+    accept();
+    return true;
+}
+
+void http_server::stop_listening()
+{
+    asio::error_code ignored; // nothing more is expected of the listener
+    m_acceptor.close(ignored);
+}
+
+void http_server::accept()
+{
+    m_acceptor.async_accept([this](const asio::error_code& failure, asio::ip::tcp::socket socket) {
+        if (!m_acceptor.is_open()) {
+            return;
+        }
+        if (!failure) {
+            std::make_shared<server_connection>(*this, std::move(socket))->start();
+        }
+        accept();
+    });
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/http/http_server.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "gateway/http/message_parser.h"
+#include "gateway/http/tcp_channel.h"
+#include "process/clock.h"
+#include "process/error.h"
+
+#include <chrono>      // milliseconds, seconds
+#include <cstddef>     // size_t
+#include <cstdint>     // uint64_t
+#include <functional>  // function
+#include <memory>      // enable_shared_from_this, shared_ptr, weak_ptr
+#include <string>      // string
+#include <string_view> // string_view
+
+#include <asio/ip/tcp.hpp> // tcp
+
+namespace hickorykeel::gateway {
+
+class http_server;
+class server_connection;
+
+/// What a caller's connection may take, and for how long.
+struct server_limits {
+    message_limits message;
+    duration head_timeout = std::chrono::seconds{3};  ///< from the first byte to the whole head
+    duration idle_timeout = std::chrono::seconds{15}; ///< between two requests
+};
+
+/// One request received on a connection, and the way to answer it.
+///
+/// A call after the answer's end, or after the caller has left, does nothing.
+/// Thread safety: none; all calls come from the loop's thread.
+class server_exchange {
+public:
+    server_exchange(std::weak_ptr<server_connection> connection, message_head head,
+                    std::string body)
+        : m_connection{std::move(connection)}, m_head{std::move(head)}, m_body{std::move(body)}
+    {
+    }
+
+    [[nodiscard]] const message_head& head() const noexcept { return m_head; }
+    [[nodiscard]] const std::string& body() const noexcept { return m_body; }
+
+    /// Called once if the caller leaves before the answer's end.
+    void set_on_gone(std::function<void()> on_gone) { m_on_gone = std::move(on_gone); }
+
+    /// @name answer
+    /// @{
+
+    /// A whole answer.
+    void respond(int status, const header_list& headers, std::string_view body);
+
+    /// Begins an answer whose length isn't known.
+    void begin(int status, const header_list& headers);
+    void send(std::string_view bytes);
+    void end();
+
+    /// Ends an answer that is incomplete, in a way that the caller sees.
+    void break_off();
+
+    /// Bytes of the answer that the caller has not taken yet.
+    [[nodiscard]] std::size_t unsent() const;
+    [[nodiscard]] bool is_open() const noexcept { return !m_connection.expired() && !m_is_done; }
+    /// @}
+
+private:
+    friend class server_connection;
+
+    void finish(bool keeps_alive);
+
+    std::weak_ptr<server_connection> m_connection;
+    message_head m_head;
+    std::string m_body;
+    std::function<void()> m_on_gone;
+    bool m_is_done = false;
+};
+
+/// A caller's connection: requests one after another.
+class server_connection : public std::enable_shared_from_this<server_connection> {
+public:
+    server_connection(http_server& owner, asio::ip::tcp::socket socket);
+
+    void start();
+
+private:
+    friend class server_exchange;
+    friend class http_server;
+
+    void on_bytes(std::string_view bytes);
+    void parse(std::string_view bytes);
+    void take_request();
+    void reject(int status);
+    void on_end();
+    void next_request();
+    void arm();
+    void on_timeout();
+    [[nodiscard]] bool keeps_alive() const;
+
+    http_server& m_owner;
+    std::shared_ptr<tcp_channel> m_channel;
+    asio::steady_timer m_timer;
+    message_parser m_parser;
+    std::shared_ptr<server_exchange> m_exchange; // the request that is being answered
+    std::string m_pending;                       // bytes behind the current request
+    time_point m_limit{};                        // when the wait for a request ends
+    bool m_sent_continue = false;
+    bool m_is_counted = true;
+};
+
+/// Accepts connections and hands on their requests.
+///
+/// Thread safety: none; all calls come from the loop's thread. Outlives its connections.
+class http_server {
+public:
+    using handler = std::function<void(const std::shared_ptr<server_exchange>&)>;
+
+    http_server(asio::io_context& loop, handler on_request)
+        : m_loop{loop}, m_acceptor{loop}, m_on_request{std::move(on_request)}
+    {
+    }
+
+    /// Listens at `address` ("ip:port") and accepts from then on.
+    result<bool> listen(const std::string& address);
+
+    /// Accepts no more connections.
+    void stop_listening();
+
+    /// From now on each answer ends its connection.
+    void announce_close() noexcept { m_is_closing = true; }
+
+    void set_limits(server_limits limits) noexcept { m_limits = limits; }
+
+    /// Connections that are open.
+    [[nodiscard]] std::size_t connections() const noexcept { return m_connections; }
+
+    /// Requests that are being answered.
+    [[nodiscard]] std::size_t active() const noexcept { return m_active; }
+
+private:
+    friend class server_connection;
+    friend class server_exchange;
+
+    void accept();
+
+    asio::io_context& m_loop;
+    asio::ip::tcp::acceptor m_acceptor;
+    handler m_on_request;
+    server_limits m_limits;
+    std::size_t m_connections = 0;
+    std::size_t m_active = 0;
+    bool m_is_closing = false;
+};
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/http/message.cpp
@@ -0,0 +1,218 @@
+#include "gateway/http/message.h"
+
+#include <algorithm> // equal
+#include <array>     // array
+#include <cctype>    // isalnum, isxdigit
+#include <charconv>  // from_chars
+#include <utility>   // move
+
+#include <fmt/format.h> // format_to
+#include <http_parser.h> // http_status_str
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+constexpr char to_lower(char c) noexcept
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+std::string_view trim(std::string_view text) noexcept
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+std::string percent_decoded(std::string_view text)
+{
+    std::string decoded;
+    decoded.reserve(text.size());
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        unsigned value = 0;
+        if (text[at] == '%' && at + 2 < text.size() &&
+            std::from_chars(&text[at + 1], &text[at + 1] + 2, value, 16).ptr == &text[at + 1] + 2) {
+            decoded.push_back(static_cast<char>(value));
+            at += 2;
+        }
+        else {
+            decoded.push_back(text[at] == '+' ? ' ' : text[at]);
+        }
+    }
+    return decoded;
+}
+
+void append_fields(std::string& text, const header_list& headers)
+{
+    for (const header& field : headers) {
+        text += field.name;
+        text += ": ";
+        text += field.value;
+        text += "\r\n";
+    }
+}
+
+std::string format_status_line(int status, const header_list& headers, bool keeps_alive)
+{
+    std::string text;
+    text.reserve(512);
+    fmt::format_to(std::back_inserter(text), "HTTP/1.1 {} {}\r\n", status,
+                   http_status_str(static_cast<http_status>(status)));
+    append_fields(text, headers);
+    if (!keeps_alive) {
+        text += "Connection: close\r\n";
+    }
+    return text;
+}
+
+} // namespace
+
+bool is_same_name(std::string_view lhs, std::string_view rhs) noexcept
+{
+    return std::equal(lhs.begin(), lhs.end(), rhs.begin(), rhs.end(),
+                      [](char a, char b) { return to_lower(a) == to_lower(b); });
+}
+
+std::string_view header_list::find(std::string_view name) const noexcept
+{
+    for (const header& field : m_fields) {
+        if (is_same_name(field.name, name)) {
+            return field.value;
+        }
+    }
+    return {};
+}
+
+bool header_list::contains(std::string_view name) const noexcept { return count(name) > 0; }
+
+std::size_t header_list::count(std::string_view name) const noexcept
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_fields.begin(), m_fields.end(),
+                      [name](const header& field) { return is_same_name(field.name, name); }));
+}
+
+bool header_list::lists(std::string_view name, std::string_view token) const noexcept
+{
+    for (const header& field : m_fields) {
+        if (!is_same_name(field.name, name)) {
+            continue;
+        }
+        std::string_view rest = field.value;
+        while (!rest.empty()) {
+            const std::size_t comma = rest.find(',');
+            if (is_same_name(trim(rest.substr(0, comma)), token)) {
+                return true;
+            }
+            rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+        }
+    }
+    return false;
+}
+
+void header_list::add(std::string name, std::string value)
+{
+    m_fields.push_back({std::move(name), std::move(value)});
+}
+
+void header_list::append_to_last_name(std::string_view text) { m_fields.back().name += text; }
+
+void header_list::append_to_last_value(std::string_view text) { m_fields.back().value += text; }
+
+std::string_view to_path(std::string_view target) noexcept
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string query_value(std::string_view target, std::string_view name)
+{
+    const std::size_t mark = target.find('?');
+    std::string_view rest =
+        mark == std::string_view::npos ? std::string_view{} : target.substr(mark + 1);
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('&');
+        const std::string_view pair = rest.substr(0, end);
+        const std::size_t equals = pair.find('=');
+        if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
+            return percent_decoded(pair.substr(equals + 1));
+        }
+        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+    }
+    return {};
+}
+
+std::string percent_encoded(std::string_view text)
+{
+    std::string encoded;
+    for (const char c : text) {
+        if (std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '.' || c == '_' ||
+            c == '~') {
+            encoded.push_back(c);
+        }
+        else {
+            fmt::format_to(std::back_inserter(encoded), "%{:02X}", static_cast<unsigned char>(c));
+        }
+    }
+    return encoded;
+}
+
+bool is_connection_header(std::string_view name) noexcept
+{
+    constexpr std::array<std::string_view, 9> names{
+        "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
+        "te",         "trailer",    "transfer-encoding",  "upgrade"};
+    return std::any_of(names.begin(), names.end(),
+                       [name](std::string_view known) { return is_same_name(known, name); });
+}
+
+std::string format_request(std::string_view method, std::string_view target,
+                           const header_list& headers, std::string_view body)
+{
+    std::string text;
+    text.reserve(512 + body.size());
+    text += method;
+    text += ' ';
+    text += target;
+    text += " HTTP/1.1\r\n";
+    append_fields(text, headers);
+    if (!body.empty() || (method != "GET" && method != "HEAD" && method != "DELETE")) {
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", body.size());
+    }
+    text += "\r\n";
+    text += body;
+    return text;
+}
+
+std::string format_response(int status, const header_list& headers, std::string_view body,
+                            bool keeps_alive)
+{
+    std::string text = format_status_line(status, headers, keeps_alive);
+    if (status != 204 && status != 304) {
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", body.size());
+    }
+    text += "\r\n";
+    text += body;
+    return text;
+}
+
+std::string format_chunked_head(int status, const header_list& headers, bool keeps_alive)
+{
+    return format_status_line(status, headers, keeps_alive) + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string format_chunk(std::string_view body)
+{
+    std::string text;
+    text.reserve(body.size() + 16);
+    fmt::format_to(std::back_inserter(text), "{:x}\r\n", body.size());
+    text += body;
+    text += "\r\n";
+    return text;
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/http/message_parser.cpp
@@ -0,0 +1,177 @@
+#include "gateway/http/message_parser.h"
+
+namespace hickorykeel::gateway {
+
+message_parser::message_parser(message_role role, message_limits limits)
+    : m_role{role}, m_limits{limits}
+{
+    restart();
+}
+
+void message_parser::restart()
+{
+    http_parser_init(&m_parser, m_role == message_role::request ? HTTP_REQUEST : HTTP_RESPONSE);
+    m_parser.data = this;
+    m_state = parse_state::reading_head;
+    m_head = {};
+    m_body.clear();
+    m_body_bytes = 0;
+    m_head_bytes = 0;
+    m_was_value = true;
+    m_has_no_body = false;
+    m_has_begun = false;
+    m_ends_with_connection = false;
+}
+
+std::size_t message_parser::feed(std::string_view bytes)
+{
+    m_has_begun = m_has_begun || !bytes.empty();
+    const std::size_t used =
+        http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
+    const auto failure = HTTP_PARSER_ERRNO(&m_parser);
+    if (m_state == parse_state::complete) {
+        return used;
+    }
+    if (failure == HPE_HEADER_OVERFLOW) {
+        m_state = parse_state::head_too_large;
+    }
+    else if (failure != HPE_OK && !is_failed()) {
+        m_state = parse_state::malformed;
+    }
+    return used;
+}
+
+void message_parser::finish()
+{
+    if (m_state == parse_state::reading_body && m_ends_with_connection) {
+        m_state = parse_state::complete;
+    }
+    else if (m_state < parse_state::complete) {
+        m_state = parse_state::malformed;
+    }
+}
+
+const http_parser_settings& message_parser::callbacks()
+{
+    static const http_parser_settings table = [] {
+        http_parser_settings settings{};
+        http_parser_settings_init(&settings);
+        settings.on_url = on_url;
+        settings.on_status = on_reason;
+        settings.on_header_field = on_name;
+        settings.on_header_value = on_value;
+        settings.on_headers_complete = on_head_complete;
+        settings.on_body = on_body;
+        settings.on_message_complete = on_complete;
+        return settings;
+    }();
+    return table;
+}
+
+message_parser& message_parser::of(http_parser* parser)
+{
+    return *static_cast<message_parser*>(parser->data);
+}
+
+bool message_parser::count_head(std::size_t length)
+{
+    m_head_bytes += length;
+    if (m_head_bytes > m_limits.head_bytes) {
+        m_state = parse_state::head_too_large;
+        return false;
+    }
+    return true;
+}
+
+int message_parser::on_url(http_parser* parser, const char* at, std::size_t length)
+{
+    message_parser& self = of(parser);
+    self.m_head.target.append(at, length);
+    return self.count_head(length) ? 0 : 1;
+}
+
+int message_parser::on_reason(http_parser* parser, const char* at, std::size_t length)
+{
+    message_parser& self = of(parser);
+    self.m_head.reason.append(at, length);
+    return self.count_head(length) ? 0 : 1;
+}
+
+int message_parser::on_name(http_parser* parser, const char* at, std::size_t length)
+{
+    message_parser& self = of(parser);
+    if (self.m_state != parse_state::reading_head) {
+        return 0; // a trailer
+    }
+    if (self.m_was_value) {
+        self.m_head.headers.add({}, {});
+        self.m_was_value = false;
+    }
+    self.m_head.headers.append_to_last_name({at, length});
+    return self.count_head(length) ? 0 : 1;
+}
+
+int message_parser::on_value(http_parser* parser, const char* at, std::size_t length)
+{
+    message_parser& self = of(parser);
+    if (self.m_state != parse_state::reading_head) {
+        return 0;
+    }
+    self.m_was_value = true;
+    self.m_head.headers.append_to_last_value({at, length});
+    return self.count_head(length) ? 0 : 1;
+}
+
+int message_parser::on_head_complete(http_parser* parser)
+{
+    message_parser& self = of(parser);
+    if (self.m_role == message_role::request) {
+        self.m_head.method = http_method_str(static_cast<http_method>(parser->method));
+        if (parser->method == HTTP_CONNECT || self.m_head.headers.count("host") > 1) {
+            return -1;
+        }
+        if ((parser->flags & F_CONTENTLENGTH) != 0 &&
+            parser->content_length > self.m_limits.body_bytes) {
+            self.m_state = parse_state::body_too_large;
+            return -1;
+        }
+    }
+    else {
+        self.m_head.status = static_cast<int>(parser->status_code);
+        self.m_ends_with_connection = !self.m_has_no_body && self.m_head.status >= 200 &&
+                                      self.m_head.status != 204 && self.m_head.status != 304 &&
+                                      (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+    }
+    self.m_head.keeps_alive = http_should_keep_alive(parser) != 0;
+    self.m_state = parse_state::reading_body;
+    return self.m_has_no_body ? 1 : 0;
+}
+
+int message_parser::on_body(http_parser* parser, const char* at, std::size_t length)
+{
+    message_parser& self = of(parser);
+    self.m_body_bytes += length;
+    if (self.m_body_bytes > self.m_limits.body_bytes) {
+        self.m_state = parse_state::body_too_large;
+        return 1;
+    }
+    self.m_body.append(at, length);
+    return 0;
+}
+
+int message_parser::on_complete(http_parser* parser)
+{
+    message_parser& self = of(parser);
+    // an informational response precedes the one that counts
+    if (self.m_role == message_role::response && self.m_head.status < 200) {
+        self.m_head = {};
+        self.m_was_value = true;
+        self.m_state = parse_state::reading_head;
+        return 0;
+    }
+    self.m_state = parse_state::complete;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/http/message_parser.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "gateway/http/message.h"
+
+#include <cstddef>     // size_t
+#include <cstdint>     // uint64_t
+#include <string>      // string
+#include <string_view> // string_view
+
+#include <http_parser.h> // http_parser
+
+namespace hickorykeel::gateway {
+
+enum class message_role { request, response };
+
+/// How far a message has been read.
+enum class parse_state { reading_head, reading_body, complete, malformed, head_too_large, body_too_large };
+
+/// Largest message that is accepted, in bytes.
+struct message_limits {
+    std::size_t head_bytes = 16'384;
+    std::size_t body_bytes = 4'194'304;
+};
+
+/// Incremental parser of HTTP/1.1 messages on one connection.
+///
+/// Framing is strict: a length beside chunks, two lengths, and unknown transfer codings are
+/// malformed, so that both ends agree on where a message ends.
+///
+/// Thread safety: none. Not movable, as the parser's state points back to it.
+class message_parser {
+public:
+    message_parser(message_role role, message_limits limits);
+    message_parser(const message_parser&) = delete;
+    message_parser& operator=(const message_parser&) = delete;
+    message_parser(message_parser&&) = delete;
+    message_parser& operator=(message_parser&&) = delete;
+    ~message_parser() = default;
+
+    /// @name input
+    /// @{
+
+    /// Parses up to the end of one message and returns the number of bytes used.
+    /// Precondition: `state()` is `reading_head` or `reading_body`.
+    std::size_t feed(std::string_view bytes);
+
+    /// The peer has closed its side; completes a response that ends with its connection.
+    void finish();
+
+    /// Prepares for the next message on the connection; body bytes not taken are dropped.
+    void restart();
+
+    /// The response to come belongs to a HEAD request: it has no body.
+    void expect_no_body() noexcept { m_has_no_body = true; }
+    /// @}
+
+    /// @name result
+    /// @{
+    [[nodiscard]] parse_state state() const noexcept { return m_state; }
+    [[nodiscard]] bool is_failed() const noexcept { return m_state > parse_state::complete; }
+
+    /// Precondition: the state is past `reading_head`.
+    [[nodiscard]] const message_head& head() const noexcept { return m_head; }
+
+    /// Body bytes that were read and not yet taken.
+    [[nodiscard]] std::string& body() noexcept { return m_body; }
+
+    /// Whether any byte of the current message has been read.
+    [[nodiscard]] bool has_begun() const noexcept { return m_has_begun; }
+
+    /// Whether only the end of the connection ends the body.
+    [[nodiscard]] bool ends_with_connection() const noexcept { return m_ends_with_connection; }
+    /// @}
+
+private:
+    static const http_parser_settings& callbacks();
+    static message_parser& of(http_parser* parser);
+    static int on_url(http_parser* parser, const char* at, std::size_t length);
+    static int on_reason(http_parser* parser, const char* at, std::size_t length);
+    static int on_name(http_parser* parser, const char* at, std::size_t length);
+    static int on_value(http_parser* parser, const char* at, std::size_t length);
+    static int on_head_complete(http_parser* parser);
+    static int on_body(http_parser* parser, const char* at, std::size_t length);
+    static int on_complete(http_parser* parser);
+
+    bool count_head(std::size_t length);
+
+    message_role m_role;
+    message_limits m_limits;
+    http_parser m_parser{};
+    parse_state m_state = parse_state::reading_head;
+    message_head m_head;
+    std::string m_body;
+    std::uint64_t m_body_bytes = 0;
+    std::size_t m_head_bytes = 0;
+    bool m_was_value = true;
+    bool m_has_no_body = false;
+    bool m_has_begun = false;
+    bool m_ends_with_connection = false;
+};
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/http/tcp_channel.cpp
@@ -0,0 +1,250 @@
+#include "gateway/http/tcp_channel.h"
+
+#include <array>    // array
+#include <charconv> // from_chars
+#include <chrono>   // milliseconds
+#include <utility>  // move
+
+#include <asio/buffer.hpp>    // buffer
+#include <asio/post.hpp>      // post
+#include <netinet/tcp.h>      // TCP_USER_TIMEOUT
+#include <sys/socket.h>       // setsockopt
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+constexpr std::size_t read_buffer_bytes = 65'536;
+constexpr unsigned unacknowledged_timeout_ms = 5'000; // of TCP_USER_TIMEOUT
+constexpr auto linger_time = std::chrono::milliseconds{500};
+
+using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+} // namespace
+
+tcp_channel::tcp_channel(asio::ip::tcp::socket socket)
+    : m_socket{std::move(socket)}, m_timer{m_socket.get_executor()}, m_is_open{true}
+{
+    configure();
+}
+
+void tcp_channel::configure()
+{
+    // a socket that has just broken refuses options; its next read or write says so
+    asio::error_code ignored;
+    m_socket.non_blocking(true, ignored);
+    m_socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    m_socket.set_option(user_timeout{static_cast<int>(unacknowledged_timeout_ms)}, ignored);
+}
+
+void tcp_channel::connect(const asio::ip::tcp::endpoint& peer, duration timeout)
+{
+    m_is_open = true;
+    const auto self = shared_from_this();
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([self](const asio::error_code& failure) {
+        if (!failure && self->m_is_open && !self->m_is_reading) {
+            self->end(channel_end::refused);
+        }
+    });
+    m_socket.async_connect(peer, [self](const asio::error_code& failure) {
+        if (!self->m_is_open) {
+            return;
+        }
+        self->m_timer.cancel();
+        if (failure) {
+            self->end(channel_end::refused);
+            return;
+        }
+        self->configure();
+        self->start_reading();
+        if (self->m_handlers.on_connected) {
+            self->m_handlers.on_connected();
+        }
+    });
+}
+
+void tcp_channel::start_reading()
+{
+    m_is_reading = true;
+    wait_readable();
+}
+
+void tcp_channel::resume_reading()
+{
+    if (m_is_paused) {
+        m_is_paused = false;
+        if (m_is_open && m_is_reading) {
+            wait_readable();
+        }
+    }
+}
+
+void tcp_channel::wait_readable()
+{
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const asio::error_code& failure) {
+                            if (!failure && self->m_is_open && !self->m_is_paused) {
+                                self->read_available();
+                            }
+                        });
+}
+
+void tcp_channel::read_available()
+{
+    // one buffer serves all connections: bytes are handed on before the next read
+    static std::array<char, read_buffer_bytes> buffer;
+    asio::error_code failure;
+    const std::size_t count = m_socket.read_some(asio::buffer(buffer), failure);
+    if (failure == asio::error::would_block || failure == asio::error::interrupted) {
+        wait_readable();
+        return;
+    }
+    if (failure) {
+        end(failure == asio::error::eof ? channel_end::finished : channel_end::reset);
+        return;
+    }
+    const auto self = shared_from_this();
+    if (!m_is_lingering) {
+        m_handlers.on_bytes({buffer.data(), count});
+    }
+    if (m_is_open && !m_is_paused) {
+        wait_readable();
+    }
+}
+
+void tcp_channel::send(std::string_view bytes)
+{
+    if (!m_is_open || m_closes_after_sending) {
+        return;
+    }
+    if (unsent() == 0) {
+        asio::error_code failure;
+        const std::size_t count = m_socket.write_some(asio::buffer(bytes), failure);
+        if (failure && failure != asio::error::would_block) {
+            // the reading side sees the same end and reports it
+            return;
+        }
+        bytes.remove_prefix(failure ? 0 : count);
+        if (bytes.empty()) {
+            return;
+        }
+    }
+    m_unsent.append(bytes);
+    wait_writable();
+}
+
+void tcp_channel::wait_writable()
+{
+    if (m_waits_writable) {
+        return;
+    }
+    m_waits_writable = true;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_write,
+                        [self = shared_from_this()](const asio::error_code& failure) {
+                            self->m_waits_writable = false;
+                            if (!failure && self->m_is_open) {
+                                self->write_more();
+                            }
+                        });
+}
+
+void tcp_channel::write_more()
+{
+    asio::error_code failure;
+    m_unsent_at += m_socket.write_some(
+        asio::buffer(m_unsent.data() + m_unsent_at, m_unsent.size() - m_unsent_at), failure);
+    if (failure && failure != asio::error::would_block) {
+        return;
+    }
+    if (unsent() > 0) {
+        wait_writable();
+        return;
+    }
+    m_unsent = {};
+    m_unsent_at = 0;
+    if (m_closes_after_sending) {
+        linger();
+    }
+    else if (m_handlers.on_drained) {
+        m_handlers.on_drained();
+    }
+}
+
+void tcp_channel::close_after_sending()
+{
+    if (!m_is_open || m_closes_after_sending) {
+        return;
+    }
+    m_closes_after_sending = true;
+    if (unsent() == 0) {
+        linger();
+    }
+}
+
+void tcp_channel::linger()
+{
+    m_is_lingering = true;
+    asio::error_code ignored; // a broken connection is closed all the same
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    resume_reading();
+    m_timer.expires_after(linger_time);
+    m_timer.async_wait([self = shared_from_this()](const asio::error_code& failure) {
+        if (!failure) {
+            self->close();
+        }
+    });
+}
+
+void tcp_channel::close()
+{
+    if (!m_is_open) {
+        return;
+    }
+    m_is_open = false;
+    // one of the handlers may be running: they are destroyed after it has returned
+    asio::post(m_socket.get_executor(), [keep = std::move(m_handlers)] {});
+    m_handlers = {};
+    m_timer.cancel();
+    asio::error_code ignored; // nothing more is expected of this socket
+    m_socket.close(ignored);
+}
+
+void tcp_channel::abort()
+{
+    if (m_is_open) {
+        asio::error_code ignored; // without the option the close is still a close
+        m_socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+        close();
+    }
+}
+
+void tcp_channel::end(channel_end how)
+{
+    const auto self = shared_from_this();
+    const auto on_end = std::move(m_handlers.on_end);
+    const bool was_lingering = m_is_lingering;
+    close();
+    if (on_end && !was_lingering) {
+        on_end(how);
+    }
+}
+
+std::optional<asio::ip::tcp::endpoint> to_tcp_endpoint(std::string_view address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const std::string_view digits = address.substr(colon + 1);
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    asio::error_code failure;
+    const auto ip = asio::ip::make_address_v4(std::string{address.substr(0, colon)}, failure);
+    if (failure || parsed.ec != std::errc{} || parsed.ptr != digits.data() + digits.size()) {
+        return std::nullopt;
+    }
+    return asio::ip::tcp::endpoint{ip, port};
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -0,0 +1,95 @@
+#include "gateway/membership/gossip_codec.h"
+
+#include "generated/gossip.pb.h"
+
+#include <chrono> // duration_cast, milliseconds
+#include <cmath>  // isfinite
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+using milliseconds = std::chrono::milliseconds;
+
+std::uint32_t to_ms(duration span)
+{
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(span).count());
+}
+
+} // namespace
+
+std::string encode(const heartbeat& sent)
+{
+    gossip::heartbeat message;
+    message.set_host(sent.host);
+    message.set_ip(sent.ip);
+    message.set_failure_domain(sent.failure_domain);
+    message.set_region(sent.region);
+    message.set_incarnation(sent.incarnation);
+    message.set_sequence(sent.sequence);
+    message.set_is_ready(sent.is_ready);
+    message.set_is_leaving(sent.is_leaving);
+    message.set_has_configuration(sent.has_configuration);
+    message.set_configuration_version(sent.configuration_version);
+    message.set_control_age_ms(to_ms(sent.control_age));
+    for (const auto& [name, load] : sent.services) {
+        auto& added = *message.add_services();
+        added.set_service(name);
+        added.set_expected_wait_ms(static_cast<float>(to_seconds(load.expected_wait) * 1'000));
+        added.set_free_places(load.free_places);
+    }
+    for (const auto& [hash, load] : sent.endpoints) {
+        auto& added = *message.add_endpoints();
+        added.set_endpoint(hash);
+        added.set_active(load.active);
+        added.set_waiting_tokens(load.waiting_tokens);
+    }
+    for (const auto& [organisation, units] : sent.used) {
+        auto& added = *message.add_used();
+        added.set_organisation(organisation);
+        added.set_units(units);
+    }
+    for (const std::string& ip : sent.known_ips) {
+        message.add_known_ips(ip);
+    }
+    return message.SerializeAsString();
+}
+
+std::optional<heartbeat> decode_heartbeat(std::string_view bytes)
+{
+    gossip::heartbeat message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+        message.ip().empty() || message.incarnation() == 0) {
+        return std::nullopt;
+    }
+    heartbeat received;
+    received.host = message.host();
+    received.ip = message.ip();
+    received.failure_domain = message.failure_domain();
+    received.region = message.region();
+    received.incarnation = message.incarnation();
+    received.sequence = message.sequence();
+    received.is_ready = message.is_ready();
+    received.is_leaving = message.is_leaving();
+    received.has_configuration = message.has_configuration();
+    received.configuration_version = message.configuration_version();
+    received.control_age = milliseconds{message.control_age_ms()};
+    for (const auto& load : message.services()) {
+        if (std::isfinite(load.expected_wait_ms())) {
+            received.services[load.service()] = {from_seconds(load.expected_wait_ms() / 1'000.0),
+                                                 load.free_places()};
+        }
+    }
+    for (const auto& load : message.endpoints()) {
+        received.endpoints[load.endpoint()] = {load.active(), load.waiting_tokens()};
+    }
+    for (const auto& used : message.used()) {
+        if (std::isfinite(used.units())) {
+            received.used[used.organisation()] = used.units();
+        }
+    }
+    received.known_ips.assign(message.known_ips().begin(), message.known_ips().end());
+    return received;
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/membership/gossip_codec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "gateway/membership/member_table.h"
+
+#include <optional>    // optional
+#include <string>      // string
+#include <string_view> // string_view
+
+namespace hickorykeel::gateway {
+
+/// Heartbeat as one datagram. Thread safe.
+[[nodiscard]] std::string encode(const heartbeat& sent);
+
+/// Heartbeat of a datagram, or nothing where the bytes are none. Thread safe.
+[[nodiscard]] std::optional<heartbeat> decode_heartbeat(std::string_view bytes);
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/membership/gossip_socket.cpp
@@ -0,0 +1,55 @@
+#include "gateway/membership/gossip_socket.h"
+
+#include <asio/buffer.hpp> // buffer
+
+namespace hickorykeel::gateway {
+
+result<bool> gossip_socket::open(const std::string& ip, std::uint16_t port)
+{
+    asio::error_code failure;
+    m_port = port;
+    const auto local = asio::ip::make_address_v4(ip, failure);
+    if (!failure) {
+        m_socket.open(asio::ip::udp::v4(), failure);
+    }
+    if (!failure) {
+        m_socket.bind({local, port}, failure);
+    }
+    if (!failure) {
+        m_socket.non_blocking(true, failure);
+    }
+    if (failure) {
+        return error{error_kind::settings_invalid, "bind", ip + ':' + std::to_string(port),
+                     failure.message()};
+    }
+    receive();
+    return true;
+}
+
+void gossip_socket::send(const std::string& ip, std::string_view datagram)
+{
+    asio::error_code failure;
+    const auto address = asio::ip::make_address_v4(ip, failure);
+    if (!failure) {
+        m_socket.send_to(asio::buffer(datagram), {address, m_port}, 0, failure);
+    }
+    if (failure) {
+        ++m_failures;
+    }
+}
+
+void gossip_socket::receive()
+{
+    m_socket.async_receive_from(
+        asio::buffer(m_buffer), m_sender, [this](const asio::error_code& failure, std::size_t size) {
+            if (!m_socket.is_open()) {
+                return;
+            }
+            if (!failure) {
+                m_on_datagram({m_buffer.data(), size});
+            }
+            receive();
+        });
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/membership/gossip_socket.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "process/error.h"
+
+#include <array>       // array
+#include <cstdint>     // uint16_t, uint64_t
+#include <functional>  // function
+#include <string>      // string
+#include <string_view> // string_view
+
+#include <asio/io_context.hpp> // io_context
+#include <asio/ip/udp.hpp>     // udp
+
+namespace hickorykeel::gateway {
+
+/// Datagrams between hosts. Losses are the rule's part of the design: nothing is repeated.
+///
+/// Thread safety: none; all calls come from the loop's thread.
+class gossip_socket {
+public:
+    using handler = std::function<void(std::string_view datagram)>;
+
+    gossip_socket(asio::io_context& loop, handler on_datagram)
+        : m_socket{loop}, m_on_datagram{std::move(on_datagram)}
+    {
+    }
+
+    result<bool> open(const std::string& ip, std::uint16_t port);
+
+    /// Sends `datagram` to the same port of the host at `ip`.
+    void send(const std::string& ip, std::string_view datagram);
+
+    /// Datagrams that could not be handed to the kernel.
+    [[nodiscard]] std::uint64_t failures() const noexcept { return m_failures; }
+
+private:
+    static constexpr std::size_t largest_datagram = 65'536;
+
+    void receive();
+
+    asio::ip::udp::socket m_socket;
+    asio::ip::udp::endpoint m_sender;
+    handler m_on_datagram;
+    std::array<char, largest_datagram> m_buffer{};
+    std::uint16_t m_port = 0;
+    std::uint64_t m_failures = 0;
+};
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/membership/member_table.cpp
@@ -0,0 +1,108 @@
+#include "gateway/membership/member_table.h"
+
+#include <algorithm> // find, count_if
+#include <utility>   // move
+
+namespace hickorykeel::gateway {
+
+member_table::member_table(std::string own_ip, const std::vector<std::string>& seed_ips,
+                           member_table_options options)
+    : m_own_ip{std::move(own_ip)}, m_options{options}
+{
+    add_seeds(seed_ips);
+}
+
+void member_table::add_seeds(const std::vector<std::string>& seed_ips)
+{
+    for (const std::string& ip : seed_ips) {
+        if (ip != m_own_ip && std::find(m_seeds.begin(), m_seeds.end(), ip) == m_seeds.end()) {
+            m_seeds.push_back(ip);
+            add_target(ip);
+        }
+    }
+}
+
+void member_table::add_target(const std::string& ip)
+{
+    if (ip != m_own_ip && std::find(m_targets.begin(), m_targets.end(), ip) == m_targets.end()) {
+        m_targets.push_back(ip);
+    }
+}
+
+bool member_table::on_heartbeat(heartbeat received, time_point now)
+{
+    if (received.ip == m_own_ip) {
+        return false;
+    }
+    add_target(received.ip);
+    for (const std::string& ip : received.known_ips) {
+        add_target(ip);
+    }
+    member& held = m_members[received.ip];
+    if (received.incarnation == held.last.incarnation && received.sequence <= held.last.sequence) {
+        return false;
+    }
+    const bool was_silent = !is_live(held, now) || held.heard == time_point{};
+    held.last = std::move(received);
+    held.heard = now;
+    m_was_live[held.last.ip] = true;
+    return was_silent;
+}
+
+std::vector<std::string> member_table::expire(time_point now)
+{
+    std::vector<std::string> fallen_silent;
+    for (auto it = m_members.begin(); it != m_members.end();) {
+        const auto& [ip, held] = *it;
+        if (!is_live(held, now) && m_was_live[ip]) {
+            m_was_live[ip] = false;
+            fallen_silent.push_back(held.last.host);
+        }
+        if (now - held.heard < m_options.memory) {
+            ++it;
+            continue;
+        }
+        if (std::find(m_seeds.begin(), m_seeds.end(), ip) == m_seeds.end()) {
+            std::erase(m_targets, ip);
+        }
+        m_was_live.erase(ip);
+        it = m_members.erase(it);
+    }
+    return fallen_silent;
+}
+
+std::vector<const member*> member_table::live(time_point now) const
+{
+    std::vector<const member*> found;
+    for (const auto& [ip, held] : m_members) {
+        if (is_live(held, now)) {
+            found.push_back(&held);
+        }
+    }
+    return found;
+}
+
+std::vector<const member*> member_table::ready(time_point now) const
+{
+    std::vector<const member*> found = live(now);
+    std::erase_if(found, [](const member* candidate) {
+        return !candidate->last.is_ready || candidate->last.is_leaving;
+    });
+    return found;
+}
+
+const member* member_table::find(const std::string& ip) const
+{
+    const auto found = m_members.find(ip);
+    return found == m_members.end() ? nullptr : &found->second;
+}
+
+std::size_t member_table::possible_count() const
+{
+    const auto unheard = std::count_if(m_seeds.begin(), m_seeds.end(), [this](const auto& ip) {
+        return !m_members.contains(ip);
+    });
+    return m_members.size() + static_cast<std::size_t>(unheard) + 1;
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/observability/gateway_metrics.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "process/clock.h"
+
+#include <memory>        // unique_ptr
+#include <string>        // string
+#include <string_view>   // string_view
+#include <unordered_map> // unordered_map
+
+namespace prometheus {
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+template <typename T>
+class Family;
+} // namespace prometheus
+
+namespace hickorykeel::gateway {
+
+/// Counters and histograms of the gateway in Prometheus' text format.
+///
+/// Thread safety: none; all calls come from the loop's thread.
+class gateway_metrics {
+public:
+    gateway_metrics();
+    gateway_metrics(const gateway_metrics&) = delete;
+    gateway_metrics& operator=(const gateway_metrics&) = delete;
+    gateway_metrics(gateway_metrics&&) = delete;
+    gateway_metrics& operator=(gateway_metrics&&) = delete;
+    ~gateway_metrics();
+
+    /// A final answer to a caller.
+    void on_answer(const std::string& route, const std::string& outcome, duration elapsed);
+
+    /// The first byte of an endpoint's answer.
+    void on_first_byte(duration elapsed);
+
+    /// One more of what `event` names, e.g. "retry" or "source_failure".
+    void count(const std::string& event);
+
+    void set_gauge(const std::string& name, double value);
+
+    [[nodiscard]] std::string to_text() const;
+
+private:
+    std::unique_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter>* m_answers;
+    prometheus::Family<prometheus::Counter>* m_events;
+    prometheus::Family<prometheus::Gauge>* m_state;
+    prometheus::Histogram* m_answer_time;
+    prometheus::Histogram* m_first_byte_time;
+    std::unordered_map<std::string, prometheus::Counter*> m_event_counters;
+};
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -0,0 +1,322 @@
+#include "gateway/routing/endpoint_pool.h"
+
+#include "gateway/routing/rendezvous.h"
+
+#include <algorithm> // clamp, find, max, min
+#include <array>     // array
+#include <utility>   // move
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+constexpr double slowness_weight = 0.15;  // of a new sample
+constexpr double failure_weight = 0.1;    // of a new sample
+constexpr double least_slowness = 0.4;
+constexpr double most_slowness = 12;
+constexpr double failure_penalty = 4;     // times slower at a failure rate of 1
+constexpr std::size_t most_prompts = 4'096;
+constexpr std::uint64_t typical_tokens = 2'000;
+constexpr duration largest_sample = std::chrono::seconds{10};
+
+} // namespace
+
+std::string_view to_name(endpoint_outcome outcome) noexcept
+{
+    constexpr std::array<std::string_view, 8> names{"answered", "failed",    "shed",      "unreachable",
+                                                    "cut",      "timed_out", "abandoned", "gone"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+void endpoint_pool::update(const std::map<std::string, endpoint_entry>& entries,
+                           const std::function<usability(const endpoint_entry&)>& to_usability,
+                           const std::function<const service*(const std::string&)>& find_service,
+                           time_point now)
+{
+    std::map<std::string, endpoint_state> next;
+    for (const auto& [id, entry] : entries) {
+        const service* of = find_service(entry.service);
+        const usability use = to_usability(entry);
+        if (of == nullptr || use == usability::elsewhere) {
+            continue;
+        }
+        endpoint_state& state = next[id];
+        const auto held = m_endpoints.find(id);
+        const bool is_same = held != m_endpoints.end() &&
+                             held->second.entry.born_ms == entry.born_ms;
+        if (is_same) {
+            state = std::move(held->second);
+        }
+        const bool has_news = !is_same || state.entry.sequence != entry.sequence;
+        if (has_news) {
+            state.cold_until = std::max(state.cold_until, now + entry.cold_remaining);
+        }
+        state.entry = entry;
+        state.hash = short_hash(id);
+        state.is_engine = of->engine.has_value();
+        state.cold_rate = of->cold_rate;
+        state.cold_time = of->cold_time;
+        state.is_listed = use == usability::usable && !entry.is_draining;
+        if (state.is_evacuated && use == usability::usable) {
+            // its heartbeats are too old to tell that it has become cold meanwhile
+            state.cold_until = std::max<time_point>(state.cold_until, now + state.cold_time);
+        }
+        state.is_evacuated = use == usability::evacuated;
+    }
+    m_endpoints = std::move(next);
+}
+
+void endpoint_pool::set_peer_loads(const std::unordered_map<std::uint32_t, endpoint_load>& loads)
+{
+    for (auto& [id, state] : m_endpoints) {
+        const auto found = loads.find(state.hash);
+        state.peers = found == loads.end() ? endpoint_load{} : found->second;
+    }
+}
+
+bool endpoint_pool::is_usable(const std::string& id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found != m_endpoints.end() && found->second.is_listed;
+}
+
+bool endpoint_pool::is_candidate(const endpoint_state& state, const placement_request& request)
+{
+    return state.is_listed && state.entry.service == request.of->name &&
+           std::find(request.excluded.begin(), request.excluded.end(), state.entry.id) ==
+               request.excluded.end();
+}
+
+std::uint32_t endpoint_pool::most_active(const endpoint_state& state) const
+{
+    return state.is_engine ? state.entry.slots : state.entry.slots + m_options.plain_queue;
+}
+
+bool endpoint_pool::has_place(const endpoint_state& state) const
+{
+    return state.own.active + state.peers.active < most_active(state);
+}
+
+bool endpoint_pool::may_send(endpoint_state& state, time_point now)
+{
+    if (now < state.blocked_until || (state.is_on_trial && state.own.active > 0)) {
+        return false;
+    }
+    if (now < state.cold_until && state.cold_rate > 0) {
+        return m_is_cold_owner(state.entry.id) && state.gate.is_open(state.cold_rate, now);
+    }
+    return true;
+}
+
+std::uint64_t endpoint_pool::uncached_tokens(const endpoint_state& state, const prompt& size,
+                                             bool is_preferred, time_point now) const
+{
+    const auto found = state.prompts.find(size.shared_id());
+    const bool is_cached =
+        found != state.prompts.end() && now - found->second < m_options.prompt_memory;
+    const std::uint64_t shared = is_cached || is_preferred ? size.shared_tokens() : 0;
+    return size.prompt_tokens - std::min(shared, size.prompt_tokens);
+}
+
+duration endpoint_pool::cost(const endpoint_state& state, const prompt* size, bool is_preferred,
+                             time_point now) const
+{
+    const std::uint32_t active = state.own.active + state.peers.active;
+    duration expected{0};
+    if (state.is_engine) {
+        const std::uint64_t ahead = state.own.waiting_tokens + state.peers.waiting_tokens;
+        const std::uint64_t own =
+            size == nullptr ? typical_tokens : uncached_tokens(state, *size, is_preferred, now);
+        const double milliseconds =
+            static_cast<double>(ahead + own) / m_options.nominal_prefill_rate;
+        expected = m_options.engine_base + m_options.step_per_request * active +
+                   from_seconds(milliseconds / 1'000);
+    }
+    else {
+        const std::uint32_t slots = std::max(1U, state.entry.slots);
+        const double rounds = 1.0 + static_cast<double>(active) / slots;
+        expected = from_seconds(to_seconds(m_options.plain_base) * rounds);
+    }
+    const double factor = state.slowness * (1 + failure_penalty * state.failure_rate);
+    return from_seconds(to_seconds(expected) * factor);
+}
+
+const endpoint_pool::endpoint_state* endpoint_pool::preferred(const placement_request& request,
+                                                              time_point now) const
+{
+    if (request.size == nullptr || request.size->shared_id() == 0) {
+        return nullptr;
+    }
+    const endpoint_state* best = nullptr;
+    std::uint64_t best_weight = 0;
+    for (const auto& [id, state] : m_endpoints) {
+        if (!is_candidate(state, request) || now < state.blocked_until || now < state.cold_until) {
+            continue;
+        }
+        const std::uint64_t weight = rendezvous_weight(request.size->shared_id(), id);
+        if (best == nullptr || weight > best_weight) {
+            best = &state;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+std::optional<placement> endpoint_pool::choose(const placement_request& request, time_point now)
+{
+    const endpoint_state* home = preferred(request, now);
+    endpoint_state* best = nullptr;
+    duration best_cost{0};
+    for (auto& [id, state] : m_endpoints) {
+        if (!is_candidate(state, request) || !has_place(state) || !may_send(state, now)) {
+            continue;
+        }
+        const duration expected = cost(state, request.size, &state == home, now);
+        if (best == nullptr || expected < best_cost) {
+            best = &state;
+            best_cost = expected;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return placement{best->entry.id, best->entry.address, best_cost, now < best->cold_until};
+}
+
+bool endpoint_pool::has_candidate(const placement_request& request, time_point now) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
+        return is_candidate(item.second, request) &&
+               item.second.blocked_until < now + m_options.longest_block;
+    });
+}
+
+service_load endpoint_pool::summary(const service& of, time_point now) const
+{
+    service_load load;
+    load.expected_wait = largest_sample;
+    const placement_request any{&of, nullptr, {}};
+    for (const auto& [id, state] : m_endpoints) {
+        if (!is_candidate(state, any) || now < state.blocked_until || now < state.cold_until) {
+            continue;
+        }
+        const std::uint32_t active = state.own.active + state.peers.active;
+        if (active < most_active(state)) {
+            load.free_places += most_active(state) - active;
+            load.expected_wait = std::min(load.expected_wait, cost(state, nullptr, false, now));
+        }
+    }
+    return load;
+}
+
+std::uint32_t endpoint_pool::on_sent(const std::string& endpoint, const prompt* size,
+                                     time_point now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return 0;
+    }
+    endpoint_state& state = found->second;
+    ++state.own.active;
+    if (now < state.cold_until) {
+        state.gate.on_sent(now);
+    }
+    if (size == nullptr) {
+        return 0;
+    }
+    const auto waiting = static_cast<std::uint32_t>(uncached_tokens(state, *size, false, now));
+    state.own.waiting_tokens += waiting;
+    if (size->shared_id() != 0) {
+        if (state.prompts.size() >= most_prompts) {
+            state.prompts.clear();
+        }
+        state.prompts[size->shared_id()] = now;
+    }
+    return waiting;
+}
+
+void endpoint_pool::settle(endpoint_state& state, std::uint32_t waiting_tokens)
+{
+    state.own.waiting_tokens -= std::min(state.own.waiting_tokens, waiting_tokens);
+}
+
+void endpoint_pool::on_first_byte(const std::string& endpoint, std::uint32_t waiting_tokens,
+                                  duration elapsed, duration expected)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    endpoint_state& state = found->second;
+    settle(state, waiting_tokens);
+    const double sample =
+        to_seconds(std::min(elapsed, largest_sample)) / std::max(to_seconds(expected), 0.001);
+    const double learned = state.slowness * std::clamp(sample, 0.2, 5.0);
+    state.slowness = std::clamp(state.slowness + slowness_weight * (learned - state.slowness),
+                                least_slowness, most_slowness);
+}
+
+void endpoint_pool::block(endpoint_state& state, time_point now) const
+{
+    const unsigned doublings = std::min(state.failures, 6U);
+    state.is_on_trial = true;
+    state.blocked_until =
+        now + std::min(m_options.first_block * (1U << doublings), m_options.longest_block);
+}
+
+void endpoint_pool::on_end(const std::string& endpoint, std::uint32_t waiting_tokens,
+                           endpoint_outcome outcome, time_point now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    endpoint_state& state = found->second;
+    state.own.active -= std::min(state.own.active, 1U);
+    settle(state, waiting_tokens);
+    switch (outcome) {
+    case endpoint_outcome::answered:
+        state.failure_rate *= 1 - failure_weight;
+        state.failures = 0;
+        state.is_on_trial = false;
+        break;
+    case endpoint_outcome::failed:
+        state.failure_rate += failure_weight * (1 - state.failure_rate);
+        state.is_on_trial = false;
+        break;
+    case endpoint_outcome::shed:
+        state.blocked_until = std::max(state.blocked_until, now + m_options.shed_block);
+        break;
+    case endpoint_outcome::unreachable:
+        // it may have restarted: until its next heartbeats it counts as cold
+        state.cold_until = std::max<time_point>(state.cold_until, now + state.cold_time);
+        block(state, now);
+        ++state.failures;
+        break;
+    case endpoint_outcome::cut:
+    case endpoint_outcome::timed_out:
+        state.failure_rate += failure_weight * (1 - state.failure_rate);
+        if (++state.failures > 1) {
+            block(state, now);
+        }
+        break;
+    case endpoint_outcome::gone:
+        state.is_listed = false;
+        break;
+    case endpoint_outcome::abandoned:
+        break;
+    }
+}
+
+std::unordered_map<std::uint32_t, endpoint_load> endpoint_pool::own_loads() const
+{
+    std::unordered_map<std::uint32_t, endpoint_load> loads;
+    for (const auto& [id, state] : m_endpoints) {
+        if (state.own.active > 0) {
+            loads[state.hash] = state.own;
+        }
+    }
+    return loads;
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/routing/endpoint_pool.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "gateway/configuration/publication.h"
+#include "gateway/limits/cold_gate.h"
+#include "gateway/membership/member_table.h"
+#include "gateway/routing/prompt.h"
+#include "process/clock.h"
+
+#include <chrono>        // milliseconds, seconds
+#include <cstdint>       // uint32_t, uint64_t
+#include <functional>    // function
+#include <map>           // map
+#include <optional>      // optional
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+namespace hickorykeel::gateway {
+
+struct endpoint_pool_options {
+    double nominal_prefill_rate = 100; ///< prompt tokens a millisecond of an engine of usual speed
+    duration engine_base = std::chrono::milliseconds{20};
+    duration step_per_request = std::chrono::microseconds{400}; ///< that each running one adds
+    duration plain_base = std::chrono::milliseconds{50};
+    duration prompt_memory = std::chrono::seconds{8}; ///< how long an engine keeps a prompt
+    duration first_block = std::chrono::milliseconds{250};
+    duration longest_block = std::chrono::seconds{2};
+    duration shed_block = std::chrono::milliseconds{60};
+    unsigned plain_queue = 3; ///< requests beyond the slots of a plain service's endpoint
+    std::uint32_t fallback_cold_rate = 2; ///< requests a second after a failure, if none is stated
+};
+
+/// How a request at an endpoint ended, as far as the endpoint's health is concerned.
+enum class endpoint_outcome {
+    answered,      ///< a whole answer that isn't a failure
+    failed,        ///< the endpoint answered with a failure
+    shed,          ///< the endpoint rejected the request without running it
+    unreachable,   ///< no connection
+    cut,           ///< the connection broke, or what came was no answer
+    timed_out,     ///< silent for too long
+    abandoned,     ///< ended by this side; says nothing of the endpoint
+    gone,          ///< another incarnation is at the address
+};
+
+[[nodiscard]] std::string_view to_name(endpoint_outcome outcome) noexcept;
+
+/// Where a request may be sent now.
+struct placement {
+    std::string endpoint; ///< id
+    std::string address;
+    duration expected{0}; ///< until the first byte of the answer
+    bool is_cold = false;
+};
+
+/// What a request asks of the endpoint that is to run it.
+struct placement_request {
+    const service* of = nullptr;
+    const prompt* size = nullptr;      ///< null for a plain service
+    std::vector<std::string> excluded; ///< ids of endpoints that failed it
+};
+
+/// The endpoints of this host's region: load, health, and the choice among them.
+///
+/// Load is what this host has under way and what the other hosts of the region report. Speed is
+/// learned from the time to the first byte against what the load lets expect. Endpoints that fail
+/// are left out for a while that doubles.
+///
+/// Thread safety: none; the owner serialises calls. No I/O.
+class endpoint_pool {
+public:
+    /// Whether this host may use the cold endpoint `id`.
+    using cold_owner = std::function<bool(const std::string& id)>;
+
+    explicit endpoint_pool(endpoint_pool_options options, cold_owner is_cold_owner)
+        : m_options{options}, m_is_cold_owner{std::move(is_cold_owner)}
+    {
+    }
+
+    /// @name what is known of the endpoints
+    /// @{
+
+    /// How an entry may be used.
+    enum class usability {
+        usable,
+        evacuated, ///< nothing may be sent for now; it may be cold when it comes back
+        elsewhere, ///< not an endpoint of this region
+    };
+
+    /// Takes over what is known of the endpoints; those not named are gone.
+    void update(const std::map<std::string, endpoint_entry>& entries,
+                const std::function<usability(const endpoint_entry&)>& to_usability,
+                const std::function<const service*(const std::string&)>& find_service,
+                time_point now);
+
+    /// What the other hosts of the region have under way, by hash of the endpoint's id.
+    void set_peer_loads(const std::unordered_map<std::uint32_t, endpoint_load>& loads);
+    /// @}
+
+    /// @name choice
+    /// @{
+
+    /// The best endpoint with a free place, or nothing.
+    [[nodiscard]] std::optional<placement> choose(const placement_request& request,
+                                                  time_point now);
+
+    /// Whether any endpoint of the service could take the request, now or later.
+    [[nodiscard]] bool has_candidate(const placement_request& request, time_point now) const;
+
+    /// What the region could do for a typical request of a service.
+    [[nodiscard]] service_load summary(const service& of, time_point now) const;
+    /// @}
+
+    /// @name course of a request
+    /// @{
+
+    /// The request is being sent. Precondition: `endpoint` comes from `choose()`.
+    /// @return its prompt tokens that the endpoint has yet to read
+    [[nodiscard]] std::uint32_t on_sent(const std::string& endpoint, const prompt* size,
+                                        time_point now);
+
+    /// The first byte of the answer, `elapsed` after the sending, where `expected` was foreseen.
+    /// `waiting_tokens` is what `on_sent()` returned.
+    void on_first_byte(const std::string& endpoint, std::uint32_t waiting_tokens, duration elapsed,
+                       duration expected);
+
+    /// The end. `waiting_tokens` is what `on_sent()` returned, or 0 after the first byte.
+    void on_end(const std::string& endpoint, std::uint32_t waiting_tokens,
+                endpoint_outcome outcome, time_point now);
+    /// @}
+
+    /// @name state
+    /// @{
+
+    /// What this host has under way, for its heartbeat.
+    [[nodiscard]] std::unordered_map<std::uint32_t, endpoint_load> own_loads() const;
+    [[nodiscard]] std::size_t size() const noexcept { return m_endpoints.size(); }
+
+    /// Whether `id` may still be sent requests.
+    [[nodiscard]] bool is_usable(const std::string& id) const;
+    /// @}
+
+private:
+    struct endpoint_state {
+        endpoint_entry entry;
+        std::uint32_t hash = 0;
+        bool is_listed = true;
+        bool is_engine = false;
+        double cold_rate = 0;
+        endpoint_load own;
+        endpoint_load peers;
+        double slowness = 1;
+        double failure_rate = 0;
+        unsigned failures = 0; ///< one after the other
+        bool is_evacuated = false;
+        bool is_on_trial = false;
+        time_point blocked_until{};
+        time_point cold_until{};
+        std::chrono::milliseconds cold_time{0};
+        cold_gate gate;
+        std::unordered_map<std::uint64_t, time_point> prompts; ///< shared ids and their last use
+    };
+
+    [[nodiscard]] static bool is_candidate(const endpoint_state& state,
+                                           const placement_request& request);
+    [[nodiscard]] bool has_place(const endpoint_state& state) const;
+    [[nodiscard]] bool may_send(endpoint_state& state, time_point now);
+    [[nodiscard]] duration cost(const endpoint_state& state, const prompt* size, bool is_preferred,
+                                time_point now) const;
+    [[nodiscard]] std::uint64_t uncached_tokens(const endpoint_state& state, const prompt& size,
+                                                bool is_preferred, time_point now) const;
+    [[nodiscard]] const endpoint_state* preferred(const placement_request& request,
+                                                  time_point now) const;
+    [[nodiscard]] std::uint32_t most_active(const endpoint_state& state) const;
+    void block(endpoint_state& state, time_point now) const;
+    static void settle(endpoint_state& state, std::uint32_t waiting_tokens);
+
+    endpoint_pool_options m_options;
+    cold_owner m_is_cold_owner;
+    std::map<std::string, endpoint_state> m_endpoints;
+};
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/serving/dialect.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "gateway/http/message.h"
+#include "gateway/routing/prompt.h"
+
+#include <chrono>      // milliseconds
+#include <functional>  // function
+#include <optional>    // optional
+#include <string>      // string
+#include <string_view> // string_view
+#include <vector>      // vector
+
+namespace hickorykeel::gateway {
+
+/// What a caller's request says of itself, beside its method, target and body.
+struct caller_fields {
+    std::string id; ///< of this attempt; each attempt of a caller has its own
+    std::string key;
+    std::optional<std::chrono::milliseconds> deadline; ///< from the receipt
+    std::optional<prompt> size;                        ///< of a generation request
+    std::string last_event;                            ///< a stream goes on behind this event
+    std::string refused_because; ///< not empty: the fields are malformed
+};
+
+/// What an endpoint's answer says of itself.
+struct answer_fields {
+    std::string_view id;       ///< of the attempt that it answers
+    bool has_seal = false;     ///< the endpoint's own mark of a genuine answer
+    bool was_rejected = false; ///< the endpoint states that it has not run the request
+    bool is_encoded = false;   ///< the body isn't the endpoint's own
+};
+
+/// What the gateway adds to a request for an endpoint.
+struct endpoint_fields {
+    std::chrono::milliseconds deadline{0};
+    std::string instance;     ///< only this incarnation may run it
+    std::string organisation; ///< empty: the caller showed no key
+    std::string last_event;   ///< of a stream that goes on; empty: from the start
+    std::optional<int> priority; ///< 0 first
+};
+
+/// What the gateway changes in a request that another host is to serve.
+struct host_fields {
+    std::chrono::milliseconds deadline{0};
+    std::string last_event;
+};
+
+/// Prefix of the headers that hosts add for each other. They never reach callers or endpoints.
+inline constexpr std::string_view host_header_prefix = "Keel-";
+
+/// Whether `name` is a header between hosts. Thread safe.
+[[nodiscard]] inline bool is_host_header(std::string_view name) noexcept
+{
+    return is_same_name(name.substr(0, host_header_prefix.size()), host_header_prefix);
+}
+
+/// A question where to connect.
+struct directory_question {
+    std::string host;
+    std::string region;
+    std::string failure_domain;
+};
+
+/// How callers and endpoints spell what the gateway reads and writes. An adapter fills it in; the
+/// functions only translate.
+///
+/// Thread safety: immutable; the functions keep no state.
+struct dialect {
+    std::string readiness_path;
+    std::string directory_path;
+    std::function<caller_fields(const message_head&)> read_caller;
+    std::function<answer_fields(const message_head&)> read_answer;
+
+    /// Headers for an endpoint: the caller's, less those that concern one connection or are the
+    /// gateway's to set, and the gateway's own.
+    std::function<header_list(const message_head&, const endpoint_fields&)> to_endpoint;
+
+    /// Headers for another host that serves the request: the caller's with what is left of the
+    /// deadline.
+    std::function<header_list(const message_head&, const host_fields&)> to_host;
+
+    /// Headers of an answer for the caller, without those that concern one connection.
+    std::function<header_list(const message_head&)> to_caller;
+    std::function<directory_question(std::string_view target)> read_question;
+    std::function<std::string(const std::vector<std::string>& addresses, std::chrono::seconds)>
+        write_directory;
+};
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/serving/event_splitter.cpp
@@ -0,0 +1,71 @@
+#include "gateway/serving/event_splitter.h"
+
+#include <charconv> // from_chars
+#include <utility>  // move
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+/// Number of an event's id; 0 where it is none.
+std::uint64_t to_number(std::string_view id) noexcept
+{
+    std::uint64_t number = 0;
+    std::from_chars(id.data(), id.data() + id.size(), number);
+    return number;
+}
+
+/// Position behind the first empty line at or after `from`, or npos.
+std::size_t end_of_event(std::string_view text, std::size_t from) noexcept
+{
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        if (at + 1 < text.size() && text[at + 1] == '\n') {
+            return at + 2;
+        }
+        if (at + 2 < text.size() && text[at + 1] == '\r' && text[at + 2] == '\n') {
+            return at + 3;
+        }
+    }
+    return std::string_view::npos;
+}
+
+} // namespace
+
+std::string event_splitter::take(std::string_view bytes)
+{
+    // an empty line may begin in what was left over
+    const std::size_t scanned = m_partial.size() < 3 ? 0 : m_partial.size() - 3;
+    m_partial += bytes;
+    std::size_t whole = 0;
+    std::size_t end = end_of_event(m_partial, scanned);
+    while (end != std::string::npos) {
+        note_event(std::string_view{m_partial}.substr(whole, end - whole));
+        whole = end;
+        end = end_of_event(m_partial, whole);
+    }
+    std::string events = m_partial.substr(0, whole);
+    m_partial.erase(0, whole);
+    return events;
+}
+
+void event_splitter::note_event(std::string_view event)
+{
+    ++m_events;
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        if (line.starts_with("id:")) {
+            line.remove_prefix(3);
+            while (!line.empty() && (line.front() == ' ' || line.back() == '\r')) {
+                line.front() == ' ' ? line.remove_prefix(1) : line.remove_suffix(1);
+            }
+            m_is_out_of_order =
+                m_is_out_of_order || (!m_last_id.empty() && to_number(line) <= to_number(m_last_id));
+            m_last_id = line;
+        }
+        event = end == std::string_view::npos ? std::string_view{} : event.substr(end + 1);
+    }
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/serving/gateway.cpp
@@ -0,0 +1,460 @@
+#include "gateway/serving/gateway.h"
+
+#include "gateway/membership/gossip_codec.h"
+#include "gateway/routing/rendezvous.h"
+#include "process/build_info.h"
+
+#include <algorithm> // max, min
+#include <chrono>    // milliseconds, seconds
+#include <csignal>   // SIGHUP, SIGINT, SIGTERM
+#include <random>    // random_device
+#include <utility>   // exchange, move
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+constexpr duration heartbeat_interval = std::chrono::milliseconds{200};
+constexpr duration placing_interval = std::chrono::milliseconds{20};
+constexpr duration stop_check_interval = std::chrono::milliseconds{100};
+
+/// Callers keep an answer of the directory for so long.
+constexpr auto directory_ttl = std::chrono::seconds{1};
+constexpr std::size_t most_addresses = 64;
+
+/// A stopping host serves at least for so long: callers may use an old list three times its term.
+constexpr duration least_stop_time = std::chrono::milliseconds{4'200};
+
+/// Margin between the last answer and the kill.
+constexpr duration stop_margin = std::chrono::milliseconds{600};
+
+/// Margin of the key lease below the allowed time: a request is on its way for some of it.
+constexpr duration key_lease_margin = std::chrono::milliseconds{600};
+
+std::vector<std::string> to_ips(const std::vector<std::string>& addresses)
+{
+    std::vector<std::string> ips;
+    for (const std::string& address : addresses) {
+        ips.push_back(address.substr(0, address.rfind(':')));
+    }
+    return ips;
+}
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device() | 1U;
+}
+
+header_list plain_text()
+{
+    header_list headers;
+    headers.add("Content-Type", "text/plain");
+    return headers;
+}
+
+header_list json_text()
+{
+    header_list headers;
+    headers.add("Content-Type", "application/json");
+    return headers;
+}
+
+std::string port_of(const std::string& address) { return address.substr(address.rfind(':')); }
+
+} // namespace
+
+gateway::gateway(gateway_settings settings, gateway_parts parts)
+    : m_settings{std::move(settings)}, m_parts{std::move(parts)},
+      m_log{m_loop, m_settings.host,
+            {.request_lines_per_s = static_cast<std::uint64_t>(m_settings.request_log_rate)}},
+      m_random{random_seed()}, m_state{{.key_lease = m_settings.key_withdrawal - key_lease_margin}},
+      m_members{m_settings.ip, to_ips(m_settings.seeds), {}},
+      m_pool{{}, [this](const std::string& endpoint) { return is_cold_owner(endpoint); }},
+      m_client{m_loop}, m_source{m_parts.make_source(m_loop, m_client, m_settings)},
+      m_follower{{m_loop, *m_source, m_state, m_members, m_client, m_log, m_metrics},
+                 {.relay_port = m_settings.peers_port(), .own_host = m_settings.host},
+                 [this] { on_published(); }},
+      m_context{.loop = m_loop,
+                .settings = m_settings,
+                .spelling = m_parts.spelling,
+                .state = m_state,
+                .members = m_members,
+                .usage = m_usage,
+                .pool = m_pool,
+                .client = m_client,
+                .log = m_log,
+                .metrics = m_metrics,
+                .random = m_random,
+                .options = {},
+                .retries = {},
+                .unreachable = {},
+                .passed_on = {},
+                .wait = [this](const auto& waiting) { m_waiting.add(waiting); },
+                .wake =
+                    [this] {
+                        if (m_waiting.size() > 0) {
+                            place_waiting();
+                        }
+                    }},
+      m_callers{m_loop, [this](const auto& request) { serve_caller(request); }},
+      m_peers{m_loop, [this](const auto& request) { serve_peer(request); }},
+      m_readiness{m_loop, [this](const auto& request) { serve_readiness(request); }},
+      m_directory{m_loop, [this](const auto& request) { serve_directory(request); }},
+      m_metrics_server{m_loop, [this](const auto& request) { serve_metrics(request); }},
+      m_gossip{m_loop, [this](std::string_view datagram) { on_datagram(datagram); }},
+      m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}, m_heartbeat_timer{m_loop},
+      m_placing_timer{m_loop}, m_stop_timer{m_loop}, m_incarnation{random_seed()}
+{
+}
+
+gateway::~gateway() = default;
+
+result<bool> gateway::open()
+{
+    const std::array<std::pair<http_server*, const std::string*>, 5> listeners{{
+        {&m_callers, &m_settings.callers_address},
+        {&m_peers, &m_settings.peers_address},
+        {&m_readiness, &m_settings.readiness_address},
+        {&m_directory, &m_settings.directory_address},
+        {&m_metrics_server, &m_settings.metrics_address},
+    }};
+    for (const auto& [server, address] : listeners) {
+        auto opened = server->listen(*address);
+        if (!is_ok(opened)) {
+            return opened;
+        }
+    }
+    return m_gossip.open(m_settings.ip, m_settings.peers_port());
+}
+
+void gateway::run()
+{
+    m_log.write(log_line{"start"}
+                    .add("host", m_settings.host)
+                    .add("program_version", build_version())
+                    .add("failure_domain", m_settings.failure_domain)
+                    .add("region", m_settings.region)
+                    .add("callers", m_settings.callers_address)
+                    .add("peers", m_settings.peers_address)
+                    .add("metrics", m_settings.metrics_address));
+    wait_for_signals();
+    m_follower.start();
+    beat();
+    m_loop.run();
+    m_log.write(log_line{"stop"}
+                    .add("host", m_settings.host)
+                    .add("open_requests", static_cast<std::int64_t>(m_callers.active()))
+                    .add("log_lines_left_out", static_cast<std::int64_t>(m_log.left_out())));
+    m_log.flush();
+}
+
+// listeners
+
+bool gateway::is_ready() const
+{
+    return !m_is_stopping && m_state.published() != nullptr;
+}
+
+void gateway::serve_caller(const std::shared_ptr<server_exchange>& request)
+{
+    std::make_shared<exchange>(m_context, request, false)->start();
+}
+
+void gateway::serve_peer(const std::shared_ptr<server_exchange>& request)
+{
+    if (request->head().headers.contains(forwarded_header)) {
+        std::make_shared<exchange>(m_context, request, true)->start();
+    }
+    else if (to_path(request->head().target) == relay_path) {
+        request->respond(200, json_text(), m_follower.relay_text());
+    }
+    else {
+        request->respond(404, plain_text(), "not found\n");
+    }
+}
+
+void gateway::serve_readiness(const std::shared_ptr<server_exchange>& request)
+{
+    if (to_path(request->head().target) != m_parts.spelling.readiness_path) {
+        request->respond(404, plain_text(), "not found\n");
+        return;
+    }
+    if (is_ready()) {
+        request->respond(200, plain_text(), "ready\n");
+        return;
+    }
+    request->respond(503, plain_text(), m_is_stopping ? "stopping\n" : "no configuration\n");
+}
+
+void gateway::serve_directory(const std::shared_ptr<server_exchange>& request)
+{
+    const message_head& head = request->head();
+    if (to_path(head.target) != m_parts.spelling.directory_path) {
+        request->respond(404, plain_text(), "not found\n");
+        return;
+    }
+    const auto addresses = addresses_for(m_parts.spelling.read_question(head.target));
+    if (addresses.empty()) {
+        request->respond(503, plain_text(), "no host is ready\n");
+        return;
+    }
+    request->respond(200, json_text(),
+                     m_parts.spelling.write_directory(addresses, directory_ttl));
+}
+
+std::vector<std::string> gateway::addresses_for(const directory_question& question) const
+{
+    enum distance : std::size_t { same_domain, same_region, elsewhere };
+    std::array<std::vector<std::string>, 3> found;
+    const std::string port = port_of(m_settings.callers_address);
+    const auto add = [&](const std::string& ip, const std::string& failure_domain,
+                         const std::string& region) {
+        const distance at = failure_domain == question.failure_domain ? same_domain
+                            : region == question.region               ? same_region
+                                                                      : elsewhere;
+        found[at].push_back(ip + port);
+    };
+    if (is_ready()) {
+        add(m_settings.ip, m_settings.failure_domain, m_settings.region);
+    }
+    for (const member* host : m_members.ready(boot_clock::now())) {
+        add(host->last.ip, host->last.failure_domain, host->last.region);
+    }
+    for (auto& addresses : found) {
+        if (!addresses.empty()) {
+            addresses.resize(std::min(addresses.size(), most_addresses));
+            return addresses;
+        }
+    }
+    return {};
+}
+
+void gateway::serve_metrics(const std::shared_ptr<server_exchange>& request)
+{
+    const time_point now = boot_clock::now();
+    m_metrics.set_gauge("control_age_s", to_seconds(m_state.control_age(now)));
+    m_metrics.set_gauge("endpoints_age_s", to_seconds(m_state.endpoints_age(now)));
+    m_metrics.set_gauge("endpoints", static_cast<double>(m_pool.size()));
+    m_metrics.set_gauge("live_hosts", static_cast<double>(m_members.live_count(now)));
+    m_metrics.set_gauge("waiting_requests", static_cast<double>(m_waiting.size()));
+    m_metrics.set_gauge("active_requests", static_cast<double>(m_callers.active()));
+    m_metrics.set_gauge("connections_opened", static_cast<double>(m_client.connections_opened()));
+    m_metrics.set_gauge("log_lines_left_out", static_cast<double>(m_log.left_out()));
+    request->respond(200, plain_text(), m_metrics.to_text());
+}
+
+// membership
+
+heartbeat gateway::own_heartbeat(time_point now) const
+{
+    heartbeat sent;
+    sent.host = m_settings.host;
+    sent.ip = m_settings.ip;
+    sent.failure_domain = m_settings.failure_domain;
+    sent.region = m_settings.region;
+    sent.incarnation = m_incarnation;
+    sent.sequence = m_sequence;
+    sent.is_ready = is_ready();
+    sent.is_leaving = m_is_stopping;
+    if (const publication_ptr& published = m_state.published()) {
+        sent.has_configuration = true;
+        sent.configuration_version = published->version;
+        sent.control_age = m_state.control_age(now);
+        for (const auto& [name, of] : published->services()) {
+            sent.services[name] = m_pool.summary(of, now);
+        }
+    }
+    sent.endpoints = m_pool.own_loads();
+    sent.used = m_usage.used();
+    sent.known_ips = m_members.targets();
+    return sent;
+}
+
+void gateway::send_heartbeats()
+{
+    ++m_sequence;
+    const std::string datagram = encode(own_heartbeat(boot_clock::now()));
+    for (const std::string& ip : m_members.targets()) {
+        m_gossip.send(ip, datagram);
+    }
+}
+
+void gateway::on_datagram(std::string_view datagram)
+{
+    auto received = decode_heartbeat(datagram);
+    if (!received) {
+        m_metrics.count("heartbeat_unreadable");
+        return;
+    }
+    const std::string region = received->region;
+    const std::string host = received->host;
+    m_usage.on_report(received->ip, received->incarnation, received->used);
+    if (m_members.on_heartbeat(std::move(*received), boot_clock::now())) {
+        m_log.write(log_line{"host_heard"}.add("peer", host).add("region", region));
+    }
+    if (region != m_settings.region) {
+        std::erase_if(m_context.passed_on, [&region](const auto& item) {
+            return item.first.starts_with(region + '/');
+        });
+    }
+}
+
+void gateway::update_members(time_point now)
+{
+    for (const std::string& host : m_members.expire(now)) {
+        m_log.write(log_line{"host_silent"}.add("peer", host).add_ms(
+            "after_ms", m_members.options().silence));
+    }
+    std::unordered_map<std::uint32_t, endpoint_load> loads;
+    for (const member* host : m_members.live(now)) {
+        if (host->last.region != m_settings.region) {
+            continue;
+        }
+        for (const auto& [hash, load] : host->last.endpoints) {
+            loads[hash].active += load.active;
+            loads[hash].waiting_tokens += load.waiting_tokens;
+        }
+    }
+    m_pool.set_peer_loads(loads);
+    m_usage.set_part(static_cast<double>(m_members.live_count(now)) /
+                     static_cast<double>(m_members.possible_count()));
+}
+
+bool gateway::is_cold_owner(const std::string& endpoint) const
+{
+    const std::uint64_t key = short_hash(endpoint);
+    const std::uint64_t own = rendezvous_weight(key, m_settings.ip);
+    const auto hosts = m_members.live(boot_clock::now());
+    return std::none_of(hosts.begin(), hosts.end(), [&](const member* host) {
+        return host->last.region == m_settings.region && !host->last.is_leaving &&
+               rendezvous_weight(key, host->last.ip) > own;
+    });
+}
+
+// configuration
+
+void gateway::on_published()
+{
+    const publication_ptr& published = m_state.published();
+    if (published == nullptr) {
+        return;
+    }
+    const auto to_usability = [this](const endpoint_entry& entry) {
+        using usability = endpoint_pool::usability;
+        if (m_settings.region_of(entry.failure_domain) != m_settings.region) {
+            return usability::elsewhere;
+        }
+        return m_state.is_evacuated(entry.failure_domain) ? usability::evacuated
+                                                          : usability::usable;
+    };
+    const auto find_service = [&published](const std::string& name) {
+        return published->find_service(name);
+    };
+    m_pool.update(m_state.endpoints(), to_usability, find_service, boot_clock::now());
+    const caller_limits& limits = published->limits;
+    m_callers.set_limits({.message = {limits.header_bytes, limits.body_bytes},
+                          .head_timeout = limits.header_timeout,
+                          .idle_timeout = limits.idle_timeout});
+    place_waiting();
+}
+
+// life
+
+void gateway::beat()
+{
+    update_members(boot_clock::now());
+    send_heartbeats();
+    place_waiting();
+    m_heartbeat_timer.expires_after(heartbeat_interval);
+    m_heartbeat_timer.async_wait([this](const asio::error_code& failure) {
+        if (!failure) {
+            beat();
+        }
+    });
+}
+
+void gateway::place_waiting()
+{
+    // placing a request may end another one, which asks for a placing of its own
+    if (std::exchange(m_is_placing, true)) {
+        return;
+    }
+    asio::post(m_loop, [this] {
+        m_waiting.place();
+        m_is_placing = false;
+        if (m_waiting.size() == 0) {
+            return;
+        }
+        m_placing_timer.expires_after(placing_interval);
+        m_placing_timer.async_wait([this](const asio::error_code& failure) {
+            if (!failure) {
+                place_waiting();
+            }
+        });
+    });
+}
+
+void gateway::wait_for_signals()
+{
+    m_signals.async_wait([this](const asio::error_code& failure, int signal) {
+        if (failure) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload();
+        }
+        else if (!m_is_stopping) {
+            begin_stop();
+        }
+        wait_for_signals();
+    });
+}
+
+void gateway::reload()
+{
+    const auto loaded = m_parts.reload();
+    if (const auto* failure = std::get_if<error>(&loaded)) {
+        m_log.write(log_line{"reload_failed"}.add("error", failure->to_string()));
+        return;
+    }
+    const auto& settings = std::get<gateway_settings>(loaded);
+    m_settings.seeds = settings.seeds;
+    m_members.add_seeds(to_ips(settings.seeds));
+    m_log.write(log_line{"reload"}.add("seeds", static_cast<std::int64_t>(settings.seeds.size())));
+}
+
+void gateway::begin_stop()
+{
+    m_is_stopping = true;
+    m_stop_begun = boot_clock::now();
+    m_log.write(log_line{"stopping"}
+                    .add("host", m_settings.host)
+                    .add("open_requests", static_cast<std::int64_t>(m_callers.active()))
+                    .add("connections", static_cast<std::int64_t>(m_callers.connections())));
+    m_callers.announce_close();
+    m_peers.announce_close();
+    send_heartbeats();
+    check_stopped();
+}
+
+void gateway::check_stopped()
+{
+    const duration elapsed = boot_clock::now() - m_stop_begun;
+    const bool is_quiet = m_callers.active() == 0 && m_peers.active() == 0;
+    if ((elapsed >= least_stop_time && is_quiet) ||
+        elapsed >= m_settings.stop_grace - stop_margin) {
+        m_callers.stop_listening();
+        m_peers.stop_listening();
+        m_loop.stop();
+        return;
+    }
+    m_stop_timer.expires_after(stop_check_interval);
+    m_stop_timer.async_wait([this](const asio::error_code& failure) {
+        if (!failure) {
+            check_stopped();
+        }
+    });
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/serving/gateway.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "gateway/configuration/configuration_follower.h"
+#include "gateway/configuration/publication_source.h"
+#include "gateway/http/http_server.h"
+#include "gateway/membership/gossip_socket.h"
+#include "gateway/serving/dialect.h"
+#include "gateway/serving/serving_context.h"
+#include "gateway/serving/waiting_queue.h"
+#include "process/error.h"
+
+#include <cstdint>    // uint64_t
+#include <functional> // function
+#include <memory>     // unique_ptr
+#include <string>     // string
+
+#include <asio/io_context.hpp>   // io_context
+#include <asio/signal_set.hpp>   // signal_set
+#include <asio/steady_timer.hpp> // steady_timer
+
+namespace hickorykeel::gateway {
+
+/// What a gateway is built from beside its settings.
+struct gateway_parts {
+    dialect spelling;
+    /// Makes the source of the published configuration on the gateway's HTTP client.
+    std::function<std::unique_ptr<publication_source>(asio::io_context&, http_client&,
+                                                      const gateway_settings&)>
+        make_source;
+    /// Reads the settings again after SIGHUP.
+    std::function<result<gateway_settings>()> reload;
+};
+
+/// The whole process: listeners, membership, the published configuration, and the requests.
+///
+/// One thread runs the event loop; nothing here is thread safe.
+class gateway {
+public:
+    gateway(gateway_settings settings, gateway_parts parts);
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+    gateway(gateway&&) = delete;
+    gateway& operator=(gateway&&) = delete;
+    ~gateway();
+
+    /// Opens the listeners.
+    result<bool> open();
+
+    /// Serves until a stop signal, then drains and returns.
+    void run();
+
+private:
+    // listeners
+    void serve_caller(const std::shared_ptr<server_exchange>& request);
+    void serve_peer(const std::shared_ptr<server_exchange>& request);
+    void serve_readiness(const std::shared_ptr<server_exchange>& request);
+    void serve_directory(const std::shared_ptr<server_exchange>& request);
+    void serve_metrics(const std::shared_ptr<server_exchange>& request);
+    [[nodiscard]] std::vector<std::string> addresses_for(const directory_question& question) const;
+    [[nodiscard]] bool is_ready() const;
+
+    // membership
+    void send_heartbeats();
+    [[nodiscard]] heartbeat own_heartbeat(time_point now) const;
+    void on_datagram(std::string_view datagram);
+    void update_members(time_point now);
+    [[nodiscard]] bool is_cold_owner(const std::string& endpoint) const;
+
+    // configuration
+    void on_published();
+
+    // life
+    void beat();
+    void place_waiting();
+    void wait_for_signals();
+    void reload();
+    void begin_stop();
+    void check_stopped();
+
+    gateway_settings m_settings;
+    gateway_parts m_parts;
+    asio::io_context m_loop{1};
+    event_log m_log;
+    gateway_metrics m_metrics;
+    random_source m_random;
+    published_state m_state;
+    member_table m_members;
+    usage_ledger m_usage;
+    endpoint_pool m_pool;
+    http_client m_client;
+    std::unique_ptr<publication_source> m_source;
+    configuration_follower m_follower;
+    waiting_queue m_waiting;
+    serving_context m_context;
+    http_server m_callers;
+    http_server m_peers;
+    http_server m_readiness;
+    http_server m_directory;
+    http_server m_metrics_server;
+    gossip_socket m_gossip;
+    asio::signal_set m_signals;
+    asio::steady_timer m_heartbeat_timer;
+    asio::steady_timer m_placing_timer;
+    asio::steady_timer m_stop_timer;
+    std::uint64_t m_incarnation;
+    std::uint64_t m_sequence = 0;
+    bool m_is_placing = false;
+    bool m_is_stopping = false;
+    time_point m_stop_begun{};
+};
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/serving/serving_context.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "gateway/configuration/published_state.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/http/http_client.h"
+#include "gateway/limits/usage_ledger.h"
+#include "gateway/membership/member_table.h"
+#include "gateway/observability/event_log.h"
+#include "gateway/observability/gateway_metrics.h"
+#include "gateway/routing/endpoint_pool.h"
+#include "gateway/routing/region_choice.h"
+#include "gateway/serving/dialect.h"
+#include "process/routing/random_source.h"
+#include "process/routing/retry_budget.h"
+
+#include <functional>    // function
+#include <memory>        // shared_ptr
+#include <string>        // string
+#include <unordered_map> // unordered_map
+
+namespace hickorykeel::gateway {
+
+class exchange;
+
+/// Terms of serving a request.
+struct serving_options {
+    /// Part of the objective that a request may wait for a free place.
+    double wait_part = 0.6;
+    /// Longest wait of a request that another host has passed on.
+    duration forwarded_wait = std::chrono::milliseconds{120};
+    /// Silence after which a repeatable request is tried elsewhere.
+    duration least_silence = std::chrono::milliseconds{900};
+    /// Silence, in multiples of the expected time to the first byte.
+    double silence_factor = 5;
+    /// Endpoints and hosts that one request is offered to, whatever they answer.
+    unsigned most_tries = 4;
+    /// Least time that must be left for an endpoint to be worth asking.
+    duration least_time_left = std::chrono::milliseconds{15};
+    /// Bytes that a caller may leave untaken before the endpoint is held back.
+    std::size_t most_unsent = 262'144;
+    /// A host that could not be reached gets nothing for so long.
+    duration unreachable_block = std::chrono::milliseconds{1'000};
+    duration endpoint_connect_timeout = std::chrono::milliseconds{400};
+    duration host_connect_timeout = std::chrono::milliseconds{600};
+    duration retry_after_overload = std::chrono::milliseconds{700};
+    duration retry_after_outage = std::chrono::milliseconds{1'000};
+    /// A configuration older than that proves nothing about what it doesn't hold.
+    duration trusted_age = std::chrono::milliseconds{3'000};
+    region_choice_options regions;
+};
+
+/// What the requests of a gateway share. All calls come from the loop's thread.
+struct serving_context {
+    asio::io_context& loop;
+    const gateway_settings& settings;
+    const dialect& spelling;
+    published_state& state;
+    member_table& members;
+    usage_ledger& usage;
+    endpoint_pool& pool;
+    http_client& client;
+    event_log& log;
+    gateway_metrics& metrics;
+    random_source& random;
+    serving_options options;
+    std::unordered_map<std::string, retry_budget> retries; ///< by service
+    std::unordered_map<std::string, time_point> unreachable; ///< hosts, by ip
+
+    /// Requests passed to another region's service since its last heartbeat, by region and service.
+    std::unordered_map<std::string, std::uint32_t> passed_on;
+
+    /// Puts a request into the queue for a free place.
+    std::function<void(const std::shared_ptr<exchange>&)> wait;
+
+    /// A place may have become free.
+    std::function<void()> wake;
+};
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/serving/waiting_queue.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "gateway/serving/exchange.h"
+
+#include <cstddef>     // size_t
+#include <cstdint>     // uint64_t
+#include <map>         // map
+#include <memory>      // shared_ptr
+#include <set>         // set
+#include <string>      // string
+#include <string_view> // string_view
+#include <tuple>       // tuple
+
+namespace hickorykeel::gateway {
+
+/// Requests that wait for a free place: the most urgent first, then in the order of arrival.
+///
+/// Thread safety: none; all calls come from the loop's thread.
+class waiting_queue {
+public:
+    void add(const std::shared_ptr<exchange>& waiting)
+    {
+        m_waiting.emplace(std::tuple{waiting->priority(), ++m_count}, waiting);
+    }
+
+    /// Places those that can be placed. Once a few requests of a service have found no place, the
+    /// rest of that service is left for the next time.
+    void place()
+    {
+        std::map<std::string, unsigned, std::less<>> failures;
+        for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+            const std::shared_ptr<exchange> waiting = it->second;
+            unsigned& failed = failures[waiting->service_name()];
+            if (failed >= most_failures) {
+                ++it;
+                continue;
+            }
+            if (waiting->retry_placement()) {
+                ++failed;
+                ++it;
+                continue;
+            }
+            waiting->on_left_queue();
+            it = m_waiting.erase(it);
+        }
+    }
+
+    [[nodiscard]] std::size_t size() const noexcept { return m_waiting.size(); }
+
+private:
+    static constexpr unsigned most_failures = 4;
+
+    std::map<std::tuple<int, std::uint64_t>, std::shared_ptr<exchange>> m_waiting;
+    std::uint64_t m_count = 0;
+};
+
+} // namespace hickorykeel::gateway
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -113,6 +113,28 @@
     return to_number(text).has_value();
 }
 
+std::optional<double> to_decimal(std::string_view text)
+{
+    double number = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (failure != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+bool is_decimal(std::string_view text)
+{
+    return to_decimal(text).has_value();
+}
+
+bool is_pair(std::string_view text)
+{
+    const auto colon = text.find(':');
+    return colon != std::string_view::npos && is_name(text.substr(0, colon)) &&
+           is_name(text.substr(colon + 1));
+}
+
 bool is_flag(std::string_view text)
 {
     return text == "true" || text == "false";
@@ -156,6 +178,8 @@
     kind_row{setting_kind::z85_key_list, is_list<is_z85_key>,
              "Z85 keys of 40 characters, comma-separated"},
     kind_row{setting_kind::digest, is_digest, "64 hex digits in lower case"},
+    kind_row{setting_kind::decimal, is_decimal, "a number"},
+    kind_row{setting_kind::pair_list, is_list<is_pair>, "name:name, comma-separated"},
 };
 
 const kind_row& to_row(setting_kind kind)
@@ -171,6 +195,11 @@
     if (!to_row(rule.kind).is_right(value)) {
         return false;
     }
+    if (rule.kind == setting_kind::decimal) {
+        const double number = *to_decimal(value);
+        return static_cast<double>(rule.minimum) <= number &&
+               number <= static_cast<double>(rule.maximum);
+    }
     if (rule.kind != setting_kind::number) {
         return true;
     }
@@ -255,7 +284,8 @@
             return;
         }
         const bool takes_list =
-            rule->kind == setting_kind::address_list || rule->kind == setting_kind::z85_key_list;
+            rule->kind == setting_kind::address_list || rule->kind == setting_kind::z85_key_list ||
+            rule->kind == setting_kind::pair_list;
         if (takes_list) {
             it->second += '\n' + value;
         }
@@ -316,10 +346,10 @@
 
 std::string to_allowed(const setting_rule& rule)
 {
-    if (rule.kind != setting_kind::number) {
+    if (rule.kind != setting_kind::number && rule.kind != setting_kind::decimal) {
         return std::string{to_row(rule.kind).allowed};
     }
-    return "a whole number from " + std::to_string(rule.minimum) + " to " +
+    return std::string{to_row(rule.kind).allowed} + " from " + std::to_string(rule.minimum) + " to " +
            std::to_string(rule.maximum);
 }
 
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -20,7 +20,9 @@
     flag,
     z85_key,
     z85_key_list,
-    digest
+    digest,
+    decimal,  ///< a number with an optional fraction
+    pair_list ///< name:name, comma-separated
 };
 
 /// One key that a program knows. The tables of rules are the only place that lists keys.
--- /dev/null
+++ b/src/programs/gateway.cpp
@@ -0,0 +1,99 @@
+#include "gateway/serving/gateway.h"
+#include "platform/platform.h"
+#include "process/build_info.h"
+
+#include <csignal>  // signal, SIGPIPE
+#include <cstdlib>  // EXIT_FAILURE, EXIT_SUCCESS
+#include <iostream> // cerr, cout
+#include <string>   // string
+#include <variant>  // get, get_if
+#include <vector>   // vector
+
+#include <tclap/CmdLine.h>
+
+namespace {
+
+using namespace hickorykeel;
+using gateway::gateway_settings;
+
+constexpr int exit_usage = 64; // EX_USAGE of sysexits.h
+
+/// What the command line asks for.
+struct command_line {
+    std::string settings_path;
+    bool checks_only = false;
+};
+
+command_line parse(int argc, char** argv)
+{
+    TCLAP::CmdLine line{"Gateway for callers' requests. Without --settings the platform's "
+                        "environment names the settings file.",
+                        ' ', std::string{build_version()}};
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> path{
+        "s", "settings", "settings of this process (INI)", false, platform::settings_path(),
+        "FILE"};
+    TCLAP::SwitchArg check{"", "check", "check the settings and leave"};
+    line.add(path);
+    line.add(check);
+    line.parse(argc, argv);
+    return {path.getValue(), check.getValue()};
+}
+
+/// Loads the settings; each fault is printed.
+std::variant<gateway_settings, int> load(const std::string& path)
+{
+    auto loaded = settings::load(path, gateway::gateway_rules());
+    if (const auto* faults = std::get_if<std::vector<settings_fault>>(&loaded)) {
+        for (const settings_fault& fault : *faults) {
+            std::cerr << fault.to_string() << '\n';
+        }
+        return exit_settings;
+    }
+    return gateway::to_gateway_settings(std::get<settings>(loaded));
+}
+
+int serve(const command_line& chosen)
+{
+    auto loaded = load(chosen.settings_path);
+    if (const int* code = std::get_if<int>(&loaded)) {
+        return *code;
+    }
+    if (chosen.checks_only) {
+        std::cout << "settings: right\n";
+        return EXIT_SUCCESS;
+    }
+    const auto reload = [path = chosen.settings_path]() -> result<gateway_settings> {
+        auto again = load(path);
+        if (std::holds_alternative<int>(again)) {
+            return error{error_kind::settings_invalid, "reload", path, "the settings have faults"};
+        }
+        return std::get<gateway_settings>(std::move(again));
+    };
+    gateway::gateway serving{std::get<gateway_settings>(std::move(loaded)),
+                             platform::make_parts(reload)};
+    const auto opened = serving.open();
+    if (const auto* failure = std::get_if<error>(&opened)) {
+        std::cerr << failure->to_string() << '\n';
+        return EXIT_FAILURE;
+    }
+    serving.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        return serve(parse(argc, argv));
+    }
+    catch (const TCLAP::ExitException& leave) {
+        return leave.getExitStatus();
+    }
+    catch (const TCLAP::ArgException& fault) {
+        std::cerr << fault.argId() << ": " << fault.error() << '\n';
+        return exit_usage;
+    }
+}
