Run a request that was passed on at one endpoint

Ruled out: resumption and repeats after a reset, as the first host's log shows one try. The host that took the request from its caller now counts the runs; attempt_rule holds the rule with a test that failed before.

--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -335,7 +335,7 @@
     options.connect_timeout = m_context.options.endpoint_connect_timeout;
     // a kept connection may be closed by its peer just now, and then nobody knows what has run
     options.needs_new_connection = !m_route->is_repeatable();
-    ++m_tries;
+    m_attempts.on_try();
     m_stage = m_began_answer ? stage::relaying : stage::sending;
     m_try.call = m_context.client.call(options, std::move(request), handlers());
     arm();
@@ -362,7 +362,7 @@
     options.address = m_try.peer;
     options.connect_timeout = m_context.options.host_connect_timeout;
     options.needs_new_connection = !m_route->is_repeatable();
-    ++m_tries;
+    m_attempts.on_try();
     m_stage = m_began_answer ? stage::relaying : stage::sending;
     m_try.call = m_context.client.call(
         options, format_request(head.method, head.target, headers, m_caller->body()), handlers());
@@ -530,16 +530,14 @@
     m_context.wake();
 }
 
-bool exchange::may_try_again(const try_failure& failure)
+attempt_rule exchange::rule() const
 {
-    const unsigned runs = m_runs + (failure.may_have_run ? 1 : 0);
-    if (failure.may_have_run && (!m_route->is_repeatable() || runs >= m_route->max_attempts)) {
-        return false;
-    }
-    if (m_began_answer && !m_route->is_resumable) {
-        return false;
-    }
-    return m_tries < m_context.options.most_tries &&
+    return to_attempt_rule(*m_route, m_is_forwarded, m_context.options.most_tries);
+}
+
+bool exchange::may_try_again(const try_failure& failure) const
+{
+    return m_attempts.may_try_again(rule(), {failure.may_have_run}, m_began_answer) &&
            time_left() > m_context.options.least_time_left;
 }
 
@@ -568,7 +566,9 @@
     if (!m_try.endpoint.empty()) {
         m_excluded.push_back(m_try.endpoint);
     }
-    m_runs += failure.may_have_run ? 1 : 0;
+    if (failure.may_have_run) {
+        m_attempts.on_run();
+    }
     end_try(failure.outcome);
     m_events.drop_partial();
     if (!again) {
@@ -583,7 +583,7 @@
 
 std::optional<time_point> exchange::silence_limit() const
 {
-    if (!m_try.is_sent || !m_route->is_repeatable() || m_runs + 1 >= m_route->max_attempts) {
+    if (!m_try.is_sent || !m_route->is_repeatable() || m_attempts.runs() + 1 >= rule().max_runs) {
         return std::nullopt;
     }
     const serving_options& options = m_context.options;
@@ -636,7 +636,9 @@
         if (m_try.call != nullptr) {
             m_try.call->cancel();
         }
-        m_runs += may_have_run ? 1 : 0;
+        if (may_have_run) {
+            m_attempts.on_run();
+        }
         end_try(may_have_run ? endpoint_outcome::abandoned : endpoint_outcome::unreachable);
         give_up("deadline");
         return;
@@ -659,7 +661,7 @@
         finish("broken_off", 0);
         return;
     }
-    if (m_runs == 0) {
+    if (m_attempts.runs() == 0) {
         const serving_options& options = m_context.options;
         refuse(503, code, "no",
                code == "no_endpoint" ? options.retry_after_outage : options.retry_after_overload);
@@ -689,7 +691,7 @@
 {
     m_stage = stage::done;
     m_timer.cancel();
-    if (m_runs == 0 && m_charged > 0 && outcome != "answered" && outcome != "endpoint_failed" &&
+    if (m_attempts.runs() == 0 && m_charged > 0 && outcome != "answered" && outcome != "endpoint_failed" &&
         outcome != "caller_gone") {
         m_context.usage.give_back(m_organisation, m_charged);
     }
@@ -702,8 +704,8 @@
         .add("organisation", m_organisation)
         .add("outcome", outcome)
         .add("status", std::int64_t{status})
-        .add("tries", std::int64_t{m_tries})
-        .add("ran", m_runs > 0 || outcome == "answered" ? "unknown" : "no")
+        .add("tries", std::int64_t{m_attempts.tries()})
+        .add("ran", m_attempts.runs() > 0 || outcome == "answered" ? "unknown" : "no")
         .add_ms("elapsed_ms", elapsed)
         .add("events", static_cast<std::int64_t>(m_events.events()))
         .add_ms("control_age_ms", m_context.state.control_age(boot_clock::now()));
@@ -723,7 +725,9 @@
         m_try.call->cancel();
         end_try(endpoint_outcome::abandoned);
     }
-    m_runs += was_sent ? 1 : 0;
+    if (was_sent) {
+        m_attempts.on_run();
+    }
     finish("caller_gone", 0);
 }
 
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/http/http_server.h"
+#include "gateway/serving/attempt_rule.h"
 #include "gateway/serving/event_splitter.h"
 #include "gateway/serving/serving_context.h"
 
@@ -104,7 +105,8 @@
     [[nodiscard]] bool is_genuine(const message_head& head) const;
     void end_try(endpoint_outcome outcome);
     void fail_try(const try_failure& failure);
-    [[nodiscard]] bool may_try_again(const try_failure& failure);
+    [[nodiscard]] bool may_try_again(const try_failure& failure) const;
+    [[nodiscard]] attempt_rule rule() const;
     [[nodiscard]] bool is_stream() const noexcept;
 
     // time
@@ -133,8 +135,7 @@
     stage m_stage = stage::placing;
     try_state m_try;
     std::vector<std::string> m_excluded;
-    unsigned m_tries = 0;
-    unsigned m_runs = 0; ///< tries that may have run
+    attempt_count m_attempts;
     bool m_is_queued = false;
     bool m_began_answer = false;
     time_point m_last_event{};
