Reuse young connections for requests that run once, and ask a failing endpoint again

Cause: each request that may run once opened a connection that was then kept and never used again; a plain service's endpoint reset what came over its cap, which blocked the region's only endpoint. Ruled out: slow endpoints, as the late requests had waited here. Safe requests that got a failure were sent to another region, 160 ms away. Buckets of organisations fill from the process's start, not from an organisation's first request.

--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t response_head_bytes = 65'536;
-constexpr std::size_t most_idle = 64; // connections to one address
+constexpr std::size_t most_idle = 24; // connections to one address
 
 /// Idle time after which a connection isn't used again, where the peer states none.
 constexpr duration default_idle_time = std::chrono::seconds{4};
@@ -183,7 +183,8 @@
     const auto handlers = std::move(m_handlers);
     m_handlers = {};
     m_is_busy = false;
-    m_reusable_until = boot_clock::now() + idle;
+    m_idle_since = boot_clock::now();
+    m_reusable_until = m_idle_since + idle;
     m_owner.keep(shared_from_this());
     handlers.on_end(call_end::complete);
 }
@@ -206,7 +207,7 @@
                                                      std::string request, call_handlers handlers)
 {
     const bool has_no_body = request.starts_with("HEAD ");
-    auto connection = options.needs_new_connection ? nullptr : take_idle(options.address);
+    auto connection = take_idle(options);
     if (connection == nullptr) {
         ++m_opened;
         connection = std::make_shared<client_connection>(m_loop, *this, options.address);
@@ -215,9 +216,9 @@
     return connection;
 }
 
-std::shared_ptr<client_connection> http_client::take_idle(const std::string& address)
+std::shared_ptr<client_connection> http_client::take_idle(const call_options& options)
 {
-    const auto found = m_idle.find(address);
+    const auto found = m_idle.find(options.address);
     if (found == m_idle.end()) {
         return nullptr;
     }
@@ -225,11 +226,15 @@
     auto& idle = found->second;
     while (!idle.empty()) {
         // the one used last is the least likely to be closed by the peer
-        auto connection = std::move(idle.back());
-        idle.pop_back();
+        auto connection = idle.back();
         if (connection->m_reusable_until > now && connection->m_channel->is_open()) {
+            if (now - connection->m_idle_since > options.longest_idle) {
+                return nullptr;
+            }
+            idle.pop_back();
             return connection;
         }
+        idle.pop_back();
         connection->m_channel->close();
     }
     return nullptr;
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -32,7 +32,7 @@
 /// One request to a peer, and its response.
 struct call_options {
     std::string address;                            ///< "ip:port"
-    bool needs_new_connection = false;              ///< never reuse an idle one
+    duration longest_idle = std::chrono::seconds{60}; ///< of a kept connection that is used again
     duration connect_timeout = std::chrono::milliseconds{500};
     std::size_t response_bytes = 16'777'216;        ///< largest body that is accepted
 };
@@ -80,6 +80,7 @@
     message_parser m_parser;
     call_handlers m_handlers;
     std::string m_request;
+    time_point m_idle_since{};
     time_point m_reusable_until{};
     std::uint64_t m_calls = 0;
     bool m_is_connected = false;
@@ -107,7 +108,7 @@
 private:
     friend class client_connection;
 
-    std::shared_ptr<client_connection> take_idle(const std::string& address);
+    std::shared_ptr<client_connection> take_idle(const call_options& options);
     void keep(const std::shared_ptr<client_connection>& connection);
     void drop(const client_connection& connection);
 
--- a/src/gateway/limits/usage_ledger.cpp
+++ b/src/gateway/limits/usage_ledger.cpp
@@ -18,7 +18,7 @@
     if (!account.is_known) {
         account.is_known = true;
         account.level += capacity * start_part;
-        account.updated = now;
+        account.updated = m_started;
     }
     const double gained = limit.rate * m_part * to_seconds(now - account.updated);
     account.level = std::min(capacity, account.level + std::max(0.0, gained));
--- a/src/gateway/limits/usage_ledger.h
+++ b/src/gateway/limits/usage_ledger.h
@@ -26,6 +26,9 @@
 /// Thread safety: none; the owner serialises calls. No I/O.
 class usage_ledger {
 public:
+    /// Buckets fill from `started` on.
+    explicit usage_ledger(time_point started) : m_started{started} {}
+
     /// @name use
     /// @{
 
@@ -67,6 +70,7 @@
 
     void refill(bucket& account, usage_limit limit, time_point now) const;
 
+    time_point m_started;
     double m_part = 1;
     std::unordered_map<std::string, bucket> m_buckets;
     std::unordered_map<std::string, reported> m_reports; // by host
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -333,14 +333,21 @@
     call_options options;
     options.address = chosen.address;
     options.connect_timeout = m_context.options.endpoint_connect_timeout;
-    // a kept connection may be closed by its peer just now, and then nobody knows what has run
-    options.needs_new_connection = !m_route->is_repeatable();
+    options.longest_idle = longest_idle();
     m_attempts.on_try();
     m_stage = m_began_answer ? stage::relaying : stage::sending;
     m_try.call = m_context.client.call(options, std::move(request), handlers());
     arm();
 }
 
+duration exchange::longest_idle() const
+{
+    // the peer may just be closing a connection that was idle for long, and then nobody knows
+    // whether the request has run
+    return m_route->is_repeatable() ? m_context.options.longest_idle
+                                    : m_context.options.longest_idle_once;
+}
+
 void exchange::send_to_host(const member& chosen, duration expected)
 {
     m_try = {};
@@ -361,7 +368,7 @@
     call_options options;
     options.address = m_try.peer;
     options.connect_timeout = m_context.options.host_connect_timeout;
-    options.needs_new_connection = !m_route->is_repeatable();
+    options.longest_idle = longest_idle();
     m_attempts.on_try();
     m_stage = m_began_answer ? stage::relaying : stage::sending;
     m_try.call = m_context.client.call(
@@ -563,7 +570,8 @@
             m_context.metrics.count("retry_budget_empty");
         }
     }
-    if (!m_try.endpoint.empty()) {
+    // an endpoint that answers, if with a failure, may well answer the next time
+    if (!m_try.endpoint.empty() && failure.outcome != endpoint_outcome::failed) {
         m_excluded.push_back(m_try.endpoint);
     }
     if (failure.may_have_run) {
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -89,6 +89,7 @@
     void send_to_endpoint(const placement& chosen);
     [[nodiscard]] std::vector<region_option> other_regions() const;
     [[nodiscard]] const member* pick_host(const std::string& region);
+    [[nodiscard]] duration longest_idle() const; ///< of a connection that may be used
     void send_to_host(const member& chosen, duration expected);
     [[nodiscard]] duration time_left() const;
     [[nodiscard]] time_point waits_until() const;
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -69,7 +69,7 @@
       m_log{m_loop, m_settings.host,
             {.request_lines_per_s = static_cast<std::uint64_t>(m_settings.request_log_rate)}},
       m_random{random_seed()}, m_state{{.key_lease = m_settings.key_withdrawal - key_lease_margin}},
-      m_members{m_settings.ip, to_ips(m_settings.seeds), {}},
+      m_members{m_settings.ip, to_ips(m_settings.seeds), {}}, m_usage{boot_clock::now()},
       m_pool{{}, [this](const std::string& endpoint) { return is_cold_owner(endpoint); }},
       m_client{m_loop}, m_source{m_parts.make_source(m_loop, m_client, m_settings)},
       m_follower{{m_loop, *m_source, m_state, m_members, m_client, m_log, m_metrics},
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -40,6 +40,10 @@
     std::size_t most_unsent = 262'144;
     /// A host that could not be reached gets nothing for so long.
     duration unreachable_block = std::chrono::milliseconds{1'000};
+    /// Idle time of a kept connection that is used again.
+    duration longest_idle = std::chrono::seconds{4};
+    /// The same for a request that may run once only.
+    duration longest_idle_once = std::chrono::milliseconds{1'500};
     duration endpoint_connect_timeout = std::chrono::milliseconds{400};
     duration host_connect_timeout = std::chrono::milliseconds{600};
     duration retry_after_overload = std::chrono::milliseconds{700};
