--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -41,10 +41,10 @@
         !document.contains("endpoints") || !document["endpoints"].is_string()) {
         return std::nullopt;
     }
-    return relayed_state{document["control"].get<std::string>(),
-                         document["endpoints"].get<std::string>(),
-                         std::chrono::milliseconds{document["control_age_ms"].get<std::int64_t>()},
-                         std::chrono::milliseconds{document["endpoints_age_ms"].get<std::int64_t>()}};
+    return relayed_state{
+        document["control"].get<std::string>(), document["endpoints"].get<std::string>(),
+        std::chrono::milliseconds{document["control_age_ms"].get<std::int64_t>()},
+        std::chrono::milliseconds{document["endpoints_age_ms"].get<std::int64_t>()}};
 }
 
 configuration_follower::configuration_follower(parts with, follower_options options,
@@ -62,9 +62,10 @@
 
 void configuration_follower::read_control()
 {
-    m_with.source.read_control([this, asked_at = boot_clock::now()](result<control_reading> answer) {
-        on_answer(subject::control, std::move(answer), asked_at);
-    });
+    m_with.source.read_control(
+        [this, asked_at = boot_clock::now()](result<control_reading> answer) {
+            on_answer(subject::control, std::move(answer), asked_at);
+        });
 }
 
 void configuration_follower::read_endpoints()
@@ -100,8 +101,8 @@
     }
     const control_reading& held = m_with.state.control();
     log_line line{"configuration"};
-    line.add("version", static_cast<std::int64_t>(
-                            held.published == nullptr ? 0 : held.published->version))
+    line.add("version",
+             static_cast<std::int64_t>(held.published == nullptr ? 0 : held.published->version))
         .add("revision", static_cast<std::int64_t>(held.revision));
     for (const std::string& failure_domain : held.evacuated_domains) {
         line.add("evacuated", failure_domain);
@@ -120,8 +121,8 @@
         m_with.log.write(log_line{"endpoint_removed"}.add("endpoint", id));
     }
     if (std::exchange(m_unusable, unusable) != unusable) {
-        m_with.log.write(
-            log_line{"endpoint_entries_unusable"}.add("count", static_cast<std::int64_t>(unusable)));
+        m_with.log.write(log_line{"endpoint_entries_unusable"}.add(
+            "count", static_cast<std::int64_t>(unusable)));
     }
     if (m_with.state.endpoints().size() != before) {
         m_with.log.write(log_line{"endpoints"}.add(
@@ -141,8 +142,7 @@
         return;
     }
     log_line line{failure != nullptr ? "source_lost" : "source_regained"};
-    line.add("reading", name)
-        .add_ms("control_age_ms", m_with.state.control_age(boot_clock::now()));
+    line.add("reading", name).add_ms("control_age_ms", m_with.state.control_age(boot_clock::now()));
     if (failure != nullptr) {
         line.add("error", failure->to_string());
     }
@@ -199,10 +199,11 @@
             m_with.metrics.count("relay_failure");
         }
     };
-    m_with.client.call({.address = address, .connect_timeout = relay_connect_timeout},
-                       format_request("GET", relay_path, headers, {}),
-                       {.on_body = [body](std::string& bytes) { *body += std::exchange(bytes, {}); },
-                        .on_end = on_end});
+    m_with.client.call(
+        {.address = address, .connect_timeout = relay_connect_timeout},
+        format_request("GET", relay_path, headers, {}),
+        {.on_body = [body](std::string& bytes) { *body += std::exchange(bytes, {}); },
+         .on_end = on_end});
 }
 
 void configuration_follower::on_relayed(const std::string& host, const std::string& text,
--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -60,8 +60,7 @@
         gateway_metrics& metrics;
     };
 
-    configuration_follower(parts with, follower_options options,
-                           std::function<void()> on_change);
+    configuration_follower(parts with, follower_options options, std::function<void()> on_change);
 
     void start();
 
--- a/src/gateway/configuration/publication.cpp
+++ b/src/gateway/configuration/publication.cpp
@@ -15,10 +15,9 @@
 void publication::add(route added)
 {
     auto& routes = m_routes[added.host];
-    const auto at = std::upper_bound(routes.begin(), routes.end(), added,
-                                     [](const route& lhs, const route& rhs) {
-                                         return lhs.prefix.size() > rhs.prefix.size();
-                                     });
+    const auto at = std::upper_bound(
+        routes.begin(), routes.end(), added,
+        [](const route& lhs, const route& rhs) { return lhs.prefix.size() > rhs.prefix.size(); });
     routes.insert(at, std::move(added));
     ++m_route_count;
 }
--- a/src/gateway/configuration/publication.h
+++ b/src/gateway/configuration/publication.h
@@ -140,16 +140,16 @@
     unsigned slots = 1;
     bool is_draining = false;
     std::chrono::milliseconds cold_remaining{0};
-    std::int64_t born_ms = 0;    ///< start of the incarnation, Unix milliseconds; 0: unknown
-    std::uint64_t sequence = 0;  ///< heartbeats since the start
+    std::int64_t born_ms = 0;   ///< start of the incarnation, Unix milliseconds; 0: unknown
+    std::uint64_t sequence = 0; ///< heartbeats since the start
 };
 
 /// What operators publish, as read at one moment.
 struct control_reading {
-    publication_ptr published;                ///< null: nothing is published yet
-    std::set<std::string> evacuated_domains;  ///< failure domains whose endpoints get nothing
-    std::uint64_t revision = 0;               ///< of the source when it was read
-    std::string text;                         ///< as received, for relaying
+    publication_ptr published;               ///< null: nothing is published yet
+    std::set<std::string> evacuated_domains; ///< failure domains whose endpoints get nothing
+    std::uint64_t revision = 0;              ///< of the source when it was read
+    std::string text;                        ///< as received, for relaying
 };
 
 /// The endpoints, as read at one moment.
--- a/src/gateway/configuration/published_state.cpp
+++ b/src/gateway/configuration/published_state.cpp
@@ -8,16 +8,15 @@
 state_change published_state::apply(control_reading reading, time_point current_at)
 {
     state_change change;
-    const bool is_older_version = m_control.published != nullptr &&
-                                  (reading.published == nullptr ||
-                                   reading.published->version < m_control.published->version);
+    const bool is_older_version =
+        m_control.published != nullptr &&
+        (reading.published == nullptr || reading.published->version < m_control.published->version);
     if (reading.revision < m_control.revision || is_older_version) {
         return change;
     }
     const std::uint64_t held = m_control.published == nullptr ? 0 : m_control.published->version;
     const std::uint64_t read = reading.published == nullptr ? 0 : reading.published->version;
-    change.is_newer =
-        read > held || reading.evacuated_domains != m_control.evacuated_domains;
+    change.is_newer = read > held || reading.evacuated_domains != m_control.evacuated_domains;
     m_control_current_at = std::max(m_control_current_at, current_at);
     m_control = std::move(reading);
     return change;
--- a/src/gateway/configuration/published_state.h
+++ b/src/gateway/configuration/published_state.h
@@ -22,8 +22,8 @@
 
 /// What a reading has changed.
 struct state_change {
-    bool is_newer = false;              ///< a newer version or set of evacuations is held
-    std::vector<std::string> removed;   ///< ids of endpoints that are gone
+    bool is_newer = false;            ///< a newer version or set of evacuations is held
+    std::vector<std::string> removed; ///< ids of endpoints that are gone
 };
 
 /// The newest published configuration and endpoints that this host knows, with their age.
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -50,7 +50,10 @@
 
 } // namespace
 
-std::span<const setting_rule> gateway_rules() noexcept { return rules; }
+std::span<const setting_rule> gateway_rules() noexcept
+{
+    return rules;
+}
 
 std::uint16_t gateway_settings::peers_port() const
 {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -31,9 +31,9 @@
 
     std::chrono::milliseconds key_withdrawal{5'000}; ///< a withdrawn key is refused after it
     double retry_ratio = 0.2;
-    double retry_slack = 52;                         ///< of all hosts together
-    std::chrono::seconds stop_grace{8};              ///< from the stop signal to the kill
-    std::int64_t request_log_rate = 400;             ///< lines a second
+    double retry_slack = 52;             ///< of all hosts together
+    std::chrono::seconds stop_grace{8};  ///< from the stop signal to the kill
+    std::int64_t request_log_rate = 400; ///< lines a second
 
     /// Port of `peers_address`.
     [[nodiscard]] std::uint16_t peers_port() const;
--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -31,8 +31,8 @@
 
 client_connection::client_connection(asio::io_context& loop, http_client& owner,
                                      std::string address)
-    : m_owner{owner}, m_address{std::move(address)},
-      m_channel{std::make_shared<tcp_channel>(loop)}, m_parser{message_role::response, {}}
+    : m_owner{owner}, m_address{std::move(address)}, m_channel{std::make_shared<tcp_channel>(loop)},
+      m_parser{message_role::response, {}}
 {
 }
 
@@ -189,7 +189,10 @@
     handlers.on_end(call_end::complete);
 }
 
-void client_connection::fail(call_end how) { finish(how); }
+void client_connection::fail(call_end how)
+{
+    finish(how);
+}
 
 void client_connection::finish(call_end how)
 {
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -20,26 +20,26 @@
 
 /// How a call ended.
 enum class call_end {
-    complete,       ///< a whole response
-    not_connected,  ///< no byte of the request was sent
-    no_response,    ///< sent, and the connection ended without a byte of a response
-    broken,         ///< the response ended early
-    malformed,      ///< bytes that are no response, or more than one
+    complete,      ///< a whole response
+    not_connected, ///< no byte of the request was sent
+    no_response,   ///< sent, and the connection ended without a byte of a response
+    broken,        ///< the response ended early
+    malformed,     ///< bytes that are no response, or more than one
 };
 
 [[nodiscard]] std::string_view to_name(call_end end) noexcept;
 
 /// One request to a peer, and its response.
 struct call_options {
-    std::string address;                            ///< "ip:port"
+    std::string address;                              ///< "ip:port"
     duration longest_idle = std::chrono::seconds{60}; ///< of a kept connection that is used again
     duration connect_timeout = std::chrono::milliseconds{500};
-    std::size_t response_bytes = 16'777'216;        ///< largest body that is accepted
+    std::size_t response_bytes = 16'777'216; ///< largest body that is accepted
 };
 
 /// Handlers of a call. They run on the loop's thread, and never after `cancel()`.
 struct call_handlers {
-    std::function<void()> on_sent = {};             ///< handed to an established connection
+    std::function<void()> on_sent = {}; ///< handed to an established connection
     std::function<void(const message_head&)> on_head = {};
     std::function<void(std::string&)> on_body = {}; ///< bytes so far; the handler may take them
     std::function<void(call_end)> on_end;           ///< last
--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -137,7 +137,8 @@
         break;
     case parse_state::reading_body:
         m_limit = boot_clock::now() + m_owner.m_limits.idle_timeout;
-        if (!m_sent_continue && is_same_name(m_parser.head().headers.find("Expect"), "100-continue")) {
+        if (!m_sent_continue &&
+            is_same_name(m_parser.head().headers.find("Expect"), "100-continue")) {
             m_sent_continue = true;
             m_channel->send("HTTP/1.1 100 Continue\r\n\r\n");
         }
--- a/src/gateway/http/message.cpp
+++ b/src/gateway/http/message.cpp
@@ -6,7 +6,7 @@
 #include <charconv>  // from_chars
 #include <utility>   // move
 
-#include <fmt/format.h> // format_to
+#include <fmt/format.h>  // format_to
 #include <http_parser.h> // http_status_str
 
 namespace hickorykeel::gateway {
@@ -88,7 +88,10 @@
     return {};
 }
 
-bool header_list::contains(std::string_view name) const noexcept { return count(name) > 0; }
+bool header_list::contains(std::string_view name) const noexcept
+{
+    return count(name) > 0;
+}
 
 std::size_t header_list::count(std::string_view name) const noexcept
 {
@@ -120,9 +123,15 @@
     m_fields.push_back({std::move(name), std::move(value)});
 }
 
-void header_list::append_to_last_name(std::string_view text) { m_fields.back().name += text; }
+void header_list::append_to_last_name(std::string_view text)
+{
+    m_fields.back().name += text;
+}
 
-void header_list::append_to_last_value(std::string_view text) { m_fields.back().value += text; }
+void header_list::append_to_last_value(std::string_view text)
+{
+    m_fields.back().value += text;
+}
 
 std::string_view to_path(std::string_view target) noexcept
 {
@@ -163,9 +172,15 @@
 
 bool is_connection_header(std::string_view name) noexcept
 {
-    constexpr std::array<std::string_view, 9> names{
-        "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
-        "te",         "trailer",    "transfer-encoding",  "upgrade"};
+    constexpr std::array<std::string_view, 9> names{"connection",
+                                                    "keep-alive",
+                                                    "proxy-authenticate",
+                                                    "proxy-authorization",
+                                                    "proxy-connection",
+                                                    "te",
+                                                    "trailer",
+                                                    "transfer-encoding",
+                                                    "upgrade"};
     return std::any_of(names.begin(), names.end(),
                        [name](std::string_view known) { return is_same_name(known, name); });
 }
--- a/src/gateway/http/message.h
+++ b/src/gateway/http/message.h
@@ -48,10 +48,10 @@
 
 /// Start line and header fields of a request or a response.
 struct message_head {
-    std::string method;  ///< of a request
-    std::string target;  ///< of a request: path and query
-    int status = 0;      ///< of a response
-    std::string reason;  ///< of a response
+    std::string method; ///< of a request
+    std::string target; ///< of a request: path and query
+    int status = 0;     ///< of a response
+    std::string reason; ///< of a response
     header_list headers;
     bool keeps_alive = false;
 };
--- a/src/gateway/http/message_parser.h
+++ b/src/gateway/http/message_parser.h
@@ -14,7 +14,14 @@
 enum class message_role { request, response };
 
 /// How far a message has been read.
-enum class parse_state { reading_head, reading_body, complete, malformed, head_too_large, body_too_large };
+enum class parse_state {
+    reading_head,
+    reading_body,
+    complete,
+    malformed,
+    head_too_large,
+    body_too_large
+};
 
 /// Largest message that is accepted, in bytes.
 struct message_limits {
--- a/src/gateway/http/tcp_channel.cpp
+++ b/src/gateway/http/tcp_channel.cpp
@@ -5,10 +5,10 @@
 #include <chrono>   // milliseconds
 #include <utility>  // move
 
-#include <asio/buffer.hpp>    // buffer
-#include <asio/post.hpp>      // post
-#include <netinet/tcp.h>      // TCP_USER_TIMEOUT
-#include <sys/socket.h>       // setsockopt
+#include <asio/buffer.hpp> // buffer
+#include <asio/post.hpp>   // post
+#include <netinet/tcp.h>   // TCP_USER_TIMEOUT
+#include <sys/socket.h>    // setsockopt
 
 namespace hickorykeel::gateway {
 
--- a/src/gateway/http/tcp_channel.h
+++ b/src/gateway/http/tcp_channel.h
@@ -9,8 +9,8 @@
 #include <string>      // string
 #include <string_view> // string_view
 
-#include <asio/io_context.hpp> // io_context
-#include <asio/ip/tcp.hpp>     // tcp
+#include <asio/io_context.hpp>   // io_context
+#include <asio/ip/tcp.hpp>       // tcp
 #include <asio/steady_timer.hpp> // steady_timer
 
 namespace hickorykeel::gateway {
--- a/src/gateway/limits/usage_ledger.h
+++ b/src/gateway/limits/usage_ledger.h
@@ -34,8 +34,7 @@
 
     /// Takes `units` if the bucket isn't empty.
     /// @return zero if they were taken, or the time until the bucket is above zero
-    duration take(const std::string& organisation, usage_limit limit, double units,
-                  time_point now);
+    duration take(const std::string& organisation, usage_limit limit, double units, time_point now);
 
     /// Returns units of a request that did not run.
     void give_back(const std::string& organisation, double units);
--- a/src/gateway/membership/gossip_socket.cpp
+++ b/src/gateway/membership/gossip_socket.cpp
@@ -40,16 +40,16 @@
 
 void gossip_socket::receive()
 {
-    m_socket.async_receive_from(
-        asio::buffer(m_buffer), m_sender, [this](const asio::error_code& failure, std::size_t size) {
-            if (!m_socket.is_open()) {
-                return;
-            }
-            if (!failure) {
-                m_on_datagram({m_buffer.data(), size});
-            }
-            receive();
-        });
+    m_socket.async_receive_from(asio::buffer(m_buffer), m_sender,
+                                [this](const asio::error_code& failure, std::size_t size) {
+                                    if (!m_socket.is_open()) {
+                                        return;
+                                    }
+                                    if (!failure) {
+                                        m_on_datagram({m_buffer.data(), size});
+                                    }
+                                    receive();
+                                });
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -99,9 +99,8 @@
 
 std::size_t member_table::possible_count() const
 {
-    const auto unheard = std::count_if(m_seeds.begin(), m_seeds.end(), [this](const auto& ip) {
-        return !m_members.contains(ip);
-    });
+    const auto unheard = std::count_if(m_seeds.begin(), m_seeds.end(),
+                                       [this](const auto& ip) { return !m_members.contains(ip); });
     return m_members.size() + static_cast<std::size_t>(unheard) + 1;
 }
 
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -13,7 +13,7 @@
 
 /// What a region could do for a request to a service now.
 struct service_load {
-    duration expected_wait{0};    ///< until a typical request is begun
+    duration expected_wait{0}; ///< until a typical request is begun
     std::uint32_t free_places = 0;
 };
 
--- a/src/gateway/observability/event_log.cpp
+++ b/src/gateway/observability/event_log.cpp
@@ -5,9 +5,9 @@
 #include <mutex>   // (null_mutex of the library)
 #include <utility> // move
 
-#include <fcntl.h>                 // fcntl
-#include <fmt/format.h>            // format_to
-#include <nlohmann/json.hpp>       // json, for escaping
+#include <fcntl.h>           // fcntl
+#include <fmt/format.h>      // format_to
+#include <nlohmann/json.hpp> // json, for escaping
 #include <spdlog/details/null_mutex.h>
 #include <spdlog/logger.h>
 #include <spdlog/sinks/base_sink.h>
@@ -91,8 +91,9 @@
 
 event_log::event_log(asio::io_context& loop, std::string host, event_log_options options)
     : m_host{std::move(host)}, m_options{options}, m_timer{loop},
-      m_buffer{std::make_shared<std::string>()},
-      m_logger{std::make_shared<spdlog::logger>("events", std::make_shared<buffer_sink>(m_buffer))}
+      m_buffer{std::make_shared<std::string>()}, m_logger{std::make_shared<spdlog::logger>(
+                                                     "events",
+                                                     std::make_shared<buffer_sink>(m_buffer))}
 {
     // a slow reader of the log must not hold the loop up
     const int flags = fcntl(STDOUT_FILENO, F_GETFL);
@@ -102,9 +103,15 @@
     tick();
 }
 
-event_log::~event_log() { flush(); }
+event_log::~event_log()
+{
+    flush();
+}
 
-void event_log::write(const log_line& line) { append(line); }
+void event_log::write(const log_line& line)
+{
+    append(line);
+}
 
 void event_log::write_request(const log_line& line)
 {
--- a/src/gateway/observability/event_log.h
+++ b/src/gateway/observability/event_log.h
@@ -43,8 +43,8 @@
 };
 
 struct event_log_options {
-    std::size_t buffer_bytes = 262'144;       ///< lines that are not yet written
-    std::uint64_t request_lines_per_s = 400;  ///< lines on requests; the rest is counted
+    std::size_t buffer_bytes = 262'144;      ///< lines that are not yet written
+    std::uint64_t request_lines_per_s = 400; ///< lines on requests; the rest is counted
 };
 
 /// Structured lines on standard output. Bounded, and never blocks: lines that don't fit are
--- a/src/gateway/observability/gateway_metrics.cpp
+++ b/src/gateway/observability/gateway_metrics.cpp
@@ -10,9 +10,8 @@
 
 namespace {
 
-const prometheus::Histogram::BucketBoundaries second_buckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
-                                                             0.4,   0.6,  0.8,   1.2,  2,   4,
-                                                             8,     16};
+const prometheus::Histogram::BucketBoundaries second_buckets{
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 4, 8, 16};
 
 prometheus::Histogram& add_histogram(prometheus::Registry& registry, const char* name,
                                      const char* help)
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 
-constexpr double slowness_weight = 0.15;  // of a new sample
-constexpr double failure_weight = 0.1;    // of a new sample
+constexpr double slowness_weight = 0.15; // of a new sample
+constexpr double failure_weight = 0.1;   // of a new sample
 constexpr double least_slowness = 0.4;
 constexpr double most_slowness = 12;
-constexpr double failure_penalty = 4;     // times slower at a failure rate of 1
+constexpr double failure_penalty = 4; // times slower at a failure rate of 1
 constexpr std::size_t most_prompts = 4'096;
 constexpr std::size_t most_notes = 128; // in one heartbeat
 constexpr std::uint64_t typical_tokens = 2'000;
@@ -24,8 +24,8 @@
 
 std::string_view to_name(endpoint_outcome outcome) noexcept
 {
-    constexpr std::array<std::string_view, 8> names{"answered", "failed",    "shed",      "unreachable",
-                                                    "cut",      "timed_out", "abandoned", "gone"};
+    constexpr std::array<std::string_view, 8> names{
+        "answered", "failed", "shed", "unreachable", "cut", "timed_out", "abandoned", "gone"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
@@ -43,8 +43,8 @@
         }
         endpoint_state& state = next[id];
         const auto held = m_endpoints.find(id);
-        const bool is_same = held != m_endpoints.end() &&
-                             held->second.entry.born_ms == entry.born_ms;
+        const bool is_same =
+            held != m_endpoints.end() && held->second.entry.born_ms == entry.born_ms;
         if (is_same) {
             state = std::move(held->second);
         }
@@ -259,7 +259,10 @@
     }
 }
 
-std::vector<prompt_note> endpoint_pool::take_prompt_notes() { return std::exchange(m_notes, {}); }
+std::vector<prompt_note> endpoint_pool::take_prompt_notes()
+{
+    return std::exchange(m_notes, {});
+}
 
 void endpoint_pool::settle(endpoint_state& state, std::uint32_t waiting_tokens)
 {
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -35,14 +35,14 @@
 
 /// How a request at an endpoint ended, as far as the endpoint's health is concerned.
 enum class endpoint_outcome {
-    answered,      ///< a whole answer that isn't a failure
-    failed,        ///< the endpoint answered with a failure
-    shed,          ///< the endpoint rejected the request without running it
-    unreachable,   ///< no connection
-    cut,           ///< the connection broke, or what came was no answer
-    timed_out,     ///< silent for too long
-    abandoned,     ///< ended by this side; says nothing of the endpoint
-    gone,          ///< another incarnation is at the address
+    answered,    ///< a whole answer that isn't a failure
+    failed,      ///< the endpoint answered with a failure
+    shed,        ///< the endpoint rejected the request without running it
+    unreachable, ///< no connection
+    cut,         ///< the connection broke, or what came was no answer
+    timed_out,   ///< silent for too long
+    abandoned,   ///< ended by this side; says nothing of the endpoint
+    gone,        ///< another incarnation is at the address
 };
 
 [[nodiscard]] std::string_view to_name(endpoint_outcome outcome) noexcept;
@@ -109,8 +109,7 @@
     /// @{
 
     /// The best endpoint with a free place, or nothing.
-    [[nodiscard]] std::optional<placement> choose(const placement_request& request,
-                                                  time_point now);
+    [[nodiscard]] std::optional<placement> choose(const placement_request& request, time_point now);
 
     /// Whether any endpoint of the service could take the request, now or later.
     [[nodiscard]] bool has_candidate(const placement_request& request, time_point now) const;
@@ -133,8 +132,8 @@
                        duration expected);
 
     /// The end. `waiting_tokens` is what `on_sent()` returned, or 0 after the first byte.
-    void on_end(const std::string& endpoint, std::uint32_t waiting_tokens,
-                endpoint_outcome outcome, time_point now);
+    void on_end(const std::string& endpoint, std::uint32_t waiting_tokens, endpoint_outcome outcome,
+                time_point now);
     /// @}
 
     /// @name state
--- a/src/gateway/routing/prompt.h
+++ b/src/gateway/routing/prompt.h
@@ -37,7 +37,7 @@
 };
 
 /// Prompt of `parts` in their order. Thread safe.
-[[nodiscard]] prompt make_prompt(const std::vector<prompt_part>& parts,
-                                 std::uint64_t prompt_tokens, std::uint64_t output_tokens);
+[[nodiscard]] prompt make_prompt(const std::vector<prompt_part>& parts, std::uint64_t prompt_tokens,
+                                 std::uint64_t output_tokens);
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/routing/region_choice.h
+++ b/src/gateway/routing/region_choice.h
@@ -30,8 +30,9 @@
 /// @param objective within which the answer should begin
 /// @return index into `others`, or nothing: the own region, or, without `own`, none can serve now
 /// Thread safe.
-[[nodiscard]] std::optional<std::size_t>
-choose_region(std::optional<duration> own, const std::vector<region_option>& others,
-              duration objective, const region_choice_options& options);
+[[nodiscard]] std::optional<std::size_t> choose_region(std::optional<duration> own,
+                                                       const std::vector<region_option>& others,
+                                                       duration objective,
+                                                       const region_choice_options& options);
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/attempt_rule.h
+++ b/src/gateway/serving/attempt_rule.h
@@ -20,7 +20,7 @@
 /// The rule for a request on `of`. A request that another host has passed on may run at one
 /// endpoint: the host that took it from the caller counts the runs. Thread safe.
 [[nodiscard]] inline attempt_rule to_attempt_rule(const route& of, bool is_forwarded,
-                                                     unsigned max_tries) noexcept
+                                                  unsigned max_tries) noexcept
 {
     return {of.is_repeatable(), of.is_resumable, is_forwarded ? 1 : of.max_attempts, max_tries};
 }
--- a/src/gateway/serving/dialect.h
+++ b/src/gateway/serving/dialect.h
@@ -19,7 +19,7 @@
     std::optional<std::chrono::milliseconds> deadline; ///< from the receipt
     std::optional<prompt> size;                        ///< of a generation request
     std::string last_event;                            ///< a stream goes on behind this event
-    std::string refused_because; ///< not empty: the fields are malformed
+    std::string refused_because;                       ///< not empty: the fields are malformed
 };
 
 /// What an endpoint's answer says of itself.
@@ -33,9 +33,9 @@
 /// What the gateway adds to a request for an endpoint.
 struct endpoint_fields {
     std::chrono::milliseconds deadline{0};
-    std::string instance;     ///< only this incarnation may run it
-    std::string organisation; ///< empty: the caller showed no key
-    std::string last_event;   ///< of a stream that goes on; empty: from the start
+    std::string instance;        ///< only this incarnation may run it
+    std::string organisation;    ///< empty: the caller showed no key
+    std::string last_event;      ///< of a stream that goes on; empty: from the start
     std::optional<int> priority; ///< 0 first
 };
 
--- a/src/gateway/serving/event_splitter.cpp
+++ b/src/gateway/serving/event_splitter.cpp
@@ -60,8 +60,8 @@
             while (!line.empty() && (line.front() == ' ' || line.back() == '\r')) {
                 line.front() == ' ' ? line.remove_prefix(1) : line.remove_suffix(1);
             }
-            m_is_out_of_order =
-                m_is_out_of_order || (!m_last_id.empty() && to_number(line) <= to_number(m_last_id));
+            m_is_out_of_order = m_is_out_of_order ||
+                                (!m_last_id.empty() && to_number(line) <= to_number(m_last_id));
             m_last_id = line;
         }
         event = end == std::string_view::npos ? std::string_view{} : event.substr(end + 1);
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -12,14 +12,20 @@
 constexpr int first_failure_status = 500;
 constexpr int status_misdirected = 421;
 
-bool is_success(int status) noexcept { return status >= 200 && status < 300; }
+bool is_success(int status) noexcept
+{
+    return status >= 200 && status < 300;
+}
 
 std::chrono::milliseconds to_ms(duration span)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span);
 }
 
-std::string_view ran_name(bool may_have_run) noexcept { return may_have_run ? "unknown" : "no"; }
+std::string_view ran_name(bool may_have_run) noexcept
+{
+    return may_have_run ? "unknown" : "no";
+}
 
 } // namespace
 
@@ -143,14 +149,17 @@
 
 // placement
 
-duration exchange::time_left() const { return m_deadline - boot_clock::now(); }
+duration exchange::time_left() const
+{
+    return m_deadline - boot_clock::now();
+}
 
 time_point exchange::waits_until() const
 {
     const serving_options& options = m_context.options;
-    const duration longest =
-        m_is_forwarded ? options.forwarded_wait
-                       : from_seconds(to_seconds(m_route->objective) * options.wait_part);
+    const duration longest = m_is_forwarded
+                                 ? options.forwarded_wait
+                                 : from_seconds(to_seconds(m_route->objective) * options.wait_part);
     return std::min(m_received + longest, m_deadline - options.least_time_left);
 }
 
@@ -220,9 +229,8 @@
         here = m_context.pool.choose(request, now);
     }
     const auto others = other_regions();
-    const auto elsewhere =
-        choose_region(here ? std::optional{here->expected} : std::nullopt, others,
-                      m_route->objective, m_context.options.regions);
+    const auto elsewhere = choose_region(here ? std::optional{here->expected} : std::nullopt,
+                                         others, m_route->objective, m_context.options.regions);
     if (elsewhere) {
         if (const member* host = pick_host(others[*elsewhere].region)) {
             send_to_host(*host, others[*elsewhere].expected_wait);
@@ -233,8 +241,8 @@
         send_to_endpoint(*here);
         return true;
     }
-    const bool can_come = (is_home && m_context.pool.has_candidate(request, now)) ||
-                          !others.empty();
+    const bool can_come =
+        (is_home && m_context.pool.has_candidate(request, now)) || !others.empty();
     if (!can_come || now >= waits_until()) {
         give_up(can_come ? "no_free_place" : "no_endpoint");
         return true;
@@ -317,9 +325,8 @@
     fields.organisation = m_organisation;
     fields.last_event = last_event();
     const message_head& head = m_caller->head();
-    std::string request = format_request(head.method, head.target,
-                                         m_context.spelling.to_endpoint(head, fields),
-                                         m_caller->body());
+    std::string request = format_request(
+        head.method, head.target, m_context.spelling.to_endpoint(head, fields), m_caller->body());
     m_context.log.write_request(
         log_line{"request_sent"}
             .add("id", m_fields.id)
@@ -396,7 +403,10 @@
     arm();
 }
 
-bool exchange::is_stream() const noexcept { return m_route->kind == request_kind::streaming; }
+bool exchange::is_stream() const noexcept
+{
+    return m_route->kind == request_kind::streaming;
+}
 
 bool exchange::is_genuine(const message_head& head) const
 {
@@ -422,8 +432,7 @@
 void exchange::on_body(std::string& bytes)
 {
     const std::string taken = std::exchange(bytes, {});
-    const bool is_relayed =
-        is_stream() && is_success(m_try.head.status) && is_genuine(m_try.head);
+    const bool is_relayed = is_stream() && is_success(m_try.head.status) && is_genuine(m_try.head);
     if (!is_relayed) {
         m_try.body += taken;
         return;
@@ -470,8 +479,7 @@
     if (end == call_end::not_connected) {
         if (m_try.endpoint.empty()) {
             const std::string ip = m_try.peer.substr(0, m_try.peer.rfind(':'));
-            m_context.unreachable[ip] =
-                boot_clock::now() + m_context.options.unreachable_block;
+            m_context.unreachable[ip] = boot_clock::now() + m_context.options.unreachable_block;
         }
         fail_try({endpoint_outcome::unreachable, false, false, to_name(end)});
         return;
@@ -597,8 +605,8 @@
     const serving_options& options = m_context.options;
     duration patience = options.least_silence;
     if (!m_began_answer) {
-        patience = std::max(patience,
-                            from_seconds(to_seconds(m_try.expected) * options.silence_factor));
+        patience =
+            std::max(patience, from_seconds(to_seconds(m_try.expected) * options.silence_factor));
     }
     return std::max(m_last_event, m_try.sent_at) + patience;
 }
@@ -678,8 +686,7 @@
     refuse(code == "deadline" ? 504 : 502, code, "unknown", {});
 }
 
-void exchange::refuse(int status, std::string_view code, std::string_view ran,
-                      duration retry_after)
+void exchange::refuse(int status, std::string_view code, std::string_view ran, duration retry_after)
 {
     header_list headers;
     headers.add("Content-Type", "application/json");
@@ -690,8 +697,7 @@
         headers.add(std::string{refusal_header}, std::string{code});
         headers.add(std::string{ran_header}, std::string{ran});
     }
-    m_caller->respond(status, headers,
-                      fmt::format(R"({{"error":"{}","ran":"{}"}})", code, ran));
+    m_caller->respond(status, headers, fmt::format(R"({{"error":"{}","ran":"{}"}})", code, ran));
     finish(code, status);
 }
 
@@ -699,8 +705,8 @@
 {
     m_stage = stage::done;
     m_timer.cancel();
-    if (m_attempts.runs() == 0 && m_charged > 0 && outcome != "answered" && outcome != "endpoint_failed" &&
-        outcome != "caller_gone") {
+    if (m_attempts.runs() == 0 && m_charged > 0 && outcome != "answered" &&
+        outcome != "endpoint_failed" && outcome != "caller_gone") {
         m_context.usage.give_back(m_organisation, m_charged);
     }
     const duration elapsed = boot_clock::now() - m_received;
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -60,13 +60,17 @@
     return headers;
 }
 
-std::string port_of(const std::string& address) { return address.substr(address.rfind(':')); }
+std::string port_of(const std::string& address)
+{
+    return address.substr(address.rfind(':'));
+}
 
 } // namespace
 
 gateway::gateway(gateway_settings settings, gateway_parts parts)
     : m_settings{std::move(settings)}, m_parts{std::move(parts)},
-      m_log{m_loop, m_settings.host,
+      m_log{m_loop,
+            m_settings.host,
             {.request_lines_per_s = static_cast<std::uint64_t>(m_settings.request_log_rate)}},
       m_random{random_seed()}, m_state{{.key_lease = m_settings.key_withdrawal - key_lease_margin}},
       m_members{m_settings.ip, to_ips(m_settings.seeds), {}}, m_usage{boot_clock::now()},
@@ -199,8 +203,7 @@
         request->respond(503, plain_text(), "no host is ready\n");
         return;
     }
-    request->respond(200, json_text(),
-                     m_parts.spelling.write_directory(addresses, directory_ttl));
+    request->respond(200, json_text(), m_parts.spelling.write_directory(addresses, directory_ttl));
 }
 
 std::vector<std::string> gateway::addresses_for(const directory_question& question) const
@@ -301,17 +304,17 @@
         m_log.write(log_line{"host_heard"}.add("peer", host).add("region", region));
     }
     if (region != m_settings.region) {
-        std::erase_if(m_context.passed_on, [&region](const auto& item) {
-            return item.first.starts_with(region + '/');
-        });
+        std::erase_if(m_context.passed_on,
+                      [&region](const auto& item) { return item.first.starts_with(region + '/'); });
     }
 }
 
 void gateway::update_members(time_point now)
 {
     for (const std::string& host : m_members.expire(now)) {
-        m_log.write(log_line{"host_silent"}.add("peer", host).add_ms(
-            "after_ms", m_members.options().silence));
+        m_log.write(log_line{"host_silent"}
+                        .add("peer", host)
+                        .add_ms("after_ms", m_members.options().silence));
     }
     std::unordered_map<std::uint32_t, endpoint_load> loads;
     for (const member* host : m_members.live(now)) {
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -67,7 +67,7 @@
     gateway_metrics& metrics;
     random_source& random;
     serving_options options;
-    std::unordered_map<std::string, retry_budget> retries; ///< by service
+    std::unordered_map<std::string, retry_budget> retries;   ///< by service
     std::unordered_map<std::string, time_point> unreachable; ///< hosts, by ip
 
     /// Requests passed to another region's service since its last heartbeat, by region and service.
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -283,9 +283,9 @@
         if (is_new) {
             return;
         }
-        const bool takes_list =
-            rule->kind == setting_kind::address_list || rule->kind == setting_kind::z85_key_list ||
-            rule->kind == setting_kind::pair_list;
+        const bool takes_list = rule->kind == setting_kind::address_list ||
+                                rule->kind == setting_kind::z85_key_list ||
+                                rule->kind == setting_kind::pair_list;
         if (takes_list) {
             it->second += '\n' + value;
         }
@@ -349,8 +349,8 @@
     if (rule.kind != setting_kind::number && rule.kind != setting_kind::decimal) {
         return std::string{to_row(rule.kind).allowed};
     }
-    return std::string{to_row(rule.kind).allowed} + " from " + std::to_string(rule.minimum) + " to " +
-           std::to_string(rule.maximum);
+    return std::string{to_row(rule.kind).allowed} + " from " + std::to_string(rule.minimum) +
+           " to " + std::to_string(rule.maximum);
 }
 
 std::string settings_fault::to_string() const
--- a/src/programs/gateway.cpp
+++ b/src/programs/gateway.cpp
@@ -31,7 +31,7 @@
                         ' ', std::string{build_version()}};
     line.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> path{
-        "s", "settings", "settings of this process (INI)", false, platform::settings_path(),
+        "s",   "settings", "settings of this process (INI)", false, platform::settings_path(),
         "FILE"};
     TCLAP::SwitchArg check{"", "check", "check the settings and leave"};
     line.add(path);
--- a/tests/gateway/message_parser_test.cpp
+++ b/tests/gateway/message_parser_test.cpp
@@ -22,7 +22,8 @@
 TEST_CASE("a request is read whole, byte by byte")
 {
     message_parser parser{message_role::request, small};
-    for (const char c : std::string{"POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"}) {
+    for (const char c :
+         std::string{"POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"}) {
         REQUIRE(parser.feed({&c, 1}) == 1);
     }
     CHECK(parser.state() == parse_state::complete);
@@ -47,7 +48,8 @@
 TEST_CASE("a body in chunks is put together")
 {
     message_parser parser{message_role::request, small};
-    parser.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+    parser.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
     CHECK(parser.state() == parse_state::complete);
     CHECK(parser.body() == "abc");
 }
--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -37,13 +37,21 @@
     head.method = "POST";
     head.target = "/a/x";
     for (const auto& [name, value] :
-         {std::pair{"Host", "h.example"}, {"X-Hickorykeel-Attempt-Id", "9c41"},
-          {"X-Hickorykeel-Model", "m"}, {"X-Hickorykeel-Token-Usage", "1460,80"},
+         {std::pair{"Host", "h.example"},
+          {"X-Hickorykeel-Attempt-Id", "9c41"},
+          {"X-Hickorykeel-Model", "m"},
+          {"X-Hickorykeel-Token-Usage", "1460,80"},
           {"X-Hickorykeel-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
-          {"X-Hickorykeel-Deadline-Ms", "4000"}, {"Api-Key", "secret"},
-          {"X-Hickorykeel-Tenant", "forged"}, {"X-Hickorykeel-Hold", "forged"},
-          {"X-Hickorykeel-Kv-Backup", "forged"}, {"Kv-From", "forged"}, {"Connection", "keep-alive"},
-          {"Keel-Forwarded-By", "forged"}, {"Content-Length", "3"}, {"X-Own", "kept"}}) {
+          {"X-Hickorykeel-Deadline-Ms", "4000"},
+          {"Api-Key", "secret"},
+          {"X-Hickorykeel-Tenant", "forged"},
+          {"X-Hickorykeel-Hold", "forged"},
+          {"X-Hickorykeel-Kv-Backup", "forged"},
+          {"Kv-From", "forged"},
+          {"Connection", "keep-alive"},
+          {"Keel-Forwarded-By", "forged"},
+          {"Content-Length", "3"},
+          {"X-Own", "kept"}}) {
         head.headers.add(name, value);
     }
     return head;
@@ -85,7 +93,8 @@
 {
     // the values are base64 of "{}", of nothing readable, and of a whole entry
     const std::string good =
-        "eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsInpvbmUiOiJkIiwidmVyc2lvbiI6InYxIiwic2xv"
+        "eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuOTo4MCIsInpvbmUiOiJkIiwidmVyc2lvbiI6InYxIiwic2"
+        "xv"
         "dHMiOjQsInN0YXRlIjoiZHJhaW5pbmciLCJjb2xkUmVtYWluaW5nTXMiOjAsInNlcSI6NH0=";
     const std::string page = R"({"items":[{"key":"servers/i-1","value":"e30=","revision":1},)"
                              R"({"key":"servers/i-2","value":"%%%","revision":2},)"
--- a/tests/gateway/usage_ledger_test.cpp
+++ b/tests/gateway/usage_ledger_test.cpp
@@ -104,7 +104,8 @@
     CHECK(ledger.take("o", limit, 1, later + wait) == duration{0});
 }
 
-TEST_CASE("regression: the first request of an organisation finds what has gathered since the start")
+TEST_CASE(
+    "regression: the first request of an organisation finds what has gathered since the start")
 {
     // the bucket began to fill at the first request, and the next ones were refused
     usage_ledger ledger{start};
