Break a begun answer off instead of refusing in the middle of it

A refusal after the answer has begun now ends the connection. The test failed before; it runs the request path on loopback with endpoints of its own.

In the same run: prompts of 2,000 shared tokens and more have a home region by weighted rendezvous hashing, so they are read once.

--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -123,6 +123,9 @@
     /// Listens at `address` ("ip:port") and accepts from then on.
     result<bool> listen(const std::string& address);
 
+    /// Port that it listens at. Precondition: `listen()` has succeeded.
+    [[nodiscard]] std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
     /// Accepts no more connections.
     void stop_listening();
 
--- a/src/gateway/routing/region_choice.cpp
+++ b/src/gateway/routing/region_choice.cpp
@@ -1,12 +1,42 @@
 #include "gateway/routing/region_choice.h"
 
+#include "gateway/routing/rendezvous.h"
+
+#include <algorithm> // find_if
+#include <cmath>     // ldexp, log
+
 namespace hickorykeel::gateway {
 
+std::string home_region(std::uint64_t id, const std::map<std::string, double>& capacities)
+{
+    std::string best;
+    double best_score = 0;
+    for (const auto& [region, capacity] : capacities) {
+        // weighted rendezvous: an exponential variate a region, the smallest in its capacity wins
+        const double uniform =
+            std::ldexp(static_cast<double>(rendezvous_weight(id, region) >> 11U) + 0.5, -53);
+        const double score = -capacity / std::log(uniform);
+        if (score > best_score) {
+            best = region;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
 std::optional<std::size_t> choose_region(std::optional<duration> own,
                                          const std::vector<region_option>& others,
                                          duration objective, const region_choice_options& options)
 {
-    if (own && *own <= from_seconds(to_seconds(objective) * options.patience)) {
+    const duration quick_enough = from_seconds(to_seconds(objective) * options.patience);
+    const auto home = std::find_if(others.begin(), others.end(), [&](const region_option& option) {
+        return option.is_home && option.free_places > 0 &&
+               option.expected_wait + options.distance <= quick_enough;
+    });
+    if (home != others.end()) {
+        return static_cast<std::size_t>(home - others.begin());
+    }
+    if (own && *own <= quick_enough) {
         return std::nullopt;
     }
     std::optional<std::size_t> best;
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -260,12 +260,31 @@
     return false;
 }
 
+std::string exchange::home_of_prompt() const
+{
+    // a short prompt is read quicker than it travels
+    if (!m_fields.size || m_attempts.tries() > 0 || m_fields.size->prefixes.empty() ||
+        m_fields.size->prefixes.back().tokens < m_context.options.least_home_tokens) {
+        return {};
+    }
+    std::map<std::string, double> capacities;
+    for (const auto& [id, entry] : m_context.state.endpoints()) {
+        const std::string region = m_context.settings.region_of(entry.failure_domain);
+        if (entry.service == m_service && !entry.is_draining && allows_region(region) &&
+            !m_context.state.is_evacuated(entry.failure_domain)) {
+            capacities[region] += entry.slots;
+        }
+    }
+    return home_region(m_fields.size->shared_id(), capacities);
+}
+
 std::vector<region_option> exchange::other_regions() const
 {
     std::vector<region_option> options;
     if (m_is_forwarded) {
         return options;
     }
+    const std::string home = home_of_prompt();
     const time_point now = boot_clock::now();
     for (const member* host : m_context.members.ready(now)) {
         const auto blocked = m_context.unreachable.find(host->last.ip);
@@ -288,6 +307,7 @@
         if (passed != m_context.passed_on.end()) {
             option.free_places -= std::min(option.free_places, passed->second);
         }
+        option.is_home = option.region == home;
     }
     return options;
 }
@@ -672,11 +692,6 @@
 
 void exchange::give_up(std::string_view code)
 {
-    if (m_began_answer) {
-        m_caller->break_off();
-        finish("broken_off", 0);
-        return;
-    }
     if (m_attempts.runs() == 0) {
         const serving_options& options = m_context.options;
         refuse(503, code, "no",
@@ -688,6 +703,14 @@
 
 void exchange::refuse(int status, std::string_view code, std::string_view ran, duration retry_after)
 {
+    if (m_began_answer) {
+        // the caller already reads an answer: only its end can still be told
+        m_context.log.write_request(
+            log_line{"request_broken_off"}.add("id", m_fields.id).add("reason", code));
+        m_caller->break_off();
+        finish("broken_off", 0);
+        return;
+    }
     header_list headers;
     headers.add("Content-Type", "application/json");
     if (retry_after > duration{0}) {
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -87,6 +87,7 @@
     [[nodiscard]] retry_budget& retries();
     [[nodiscard]] const std::string& last_event() const; ///< behind which a stream goes on
     void send_to_endpoint(const placement& chosen);
+    [[nodiscard]] std::string home_of_prompt() const; ///< a region; empty: any
     [[nodiscard]] std::vector<region_option> other_regions() const;
     [[nodiscard]] const member* pick_host(const std::string& region);
     [[nodiscard]] duration longest_idle() const; ///< of a connection that may be used
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -34,6 +34,7 @@
 std::vector<std::string> to_ips(const std::vector<std::string>& addresses)
 {
     std::vector<std::string> ips;
+    ips.reserve(addresses.size());
     for (const std::string& address : addresses) {
         ips.push_back(address.substr(0, address.rfind(':')));
     }
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -50,6 +50,8 @@
     duration retry_after_outage = std::chrono::milliseconds{1'000};
     /// A configuration older than that proves nothing about what it doesn't hold.
     duration trusted_age = std::chrono::milliseconds{3'000};
+    /// Prompts whose shared prefix is shorter have no home region.
+    std::uint64_t least_home_tokens = 2'000;
     region_choice_options regions;
 };
 
--- /dev/null
+++ b/tests/gateway/exchange_test.cpp
@@ -0,0 +1,423 @@
+#include "gateway/serving/exchange.h"
+
+#include "gateway/http/http_server.h"
+#include "gateway/serving/waiting_queue.h"
+#include "platform/headers.h"
+
+#include <chrono>     // milliseconds, seconds
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // make_shared, make_unique
+#include <optional>   // optional
+#include <string>     // string
+#include <vector>     // vector
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace hickorykeel::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto patience = 20s; // of a test, before it counts as stuck
+const std::string key = "secret";
+const std::string id = "9c41d07be2a35f68";
+
+header_list answer_headers(const std::string& attempt = id)
+{
+    header_list headers;
+    headers.add("X-Hickorykeel-Attempt-Id", attempt);
+    headers.add("X-Hickorykeel-Response-Seal", "seal");
+    return headers;
+}
+
+/// What a caller has received.
+struct received_answer {
+    std::optional<call_end> end;
+    int status = 0;
+    std::string body;
+    header_list headers;
+};
+
+/// A gateway's requests on a loop, between endpoints and a caller of the test's own.
+class small_gateway {
+public:
+    using behaviour = http_server::handler;
+
+    explicit small_gateway(const route& served) : m_route{served}
+    {
+        m_route.host = "h.example";
+        m_route.prefix = "/a/";
+        m_route.services = {{"s", 1}};
+        m_front.set_limits({});
+        REQUIRE(is_ok(m_front.listen("127.0.0.1:0")));
+        publish(1, {key});
+    }
+
+    ~small_gateway()
+    {
+        m_loop.restart();
+        m_loop.run_for(1ms);
+    }
+
+    /// Publishes a configuration in which `keys` are in force.
+    void publish(std::uint64_t version, const std::vector<std::string>& keys)
+    {
+        auto made = std::make_shared<publication>();
+        made->version = version;
+        made->add(m_route);
+        service of;
+        of.name = "s";
+        made->add(of);
+        organisation holder;
+        holder.name = "o";
+        made->add(holder, keys);
+        m_state.apply(control_reading{made, {}, version, {}}, boot_clock::now());
+    }
+
+    /// Adds an endpoint; the lowest name is asked first.
+    void add_endpoint(const std::string& name, behaviour on_request)
+    {
+        auto& server = m_endpoints.emplace_back(std::make_unique<http_server>(m_loop, on_request));
+        REQUIRE(is_ok(server->listen("127.0.0.1:0")));
+        endpoint_entry& entry = m_entries[name];
+        entry.id = name;
+        entry.service = "s";
+        entry.address = "127.0.0.1:" + std::to_string(server->port());
+        entry.slots = 4;
+        const publication_ptr published = m_state.published();
+        m_pool.update(
+            m_entries, [](const endpoint_entry&) { return endpoint_pool::usability::usable; },
+            [published](const std::string& wanted) { return published->find_service(wanted); },
+            boot_clock::now());
+        // a slower endpoint is the second choice
+        for (std::size_t i = 0; i < 10 * (m_endpoints.size() - 1); ++i) {
+            m_pool.on_first_byte(name, 0, 200ms, 50ms);
+        }
+    }
+
+    /// Sends one request; the answer grows while the loop runs.
+    std::shared_ptr<received_answer> ask(const std::string& method = "POST",
+                                         const std::string& body = "question")
+    {
+        auto answer = std::make_shared<received_answer>();
+        header_list headers;
+        headers.add("Host", "h.example");
+        headers.add("X-Hickorykeel-Attempt-Id", id);
+        headers.add("X-Hickorykeel-Deadline-Ms", "5000");
+        headers.add("Api-Key", key);
+        m_call = m_caller.call({.address = "127.0.0.1:" + std::to_string(m_front.port())},
+                               format_request(method, "/a/x?y=z", headers, body),
+                               {.on_head =
+                                    [answer](const message_head& head) {
+                                        answer->status = head.status;
+                                        answer->headers = head.headers;
+                                    },
+                                .on_body =
+                                    [answer](std::string& bytes) {
+                                        answer->body += bytes;
+                                        bytes.clear();
+                                    },
+                                .on_end = [answer](call_end end) { answer->end = end; }});
+        return answer;
+    }
+
+    void leave() { m_call->cancel(); }
+
+    /// Runs the loop until `is_done`. Fails the test where that takes too long.
+    void run_until(const std::function<bool()>& is_done)
+    {
+        const time_point limit = boot_clock::now() + patience;
+        while (!is_done() && boot_clock::now() < limit) {
+            m_loop.restart();
+            m_loop.run_one_for(10ms);
+        }
+        REQUIRE(is_done());
+    }
+
+    void run_to_end(const std::shared_ptr<received_answer>& answer)
+    {
+        run_until([answer] { return answer->end.has_value(); });
+    }
+
+private:
+    route m_route;
+    asio::io_context m_loop{1};
+    gateway_settings m_settings = [] {
+        gateway_settings made;
+        made.host = "host";
+        made.ip = "127.0.0.1";
+        made.region = "r";
+        made.peers_address = "127.0.0.1:1";
+        return made;
+    }();
+    dialect m_spelling = platform::make_dialect();
+    published_state m_state{{}};
+    member_table m_members{"127.0.0.1", {}, {}};
+    usage_ledger m_usage{boot_clock::now()};
+    endpoint_pool m_pool{{}, [](const std::string&) { return true; }};
+    http_client m_client{m_loop};
+    http_client m_caller{m_loop};
+    event_log m_log{m_loop, "host", {.request_lines_per_s = 0}};
+    gateway_metrics m_metrics;
+    random_source m_random{7};
+    waiting_queue m_waiting;
+    serving_context m_context{.loop = m_loop,
+                              .settings = m_settings,
+                              .spelling = m_spelling,
+                              .state = m_state,
+                              .members = m_members,
+                              .usage = m_usage,
+                              .pool = m_pool,
+                              .client = m_client,
+                              .log = m_log,
+                              .metrics = m_metrics,
+                              .random = m_random,
+                              .options = {},
+                              .retries = {},
+                              .unreachable = {},
+                              .passed_on = {},
+                              .wait = [this](const auto& waiting) { m_waiting.add(waiting); },
+                              .wake = [] {}};
+    http_server m_front{m_loop, [this](const auto& request) {
+                            std::make_shared<exchange>(m_context, request, false)->start();
+                        }};
+    std::map<std::string, endpoint_entry> m_entries;
+    std::vector<std::unique_ptr<http_server>> m_endpoints;
+    std::shared_ptr<client_connection> m_call;
+};
+
+route make_route(request_kind kind, unsigned max_attempts, bool is_resumable = false)
+{
+    route made;
+    made.kind = kind;
+    made.max_attempts = max_attempts;
+    made.is_resumable = is_resumable;
+    return made;
+}
+
+/// Answers wholly, and keeps the heads of the requests.
+class whole_answers {
+public:
+    small_gateway::behaviour behaviour()
+    {
+        return [this](const std::shared_ptr<server_exchange>& request) {
+            m_heads.push_back(request->head());
+            m_bodies.push_back(request->body());
+            request->respond(200, answer_headers(), "answer");
+        };
+    }
+
+    [[nodiscard]] const std::vector<message_head>& heads() const { return m_heads; }
+    [[nodiscard]] const std::vector<std::string>& bodies() const { return m_bodies; }
+
+private:
+    std::vector<message_head> m_heads;
+    std::vector<std::string> m_bodies;
+};
+
+void cut(const std::shared_ptr<server_exchange>& request)
+{
+    request->break_off();
+}
+
+void reject(const std::shared_ptr<server_exchange>& request)
+{
+    header_list headers = answer_headers();
+    headers.add("X-Hickorykeel-Not-Executed", "1");
+    request->respond(503, headers, {});
+}
+
+void fail(const std::shared_ptr<server_exchange>& request)
+{
+    request->respond(500, answer_headers(), "failure");
+}
+
+void truncate(const std::shared_ptr<server_exchange>& request)
+{
+    request->begin(200, answer_headers());
+    request->send("ans");
+    request->break_off();
+}
+
+void answer_another(const std::shared_ptr<server_exchange>& request)
+{
+    request->respond(200, answer_headers("0000000000000001"), "of another request");
+}
+
+void answer_unsealed(const std::shared_ptr<server_exchange>& request)
+{
+    header_list headers;
+    headers.add("X-Hickorykeel-Attempt-Id", id);
+    request->respond(200, headers, "not sealed");
+}
+
+} // namespace
+
+TEST_CASE("a request and its answer pass unchanged")
+{
+    small_gateway gateway{make_route(request_kind::non_idempotent, 1)};
+    whole_answers endpoint;
+    gateway.add_endpoint("a", endpoint.behaviour());
+    const auto answer = gateway.ask();
+    gateway.run_to_end(answer);
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "answer");
+    CHECK(answer->headers.find("X-Hickorykeel-Response-Seal") == "seal");
+    REQUIRE(endpoint.heads().size() == 1);
+    const message_head& head = endpoint.heads().front();
+    CHECK(head.method == "POST");
+    CHECK(head.target == "/a/x?y=z");
+    CHECK(endpoint.bodies().front() == "question");
+    CHECK(head.headers.find("X-Hickorykeel-Target-Instance") == "a");
+    CHECK(head.headers.find("X-Hickorykeel-Tenant") == "o");
+    CHECK_FALSE(head.headers.contains("Api-Key"));
+}
+
+TEST_CASE("a request that may run once isn't tried again once it may have run")
+{
+    whole_answers other;
+    for (const auto& broken : {cut, truncate, answer_another, answer_unsealed}) {
+        small_gateway gateway{make_route(request_kind::non_idempotent, 3)};
+        gateway.add_endpoint("a", broken);
+        gateway.add_endpoint("b", other.behaviour());
+        const auto answer = gateway.ask();
+        gateway.run_to_end(answer);
+        CHECK(answer->status == 502);
+        CHECK_FALSE(answer->headers.contains("Retry-After"));
+    }
+    CHECK(other.heads().empty());
+}
+
+TEST_CASE("a request that may run once is tried again after a rejection")
+{
+    small_gateway gateway{make_route(request_kind::non_idempotent, 1)};
+    whole_answers other;
+    gateway.add_endpoint("a", reject);
+    gateway.add_endpoint("b", other.behaviour());
+    const auto answer = gateway.ask();
+    gateway.run_to_end(answer);
+    CHECK(answer->status == 200);
+    CHECK(other.heads().size() == 1);
+}
+
+TEST_CASE("a request that every endpoint rejects is refused as not run, with a time to come back")
+{
+    small_gateway gateway{make_route(request_kind::non_idempotent, 1)};
+    gateway.add_endpoint("a", reject);
+    const auto answer = gateway.ask();
+    gateway.run_to_end(answer);
+    CHECK(answer->status == 503);
+    CHECK(answer->headers.contains("Retry-After"));
+}
+
+TEST_CASE("a safe request is tried again whatever went wrong")
+{
+    for (const auto& broken : {cut, truncate, answer_another, answer_unsealed, reject}) {
+        small_gateway gateway{make_route(request_kind::safe, 2)};
+        whole_answers other;
+        gateway.add_endpoint("a", broken);
+        gateway.add_endpoint("b", other.behaviour());
+        const auto answer = gateway.ask("GET", {});
+        gateway.run_to_end(answer);
+        CHECK(answer->status == 200);
+        CHECK(answer->body == "answer");
+    }
+}
+
+TEST_CASE("an endpoint's own failure passes unchanged once no try is left")
+{
+    small_gateway gateway{make_route(request_kind::safe, 1)};
+    gateway.add_endpoint("a", fail);
+    const auto answer = gateway.ask("GET", {});
+    gateway.run_to_end(answer);
+    CHECK(answer->status == 500);
+    CHECK(answer->body == "failure");
+    CHECK(answer->headers.contains("X-Hickorykeel-Response-Seal"));
+}
+
+TEST_CASE("an unknown key is refused, and an unknown route isn't found")
+{
+    small_gateway gateway{make_route(request_kind::safe, 1)};
+    gateway.publish(2, {"another"});
+    const auto answer = gateway.ask("GET", {});
+    gateway.run_to_end(answer);
+    CHECK(answer->status == 401);
+}
+
+TEST_CASE("a cut stream goes on at another endpoint, behind its last whole event")
+{
+    small_gateway gateway{make_route(request_kind::streaming, 2, true)};
+    std::string resumed_at;
+    gateway.add_endpoint("a", [](const std::shared_ptr<server_exchange>& request) {
+        request->begin(200, answer_headers());
+        request->send("id: 1\ndata: a\n\nid: 2\nda");
+        request->break_off();
+    });
+    gateway.add_endpoint("b", [&](const std::shared_ptr<server_exchange>& request) {
+        resumed_at = request->head().headers.find("Last-Event-ID");
+        request->begin(200, answer_headers());
+        request->send("id: 2\ndata: b\n\n");
+        request->end();
+    });
+    const auto answer = gateway.ask();
+    gateway.run_to_end(answer);
+    CHECK(answer->end == call_end::complete);
+    CHECK(answer->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(resumed_at == "1");
+}
+
+TEST_CASE("a cut stream that may not go on ends visibly")
+{
+    small_gateway gateway{make_route(request_kind::streaming, 2)};
+    whole_answers other;
+    gateway.add_endpoint("a", [](const std::shared_ptr<server_exchange>& request) {
+        request->begin(200, answer_headers());
+        request->send("id: 1\ndata: a\n\n");
+        request->break_off();
+    });
+    gateway.add_endpoint("b", other.behaviour());
+    const auto answer = gateway.ask();
+    gateway.run_to_end(answer);
+    CHECK(answer->end == call_end::broken);
+    CHECK(other.heads().empty());
+}
+
+TEST_CASE("regression: a refusal never follows an answer that has begun")
+{
+    // a key was withdrawn between a stream's first events and its resumption, and the refusal's
+    // head was sent in the middle of the stream
+    small_gateway gateway{make_route(request_kind::streaming, 2, true)};
+    std::shared_ptr<server_exchange> running;
+    whole_answers other;
+    gateway.add_endpoint("a", [&](const std::shared_ptr<server_exchange>& request) {
+        running = request;
+        request->begin(200, answer_headers());
+        request->send("id: 1\ndata: a\n\n");
+    });
+    gateway.add_endpoint("b", other.behaviour());
+    const auto answer = gateway.ask();
+    gateway.run_until([&] { return !answer->body.empty(); });
+    gateway.publish(2, {"another"});
+    running->break_off();
+    gateway.run_to_end(answer);
+    CHECK(answer->end == call_end::broken);
+    CHECK(answer->body == "id: 1\ndata: a\n\n");
+    CHECK(other.heads().empty());
+}
+
+TEST_CASE("an endpoint stops working when its caller leaves")
+{
+    small_gateway gateway{make_route(request_kind::streaming, 1)};
+    bool is_running = false;
+    bool has_stopped = false;
+    gateway.add_endpoint("a", [&](const std::shared_ptr<server_exchange>& request) {
+        is_running = true;
+        request->set_on_gone([&] { has_stopped = true; });
+    });
+    gateway.ask();
+    gateway.run_until([&] { return is_running; });
+    gateway.leave();
+    gateway.run_until([&] { return has_stopped; });
+}
--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -72,7 +72,8 @@
     CHECK_FALSE(entry->is_draining);
 
     const auto document = nlohmann::json::parse(whole_entry);
-    for (const auto& [name, value] : document.items()) {
+    for (const auto& item : document.items()) {
+        const std::string& name = item.key();
         CAPTURE(name);
         auto other = document;
         other[name] = nlohmann::json::array({1});
--- a/tests/gateway/published_state_test.cpp
+++ b/tests/gateway/published_state_test.cpp
@@ -20,7 +20,7 @@
     return {published, {}, revision, {}};
 }
 
-endpoints_reading endpoints(std::vector<std::string> ids, std::uint64_t revision)
+endpoints_reading endpoints(const std::vector<std::string>& ids, std::uint64_t revision)
 {
     endpoints_reading reading;
     reading.revision = revision;
--- a/tests/gateway/region_choice_test.cpp
+++ b/tests/gateway/region_choice_test.cpp
@@ -1,6 +1,9 @@
 #include "gateway/routing/region_choice.h"
 
 #include <chrono> // milliseconds
+#include <map>    // map
+#include <string> // string
+#include <vector> // vector
 
 #include <doctest/doctest.h>
 
@@ -35,3 +38,34 @@
 {
     CHECK(choose_region(std::nullopt, {{"far", 2'000ms, 1}}, 600ms, options) == 0);
 }
+
+TEST_CASE("shared prompts: a prompt's requests go to its home region while that is quick enough")
+{
+    const std::vector<region_option> others{{"far", 20ms, 10}, {"home", 60ms, 10, true}};
+    CHECK(choose_region(50ms, others, 600ms, options) == 1);
+    CHECK_FALSE(choose_region(50ms, {{"home", 200ms, 10, true}}, 600ms, options));
+    CHECK_FALSE(choose_region(50ms, {{"home", 60ms, 0, true}}, 600ms, options));
+}
+
+TEST_CASE("shared prompts: each region is home to prompts in proportion to its capacity")
+{
+    std::map<std::string, int> homes;
+    for (std::uint64_t id = 1; id <= 9'000; ++id) {
+        ++homes[home_region(id * 7'919, {{"a", 8}, {"b", 6}, {"c", 4}})];
+    }
+    CHECK(homes["a"] == doctest::Approx(4'000).epsilon(0.05));
+    CHECK(homes["b"] == doctest::Approx(3'000).epsilon(0.05));
+    CHECK(homes["c"] == doctest::Approx(2'000).epsilon(0.05));
+}
+
+TEST_CASE("shared prompts: a lost region moves its own prompts only")
+{
+    for (std::uint64_t id = 1; id <= 500; ++id) {
+        const std::string before = home_region(id, {{"a", 8}, {"b", 6}, {"c", 4}});
+        const std::string after = home_region(id, {{"a", 8}, {"b", 6}});
+        if (before != "c") {
+            CHECK(after == before);
+        }
+    }
+    CHECK(home_region(1, {}).empty());
+}
