--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -22,10 +22,8 @@
 
 /// What the host at the other end needs to take a reading over.
 struct relayed_state {
-    std::string control;   ///< as the source sent it
-    std::string endpoints; ///< as the source sent it
-    duration control_age{0};
-    duration endpoints_age{0};
+    std::string text; ///< as the source sent it
+    duration age{0};  ///< since it was certainly the newest
 };
 
 /// @name wire format between hosts
@@ -68,35 +66,22 @@
     [[nodiscard]] std::string relay_text() const;
 
 private:
-    enum class subject { control, endpoints };
-
-    /// One of the two things that are read.
-    struct reading_loop {
-        asio::steady_timer timer;
-        bool is_lost = false;
-    };
-
-    void read_control();
-    void read_endpoints();
-    template <typename Reading>
-    void on_answer(subject what, result<Reading> answer, time_point asked_at);
-    void take(control_reading reading, time_point current_at);
-    void take(endpoints_reading reading, time_point current_at);
-    void note(subject what, const error* failure);
-    void wait(subject what, duration span);
+    void read();
+    void on_answer(result<published_reading> answer, time_point asked_at);
+    void take(published_reading reading, time_point current_at);
+    void log_configuration() const;
+    void note_source(const error* failure);
+    void wait(duration span);
     void ask_host();
+    [[nodiscard]] const member* pick_fresher_host(time_point now);
     void on_relayed(const std::string& host, const std::string& text, time_point asked_at);
-    [[nodiscard]] reading_loop& loop_of(subject what)
-    {
-        return what == subject::control ? m_control : m_endpoints;
-    }
 
     parts m_with;
     follower_options m_options;
     std::function<void()> m_on_change;
-    reading_loop m_control;
-    reading_loop m_endpoints;
+    asio::steady_timer m_timer;
     std::size_t m_unusable = 0;
+    bool m_is_lost = false;
     bool m_is_asking = false;
     std::size_t m_asked = 0;
 };
--- a/src/gateway/configuration/publication.h
+++ b/src/gateway/configuration/publication.h
@@ -144,20 +144,14 @@
     std::uint64_t sequence = 0; ///< heartbeats since the start
 };
 
-/// What operators publish, as read at one moment.
-struct control_reading {
+/// All that is published, as read at one moment.
+struct published_reading {
     publication_ptr published;               ///< null: nothing is published yet
     std::set<std::string> evacuated_domains; ///< failure domains whose endpoints get nothing
-    std::uint64_t revision = 0;              ///< of the source when it was read
-    std::string text;                        ///< as received, for relaying
-};
-
-/// The endpoints, as read at one moment.
-struct endpoints_reading {
     std::vector<endpoint_entry> endpoints;
-    std::size_t unusable = 0; ///< entries that could not be read
-    std::uint64_t revision = 0;
-    std::string text;
+    std::size_t unusable = 0;   ///< entries of endpoints that could not be read
+    std::uint64_t revision = 0; ///< of the source when it was read
+    std::string text;           ///< as received, for relaying
 };
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/configuration/publication_source.h
+++ b/src/gateway/configuration/publication_source.h
@@ -19,18 +19,12 @@
     publication_source& operator=(publication_source&&) = delete;
     virtual ~publication_source() = default;
 
-    using control_handler = std::function<void(result<control_reading>)>;
-    using endpoints_handler = std::function<void(result<endpoints_reading>)>;
-
-    virtual void read_control(control_handler on_answer) = 0;
-    virtual void read_endpoints(endpoints_handler on_answer) = 0;
-
-    /// @name what another host has read
-    /// @{
-    [[nodiscard]] virtual result<control_reading> decode_control(const std::string& text) const = 0;
-    [[nodiscard]] virtual result<endpoints_reading>
-    decode_endpoints(const std::string& text) const = 0;
-    /// @}
+    using handler = std::function<void(result<published_reading>)>;
+
+    virtual void read(handler on_answer) = 0;
+
+    /// What another host has read.
+    [[nodiscard]] virtual result<published_reading> decode(const std::string& text) const = 0;
 };
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/configuration/published_state.cpp
+++ b/src/gateway/configuration/published_state.cpp
@@ -5,30 +5,38 @@
 
 namespace hickorykeel::gateway {
 
-state_change published_state::apply(control_reading reading, time_point current_at)
+namespace {
+
+std::uint64_t version_of(const published_reading& reading)
 {
-    state_change change;
-    const bool is_older_version =
-        m_control.published != nullptr &&
-        (reading.published == nullptr || reading.published->version < m_control.published->version);
-    if (reading.revision < m_control.revision || is_older_version) {
-        return change;
-    }
-    const std::uint64_t held = m_control.published == nullptr ? 0 : m_control.published->version;
-    const std::uint64_t read = reading.published == nullptr ? 0 : reading.published->version;
-    change.is_newer = read > held || reading.evacuated_domains != m_control.evacuated_domains;
-    m_control_current_at = std::max(m_control_current_at, current_at);
-    m_control = std::move(reading);
-    return change;
+    return reading.published == nullptr ? 0 : reading.published->version;
+}
+
+} // namespace
+
+bool published_state::is_older(const published_reading& reading) const
+{
+    return reading.revision < m_last.revision || version_of(reading) < version_of(m_last);
 }
 
-state_change published_state::apply(endpoints_reading reading, time_point current_at,
+state_change published_state::apply(published_reading reading, time_point current_at,
                                     time_point now)
 {
     state_change change;
-    if (reading.revision < m_last.revision) {
+    if (is_older(reading)) {
         return change;
     }
+    change.is_newer = version_of(reading) > version_of(m_last) ||
+                      reading.evacuated_domains != m_last.evacuated_domains;
+    take_endpoints(reading, now, change);
+    m_current_at = std::max(m_current_at, current_at);
+    m_last = std::move(reading);
+    return change;
+}
+
+void published_state::take_endpoints(const published_reading& reading, time_point now,
+                                     state_change& change)
+{
     if (std::exchange(m_had_outage, false)) {
         m_settled_at = now + m_options.settling_time;
     }
@@ -48,9 +56,6 @@
         }
     }
     m_endpoints = std::move(next);
-    m_endpoints_current_at = std::max(m_endpoints_current_at, current_at);
-    m_last = std::move(reading);
-    return change;
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/configuration/published_state.h
+++ b/src/gateway/configuration/published_state.h
@@ -38,52 +38,46 @@
 
     /// @name readings
     /// @{
-    state_change apply(control_reading reading, time_point current_at);
-    state_change apply(endpoints_reading reading, time_point current_at, time_point now);
+    state_change apply(published_reading reading, time_point current_at, time_point now);
 
-    /// A question to the source of endpoints has failed.
-    void on_endpoints_failure() noexcept { m_had_outage = true; }
+    /// A question to the source has failed.
+    void on_failure() noexcept { m_had_outage = true; }
     /// @}
 
     /// @name state
     /// @{
 
     /// Null until a configuration is known.
-    [[nodiscard]] const publication_ptr& published() const noexcept { return m_control.published; }
-    [[nodiscard]] const control_reading& control() const noexcept { return m_control; }
-    [[nodiscard]] const endpoints_reading& last_endpoints() const noexcept { return m_last; }
+    [[nodiscard]] const publication_ptr& published() const noexcept { return m_last.published; }
+    [[nodiscard]] const published_reading& last() const noexcept { return m_last; }
     [[nodiscard]] const std::map<std::string, endpoint_entry>& endpoints() const noexcept
     {
         return m_endpoints;
     }
     [[nodiscard]] bool is_evacuated(const std::string& failure_domain) const
     {
-        return m_control.evacuated_domains.contains(failure_domain);
+        return m_last.evacuated_domains.contains(failure_domain);
     }
 
     /// Whether keys may be honoured: a withdrawal cannot have been missed for longer than the
     /// lease.
     [[nodiscard]] bool may_honour_keys(time_point now) const noexcept
     {
-        return m_control.published != nullptr && now < m_control_current_at + m_options.key_lease;
-    }
-    [[nodiscard]] duration control_age(time_point now) const noexcept
-    {
-        return now - m_control_current_at;
-    }
-    [[nodiscard]] duration endpoints_age(time_point now) const noexcept
-    {
-        return now - m_endpoints_current_at;
+        return m_last.published != nullptr && now < m_current_at + m_options.key_lease;
     }
+
+    /// Time since what is held was certainly the newest.
+    [[nodiscard]] duration age(time_point now) const noexcept { return now - m_current_at; }
     /// @}
 
 private:
+    [[nodiscard]] bool is_older(const published_reading& reading) const;
+    void take_endpoints(const published_reading& reading, time_point now, state_change& change);
+
     published_state_options m_options;
-    control_reading m_control;
-    endpoints_reading m_last;
+    published_reading m_last;
     std::map<std::string, endpoint_entry> m_endpoints;
-    time_point m_control_current_at{};
-    time_point m_endpoints_current_at{};
+    time_point m_current_at{};
     time_point m_settled_at{};
     bool m_had_outage = false;
 };
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -31,7 +31,7 @@
     message.set_is_leaving(sent.is_leaving);
     message.set_has_configuration(sent.has_configuration);
     message.set_configuration_version(sent.configuration_version);
-    message.set_control_age_ms(to_ms(sent.control_age));
+    message.set_configuration_age_ms(to_ms(sent.configuration_age));
     for (const auto& [name, load] : sent.services) {
         auto& added = *message.add_services();
         added.set_service(name);
@@ -78,7 +78,7 @@
     received.is_leaving = message.is_leaving();
     received.has_configuration = message.has_configuration();
     received.configuration_version = message.configuration_version();
-    received.control_age = milliseconds{message.control_age_ms()};
+    received.configuration_age = milliseconds{message.configuration_age_ms()};
     for (const auto& load : message.services()) {
         if (std::isfinite(load.expected_wait_ms())) {
             received.services[load.service()] = {from_seconds(load.expected_wait_ms() / 1'000.0),
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -41,7 +41,7 @@
     bool is_leaving = false;
     bool has_configuration = false;
     std::uint64_t configuration_version = 0;
-    duration control_age{0}; ///< since the sender's configuration was certainly the newest
+    duration configuration_age{0}; ///< since the sender's configuration was certainly the newest
     std::map<std::string, service_load> services;
     std::unordered_map<std::uint32_t, endpoint_load> endpoints; ///< by hash of the id
     std::map<std::string, double> used;                         ///< units since the start
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -78,7 +78,7 @@
         refuse(503, "no_configuration", "no", m_context.options.retry_after_outage);
         return false;
     }
-    const bool is_trusted = state.control_age(now) < m_context.options.trusted_age;
+    const bool is_trusted = state.age(now) < m_context.options.trusted_age;
     const message_head& head = m_caller->head();
     m_route = m_published->find_route(head.headers.find("Host"), to_path(head.target));
     if (m_route == nullptr) {
@@ -355,8 +355,7 @@
             .add_ms("expected_ms", chosen.expected)
             .add_ms("left_ms", time_left())
             .add("version", static_cast<std::int64_t>(m_published->version))
-            .add_ms("control_age_ms", m_context.state.control_age(boot_clock::now()))
-            .add_ms("endpoints_age_ms", m_context.state.endpoints_age(boot_clock::now())));
+            .add_ms("configuration_age_ms", m_context.state.age(boot_clock::now())));
     call_options options;
     options.address = chosen.address;
     options.connect_timeout = m_context.options.endpoint_connect_timeout;
@@ -745,7 +744,7 @@
         .add("ran", m_attempts.runs() > 0 || outcome == "answered" ? "unknown" : "no")
         .add_ms("elapsed_ms", elapsed)
         .add("events", static_cast<std::int64_t>(m_events.events()))
-        .add_ms("control_age_ms", m_context.state.control_age(boot_clock::now()));
+        .add_ms("configuration_age_ms", m_context.state.age(boot_clock::now()));
     if (m_is_forwarded) {
         line.add("passed_on_by", m_caller->head().headers.find(forwarded_header));
     }
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -237,8 +237,7 @@
 void gateway::serve_metrics(const std::shared_ptr<server_exchange>& request)
 {
     const time_point now = boot_clock::now();
-    m_metrics.set_gauge("control_age_s", to_seconds(m_state.control_age(now)));
-    m_metrics.set_gauge("endpoints_age_s", to_seconds(m_state.endpoints_age(now)));
+    m_metrics.set_gauge("configuration_age_s", to_seconds(m_state.age(now)));
     m_metrics.set_gauge("endpoints", static_cast<double>(m_pool.size()));
     m_metrics.set_gauge("live_hosts", static_cast<double>(m_members.live_count(now)));
     m_metrics.set_gauge("waiting_requests", static_cast<double>(m_waiting.size()));
@@ -264,7 +263,7 @@
     if (const publication_ptr& published = m_state.published()) {
         sent.has_configuration = true;
         sent.configuration_version = published->version;
-        sent.control_age = m_state.control_age(now);
+        sent.configuration_age = m_state.age(now);
         for (const auto& [name, of] : published->services()) {
             sent.services[name] = m_pool.summary(of, now);
         }
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -73,7 +73,10 @@
         organisation holder;
         holder.name = "o";
         made->add(holder, keys);
-        m_state.apply(control_reading{made, {}, version, {}}, boot_clock::now());
+        published_reading reading;
+        reading.published = made;
+        reading.revision = version;
+        m_state.apply(reading, boot_clock::now(), boot_clock::now());
     }
 
     /// Adds an endpoint; the lowest name is asked first.
--- a/tests/gateway/member_table_test.cpp
+++ b/tests/gateway/member_table_test.cpp
@@ -84,7 +84,7 @@
     sent.region = "r";
     sent.has_configuration = true;
     sent.configuration_version = 12;
-    sent.control_age = 340ms;
+    sent.configuration_age = 340ms;
     sent.services["s"] = {25ms, 3};
     sent.endpoints[99] = {4, 5'000};
     sent.used["o"] = 12.5;
@@ -93,7 +93,7 @@
     const auto received = decode_heartbeat(encode(sent));
     REQUIRE(received);
     CHECK(received->host == sent.host);
-    CHECK(received->control_age == 340ms);
+    CHECK(received->configuration_age == 340ms);
     CHECK(received->services.at("s").free_places == 3);
     CHECK(received->services.at("s").expected_wait == 25ms);
     CHECK(received->endpoints.at(99).waiting_tokens == 5'000);
--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -101,9 +101,9 @@
                              R"({"key":"servers/i-2","value":"%%%","revision":2},)"
                              R"({"key":"servers/i-3","value":")" +
                              good + R"(","revision":3}],"hasMore":false,"asOf":12})";
-    const auto reading = platform::decode_endpoint_pages(page);
-    REQUIRE(std::holds_alternative<endpoints_reading>(reading));
-    const auto& read = std::get<endpoints_reading>(reading);
+    const auto reading = platform::decode_pages(page);
+    REQUIRE(std::holds_alternative<published_reading>(reading));
+    const auto& read = std::get<published_reading>(reading);
     CHECK(read.unusable == 2);
     CHECK(read.revision == 12);
     REQUIRE(read.endpoints.size() == 1);
--- a/tests/gateway/published_state_test.cpp
+++ b/tests/gateway/published_state_test.cpp
@@ -13,16 +13,19 @@
 
 constexpr time_point start{1'000s};
 
-control_reading control(std::uint64_t version, std::uint64_t revision)
+published_reading control(std::uint64_t version, std::uint64_t revision)
 {
     auto published = std::make_shared<publication>();
     published->version = version;
-    return {published, {}, revision, {}};
+    published_reading reading;
+    reading.published = published;
+    reading.revision = revision;
+    return reading;
 }
 
-endpoints_reading endpoints(const std::vector<std::string>& ids, std::uint64_t revision)
+published_reading endpoints(const std::vector<std::string>& ids, std::uint64_t revision)
 {
-    endpoints_reading reading;
+    published_reading reading;
     reading.revision = revision;
     for (const std::string& id : ids) {
         endpoint_entry entry;
@@ -38,7 +41,7 @@
 {
     published_state state{{.key_lease = 4s}};
     CHECK_FALSE(state.may_honour_keys(start));
-    state.apply(control(1, 1), start);
+    state.apply(control(1, 1), start, start);
     CHECK(state.may_honour_keys(start + 3s));
     CHECK_FALSE(state.may_honour_keys(start + 4s));
 }
@@ -46,10 +49,10 @@
 TEST_CASE("a reading that another host relays proves no more than its age allows")
 {
     published_state state{{.key_lease = 4s}};
-    state.apply(control(1, 1), start);
-    state.apply(control(1, 1), start - 2s); // older than what is known
+    state.apply(control(1, 1), start, start);
+    state.apply(control(1, 1), start - 2s, start); // older than what is known
     CHECK(state.may_honour_keys(start + 3s));
-    state.apply(control(1, 1), start + 1s);
+    state.apply(control(1, 1), start + 1s, start);
     CHECK(state.may_honour_keys(start + 4s));
     CHECK_FALSE(state.may_honour_keys(start + 5s));
 }
@@ -57,14 +60,14 @@
 TEST_CASE("neither the revision nor the version goes down")
 {
     published_state state{{}};
-    state.apply(control(5, 50), start);
+    state.apply(control(5, 50), start, start);
     SUBCASE("an older revision")
     {
-        CHECK_FALSE(state.apply(control(6, 49), start + 10s).is_newer);
+        CHECK_FALSE(state.apply(control(6, 49), start + 10s, start).is_newer);
     }
     SUBCASE("an older version at a newer revision")
     {
-        CHECK_FALSE(state.apply(control(4, 51), start + 10s).is_newer);
+        CHECK_FALSE(state.apply(control(4, 51), start + 10s, start).is_newer);
     }
     CHECK(state.published()->version == 5);
     CHECK_FALSE(state.may_honour_keys(start + 10s));
@@ -83,7 +86,7 @@
 {
     published_state state{{.settling_time = 2'500ms}};
     state.apply(endpoints({"a", "b"}, 1), start, start);
-    state.on_endpoints_failure();
+    state.on_failure();
     state.apply(endpoints({"b"}, 2), start + 5s, start + 5s);
     CHECK(state.endpoints().contains("a"));
     state.apply(endpoints({"b"}, 3), start + 8s, start + 8s);
@@ -96,7 +99,7 @@
     auto reading = endpoints({"a"}, 1);
     reading.endpoints.front().is_draining = true;
     state.apply(reading, start, start);
-    state.on_endpoints_failure();
+    state.on_failure();
     state.apply(endpoints({}, 2), start + 5s, start + 5s);
     CHECK(state.endpoints().empty());
 }
