--- a/src/process/program.cpp
+++ b/src/process/program.cpp
@@ -113,24 +113,4 @@
     }
 }
 
-std::string describe_settings(std::span<const setting_rule> rules)
-{
-    std::string text;
-    std::string_view section;
-    for (const auto& rule : rules) {
-        if (rule.section != section) {
-            section = rule.section;
-            text += (text.empty() ? "" : "\n") + std::string{"### ["} + std::string{section} +
-                    "]\n\n| key | allowed | default | meaning |\n|---|---|---|---|\n";
-        }
-        const std::string standard = rule.is_required ? "required"
-                                     : rule.default_value.empty()
-                                         ? "empty"
-                                         : '`' + std::string{rule.default_value} + '`';
-        text += "| `" + std::string{rule.key} + "` | " + to_allowed(rule) + " | " + standard +
-                " | " + std::string{rule.help} + " |\n";
-    }
-    return text;
-}
-
 } // namespace hickorykeel
--- a/src/process/program.h
+++ b/src/process/program.h
@@ -33,9 +33,6 @@
 /// Precondition: called once, by the main thread, before any other thread starts.
 int run_program(int argc, char** argv, const program_description& description);
 
-/// Markdown tables of `rules`, one a section: key, kind, default and meaning. Thread safe.
-[[nodiscard]] std::string describe_settings(std::span<const setting_rule> rules);
-
 /// Prints why `opened` failed on stderr. Thread safe.
 /// @return whether it failed
 template <typename Value>
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -40,6 +40,9 @@
 /// What a value of `rule` must look like, for faults and docs. Thread safe.
 [[nodiscard]] std::string to_allowed(const setting_rule& rule);
 
+/// Markdown tables of `rules`, one a section: key, kind, default and meaning. Thread safe.
+[[nodiscard]] std::string describe_settings(std::span<const setting_rule> rules);
+
 /// A fault in a settings file.
 struct settings_fault {
     std::string file;
--- a/src/programs/gateway.cpp
+++ b/src/programs/gateway.cpp
@@ -22,6 +22,7 @@
 struct command_line {
     std::string settings_path;
     bool checks_only = false;
+    bool describes_settings = false;
 };
 
 command_line parse(int argc, char** argv)
@@ -35,9 +36,11 @@
         "FILE"};
     TCLAP::SwitchArg check{"", "check", "check the settings and leave"};
     line.add(path);
+    TCLAP::SwitchArg describe{"", "describe-settings", "print the keys of the settings and leave"};
     line.add(check);
+    line.add(describe);
     line.parse(argc, argv);
-    return {path.getValue(), check.getValue()};
+    return {path.getValue(), check.getValue(), describe.getValue()};
 }
 
 /// Loads the settings; each fault is printed.
@@ -55,6 +58,10 @@
 
 int serve(const command_line& chosen)
 {
+    if (chosen.describes_settings) {
+        std::cout << describe_settings(gateway::gateway_rules());
+        return EXIT_SUCCESS;
+    }
     auto loaded = load(chosen.settings_path);
     if (const int* code = std::get_if<int>(&loaded)) {
         return *code;
--- a/tests/process/settings_document_test.cpp
+++ b/tests/process/settings_document_test.cpp
@@ -47,8 +47,8 @@
 TEST_CASE("the documented settings are those of the programs")
 {
     const std::string document = read_document();
-    for (const std::string program :
-         {"hickorykeel-configd", "hickorykeel-dispatch", "hickorykeel-entry"}) {
+    for (const std::string program : {"hickorykeel-configd", "hickorykeel-dispatch",
+                                      "hickorykeel-entry", "hickorykeel-gateway"}) {
         CAPTURE(program);
         child_process described{program, {"--describe-settings"}};
         REQUIRE(described.wait_for_exit() == 0);
