Send little to cold endpoints after a restart, and callers to home regions

Cause: the failure domain's three hosts came back with their endpoints, had not heard each other, and each owned all of them. Ruled out: the gate's window, as each host sent three. A host now sends nothing to cold endpoints for 1.2 s after its start, and one a second while it doesn't hear every host that may run.

Cause: while both hosts of a region were stopped in turn the directory named any other host. It now names hosts in home regions of the routes first.

--- a/src/gateway/configuration/publication.cpp
+++ b/src/gateway/configuration/publication.cpp
@@ -1,8 +1,8 @@
 #include "gateway/configuration/publication.h"
 
-#include <algorithm> // upper_bound
+#include <algorithm> // find, upper_bound
 #include <array>     // array
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 namespace hickorykeel::gateway {
 
@@ -51,6 +51,29 @@
     return nullptr;
 }
 
+std::vector<std::string> publication::common_homes(const std::string& host) const
+{
+    std::vector<std::string> common;
+    const auto found = m_routes.find(host);
+    if (found == m_routes.end()) {
+        return common;
+    }
+    bool is_first = true;
+    for (const route& of : found->second) {
+        if (of.home_regions.empty()) {
+            continue;
+        }
+        if (std::exchange(is_first, false)) {
+            common = of.home_regions;
+        }
+        std::erase_if(common, [&of](const std::string& region) {
+            return std::find(of.home_regions.begin(), of.home_regions.end(), region) ==
+                   of.home_regions.end();
+        });
+    }
+    return common;
+}
+
 const service* publication::find_service(const std::string& name) const
 {
     const auto found = m_services.find(name);
--- a/src/gateway/configuration/publication.h
+++ b/src/gateway/configuration/publication.h
@@ -102,6 +102,10 @@
 
     /// The route of `host` with the longest prefix of `path`, or null.
     [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
+
+    /// Regions that are homes of every route of `host` that has homes. Empty: none has any, or
+    /// they have none in common.
+    [[nodiscard]] std::vector<std::string> common_homes(const std::string& host) const;
     [[nodiscard]] const service* find_service(const std::string& name) const;
 
     /// The organisation that holds `key`, or null.
--- a/src/gateway/limits/cold_gate.h
+++ b/src/gateway/limits/cold_gate.h
@@ -2,10 +2,9 @@
 
 #include "process/clock.h"
 
-#include <algorithm> // max
-#include <chrono>    // seconds
-#include <cstddef>   // size_t
-#include <deque>     // deque
+#include <chrono>  // seconds
+#include <cstddef> // size_t
+#include <deque>   // deque
 
 namespace hickorykeel::gateway {
 
@@ -14,14 +13,13 @@
 /// Thread safety: none.
 class cold_gate {
 public:
-    /// Whether one more request may be sent at `now` with `per_second` allowed.
+    /// Whether one more request may be sent at `now` with `per_second` allowed, rounded down.
     [[nodiscard]] bool is_open(double per_second, time_point now)
     {
         while (!m_sent.empty() && now - m_sent.front() >= span) {
             m_sent.pop_front();
         }
-        const auto most = static_cast<std::size_t>(std::max(1.0, per_second));
-        return m_sent.size() < most;
+        return m_sent.size() < static_cast<std::size_t>(per_second);
     }
 
     void on_sent(time_point now) { m_sent.push_back(now); }
--- /dev/null
+++ b/src/gateway/membership/directory_choice.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstddef> // size_t
+#include <string>  // string
+#include <vector>  // vector
+
+namespace hickorykeel::gateway {
+
+/// A host that takes callers.
+struct directory_candidate {
+    std::string address;
+    std::string failure_domain;
+    std::string region;
+};
+
+/// Where the caller stands, and where its requests may go.
+struct directory_caller {
+    std::string failure_domain;
+    std::string region;
+    std::vector<std::string> home_regions; ///< of all its homed routes; empty: any region
+};
+
+/// Addresses for a caller: of its failure domain, else of its region, else of the home regions of
+/// its routes, else any. Empty only where there are no candidates. Thread safe.
+[[nodiscard]] std::vector<std::string>
+choose_addresses(const std::vector<directory_candidate>& candidates, const directory_caller& caller,
+                 std::size_t most);
+
+} // namespace hickorykeel::gateway
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -104,7 +104,7 @@
         return false;
     }
     if (now < state.cold_until && state.cold_rate > 0) {
-        return m_is_cold_owner(state.entry.id) && state.gate.is_open(state.cold_rate, now);
+        return state.gate.is_open(m_to_cold_allowance(state.entry.id, state.cold_rate), now);
     }
     return true;
 }
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -71,11 +71,11 @@
 /// Thread safety: none; the owner serialises calls. No I/O.
 class endpoint_pool {
 public:
-    /// Whether this host may use the cold endpoint `id`.
-    using cold_owner = std::function<bool(const std::string& id)>;
+    /// Requests a second that this host may send to the cold endpoint `id`, which bears `rate`.
+    using cold_rule = std::function<double(const std::string& id, double rate)>;
 
-    explicit endpoint_pool(endpoint_pool_options options, cold_owner is_cold_owner)
-        : m_options{options}, m_is_cold_owner{std::move(is_cold_owner)}
+    explicit endpoint_pool(endpoint_pool_options options, cold_rule to_cold_allowance)
+        : m_options{options}, m_to_cold_allowance{std::move(to_cold_allowance)}
     {
     }
 
@@ -186,7 +186,7 @@
 
     std::vector<prompt_note> m_notes;
     endpoint_pool_options m_options;
-    cold_owner m_is_cold_owner;
+    cold_rule m_to_cold_allowance;
     std::map<std::string, endpoint_state> m_endpoints;
 };
 
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -1,5 +1,7 @@
 #include "gateway/serving/gateway.h"
 
+#include "gateway/limits/cold_allowance.h"
+#include "gateway/membership/directory_choice.h"
 #include "gateway/membership/gossip_codec.h"
 #include "gateway/routing/rendezvous.h"
 #include "process/build_info.h"
@@ -75,7 +77,10 @@
             {.request_lines_per_s = static_cast<std::uint64_t>(m_settings.request_log_rate)}},
       m_random{random_seed()}, m_state{{.key_lease = m_settings.key_withdrawal - key_lease_margin}},
       m_members{m_settings.ip, to_ips(m_settings.seeds), {}}, m_usage{boot_clock::now()},
-      m_pool{{}, [this](const std::string& endpoint) { return is_cold_owner(endpoint); }},
+      m_pool{{},
+             [this](const std::string& endpoint, double rate) {
+                 return cold_rate_for(endpoint, rate);
+             }},
       m_client{m_loop}, m_source{m_parts.make_source(m_loop, m_client, m_settings)},
       m_follower{{m_loop, *m_source, m_state, m_members, m_client, m_log, m_metrics},
                  {.relay_port = m_settings.peers_port(), .own_host = m_settings.host},
@@ -109,7 +114,8 @@
       m_metrics_server{m_loop, [this](const auto& request) { serve_metrics(request); }},
       m_gossip{m_loop, [this](std::string_view datagram) { on_datagram(datagram); }},
       m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}, m_heartbeat_timer{m_loop},
-      m_placing_timer{m_loop}, m_stop_timer{m_loop}, m_incarnation{random_seed()}
+      m_placing_timer{m_loop}, m_stop_timer{m_loop},
+      m_incarnation{random_seed()}, m_started{boot_clock::now()}
 {
 }
 
@@ -209,29 +215,20 @@
 
 std::vector<std::string> gateway::addresses_for(const directory_question& question) const
 {
-    enum distance : std::size_t { same_domain, same_region, elsewhere };
-    std::array<std::vector<std::string>, 3> found;
     const std::string port = port_of(m_settings.callers_address);
-    const auto add = [&](const std::string& ip, const std::string& failure_domain,
-                         const std::string& region) {
-        const distance at = failure_domain == question.failure_domain ? same_domain
-                            : region == question.region               ? same_region
-                                                                      : elsewhere;
-        found[at].push_back(ip + port);
-    };
+    std::vector<directory_candidate> candidates;
     if (is_ready()) {
-        add(m_settings.ip, m_settings.failure_domain, m_settings.region);
+        candidates.push_back(
+            {m_settings.callers_address, m_settings.failure_domain, m_settings.region});
     }
     for (const member* host : m_members.ready(boot_clock::now())) {
-        add(host->last.ip, host->last.failure_domain, host->last.region);
+        candidates.push_back({host->last.ip + port, host->last.failure_domain, host->last.region});
     }
-    for (auto& addresses : found) {
-        if (!addresses.empty()) {
-            addresses.resize(std::min(addresses.size(), most_addresses));
-            return addresses;
-        }
+    directory_caller caller{question.failure_domain, question.region, {}};
+    if (const publication_ptr& published = m_state.published()) {
+        caller.home_regions = published->common_homes(question.host);
     }
-    return {};
+    return choose_addresses(candidates, caller, most_addresses);
 }
 
 void gateway::serve_metrics(const std::shared_ptr<server_exchange>& request)
@@ -331,15 +328,20 @@
                      static_cast<double>(m_members.possible_count()));
 }
 
-bool gateway::is_cold_owner(const std::string& endpoint) const
+double gateway::cold_rate_for(const std::string& endpoint, double rate) const
 {
+    const time_point now = boot_clock::now();
     const std::uint64_t key = short_hash(endpoint);
     const std::uint64_t own = rendezvous_weight(key, m_settings.ip);
-    const auto hosts = m_members.live(boot_clock::now());
-    return std::none_of(hosts.begin(), hosts.end(), [&](const member* host) {
+    const auto hosts = m_members.live(now);
+    cold_view view;
+    view.is_owner = std::none_of(hosts.begin(), hosts.end(), [&](const member* host) {
         return host->last.region == m_settings.region && !host->last.is_leaving &&
                rendezvous_weight(key, host->last.ip) > own;
     });
+    view.hears_all = m_members.live_count(now) >= m_members.possible_count();
+    view.running = now - m_started;
+    return cold_allowance(view, rate);
 }
 
 // configuration
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -64,7 +64,7 @@
     [[nodiscard]] heartbeat own_heartbeat(time_point now) const;
     void on_datagram(std::string_view datagram);
     void update_members(time_point now);
-    [[nodiscard]] bool is_cold_owner(const std::string& endpoint) const;
+    [[nodiscard]] double cold_rate_for(const std::string& endpoint, double rate) const;
 
     // configuration
     void on_published();
@@ -104,6 +104,7 @@
     asio::steady_timer m_stop_timer;
     std::uint64_t m_incarnation;
     std::uint64_t m_sequence = 0;
+    time_point m_started;
     bool m_is_placing = false;
     bool m_is_stopping = false;
     time_point m_stop_begun{};
--- /dev/null
+++ b/tests/gateway/directory_choice_test.cpp
@@ -0,0 +1,40 @@
+#include "gateway/membership/directory_choice.h"
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel::gateway;
+
+namespace {
+
+const directory_candidate near{"near", "a-1", "a"};
+const directory_candidate neighbour{"neighbour", "a-2", "a"};
+const directory_candidate home{"home", "b-1", "b"};
+const directory_candidate far{"far", "c-1", "c"};
+
+using addresses = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("callers are sent to the nearest hosts that are ready")
+{
+    const directory_caller caller{"a-1", "a", {}};
+    CHECK(choose_addresses({far, home, neighbour, near}, caller, 64) == addresses{"near"});
+    CHECK(choose_addresses({far, neighbour}, caller, 64) == addresses{"neighbour"});
+    CHECK(choose_addresses({far, home}, caller, 64) == addresses{"far", "home"});
+    CHECK(choose_addresses({}, caller, 64).empty());
+}
+
+TEST_CASE("regression: while a region's hosts restart, its callers are sent to home regions")
+{
+    // both hosts of a region were stopped in turn, and the directory named any other host: bodies
+    // of requests with homes went to a region that was none
+    const directory_caller caller{"a-1", "a", {"a", "b"}};
+    CHECK(choose_addresses({far, home}, caller, 64) == addresses{"home"});
+    CHECK(choose_addresses({far}, caller, 64) == addresses{"far"});
+}
+
+TEST_CASE("the directory names no more hosts than it is asked for")
+{
+    const directory_caller caller{"a-1", "a", {}};
+    CHECK(choose_addresses({near, near, near}, caller, 2).size() == 2);
+}
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -86,7 +86,8 @@
     std::map<std::string, endpoint_entry> m_entries;
     std::set<std::string> m_evacuated;
     bool m_owns_cold = true;
-    endpoint_pool m_pool{{}, [this](const std::string&) { return m_owns_cold; }};
+    endpoint_pool m_pool{
+        {}, [this](const std::string&, double rate) { return m_owns_cold ? rate : 0.0; }};
 };
 
 prompt make_review(std::uint64_t session)
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -159,7 +159,7 @@
     published_state m_state{{}};
     member_table m_members{"127.0.0.1", {}, {}};
     usage_ledger m_usage{boot_clock::now()};
-    endpoint_pool m_pool{{}, [](const std::string&) { return true; }};
+    endpoint_pool m_pool{{}, [](const std::string&, double rate) { return rate; }};
     http_client m_client{m_loop};
     http_client m_caller{m_loop};
     event_log m_log{m_loop, "host", {.request_lines_per_s = 0}};
