--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -29,7 +29,7 @@
     duration first_block = std::chrono::milliseconds{250};
     duration longest_block = std::chrono::seconds{2};
     duration shed_block = std::chrono::milliseconds{60};
-    unsigned plain_queue = 3; ///< requests beyond the slots of a plain service's endpoint
+    unsigned plain_queue = 10; ///< requests beyond the slots of a plain service's endpoint
     std::uint32_t fallback_cold_rate = 2; ///< requests a second after a failure, if none is stated
 };
 
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -25,9 +25,9 @@
 /// Terms of serving a request.
 struct serving_options {
     /// Part of the objective that a request may wait for a free place.
-    double wait_part = 0.6;
+    double wait_part = 0.8;
     /// Longest wait of a request that another host has passed on.
-    duration forwarded_wait = std::chrono::milliseconds{120};
+    duration forwarded_wait = std::chrono::milliseconds{250};
     /// Silence after which a repeatable request is tried elsewhere.
     duration least_silence = std::chrono::milliseconds{900};
     /// Silence, in multiples of the expected time to the first byte.
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -109,6 +109,15 @@
     CHECK(with.choose(start)->endpoint == "a");
 }
 
+TEST_CASE("full endpoints: the last endpoint of a plain service queues a burst of other regions")
+{
+    // with three queued requests, callers of three regions were refused while it had room
+    fixture with{false, 6};
+    with.add("a");
+    with.update(start);
+    CHECK(with.fill(start) == 16);
+}
+
 TEST_CASE("full endpoints: what other hosts have under way takes places too")
 {
     fixture with{true, 4};
