--- /dev/null
+++ b/standins/gateway/platform_world.cpp
@@ -0,0 +1,207 @@
+#include "standins/gateway/platform_world.h"
+
+#include "process/clock.h"
+
+#include <cstdlib>  // abort
+#include <iostream> // cerr
+#include <utility>  // exchange, move
+#include <variant>  // get_if
+
+#include <asio/steady_timer.hpp> // steady_timer
+#include <openssl/evp.h>         // EVP_EncodeBlock
+
+namespace hickorykeel::standins {
+
+using gateway::call_end;
+using gateway::header_list;
+using gateway::message_head;
+using gateway::server_exchange;
+
+namespace {
+
+constexpr auto event_interval = std::chrono::milliseconds{10};
+constexpr auto longest_run = std::chrono::seconds{60};
+constexpr auto loop_step = std::chrono::milliseconds{10};
+
+std::string to_base64(const std::string& bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                     reinterpret_cast<const unsigned char*>(bytes.data()),
+                                     static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+header_list json_headers()
+{
+    header_list headers;
+    headers.add("Content-Type", "application/json");
+    return headers;
+}
+
+void listen_or_abort(gateway::http_server& server, const std::string& address)
+{
+    const auto opened = server.listen(address);
+    if (const auto* failure = std::get_if<error>(&opened)) {
+        std::cerr << failure->to_string() << '\n';
+        std::abort();
+    }
+}
+
+} // namespace
+
+endpoint_standin::endpoint_standin(asio::io_context& loop, std::string id, std::string service,
+                                   std::string failure_domain, const std::string& address)
+    : m_loop{loop}, m_id{std::move(id)}, m_service{std::move(service)}, m_failure_domain{std::move(
+                                                                            failure_domain)},
+      m_address{address}, m_server{loop, [this](const auto& request) { serve(request); }}
+{
+    listen_or_abort(m_server, address);
+}
+
+nlohmann::json endpoint_standin::entry() const
+{
+    return {{"service", m_service}, {"address", m_address}, {"zone", m_failure_domain},
+            {"version", "v1"},      {"slots", 8},           {"state", m_state},
+            {"seq", m_sequence},    {"coldRemainingMs", 0}, {"born", 1'700'000'000'000}};
+}
+
+void endpoint_standin::serve(const std::shared_ptr<server_exchange>& request)
+{
+    const message_head& head = request->head();
+    const std::string attempt{head.headers.find("X-Hickorykeel-Attempt-Id")};
+    header_list headers;
+    headers.add("X-Hickorykeel-Attempt-Id", attempt);
+    headers.add("X-Hickorykeel-Instance-Id", m_id);
+    if (head.headers.find("X-Hickorykeel-Target-Instance") != m_id) {
+        request->respond(421, headers, {});
+        return;
+    }
+    ++m_runs[attempt];
+    headers.add("X-Hickorykeel-Response-Seal", "seal-of-" + m_id);
+    if (head.target.find("/stream/") == std::string::npos) {
+        request->respond(200, headers, "answer of " + m_id);
+        return;
+    }
+    request->begin(200, headers);
+    stream(request, 1);
+}
+
+void endpoint_standin::stream(const std::shared_ptr<server_exchange>& request, int next)
+{
+    if (next > m_events) {
+        request->end();
+        return;
+    }
+    request->send("id: " + std::to_string(next) + "\ndata: word\n\n");
+    auto timer = std::make_shared<asio::steady_timer>(m_loop, event_interval);
+    timer->async_wait([this, timer, request, next](const asio::error_code& failure) {
+        if (!failure) {
+            stream(request, next + 1);
+        }
+    });
+}
+
+platform_world::platform_world(const std::string& store_address)
+    : m_store{m_loop, [this](const auto& request) { serve_store(request); }}, m_caller{m_loop}
+{
+    listen_or_abort(m_store, store_address);
+}
+
+void platform_world::put(const std::string& key, const nlohmann::json& value)
+{
+    ++m_revision;
+    m_items[key] = {{"key", key},
+                    {"value", to_base64(value.dump())},
+                    {"revision", m_revision},
+                    {"created", m_revision},
+                    {"lease", 0}};
+}
+
+void platform_world::remove(const std::string& key)
+{
+    ++m_revision;
+    m_items.erase(key);
+}
+
+void platform_world::serve_store(const std::shared_ptr<server_exchange>& request)
+{
+    ++m_reads;
+    const message_head& head = request->head();
+    if (m_refuses || gateway::to_path(head.target) != "/hickorykeel/kv-range") {
+        request->respond(m_refuses ? 503 : 404, {}, {});
+        return;
+    }
+    // small pages, so that readers must ask for more than one
+    constexpr std::size_t page_items = 3;
+    const std::string prefix = gateway::query_value(head.target, "prefix");
+    const std::string after = gateway::query_value(head.target, "after");
+    nlohmann::json items = nlohmann::json::array();
+    bool has_more = false;
+    for (auto it = m_items.upper_bound(after); it != m_items.end(); ++it) {
+        if (!it->first.starts_with(prefix)) {
+            continue;
+        }
+        if (items.size() == page_items) {
+            has_more = true;
+            break;
+        }
+        items.push_back(it->second);
+    }
+    const nlohmann::json page{{"items", items}, {"hasMore", has_more}, {"asOf", m_revision}};
+    request->respond(200, json_headers(), page.dump());
+}
+
+endpoint_standin& platform_world::add_endpoint(const std::string& id, const std::string& service,
+                                               const std::string& failure_domain,
+                                               const std::string& address)
+{
+    m_endpoints.push_back(
+        std::make_unique<endpoint_standin>(m_loop, id, service, failure_domain, address));
+    beat(*m_endpoints.back());
+    return *m_endpoints.back();
+}
+
+void platform_world::beat(const endpoint_standin& endpoint)
+{
+    put("servers/" + endpoint.id(), endpoint.entry());
+}
+
+std::shared_ptr<world_answer> platform_world::ask(const std::string& address,
+                                                  const std::string& method,
+                                                  const std::string& target,
+                                                  const std::map<std::string, std::string>& headers,
+                                                  const std::string& body)
+{
+    auto answer = std::make_shared<world_answer>();
+    header_list sent;
+    for (const auto& [name, value] : headers) {
+        sent.add(name, value);
+    }
+    m_caller.call(
+        {.address = address}, gateway::format_request(method, target, sent, body),
+        {.on_head = [answer](const message_head& head) { answer->status = head.status; },
+         .on_body = [answer](std::string& bytes) { answer->body += std::exchange(bytes, {}); },
+         .on_end =
+             [answer](call_end end) {
+                 answer->has_ended = true;
+                 answer->is_whole = end == call_end::complete;
+             }});
+    return answer;
+}
+
+bool platform_world::run_until(const std::function<bool()>& is_done)
+{
+    const time_point limit = boot_clock::now() + longest_run;
+    while (!is_done()) {
+        if (boot_clock::now() >= limit) {
+            return false;
+        }
+        m_loop.restart();
+        m_loop.run_one_for(loop_step);
+    }
+    return true;
+}
+
+} // namespace hickorykeel::standins
--- /dev/null
+++ b/standins/gateway/platform_world.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "gateway/http/http_client.h"
+#include "gateway/http/http_server.h"
+
+#include <chrono>     // milliseconds
+#include <cstdint>    // uint64_t
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // shared_ptr, unique_ptr
+#include <optional>   // optional
+#include <string>     // string
+#include <vector>     // vector
+
+#include <asio/io_context.hpp> // io_context
+#include <nlohmann/json.hpp>
+
+namespace hickorykeel::standins {
+
+/// An endpoint as the users' platform has them: answers by its own id, streams events, and keeps
+/// a book of what it ran.
+class endpoint_standin {
+public:
+    endpoint_standin(asio::io_context& loop, std::string id, std::string service,
+                     std::string failure_domain, const std::string& address);
+
+    /// Its entry in the store.
+    [[nodiscard]] nlohmann::json entry() const;
+    [[nodiscard]] const std::string& id() const noexcept { return m_id; }
+
+    /// How often each attempt ran.
+    [[nodiscard]] const std::map<std::string, int>& runs() const noexcept { return m_runs; }
+    void set_state(std::string state) { m_state = std::move(state); }
+    void set_events(int events) noexcept { m_events = events; }
+
+private:
+    void serve(const std::shared_ptr<gateway::server_exchange>& request);
+    void stream(const std::shared_ptr<gateway::server_exchange>& request, int next);
+
+    asio::io_context& m_loop;
+    std::string m_id;
+    std::string m_service;
+    std::string m_failure_domain;
+    std::string m_address;
+    std::string m_state = "ready";
+    int m_events = 5;
+    std::uint64_t m_sequence = 0;
+    std::map<std::string, int> m_runs;
+    gateway::http_server m_server;
+};
+
+/// Answer that a caller has received.
+struct world_answer {
+    bool is_whole = false;
+    bool has_ended = false;
+    int status = 0;
+    std::string body;
+};
+
+/// The users' platform on one event loop: its store, endpoints, and a caller.
+///
+/// Thread safety: none; one thread uses it and runs its loop.
+class platform_world {
+public:
+    explicit platform_world(const std::string& store_address);
+
+    /// @name store
+    /// @{
+    void put(const std::string& key, const nlohmann::json& value);
+    void remove(const std::string& key);
+
+    /// Turns every reader away with 503, or serves again.
+    void set_refusing(bool refuses) noexcept { m_refuses = refuses; }
+    [[nodiscard]] std::uint64_t reads() const noexcept { return m_reads; }
+    /// @}
+
+    /// Adds an endpoint and its entry.
+    endpoint_standin& add_endpoint(const std::string& id, const std::string& service,
+                                   const std::string& failure_domain, const std::string& address);
+
+    /// Writes an endpoint's entry again.
+    void beat(const endpoint_standin& endpoint);
+
+    /// Sends a request; the answer grows while the loop runs.
+    std::shared_ptr<world_answer> ask(const std::string& address, const std::string& method,
+                                      const std::string& target,
+                                      const std::map<std::string, std::string>& headers,
+                                      const std::string& body = {});
+
+    /// Runs the loop until `is_done`, or for a minute. @return whether it came true
+    bool run_until(const std::function<bool()>& is_done);
+
+private:
+    void serve_store(const std::shared_ptr<gateway::server_exchange>& request);
+
+    asio::io_context m_loop{1};
+    gateway::http_server m_store;
+    gateway::http_client m_caller;
+    std::map<std::string, nlohmann::json> m_items; // by key: the item as the store shows it
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_reads = 0;
+    bool m_refuses = false;
+    std::vector<std::unique_ptr<endpoint_standin>> m_endpoints;
+};
+
+} // namespace hickorykeel::standins
--- /dev/null
+++ b/tests/scenarios/gateway_calm_day_test.cpp
@@ -0,0 +1,306 @@
+#include "standins/gateway/platform_world.h"
+#include "support/child_process.h"
+#include "support/free_port.h"
+#include "support/scratch_file.h"
+
+#include <map>    // map
+#include <memory> // unique_ptr
+#include <set>    // set
+#include <string> // string
+#include <vector> // vector
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace hickorykeel;
+using namespace hickorykeel::standins;
+using namespace hickorykeel::tests;
+
+namespace {
+
+const std::string caller_host = "h.example";
+const std::string first_key = "key-one";
+const std::string second_key = "key-two";
+
+/// Ports that all gateways of the day use, as the platform gives them.
+struct day_ports {
+    std::string callers = port();
+    std::string readiness = port();
+    std::string directory = port();
+    std::string peers = port();
+    std::string metrics = port();
+
+private:
+    static std::string port()
+    {
+        const std::string address = free_address();
+        return address.substr(address.rfind(':'));
+    }
+};
+
+/// One gateway process.
+struct gateway_host {
+    std::string ip;
+    std::unique_ptr<scratch_file> settings;
+    std::unique_ptr<child_process> process;
+};
+
+nlohmann::json make_route(const std::string& name, const std::string& prefix,
+                          const std::string& kind, const std::vector<std::string>& homes = {})
+{
+    return {{"name", name},
+            {"host", caller_host},
+            {"prefix", prefix},
+            {"kind", kind},
+            {"timeoutMs", 20'000},
+            {"sloMs", 2'000},
+            {"priority", 1},
+            {"service", "s"},
+            {"maxAttempts", 2},
+            {"anonymous", false},
+            {"resumable", kind == "streaming"},
+            {"homeRegions", homes}};
+}
+
+nlohmann::json make_configuration(int version, const std::vector<std::string>& keys,
+                                  bool has_late_route = false)
+{
+    nlohmann::json routes{make_route("safe", "/safe/", "safe"),
+                          make_route("once", "/once/", "non_idempotent"),
+                          make_route("stream", "/stream/", "streaming"),
+                          make_route("homed", "/homed/", "safe", {"b"})};
+    if (has_late_route) {
+        routes.push_back(make_route("late", "/late/", "safe"));
+    }
+    return {{"version", version},
+            {"routes", routes},
+            {"services", {{{"name", "s"}, {"healthPath", "/healthz"}, {"maxConns", 50}}}},
+            {"limits",
+             {{"headerBytes", 16'384},
+              {"bodyBytes", 1'000'000},
+              {"headerTimeoutMs", 10'000},
+              {"idleTimeoutMs", 60'000}}},
+            {"tenants",
+             {{{"name", "o"},
+               {"apiKeys", keys},
+               {"perS", 0},
+               {"burst", 0},
+               {"unit", "tokens"},
+               {"plainTokens", 1}}}}};
+}
+
+/// The platform with one gateway in each of two regions, and endpoints in both.
+class calm_day {
+public:
+    calm_day()
+    {
+        m_world.put("op/config", make_configuration(1, {first_key, second_key}));
+        m_world.put("servers/odd", {{"service", 7}});
+        for (const char* id : {"i-a1", "i-a2"}) {
+            m_endpoints[id] = &m_world.add_endpoint(id, "s", "a-1", free_address());
+        }
+        for (const char* id : {"i-b1", "i-b2"}) {
+            m_endpoints[id] = &m_world.add_endpoint(id, "s", "b-1", free_address());
+        }
+        start("host-a", "a", "2");
+        start("host-b", "b", "3");
+        for (const gateway_host& host : m_hosts) {
+            REQUIRE(becomes(host, 200));
+        }
+        // callers of one region are served by the other's endpoints once the hosts have met
+        REQUIRE(m_world.run_until([this] { return ask(0, "GET", "/homed/x").status == 200; }));
+    }
+
+    platform_world& world() { return m_world; }
+    endpoint_standin& endpoint(const std::string& id) { return *m_endpoints.at(id); }
+    gateway_host& host(std::size_t at) { return m_hosts.at(at); }
+    [[nodiscard]] const std::string& last_id() const { return m_id; }
+
+    std::shared_ptr<world_answer> begin(std::size_t at, const std::string& method,
+                                        const std::string& target,
+                                        const std::string& key = first_key,
+                                        const std::string& body = {})
+    {
+        m_id = std::to_string(++m_count);
+        return m_world.ask(m_hosts.at(at).ip + m_ports.callers, method, target,
+                           {{"Host", caller_host},
+                            {"X-Hickorykeel-Attempt-Id", m_id},
+                            {"X-Hickorykeel-Deadline-Ms", "20000"},
+                            {"Api-Key", key}},
+                           body);
+    }
+
+    world_answer ask(std::size_t at, const std::string& method, const std::string& target,
+                     const std::string& key = first_key, const std::string& body = {})
+    {
+        const auto answer = begin(at, method, target, key, body);
+        REQUIRE(m_world.run_until([&] { return answer->has_ended; }));
+        return *answer;
+    }
+
+    /// Ids of the endpoints that ran the last request.
+    std::set<std::string> ran_last() const
+    {
+        std::set<std::string> found;
+        for (const auto& [id, endpoint] : m_endpoints) {
+            if (endpoint->runs().contains(m_id)) {
+                found.insert(id);
+            }
+        }
+        return found;
+    }
+
+    /// Runs of the last request at all endpoints together.
+    int runs_of_last() const
+    {
+        int sum = 0;
+        for (const auto& [id, endpoint] : m_endpoints) {
+            const auto found = endpoint->runs().find(m_id);
+            sum += found == endpoint->runs().end() ? 0 : found->second;
+        }
+        return sum;
+    }
+
+    bool becomes(const gateway_host& host, int status)
+    {
+        return m_world.run_until([&] {
+            const auto answer =
+                m_world.ask(host.ip + m_ports.readiness, "GET", "/hickorykeel/readyz", {});
+            REQUIRE(m_world.run_until([&] { return answer->has_ended; }));
+            return answer->status == status;
+        });
+    }
+
+    std::string directory(std::size_t at, const std::string& region)
+    {
+        const auto answer = m_world.ask(m_hosts.at(at).ip + m_ports.directory, "GET",
+                                        "/hickorykeel/resolve?name=" + caller_host +
+                                            "&region=" + region + "&zone=" + region + "-1",
+                                        {});
+        REQUIRE(m_world.run_until([&] { return answer->has_ended; }));
+        return answer->body;
+    }
+
+    std::string metrics(std::size_t at)
+    {
+        const auto answer = m_world.ask(m_hosts.at(at).ip + m_ports.metrics, "GET", "/metrics", {});
+        REQUIRE(m_world.run_until([&] { return answer->has_ended; }));
+        return answer->body;
+    }
+
+private:
+    void start(const std::string& name, const std::string& region, const std::string& last_byte)
+    {
+        const std::string any = free_address();
+        gateway_host& host = m_hosts.emplace_back();
+        // hosts differ in their addresses and share their ports
+        host.ip = any.substr(0, any.rfind('.') + 1) + last_byte;
+        const std::string other =
+            any.substr(0, any.rfind('.') + 1) + (last_byte == "2" ? "3" : "2");
+        host.settings = std::make_unique<scratch_file>(
+            "[host]\nname = " + name + "\nip = " + host.ip + "\nfailure_domain = " + region +
+            "-1\nregion = " + region +
+            "\nfailure_domains =\n  a-1:a\n  b-1:b\n[listen]\ncallers = " + host.ip +
+            m_ports.callers + "\nreadiness = " + host.ip + m_ports.readiness +
+            "\ndirectory = " + host.ip + m_ports.directory + "\npeers = " + host.ip +
+            m_ports.peers + "\nmetrics = " + host.ip + m_ports.metrics + "\n[peers]\nseeds =\n  " +
+            host.ip + m_ports.peers + "\n  " + other + m_ports.peers +
+            "\n[source]\naddress = " + m_store_address + "\n");
+        host.process = std::make_unique<child_process>(
+            "hickorykeel-gateway", std::vector<std::string>{"--settings", host.settings->path()});
+    }
+
+    std::string m_store_address = free_address();
+    platform_world m_world{m_store_address};
+    day_ports m_ports;
+    std::map<std::string, endpoint_standin*> m_endpoints;
+    std::vector<gateway_host> m_hosts;
+    std::string m_id;
+    int m_count = 0;
+};
+
+} // namespace
+
+TEST_CASE("a calm day over real processes")
+{
+    calm_day day;
+    for (int round = 0; round < 10; ++round) {
+        for (const std::size_t at : {0U, 1U}) {
+            const std::string own = at == 0 ? "i-a" : "i-b";
+            CHECK(day.ask(at, "GET", "/safe/x").status == 200);
+            CHECK(day.runs_of_last() == 1);
+            const world_answer booked = day.ask(at, "POST", "/once/x", second_key, "body");
+            CHECK(booked.status == 200);
+            CHECK(day.runs_of_last() == 1);
+            CHECK(booked.body == "answer of " + *day.ran_last().begin());
+            CHECK(day.ran_last().begin()->starts_with(own));
+            const world_answer streamed = day.ask(at, "POST", "/stream/x", first_key, "body");
+            CHECK(streamed.is_whole);
+            CHECK(streamed.body.ends_with("id: 5\ndata: word\n\n"));
+            CHECK(day.ask(at, "GET", "/homed/x").status == 200);
+            CHECK(day.ran_last().begin()->starts_with("i-b"));
+        }
+    }
+    CHECK(day.ask(0, "GET", "/safe/x", "stranger").status == 401);
+    CHECK(day.runs_of_last() == 0);
+    CHECK(day.ask(0, "GET", "/nowhere/x").status == 404);
+    CHECK(day.directory(0, "a").find(day.host(0).ip) != std::string::npos);
+    CHECK(day.directory(0, "b").find(day.host(1).ip) != std::string::npos);
+    CHECK(day.metrics(0).find("hickorykeel_gateway_answers_total") != std::string::npos);
+    const std::string log = day.host(0).process->output();
+    CHECK(log.find(R"("event":"request_end")") != std::string::npos);
+    CHECK(log.find(R"("event":"endpoint_entries_unusable","count":1)") != std::string::npos);
+    CHECK(log.find(first_key) == std::string::npos);
+}
+
+TEST_CASE("changes of what is published reach every gateway")
+{
+    calm_day day;
+    day.world().put("op/config", make_configuration(2, {second_key}, true));
+    for (const std::size_t at : {0U, 1U}) {
+        CHECK(day.world().run_until([&] { return day.ask(at, "GET", "/safe/x").status == 401; }));
+        CHECK(day.ask(at, "GET", "/late/x", second_key).status == 200);
+    }
+    day.endpoint("i-a1").set_state("draining");
+    day.world().beat(day.endpoint("i-a1"));
+    day.world().remove("servers/i-b1");
+    const auto reads = day.world().reads();
+    REQUIRE(day.world().run_until([&] { return day.world().reads() >= reads + 12; }));
+    for (int round = 0; round < 20; ++round) {
+        for (const std::size_t at : {0U, 1U}) {
+            CHECK(day.ask(at, "GET", "/safe/x", second_key).status == 200);
+            CHECK(*day.ran_last().begin() == (at == 0 ? "i-a2" : "i-b2"));
+        }
+    }
+}
+
+TEST_CASE("keys are refused once nobody can tell that they are still in force")
+{
+    calm_day day;
+    day.world().set_refusing(true);
+    CHECK(day.world().run_until([&] { return day.ask(0, "GET", "/safe/x").status == 503; }));
+    CHECK(day.runs_of_last() == 0);
+    day.world().set_refusing(false);
+    CHECK(day.world().run_until([&] { return day.ask(0, "GET", "/safe/x").status == 200; }));
+}
+
+TEST_CASE("a gateway that is told to stop cuts no stream and leaves the directory")
+{
+    calm_day day;
+    for (const char* id : {"i-a1", "i-a2"}) {
+        day.endpoint(id).set_events(300);
+    }
+    const auto streamed = day.begin(0, "POST", "/stream/x", first_key, "body");
+    REQUIRE(day.world().run_until([&] { return !streamed->body.empty(); }));
+    day.host(0).process->terminate();
+    CHECK(day.becomes(day.host(0), 503));
+    CHECK(day.world().run_until(
+        [&] { return day.directory(1, "a").find(day.host(0).ip) == std::string::npos; }));
+    CHECK(day.ask(0, "GET", "/safe/x").status == 200);
+    CHECK(day.world().run_until([&] { return streamed->has_ended; }));
+    CHECK(streamed->is_whole);
+    CHECK(streamed->body.ends_with("id: 300\ndata: word\n\n"));
+    CHECK(day.world().run_until([&] { return day.host(0).process->exit_code().has_value(); }));
+    CHECK(day.host(0).process->exit_code() == 0);
+    CHECK(day.host(0).process->output().find(R"("event":"stop")") != std::string::npos);
+}
