Name the regions that are home to most routes when a region's hosts are stopped

Cause, from its logs: all three hosts of a region were stopping at once (stops two seconds apart, each up to 7.4 s), and the homes of the host's routes had no region in common, so that the directory fell back to any. Ruled out: stale answers, as the requests came after their term. It now ranks regions by the routes that they are home to. The test failed before.

--- a/src/gateway/configuration/publication.cpp
+++ b/src/gateway/configuration/publication.cpp
@@ -1,8 +1,8 @@
 #include "gateway/configuration/publication.h"
 
-#include <algorithm> // find, upper_bound
+#include <algorithm> // upper_bound
 #include <array>     // array
-#include <utility>   // exchange, move
+#include <utility>   // move
 
 namespace hickorykeel::gateway {
 
@@ -51,27 +51,19 @@
     return nullptr;
 }
 
-std::vector<std::string> publication::common_homes(const std::string& host) const
+std::map<std::string, unsigned> publication::count_homes(const std::string& host) const
 {
-    std::vector<std::string> common;
+    std::map<std::string, unsigned> counts;
     const auto found = m_routes.find(host);
     if (found == m_routes.end()) {
-        return common;
+        return counts;
     }
-    bool is_first = true;
     for (const route& of : found->second) {
-        if (of.home_regions.empty()) {
-            continue;
+        for (const std::string& region : of.home_regions) {
+            ++counts[region];
         }
-        if (std::exchange(is_first, false)) {
-            common = of.home_regions;
-        }
-        std::erase_if(common, [&of](const std::string& region) {
-            return std::find(of.home_regions.begin(), of.home_regions.end(), region) ==
-                   of.home_regions.end();
-        });
     }
-    return common;
+    return counts;
 }
 
 const service* publication::find_service(const std::string& name) const
--- a/src/gateway/configuration/publication.h
+++ b/src/gateway/configuration/publication.h
@@ -3,6 +3,7 @@
 #include <chrono>        // milliseconds
 #include <cstddef>       // size_t
 #include <cstdint>       // int64_t, uint64_t
+#include <map>           // map
 #include <memory>        // shared_ptr
 #include <optional>      // optional
 #include <set>           // set
@@ -103,9 +104,8 @@
     /// The route of `host` with the longest prefix of `path`, or null.
     [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
 
-    /// Regions that are homes of every route of `host` that has homes. Empty: none has any, or
-    /// they have none in common.
-    [[nodiscard]] std::vector<std::string> common_homes(const std::string& host) const;
+    /// For each region, the number of routes of `host` with homes that have it among them.
+    [[nodiscard]] std::map<std::string, unsigned> count_homes(const std::string& host) const;
     [[nodiscard]] const service* find_service(const std::string& name) const;
 
     /// The organisation that holds `key`, or null.
--- a/src/gateway/membership/directory_choice.cpp
+++ b/src/gateway/membership/directory_choice.cpp
@@ -1,26 +1,23 @@
 #include "gateway/membership/directory_choice.h"
 
-#include <algorithm> // find, min
-#include <array>     // array
+#include <limits> // numeric_limits
 
 namespace hickorykeel::gateway {
 
 namespace {
 
-enum nearness : std::size_t { same_domain, same_region, home_region, elsewhere, nearness_count };
-
-nearness to_nearness(const directory_candidate& candidate, const directory_caller& caller)
+/// Larger is better: the caller's failure domain, its region, then homes of many routes.
+unsigned to_rank(const directory_candidate& candidate, const directory_caller& caller)
 {
+    constexpr unsigned same_domain = std::numeric_limits<unsigned>::max();
     if (candidate.failure_domain == caller.failure_domain) {
         return same_domain;
     }
     if (candidate.region == caller.region) {
-        return same_region;
+        return same_domain - 1;
     }
-    const auto& homes = caller.home_regions;
-    const bool is_home =
-        homes.empty() || std::find(homes.begin(), homes.end(), candidate.region) != homes.end();
-    return is_home ? home_region : elsewhere;
+    const auto found = caller.homes.find(candidate.region);
+    return found == caller.homes.end() ? 0 : found->second;
 }
 
 } // namespace
@@ -28,17 +25,19 @@
 std::vector<std::string> choose_addresses(const std::vector<directory_candidate>& candidates,
                                           const directory_caller& caller, std::size_t most)
 {
-    std::array<std::vector<std::string>, nearness_count> found;
+    std::vector<std::string> addresses;
+    unsigned best = 0;
     for (const directory_candidate& candidate : candidates) {
-        found[to_nearness(candidate, caller)].push_back(candidate.address);
-    }
-    for (auto& addresses : found) {
-        if (!addresses.empty()) {
-            addresses.resize(std::min(addresses.size(), most));
-            return addresses;
+        const unsigned rank = to_rank(candidate, caller);
+        if (rank > best) {
+            best = rank;
+            addresses.clear();
+        }
+        if (rank == best && addresses.size() < most) {
+            addresses.push_back(candidate.address);
         }
     }
-    return {};
+    return addresses;
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/membership/directory_choice.h
+++ b/src/gateway/membership/directory_choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef> // size_t
+#include <map>     // map
 #include <string>  // string
 #include <vector>  // vector
 
@@ -17,11 +18,11 @@
 struct directory_caller {
     std::string failure_domain;
     std::string region;
-    std::vector<std::string> home_regions; ///< of all its homed routes; empty: any region
+    std::map<std::string, unsigned> homes; ///< by region: routes that have it among their homes
 };
 
-/// Addresses for a caller: of its failure domain, else of its region, else of the home regions of
-/// its routes, else any. Empty only where there are no candidates. Thread safe.
+/// Addresses for a caller: of its failure domain, else of its region, else of the regions that are
+/// home to most of its routes. Empty only where there are no candidates. Thread safe.
 [[nodiscard]] std::vector<std::string>
 choose_addresses(const std::vector<directory_candidate>& candidates, const directory_caller& caller,
                  std::size_t most);
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -226,7 +226,7 @@
     }
     directory_caller caller{question.failure_domain, question.region, {}};
     if (const publication_ptr& published = m_state.published()) {
-        caller.home_regions = published->common_homes(question.host);
+        caller.homes = published->count_homes(question.host);
     }
     return choose_addresses(candidates, caller, most_addresses);
 }
--- a/tests/gateway/directory_choice_test.cpp
+++ b/tests/gateway/directory_choice_test.cpp
@@ -28,11 +28,19 @@
 {
     // both hosts of a region were stopped in turn, and the directory named any other host: bodies
     // of requests with homes went to a region that was none
-    const directory_caller caller{"a-1", "a", {"a", "b"}};
+    const directory_caller caller{"a-1", "a", {{"a", 1}, {"b", 1}}};
     CHECK(choose_addresses({far, home}, caller, 64) == addresses{"home"});
     CHECK(choose_addresses({far}, caller, 64) == addresses{"far"});
 }
 
+TEST_CASE("regression: a region that is home to few routes comes after one that is to many")
+{
+    // routes whose homes had nothing in common let the directory name any region
+    const directory_caller caller{"a-1", "a", {{"b", 5}, {"c", 1}}};
+    CHECK(choose_addresses({far, home}, caller, 64) == addresses{"home"});
+    CHECK(choose_addresses({home, far}, caller, 64) == addresses{"home"});
+}
+
 TEST_CASE("the directory names no more hosts than it is asked for")
 {
     const directory_caller caller{"a-1", "a", {}};
