Take no requests late in a stop's grace

Cause: a stopping host took requests until its process ended, and callers that held an old list kept coming while their region's other hosts were stopping too. Ruled out: the directory, which had named other hosts since the signal. After 2.8 s the listeners close and what still arrives is refused as not run. The scenario's check failed before.

--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -50,6 +50,10 @@
         refuse(400, m_fields.refused_because, "no", {});
         return;
     }
+    if (!m_context.takes_requests) {
+        refuse(503, "stopping", "no", m_context.options.retry_after_stop);
+        return;
+    }
     if (!authorise()) {
         return;
     }
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -24,8 +24,9 @@
 constexpr auto directory_ttl = std::chrono::seconds{1};
 constexpr std::size_t most_addresses = 64;
 
-/// A stopping host serves at least for so long: callers may use an old list three times its term.
-constexpr duration least_stop_time = std::chrono::milliseconds{4'200};
+/// A stopping host takes requests for so long: callers may use an old list for three times its
+/// term. What comes later might not end before the kill.
+constexpr duration stop_admission = std::chrono::milliseconds{2'800};
 
 /// Margin between the last answer and the kill.
 constexpr duration stop_margin = std::chrono::milliseconds{600};
@@ -100,6 +101,7 @@
                 .retries = {},
                 .unreachable = {},
                 .passed_on = {},
+                .takes_requests = true,
                 .wait = [this](const auto& waiting) { m_waiting.add(waiting); },
                 .wake =
                     [this] {
@@ -454,10 +456,14 @@
 {
     const duration elapsed = boot_clock::now() - m_stop_begun;
     const bool is_quiet = m_callers.active() == 0 && m_peers.active() == 0;
-    if ((elapsed >= least_stop_time && is_quiet) ||
-        elapsed >= m_settings.stop_grace - stop_margin) {
+    if (elapsed >= stop_admission && m_context.takes_requests) {
+        m_context.takes_requests = false;
         m_callers.stop_listening();
         m_peers.stop_listening();
+        m_log.write(log_line{"stopped_taking_requests"}.add(
+            "open_requests", static_cast<std::int64_t>(m_callers.active())));
+    }
+    if ((!m_context.takes_requests && is_quiet) || elapsed >= m_settings.stop_grace - stop_margin) {
         m_loop.stop();
         return;
     }
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -47,6 +47,7 @@
     duration endpoint_connect_timeout = std::chrono::milliseconds{400};
     duration host_connect_timeout = std::chrono::milliseconds{600};
     duration retry_after_overload = std::chrono::milliseconds{700};
+    duration retry_after_stop = std::chrono::milliseconds{100};
     duration retry_after_outage = std::chrono::milliseconds{1'000};
     /// A configuration older than that proves nothing about what it doesn't hold.
     duration trusted_age = std::chrono::milliseconds{3'000};
@@ -75,6 +76,8 @@
     /// Requests passed to another region's service since its last heartbeat, by region and service.
     std::unordered_map<std::string, std::uint32_t> passed_on;
 
+    bool takes_requests = true; ///< false: the process is about to end
+
     /// Puts a request into the queue for a free place.
     std::function<void(const std::shared_ptr<exchange>&)> wait;
 
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -181,6 +181,7 @@
                               .retries = {},
                               .unreachable = {},
                               .passed_on = {},
+                              .takes_requests = true,
                               .wait = [this](const auto& waiting) { m_waiting.add(waiting); },
                               .wake = [] {}};
     http_server m_front{m_loop, [this](const auto& request) {
--- a/tests/scenarios/gateway_calm_day_test.cpp
+++ b/tests/scenarios/gateway_calm_day_test.cpp
@@ -288,7 +288,7 @@
 {
     calm_day day;
     for (const char* id : {"i-a1", "i-a2"}) {
-        day.endpoint(id).set_events(300);
+        day.endpoint(id).set_events(500);
     }
     const auto streamed = day.begin(0, "POST", "/stream/x", first_key, "body");
     REQUIRE(day.world().run_until([&] { return !streamed->body.empty(); }));
@@ -297,9 +297,13 @@
     CHECK(day.world().run_until(
         [&] { return day.directory(1, "a").find(day.host(0).ip) == std::string::npos; }));
     CHECK(day.ask(0, "GET", "/safe/x").status == 200);
+    // regression: requests that came late in the grace were taken, and cut at its end
+    CHECK(day.world().run_until([&] { return day.ask(0, "GET", "/safe/x").status != 200; }));
+    CHECK_FALSE(day.host(0).process->exit_code());
+    CHECK_FALSE(streamed->has_ended);
     CHECK(day.world().run_until([&] { return streamed->has_ended; }));
     CHECK(streamed->is_whole);
-    CHECK(streamed->body.ends_with("id: 300\ndata: word\n\n"));
+    CHECK(streamed->body.ends_with("id: 500\ndata: word\n\n"));
     CHECK(day.world().run_until([&] { return day.host(0).process->exit_code().has_value(); }));
     CHECK(day.host(0).process->exit_code() == 0);
     CHECK(day.host(0).process->output().find(R"("event":"stop")") != std::string::npos);
