--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -170,6 +170,8 @@
         }
         else {
             m_with.metrics.count("relay_failure");
+            m_with.log.write(
+                log_line{"relay_failed"}.add("peer", host).add("reason", to_name(end)));
         }
     };
     m_with.client.call(
--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -12,6 +12,9 @@
 /// Bytes that a caller may send ahead while its request is being answered.
 constexpr std::size_t most_pending_bytes = 65'536;
 
+/// Pause after a connection could not be accepted.
+constexpr duration accept_pause = std::chrono::milliseconds{50};
+
 } // namespace
 
 // server_exchange
@@ -148,13 +151,13 @@
         take_request();
         break;
     case parse_state::malformed:
-        reject(400);
+        reject(400, "malformed");
         break;
     case parse_state::head_too_large:
-        reject(431);
+        reject(431, "head_too_large");
         break;
     case parse_state::body_too_large:
-        reject(413);
+        reject(413, "body_too_large");
         break;
     }
 }
@@ -169,8 +172,11 @@
     m_owner.m_on_request(exchange);
 }
 
-void server_connection::reject(int status)
+void server_connection::reject(int status, std::string_view reason)
 {
+    if (m_owner.m_on_reject) {
+        m_owner.m_on_reject(status, reason);
+    }
     m_channel->send(format_response(status, {}, {}, false));
     m_channel->close_after_sending();
     on_end();
@@ -230,7 +236,7 @@
         return;
     }
     if (m_parser.has_begun()) {
-        reject(408);
+        reject(408, "head_too_slow");
         return;
     }
     m_channel->close();
@@ -277,8 +283,16 @@
         }
         if (!failure) {
             std::make_shared<server_connection>(*this, std::move(socket))->start();
+            accept();
+            return;
         }
-        accept();
+        // no descriptors, most likely: the next try waits until some may be free
+        m_accept_timer.expires_after(accept_pause);
+        m_accept_timer.async_wait([this](const asio::error_code& cancelled) {
+            if (!cancelled && m_acceptor.is_open()) {
+                accept();
+            }
+        });
     });
 }
 
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -90,7 +90,7 @@
     void on_bytes(std::string_view bytes);
     void parse(std::string_view bytes);
     void take_request();
-    void reject(int status);
+    void reject(int status, std::string_view reason);
     void on_end();
     void next_request();
     void arm();
@@ -116,7 +116,7 @@
     using handler = std::function<void(const std::shared_ptr<server_exchange>&)>;
 
     http_server(asio::io_context& loop, handler on_request)
-        : m_loop{loop}, m_acceptor{loop}, m_on_request{std::move(on_request)}
+        : m_loop{loop}, m_acceptor{loop}, m_accept_timer{loop}, m_on_request{std::move(on_request)}
     {
     }
 
@@ -132,6 +132,12 @@
     /// From now on each answer ends its connection.
     void announce_close() noexcept { m_is_closing = true; }
 
+    /// Called for each request that is refused before it could be handed on.
+    void set_on_reject(std::function<void(int status, std::string_view reason)> on_reject)
+    {
+        m_on_reject = std::move(on_reject);
+    }
+
     void set_limits(server_limits limits) noexcept { m_limits = limits; }
 
     /// Connections that are open.
@@ -148,7 +154,9 @@
 
     asio::io_context& m_loop;
     asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_accept_timer; // after a failure
     handler m_on_request;
+    std::function<void(int, std::string_view)> m_on_reject;
     server_limits m_limits;
     std::size_t m_connections = 0;
     std::size_t m_active = 0;
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -151,6 +151,11 @@
                     .add("callers", m_settings.callers_address)
                     .add("peers", m_settings.peers_address)
                     .add("metrics", m_settings.metrics_address));
+    m_callers.set_on_reject([this](int status, std::string_view reason) {
+        m_metrics.count("rejected_" + std::string{reason});
+        m_log.write_request(
+            log_line{"request_rejected"}.add("status", std::int64_t{status}).add("reason", reason));
+    });
     wait_for_signals();
     m_follower.start();
     beat();
@@ -242,6 +247,7 @@
     m_metrics.set_gauge("waiting_requests", static_cast<double>(m_waiting.size()));
     m_metrics.set_gauge("active_requests", static_cast<double>(m_callers.active()));
     m_metrics.set_gauge("connections_opened", static_cast<double>(m_client.connections_opened()));
+    m_metrics.set_gauge("heartbeats_not_sent", static_cast<double>(m_gossip.failures()));
     m_metrics.set_gauge("log_lines_left_out", static_cast<double>(m_log.left_out()));
     request->respond(200, plain_text(), m_metrics.to_text());
 }
--- a/tests/gateway/attempt_rule_test.cpp
+++ b/tests/gateway/attempt_rule_test.cpp
@@ -1,8 +1,11 @@
 #include "gateway/serving/attempt_rule.h"
 
+#include "gateway/routes.h"
+
 #include <doctest/doctest.h>
 
 using namespace hickorykeel::gateway;
+using hickorykeel::gateway::tests::make_route;
 
 namespace {
 
@@ -10,15 +13,6 @@
 constexpr failed_try ran{true};
 constexpr failed_try not_run{false};
 
-route make_route(request_kind kind, unsigned max_attempts, bool is_resumable = false)
-{
-    route made;
-    made.kind = kind;
-    made.max_attempts = max_attempts;
-    made.is_resumable = is_resumable;
-    return made;
-}
-
 } // namespace
 
 TEST_CASE("a request that isn't repeatable is tried again only while it has not run")
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway/serving/exchange.h"
 
 #include "gateway/http/http_server.h"
+#include "gateway/routes.h"
 #include "gateway/serving/waiting_queue.h"
 #include "platform/headers.h"
 
@@ -16,6 +17,7 @@
 
 using namespace hickorykeel;
 using namespace hickorykeel::gateway;
+using hickorykeel::gateway::tests::make_route;
 using namespace std::chrono_literals;
 
 namespace {
@@ -192,15 +194,6 @@
     std::shared_ptr<client_connection> m_call;
 };
 
-route make_route(request_kind kind, unsigned max_attempts, bool is_resumable = false)
-{
-    route made;
-    made.kind = kind;
-    made.max_attempts = max_attempts;
-    made.is_resumable = is_resumable;
-    return made;
-}
-
 /// Answers wholly, and keeps the heads of the requests.
 class whole_answers {
 public:
@@ -425,3 +418,28 @@
     gateway.leave();
     gateway.run_until([&] { return has_stopped; });
 }
+
+TEST_CASE("a request that is no whole request is refused and reported")
+{
+    asio::io_context loop{1};
+    http_server server{loop, [](const auto& request) { request->respond(200, {}, {}); }};
+    std::string reported;
+    server.set_on_reject([&](int, std::string_view reason) { reported = reason; });
+    REQUIRE(is_ok(server.listen("127.0.0.1:0")));
+    http_client caller{loop};
+    int status = 0;
+    bool has_ended = false;
+    caller.call({.address = "127.0.0.1:" + std::to_string(server.port())},
+                "GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                {.on_head = [&](const message_head& head) { status = head.status; },
+                 .on_end = [&](call_end) { has_ended = true; }});
+    const time_point limit = boot_clock::now() + patience;
+    while (!has_ended && boot_clock::now() < limit) {
+        loop.restart();
+        loop.run_one_for(10ms);
+    }
+    CHECK(status == 400);
+    CHECK(reported == "malformed");
+    loop.restart();
+    loop.run_for(1ms);
+}
