Close what is left when an HTTP client or server ends

The sanitizer found connections that held each other through their channels' handlers after the tests of the request path (86 kB in 437 allocations): an owner that ended left its open connections to nobody. gateway_tests under the address and undefined-behaviour sanitizers: 88 of 88, no leak.

--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/http/live_set.h"
 #include "gateway/http/message_parser.h"
 #include "gateway/http/tcp_channel.h"
 #include "process/clock.h"
@@ -75,6 +76,7 @@
     [[nodiscard]] duration idle_time() const;
 
     http_client& m_owner;
+    live_set<client_connection>::entry m_live;
     std::string m_address;
     std::shared_ptr<tcp_channel> m_channel;
     message_parser m_parser;
@@ -95,6 +97,13 @@
 class http_client {
 public:
     explicit http_client(asio::io_context& loop) : m_loop{loop} {}
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+    http_client(http_client&&) = delete;
+    http_client& operator=(http_client&&) = delete;
+
+    /// Ends all calls without their handlers. The loop must still exist.
+    ~http_client();
 
     /// Starts a call. `request` is the whole request as `format_request` makes it.
     std::shared_ptr<client_connection> call(const call_options& options, std::string request,
@@ -113,6 +122,7 @@
     void drop(const client_connection& connection);
 
     asio::io_context& m_loop;
+    live_set<client_connection> m_live;
     std::unordered_map<std::string, std::vector<std::shared_ptr<client_connection>>> m_idle;
     std::uint64_t m_opened = 0;
 };
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/http/live_set.h"
 #include "gateway/http/message_parser.h"
 #include "gateway/http/tcp_channel.h"
 #include "process/clock.h"
@@ -98,6 +99,7 @@
     [[nodiscard]] bool keeps_alive() const;
 
     http_server& m_owner;
+    live_set<server_connection>::entry m_live;
     std::shared_ptr<tcp_channel> m_channel;
     asio::steady_timer m_timer;
     message_parser m_parser;
@@ -120,6 +122,14 @@
     {
     }
 
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
+
+    /// Closes all connections. The loop must still exist.
+    ~http_server();
+
     /// Listens at `address` ("ip:port") and accepts from then on.
     result<bool> listen(const std::string& address);
 
@@ -153,6 +163,7 @@
     void accept();
 
     asio::io_context& m_loop;
+    live_set<server_connection> m_live;
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_accept_timer; // after a failure
     handler m_on_request;
