Remove members that nothing calls, and read decimals of settings in one place

Found when the change was read again: an unused setting of the follower, an unused term and question of the endpoint pool, an alias and two unused members of the HTTP client, and a second reader of decimals.

--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -38,7 +38,6 @@
     duration retry = std::chrono::milliseconds{300};       ///< after a failure
     duration relay_age = std::chrono::milliseconds{1'600}; ///< older than that, a host is asked
     std::uint16_t relay_port = 0;
-    std::string own_host;
 };
 
 /// Keeps the published state fresh: reads the source, and asks another host where the source
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -41,13 +41,6 @@
                  "lines on requests in a second; the rest is counted"},
 };
 
-double to_decimal(const std::string& text)
-{
-    double value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
 } // namespace
 
 std::span<const setting_rule> gateway_rules() noexcept
@@ -89,8 +82,8 @@
     made.seeds = chosen.list("peers", "seeds");
     made.source_address = chosen.text("source", "address");
     made.key_withdrawal = std::chrono::milliseconds{chosen.number("limits", "key_withdrawal_ms")};
-    made.retry_ratio = to_decimal(chosen.text("limits", "retry_ratio"));
-    made.retry_slack = to_decimal(chosen.text("limits", "retry_slack"));
+    made.retry_ratio = chosen.decimal("limits", "retry_ratio");
+    made.retry_slack = chosen.decimal("limits", "retry_slack");
     made.stop_grace = std::chrono::seconds{chosen.number("limits", "stop_grace_s")};
     made.request_log_rate = chosen.number("log", "request_lines_per_s");
     return made;
--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -39,7 +39,6 @@
 void client_connection::begin(std::string request, bool has_no_body, const call_options& options,
                               call_handlers handlers)
 {
-    ++m_calls;
     m_is_busy = true;
     m_head_delivered = false;
     m_handlers = std::move(handlers);
@@ -64,7 +63,7 @@
     if (!peer) {
         asio::post(m_owner.m_loop, [self = shared_from_this()] {
             if (self->m_is_busy) {
-                self->fail(call_end::not_connected);
+                self->finish(call_end::not_connected);
             }
         });
         return;
@@ -107,7 +106,7 @@
     }
     const std::size_t used = m_parser.feed(bytes);
     if (m_parser.is_failed()) {
-        fail(call_end::malformed);
+        finish(call_end::malformed);
         return;
     }
     const auto self = shared_from_this();
@@ -140,11 +139,11 @@
         return;
     }
     if (!m_is_connected) {
-        fail(call_end::not_connected);
+        finish(call_end::not_connected);
         return;
     }
     if (!m_parser.has_begun()) {
-        fail(call_end::no_response);
+        finish(call_end::no_response);
         return;
     }
     if (how == channel_end::finished) {
@@ -154,7 +153,7 @@
             return;
         }
     }
-    fail(call_end::broken);
+    finish(call_end::broken);
 }
 
 duration client_connection::idle_time() const
@@ -189,11 +188,6 @@
     handlers.on_end(call_end::complete);
 }
 
-void client_connection::fail(call_end how)
-{
-    finish(how);
-}
-
 void client_connection::finish(call_end how)
 {
     const auto self = shared_from_this();
@@ -272,15 +266,4 @@
     }
 }
 
-void http_client::forget(const std::string& address)
-{
-    const auto found = m_idle.find(address);
-    if (found != m_idle.end()) {
-        for (const auto& connection : found->second) {
-            connection->m_channel->close();
-        }
-        m_idle.erase(found);
-    }
-}
-
 } // namespace hickorykeel::gateway
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -61,8 +61,6 @@
     void pause() { m_channel->pause_reading(); }
     void resume() { m_channel->resume_reading(); }
 
-    [[nodiscard]] bool is_reused() const noexcept { return m_calls > 1; }
-
 private:
     friend class http_client;
 
@@ -71,7 +69,6 @@
     void on_end(channel_end how);
     void deliver();
     void complete(bool has_extra_bytes);
-    void fail(call_end how);
     void finish(call_end how);
     [[nodiscard]] duration idle_time() const;
 
@@ -84,7 +81,6 @@
     std::string m_request;
     time_point m_idle_since{};
     time_point m_reusable_until{};
-    std::uint64_t m_calls = 0;
     bool m_is_connected = false;
     bool m_is_busy = false;
     bool m_head_delivered = false;
@@ -109,9 +105,6 @@
     std::shared_ptr<client_connection> call(const call_options& options, std::string request,
                                             call_handlers handlers);
 
-    /// Closes the idle connections to `address`.
-    void forget(const std::string& address);
-
     [[nodiscard]] std::uint64_t connections_opened() const noexcept { return m_opened; }
 
 private:
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -75,12 +75,6 @@
     }
 }
 
-bool endpoint_pool::is_usable(const std::string& id) const
-{
-    const auto found = m_endpoints.find(id);
-    return found != m_endpoints.end() && found->second.is_listed;
-}
-
 bool endpoint_pool::is_candidate(const endpoint_state& state, const placement_request& request)
 {
     return state.is_listed && state.entry.service == request.of->name &&
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -30,7 +30,6 @@
     duration longest_block = std::chrono::seconds{2};
     duration shed_block = std::chrono::milliseconds{60};
     unsigned plain_queue = 10; ///< requests beyond the slots of a plain service's endpoint
-    std::uint32_t fallback_cold_rate = 2; ///< requests a second after a failure, if none is stated
 };
 
 /// How a request at an endpoint ended, as far as the endpoint's health is concerned.
@@ -142,9 +141,6 @@
     /// What this host has under way, for its heartbeat.
     [[nodiscard]] std::unordered_map<std::uint32_t, endpoint_load> own_loads() const;
     [[nodiscard]] std::size_t size() const noexcept { return m_endpoints.size(); }
-
-    /// Whether `id` may still be sent requests.
-    [[nodiscard]] bool is_usable(const std::string& id) const;
     /// @}
 
 private:
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -84,7 +84,7 @@
              }},
       m_client{m_loop}, m_source{m_parts.make_source(m_loop, m_client, m_settings)},
       m_follower{{m_loop, *m_source, m_state, m_members, m_client, m_log, m_metrics},
-                 {.relay_port = m_settings.peers_port(), .own_host = m_settings.host},
+                 {.relay_port = m_settings.peers_port()},
                  [this] { on_published(); }},
       m_context{.loop = m_loop,
                 .settings = m_settings,
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -419,6 +419,13 @@
     return value.value_or(0);
 }
 
+double settings::decimal(std::string_view section, std::string_view key) const
+{
+    const auto value = to_decimal(text(section, key));
+    assert(value.has_value());
+    return value.value_or(0);
+}
+
 bool settings::is_set(std::string_view section, std::string_view key) const
 {
     return text(section, key) == "true";
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -66,6 +66,7 @@
     /// @{
     [[nodiscard]] const std::string& text(std::string_view section, std::string_view key) const;
     [[nodiscard]] std::int64_t number(std::string_view section, std::string_view key) const;
+    [[nodiscard]] double decimal(std::string_view section, std::string_view key) const;
     [[nodiscard]] bool is_set(std::string_view section, std::string_view key) const; ///< of a flag
     [[nodiscard]] std::vector<std::string> list(std::string_view section,
                                                 std::string_view key) const;
