--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -40,8 +40,7 @@
 
 configuration_follower::configuration_follower(parts with, follower_options options,
                                                std::function<void()> on_change)
-    : m_with{with}, m_options{std::move(options)}, m_on_change{std::move(on_change)}, m_timer{
-                                                                                          with.loop}
+    : m_with{with}, m_options{options}, m_on_change{std::move(on_change)}, m_timer{with.loop}
 {
 }
 
