Let engines fetch prompts that another engine of the region has read

A prompt is fetched only where the other engine has read it by now, and counts in the choice of the endpoint with the time of its transfer. The line of a sending says how much is unread and where the prompt comes from.

--- a/src/gateway/configuration/publication.h
+++ b/src/gateway/configuration/publication.h
@@ -55,6 +55,7 @@
 struct engine_size {
     unsigned slots = 1;              ///< requests in one batch
     std::uint64_t memory_tokens = 0; ///< of running requests and kept prompts together
+    double transfer_rate = 0; ///< prompt tokens a millisecond between two engines; 0: impossible
 };
 
 /// A group of endpoints that are alike.
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -55,6 +55,7 @@
         state.entry = entry;
         state.hash = short_hash(id);
         state.is_engine = of->engine.has_value();
+        state.transfer_rate = of->engine ? of->engine->transfer_rate : 0;
         state.cold_rate = of->cold_rate;
         state.cold_time = of->cold_time;
         state.is_listed = use == usability::usable && !entry.is_draining;
@@ -103,33 +104,81 @@
     return true;
 }
 
-std::uint64_t endpoint_pool::uncached_tokens(const endpoint_state& state, const prompt& size,
-                                             bool is_preferred, time_point now) const
+std::uint64_t endpoint_pool::kept_tokens(const endpoint_state& state, const prompt& size,
+                                         time_point now) const
 {
-    std::uint64_t cached = 0;
+    std::uint64_t kept = 0;
     for (const prompt_prefix& prefix : size.prefixes) {
-        const auto found = state.prompts.find(prefix.id);
-        const bool is_kept =
-            found != state.prompts.end() && now - found->second < m_options.prompt_memory;
-        if (is_preferred || is_kept) {
-            cached = prefix.tokens;
+        if (find_kept(state, prefix.id, now) != nullptr) {
+            kept = prefix.tokens;
         }
     }
-    return size.prompt_tokens - std::min(cached, size.prompt_tokens);
+    return std::min(kept, size.prompt_tokens);
 }
 
-duration endpoint_pool::cost(const endpoint_state& state, const prompt* size, bool is_preferred,
-                             time_point now) const
+/// The part of a prompt that another engine can fetch from this one.
+std::uint64_t endpoint_pool::readable_tokens(const endpoint_state& state, const prompt& size,
+                                             time_point now) const
+{
+    std::uint64_t readable = 0;
+    for (const prompt_prefix& prefix : size.prefixes) {
+        const kept_prompt* kept = find_kept(state, prefix.id, now);
+        if (kept != nullptr && kept->read <= now) {
+            readable = prefix.tokens;
+        }
+    }
+    return std::min(readable, size.prompt_tokens);
+}
+
+const endpoint_pool::kept_prompt*
+endpoint_pool::find_kept(const endpoint_state& state, std::uint64_t prefix, time_point now) const
+{
+    const auto found = state.prompts.find(prefix);
+    const bool is_kept =
+        found != state.prompts.end() && now - found->second.used < m_options.prompt_memory;
+    return is_kept ? &found->second : nullptr;
+}
+
+std::uint64_t endpoint_pool::fetchable_tokens(const endpoint_state& state, const prompt& size,
+                                              const prompt_places& places, time_point now) const
+{
+    if (places.source == nullptr || places.source == &state || state.transfer_rate <= 0) {
+        return 0;
+    }
+    const std::uint64_t kept = kept_tokens(state, size, now);
+    const std::uint64_t more = places.source_tokens - std::min(kept, places.source_tokens);
+    return more < m_options.least_fetched_tokens ? 0 : more;
+}
+
+/// Work of getting the rest of a prompt into the engine's memory, in tokens that it would read in
+/// the same time.
+double endpoint_pool::prefill_tokens(const endpoint_state& state, const prompt& size,
+                                     const prompt_places& places, time_point now) const
+{
+    if (&state == places.preferred) {
+        const std::uint64_t shared = size.prefixes.empty() ? 0 : size.prefixes.back().tokens;
+        return static_cast<double>(size.prompt_tokens - std::min(shared, size.prompt_tokens)) *
+               m_options.prefill_weight;
+    }
+    const std::uint64_t fetched = fetchable_tokens(state, size, places, now);
+    const std::uint64_t read = size.prompt_tokens - kept_tokens(state, size, now) - fetched;
+    const double transfer = fetched == 0 ? 0
+                                         : static_cast<double>(fetched) *
+                                               m_options.nominal_prefill_rate / state.transfer_rate;
+    return static_cast<double>(read) * m_options.prefill_weight + transfer;
+}
+
+duration endpoint_pool::cost(const endpoint_state& state, const prompt* size,
+                             const prompt_places& places, time_point now) const
 {
     const std::uint32_t active = state.own.active + state.peers.active;
     duration expected{0};
     if (state.is_engine) {
         const std::uint64_t ahead = state.own.waiting_tokens + state.peers.waiting_tokens;
-        const std::uint64_t own =
-            size == nullptr ? typical_tokens : uncached_tokens(state, *size, is_preferred, now);
+        const double own = size == nullptr ? typical_tokens * m_options.prefill_weight
+                                           : prefill_tokens(state, *size, places, now);
         const double milliseconds =
-            (static_cast<double>(ahead) + m_options.prefill_weight * static_cast<double>(own)) /
-            m_options.nominal_prefill_rate;
+            (static_cast<double>(ahead) + own) / m_options.nominal_prefill_rate;
         expected = m_options.engine_base + m_options.step_per_request * active +
                    from_seconds(milliseconds / 1'000);
     }
@@ -142,37 +191,42 @@
     return from_seconds(to_seconds(expected) * factor);
 }
 
-const endpoint_pool::endpoint_state* endpoint_pool::preferred(const placement_request& request,
-                                                              time_point now) const
+endpoint_pool::prompt_places endpoint_pool::find_places(const placement_request& request,
+                                                        time_point now) const
 {
+    prompt_places places;
     if (request.size == nullptr || request.size->shared_id() == 0) {
-        return nullptr;
+        return places;
     }
-    const endpoint_state* best = nullptr;
     std::uint64_t best_weight = 0;
     for (const auto& [id, state] : m_endpoints) {
         if (!is_candidate(state, request) || now < state.blocked_until || now < state.cold_until) {
             continue;
         }
         const std::uint64_t weight = rendezvous_weight(request.size->shared_id(), id);
-        if (best == nullptr || weight > best_weight) {
-            best = &state;
+        if (places.preferred == nullptr || weight > best_weight) {
+            places.preferred = &state;
             best_weight = weight;
         }
+        const std::uint64_t readable = readable_tokens(state, *request.size, now);
+        if (readable > places.source_tokens) {
+            places.source = &state;
+            places.source_tokens = readable;
+        }
     }
-    return best;
+    return places;
 }
 
 std::optional<placement> endpoint_pool::choose(const placement_request& request, time_point now)
 {
-    const endpoint_state* home = preferred(request, now);
+    const prompt_places places = find_places(request, now);
     endpoint_state* best = nullptr;
     duration best_cost{0};
     for (auto& [id, state] : m_endpoints) {
         if (!is_candidate(state, request) || !has_place(state) || !may_send(state, now)) {
             continue;
         }
-        const duration expected = cost(state, request.size, &state == home, now);
+        const duration expected = cost(state, request.size, places, now);
         if (best == nullptr || expected < best_cost) {
             best = &state;
             best_cost = expected;
@@ -181,7 +235,14 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    return placement{best->entry.id, best->entry.address, best_cost, now < best->cold_until};
+    placement chosen{best->entry.id, best->entry.address, best_cost, now < best->cold_until, {}, 0};
+    if (request.size != nullptr) {
+        chosen.fetched_tokens = fetchable_tokens(*best, *request.size, places, now);
+    }
+    if (chosen.fetched_tokens > 0) {
+        chosen.prompt_source = places.source->entry.address;
+    }
+    return chosen;
 }
 
 bool endpoint_pool::has_candidate(const placement_request& request, time_point now) const
@@ -204,14 +265,14 @@
         const std::uint32_t active = state.own.active + state.peers.active;
         if (active < most_active(state)) {
             load.free_places += most_active(state) - active;
-            load.expected_wait = std::min(load.expected_wait, cost(state, nullptr, false, now));
+            load.expected_wait = std::min(load.expected_wait, cost(state, nullptr, {}, now));
         }
     }
     return load;
 }
 
 std::uint32_t endpoint_pool::on_sent(const std::string& endpoint, const prompt* size,
-                                     time_point now)
+                                     time_point now, std::uint64_t fetched_tokens)
 {
     const auto found = m_endpoints.find(endpoint);
     if (found == m_endpoints.end()) {
@@ -225,10 +286,13 @@
     if (size == nullptr) {
         return 0;
     }
-    const auto waiting = static_cast<std::uint32_t>(uncached_tokens(state, *size, false, now));
+    const std::uint64_t had = kept_tokens(state, *size, now) + fetched_tokens;
+    const auto waiting =
+        static_cast<std::uint32_t>(size->prompt_tokens - std::min(had, size->prompt_tokens));
     state.own.waiting_tokens += waiting;
+    const time_point read = now + prefill_time(state);
     for (const prompt_prefix& prefix : size->prefixes) {
-        remember(state, prefix.id, now);
+        remember(state, prefix.id, {now, read});
     }
     if (size->shared_id() != 0 && m_notes.size() < most_notes) {
         m_notes.push_back({size->shared_id(), state.hash});
@@ -236,19 +300,31 @@
     return waiting;
 }
 
-void endpoint_pool::remember(endpoint_state& state, std::uint64_t prefix, time_point now)
+/// Until the engine has read all prompts that it was sent.
+duration endpoint_pool::prefill_time(const endpoint_state& state) const
+{
+    const auto waiting = static_cast<double>(state.own.waiting_tokens + state.peers.waiting_tokens);
+    constexpr double ms_per_s = 1'000;
+    return from_seconds(waiting / m_options.nominal_prefill_rate / ms_per_s * state.slowness);
+}
+
+void endpoint_pool::remember(endpoint_state& state, std::uint64_t prefix, kept_prompt kept)
 {
     if (state.prompts.size() >= most_prompts) {
         state.prompts.clear();
     }
-    state.prompts[prefix] = now;
+    const auto [held, is_new] = state.prompts.try_emplace(prefix, kept);
+    if (!is_new) {
+        // what was read before stays readable
+        held->second = {kept.used, std::min(held->second.read, kept.read)};
+    }
 }
 
 void endpoint_pool::on_peer_prompt(const prompt_note& note, time_point now)
 {
     for (auto& [id, state] : m_endpoints) {
         if (state.hash == note.endpoint) {
-            remember(state, note.prefix, now);
+            remember(state, note.prefix, {now, now + prefill_time(state)});
         }
     }
 }
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -26,6 +26,8 @@
     /// engine reads, the requests that it runs wait too.
     double prefill_weight = 1.5;
     duration prompt_memory = std::chrono::seconds{8}; ///< how long an engine keeps a prompt
+    /// Shorter prompts are read again rather than fetched from another engine.
+    std::uint64_t least_fetched_tokens = 1'000;
     duration first_block = std::chrono::milliseconds{250};
     duration longest_block = std::chrono::seconds{2};
     duration shed_block = std::chrono::milliseconds{60};
@@ -52,6 +54,8 @@
     std::string address;
     duration expected{0}; ///< until the first byte of the answer
     bool is_cold = false;
+    std::string prompt_source; ///< address of the engine to fetch a part of the prompt from, if any
+    std::uint64_t fetched_tokens = 0; ///< size of that part
 };
 
 /// What a request asks of the endpoint that is to run it.
@@ -120,10 +124,11 @@
     /// @name course of a request
     /// @{
 
-    /// The request is being sent. Precondition: `endpoint` comes from `choose()`.
+    /// The request is being sent. Precondition: `endpoint` comes from `choose()`, and so does
+    /// `fetched_tokens`, the part of its prompt that the endpoint fetches from another one.
     /// @return its prompt tokens that the endpoint has yet to read
     [[nodiscard]] std::uint32_t on_sent(const std::string& endpoint, const prompt* size,
-                                        time_point now);
+                                        time_point now, std::uint64_t fetched_tokens = 0);
 
     /// The first byte of the answer, `elapsed` after the sending, where `expected` was foreseen.
     /// `waiting_tokens` is what `on_sent()` returned.
@@ -144,11 +149,18 @@
     /// @}
 
 private:
+    /// A prefix that an engine has read or is about to.
+    struct kept_prompt {
+        time_point used{}; ///< last
+        time_point read{}; ///< from then on another engine can fetch it
+    };
+
     struct endpoint_state {
         endpoint_entry entry;
         std::uint32_t hash = 0;
         bool is_listed = true;
         bool is_engine = false;
+        double transfer_rate = 0;
         double cold_rate = 0;
         endpoint_load own;
         endpoint_load peers;
@@ -161,24 +173,39 @@
         time_point cold_until{};
         std::chrono::milliseconds cold_time{0};
         cold_gate gate;
-        std::unordered_map<std::uint64_t, time_point> prompts; ///< prefixes and their last use
+        std::unordered_map<std::uint64_t, kept_prompt> prompts; ///< by id of the prefix
     };
 
     [[nodiscard]] static bool is_candidate(const endpoint_state& state,
                                            const placement_request& request);
     [[nodiscard]] bool has_place(const endpoint_state& state) const;
     [[nodiscard]] bool may_send(endpoint_state& state, time_point now);
-    [[nodiscard]] duration cost(const endpoint_state& state, const prompt* size, bool is_preferred,
-                                time_point now) const;
-    [[nodiscard]] std::uint64_t uncached_tokens(const endpoint_state& state, const prompt& size,
-                                                bool is_preferred, time_point now) const;
-    [[nodiscard]] const endpoint_state* preferred(const placement_request& request,
-                                                  time_point now) const;
+    /// The endpoints that know a prompt best.
+    struct prompt_places {
+        const endpoint_state* preferred = nullptr; ///< where requests with the prompt belong
+        const endpoint_state* source = nullptr;    ///< the one that keeps most of it
+        std::uint64_t source_tokens = 0;           ///< how much that is
+    };
+
+    [[nodiscard]] duration cost(const endpoint_state& state, const prompt* size,
+                                const prompt_places& places, time_point now) const;
+    [[nodiscard]] std::uint64_t kept_tokens(const endpoint_state& state, const prompt& size,
+                                            time_point now) const;
+    [[nodiscard]] std::uint64_t fetchable_tokens(const endpoint_state& state, const prompt& size,
+                                                 const prompt_places& places, time_point now) const;
+    [[nodiscard]] double prefill_tokens(const endpoint_state& state, const prompt& size,
+                                        const prompt_places& places, time_point now) const;
+    [[nodiscard]] prompt_places find_places(const placement_request& request, time_point now) const;
     [[nodiscard]] std::uint32_t most_active(const endpoint_state& state) const;
     void block(endpoint_state& state, time_point now) const;
     static void settle(endpoint_state& state, std::uint32_t waiting_tokens);
 
-    static void remember(endpoint_state& state, std::uint64_t prefix, time_point now);
+    static void remember(endpoint_state& state, std::uint64_t prefix, kept_prompt kept);
+    [[nodiscard]] const kept_prompt* find_kept(const endpoint_state& state, std::uint64_t prefix,
+                                               time_point now) const;
+    [[nodiscard]] std::uint64_t readable_tokens(const endpoint_state& state, const prompt& size,
+                                                time_point now) const;
+    [[nodiscard]] duration prefill_time(const endpoint_state& state) const;
 
     std::vector<prompt_note> m_notes;
     endpoint_pool_options m_options;
--- a/src/gateway/serving/dialect.h
+++ b/src/gateway/serving/dialect.h
@@ -36,6 +36,7 @@
     std::string instance;        ///< only this incarnation may run it
     std::string organisation;    ///< empty: the caller showed no key
     std::string last_event;      ///< of a stream that goes on; empty: from the start
+    std::string prompt_source;   ///< address of the endpoint that hands it the prompt; empty: none
     std::optional<int> priority; ///< 0 first
 };
 
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -342,12 +342,14 @@
     m_try.endpoint = chosen.endpoint;
     m_try.peer = chosen.address;
     m_try.expected = chosen.expected;
-    m_try.waiting_tokens = m_context.pool.on_sent(chosen.endpoint, size, boot_clock::now());
+    m_try.waiting_tokens =
+        m_context.pool.on_sent(chosen.endpoint, size, boot_clock::now(), chosen.fetched_tokens);
     endpoint_fields fields;
     fields.deadline = to_ms(time_left());
     fields.instance = chosen.endpoint;
     fields.organisation = m_organisation;
     fields.last_event = last_event();
+    fields.prompt_source = chosen.prompt_source;
     const message_head& head = m_caller->head();
     std::string request = format_request(
         head.method, head.target, m_context.spelling.to_endpoint(head, fields), m_caller->body());
@@ -357,6 +359,8 @@
             .add("endpoint", chosen.endpoint)
             .add("service", m_service)
             .add_ms("expected_ms", chosen.expected)
+            .add("unread_tokens", std::int64_t{m_try.waiting_tokens})
+            .add("prompt_source", chosen.prompt_source)
             .add_ms("left_ms", time_left())
             .add("version", static_cast<std::int64_t>(m_published->version))
             .add_ms("configuration_age_ms", m_context.state.age(boot_clock::now())));
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -26,7 +26,8 @@
         m_service.cold_rate = 3;
         m_service.cold_time = 3s;
         if (is_engine) {
-            m_service.engine = engine_size{slots, 100'000};
+            m_service.engine =
+                engine_size{.slots = slots, .memory_tokens = 100'000, .transfer_rate = 500};
         }
         m_slots = slots;
     }
@@ -36,7 +37,7 @@
         endpoint_entry& entry = m_entries[id];
         entry.id = id;
         entry.service = "s";
-        entry.address = "10.0.0.9:80";
+        entry.address = "10.0.0.9:" + std::to_string(80 + m_entries.size());
         entry.failure_domain = "d";
         entry.slots = m_slots;
         entry.born_ms = 1;
@@ -189,6 +190,58 @@
     CHECK(with.pool().take_prompt_notes().empty());
 }
 
+TEST_CASE("shared prompts: an engine without the prompt fetches it from one that has read it")
+{
+    // in a peak the session's engine is loaded; others then read the whole prompt again
+    fixture with{true, 48};
+    with.add("a");
+    with.add("b");
+    with.update(start);
+    const prompt size = make_review(10);
+    const auto home = with.choose(start, &size);
+    REQUIRE(home);
+    CHECK(home->prompt_source.empty());
+    const auto waiting = with.pool().on_sent(home->endpoint, &size, start);
+    CHECK(waiting == 9'200);
+    const auto load_home = [&](time_point now) {
+        for (std::uint64_t session = 100; session < 106; ++session) {
+            const prompt other = make_review(session);
+            static_cast<void>(with.pool().on_sent(home->endpoint, &other, now));
+        }
+    };
+    const time_point later = start + 1s;
+    SUBCASE("another engine fetches what the session's engine has read")
+    {
+        with.pool().on_first_byte(home->endpoint, waiting, home->expected, home->expected);
+        load_home(later);
+        const auto other = with.choose(later, &size);
+        REQUIRE(other);
+        CHECK(other->endpoint != home->endpoint);
+        CHECK(other->prompt_source == home->address);
+        CHECK(other->fetched_tokens == 6'300);
+        CHECK(with.pool().on_sent(other->endpoint, &size, later, other->fetched_tokens) == 2'900);
+        CHECK(with.choose(later, &size)->prompt_source.empty());
+    }
+    SUBCASE("not before it is read")
+    {
+        load_home(start);
+        CHECK(with.choose(start, &size)->prompt_source.empty());
+    }
+    SUBCASE("not from an engine that is gone")
+    {
+        with.remove(home->endpoint);
+        with.update(later);
+        CHECK(with.choose(later, &size)->prompt_source.empty());
+    }
+    SUBCASE("not for a prompt that is read as quickly")
+    {
+        const prompt small = make_prompt({{7, 100}, {8, 80}, {9, 400}}, 580, 50);
+        static_cast<void>(with.pool().on_sent(home->endpoint, &small, start));
+        load_home(later);
+        CHECK(with.choose(later, &small)->prompt_source.empty());
+    }
+}
+
 TEST_CASE("slow endpoint: the learned speed moves requests away")
 {
     fixture with{true, 48};
--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -26,7 +26,7 @@
    "priority":2,"backends":[{"service":"s","weight":90},{"service":"t","weight":10}],
    "maxAttempts":2,"anonymous":true}],
  "services":[{"name":"s","healthPath":"/healthz","maxConns":290,"coldS":3.0,"coldPerS":3.1,
-  "engine":{"slots":48,"kvCapacityTokens":357504}},{"name":"t","maxConns":96,"coldS":0.0}],
+  "engine":{"slots":48,"kvCapacityTokens":357504,"kvBytes":1000,"linkMbps":8000}},{"name":"t","maxConns":96,"coldS":0.0}],
  "limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
  "tenants":[{"name":"o","apiKeys":["k1","k2"],"priority":0,"unit":"tokens","plainTokens":200,
   "perS":1000,"burst":2000,"homeRegions":[]}]})";
@@ -139,6 +139,7 @@
     CHECK(published.find_route("h.example", "/c/") == nullptr);
     CHECK(published.find_route("other", "/a/") == nullptr);
     CHECK(published.find_service("s")->engine->slots == 48);
+    CHECK(published.find_service("s")->engine->transfer_rate == doctest::Approx(1'000));
     CHECK_FALSE(published.find_service("t")->engine);
     const organisation* holder = published.find_holder("k2");
     REQUIRE(holder != nullptr);
