Send nothing to endpoints that would begin it later than callers' objective

Now a request waits, and is refused with a time to come back, rather than being sent where it would begin later than its objective; one that is late anyway goes where it is begun within half of it. A host that passes a request on says how old it is. The line of a request's end has the expected and the real time to the first byte.

Ruled out: a wrong estimate, and regions that hear of the backlog too late (the load was 20 to 200 ms old).

--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/serving/exchange.h"
 
 #include <algorithm> // any_of, find, max, min
+#include <charconv>  // from_chars
 #include <utility>   // exchange, move
 
 #include <fmt/format.h> // format
@@ -22,6 +23,14 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(span);
 }
 
+/// Milliseconds as another host wrote them; what can't be read counts as none.
+duration to_age(std::string_view text) noexcept
+{
+    std::int64_t ms = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), ms);
+    return parsed.ec == std::errc{} && ms > 0 ? std::chrono::milliseconds{ms} : duration{0};
+}
+
 std::string_view ran_name(bool may_have_run) noexcept
 {
     return may_have_run ? "unknown" : "no";
@@ -62,6 +71,9 @@
         allowed = std::min<duration>(allowed, *m_fields.deadline);
     }
     m_deadline = m_received + allowed;
+    if (m_is_forwarded) {
+        m_age = to_age(m_caller->head().headers.find(age_header));
+    }
     if (admit()) {
         place();
     }
@@ -167,6 +179,11 @@
     return std::min(m_received + longest, m_deadline - options.least_time_left);
 }
 
+duration exchange::longest_begin(time_point now) const
+{
+    return begin_limit(m_route->objective, m_age + (now - m_received), m_context.options.begin);
+}
+
 bool exchange::retry_placement()
 {
     if (m_stage != stage::waiting) {
@@ -228,11 +245,20 @@
     const placement_request request{of, size, m_excluded};
     const time_point now = boot_clock::now();
     const bool is_home = allows_region(m_context.settings.region);
+    const duration limit = m_began_answer ? time_left() : longest_begin(now);
     std::optional<placement> here;
+    bool is_late = false; // there are free places, but none that would begin in time
     if (is_home) {
         here = m_context.pool.choose(request, now);
+        is_late = here && here->expected > limit;
+    }
+    if (is_late) {
+        here.reset();
     }
-    const auto others = other_regions();
+    auto others = other_regions();
+    is_late |= std::erase_if(others, [&](const region_option& option) {
+                   return option.expected_wait + m_context.options.regions.distance > limit;
+               }) > 0;
     const auto elsewhere = choose_region(here ? std::optional{here->expected} : std::nullopt,
                                          others, m_route->objective, m_context.options.regions);
     if (elsewhere) {
@@ -246,9 +272,9 @@
         return true;
     }
     const bool can_come =
-        (is_home && m_context.pool.has_candidate(request, now)) || !others.empty();
+        is_late || (is_home && m_context.pool.has_candidate(request, now)) || !others.empty();
     if (!can_come || now >= waits_until()) {
-        give_up(can_come ? "no_free_place" : "no_endpoint");
+        give_up(!can_come ? "no_endpoint" : is_late ? "overloaded" : "no_free_place");
         return true;
     }
     m_stage = stage::waiting;
@@ -391,6 +417,8 @@
     const message_head& head = m_caller->head();
     header_list headers = m_context.spelling.to_host(head, {to_ms(time_left()), last_event()});
     headers.add(std::string{forwarded_header}, m_context.settings.host);
+    const duration age = boot_clock::now() - m_received + m_context.options.regions.distance / 2;
+    headers.add(std::string{age_header}, std::to_string(to_ms(age).count()));
     m_context.log.write_request(log_line{"request_passed_on"}
                                     .add("id", m_fields.id)
                                     .add("host", chosen.last.host)
@@ -447,6 +475,7 @@
     const duration elapsed = boot_clock::now() - m_try.sent_at;
     m_try.has_head = true;
     m_try.head = head;
+    m_try.first_byte = elapsed;
     if (!m_try.endpoint.empty() && is_success(head.status)) {
         m_context.pool.on_first_byte(m_try.endpoint, std::exchange(m_try.waiting_tokens, 0),
                                      elapsed, m_try.expected);
@@ -751,6 +780,9 @@
         .add("tries", std::int64_t{m_attempts.tries()})
         .add("ran", m_attempts.runs() > 0 || outcome == "answered" ? "unknown" : "no")
         .add_ms("elapsed_ms", elapsed)
+        .add("peer", m_try.endpoint.empty() ? m_try.peer : m_try.endpoint)
+        .add_ms("expected_ms", m_try.expected)
+        .add_ms("first_byte_ms", m_try.first_byte)
         .add("events", static_cast<std::int64_t>(m_events.events()))
         .add_ms("configuration_age_ms", m_context.state.age(boot_clock::now()));
     if (m_is_forwarded) {
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -19,8 +19,9 @@
 /// @name headers between hosts
 /// @{
 inline constexpr std::string_view forwarded_header = "Keel-Forwarded-By"; ///< of a request
-inline constexpr std::string_view refusal_header = "Keel-Refusal";        ///< code of a refusal
-inline constexpr std::string_view ran_header = "Keel-Ran";                ///< "no" or "unknown"
+inline constexpr std::string_view age_header = "Keel-Age-Ms";      ///< since the caller sent it
+inline constexpr std::string_view refusal_header = "Keel-Refusal"; ///< code of a refusal
+inline constexpr std::string_view ran_header = "Keel-Ran";         ///< "no" or "unknown"
 /// @}
 
 /// One caller's request from its receipt to its final answer.
@@ -58,7 +59,8 @@
         std::string peer;     ///< address
         std::shared_ptr<client_connection> call;
         time_point sent_at{};
-        duration expected{0};
+        duration expected{0};   ///< from the sending to the first byte, when it was sent
+        duration first_byte{0}; ///< the same as it was
         std::uint32_t waiting_tokens = 0;
         bool is_sent = false; ///< a byte of the request may have arrived
         bool has_head = false;
@@ -94,6 +96,7 @@
     void send_to_host(const member& chosen, duration expected);
     [[nodiscard]] duration time_left() const;
     [[nodiscard]] time_point waits_until() const;
+    [[nodiscard]] duration longest_begin(time_point now) const; ///< to the first byte
 
     // course of a try
     call_handlers handlers();
@@ -126,6 +129,7 @@
     std::shared_ptr<server_exchange> m_caller;
     bool m_is_forwarded;
     time_point m_received;
+    duration m_age{0}; ///< at the receipt, where another host has passed the request on
     time_point m_deadline{};
     caller_fields m_fields;
     publication_ptr m_published;
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -9,6 +9,7 @@
 #include "gateway/observability/gateway_metrics.h"
 #include "gateway/routing/endpoint_pool.h"
 #include "gateway/routing/region_choice.h"
+#include "gateway/serving/begin_limit.h"
 #include "gateway/serving/dialect.h"
 #include "process/routing/random_source.h"
 #include "process/routing/retry_budget.h"
@@ -54,6 +55,7 @@
     /// Prompts whose shared prefix is shorter have no home region.
     std::uint64_t least_home_tokens = 2'000;
     region_choice_options regions;
+    begin_limit_options begin;
 };
 
 /// What the requests of a gateway share. All calls come from the loop's thread.
--- /dev/null
+++ b/tests/gateway/begin_limit_test.cpp
@@ -0,0 +1,27 @@
+#include "gateway/serving/begin_limit.h"
+
+#include <chrono> // milliseconds
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace hickorykeel::gateway;
+using namespace std::chrono_literals;
+
+TEST_CASE("burst on full engines: a queue never grows longer than callers' objective")
+{
+    constexpr duration objective = 600ms;
+    SUBCASE("a new request may take all of it")
+    {
+        CHECK(begin_limit(objective, 0ms, {}) == objective);
+    }
+    SUBCASE("one that has waited may take the rest")
+    {
+        CHECK(begin_limit(objective, 200ms, {}) == 400ms);
+    }
+    SUBCASE("one that is late anyway goes only where it is begun soon")
+    {
+        CHECK(begin_limit(objective, 550ms, {}) == 300ms);
+        CHECK(begin_limit(objective, 5s, {}) == 300ms);
+    }
+}
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -107,6 +107,14 @@
         }
     }
 
+    /// Lets the endpoint appear as slow as one can.
+    void slow_down(const std::string& name)
+    {
+        for (int i = 0; i < 40; ++i) {
+            m_pool.on_first_byte(name, 0, 10s, 50ms);
+        }
+    }
+
     /// Sends one request; the answer grows while the loop runs.
     std::shared_ptr<received_answer> ask(const std::string& method = "POST",
                                          const std::string& body = "question")
@@ -339,6 +347,22 @@
     CHECK(answer->headers.contains("X-Hickorykeel-Response-Seal"));
 }
 
+TEST_CASE("burst on full endpoints: nothing is sent where it would begin later than the objective")
+{
+    route served = make_route(request_kind::non_idempotent, 1);
+    served.objective = 100ms;
+    small_gateway gateway{served};
+    whole_answers late;
+    gateway.add_endpoint("a", late.behaviour());
+    gateway.slow_down("a");
+    const auto answer = gateway.ask();
+    gateway.run_to_end(answer);
+    CHECK(answer->status == 503);
+    CHECK(answer->headers.contains("Retry-After"));
+    CHECK(answer->body.find("overloaded") != std::string::npos);
+    CHECK(late.heads().empty());
+}
+
 TEST_CASE("an unknown key is refused, and an unknown route isn't found")
 {
     small_gateway gateway{make_route(request_kind::safe, 1)};
