Send refused callers away for as long as an overload has lasted

Cause: a caller that was refused for want of places was asked to come back after 0.7 s, whatever the state. A spell of overload that has lasted for some time is likely to last as long again, so that is the pause now, between 0.7 and 5 s, spread by half so that callers don't return together.

A line tells what decided a refusal over an organisation's limit (units, level of the bucket, rate, burst, part), and the end of a request what it was charged.

Tried and left out: the same pause for refusals over an organisation's limit.

--- a/src/gateway/limits/usage_ledger.h
+++ b/src/gateway/limits/usage_ledger.h
@@ -51,6 +51,15 @@
     /// Precondition: 0 < `part` <= 1.
     void set_part(double part) noexcept { m_part = part; }
 
+    [[nodiscard]] double part() const noexcept { return m_part; }
+
+    /// Units left of an organisation's bucket when it was last asked; negative: in excess.
+    [[nodiscard]] double level(const std::string& organisation) const
+    {
+        const auto found = m_buckets.find(organisation);
+        return found == m_buckets.end() ? 0 : found->second.level;
+    }
+
     /// What this host has admitted since its start.
     [[nodiscard]] const std::map<std::string, double>& used() const noexcept { return m_used; }
     /// @}
--- a/src/gateway/observability/event_log.cpp
+++ b/src/gateway/observability/event_log.cpp
@@ -83,6 +83,12 @@
     return *this;
 }
 
+log_line& log_line::add_number(std::string_view name, double value)
+{
+    fmt::format_to(std::back_inserter(m_text), R"(,"{}":{:.3f})", name, value);
+    return *this;
+}
+
 log_line& log_line::add_ms(std::string_view name, duration value)
 {
     return add(name, static_cast<std::int64_t>(
--- a/src/gateway/observability/event_log.h
+++ b/src/gateway/observability/event_log.h
@@ -32,7 +32,8 @@
     }
     log_line& add(std::string_view name, std::int64_t value);
     log_line& add(std::string_view name, bool value);
-    log_line& add_ms(std::string_view name, duration value); ///< whole milliseconds
+    log_line& add_number(std::string_view name, double value); ///< to three decimals
+    log_line& add_ms(std::string_view name, duration value);   ///< whole milliseconds
     /// @}
 
     /// The finished line, without its line end.
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -147,6 +147,15 @@
     const duration wait =
         m_context.usage.take(of->name, {of->rate, of->burst}, units(), boot_clock::now());
     if (wait > duration{0}) {
+        m_context.log.write_request(log_line{"request_over_limit"}
+                                        .add("id", m_fields.id)
+                                        .add("organisation", of->name)
+                                        .add_number("units", units())
+                                        .add_number("level", m_context.usage.level(of->name))
+                                        .add_number("rate", of->rate)
+                                        .add_number("burst", of->burst)
+                                        .add_number("part", m_context.usage.part())
+                                        .add_ms("retry_after_ms", wait));
         refuse(429, "over_limit", "no", wait);
         return false;
     }
@@ -731,7 +740,10 @@
     if (m_attempts.runs() == 0) {
         const serving_options& options = m_context.options;
         refuse(503, code, "no",
-               code == "no_endpoint" ? options.retry_after_outage : options.retry_after_overload);
+               code == "no_endpoint"
+                   ? options.retry_after_outage
+                   : m_context.spells[m_service].on_refusal(options.overload, boot_clock::now(),
+                                                            random_fraction(m_context.random)));
         return;
     }
     refuse(code == "deadline" ? 504 : 502, code, "unknown", {});
@@ -775,6 +787,7 @@
     line.add("id", m_fields.id)
         .add("route", name)
         .add("organisation", m_organisation)
+        .add_number("units", m_charged)
         .add("outcome", outcome)
         .add("status", std::int64_t{status})
         .add("tries", std::int64_t{m_attempts.tries()})
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -100,6 +100,7 @@
                 .options = {},
                 .retries = {},
                 .unreachable = {},
+                .spells = {},
                 .passed_on = {},
                 .takes_requests = true,
                 .wait = [this](const auto& waiting) { m_waiting.add(waiting); },
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -11,6 +11,7 @@
 #include "gateway/routing/region_choice.h"
 #include "gateway/serving/begin_limit.h"
 #include "gateway/serving/dialect.h"
+#include "gateway/serving/overload_spell.h"
 #include "process/routing/random_source.h"
 #include "process/routing/retry_budget.h"
 
@@ -47,7 +48,6 @@
     duration longest_idle_once = std::chrono::milliseconds{1'500};
     duration endpoint_connect_timeout = std::chrono::milliseconds{400};
     duration host_connect_timeout = std::chrono::milliseconds{600};
-    duration retry_after_overload = std::chrono::milliseconds{700};
     duration retry_after_stop = std::chrono::milliseconds{100};
     duration retry_after_outage = std::chrono::milliseconds{1'000};
     /// A configuration older than that proves nothing about what it doesn't hold.
@@ -56,6 +56,7 @@
     std::uint64_t least_home_tokens = 2'000;
     region_choice_options regions;
     begin_limit_options begin;
+    overload_options overload;
 };
 
 /// What the requests of a gateway share. All calls come from the loop's thread.
@@ -74,6 +75,7 @@
     serving_options options;
     std::unordered_map<std::string, retry_budget> retries;   ///< by service
     std::unordered_map<std::string, time_point> unreachable; ///< hosts, by ip
+    std::unordered_map<std::string, overload_spell> spells;  ///< by service
 
     /// Requests passed to another region's service since its last heartbeat, by region and service.
     std::unordered_map<std::string, std::uint32_t> passed_on;
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -195,6 +195,7 @@
                               .options = {},
                               .retries = {},
                               .unreachable = {},
+                              .spells = {},
                               .passed_on = {},
                               .takes_requests = true,
                               .wait = [this](const auto& waiting) { m_waiting.add(waiting); },
