Let a stream that has begun wait for a place to go on

Cause: a resumable stream whose endpoint was lost ended at once where no place was free, since the time that a new request may wait was long past. Its caller stays for two seconds without an event, and places become free in between. Such a stream now waits up to 1.8 s after its last event, before new requests.

The test fails without the change.

--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -182,6 +182,10 @@
 time_point exchange::waits_until() const
 {
     const serving_options& options = m_context.options;
+    if (m_began_answer) {
+        return std::min(m_last_event + options.resumption_wait,
+                        m_deadline - options.least_time_left);
+    }
     const duration longest = m_is_forwarded
                                  ? options.forwarded_wait
                                  : from_seconds(to_seconds(m_route->objective) * options.wait_part);
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -46,7 +46,8 @@
 
     /// @name order of the queue
     /// @{
-    [[nodiscard]] int priority() const noexcept { return m_priority; }
+    /// 0 is the most urgent of new requests; a stream that has begun goes before them.
+    [[nodiscard]] int priority() const noexcept { return m_began_answer ? -1 : m_priority; }
     [[nodiscard]] const std::string& service_name() const noexcept { return m_service; }
     /// @}
 
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -30,6 +30,8 @@
     double wait_part = 0.8;
     /// Longest wait of a request that another host has passed on.
     duration forwarded_wait = std::chrono::milliseconds{250};
+    /// Longest pause of a stream that waits for a place to go on. Callers leave after two seconds.
+    duration resumption_wait = std::chrono::milliseconds{1'800};
     /// Silence after which a repeatable request is tried elsewhere.
     duration least_silence = std::chrono::milliseconds{900};
     /// Silence, in multiples of the expected time to the first byte.
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -96,17 +96,19 @@
         entry.service = "s";
         entry.address = "127.0.0.1:" + std::to_string(server->port());
         entry.slots = 4;
-        const publication_ptr published = m_state.published();
-        m_pool.update(
-            m_entries, [](const endpoint_entry&) { return endpoint_pool::usability::usable; },
-            [published](const std::string& wanted) { return published->find_service(wanted); },
-            boot_clock::now());
+        update_pool();
         // a slower endpoint is the second choice
         for (std::size_t i = 0; i < 10 * (m_endpoints.size() - 1); ++i) {
             m_pool.on_first_byte(name, 0, 200ms, 50ms);
         }
     }
 
+    void remove_endpoint(const std::string& name)
+    {
+        m_entries.erase(name);
+        update_pool();
+    }
+
     /// Lets the endpoint appear as slow as one can.
     void slow_down(const std::string& name)
     {
@@ -115,6 +117,25 @@
         }
     }
 
+    /// Takes all places of the endpoint, or frees them.
+    void occupy(const std::string& name)
+    {
+        for (const placement_request any{m_state.published()->find_service("s"), nullptr, {}};
+             m_pool.choose(any, boot_clock::now());) {
+            static_cast<void>(m_pool.on_sent(name, nullptr, boot_clock::now()));
+            ++m_occupied;
+        }
+    }
+    void release(const std::string& name)
+    {
+        for (; m_occupied > 0; --m_occupied) {
+            m_pool.on_end(name, 0, endpoint_outcome::answered, boot_clock::now());
+        }
+        m_waiting.place();
+    }
+
+    [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
+
     /// Sends one request; the answer grows while the loop runs.
     std::shared_ptr<received_answer> ask(const std::string& method = "POST",
                                          const std::string& body = "question")
@@ -160,6 +181,15 @@
     }
 
 private:
+    void update_pool()
+    {
+        const publication_ptr published = m_state.published();
+        m_pool.update(
+            m_entries, [](const endpoint_entry&) { return endpoint_pool::usability::usable; },
+            [published](const std::string& wanted) { return published->find_service(wanted); },
+            boot_clock::now());
+    }
+
     route m_route;
     asio::io_context m_loop{1};
     gateway_settings m_settings = [] {
@@ -206,6 +236,7 @@
     std::map<std::string, endpoint_entry> m_entries;
     std::vector<std::unique_ptr<http_server>> m_endpoints;
     std::shared_ptr<client_connection> m_call;
+    unsigned m_occupied = 0;
 };
 
 /// Answers wholly, and keeps the heads of the requests.
@@ -395,6 +426,38 @@
     CHECK(resumed_at == "1");
 }
 
+TEST_CASE("lost endpoints at full load: a cut stream waits for a place to go on")
+{
+    route served = make_route(request_kind::streaming, 2, true);
+    served.objective = 100ms;
+    small_gateway gateway{served};
+    std::shared_ptr<server_exchange> running;
+    gateway.add_endpoint("a", [&](const std::shared_ptr<server_exchange>& request) {
+        running = request;
+        request->begin(200, answer_headers());
+        request->send("id: 1\ndata: a\n\n");
+    });
+    const auto answer = gateway.ask();
+    gateway.run_until([&] { return !answer->body.empty(); });
+    gateway.add_endpoint("b", [&](const std::shared_ptr<server_exchange>& request) {
+        CHECK(request->head().headers.find("Last-Event-Id") == "1");
+        request->begin(200, answer_headers());
+        request->send("id: 2\ndata: b\n\n");
+        request->end();
+    });
+    gateway.remove_endpoint("a");
+    gateway.occupy("b");
+    // a new request would have waited for long enough by then
+    const time_point begun = boot_clock::now();
+    gateway.run_until([&] { return boot_clock::now() - begun > served.objective; });
+    running->break_off();
+    gateway.run_until([&] { return gateway.waiting() > 0 || answer->end.has_value(); });
+    gateway.release("b");
+    gateway.run_to_end(answer);
+    CHECK(answer->end == call_end::complete);
+    CHECK(answer->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 TEST_CASE("a cut stream that may not go on ends visibly")
 {
     small_gateway gateway{make_route(request_kind::streaming, 2)};
