Tell the longest pause of a stream in the line of its end

Answers 'was it late' from the logs.

Tried and left out: retries counted in a sliding window instead of saved up to a small number, so that all streams of a lost endpoint can go on at once.

--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -528,9 +528,13 @@
     if (events.empty()) {
         return;
     }
+    const time_point now = boot_clock::now();
+    if (m_began_answer) {
+        m_longest_pause = std::max(m_longest_pause, now - m_last_event);
+    }
     begin_relay();
     m_caller->send(events);
-    m_last_event = boot_clock::now();
+    m_last_event = now;
     if (m_caller->unsent() > m_context.options.most_unsent) {
         m_try.call->pause();
     }
@@ -800,6 +804,7 @@
         .add("peer", m_try.endpoint.empty() ? m_try.peer : m_try.endpoint)
         .add_ms("expected_ms", m_try.expected)
         .add_ms("first_byte_ms", m_try.first_byte)
+        .add_ms("longest_pause_ms", m_longest_pause)
         .add("events", static_cast<std::int64_t>(m_events.events()))
         .add_ms("configuration_age_ms", m_context.state.age(boot_clock::now()));
     if (m_is_forwarded) {
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -146,6 +146,7 @@
     bool m_is_queued = false;
     bool m_began_answer = false;
     time_point m_last_event{};
+    duration m_longest_pause{0}; ///< between two events for the caller
     event_splitter m_events;
     asio::steady_timer m_timer;
 };
