Ask endpoints that return from an evacuation whether they are cold

The host that owns an endpoint's cold rate now asks it once for its own word and tells the region's hosts by its heartbeats. What its heartbeats state, and an endpoint that could not be reached, still count as cold.

Ruled out: believing the first heartbeat after the return (it comes 0.6 s later on average, is read 0.5 s after that, and old ones may be repeated); every host asking (the questions may count as requests to a cold endpoint).

--- a/src/gateway/configuration/publication.h
+++ b/src/gateway/configuration/publication.h
@@ -64,6 +64,7 @@
     unsigned max_connections = 64; ///< to one endpoint, of all hosts together
     double cold_rate = 0;          ///< requests a second that a cold endpoint bears; 0: no limit
     std::chrono::milliseconds cold_time{0};
+    std::string health_path; ///< at which an endpoint tells its own state
     std::optional<engine_size> engine;
 };
 
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -54,6 +54,9 @@
         added.set_prefix(note.prefix);
         added.set_endpoint(note.endpoint);
     }
+    for (const std::uint32_t hash : sent.warm_endpoints) {
+        message.add_warm_endpoints(hash);
+    }
     for (const std::string& ip : sent.known_ips) {
         message.add_known_ips(ip);
     }
@@ -96,6 +99,8 @@
     for (const auto& note : message.prompts()) {
         received.prompts.push_back({note.prefix(), note.endpoint()});
     }
+    received.warm_endpoints.assign(message.warm_endpoints().begin(),
+                                   message.warm_endpoints().end());
     received.known_ips.assign(message.known_ips().begin(), message.known_ips().end());
     return received;
 }
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -46,6 +46,7 @@
     std::unordered_map<std::uint32_t, endpoint_load> endpoints; ///< by hash of the id
     std::map<std::string, double> used;                         ///< units since the start
     std::vector<prompt_note> prompts;                           ///< since the heartbeat before
+    std::vector<std::uint32_t> warm_endpoints; ///< that said of late that they aren't cold
     std::vector<std::string> known_ips;
 };
 
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -61,13 +61,54 @@
         state.is_listed = use == usability::usable && !entry.is_draining;
         if (state.is_evacuated && use == usability::usable) {
             // its heartbeats are too old to tell that it has become cold meanwhile
-            state.cold_until = std::max<time_point>(state.cold_until, now + state.cold_time);
+            state.return_cold_until = now + state.cold_time;
+            m_returned.push_back(entry);
         }
         state.is_evacuated = use == usability::evacuated;
+        if (state.is_evacuated) {
+            state.warm_told_until = {};
+        }
     }
     m_endpoints = std::move(next);
 }
 
+std::vector<endpoint_entry> endpoint_pool::take_returned()
+{
+    return std::exchange(m_returned, {});
+}
+
+void endpoint_pool::on_warm(const std::string& endpoint, time_point now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end() || found->second.is_evacuated) {
+        return;
+    }
+    endpoint_state& state = found->second;
+    // hosts that have yet to read that it is back take it for cold no longer than that
+    state.warm_told_until = now + state.cold_time;
+    state.return_cold_until = {};
+}
+
+void endpoint_pool::on_peer_warm(std::uint32_t hash)
+{
+    for (auto& [id, state] : m_endpoints) {
+        if (state.hash == hash && !state.is_evacuated) {
+            state.return_cold_until = {};
+        }
+    }
+}
+
+std::vector<std::uint32_t> endpoint_pool::own_warm(time_point now) const
+{
+    std::vector<std::uint32_t> hashes;
+    for (const auto& [id, state] : m_endpoints) {
+        if (now < state.warm_told_until) {
+            hashes.push_back(state.hash);
+        }
+    }
+    return hashes;
+}
+
 void endpoint_pool::set_peer_loads(const std::unordered_map<std::uint32_t, endpoint_load>& loads)
 {
     for (auto& [id, state] : m_endpoints) {
@@ -98,7 +139,7 @@
     if (now < state.blocked_until || (state.is_on_trial && state.own.active > 0)) {
         return false;
     }
-    if (now < state.cold_until && state.cold_rate > 0) {
+    if (is_cold(state, now) && state.cold_rate > 0) {
         return state.gate.is_open(m_to_cold_allowance(state.entry.id, state.cold_rate), now);
     }
     return true;
@@ -200,7 +241,7 @@
     }
     std::uint64_t best_weight = 0;
     for (const auto& [id, state] : m_endpoints) {
-        if (!is_candidate(state, request) || now < state.blocked_until || now < state.cold_until) {
+        if (!is_candidate(state, request) || now < state.blocked_until || is_cold(state, now)) {
             continue;
         }
         const std::uint64_t weight = rendezvous_weight(request.size->shared_id(), id);
@@ -235,7 +276,7 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    placement chosen{best->entry.id, best->entry.address, best_cost, now < best->cold_until, {}, 0};
+    placement chosen{best->entry.id, best->entry.address, best_cost, is_cold(*best, now), {}, 0};
     if (request.size != nullptr) {
         chosen.fetched_tokens = fetchable_tokens(*best, *request.size, places, now);
     }
@@ -259,7 +300,7 @@
     load.expected_wait = largest_sample;
     const placement_request any{&of, nullptr, {}};
     for (const auto& [id, state] : m_endpoints) {
-        if (!is_candidate(state, any) || now < state.blocked_until || now < state.cold_until) {
+        if (!is_candidate(state, any) || now < state.blocked_until || is_cold(state, now)) {
             continue;
         }
         const std::uint32_t active = state.own.active + state.peers.active;
@@ -280,7 +321,7 @@
     }
     endpoint_state& state = found->second;
     ++state.own.active;
-    if (now < state.cold_until) {
+    if (is_cold(state, now)) {
         state.gate.on_sent(now);
     }
     if (size == nullptr) {
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -104,6 +104,19 @@
     /// Prompts that this host has sent since the last call, for its heartbeat.
     [[nodiscard]] std::vector<prompt_note> take_prompt_notes();
 
+    /// Endpoints that are no longer evacuated since the last call. They count as cold until they, or
+    /// another host, say that they aren't.
+    [[nodiscard]] std::vector<endpoint_entry> take_returned();
+
+    /// The endpoint itself has said that it isn't cold.
+    void on_warm(const std::string& endpoint, time_point now);
+
+    /// Another host has heard so of the endpoint with this hash.
+    void on_peer_warm(std::uint32_t hash);
+
+    /// Hashes of the endpoints that this host has heard it of lately, for its heartbeat.
+    [[nodiscard]] std::vector<std::uint32_t> own_warm(time_point now) const;
+
     /// What the other hosts of the region have under way, by hash of the endpoint's id.
     void set_peer_loads(const std::unordered_map<std::uint32_t, endpoint_load>& loads);
     /// @}
@@ -171,11 +184,17 @@
         bool is_on_trial = false;
         time_point blocked_until{};
         time_point cold_until{};
+        time_point return_cold_until{}; ///< after an evacuation, for want of its word
+        time_point warm_told_until{};   ///< other hosts are told until then that it isn't cold
         std::chrono::milliseconds cold_time{0};
         cold_gate gate;
         std::unordered_map<std::uint64_t, kept_prompt> prompts; ///< by id of the prefix
     };
 
+    [[nodiscard]] static bool is_cold(const endpoint_state& state, time_point now) noexcept
+    {
+        return now < state.cold_until || now < state.return_cold_until;
+    }
     [[nodiscard]] static bool is_candidate(const endpoint_state& state,
                                            const placement_request& request);
     [[nodiscard]] bool has_place(const endpoint_state& state) const;
@@ -208,6 +227,7 @@
     [[nodiscard]] duration prefill_time(const endpoint_state& state) const;
 
     std::vector<prompt_note> m_notes;
+    std::vector<endpoint_entry> m_returned;
     endpoint_pool_options m_options;
     cold_rule m_to_cold_allowance;
     std::map<std::string, endpoint_state> m_endpoints;
--- a/src/gateway/serving/dialect.h
+++ b/src/gateway/serving/dialect.h
@@ -30,6 +30,12 @@
     bool is_encoded = false;   ///< the body isn't the endpoint's own
 };
 
+/// What an endpoint says of its own state.
+struct health_fields {
+    std::string_view instance; ///< who answers; empty: what it says can't be read
+    std::chrono::milliseconds cold_remaining{0};
+};
+
 /// What the gateway adds to a request for an endpoint.
 struct endpoint_fields {
     std::chrono::milliseconds deadline{0};
@@ -72,6 +78,10 @@
     std::function<caller_fields(const message_head&)> read_caller;
     std::function<answer_fields(const message_head&)> read_answer;
 
+    /// An endpoint's answer to the question of its state, and the headers of that question.
+    std::function<health_fields(const message_head&)> read_health;
+    std::function<header_list(const std::string& address, const std::string& instance)> to_health;
+
     /// Headers for an endpoint: the caller's, less those that concern one connection or are the
     /// gateway's to set, and the gateway's own.
     std::function<header_list(const message_head&, const endpoint_fields&)> to_endpoint;
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -110,7 +110,10 @@
                             place_waiting();
                         }
                     }},
-      m_callers{m_loop, [this](const auto& request) { serve_caller(request); }},
+      m_prober{{m_loop, m_client, m_parts.spelling, m_log}}, m_callers{m_loop,
+                                                                       [this](const auto& request) {
+                                                                           serve_caller(request);
+                                                                       }},
       m_peers{m_loop, [this](const auto& request) { serve_peer(request); }},
       m_readiness{m_loop, [this](const auto& request) { serve_readiness(request); }},
       m_directory{m_loop, [this](const auto& request) { serve_directory(request); }},
@@ -275,6 +278,7 @@
         }
     }
     sent.endpoints = m_pool.own_loads();
+    sent.warm_endpoints = m_pool.own_warm(now);
     sent.used = m_usage.used();
     sent.known_ips = m_members.targets();
     return sent;
@@ -305,6 +309,9 @@
         for (const prompt_note& note : received->prompts) {
             m_pool.on_peer_prompt(note, boot_clock::now());
         }
+        for (const std::uint32_t hash : received->warm_endpoints) {
+            m_pool.on_peer_warm(hash);
+        }
     }
     if (m_members.on_heartbeat(std::move(*received), boot_clock::now())) {
         m_log.write(log_line{"host_heard"}.add("peer", host).add("region", region));
@@ -373,6 +380,7 @@
         return published->find_service(name);
     };
     m_pool.update(m_state.endpoints(), to_usability, find_service, boot_clock::now());
+    probe_returned();
     const caller_limits& limits = published->limits;
     m_callers.set_limits({.message = {limits.header_bytes, limits.body_bytes},
                           .head_timeout = limits.header_timeout,
@@ -380,6 +388,21 @@
     place_waiting();
 }
 
+void gateway::probe_returned()
+{
+    for (const endpoint_entry& entry : m_pool.take_returned()) {
+        const service* of = m_state.published()->find_service(entry.service);
+        // one host asks, since the question may count as a request to a cold endpoint
+        if (of != nullptr && !of->health_path.empty() &&
+            cold_rate_for(entry.id, of->cold_rate) >= 1) {
+            m_prober.ask(entry, of->health_path, [this, id = entry.id] {
+                m_pool.on_warm(id, boot_clock::now());
+                place_waiting();
+            });
+        }
+    }
+}
+
 // life
 
 void gateway::beat()
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/http/http_server.h"
 #include "gateway/membership/gossip_socket.h"
 #include "gateway/serving/dialect.h"
+#include "gateway/serving/health_prober.h"
 #include "gateway/serving/serving_context.h"
 #include "gateway/serving/waiting_queue.h"
 #include "process/error.h"
@@ -68,6 +69,7 @@
 
     // configuration
     void on_published();
+    void probe_returned();
 
     // life
     void beat();
@@ -92,6 +94,7 @@
     configuration_follower m_follower;
     waiting_queue m_waiting;
     serving_context m_context;
+    health_prober m_prober;
     http_server m_callers;
     http_server m_peers;
     http_server m_readiness;
--- /dev/null
+++ b/src/gateway/serving/health_prober.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "gateway/configuration/publication.h"
+#include "gateway/http/http_client.h"
+#include "gateway/observability/event_log.h"
+#include "gateway/serving/dialect.h"
+
+#include <functional> // function
+#include <memory>     // shared_ptr
+#include <string>     // string
+
+#include <asio/io_context.hpp> // io_context
+
+namespace hickorykeel::gateway {
+
+/// Asks endpoints whether they are cold.
+///
+/// Thread safety: none; all calls come from the loop's thread. Outlives its questions.
+class health_prober {
+public:
+    /// What the prober works with; all outlive it.
+    struct parts {
+        asio::io_context& loop;
+        http_client& client;
+        const dialect& spelling;
+        event_log& log;
+    };
+
+    explicit health_prober(parts with) : m_with{with} {}
+
+    /// Asks `endpoint` at `path`. `on_warm` is called once it has said that it isn't cold, and
+    /// never where it says otherwise, doesn't answer in time or is another incarnation.
+    void ask(const endpoint_entry& endpoint, const std::string& path,
+             std::function<void()> on_warm) const;
+
+private:
+    struct question;
+
+    void on_answer(question& asked, call_end end) const;
+
+    parts m_with;
+};
+
+} // namespace hickorykeel::gateway
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -343,6 +343,55 @@
     CHECK(with.fill(start + 9s) == 3);
 }
 
+TEST_CASE("evacuated endpoint: one that comes back warm gets all that it can bear at once")
+{
+    // after the evacuation of the largest region its engines stood idle for three seconds, while
+    // those of the other regions were full
+    fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    with.evacuated().insert("a");
+    with.update(start + 1s);
+    CHECK(with.pool().take_returned().empty());
+    with.evacuated().clear();
+    with.update(start + 9s);
+    const auto returned = with.pool().take_returned();
+    REQUIRE(returned.size() == 1);
+    CHECK(returned.front().id == "a");
+    CHECK(with.pool().take_returned().empty());
+    CHECK(with.pool().own_warm(start + 9s).empty());
+    SUBCASE("once it has said so")
+    {
+        with.pool().on_warm("a", start + 9s);
+        CHECK(with.fill(start + 9s) == 48);
+        CHECK(with.pool().own_warm(start + 9s).size() == 1);
+        CHECK(with.pool().own_warm(start + 13s).empty());
+    }
+    SUBCASE("or another host has heard it")
+    {
+        with.pool().on_peer_warm(short_hash("a"));
+        CHECK(with.fill(start + 9s) == 48);
+    }
+    SUBCASE("but not where its heartbeats say otherwise")
+    {
+        with.entry("a").sequence = 7;
+        with.entry("a").cold_remaining = 2s;
+        with.update(start + 9s);
+        with.pool().on_warm("a", start + 9s);
+        CHECK(with.fill(start + 9s) == 3);
+    }
+    SUBCASE("nor while it is evacuated again")
+    {
+        with.evacuated().insert("a");
+        with.update(start + 10s);
+        with.pool().on_warm("a", start + 10s);
+        CHECK(with.pool().own_warm(start + 10s).empty());
+        with.evacuated().clear();
+        with.update(start + 12s);
+        CHECK(with.fill(start + 12s) == 3);
+    }
+}
+
 TEST_CASE("restarted endpoint: the same id with a new start is a new endpoint")
 {
     fixture with{true, 48};
