Split the course of a request, and find the regions in a module of their own

Placing is five short functions. A request's key and route are no longer checked twice before its first placement. The scenario of the graceful stop tells what the engines had where not all streams run.

--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -1,23 +1,15 @@
 #include "gateway/serving/exchange.h"
 
-#include <algorithm> // any_of, find, max, min
+#include "gateway/serving/region_options.h"
+
+#include <algorithm> // max, min
 #include <charconv>  // from_chars
 #include <utility>   // exchange, move
 
-#include <fmt/format.h> // format
-
 namespace hickorykeel::gateway {
 
 namespace {
 
-constexpr int first_failure_status = 500;
-constexpr int status_misdirected = 421;
-
-bool is_success(int status) noexcept
-{
-    return status >= 200 && status < 300;
-}
-
 std::chrono::milliseconds to_ms(duration span)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span);
@@ -31,11 +23,6 @@
     return parsed.ec == std::errc{} && ms > 0 ? std::chrono::milliseconds{ms} : duration{0};
 }
 
-std::string_view ran_name(bool may_have_run) noexcept
-{
-    return may_have_run ? "unknown" : "no";
-}
-
 } // namespace
 
 exchange::exchange(serving_context& context, std::shared_ptr<server_exchange> caller,
@@ -163,15 +150,6 @@
     return true;
 }
 
-bool exchange::allows_region(const std::string& region) const
-{
-    const auto allows = [&region](const std::vector<std::string>& homes) {
-        return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
-    };
-    const organisation* of = holder();
-    return allows(m_route->home_regions) && (of == nullptr || allows(of->home_regions));
-}
-
 // placement
 
 duration exchange::time_left() const
@@ -203,7 +181,13 @@
         return false;
     }
     m_stage = stage::placing;
-    return !place();
+    return !place_again();
+}
+
+/// As `place()`, for a request that has waited or failed: what was published may have changed.
+bool exchange::place_again()
+{
+    return !authorise() || place();
 }
 
 void exchange::choose_service()
@@ -236,12 +220,9 @@
 }
 
 /// Sends, queues or refuses the request. Returns whether it has left the queue.
+/// Precondition: `authorise()` has just allowed it.
 bool exchange::place()
 {
-    // what was published may have changed while the request waited
-    if (!authorise()) {
-        return true;
-    }
     if (time_left() < m_context.options.least_time_left) {
         give_up("deadline");
         return true;
@@ -254,29 +235,67 @@
         give_up("service_unknown");
         return true;
     }
-    const prompt* size = m_fields.size && of->engine ? &*m_fields.size : nullptr;
-    const placement_request request{of, size, m_excluded};
     const time_point now = boot_clock::now();
-    const bool is_home = allows_region(m_context.settings.region);
-    const duration limit = m_began_answer ? time_left() : longest_begin(now);
-    std::optional<placement> here;
-    bool is_late = false; // there are free places, but none that would begin in time
-    if (is_home) {
-        here = m_context.pool.choose(request, now);
-        is_late = here && here->expected > limit;
+    const placement_request request{of, engine_prompt(*of), m_excluded};
+    const bool is_allowed_here = allows_region(*m_route, holder(), m_context.settings.region);
+    auto here = is_allowed_here ? m_context.pool.choose(request, now) : std::nullopt;
+    auto others = find_other_regions(now);
+    const bool is_overloaded = drop_late(here, others, now);
+    if (send(here, others, now)) {
+        return true;
+    }
+    const bool can_come = is_overloaded || !others.empty() ||
+                          (is_allowed_here && m_context.pool.has_candidate(request, now));
+    if (!can_come || now >= waits_until()) {
+        give_up(!can_come ? "no_endpoint" : is_overloaded ? "overloaded" : "no_free_place");
+        return true;
+    }
+    wait();
+    return false;
+}
+
+const prompt* exchange::engine_prompt(const service& of) const
+{
+    return m_fields.size && of.engine ? &*m_fields.size : nullptr;
+}
+
+std::vector<region_option> exchange::find_other_regions(time_point now) const
+{
+    if (m_is_forwarded) {
+        return {};
+    }
+    region_question question{m_service, m_route, holder(), nullptr};
+    if (m_fields.size && m_attempts.tries() == 0) {
+        question.size = &*m_fields.size;
     }
-    if (is_late) {
+    return find_regions(m_context, question, now);
+}
+
+/// Drops the places where the answer would begin too late. Returns whether there was one.
+bool exchange::drop_late(std::optional<placement>& here, std::vector<region_option>& others,
+                         time_point now) const
+{
+    const duration limit = m_began_answer ? time_left() : longest_begin(now);
+    const bool is_late_here = here && here->expected > limit;
+    if (is_late_here) {
         here.reset();
     }
-    auto others = other_regions();
-    is_late |= std::erase_if(others, [&](const region_option& option) {
-                   return option.expected_wait + m_context.options.regions.distance > limit;
-               }) > 0;
+    const auto dropped = std::erase_if(others, [&](const region_option& option) {
+        return option.expected_wait + m_context.options.regions.distance > limit;
+    });
+    return is_late_here || dropped > 0;
+}
+
+/// Sends the request to the better of its places. False: there is none.
+bool exchange::send(const std::optional<placement>& here, const std::vector<region_option>& others,
+                    time_point now)
+{
     const auto elsewhere = choose_region(here ? std::optional{here->expected} : std::nullopt,
                                          others, m_route->objective, m_context.options.regions);
     if (elsewhere) {
-        if (const member* host = pick_host(others[*elsewhere].region)) {
-            send_to_host(*host, others[*elsewhere].expected_wait);
+        const region_option& chosen = others[*elsewhere];
+        if (const member* host = pick_host(m_context, m_service, chosen.region, now)) {
+            send_to_host(*host, chosen.expected_wait);
             return true;
         }
     }
@@ -284,12 +303,11 @@
         send_to_endpoint(*here);
         return true;
     }
-    const bool can_come =
-        is_late || (is_home && m_context.pool.has_candidate(request, now)) || !others.empty();
-    if (!can_come || now >= waits_until()) {
-        give_up(!can_come ? "no_endpoint" : is_late ? "overloaded" : "no_free_place");
-        return true;
-    }
+    return false;
+}
+
+void exchange::wait()
+{
     m_stage = stage::waiting;
     if (!std::exchange(m_is_queued, true)) {
         m_context.log.write_request(log_line{"request_waits"}
@@ -300,72 +318,6 @@
         m_context.wait(shared_from_this());
     }
     arm();
-    return false;
-}
-
-std::string exchange::home_of_prompt() const
-{
-    // a short prompt is read quicker than it travels
-    if (!m_fields.size || m_attempts.tries() > 0 || m_fields.size->prefixes.empty() ||
-        m_fields.size->prefixes.back().tokens < m_context.options.least_home_tokens) {
-        return {};
-    }
-    std::map<std::string, double> capacities;
-    for (const auto& [id, entry] : m_context.state.endpoints()) {
-        const std::string region = m_context.settings.region_of(entry.failure_domain);
-        if (entry.service == m_service && !entry.is_draining && allows_region(region) &&
-            !m_context.state.is_evacuated(entry.failure_domain)) {
-            capacities[region] += entry.slots;
-        }
-    }
-    return home_region(m_fields.size->shared_id(), capacities);
-}
-
-std::vector<region_option> exchange::other_regions() const
-{
-    std::vector<region_option> options;
-    if (m_is_forwarded) {
-        return options;
-    }
-    const std::string home = home_of_prompt();
-    const time_point now = boot_clock::now();
-    for (const member* host : m_context.members.ready(now)) {
-        const auto blocked = m_context.unreachable.find(host->last.ip);
-        const auto load = host->last.services.find(m_service);
-        if (host->last.region == m_context.settings.region || !host->last.has_configuration ||
-            load == host->last.services.end() || !allows_region(host->last.region) ||
-            (blocked != m_context.unreachable.end() && now < blocked->second)) {
-            continue;
-        }
-        const auto at = std::find_if(options.begin(), options.end(), [&](const auto& option) {
-            return option.region == host->last.region;
-        });
-        region_option& option = at == options.end() ? options.emplace_back() : *at;
-        if (option.region.empty() || load->second.expected_wait < option.expected_wait) {
-            option = {host->last.region, load->second.expected_wait, load->second.free_places};
-        }
-    }
-    for (region_option& option : options) {
-        const auto passed = m_context.passed_on.find(option.region + '/' + m_service);
-        if (passed != m_context.passed_on.end()) {
-            option.free_places -= std::min(option.free_places, passed->second);
-        }
-        option.is_home = option.region == home;
-    }
-    return options;
-}
-
-const member* exchange::pick_host(const std::string& region)
-{
-    const time_point now = boot_clock::now();
-    std::vector<const member*> hosts = m_context.members.ready(now);
-    std::erase_if(hosts, [&](const member* host) {
-        const auto blocked = m_context.unreachable.find(host->last.ip);
-        return host->last.region != region || !host->last.has_configuration ||
-               !host->last.services.contains(m_service) ||
-               (blocked != m_context.unreachable.end() && now < blocked->second);
-    });
-    return hosts.empty() ? nullptr : hosts[random_index(m_context.random, hosts.size())];
 }
 
 const std::string& exchange::last_event() const
@@ -376,7 +328,7 @@
 void exchange::send_to_endpoint(const placement& chosen)
 {
     const service* of = m_published->find_service(m_service);
-    const prompt* size = m_fields.size && of->engine ? &*m_fields.size : nullptr;
+    const prompt* size = engine_prompt(*of);
     m_try = {};
     m_try.endpoint = chosen.endpoint;
     m_try.peer = chosen.address;
@@ -451,382 +403,4 @@
     arm();
 }
 
-// course of a try
-
-call_handlers exchange::handlers()
-{
-    // the call holds the request until its end
-    const auto self = shared_from_this();
-    return {.on_sent = [self] { self->on_sent(); },
-            .on_head = [self](const message_head& head) { self->on_head(head); },
-            .on_body = [self](std::string& bytes) { self->on_body(bytes); },
-            .on_end = [self](call_end end) { self->on_end(end); }};
-}
-
-void exchange::on_sent()
-{
-    m_try.is_sent = true;
-    m_try.sent_at = boot_clock::now();
-    m_last_event = m_try.sent_at;
-    arm();
-}
-
-bool exchange::is_stream() const noexcept
-{
-    return m_route->kind == request_kind::streaming;
-}
-
-bool exchange::is_genuine(const message_head& head) const
-{
-    const answer_fields answer = m_context.spelling.read_answer(head);
-    return answer.id == m_fields.id && !answer.is_encoded &&
-           (!is_success(head.status) || answer.has_seal);
-}
-
-void exchange::on_head(const message_head& head)
-{
-    const duration elapsed = boot_clock::now() - m_try.sent_at;
-    m_try.has_head = true;
-    m_try.head = head;
-    m_try.first_byte = elapsed;
-    if (!m_try.endpoint.empty() && is_success(head.status)) {
-        m_context.pool.on_first_byte(m_try.endpoint, std::exchange(m_try.waiting_tokens, 0),
-                                     elapsed, m_try.expected);
-        m_context.metrics.on_first_byte(elapsed);
-    }
-    m_last_event = boot_clock::now();
-    arm();
-}
-
-void exchange::on_body(std::string& bytes)
-{
-    const std::string taken = std::exchange(bytes, {});
-    const bool is_relayed = is_stream() && is_success(m_try.head.status) && is_genuine(m_try.head);
-    if (!is_relayed) {
-        m_try.body += taken;
-        return;
-    }
-    relay(taken);
-}
-
-void exchange::begin_relay()
-{
-    if (!std::exchange(m_began_answer, true)) {
-        m_stage = stage::relaying;
-        m_caller->begin(m_try.head.status, m_context.spelling.to_caller(m_try.head));
-    }
-}
-
-void exchange::relay(std::string_view bytes)
-{
-    const std::string events = m_events.take(bytes);
-    if (m_events.is_out_of_order()) {
-        m_try.call->cancel();
-        fail_try({endpoint_outcome::cut, true, true, "events_out_of_order"});
-        return;
-    }
-    if (events.empty()) {
-        return;
-    }
-    const time_point now = boot_clock::now();
-    if (m_began_answer) {
-        m_longest_pause = std::max(m_longest_pause, now - m_last_event);
-    }
-    begin_relay();
-    m_caller->send(events);
-    m_last_event = now;
-    if (m_caller->unsent() > m_context.options.most_unsent) {
-        m_try.call->pause();
-    }
-}
-
-void exchange::on_end(call_end end)
-{
-    if (m_stage == stage::done) {
-        return;
-    }
-    if (end == call_end::complete) {
-        on_whole_answer();
-        return;
-    }
-    if (end == call_end::not_connected) {
-        if (m_try.endpoint.empty()) {
-            const std::string ip = m_try.peer.substr(0, m_try.peer.rfind(':'));
-            m_context.unreachable[ip] = boot_clock::now() + m_context.options.unreachable_block;
-        }
-        fail_try({endpoint_outcome::unreachable, false, false, to_name(end)});
-        return;
-    }
-    fail_try({endpoint_outcome::cut, true, true, to_name(end)});
-}
-
-void exchange::on_whole_answer()
-{
-    const message_head& head = m_try.head;
-    const bool is_host = m_try.endpoint.empty();
-    if (is_host && head.headers.contains(refusal_header)) {
-        const bool has_not_run = head.headers.find(ran_header) == "no";
-        fail_try({endpoint_outcome::shed, !has_not_run, !has_not_run,
-                  head.headers.find(refusal_header)});
-        return;
-    }
-    const answer_fields answer = m_context.spelling.read_answer(head);
-    if (!is_host && (answer.was_rejected || head.status == status_misdirected)) {
-        const bool is_gone = head.status == status_misdirected;
-        fail_try({is_gone ? endpoint_outcome::gone : endpoint_outcome::shed, false, true,
-                  is_gone ? "misdirected" : "rejected"});
-        return;
-    }
-    if (!is_genuine(head)) {
-        fail_try({endpoint_outcome::cut, true, true, "not_the_answer"});
-        return;
-    }
-    if (head.status >= first_failure_status) {
-        const try_failure failure{endpoint_outcome::failed, true, true, "endpoint_failed"};
-        if (!m_began_answer && may_try_again(failure)) {
-            fail_try(failure);
-            return;
-        }
-    }
-    if (is_stream() && is_success(head.status)) {
-        if (m_events.has_partial()) {
-            fail_try({endpoint_outcome::cut, true, true, "event_incomplete"});
-            return;
-        }
-        begin_relay();
-        end_try(endpoint_outcome::answered);
-        m_caller->end();
-        finish("answered", head.status);
-        return;
-    }
-    if (m_began_answer) {
-        fail_try({endpoint_outcome::failed, true, true, "resumption_failed"});
-        return;
-    }
-    end_try(head.status >= first_failure_status ? endpoint_outcome::failed
-                                                : endpoint_outcome::answered);
-    m_caller->respond(head.status, m_context.spelling.to_caller(head), m_try.body);
-    finish(is_success(head.status) ? "answered" : "endpoint_failed", head.status);
-}
-
-void exchange::end_try(endpoint_outcome outcome)
-{
-    if (!m_try.endpoint.empty()) {
-        m_context.pool.on_end(m_try.endpoint, m_try.waiting_tokens, outcome, boot_clock::now());
-    }
-    m_try.call = nullptr;
-    m_context.wake();
-}
-
-attempt_rule exchange::rule() const
-{
-    return to_attempt_rule(*m_route, m_is_forwarded, m_context.options.most_tries);
-}
-
-bool exchange::may_try_again(const try_failure& failure) const
-{
-    return m_attempts.may_try_again(rule(), {failure.may_have_run}, m_began_answer) &&
-           time_left() > m_context.options.least_time_left;
-}
-
-void exchange::fail_try(const try_failure& failure)
-{
-    const duration elapsed =
-        m_try.is_sent ? boot_clock::now() - m_try.sent_at : boot_clock::now() - m_received;
-    m_context.log.write_request(
-        log_line{"request_try_failed"}
-            .add("id", m_fields.id)
-            .add("peer", m_try.endpoint.empty() ? m_try.peer : m_try.endpoint)
-            .add("outcome", to_name(failure.outcome))
-            .add("reason", failure.reason)
-            .add("status", std::int64_t{m_try.head.status})
-            .add("ran", ran_name(failure.may_have_run))
-            .add_ms("after_ms", elapsed)
-            .add("events", static_cast<std::int64_t>(m_events.events())));
-    m_context.metrics.count("try_" + std::string{to_name(failure.outcome)});
-    bool again = may_try_again(failure);
-    if (again && failure.has_arrived) {
-        again = retries().try_take();
-        if (!again) {
-            m_context.metrics.count("retry_budget_empty");
-        }
-    }
-    // an endpoint that answers, if with a failure, may well answer the next time
-    if (!m_try.endpoint.empty() && failure.outcome != endpoint_outcome::failed) {
-        m_excluded.push_back(m_try.endpoint);
-    }
-    if (failure.may_have_run) {
-        m_attempts.on_run();
-    }
-    end_try(failure.outcome);
-    m_events.drop_partial();
-    if (!again) {
-        give_up(failure.reason);
-        return;
-    }
-    m_stage = stage::placing;
-    place();
-}
-
-// time
-
-std::optional<time_point> exchange::silence_limit() const
-{
-    if (!m_try.is_sent || !m_route->is_repeatable() || m_attempts.runs() + 1 >= rule().max_runs) {
-        return std::nullopt;
-    }
-    const serving_options& options = m_context.options;
-    duration patience = options.least_silence;
-    if (!m_began_answer) {
-        patience =
-            std::max(patience, from_seconds(to_seconds(m_try.expected) * options.silence_factor));
-    }
-    return std::max(m_last_event, m_try.sent_at) + patience;
-}
-
-void exchange::arm()
-{
-    time_point next = m_deadline;
-    if (m_stage == stage::waiting) {
-        next = std::min(next, waits_until());
-    }
-    else if (const auto limit = silence_limit()) {
-        next = std::min(next, *limit);
-    }
-    m_timer.expires_after(
-        std::max<duration>(next - boot_clock::now(), std::chrono::milliseconds{1}));
-    m_timer.async_wait([weak = weak_from_this()](const asio::error_code& failure) {
-        if (const auto self = weak.lock(); !failure && self != nullptr) {
-            self->on_timer();
-        }
-    });
-}
-
-void exchange::on_timer()
-{
-    const time_point now = boot_clock::now();
-    if (m_stage == stage::done) {
-        return;
-    }
-    if (m_stage == stage::waiting) {
-        if (now >= std::min(waits_until(), m_deadline)) {
-            retry_placement();
-        }
-        else {
-            arm();
-        }
-        return;
-    }
-    if (m_try.call != nullptr && m_caller->unsent() <= m_context.options.most_unsent) {
-        m_try.call->resume();
-    }
-    if (now >= m_deadline) {
-        const bool may_have_run = m_try.is_sent;
-        if (m_try.call != nullptr) {
-            m_try.call->cancel();
-        }
-        if (may_have_run) {
-            m_attempts.on_run();
-        }
-        end_try(may_have_run ? endpoint_outcome::abandoned : endpoint_outcome::unreachable);
-        give_up("deadline");
-        return;
-    }
-    const auto limit = silence_limit();
-    if (limit && now >= *limit) {
-        m_try.call->cancel();
-        fail_try({endpoint_outcome::timed_out, true, true, "silent"});
-        return;
-    }
-    arm();
-}
-
-// final answers
-
-void exchange::give_up(std::string_view code)
-{
-    if (m_attempts.runs() == 0) {
-        const serving_options& options = m_context.options;
-        refuse(503, code, "no",
-               code == "no_endpoint"
-                   ? options.retry_after_outage
-                   : m_context.spells[m_service].on_refusal(options.overload, boot_clock::now(),
-                                                            random_fraction(m_context.random)));
-        return;
-    }
-    refuse(code == "deadline" ? 504 : 502, code, "unknown", {});
-}
-
-void exchange::refuse(int status, std::string_view code, std::string_view ran, duration retry_after)
-{
-    if (m_began_answer) {
-        // the caller already reads an answer: only its end can still be told
-        m_context.log.write_request(
-            log_line{"request_broken_off"}.add("id", m_fields.id).add("reason", code));
-        m_caller->break_off();
-        finish("broken_off", 0);
-        return;
-    }
-    header_list headers;
-    headers.add("Content-Type", "application/json");
-    if (retry_after > duration{0}) {
-        headers.add("Retry-After", fmt::format("{:.3f}", to_seconds(retry_after)));
-    }
-    if (m_is_forwarded) {
-        headers.add(std::string{refusal_header}, std::string{code});
-        headers.add(std::string{ran_header}, std::string{ran});
-    }
-    m_caller->respond(status, headers, fmt::format(R"({{"error":"{}","ran":"{}"}})", code, ran));
-    finish(code, status);
-}
-
-void exchange::finish(std::string_view outcome, int status)
-{
-    m_stage = stage::done;
-    m_timer.cancel();
-    if (m_attempts.runs() == 0 && m_charged > 0 && outcome != "answered" &&
-        outcome != "endpoint_failed" && outcome != "caller_gone") {
-        m_context.usage.give_back(m_organisation, m_charged);
-    }
-    const duration elapsed = boot_clock::now() - m_received;
-    const std::string name = m_route == nullptr ? std::string{} : m_route->name;
-    m_context.metrics.on_answer(name, std::string{outcome}, elapsed);
-    log_line line{"request_end"};
-    line.add("id", m_fields.id)
-        .add("route", name)
-        .add("organisation", m_organisation)
-        .add_number("units", m_charged)
-        .add("outcome", outcome)
-        .add("status", std::int64_t{status})
-        .add("tries", std::int64_t{m_attempts.tries()})
-        .add("ran", m_attempts.runs() > 0 || outcome == "answered" ? "unknown" : "no")
-        .add_ms("elapsed_ms", elapsed)
-        .add("peer", m_try.endpoint.empty() ? m_try.peer : m_try.endpoint)
-        .add_ms("expected_ms", m_try.expected)
-        .add_ms("first_byte_ms", m_try.first_byte)
-        .add_ms("longest_pause_ms", m_longest_pause)
-        .add("events", static_cast<std::int64_t>(m_events.events()))
-        .add_ms("configuration_age_ms", m_context.state.age(boot_clock::now()));
-    if (m_is_forwarded) {
-        line.add("passed_on_by", m_caller->head().headers.find(forwarded_header));
-    }
-    m_context.log.write_request(line);
-}
-
-void exchange::on_gone()
-{
-    if (m_stage == stage::done) {
-        return;
-    }
-    const bool was_sent = m_try.is_sent;
-    if (m_try.call != nullptr) {
-        m_try.call->cancel();
-        end_try(endpoint_outcome::abandoned);
-    }
-    if (was_sent) {
-        m_attempts.on_run();
-    }
-    finish("caller_gone", 0);
-}
-
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -80,19 +80,23 @@
     // checks
     bool authorise();
     bool admit();
-    [[nodiscard]] bool allows_region(const std::string& region) const;
     [[nodiscard]] double units() const;
     [[nodiscard]] const organisation* holder() const;
 
     // placement
     bool place();
+    bool place_again();
+    [[nodiscard]] const prompt* engine_prompt(const service& of) const; ///< null: not for an engine
+    [[nodiscard]] std::vector<region_option> find_other_regions(time_point now) const;
+    [[nodiscard]] bool drop_late(std::optional<placement>& here, std::vector<region_option>& others,
+                                 time_point now) const;
+    bool send(const std::optional<placement>& here, const std::vector<region_option>& others,
+              time_point now);
+    void wait();
     void choose_service();
     [[nodiscard]] retry_budget& retries();
     [[nodiscard]] const std::string& last_event() const; ///< behind which a stream goes on
     void send_to_endpoint(const placement& chosen);
-    [[nodiscard]] std::string home_of_prompt() const; ///< a region; empty: any
-    [[nodiscard]] std::vector<region_option> other_regions() const;
-    [[nodiscard]] const member* pick_host(const std::string& region);
     [[nodiscard]] duration longest_idle() const; ///< of a connection that may be used
     void send_to_host(const member& chosen, duration expected);
     [[nodiscard]] duration time_left() const;
--- /dev/null
+++ b/src/gateway/serving/exchange_end.cpp
@@ -0,0 +1,95 @@
+#include "gateway/serving/exchange.h"
+
+#include <fmt/format.h> // format
+
+namespace hickorykeel::gateway {
+
+// final answers
+
+void exchange::give_up(std::string_view code)
+{
+    if (m_attempts.runs() == 0) {
+        const serving_options& options = m_context.options;
+        refuse(503, code, "no",
+               code == "no_endpoint"
+                   ? options.retry_after_outage
+                   : m_context.spells[m_service].on_refusal(options.overload, boot_clock::now(),
+                                                            random_fraction(m_context.random)));
+        return;
+    }
+    refuse(code == "deadline" ? 504 : 502, code, "unknown", {});
+}
+
+void exchange::refuse(int status, std::string_view code, std::string_view ran, duration retry_after)
+{
+    if (m_began_answer) {
+        // the caller already reads an answer: only its end can still be told
+        m_context.log.write_request(
+            log_line{"request_broken_off"}.add("id", m_fields.id).add("reason", code));
+        m_caller->break_off();
+        finish("broken_off", 0);
+        return;
+    }
+    header_list headers;
+    headers.add("Content-Type", "application/json");
+    if (retry_after > duration{0}) {
+        headers.add("Retry-After", fmt::format("{:.3f}", to_seconds(retry_after)));
+    }
+    if (m_is_forwarded) {
+        headers.add(std::string{refusal_header}, std::string{code});
+        headers.add(std::string{ran_header}, std::string{ran});
+    }
+    m_caller->respond(status, headers, fmt::format(R"({{"error":"{}","ran":"{}"}})", code, ran));
+    finish(code, status);
+}
+
+void exchange::finish(std::string_view outcome, int status)
+{
+    m_stage = stage::done;
+    m_timer.cancel();
+    if (m_attempts.runs() == 0 && m_charged > 0 && outcome != "answered" &&
+        outcome != "endpoint_failed" && outcome != "caller_gone") {
+        m_context.usage.give_back(m_organisation, m_charged);
+    }
+    const duration elapsed = boot_clock::now() - m_received;
+    const std::string name = m_route == nullptr ? std::string{} : m_route->name;
+    m_context.metrics.on_answer(name, std::string{outcome}, elapsed);
+    log_line line{"request_end"};
+    line.add("id", m_fields.id)
+        .add("route", name)
+        .add("organisation", m_organisation)
+        .add_number("units", m_charged)
+        .add("outcome", outcome)
+        .add("status", std::int64_t{status})
+        .add("tries", std::int64_t{m_attempts.tries()})
+        .add("ran", m_attempts.runs() > 0 || outcome == "answered" ? "unknown" : "no")
+        .add_ms("elapsed_ms", elapsed)
+        .add("peer", m_try.endpoint.empty() ? m_try.peer : m_try.endpoint)
+        .add_ms("expected_ms", m_try.expected)
+        .add_ms("first_byte_ms", m_try.first_byte)
+        .add_ms("longest_pause_ms", m_longest_pause)
+        .add("events", static_cast<std::int64_t>(m_events.events()))
+        .add_ms("configuration_age_ms", m_context.state.age(boot_clock::now()));
+    if (m_is_forwarded) {
+        line.add("passed_on_by", m_caller->head().headers.find(forwarded_header));
+    }
+    m_context.log.write_request(line);
+}
+
+void exchange::on_gone()
+{
+    if (m_stage == stage::done) {
+        return;
+    }
+    const bool was_sent = m_try.is_sent;
+    if (m_try.call != nullptr) {
+        m_try.call->cancel();
+        end_try(endpoint_outcome::abandoned);
+    }
+    if (was_sent) {
+        m_attempts.on_run();
+    }
+    finish("caller_gone", 0);
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/serving/region_options.cpp
@@ -0,0 +1,87 @@
+#include "gateway/serving/region_options.h"
+
+#include <algorithm> // find, find_if, min
+#include <map>       // map
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+bool is_usable(const serving_context& context, const member& host, const std::string& service,
+               time_point now)
+{
+    const auto blocked = context.unreachable.find(host.last.ip);
+    const bool is_blocked = blocked != context.unreachable.end() && now < blocked->second;
+    return host.last.has_configuration && host.last.services.contains(service) && !is_blocked;
+}
+
+/// Region where requests with the same prompt go. Empty: any.
+std::string home_of_prompt(const serving_context& context, const region_question& asked)
+{
+    // a short prompt is read quicker than it travels
+    if (asked.size == nullptr || asked.size->prefixes.empty() ||
+        asked.size->prefixes.back().tokens < context.options.least_home_tokens) {
+        return {};
+    }
+    std::map<std::string, double> capacities;
+    for (const auto& [id, entry] : context.state.endpoints()) {
+        const std::string region = context.settings.region_of(entry.failure_domain);
+        if (entry.service == asked.service && !entry.is_draining &&
+            allows_region(*asked.on, asked.holder, region) &&
+            !context.state.is_evacuated(entry.failure_domain)) {
+            capacities[region] += entry.slots;
+        }
+    }
+    return home_region(asked.size->shared_id(), capacities);
+}
+
+} // namespace
+
+bool allows_region(const route& on, const organisation* holder, const std::string& region)
+{
+    const auto allows = [&region](const std::vector<std::string>& homes) {
+        return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
+    };
+    return allows(on.home_regions) && (holder == nullptr || allows(holder->home_regions));
+}
+
+std::vector<region_option> find_regions(const serving_context& context,
+                                        const region_question& asked, time_point now)
+{
+    std::vector<region_option> options;
+    for (const member* host : context.members.ready(now)) {
+        const std::string& region = host->last.region;
+        if (region == context.settings.region || !is_usable(context, *host, asked.service, now) ||
+            !allows_region(*asked.on, asked.holder, region)) {
+            continue;
+        }
+        const service_load& load = host->last.services.at(asked.service);
+        const auto at = std::find_if(options.begin(), options.end(),
+                                     [&](const auto& option) { return option.region == region; });
+        region_option& option = at == options.end() ? options.emplace_back() : *at;
+        if (option.region.empty() || load.expected_wait < option.expected_wait) {
+            option = {region, load.expected_wait, load.free_places};
+        }
+    }
+    const std::string home = home_of_prompt(context, asked);
+    for (region_option& option : options) {
+        const auto passed = context.passed_on.find(option.region + '/' + asked.service);
+        if (passed != context.passed_on.end()) {
+            option.free_places -= std::min(option.free_places, passed->second);
+        }
+        option.is_home = option.region == home;
+    }
+    return options;
+}
+
+const member* pick_host(serving_context& context, const std::string& service,
+                        const std::string& region, time_point now)
+{
+    std::vector<const member*> hosts = context.members.ready(now);
+    std::erase_if(hosts, [&](const member* host) {
+        return host->last.region != region || !is_usable(context, *host, service, now);
+    });
+    return hosts.empty() ? nullptr : hosts[random_index(context.random, hosts.size())];
+}
+
+} // namespace hickorykeel::gateway
--- a/tests/scenarios/graceful_stop_test.cpp
+++ b/tests/scenarios/graceful_stop_test.cpp
@@ -120,6 +120,20 @@
     return count;
 }
 
+/// What the engines have of the long streams, for a failure's report.
+std::string describe_runs(const fleet& running)
+{
+    std::string text;
+    for (const auto& [endpoint, book] : running.ledgers("assistant")) {
+        for (const nlohmann::json& run : book.at("requests")) {
+            if (run.at("state") == "running" || run.at("state") == "waiting") {
+                text += endpoint + ' ' + run.dump() + '\n';
+            }
+        }
+    }
+    return text;
+}
+
 std::vector<std::future<outcome>> begin_streams(const fleet& running)
 {
     constexpr std::size_t streams_of_host = 3;
@@ -146,7 +160,10 @@
     // no stream ends before all run; requests of the flow are shorter
     set_engine_faults(running, {{"hold_at_tokens", held_at}});
     auto streams = begin_streams(running);
-    CHECK(wait_for([&] { return count_running(running) == streams.size(); }));
+    const bool all_run = wait_for([&] { return count_running(running) == streams.size(); });
+    const std::string runs = all_run ? std::string{} : describe_runs(running);
+    INFO(runs);
+    CHECK(all_run);
     set_engine_faults(running, {{"hold_at_tokens", -1}});
     running.process(name).terminate();
     const auto code = running.process(name).wait_for_exit();
