--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -244,7 +244,8 @@
     if (send(here, others, now)) {
         return true;
     }
-    const bool can_come = is_overloaded || !others.empty() ||
+    const bool is_settling = now - m_context.started < m_context.options.settling;
+    const bool can_come = is_overloaded || is_settling || !others.empty() ||
                           (is_allowed_here && m_context.pool.has_candidate(request, now));
     if (!can_come || now >= waits_until()) {
         give_up(!can_come ? "no_endpoint" : is_overloaded ? "overloaded" : "no_free_place");
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -106,6 +106,7 @@
                 .unreachable = {},
                 .spells = {},
                 .passed_on = {},
+                .started = boot_clock::now(),
                 .takes_requests = true,
                 .wait = [this](const auto& waiting) { m_waiting.add(waiting); },
                 .wake =
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -30,6 +30,8 @@
     double wait_part = 0.8;
     /// Longest wait of a request that another host has passed on.
     duration forwarded_wait = std::chrono::milliseconds{250};
+    /// So long after the start, hosts of other regions may not have been heard yet.
+    duration settling = std::chrono::milliseconds{1'000};
     /// Longest pause of a stream that waits for a place to go on. Callers leave after two seconds.
     duration resumption_wait = std::chrono::milliseconds{1'800};
     /// Silence after which a repeatable request is tried elsewhere.
@@ -82,6 +84,7 @@
     /// Requests passed to another region's service since its last heartbeat, by region and service.
     std::unordered_map<std::string, std::uint32_t> passed_on;
 
+    time_point started{};       ///< of the process
     bool takes_requests = true; ///< false: the process is about to end
 
     /// Puts a request into the queue for a free place.
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -136,6 +136,8 @@
 
     [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
 
+    void start_anew() { m_context.started = boot_clock::now(); }
+
     /// Sends one request; the answer grows while the loop runs.
     std::shared_ptr<received_answer> ask(const std::string& method = "POST",
                                          const std::string& body = "question")
@@ -227,6 +229,7 @@
                               .unreachable = {},
                               .spells = {},
                               .passed_on = {},
+                              .started = {},
                               .takes_requests = true,
                               .wait = [this](const auto& waiting) { m_waiting.add(waiting); },
                               .wake = [] {}};
@@ -395,6 +398,27 @@
     CHECK(late.heads().empty());
 }
 
+TEST_CASE("restart of everything: a request waits for hosts of other regions to be heard")
+{
+    route served = make_route(request_kind::safe, 2);
+    served.home_regions = {"another"};
+    small_gateway gateway{served};
+    SUBCASE("just after the start")
+    {
+        gateway.start_anew();
+        const auto answer = gateway.ask("GET", "");
+        gateway.run_until([&] { return gateway.waiting() > 0 || answer->end.has_value(); });
+        CHECK(gateway.waiting() == 1);
+    }
+    SUBCASE("but not later")
+    {
+        const auto answer = gateway.ask("GET", "");
+        gateway.run_to_end(answer);
+        CHECK(answer->status == 503);
+        CHECK(answer->body.find("no_endpoint") != std::string::npos);
+    }
+}
+
 TEST_CASE("an unknown key is refused, and an unknown route isn't found")
 {
     small_gateway gateway{make_route(request_kind::safe, 1)};
