--- a/tests/gateway/health_prober_test.cpp
+++ b/tests/gateway/health_prober_test.cpp
@@ -57,7 +57,8 @@
     endpoint_entry m_entry;
 };
 
-http_server::handler answers(int status, std::vector<std::pair<std::string, std::string>> fields)
+http_server::handler answers(int status,
+                             const std::vector<std::pair<std::string, std::string>>& fields)
 {
     return [status, fields](const std::shared_ptr<server_exchange>& request) {
         header_list headers;
