Let requests wait only for usual endpoints that they may use and that are full

Seen: scenario_key_withdrawal_test and scenario_graceful_stop_test now and then had requests that waited for half a minute while engines were idle.

Cause, from a trace of each choice that found nobody: a request is kept back from an endpoint much slower than usual while a usual one can be expected. Two cases had nothing to wait for. A retry was kept back for the usual endpoint that it excludes itself. And a usual endpoint that had room counted as too slow because of the requests that it runs, so that all endpoints did; the wait ended only when a learned speed had faded (20 s a step).

Now endpoints that a request excludes do not count for its wait, and an endpoint's own speed decides whether it is slow, its load only the order. Ruled out: an open breaker (all were closed in the trace).

--- a/src/process/routing/endpoint_choice.cpp
+++ b/src/process/routing/endpoint_choice.cpp
@@ -74,7 +74,8 @@
         return true;
     }
     const double usual = table.usual_first_token_seconds(tokens);
-    return request.is_interactive && table.first_token_seconds(index, tokens) >
+    // its load does not count: an endpoint that it may wait for has more
+    return request.is_interactive && table.learned_first_token_seconds(index, tokens) >
                                          settings.slow_factor * usual + request.expected_wait;
 }
 
--- a/src/process/routing/endpoint_table.cpp
+++ b/src/process/routing/endpoint_table.cpp
@@ -1,6 +1,6 @@
 #include "process/routing/endpoint_table.h"
 
-#include <algorithm> // clamp, count_if, max, min
+#include <algorithm> // clamp, count_if, find, max, min
 #include <cassert>   // assert
 #include <cmath>     // exp, floor
 #include <limits>    // numeric_limits
@@ -171,7 +171,7 @@
         }
         update(index);
     }
-    m_usual_wait = find_usual_wait();
+    m_usual_wait = find_usual_wait({});
 }
 
 const endpoint_state& endpoint_table::state(std::size_t index) const
@@ -229,11 +229,17 @@
     return m_available.empty() ? 0 : m_utilisation_sum / static_cast<double>(m_available.size());
 }
 
+double endpoint_table::learned_first_token_seconds(std::size_t index, std::uint64_t tokens) const
+{
+    return faded(m_entries.at(index).state.first_token, m_first_token) *
+           static_cast<double>(tokens);
+}
+
 double endpoint_table::first_token_seconds(std::size_t index, std::uint64_t tokens) const
 {
     const entry& asked = m_entries.at(index);
     const double crowding = (1 + load_of(asked)) / (1 + asked.usual_load);
-    return faded(asked.state.first_token, m_first_token) * static_cast<double>(tokens) * crowding;
+    return learned_first_token_seconds(index, tokens) * crowding;
 }
 
 double endpoint_table::answer_seconds(std::size_t index, std::uint64_t tokens) const
@@ -368,13 +374,15 @@
     }
 }
 
-double endpoint_table::find_usual_wait() const
+double endpoint_table::find_usual_wait(std::span<const std::size_t> excluded) const
 {
     double least = std::numeric_limits<double>::infinity();
     const double usual = m_settings.usual_factor * m_first_token.per_token();
     for (const std::size_t index : m_available) {
         const entry& each = m_entries[index];
-        if (each.state.breaker != breaker_state::closed ||
+        const bool is_excluded =
+            std::find(excluded.begin(), excluded.end(), index) != excluded.end();
+        if (is_excluded || each.state.breaker != breaker_state::closed ||
             faded(each.state.first_token, m_first_token) > usual) {
             continue;
         }
--- a/src/process/routing/endpoint_table.h
+++ b/src/process/routing/endpoint_table.h
@@ -158,12 +158,15 @@
     /// Estimated load over usable slots, mean of the available endpoints. O(1).
     [[nodiscard]] double mean_utilisation() const noexcept;
 
-    /// Expected seconds to the first token of a request of `tokens` tokens, as learned at this
-    /// endpoint; a learned speed that gets no sample fades towards the mean of all, so that an
-    /// endpoint that was slow once is tried again.
+    /// Seconds to the first token of a request of `tokens` tokens, as learned at this endpoint; a
+    /// learned speed that gets no sample fades towards the mean of all, so that an endpoint that
+    /// was slow once is tried again.
+    [[nodiscard]] double learned_first_token_seconds(std::size_t index, std::uint64_t tokens) const;
+
+    /// The same at the load that the endpoint has now.
     [[nodiscard]] double first_token_seconds(std::size_t index, std::uint64_t tokens) const;
 
-    /// The same for the whole answer.
+    /// As `learned_first_token_seconds()`, for the whole answer.
     [[nodiscard]] double answer_seconds(std::size_t index, std::uint64_t tokens) const;
 
     /// The same at the endpoints that served most lately; 0 until a speed was learned.
@@ -171,10 +174,14 @@
     [[nodiscard]] double usual_answer_seconds(std::uint64_t tokens) const noexcept;
 
     /// Seconds that a request must be expected to wait at least for an endpoint about as fast as
-    /// usual, as of the last refresh: 0 where one has room or ended a request within its mean
-    /// answer, else for how long none of them did, since what has taken longer than usual is
-    /// likely to take as long again; infinite where there is none.
-    [[nodiscard]] double usual_wait_seconds() const noexcept { return m_usual_wait; }
+    /// usual that isn't among `excluded`, as of the last refresh: 0 where one has room or ended a
+    /// request within its mean answer, else for how long none of them did, since what has taken
+    /// longer than usual is likely to take as long again; infinite where there is none. O(1)
+    /// without `excluded`, else O(n).
+    [[nodiscard]] double usual_wait_seconds(std::span<const std::size_t> excluded = {}) const
+    {
+        return excluded.empty() ? m_usual_wait : find_usual_wait(excluded);
+    }
 
     /// Tokens a second that this host's part of the slots of the available endpoints serves; 0
     /// until a speed was learned. O(n).
@@ -213,7 +220,7 @@
     void close_breaker(entry& closed);
     void open_breaker(entry& opened, random_source& random);
     void rebuild_shards();
-    [[nodiscard]] double find_usual_wait() const;
+    [[nodiscard]] double find_usual_wait(std::span<const std::size_t> excluded) const;
     [[nodiscard]] bool is_report_fresh(const entry& reported) const;
     [[nodiscard]] bool may_take(const entry& asked) const;
     [[nodiscard]] double load_of(const entry& asked) const;
--- a/src/process/routing/target_scheduler.cpp
+++ b/src/process/routing/target_scheduler.cpp
@@ -136,8 +136,8 @@
     view.is_interactive = asked.queued.is_interactive;
     view.is_idempotent = asked.is_idempotent;
     view.seconds_left = to_seconds(asked.answer_deadline - now);
-    view.expected_wait =
-        std::max(to_seconds(expected_wait(view.is_interactive)), m_table.usual_wait_seconds());
+    view.expected_wait = std::max(to_seconds(expected_wait(view.is_interactive)),
+                                  m_table.usual_wait_seconds(asked.excluded));
     view.excluded = asked.excluded;
     return choose(view, m_table, *m_policy, m_random, pool);
 }
--- a/tests/process/target_scheduler_test.cpp
+++ b/tests/process/target_scheduler_test.cpp
@@ -116,6 +116,35 @@
     }
 }
 
+TEST_CASE("a request does not wait for a usual endpoint that has room")
+{
+    time_point now{};
+    target_scheduler scheduler{std::make_unique<weigh_policy>(), 1};
+    const std::vector<endpoint> listed{make_endpoint("as-1", 8), make_endpoint("as-2", 8)};
+    scheduler.assign(listed, now);
+    learn_two_speeds(scheduler, now);
+    now += 1s;
+    // more than it runs as a rule, and far from full
+    scheduler.on_dispatch(0, now);
+    scheduler.on_dispatch(0, now);
+    scheduler.push(make_request(2, now + 60s), now);
+    CHECK(wait_until_started(scheduler, now, 60s).value_or(1h) <= 1s);
+}
+
+TEST_CASE("a request that the only usual endpoint failed takes a slow one at once")
+{
+    time_point now{};
+    target_scheduler scheduler{std::make_unique<weigh_policy>(), 1};
+    const std::vector<endpoint> listed{make_endpoint("as-1", 1), make_endpoint("as-2", 1)};
+    scheduler.assign(listed, now);
+    learn_two_speeds(scheduler, now);
+    now += 1s;
+    scheduled_request again = make_request(2, now + 60s);
+    again.excluded = {0};
+    scheduler.push(again, now);
+    CHECK(wait_until_started(scheduler, now, 60s).value_or(1h) == 0s);
+}
+
 TEST_CASE("target scheduler")
 {
     const time_point start{};
