Send heartbeats to other regions' hosts in turn, at most eight at a time

Cause: every host sent a heartbeat of some 450 bytes to every host of the other regions five times a second, so that the bytes grow with the square of the fleet. Ruled out: requests passed on, and readings of the store (30 KB a second from each of 37 hosts in other regions than the store's is 0.09 of 0.84 GB). Also ruled out, by a trial: packing the bodies that are passed on; they are random bytes.

Now a host sends to at most eight hosts of other regions at a time, in turn, and states its interval; the own region hears it every 200 ms as before. A receiver lets three heartbeats of a host be lost while other hosts of its region are heard; a region of which nobody is heard is silent after 1.3 s as before, so that limits shrink as quickly when a region is cut off. A host that starts or stops tells all hosts at once, and one that is heard anew is answered at once. Fleets with up to eight hosts elsewhere send as before.

Tests: heartbeat_schedule_test (a large fleet over several regions), member_table_test (hosts that send seldom; a region that is cut off).

--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -2,8 +2,9 @@
 
 #include "generated/gossip.pb.h"
 
-#include <chrono> // duration_cast, milliseconds
-#include <cmath>  // isfinite
+#include <algorithm> // min
+#include <chrono>    // duration_cast, milliseconds
+#include <cmath>     // isfinite
 
 namespace hickorykeel::gateway {
 
@@ -11,6 +12,9 @@
 
 using milliseconds = std::chrono::milliseconds;
 
+/// What a host states beyond that is not believed.
+constexpr milliseconds longest_interval{5'000};
+
 std::uint32_t to_ms(duration span)
 {
     return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(span).count());
@@ -51,6 +55,7 @@
     message.set_has_configuration(sent.has_configuration);
     message.set_configuration_version(sent.configuration_version);
     message.set_configuration_age_ms(to_ms(sent.configuration_age));
+    message.set_interval_ms(to_ms(sent.interval));
     for (const auto& [name, load] : sent.services) {
         auto& added = *message.add_services();
         added.set_service(name);
@@ -90,6 +95,7 @@
     received.has_configuration = message.has_configuration();
     received.configuration_version = message.configuration_version();
     received.configuration_age = milliseconds{message.configuration_age_ms()};
+    received.interval = std::min(milliseconds{message.interval_ms()}, longest_interval);
     for (const auto& load : message.services()) {
         if (std::isfinite(load.expected_wait_ms())) {
             received.services[load.service()] = {from_seconds(load.expected_wait_ms() / 1'000.0),
--- /dev/null
+++ b/src/gateway/membership/heartbeat_schedule.cpp
@@ -0,0 +1,34 @@
+#include "gateway/membership/heartbeat_schedule.h"
+
+#include <algorithm> // max
+#include <utility>   // move
+
+namespace hickorykeel::gateway {
+
+heartbeat_schedule::recipients heartbeat_schedule::choose(const member_table& members, bool to_all)
+{
+    recipients chosen;
+    std::vector<std::string> others;
+    for (const std::string& ip : members.targets()) {
+        const member* host = members.find(ip);
+        const bool is_near =
+            host == nullptr ? members.is_seed(ip) : host->last.region == m_own_region;
+        (is_near ? chosen.own_region : others).push_back(ip);
+    }
+    const std::size_t most = m_options.most_elsewhere;
+    const std::size_t beats = std::max<std::size_t>(1, (others.size() + most - 1) / most);
+    chosen.interval = m_options.beat * static_cast<int>(beats);
+    if (to_all || beats == 1) {
+        chosen.elsewhere = std::move(others);
+        return chosen;
+    }
+    // the same number each time, so that all have had one after `beats`
+    const std::size_t count = (others.size() + beats - 1) / beats;
+    for (std::size_t i = 0; i < count; ++i) {
+        chosen.elsewhere.push_back(others[(m_turn + i) % others.size()]);
+    }
+    m_turn = (m_turn + count) % others.size();
+    return chosen;
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/membership/heartbeat_schedule.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "gateway/membership/member_table.h"
+
+#include <chrono>  // milliseconds
+#include <cstddef> // size_t
+#include <string>  // string
+#include <vector>  // vector
+
+namespace hickorykeel::gateway {
+
+struct heartbeat_schedule_options {
+    duration beat = std::chrono::milliseconds{200}; ///< between two calls of `choose()`
+    /// Hosts of other regions that get a heartbeat at a time, so that a host's bytes between
+    /// regions don't grow with the fleet.
+    std::size_t most_elsewhere = 8;
+};
+
+/// Which hosts get a heartbeat now: those of the own region always, the others in turn.
+///
+/// Thread safety: none; the owner serialises calls. No I/O.
+class heartbeat_schedule {
+public:
+    /// Hosts that get a heartbeat now, by ip.
+    struct recipients {
+        std::vector<std::string> own_region; ///< and seeds that were never heard
+        std::vector<std::string> elsewhere;
+        duration interval{0}; ///< until those of `elsewhere` get the next one
+    };
+
+    heartbeat_schedule(std::string own_region, heartbeat_schedule_options options)
+        : m_own_region{std::move(own_region)}, m_options{options}
+    {
+    }
+
+    /// `to_all`: nobody has to wait for its turn, since something has just changed. O(hosts).
+    [[nodiscard]] recipients choose(const member_table& members, bool to_all);
+
+    [[nodiscard]] duration beat() const noexcept { return m_options.beat; }
+
+private:
+    std::string m_own_region;
+    heartbeat_schedule_options m_options;
+    std::size_t m_turn = 0; ///< place in the list of the other regions' hosts
+};
+
+} // namespace hickorykeel::gateway
--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -1,6 +1,6 @@
 #include "gateway/membership/member_table.h"
 
-#include <algorithm> // find, count_if
+#include <algorithm> // count_if, find, max
 #include <utility>   // move
 
 namespace hickorykeel::gateway {
@@ -29,6 +29,26 @@
     }
 }
 
+bool member_table::is_seed(const std::string& ip) const
+{
+    return std::find(m_seeds.begin(), m_seeds.end(), ip) != m_seeds.end();
+}
+
+bool member_table::is_live(const member& candidate, time_point now) const noexcept
+{
+    if (now - candidate.heard < m_options.silence) {
+        return true;
+    }
+    if (candidate.region == nullptr) {
+        return false;
+    }
+    // a region whose hosts are all silent is cut off, or lost
+    const duration waited = candidate.last.interval * m_options.lost_heartbeats;
+    const auto count = static_cast<int>(std::max<std::size_t>(1, candidate.region->count));
+    const duration region_silence = std::max<duration>(m_options.silence, waited / count);
+    return now - candidate.heard < waited && now - candidate.region->heard < region_silence;
+}
+
 bool member_table::on_heartbeat(heartbeat received, time_point now)
 {
     if (received.ip == m_own_ip) {
@@ -43,6 +63,12 @@
         return false;
     }
     const bool was_silent = !is_live(held, now) || held.heard == time_point{};
+    region_members& region = m_regions[received.region];
+    if (held.region == nullptr) {
+        ++region.count;
+        held.region = &region;
+    }
+    region.heard = now;
     held.last = std::move(received);
     held.heard = now;
     m_was_live[held.last.ip] = true;
@@ -62,9 +88,10 @@
             ++it;
             continue;
         }
-        if (std::find(m_seeds.begin(), m_seeds.end(), ip) == m_seeds.end()) {
+        if (!is_seed(ip)) {
             std::erase(m_targets, ip);
         }
+        --m_regions[held.last.region].count;
         m_was_live.erase(ip);
         it = m_members.erase(it);
     }
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -42,6 +42,7 @@
     bool has_configuration = false;
     std::uint64_t configuration_version = 0;
     duration configuration_age{0}; ///< since the sender's configuration was certainly the newest
+    duration interval{0};          ///< until the receiver gets the next one at the latest
     std::map<std::string, service_load> services;
     std::unordered_map<std::uint32_t, endpoint_load> endpoints; ///< by hash of the id
     std::map<std::string, double> used;                         ///< units since the start
@@ -50,15 +51,25 @@
     std::vector<std::string> known_ips;
 };
 
+/// What is known of a region's hosts together.
+struct region_members {
+    std::size_t count = 0; ///< hosts that were heard and aren't forgotten
+    time_point heard{};    ///< the last heartbeat of any of them
+};
+
 /// A host that has been heard.
 struct member {
     heartbeat last;
     time_point heard{};
+    const region_members* region = nullptr;
 };
 
 struct member_table_options {
-    /// A host that is silent for so long is named to no caller and gets no work.
+    /// A host that is silent for so long is named to no caller and gets no work; one that sends
+    /// less often has longer, while other hosts of its region are heard.
     duration silence = std::chrono::milliseconds{1'300};
+    /// Heartbeats in a row that may be lost.
+    int lost_heartbeats = 3;
     /// A host that is silent for so long is forgotten.
     duration memory = std::chrono::seconds{60};
 };
@@ -99,6 +110,9 @@
     /// Where to send heartbeats: the seeds, and all that was heard of.
     [[nodiscard]] const std::vector<std::string>& targets() const noexcept { return m_targets; }
 
+    /// Whether the settings name the host.
+    [[nodiscard]] bool is_seed(const std::string& ip) const;
+
     /// Hosts that may be running, with this one: the live ones and those silent for less than the
     /// memory. At least the seeds.
     [[nodiscard]] std::size_t possible_count() const;
@@ -110,17 +124,15 @@
 
 private:
     void add_target(const std::string& ip);
-    [[nodiscard]] bool is_live(const member& candidate, time_point now) const noexcept
-    {
-        return now - candidate.heard < m_options.silence;
-    }
+    [[nodiscard]] bool is_live(const member& candidate, time_point now) const noexcept;
 
     std::string m_own_ip;
     member_table_options m_options;
     std::vector<std::string> m_seeds;
     std::vector<std::string> m_targets;
-    std::map<std::string, member> m_members; // by ip
-    std::map<std::string, bool> m_was_live;  // by ip
+    std::map<std::string, region_members> m_regions; // by name
+    std::map<std::string, member> m_members;         // by ip
+    std::map<std::string, bool> m_was_live;          // by ip
 };
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -9,6 +9,7 @@
 #include <algorithm> // max, min
 #include <chrono>    // milliseconds, seconds
 #include <csignal>   // SIGHUP, SIGINT, SIGTERM
+#include <iterator>  // back_inserter
 #include <random>    // random_device
 #include <utility>   // exchange, move
 
@@ -16,9 +17,7 @@
 
 namespace {
 
-constexpr duration heartbeat_interval = std::chrono::milliseconds{200};
-
-/// Heartbeats name all known hosts after one was heard anew, and now and then.
+/// Heartbeats name all known hosts after the start, after one was heard anew, and now and then.
 constexpr std::uint64_t hosts_told_at_once = 5;
 constexpr std::uint64_t hosts_told_every = 10;
 constexpr duration placing_interval = std::chrono::milliseconds{20};
@@ -81,11 +80,11 @@
             m_settings.host,
             {.request_lines_per_s = static_cast<std::uint64_t>(m_settings.request_log_rate)}},
       m_random{random_seed()}, m_state{{.key_lease = m_settings.key_withdrawal - key_lease_margin}},
-      m_members{m_settings.ip, to_ips(m_settings.seeds), {}}, m_usage{boot_clock::now()},
-      m_pool{{},
-             [this](const std::string& endpoint, double rate) {
-                 return cold_rate_for(endpoint, rate);
-             }},
+      m_members{m_settings.ip, to_ips(m_settings.seeds), {}}, m_schedule{m_settings.region, {}},
+      m_usage{boot_clock::now()}, m_pool{{},
+                                         [this](const std::string& endpoint, double rate) {
+                                             return cold_rate_for(endpoint, rate);
+                                         }},
       m_client{m_loop}, m_source{m_parts.make_source(m_loop, m_client, m_settings)},
       m_follower{{m_loop, *m_source, m_state, m_members, m_client, m_log, m_metrics},
                  {.relay_port = m_settings.peers_port()},
@@ -285,7 +284,8 @@
     sent.endpoints = m_pool.own_loads();
     sent.warm_endpoints = m_pool.own_warm(now);
     sent.used = m_usage.used();
-    if (m_sequence <= m_hosts_told_until || m_sequence % hosts_told_every == 0) {
+    if (m_sequence <= std::max(m_hosts_told_until, hosts_told_at_once) ||
+        m_sequence % hosts_told_every == 0) {
         sent.known_ips = m_members.targets();
     }
     return sent;
@@ -294,14 +294,22 @@
 void gateway::send_heartbeats()
 {
     ++m_sequence;
+    const bool is_new = m_sequence <= hosts_told_at_once;
+    heartbeat_schedule::recipients to = m_schedule.choose(m_members, is_new || m_is_stopping);
+    // they may not know this host yet
+    std::move(m_heard_anew.begin(), m_heard_anew.end(), std::back_inserter(to.elsewhere));
+    m_heard_anew.clear();
     heartbeat sent = own_heartbeat(boot_clock::now());
     sent.prompts = m_pool.take_prompt_notes();
+    sent.interval = m_schedule.beat();
     const std::string for_region = encode(sent, heartbeat_scope::own_region);
+    for (const std::string& ip : to.own_region) {
+        m_gossip.send(ip, for_region);
+    }
+    sent.interval = to.interval;
     const std::string for_fleet = encode(sent, heartbeat_scope::fleet);
-    for (const std::string& ip : m_members.targets()) {
-        const member* host = m_members.find(ip);
-        const bool is_elsewhere = host != nullptr && host->last.region != m_settings.region;
-        m_gossip.send(ip, is_elsewhere ? for_fleet : for_region);
+    for (const std::string& ip : to.elsewhere) {
+        m_gossip.send(ip, for_fleet);
     }
 }
 
@@ -323,7 +331,9 @@
             m_pool.on_peer_warm(hash);
         }
     }
+    const std::string ip = received->ip;
     if (m_members.on_heartbeat(std::move(*received), boot_clock::now())) {
+        m_heard_anew.push_back(ip);
         m_hosts_told_until = m_sequence + hosts_told_at_once;
         m_log.write(log_line{"host_heard"}.add("peer", host).add("region", region));
     }
@@ -421,7 +431,7 @@
     update_members(boot_clock::now());
     send_heartbeats();
     place_waiting();
-    m_heartbeat_timer.expires_after(heartbeat_interval);
+    m_heartbeat_timer.expires_after(m_schedule.beat());
     m_heartbeat_timer.async_wait([this](const asio::error_code& failure) {
         if (!failure) {
             beat();
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/configuration/publication_source.h"
 #include "gateway/http/http_server.h"
 #include "gateway/membership/gossip_socket.h"
+#include "gateway/membership/heartbeat_schedule.h"
 #include "gateway/serving/dialect.h"
 #include "gateway/serving/health_prober.h"
 #include "gateway/serving/serving_context.h"
@@ -87,6 +88,7 @@
     random_source m_random;
     published_state m_state;
     member_table m_members;
+    heartbeat_schedule m_schedule;
     usage_ledger m_usage;
     endpoint_pool m_pool;
     http_client m_client;
@@ -107,7 +109,8 @@
     asio::steady_timer m_stop_timer;
     std::uint64_t m_incarnation;
     std::uint64_t m_sequence = 0;
-    std::uint64_t m_hosts_told_until = 0; ///< heartbeat
+    std::uint64_t m_hosts_told_until = 0;  ///< heartbeat
+    std::vector<std::string> m_heard_anew; ///< ips of hosts, since the last heartbeat
     time_point m_started;
     bool m_is_placing = false;
     bool m_is_stopping = false;
--- /dev/null
+++ b/tests/gateway/heartbeat_schedule_test.cpp
@@ -0,0 +1,81 @@
+#include "gateway/membership/heartbeat_schedule.h"
+
+#include <chrono> // milliseconds
+#include <map>    // map
+#include <string> // string
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace hickorykeel::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{1'000s};
+
+member_table make_members(int near_hosts, int hosts_elsewhere)
+{
+    member_table members{"10.0.0.1", {}, {}};
+    const auto add = [&members](const std::string& ip, const std::string& region) {
+        heartbeat received;
+        received.ip = ip;
+        received.region = region;
+        received.incarnation = 7;
+        received.sequence = 1;
+        members.on_heartbeat(received, start);
+    };
+    for (int i = 0; i < near_hosts; ++i) {
+        add("10.1.0." + std::to_string(i + 1), "attica");
+    }
+    for (int i = 0; i < hosts_elsewhere; ++i) {
+        add("10.2.0." + std::to_string(i + 1), i % 2 == 0 ? "crete" : "epirus");
+    }
+    return members;
+}
+
+} // namespace
+
+TEST_CASE("a small fleet: every host gets every heartbeat")
+{
+    const member_table members = make_members(2, 5);
+    heartbeat_schedule schedule{"attica", {.beat = 200ms, .most_elsewhere = 8}};
+    const auto to = schedule.choose(members, false);
+    CHECK(to.own_region.size() == 2);
+    CHECK(to.elsewhere.size() == 5);
+    CHECK(to.interval == 200ms);
+}
+
+TEST_CASE("a large fleet over several regions: what crosses regions does not grow with it")
+{
+    const member_table members = make_members(25, 51);
+    heartbeat_schedule schedule{"attica", {.beat = 200ms, .most_elsewhere = 8}};
+    std::map<std::string, int> sent;
+    constexpr int beats = 7; // for 51 hosts, 8 at a time
+    for (int beat = 0; beat < beats; ++beat) {
+        const auto to = schedule.choose(members, false);
+        CHECK(to.own_region.size() == 25);
+        CHECK(to.elsewhere.size() <= 8);
+        CHECK(to.interval == 200ms * beats);
+        for (const std::string& ip : to.elsewhere) {
+            ++sent[ip];
+        }
+    }
+    CHECK(sent.size() == 51);
+}
+
+TEST_CASE("a large fleet: a host that has just started, or stops, tells all hosts at once")
+{
+    const member_table members = make_members(25, 51);
+    heartbeat_schedule schedule{"attica", {.beat = 200ms, .most_elsewhere = 8}};
+    const auto to = schedule.choose(members, true);
+    CHECK(to.elsewhere.size() == 51);
+    CHECK(to.interval == 1'400ms);
+}
+
+TEST_CASE("seeds that were never heard get every heartbeat")
+{
+    const member_table members{"10.0.0.1", {"10.2.0.1", "10.3.0.1"}, {}};
+    heartbeat_schedule schedule{"attica", {}};
+    CHECK(schedule.choose(members, false).own_region.size() == 2);
+}
--- a/tests/gateway/member_table_test.cpp
+++ b/tests/gateway/member_table_test.cpp
@@ -132,3 +132,46 @@
     CHECK_FALSE(decode_heartbeat("nonsense"));
     CHECK_FALSE(decode_heartbeat(""));
 }
+
+TEST_CASE("a large fleet over several regions: hosts that send seldom are live in between")
+{
+    member_table members{"10.0.0.1", {}, {.silence = 1'300ms}};
+    for (const char* ip : {"10.1.0.1", "10.1.0.2"}) {
+        auto received = beat(ip, 1);
+        received.region = "crete";
+        received.interval = 1'400ms;
+        members.on_heartbeat(received, start);
+    }
+    auto received = beat("10.1.0.2", 2);
+    received.region = "crete";
+    received.interval = 1'400ms;
+    members.on_heartbeat(received, start + 1'400ms);
+
+    SUBCASE("one that is late is live while another one of its region is heard")
+    {
+        CHECK(members.live(start + 2'700ms).size() == 2);
+    }
+    SUBCASE("it is silent after as many heartbeats as may be lost")
+    {
+        received.sequence = 3;
+        members.on_heartbeat(received, start + 2'800ms);
+        CHECK(members.live(start + 4'100ms).size() == 2);
+        CHECK(members.live(start + 4'200ms).size() == 1);
+    }
+}
+
+TEST_CASE("a region that is cut off is silent as soon as none of its hosts is heard")
+{
+    member_table members{"10.0.0.1", {}, {.silence = 1'300ms}};
+    constexpr int hosts = 26;
+    for (int i = 0; i < hosts; ++i) {
+        auto received = beat("10.1.0." + std::to_string(i + 1), 1);
+        received.region = "crete";
+        received.interval = 1'400ms;
+        members.on_heartbeat(received, start + 50ms * i);
+    }
+    const time_point last = start + 50ms * (hosts - 1);
+    CHECK(members.live(last).size() == hosts);
+    CHECK(members.live(last + 1'299ms).size() == hosts);
+    CHECK(members.live(last + 1'300ms).empty());
+}
