Let at most eight hosts of a region read the store, and the others ask them

Each host read the whole store once a second; at the size that is designed for that would be 350 whole readings of 1.4 MB a second.

Now eight hosts of a region, found by rendezvous hashing over the hosts heard of, read the store; the others ask the one that read last, at the same pace. The answer is the text as the store sent it, with its age in a header; it was JSON within JSON before. Where the reader fails, or its own reading is older than 1.6 s, the store is read. Regions of up to eight hosts do as before.

Found on the way: a question to another host had no limit of time, so that one that accepted it and fell silent ended all further questions. It ends after 0.8 s now.

--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -1,16 +1,18 @@
 #include "gateway/configuration/configuration_follower.h"
 
-#include <utility> // exchange, move
-#include <variant> // get_if
+#include "gateway/configuration/reader_choice.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm> // find
+#include <optional>  // optional
+#include <utility>   // exchange, move
+#include <variant>   // get_if
+#include <vector>    // vector
 
 namespace hickorykeel::gateway {
 
 namespace {
 
 constexpr duration relay_connect_timeout = std::chrono::milliseconds{500};
-constexpr std::int64_t longest_age_ms = 86'400'000;
 
 std::int64_t to_ms(duration span)
 {
@@ -19,28 +21,10 @@
 
 } // namespace
 
-std::string encode(const relayed_state& state)
-{
-    return nlohmann::json{{"text", state.text}, {"age_ms", to_ms(state.age)}}.dump();
-}
-
-std::optional<relayed_state> decode_relayed_state(const std::string& text)
-{
-    const auto document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_object() || !document.contains("text") || !document["text"].is_string() ||
-        !document.contains("age_ms") || !document["age_ms"].is_number_integer()) {
-        return std::nullopt;
-    }
-    const auto age = document["age_ms"].get<std::int64_t>();
-    if (age < 0 || age > longest_age_ms) {
-        return std::nullopt;
-    }
-    return relayed_state{document["text"].get<std::string>(), std::chrono::milliseconds{age}};
-}
-
 configuration_follower::configuration_follower(parts with, follower_options options,
                                                std::function<void()> on_change)
-    : m_with{with}, m_options{options}, m_on_change{std::move(on_change)}, m_timer{with.loop}
+    : m_with{with}, m_options{std::move(options)}, m_on_change{std::move(on_change)}, m_timer{
+                                                                                          with.loop}
 {
 }
 
@@ -50,6 +34,23 @@
 }
 
 void configuration_follower::read()
+{
+    const member* reader = m_is_asking ? nullptr : pick_reader(boot_clock::now());
+    if (reader == nullptr) {
+        read_source();
+        return;
+    }
+    ask(*reader, [this](bool is_fresh) {
+        if (is_fresh) {
+            wait(m_options.interval);
+        }
+        else {
+            read_source();
+        }
+    });
+}
+
+void configuration_follower::read_source()
 {
     m_with.source.read([this, asked_at = boot_clock::now()](result<published_reading> answer) {
         on_answer(std::move(answer), asked_at);
@@ -66,7 +67,7 @@
         return;
     }
     m_with.state.on_failure();
-    ask_host();
+    ask_fresher_host();
     wait(m_options.retry);
 }
 
@@ -147,62 +148,131 @@
     return nullptr;
 }
 
-void configuration_follower::ask_host()
+/// The reader to ask. Null: this host reads the source itself.
+const member* configuration_follower::pick_reader(time_point now)
+{
+    std::vector<std::string> ips{m_options.ip};
+    for (const member* host : m_with.members.ready(now)) {
+        if (host->last.region == m_options.region) {
+            ips.push_back(host->last.ip);
+        }
+    }
+    const auto readers = choose_readers(std::move(ips), m_options.readers);
+    const bool is_reader = m_with.state.published() == nullptr ||
+                           std::find(readers.begin(), readers.end(), m_options.ip) != readers.end();
+    if (std::exchange(m_is_reader, is_reader) != is_reader) {
+        m_with.log.write(log_line{is_reader ? "source_read_here" : "source_read_by_others"}.add(
+            "readers", static_cast<std::int64_t>(readers.size())));
+    }
+    if (is_reader) {
+        return nullptr;
+    }
+    const member* freshest = nullptr;
+    duration least_age = m_options.relay_age;
+    for (const std::string& ip : readers) {
+        const member* candidate = m_with.members.find(ip);
+        const duration age = candidate->last.configuration_age + (now - candidate->heard);
+        if (candidate->last.has_configuration && age < least_age) {
+            freshest = candidate;
+            least_age = age;
+        }
+    }
+    return freshest;
+}
+
+void configuration_follower::ask_fresher_host()
 {
     const time_point now = boot_clock::now();
     if (m_is_asking || m_with.state.age(now) < m_options.relay_age) {
         return;
     }
-    const member* chosen = pick_fresher_host(now);
-    if (chosen == nullptr) {
-        return;
+    if (const member* chosen = pick_fresher_host(now)) {
+        ask(*chosen, [](bool) {});
+    }
+}
+
+/// A question to another host, and its answer.
+struct configuration_follower::relay_call {
+    relay_call(asio::io_context& loop, std::string asked)
+        : host{std::move(asked)}, asked_at{boot_clock::now()}, limit{loop}
+    {
     }
+
+    std::string host;
+    time_point asked_at;
+    asio::steady_timer limit;
+    std::shared_ptr<client_connection> call;
+    std::optional<duration> age; ///< since the text was certainly the newest
+    std::string text;
+};
+
+/// Asks `chosen` what it knows. `on_end` hears whether that was fresh.
+void configuration_follower::ask(const member& chosen, std::function<void(bool is_fresh)> on_end)
+{
     m_is_asking = true;
-    const std::string address = chosen->last.ip + ':' + std::to_string(m_options.relay_port);
-    header_list headers;
-    headers.add("Host", address);
-    auto body = std::make_shared<std::string>();
-    const auto on_end = [this, host = chosen->last.host, body, now](call_end end) {
+    const auto begun = std::make_shared<relay_call>(m_with.loop, chosen.last.host);
+    const auto end = [this, begun, on_end = std::move(on_end)](std::string_view failure) {
         m_is_asking = false;
-        if (end == call_end::complete) {
-            on_relayed(host, *body, now);
-        }
-        else {
-            m_with.metrics.count("relay_failure");
-            m_with.log.write(
-                log_line{"relay_failed"}.add("peer", host).add("reason", to_name(end)));
+        begun->limit.cancel();
+        if (!failure.empty()) {
+            on_relay_failure(begun->host, failure);
         }
+        on_end(failure.empty() && on_relayed(*begun));
     };
-    m_with.client.call(
+    begun->limit.expires_after(m_options.relay_timeout);
+    begun->limit.async_wait([begun, end](const asio::error_code& failure) {
+        if (!failure) {
+            begun->call->cancel();
+            end("no answer in time");
+        }
+    });
+    const std::string address = chosen.last.ip + ':' + std::to_string(m_options.relay_port);
+    header_list headers;
+    headers.add("Host", address);
+    begun->call = m_with.client.call(
         {.address = address, .connect_timeout = relay_connect_timeout},
         format_request("GET", relay_path, headers, {}),
-        {.on_body = [body](std::string& bytes) { *body += std::exchange(bytes, {}); },
-         .on_end = on_end});
+        {.on_head =
+             [begun](const message_head& head) {
+                 begun->age = parse_milliseconds(head.headers.find(relay_age_header));
+             },
+         .on_body = [begun](std::string& bytes) { begun->text += std::exchange(bytes, {}); },
+         .on_end =
+             [end](call_end how) {
+                 end(how == call_end::complete ? std::string_view{} : to_name(how));
+             }});
 }
 
-void configuration_follower::on_relayed(const std::string& host, const std::string& text,
-                                        time_point asked_at)
+void configuration_follower::on_relay_failure(const std::string& host, std::string_view reason)
 {
-    const auto relayed = decode_relayed_state(text);
-    if (!relayed) {
-        m_with.metrics.count("relay_failure");
-        m_with.log.write(log_line{"relay_unreadable"}.add("peer", host));
-        return;
+    m_with.metrics.count("relay_failure");
+    m_with.log.write(log_line{"relay_failed"}.add("peer", host).add("reason", reason));
+}
+
+/// Takes over what another host knows. Returns whether it was fresh.
+bool configuration_follower::on_relayed(const relay_call& answered)
+{
+    if (!answered.age) {
+        on_relay_failure(answered.host, "age unreadable");
+        return false;
     }
-    auto decoded = m_with.source.decode(relayed->text);
+    auto decoded = m_with.source.decode(answered.text);
     if (const auto* failure = std::get_if<error>(&decoded)) {
-        m_with.metrics.count("relay_failure");
-        m_with.log.write(
-            log_line{"relay_unreadable"}.add("peer", host).add("error", failure->to_string()));
-        return;
+        on_relay_failure(answered.host, failure->to_string());
+        return false;
     }
     m_with.metrics.count("relay");
-    take(std::get<published_reading>(std::move(decoded)), asked_at - relayed->age);
+    take(std::get<published_reading>(std::move(decoded)), answered.asked_at - *answered.age);
+    return *answered.age < m_options.relay_age;
 }
 
-std::string configuration_follower::relay_text() const
+void configuration_follower::answer(server_exchange& question) const
 {
-    return encode(relayed_state{m_with.state.last().text, m_with.state.age(boot_clock::now())});
+    header_list headers;
+    headers.add("Content-Type", "text/plain");
+    const duration age = m_with.state.age(boot_clock::now());
+    headers.add(std::string{relay_age_header}, std::to_string(to_ms(age)));
+    question.respond(200, headers, m_with.state.last().text);
 }
 
 } // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/configuration/reader_choice.cpp
@@ -0,0 +1,26 @@
+#include "gateway/configuration/reader_choice.h"
+
+#include "gateway/routing/rendezvous.h"
+
+#include <algorithm> // sort
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+constexpr std::uint64_t reader_key = 1; // of the hash, apart from other uses of it
+
+} // namespace
+
+std::vector<std::string> choose_readers(std::vector<std::string> ips, std::size_t most)
+{
+    std::sort(ips.begin(), ips.end(), [](const std::string& lhs, const std::string& rhs) {
+        return rendezvous_weight(reader_key, lhs) > rendezvous_weight(reader_key, rhs);
+    });
+    if (ips.size() > most) {
+        ips.resize(most);
+    }
+    return ips;
+}
+
+} // namespace hickorykeel::gateway
--- a/src/gateway/http/message.cpp
+++ b/src/gateway/http/message.cpp
@@ -4,6 +4,8 @@
 #include <array>     // array
 #include <cctype>    // isalnum, isxdigit
 #include <charconv>  // from_chars
+#include <chrono>    // milliseconds
+#include <cstdint>   // int64_t
 #include <utility>   // move
 
 #include <fmt/format.h>  // format_to
@@ -170,6 +172,19 @@
     return encoded;
 }
 
+std::optional<duration> parse_milliseconds(std::string_view text) noexcept
+{
+    // beyond a day it is a mistake
+    constexpr std::int64_t longest_ms = 86'400'000;
+    std::int64_t ms = 0;
+    const char* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, ms);
+    if (parsed.ec != std::errc{} || parsed.ptr != end || ms < 0 || ms > longest_ms) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds{ms};
+}
+
 bool is_connection_header(std::string_view name) noexcept
 {
     constexpr std::array<std::string_view, 9> names{"connection",
--- a/src/gateway/http/message.h
+++ b/src/gateway/http/message.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "process/clock.h"
+
 #include <cstddef>     // size_t
+#include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
 #include <vector>      // vector
@@ -65,6 +68,9 @@
 /// `text` with everything percent-encoded but letters, digits and "-._~". Thread safe.
 [[nodiscard]] std::string percent_encoded(std::string_view text);
 
+/// A header's value of whole milliseconds, if `text` is one. Thread safe.
+[[nodiscard]] std::optional<duration> parse_milliseconds(std::string_view text) noexcept;
+
 /// Whether `name` is a field that concerns one connection only (RFC 9110, section 7.6.1).
 [[nodiscard]] bool is_connection_header(std::string_view name) noexcept;
 
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -3,7 +3,6 @@
 #include "gateway/serving/region_options.h"
 
 #include <algorithm> // max, min
-#include <charconv>  // from_chars
 #include <utility>   // exchange, move
 
 namespace hickorykeel::gateway {
@@ -15,14 +14,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(span);
 }
 
-/// Milliseconds as another host wrote them; what can't be read counts as none.
-duration to_age(std::string_view text) noexcept
-{
-    std::int64_t ms = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), ms);
-    return parsed.ec == std::errc{} && ms > 0 ? std::chrono::milliseconds{ms} : duration{0};
-}
-
 } // namespace
 
 exchange::exchange(serving_context& context, std::shared_ptr<server_exchange> caller,
@@ -59,7 +50,7 @@
     }
     m_deadline = m_received + allowed;
     if (m_is_forwarded) {
-        m_age = to_age(m_caller->head().headers.find(age_header));
+        m_age = parse_milliseconds(m_caller->head().headers.find(age_header)).value_or(duration{0});
     }
     if (admit()) {
         place();
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -86,9 +86,10 @@
                                              return cold_rate_for(endpoint, rate);
                                          }},
       m_client{m_loop}, m_source{m_parts.make_source(m_loop, m_client, m_settings)},
-      m_follower{{m_loop, *m_source, m_state, m_members, m_client, m_log, m_metrics},
-                 {.relay_port = m_settings.peers_port()},
-                 [this] { on_published(); }},
+      m_follower{
+          {m_loop, *m_source, m_state, m_members, m_client, m_log, m_metrics},
+          {.relay_port = m_settings.peers_port(), .ip = m_settings.ip, .region = m_settings.region},
+          [this] { on_published(); }},
       m_context{.loop = m_loop,
                 .settings = m_settings,
                 .spelling = m_parts.spelling,
@@ -193,7 +194,7 @@
         std::make_shared<exchange>(m_context, request, true)->start();
     }
     else if (to_path(request->head().target) == relay_path) {
-        request->respond(200, json_text(), m_follower.relay_text());
+        m_follower.answer(*request);
     }
     else {
         request->respond(404, plain_text(), "not found\n");
