Keep the last host of a region live between its heartbeats in a large fleet

Found on reading the change again: in a fleet whose heartbeats to other regions go in turn (1.4 s at 77 hosts), a region counts as silent after 1.3 s without any heartbeat. Where only one of its hosts was left, it was silent for the last 0.1 s before each heartbeat: the silence allowed was divided by all hosts that were known, also by those that were lost. Now only hosts whose next heartbeat isn't overdue count, as of the last expiry, each 200 ms.

Test: member_table_test "a large fleet: the last host of a region is live between its heartbeats" (0 live hosts before). Fleets with up to eight hosts in other regions are not concerned.

--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -43,10 +43,28 @@
         return false;
     }
     // a region whose hosts are all silent is cut off, or lost
-    const duration waited = candidate.last.interval * m_options.lost_heartbeats;
-    const auto count = static_cast<int>(std::max<std::size_t>(1, candidate.region->count));
-    const duration region_silence = std::max<duration>(m_options.silence, waited / count);
-    return now - candidate.heard < waited && now - candidate.region->heard < region_silence;
+    const duration region_silence = std::max<duration>(
+        m_options.silence, longest_silence(candidate) / std::max(1, candidate.region->running));
+    return now - candidate.heard < longest_silence(candidate) &&
+           now - candidate.region->heard < region_silence;
+}
+
+duration member_table::longest_silence(const member& candidate) const noexcept
+{
+    return std::max<duration>(m_options.silence,
+                              candidate.last.interval * m_options.lost_heartbeats);
+}
+
+void member_table::count_running(time_point now)
+{
+    for (auto& [name, region] : m_regions) {
+        region.running = 0;
+    }
+    for (const auto& [ip, held] : m_members) {
+        if (now - held.heard < longest_silence(held)) {
+            ++m_regions[held.last.region].running;
+        }
+    }
 }
 
 bool member_table::on_heartbeat(heartbeat received, time_point now)
@@ -64,11 +82,9 @@
     }
     const bool was_silent = !is_live(held, now) || held.heard == time_point{};
     region_members& region = m_regions[received.region];
-    if (held.region == nullptr) {
-        ++region.count;
-        held.region = &region;
-    }
     region.heard = now;
+    region.running += was_silent ? 1 : 0;
+    held.region = &region;
     held.last = std::move(received);
     held.heard = now;
     m_was_live[held.last.ip] = true;
@@ -77,6 +93,7 @@
 
 std::vector<std::string> member_table::expire(time_point now)
 {
+    count_running(now);
     std::vector<std::string> fallen_silent;
     for (auto it = m_members.begin(); it != m_members.end();) {
         const auto& [ip, held] = *it;
@@ -91,7 +108,6 @@
         if (!is_seed(ip)) {
             std::erase(m_targets, ip);
         }
-        --m_regions[held.last.region].count;
         m_was_live.erase(ip);
         it = m_members.erase(it);
     }
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -53,8 +53,8 @@
 
 /// What is known of a region's hosts together.
 struct region_members {
-    std::size_t count = 0; ///< hosts that were heard and aren't forgotten
-    time_point heard{};    ///< the last heartbeat of any of them
+    int running = 0;    ///< hosts whose next heartbeat isn't overdue, as of the last `expire()`
+    time_point heard{}; ///< the last heartbeat of any of them
 };
 
 /// A host that has been heard.
@@ -125,6 +125,9 @@
 private:
     void add_target(const std::string& ip);
     [[nodiscard]] bool is_live(const member& candidate, time_point now) const noexcept;
+    /// Silence after which a host is lost, whatever is heard of its region.
+    [[nodiscard]] duration longest_silence(const member& candidate) const noexcept;
+    void count_running(time_point now);
 
     std::string m_own_ip;
     member_table_options m_options;
--- a/tests/gateway/member_table_test.cpp
+++ b/tests/gateway/member_table_test.cpp
@@ -175,3 +175,25 @@
     CHECK(members.live(last + 1'299ms).size() == hosts);
     CHECK(members.live(last + 1'300ms).empty());
 }
+
+TEST_CASE("a large fleet: the last host of a region is live between its heartbeats")
+{
+    member_table members{"10.0.0.1", {}, {.silence = 1'300ms}};
+    constexpr int hosts = 26;
+    auto received = beat("", 1);
+    received.region = "crete";
+    received.interval = 1'400ms;
+    for (int i = 0; i < hosts; ++i) {
+        received.ip = "10.1.0." + std::to_string(i + 1);
+        members.on_heartbeat(received, start);
+    }
+    for (std::uint64_t sent = 1; sent < 10; ++sent) {
+        const time_point heard = start + 1'400ms * static_cast<int>(sent);
+        received.sequence = sent + 1;
+        members.on_heartbeat(received, heard);
+        members.expire(heard);
+        CHECK(members.find(received.ip)->heard == heard);
+    }
+    members.expire(start + 13'950ms);
+    CHECK(members.live(start + 13'950ms).size() == 1);
+}
