Say in one place what the change had said twice

- Durations become milliseconds by clock.h's to_milliseconds, which stood in four files.
- endpoint_pool's kept_tokens and readable_tokens were one loop with another condition; choosing an engine counts what it keeps once a candidate.
- The age that a host's heartbeat states is worked out in one function.
- A member's liveness had a branch that the general rule includes.
- Which host gets a heartbeat next is the schedule's matter, hosts heard anew included; that has a test now.
- Three tests of the scheduler share their set-up.

--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -14,9 +14,10 @@
 
 constexpr duration relay_connect_timeout = std::chrono::milliseconds{500};
 
-std::int64_t to_ms(duration span)
+/// Age of what a host knows, as its last heartbeat states it.
+duration stated_age(const member& host, time_point now)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    return host.last.configuration_age + (now - host.heard);
 }
 
 } // namespace
@@ -140,7 +141,7 @@
     // in turn, so that one that doesn't answer isn't asked again at once
     for (std::size_t tried = 0; tried < hosts.size(); ++tried) {
         const member* candidate = hosts[m_asked++ % hosts.size()];
-        const duration age = candidate->last.configuration_age + (now - candidate->heard);
+        const duration age = stated_age(*candidate, now);
         if (candidate->last.has_configuration && age < m_with.state.age(now)) {
             return candidate;
         }
@@ -171,7 +172,7 @@
     duration least_age = m_options.relay_age;
     for (const std::string& ip : readers) {
         const member* candidate = m_with.members.find(ip);
-        const duration age = candidate->last.configuration_age + (now - candidate->heard);
+        const duration age = stated_age(*candidate, now);
         if (candidate->last.has_configuration && age < least_age) {
             freshest = candidate;
             least_age = age;
@@ -271,7 +272,7 @@
     header_list headers;
     headers.add("Content-Type", "text/plain");
     const duration age = m_with.state.age(boot_clock::now());
-    headers.add(std::string{relay_age_header}, std::to_string(to_ms(age)));
+    headers.add(std::string{relay_age_header}, std::to_string(to_milliseconds(age).count()));
     question.respond(200, headers, m_with.state.last().text);
 }
 
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -3,7 +3,7 @@
 #include "generated/gossip.pb.h"
 
 #include <algorithm> // min
-#include <chrono>    // duration_cast, milliseconds
+#include <chrono>    // milliseconds
 #include <cmath>     // isfinite
 
 namespace hickorykeel::gateway {
@@ -17,7 +17,7 @@
 
 std::uint32_t to_ms(duration span)
 {
-    return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(span).count());
+    return static_cast<std::uint32_t>(to_milliseconds(span).count());
 }
 
 /// What only hosts of the same region use.
--- a/src/gateway/membership/heartbeat_schedule.cpp
+++ b/src/gateway/membership/heartbeat_schedule.cpp
@@ -1,10 +1,19 @@
 #include "gateway/membership/heartbeat_schedule.h"
 
-#include <algorithm> // max
-#include <utility>   // move
+#include <algorithm> // find, max
+#include <utility>   // exchange, move
 
 namespace hickorykeel::gateway {
 
+namespace {
+
+bool contains(const std::vector<std::string>& ips, const std::string& ip)
+{
+    return std::find(ips.begin(), ips.end(), ip) != ips.end();
+}
+
+} // namespace
+
 heartbeat_schedule::recipients heartbeat_schedule::choose(const member_table& members, bool to_all)
 {
     recipients chosen;
@@ -18,6 +27,7 @@
     const std::size_t most = m_options.most_elsewhere;
     const std::size_t beats = std::max<std::size_t>(1, (others.size() + most - 1) / most);
     chosen.interval = m_options.beat * static_cast<int>(beats);
+    const std::vector<std::string> newcomers = std::exchange(m_newcomers, {});
     if (to_all || beats == 1) {
         chosen.elsewhere = std::move(others);
         return chosen;
@@ -28,6 +38,11 @@
         chosen.elsewhere.push_back(others[(m_turn + i) % others.size()]);
     }
     m_turn = (m_turn + count) % others.size();
+    for (const std::string& ip : newcomers) {
+        if (contains(others, ip) && !contains(chosen.elsewhere, ip)) {
+            chosen.elsewhere.push_back(ip);
+        }
+    }
     return chosen;
 }
 
--- a/src/gateway/membership/heartbeat_schedule.h
+++ b/src/gateway/membership/heartbeat_schedule.h
@@ -5,6 +5,7 @@
 #include <chrono>  // milliseconds
 #include <cstddef> // size_t
 #include <string>  // string
+#include <utility> // move
 #include <vector>  // vector
 
 namespace hickorykeel::gateway {
@@ -33,6 +34,9 @@
     {
     }
 
+    /// The host at `ip` was heard anew and may not know this one: it gets the next heartbeat.
+    void add_newcomer(std::string ip) { m_newcomers.push_back(std::move(ip)); }
+
     /// `to_all`: nobody has to wait for its turn, since something has just changed. O(hosts).
     [[nodiscard]] recipients choose(const member_table& members, bool to_all);
 
@@ -41,7 +45,8 @@
 private:
     std::string m_own_region;
     heartbeat_schedule_options m_options;
-    std::size_t m_turn = 0; ///< place in the list of the other regions' hosts
+    std::vector<std::string> m_newcomers; ///< since the last call of `choose()`
+    std::size_t m_turn = 0;               ///< place in the list of the other regions' hosts
 };
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -36,11 +36,8 @@
 
 bool member_table::is_live(const member& candidate, time_point now) const noexcept
 {
-    if (now - candidate.heard < m_options.silence) {
-        return true;
-    }
     if (candidate.region == nullptr) {
-        return false;
+        return false; // never heard
     }
     // a region whose hosts are all silent is cut off, or lost
     const duration region_silence = std::max<duration>(
--- a/src/gateway/observability/event_log.cpp
+++ b/src/gateway/observability/event_log.cpp
@@ -91,8 +91,7 @@
 
 log_line& log_line::add_ms(std::string_view name, duration value)
 {
-    return add(name, static_cast<std::int64_t>(
-                         std::chrono::duration_cast<std::chrono::milliseconds>(value).count()));
+    return add(name, std::int64_t{to_milliseconds(value).count()});
 }
 
 event_log::event_log(asio::io_context& loop, std::string host, event_log_options options)
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -145,30 +145,19 @@
     return true;
 }
 
+/// The part of a prompt that an engine keeps and will have read by `read_by`. Other engines can
+/// fetch what it has read by now.
 std::uint64_t endpoint_pool::kept_tokens(const endpoint_state& state, const prompt& size,
-                                         time_point now) const
+                                         time_point now, time_point read_by) const
 {
-    std::uint64_t kept = 0;
-    for (const prompt_prefix& prefix : size.prefixes) {
-        if (find_kept(state, prefix.id, now) != nullptr) {
-            kept = prefix.tokens;
-        }
-    }
-    return std::min(kept, size.prompt_tokens);
-}
-
-/// The part of a prompt that another engine can fetch from this one.
-std::uint64_t endpoint_pool::readable_tokens(const endpoint_state& state, const prompt& size,
-                                             time_point now) const
-{
-    std::uint64_t readable = 0;
+    std::uint64_t tokens = 0;
     for (const prompt_prefix& prefix : size.prefixes) {
         const kept_prompt* kept = find_kept(state, prefix.id, now);
-        if (kept != nullptr && kept->read <= now) {
-            readable = prefix.tokens;
+        if (kept != nullptr && kept->read <= read_by) {
+            tokens = prefix.tokens;
         }
     }
-    return std::min(readable, size.prompt_tokens);
+    return std::min(tokens, size.prompt_tokens);
 }
 
 const endpoint_pool::kept_prompt*
@@ -180,13 +169,13 @@
     return is_kept ? &found->second : nullptr;
 }
 
-std::uint64_t endpoint_pool::fetchable_tokens(const endpoint_state& state, const prompt& size,
-                                              const prompt_places& places, time_point now) const
+/// The part of a prompt that an engine which keeps `kept` tokens of it would fetch from another one.
+std::uint64_t endpoint_pool::fetchable_tokens(const endpoint_state& state, std::uint64_t kept,
+                                              const prompt_places& places) const
 {
     if (places.source == nullptr || places.source == &state || state.transfer_rate <= 0) {
         return 0;
     }
-    const std::uint64_t kept = kept_tokens(state, size, now);
     const std::uint64_t more = places.source_tokens - std::min(kept, places.source_tokens);
     return more < m_options.least_fetched_tokens ? 0 : more;
 }
@@ -201,8 +190,9 @@
         return static_cast<double>(size.prompt_tokens - std::min(shared, size.prompt_tokens)) *
                m_options.prefill_weight;
     }
-    const std::uint64_t fetched = fetchable_tokens(state, size, places, now);
-    const std::uint64_t read = size.prompt_tokens - kept_tokens(state, size, now) - fetched;
+    const std::uint64_t kept = kept_tokens(state, size, now);
+    const std::uint64_t fetched = fetchable_tokens(state, kept, places);
+    const std::uint64_t read = size.prompt_tokens - kept - fetched;
     const double transfer = fetched == 0 ? 0
                                          : static_cast<double>(fetched) *
                                                m_options.nominal_prefill_rate / state.transfer_rate;
@@ -249,7 +239,7 @@
             places.preferred = &state;
             best_weight = weight;
         }
-        const std::uint64_t readable = readable_tokens(state, *request.size, now);
+        const std::uint64_t readable = kept_tokens(state, *request.size, now, now);
         if (readable > places.source_tokens) {
             places.source = &state;
             places.source_tokens = readable;
@@ -278,7 +268,8 @@
     }
     placement chosen{best->entry.id, best->entry.address, best_cost, is_cold(*best, now), {}, 0};
     if (request.size != nullptr) {
-        chosen.fetched_tokens = fetchable_tokens(*best, *request.size, places, now);
+        chosen.fetched_tokens =
+            fetchable_tokens(*best, kept_tokens(*best, *request.size, now), places);
     }
     if (chosen.fetched_tokens > 0) {
         chosen.prompt_source = places.source->entry.address;
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -209,9 +209,10 @@
     [[nodiscard]] duration cost(const endpoint_state& state, const prompt* size,
                                 const prompt_places& places, time_point now) const;
     [[nodiscard]] std::uint64_t kept_tokens(const endpoint_state& state, const prompt& size,
-                                            time_point now) const;
-    [[nodiscard]] std::uint64_t fetchable_tokens(const endpoint_state& state, const prompt& size,
-                                                 const prompt_places& places, time_point now) const;
+                                            time_point now,
+                                            time_point read_by = time_point::max()) const;
+    [[nodiscard]] std::uint64_t fetchable_tokens(const endpoint_state& state, std::uint64_t kept,
+                                                 const prompt_places& places) const;
     [[nodiscard]] double prefill_tokens(const endpoint_state& state, const prompt& size,
                                         const prompt_places& places, time_point now) const;
     [[nodiscard]] prompt_places find_places(const placement_request& request, time_point now) const;
@@ -222,8 +223,6 @@
     static void remember(endpoint_state& state, std::uint64_t prefix, kept_prompt kept);
     [[nodiscard]] const kept_prompt* find_kept(const endpoint_state& state, std::uint64_t prefix,
                                                time_point now) const;
-    [[nodiscard]] std::uint64_t readable_tokens(const endpoint_state& state, const prompt& size,
-                                                time_point now) const;
     [[nodiscard]] duration prefill_time(const endpoint_state& state) const;
 
     std::vector<prompt_note> m_notes;
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -7,15 +7,6 @@
 
 namespace hickorykeel::gateway {
 
-namespace {
-
-std::chrono::milliseconds to_ms(duration span)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span);
-}
-
-} // namespace
-
 exchange::exchange(serving_context& context, std::shared_ptr<server_exchange> caller,
                    bool from_host)
     : m_context{context}, m_caller{std::move(caller)}, m_is_forwarded{from_host},
@@ -328,7 +319,7 @@
     m_try.waiting_tokens =
         m_context.pool.on_sent(chosen.endpoint, size, boot_clock::now(), chosen.fetched_tokens);
     endpoint_fields fields;
-    fields.deadline = to_ms(time_left());
+    fields.deadline = to_milliseconds(time_left());
     fields.instance = chosen.endpoint;
     fields.organisation = m_organisation;
     fields.last_event = last_event();
@@ -372,10 +363,11 @@
     m_try.expected = expected + m_context.options.regions.distance;
     ++m_context.passed_on[chosen.last.region + '/' + m_service];
     const message_head& head = m_caller->head();
-    header_list headers = m_context.spelling.to_host(head, {to_ms(time_left()), last_event()});
+    header_list headers =
+        m_context.spelling.to_host(head, {to_milliseconds(time_left()), last_event()});
     headers.add(std::string{forwarded_header}, m_context.settings.host);
     const duration age = boot_clock::now() - m_received + m_context.options.regions.distance / 2;
-    headers.add(std::string{age_header}, std::to_string(to_ms(age).count()));
+    headers.add(std::string{age_header}, std::to_string(to_milliseconds(age).count()));
     m_context.log.write_request(log_line{"request_passed_on"}
                                     .add("id", m_fields.id)
                                     .add("host", chosen.last.host)
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -9,7 +9,6 @@
 #include <algorithm> // max, min
 #include <chrono>    // milliseconds, seconds
 #include <csignal>   // SIGHUP, SIGINT, SIGTERM
-#include <iterator>  // back_inserter
 #include <random>    // random_device
 #include <utility>   // exchange, move
 
@@ -125,8 +124,8 @@
       m_metrics_server{m_loop, [this](const auto& request) { serve_metrics(request); }},
       m_gossip{m_loop, [this](std::string_view datagram) { on_datagram(datagram); }},
       m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}, m_heartbeat_timer{m_loop},
-      m_placing_timer{m_loop}, m_stop_timer{m_loop},
-      m_incarnation{random_seed()}, m_started{boot_clock::now()}
+      m_placing_timer{m_loop}, m_stop_timer{m_loop}, m_incarnation{random_seed()},
+      m_hosts_told_until{hosts_told_at_once}, m_started{boot_clock::now()}
 {
 }
 
@@ -285,8 +284,7 @@
     sent.endpoints = m_pool.own_loads();
     sent.warm_endpoints = m_pool.own_warm(now);
     sent.used = m_usage.used();
-    if (m_sequence <= std::max(m_hosts_told_until, hosts_told_at_once) ||
-        m_sequence % hosts_told_every == 0) {
+    if (m_sequence <= m_hosts_told_until || m_sequence % hosts_told_every == 0) {
         sent.known_ips = m_members.targets();
     }
     return sent;
@@ -296,10 +294,7 @@
 {
     ++m_sequence;
     const bool is_new = m_sequence <= hosts_told_at_once;
-    heartbeat_schedule::recipients to = m_schedule.choose(m_members, is_new || m_is_stopping);
-    // they may not know this host yet
-    std::move(m_heard_anew.begin(), m_heard_anew.end(), std::back_inserter(to.elsewhere));
-    m_heard_anew.clear();
+    const heartbeat_schedule::recipients to = m_schedule.choose(m_members, is_new || m_is_stopping);
     heartbeat sent = own_heartbeat(boot_clock::now());
     sent.prompts = m_pool.take_prompt_notes();
     sent.interval = m_schedule.beat();
@@ -334,7 +329,7 @@
     }
     const std::string ip = received->ip;
     if (m_members.on_heartbeat(std::move(*received), boot_clock::now())) {
-        m_heard_anew.push_back(ip);
+        m_schedule.add_newcomer(ip);
         m_hosts_told_until = m_sequence + hosts_told_at_once;
         m_log.write(log_line{"host_heard"}.add("peer", host).add("region", region));
     }
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -109,8 +109,7 @@
     asio::steady_timer m_stop_timer;
     std::uint64_t m_incarnation;
     std::uint64_t m_sequence = 0;
-    std::uint64_t m_hosts_told_until = 0;  ///< heartbeat
-    std::vector<std::string> m_heard_anew; ///< ips of hosts, since the last heartbeat
+    std::uint64_t m_hosts_told_until; ///< heartbeat
     time_point m_started;
     bool m_is_placing = false;
     bool m_is_stopping = false;
--- a/src/process/clock.h
+++ b/src/process/clock.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <chrono>  // nanoseconds, duration
+#include <chrono>  // nanoseconds, duration, milliseconds
 #include <cstdint> // int64_t
 #include <ctime>   // clock_gettime, CLOCK_BOOTTIME
 
@@ -46,6 +46,12 @@
     return std::chrono::duration<double>(span).count();
 }
 
+/// Whole milliseconds, rounded towards zero, for messages.
+constexpr std::chrono::milliseconds to_milliseconds(duration span) noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span);
+}
+
 constexpr duration from_seconds(double seconds) noexcept
 {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
--- a/tests/gateway/heartbeat_schedule_test.cpp
+++ b/tests/gateway/heartbeat_schedule_test.cpp
@@ -1,8 +1,9 @@
 #include "gateway/membership/heartbeat_schedule.h"
 
-#include <chrono> // milliseconds
-#include <map>    // map
-#include <string> // string
+#include <algorithm> // count
+#include <chrono>    // milliseconds
+#include <map>       // map
+#include <string>    // string
 
 #include <doctest/doctest.h>
 
@@ -79,3 +80,17 @@
     heartbeat_schedule schedule{"attica", {}};
     CHECK(schedule.choose(members, false).own_region.size() == 2);
 }
+
+TEST_CASE("a large fleet: a host that is heard anew gets the next heartbeat, and once")
+{
+    const member_table members = make_members(25, 51);
+    heartbeat_schedule schedule{"attica", {.beat = 200ms, .most_elsewhere = 8}};
+    const std::string last = "10.2.0.51";
+    schedule.add_newcomer(last);
+    schedule.add_newcomer("10.1.0.1"); // of the own region
+    const auto to = schedule.choose(members, false);
+    CHECK(std::count(to.elsewhere.begin(), to.elsewhere.end(), last) == 1);
+    CHECK(to.own_region.size() == 25);
+    CHECK(to.elsewhere.size() == 9);
+    CHECK(schedule.choose(members, false).elsewhere.size() == 8);
+}
--- a/tests/process/target_scheduler_test.cpp
+++ b/tests/process/target_scheduler_test.cpp
@@ -56,6 +56,15 @@
     }
 }
 
+// a scheduler that has learned two speeds at `now`
+target_scheduler make_scheduler(const std::vector<endpoint>& listed, time_point now)
+{
+    target_scheduler made{std::make_unique<weigh_policy>(), 1};
+    made.assign(listed, now);
+    learn_two_speeds(made, now);
+    return made;
+}
+
 // when the request waiting as 2 is started, at most `limit` from `now` on; nothing: not
 std::optional<duration> wait_until_started(target_scheduler& scheduler, time_point now,
                                            duration limit)
@@ -73,12 +82,10 @@
 
 TEST_CASE("a usual endpoint is full and a slow one is idle")
 {
-    time_point now{};
-    target_scheduler scheduler{std::make_unique<weigh_policy>(), 1};
+    const time_point start{};
     const std::vector<endpoint> listed{make_endpoint("as-1", 1), make_endpoint("as-2", 1)};
-    scheduler.assign(listed, now);
-    learn_two_speeds(scheduler, now);
-    now += 1s;
+    target_scheduler scheduler = make_scheduler(listed, start);
+    const time_point now = start + 1s;
     scheduler.push(make_request(1, now + 1h), now);
     const schedule_step first = scheduler.pick(now);
     REQUIRE(first.started.size() == 1);
@@ -118,12 +125,10 @@
 
 TEST_CASE("a request does not wait for a usual endpoint that has room")
 {
-    time_point now{};
-    target_scheduler scheduler{std::make_unique<weigh_policy>(), 1};
+    const time_point start{};
     const std::vector<endpoint> listed{make_endpoint("as-1", 8), make_endpoint("as-2", 8)};
-    scheduler.assign(listed, now);
-    learn_two_speeds(scheduler, now);
-    now += 1s;
+    target_scheduler scheduler = make_scheduler(listed, start);
+    const time_point now = start + 1s;
     // more than it runs as a rule, and far from full
     scheduler.on_dispatch(0, now);
     scheduler.on_dispatch(0, now);
@@ -133,12 +138,10 @@
 
 TEST_CASE("a request that the only usual endpoint failed takes a slow one at once")
 {
-    time_point now{};
-    target_scheduler scheduler{std::make_unique<weigh_policy>(), 1};
+    const time_point start{};
     const std::vector<endpoint> listed{make_endpoint("as-1", 1), make_endpoint("as-2", 1)};
-    scheduler.assign(listed, now);
-    learn_two_speeds(scheduler, now);
-    now += 1s;
+    target_scheduler scheduler = make_scheduler(listed, start);
+    const time_point now = start + 1s;
     scheduled_request again = make_request(2, now + 60s);
     again.excluded = {0};
     scheduler.push(again, now);
