--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -1,6 +1,6 @@
 #include "gateway/configuration/configuration_follower.h"
 
-#include "gateway/configuration/reader_choice.h"
+#include "gateway/membership/aggregator_choice.h"
 
 #include <algorithm> // find
 #include <optional>  // optional
@@ -153,13 +153,13 @@
 /// Returns the reader to query, or null if this host has to read the source itself.
 const member* configuration_follower::select_reader(time_point now)
 {
-    std::vector<std::string> ips{m_options.ip};
+    std::vector<aggregator_candidate> candidates{{m_options.ip, m_options.failure_domain}};
     for (const member* host : m_dependencies.members.ready(now)) {
         if (host->last.region == m_options.region) {
-            ips.push_back(host->last.ip);
+            candidates.push_back({host->last.ip, host->last.failure_domain});
         }
     }
-    const auto readers = choose_readers(std::move(ips), m_options.max_readers);
+    const auto readers = choose_aggregators(candidates, m_options.max_readers);
     const bool is_reader = m_dependencies.state.published() == nullptr ||
                            std::find(readers.begin(), readers.end(), m_options.ip) != readers.end();
     if (std::exchange(m_is_reader, is_reader) != is_reader) {
--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -33,10 +33,11 @@
     /// peer host once the state of this host has reached this age.
     duration max_relay_age = std::chrono::milliseconds{1'600};
     duration relay_timeout = std::chrono::milliseconds{800}; ///< of a query to a peer host
-    std::size_t max_readers = 8; ///< per region; the other hosts normally query them
+    std::size_t max_readers = 3; ///< per region; the other hosts normally query them
     std::uint16_t relay_port = 0;
-    std::string ip;     ///< of this host
-    std::string region; ///< of this host
+    std::string ip;             ///< of this host
+    std::string failure_domain; ///< of this host
+    std::string region;         ///< of this host
 };
 
 /// Keeps the published state up to date. Up to `max_readers` hosts of each region, the readers,
--- a/src/gateway/limits/rate_limiter.cpp
+++ b/src/gateway/limits/rate_limiter.cpp
@@ -46,21 +46,26 @@
     m_used[organisation] -= units;
 }
 
-void rate_limiter::on_report(const std::string& host, std::uint64_t incarnation,
-                             const std::map<std::string, double>& used)
+void rate_limiter::on_report(const usage_report& report)
 {
-    host_usage& last = m_reports[host];
-    const bool is_first = last.incarnation == 0;
-    if (last.incarnation != incarnation) {
-        last = {incarnation, {}};
+    group_usage& group = m_groups[report.group];
+    const auto [it, is_first] = group.hosts.try_emplace(report.host);
+    counting_host& host = it->second;
+    if (host.incarnation != report.incarnation) {
+        host = {report.incarnation, group.charged};
+        if (is_first) {
+            for (const auto& [organisation, units] : report.used) {
+                host.offsets[organisation] -= units;
+            }
+        }
     }
-    for (const auto& [organisation, units] : used) {
-        double& known = last.used[organisation];
-        // usage before a host's first report precedes this host's buckets and isn't charged
-        if (!is_first) {
-            m_buckets[organisation].level -= units - known;
+    for (const auto& [organisation, units] : report.used) {
+        double& charged = group.charged[organisation];
+        const double counted = host.offsets[organisation] + units;
+        if (counted > charged) {
+            m_buckets[organisation].level -= counted - charged;
+            charged = counted;
         }
-        known = units;
     }
 }
 
--- a/src/gateway/limits/rate_limiter.h
+++ b/src/gateway/limits/rate_limiter.h
@@ -15,6 +15,14 @@
     double burst = 0; ///< units
 };
 
+/// A host's count of what a group of hosts has used.
+struct usage_report {
+    std::string group; ///< for example the hosts of a region
+    std::string host;  ///< that counts
+    std::uint64_t incarnation = 0;
+    std::map<std::string, double> used; ///< units by organisation since some point in time
+};
+
 /// Fleet-wide rate limits of organisations, enforced by each host from the usage that all report.
 ///
 /// Each host keeps one token bucket per organisation for the usage of the whole fleet: its own
@@ -45,11 +53,10 @@
     /// @name other hosts
     /// @{
 
-    /// Charges what `host` has admitted since its previous report. `used` holds the units by
-    /// organisation since the start of the host's `incarnation`; of the first report of a host
-    /// nothing is charged.
-    void on_report(const std::string& host, std::uint64_t incarnation,
-                   const std::map<std::string, double>& used);
+    /// Charges what a group of hosts has admitted since the previous reports about it. Several hosts
+    /// may count the same group; what any of them has counted is charged once. Of the first report
+    /// of a host nothing is charged, and after a restart its counts are taken to start from zero.
+    void on_report(const usage_report& report);
 
     /// Sets the fraction of each rate and burst that this host and its live peers may use together.
     /// Precondition: 0 < `share` <= 1.
@@ -76,9 +83,16 @@
         bool is_initialised = false;
     };
 
-    struct host_usage {
+    /// Counts of one host. A count and its offset add up to the units charged for the group, as far
+    /// as this host has counted them.
+    struct counting_host {
         std::uint64_t incarnation = 0;
-        std::map<std::string, double> used;
+        std::map<std::string, double> offsets; // by organisation
+    };
+
+    struct group_usage {
+        std::map<std::string, double> charged; // by organisation
+        std::unordered_map<std::string, counting_host> hosts;
     };
 
     void refill(bucket& tokens, rate_limit limit, time_point now) const;
@@ -86,7 +100,7 @@
     time_point m_started;
     double m_share = 1;
     std::unordered_map<std::string, bucket> m_buckets;
-    std::unordered_map<std::string, host_usage> m_reports; // by host
+    std::unordered_map<std::string, group_usage> m_groups;
     std::map<std::string, double> m_used;
 };
 
--- /dev/null
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -0,0 +1,447 @@
+#include "gateway/membership/fleet_membership.h"
+
+#include "gateway/membership/aggregator_choice.h"
+
+#include <algorithm> // find_if, min
+#include <set>       // set
+#include <tuple>     // tuple
+#include <utility>   // exchange, move
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+relayed_member to_report(const member& host, time_point now)
+{
+    return {.ip = host.last.ip,
+            .incarnation = host.last.incarnation,
+            .sequence = host.last.sequence,
+            .age = now - host.last_seen,
+            .is_ready = host.last.is_ready,
+            .is_leaving = host.last.is_leaving,
+            .is_lost = host.is_lost,
+            .has_configuration = host.last.has_configuration,
+            .configuration_age = host.last.configuration_age};
+}
+
+std::vector<member_group> to_groups(const std::vector<const member*>& hosts, time_point now)
+{
+    std::map<std::tuple<std::string, std::string>, member_group> groups;
+    for (const member* host : hosts) {
+        const heartbeat& last = host->last;
+        member_group& group = groups[{last.region, last.failure_domain}];
+        group.region = last.region;
+        group.failure_domain = last.failure_domain;
+        group.members.push_back(to_report(*host, now));
+    }
+    std::vector<member_group> result;
+    result.reserve(groups.size());
+    for (auto& [key, group] : groups) {
+        result.push_back(std::move(group));
+    }
+    return result;
+}
+
+void add(endpoint_loads& sums, const endpoint_loads& loads)
+{
+    for (const auto& [hash, load] : loads) {
+        endpoint_load& sum = sums[hash];
+        sum.active += load.active;
+        sum.waiting_tokens += load.waiting_tokens;
+    }
+}
+
+void subtract(endpoint_loads& sums, const endpoint_loads& loads)
+{
+    for (const auto& [hash, load] : loads) {
+        const auto found = sums.find(hash);
+        if (found != sums.end()) {
+            endpoint_load& sum = found->second;
+            sum.active -= std::min(sum.active, load.active);
+            sum.waiting_tokens -= std::min(sum.waiting_tokens, load.waiting_tokens);
+        }
+    }
+}
+
+} // namespace
+
+fleet_membership::fleet_membership(host_identity own, const std::vector<std::string>& seed_ips,
+                                   fleet_membership_options options)
+    : m_own{std::move(own)}, m_options{options}, m_members{m_own.ip, seed_ips, options.members},
+      m_schedule{{m_own.ip, m_own.failure_domain, m_own.region}, options.schedule}
+{
+}
+
+// received heartbeats
+
+received_news fleet_membership::on_datagram(std::string_view datagram, time_point now)
+{
+    received_news news;
+    std::optional<heartbeat> received = decode_heartbeat(datagram);
+    if (!received) {
+        news.is_readable = false;
+        return news;
+    }
+    if (received->ip == m_own.ip) {
+        return news;
+    }
+    news.region = received->region;
+    const std::string ip = received->ip;
+    const std::string host = received->host;
+    const auto digest = std::exchange(received->digest, std::nullopt);
+    const bool is_own_region = received->region == m_own.region;
+    if (is_own_region) {
+        read_own_region(*received, news);
+    }
+    heartbeat header;
+    header.ip = ip;
+    header.region = received->region;
+    header.incarnation = received->incarnation;
+    header.services = received->services;
+    header.digest = digest;
+    const digest_subscription wanted = received->digests;
+    const member_change change = m_members.on_heartbeat(std::move(*received), now);
+    if (change == member_change::none) {
+        return news;
+    }
+    m_schedule.on_heartbeat(ip, header.region, wanted, now);
+    if (change != member_change::updated) {
+        note_change(ip);
+    }
+    if (change == member_change::became_live) {
+        news.new_host = host;
+    }
+    if (digest) {
+        read_digest(header, news, now);
+    }
+    return news;
+}
+
+/// Takes what only hosts of the region use out of a heartbeat.
+void fleet_membership::read_own_region(heartbeat& received, received_news& news)
+{
+    m_usage.on_report(received.ip, received.incarnation, received.used);
+    news.prompts = std::exchange(received.prompts, {});
+    news.warm_endpoints = received.warm_endpoints;
+    if (m_prompts.size() < m_options.max_prompts) {
+        m_prompts.insert(m_prompts.end(), news.prompts.begin(), news.prompts.end());
+    }
+    news.usage.push_back({m_own.region, m_own.ip, m_own.incarnation, m_usage.totals()});
+}
+
+void fleet_membership::read_digest(const heartbeat& received, received_news& news, time_point now)
+{
+    const region_digest& digest = *received.digest;
+    for (const member_group& group : digest.members) {
+        for (const relayed_member& reported : group.members) {
+            const member_change change = m_members.on_report(
+                reported, group.region, group.failure_domain, digest.rotation, now);
+            if (change != member_change::none && change != member_change::updated) {
+                note_change(reported.ip);
+            }
+        }
+    }
+    if (received.region != m_own.region) {
+        read_other_region({received.region, received.ip, received.incarnation, duration{0},
+                           received.services, digest.used},
+                          news, now);
+        return;
+    }
+    m_sums[received.ip] = {digest.hosts, digest.endpoints, now};
+    news.prompts.insert(news.prompts.end(), digest.prompts.begin(), digest.prompts.end());
+    news.warm_endpoints.insert(news.warm_endpoints.end(), digest.warm_endpoints.begin(),
+                               digest.warm_endpoints.end());
+    add_usage(news, m_own.region, received.ip, received.incarnation, digest.used);
+    for (const region_state& state : digest.regions) {
+        read_other_region(state, news, now);
+    }
+}
+
+void fleet_membership::read_other_region(region_state state, received_news& news, time_point now)
+{
+    if (state.region == m_own.region) {
+        return;
+    }
+    const time_point reported_at = now - state.age;
+    held_region& held = m_regions[state.region][state.ip];
+    if (reported_at <= held.received) {
+        return;
+    }
+    m_members.on_services(state.region, state.services, reported_at);
+    news.regions.push_back(state.region);
+    add_usage(news, state.region, state.ip, state.incarnation, state.used);
+    held = {std::move(state), reported_at};
+}
+
+/// Adds a count of what the hosts of `region` have used. The count of this host's own region
+/// includes this host, whose usage is charged when it admits requests.
+void fleet_membership::add_usage(received_news& news, const std::string& region,
+                                 const std::string& host, std::uint64_t incarnation,
+                                 usage_counts used) const
+{
+    if (region == m_own.region) {
+        for (const auto& [organisation, units] : m_last_sent.used) {
+            used[organisation] -= units;
+        }
+    }
+    news.usage.push_back({region, host, incarnation, std::move(used)});
+}
+
+std::vector<std::string> fleet_membership::expire(time_point now)
+{
+    for (const std::string& ip : m_schedule.take_silent_subscribers(now)) {
+        if (m_members.on_silence(ip, now)) {
+            note_change(ip);
+        }
+    }
+    const duration timeout = m_options.schedule.standby_timeout;
+    std::erase_if(m_sums, [&](const auto& item) { return now - item.second.received >= timeout; });
+    for (auto& [region, states] : m_regions) {
+        std::erase_if(states, [&](const auto& item) {
+            return now - item.second.received >= m_options.members.retention;
+        });
+    }
+    return m_members.expire(now);
+}
+
+void fleet_membership::note_change(const std::string& ip)
+{
+    const auto found = std::find_if(m_changes.begin(), m_changes.end(),
+                                    [&ip](const auto& change) { return change.ip == ip; });
+    if (found != m_changes.end()) {
+        found->repeats = m_options.change_repeats;
+        return;
+    }
+    m_changes.push_back({ip, m_options.change_repeats});
+}
+
+// sums
+
+/// Sums the loads of this host and of the hosts of its region that it hears.
+fleet_membership::summed_loads fleet_membership::own_sums(time_point now) const
+{
+    summed_loads sums{1, m_last_sent.endpoints, now};
+    for (const auto& [ip, host] : m_members.all()) {
+        if (host.last.region == m_own.region && m_members.is_heard(host, now)) {
+            ++sums.hosts;
+            add(sums.endpoints, host.last.endpoints);
+        }
+    }
+    return sums;
+}
+
+endpoint_loads fleet_membership::peer_loads(time_point now) const
+{
+    const summed_loads own = own_sums(now);
+    const summed_loads* best = &own;
+    for (const auto& [ip, sums] : m_sums) {
+        if (sums.hosts > best->hosts ||
+            (sums.hosts == best->hosts && best != &own && sums.received > best->received)) {
+            best = &sums;
+        }
+    }
+    endpoint_loads loads = best->endpoints;
+    subtract(loads, m_last_sent.endpoints);
+    return loads;
+}
+
+// sent heartbeats
+
+std::vector<outgoing_heartbeat> fleet_membership::send(heartbeat state, time_point now)
+{
+    state.host = m_own.host;
+    state.ip = m_own.ip;
+    state.failure_domain = m_own.failure_domain;
+    state.region = m_own.region;
+    state.incarnation = m_own.incarnation;
+    state.sequence = ++m_sequence;
+    m_last_sent = std::move(state);
+    const std::vector<heartbeat_recipient> recipients =
+        m_schedule.choose(m_members, m_sequence, m_last_sent.is_leaving, now);
+    const region_digest digest = collect_digest(now);
+    std::map<std::tuple<heartbeat_content, digest_subscription, std::string>, std::string> encoded;
+    std::vector<outgoing_heartbeat> sent;
+    sent.reserve(recipients.size());
+    for (const heartbeat_recipient& recipient : recipients) {
+        std::string& datagram = encoded[{recipient.content, recipient.wanted, recipient.region}];
+        if (datagram.empty()) {
+            datagram = make_datagram(recipient, digest, now);
+        }
+        sent.push_back({recipient.ip, datagram});
+    }
+    end_round(recipients);
+    return sent;
+}
+
+/// Collects what all digests of a round contain; the lists of hosts and regions are left empty.
+region_digest fleet_membership::collect_digest(time_point now) const
+{
+    region_digest digest;
+    summed_loads sums = own_sums(now);
+    digest.hosts = sums.hosts;
+    digest.endpoints = std::move(sums.endpoints);
+    digest.used = m_usage.totals();
+    for (const auto& [organisation, units] : m_last_sent.used) {
+        digest.used[organisation] += units;
+    }
+    std::set<std::uint32_t> warm;
+    for (const auto& [ip, host] : m_members.all()) {
+        if (host.last.region == m_own.region && m_members.is_heard(host, now)) {
+            warm.insert(host.last.warm_endpoints.begin(), host.last.warm_endpoints.end());
+        }
+    }
+    digest.warm_endpoints.assign(warm.begin(), warm.end());
+    digest.rotation =
+        m_options.schedule.heartbeat_interval * static_cast<int>(m_options.digest_rotation);
+    return digest;
+}
+
+std::string fleet_membership::make_datagram(const heartbeat_recipient& recipient,
+                                            const region_digest& collected, time_point now) const
+{
+    heartbeat sent = m_last_sent;
+    const heartbeat_schedule_options& schedule = m_options.schedule;
+    const bool is_seldom = recipient.content == heartbeat_content::standby_digest &&
+                           recipient.wanted == digest_subscription::none;
+    sent.digests = recipient.wanted;
+    sent.interval =
+        schedule.heartbeat_interval * static_cast<int>(is_seldom ? schedule.standby_interval : 1);
+    if (recipient.content == heartbeat_content::own_state) {
+        sent.services.clear();
+        return encode(sent, heartbeat_scope::own_region);
+    }
+    sent.digest = collected;
+    const bool is_summary = recipient.content == heartbeat_content::summary;
+    const std::string& region = is_summary ? recipient.region : m_own.region;
+    sent.digest->members = to_groups(hosts_to_name(recipient.content, region, now), now);
+    if (is_summary) {
+        return encode(sent, heartbeat_scope::fleet);
+    }
+    sent.services.clear();
+    sent.digest->regions = regions_to_pass_on(now);
+    if (recipient.content == heartbeat_content::digest) {
+        sent.digest->prompts = m_prompts;
+    }
+    return encode(sent, heartbeat_scope::own_region);
+}
+
+/// Whether heartbeats with `content` report on `host`. The hosts of other regions are told to hosts
+/// of this region only.
+bool fleet_membership::is_in_list(heartbeat_content content, const member& host) const
+{
+    return content != heartbeat_content::summary || host.last.region == m_own.region;
+}
+
+/// Returns the number of hosts of the list that one heartbeat with `content` reports on.
+std::size_t fleet_membership::part_of_list(heartbeat_content content) const
+{
+    const bool is_standby = content == heartbeat_content::standby_digest;
+    const std::size_t rounds = is_standby ? m_options.schedule.standby_interval : 1;
+    return (m_members.all().size() * rounds + m_options.digest_rotation - 1) /
+           m_options.digest_rotation;
+}
+
+/// Returns the hosts on which a heartbeat for `region` reports: those whose state has changed, the
+/// first ones of the region's order of aggregators, and the next part of the list.
+std::vector<const member*> fleet_membership::hosts_to_name(heartbeat_content content,
+                                                           const std::string& region,
+                                                           time_point now) const
+{
+    std::map<std::string, const member*> named; // by ip
+    for (const pending_change& change : m_changes) {
+        const member* const host = m_members.find(change.ip);
+        if (host != nullptr && is_in_list(content, *host) && named.size() < m_options.max_changes) {
+            named[change.ip] = host;
+        }
+    }
+    std::vector<aggregator_candidate> candidates;
+    for (const auto& [ip, host] : m_members.all()) {
+        if (host.last.region == region && m_members.is_live(host, now)) {
+            candidates.push_back({ip, host.last.failure_domain});
+        }
+    }
+    for (const std::string& ip : choose_aggregators(candidates, m_options.introduced_hosts)) {
+        named[ip] = m_members.find(ip);
+    }
+    const auto found = m_positions.find(content);
+    auto it = m_members.all().lower_bound(found == m_positions.end() ? "" : found->second);
+    for (std::size_t left = std::min(part_of_list(content), m_members.all().size()); left > 0;
+         --left) {
+        it = it == m_members.all().end() ? m_members.all().begin() : it;
+        const member& host = it->second;
+        if (is_in_list(content, host) && m_members.is_live(host, now)) {
+            named[it->first] = &host;
+        }
+        ++it;
+    }
+    std::vector<const member*> hosts;
+    hosts.reserve(named.size());
+    for (const auto& [ip, host] : named) {
+        hosts.push_back(host);
+    }
+    return hosts;
+}
+
+/// Returns the state of each other region as one of its hosts reports it; the same host each time
+/// while its reports are recent.
+std::vector<region_state> fleet_membership::regions_to_pass_on(time_point now) const
+{
+    std::vector<region_state> regions;
+    for (const auto& [region, states] : m_regions) {
+        const held_region* chosen = nullptr;
+        for (const auto& [ip, held] : states) {
+            const duration age = now - held.received;
+            const bool is_recent =
+                chosen != nullptr && now - chosen->received < m_options.recent_region_age;
+            if (age < m_options.max_region_age &&
+                (chosen == nullptr || (!is_recent && held.received > chosen->received))) {
+                chosen = &held;
+            }
+        }
+        if (chosen != nullptr) {
+            regions.push_back(chosen->state);
+            regions.back().age = now - chosen->received;
+        }
+    }
+    return regions;
+}
+
+/// Advances the lists after the heartbeats of a round were made.
+void fleet_membership::end_round(const std::vector<heartbeat_recipient>& recipients)
+{
+    std::set<heartbeat_content> sent;
+    for (const heartbeat_recipient& recipient : recipients) {
+        sent.insert(recipient.content);
+    }
+    sent.erase(heartbeat_content::own_state);
+    for (const heartbeat_content content : sent) {
+        advance(content);
+    }
+    std::size_t left = std::min(m_options.max_changes, m_changes.size());
+    for (; left > 0 && !sent.empty(); --left) {
+        pending_change change = std::move(m_changes.front());
+        m_changes.pop_front();
+        if (--change.repeats > 0) {
+            m_changes.push_back(std::move(change));
+        }
+    }
+    m_prompts.clear();
+}
+
+/// Moves the position in the list of hosts behind the part that heartbeats with `content` named.
+void fleet_membership::advance(heartbeat_content content)
+{
+    const auto& all = m_members.all();
+    if (all.empty()) {
+        return;
+    }
+    std::string& position = m_positions[content];
+    auto it = all.lower_bound(position);
+    for (std::size_t left = std::min(part_of_list(content), all.size()); left > 0; --left) {
+        it = it == all.end() ? all.begin() : it;
+        ++it;
+    }
+    position = it == all.end() ? std::string{} : it->first;
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/membership/fleet_membership.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "gateway/limits/rate_limiter.h"
+#include "gateway/limits/usage_totals.h"
+#include "gateway/membership/gossip_codec.h"
+#include "gateway/membership/heartbeat.h"
+#include "gateway/membership/heartbeat_schedule.h"
+#include "gateway/membership/member_table.h"
+#include "process/clock.h"
+
+#include <chrono>      // milliseconds
+#include <cstddef>     // size_t
+#include <cstdint>     // uint64_t
+#include <deque>       // deque
+#include <map>         // map
+#include <optional>    // optional
+#include <string>      // string
+#include <string_view> // string_view
+#include <vector>      // vector
+
+namespace hickorykeel::gateway {
+
+/// Identity of this process.
+struct host_identity {
+    std::string host;
+    std::string ip;
+    std::string failure_domain;
+    std::string region;
+    std::uint64_t incarnation = 0;
+};
+
+struct fleet_membership_options {
+    member_table_options members;
+    heartbeat_schedule_options schedule;
+    /// Number of digests in which the list of known hosts is sent once.
+    std::size_t digest_rotation = 10;
+    /// Number of digests that name a host whose state has changed.
+    int change_repeats = 3;
+    std::size_t max_changes = 40; ///< hosts named for a change in one digest
+    /// Number of hosts of the receiver's region that each digest names, so that a host that joins
+    /// learns of its aggregators at once.
+    std::size_t introduced_hosts = 4;
+    /// Age up to which the state of a region is passed on from the same host as before.
+    duration recent_region_age = std::chrono::milliseconds{1'000};
+    /// Age from which the state of a region isn't passed on.
+    duration max_region_age = std::chrono::milliseconds{2'000};
+    std::size_t max_prompts = 512; ///< prefixes passed on in one digest
+};
+
+/// A heartbeat to be sent.
+struct outgoing_heartbeat {
+    std::string ip;
+    std::string datagram;
+};
+
+/// What a datagram brought, beside changes to the member table.
+struct received_news {
+    bool is_readable = true;
+    std::string new_host;                      ///< name of the sender if it became live
+    std::string region;                        ///< of the sender
+    std::vector<sent_prefix> prompts;          ///< sent by hosts of this region
+    std::vector<std::uint32_t> warm_endpoints; ///< of this region
+    std::vector<usage_report> usage;
+    std::vector<std::string> regions; ///< other regions whose capacity was reported
+};
+
+/// The fleet as one host knows it, and the heartbeats that it sends.
+///
+/// The hosts of a region send their state to the region's aggregators (see `heartbeat_schedule`).
+/// These sum the load and usage of the region's hosts and send digests to the hosts of the region
+/// and to the aggregators of the other regions. The list of hosts is sent in parts; a change is sent
+/// with the next digests. Nothing is agreed on: what an aggregator holds can be collected again.
+///
+/// Thread safety: none; the owner serialises calls. No I/O.
+class fleet_membership {
+public:
+    fleet_membership(host_identity own, const std::vector<std::string>& seed_ips,
+                     fleet_membership_options options);
+
+    /// @name heartbeats
+    /// @{
+
+    /// Returns the heartbeats that are due now; to be called at the heartbeat interval.
+    /// @param state state of this host; the identity, the sequence and the digest are filled in
+    [[nodiscard]] std::vector<outgoing_heartbeat> send(heartbeat state, time_point now);
+
+    /// Records a datagram of another host.
+    received_news on_datagram(std::string_view datagram, time_point now);
+
+    /// Removes hosts that are silent for long.
+    /// @return names of the hosts that are no longer live, each once until its next heartbeat
+    std::vector<std::string> expire(time_point now);
+    /// @}
+
+    /// @name state
+    /// @{
+    [[nodiscard]] const member_table& members() const noexcept { return m_members; }
+    [[nodiscard]] member_table& members() noexcept { return m_members; }
+    [[nodiscard]] const heartbeat_schedule& schedule() const noexcept { return m_schedule; }
+
+    /// Returns the load that the other hosts of this region have placed on its endpoints, as summed
+    /// by the aggregator, this host included, that hears the most hosts.
+    [[nodiscard]] endpoint_loads peer_loads(time_point now) const;
+    /// @}
+
+private:
+    /// Sums of an aggregator's digest.
+    struct summed_loads {
+        std::uint32_t hosts = 0;
+        endpoint_loads endpoints;
+        time_point received{};
+    };
+
+    struct held_region {
+        region_state state;
+        time_point received{};
+    };
+
+    struct pending_change {
+        std::string ip;
+        int repeats = 0; ///< digests that have yet to name the host
+    };
+
+    void note_change(const std::string& ip);
+    void read_own_region(heartbeat& received, received_news& news);
+    void read_digest(const heartbeat& received, received_news& news, time_point now);
+    void read_other_region(region_state state, received_news& news, time_point now);
+    void add_usage(received_news& news, const std::string& region, const std::string& host,
+                   std::uint64_t incarnation, usage_counts used) const;
+
+    [[nodiscard]] summed_loads own_sums(time_point now) const;
+    [[nodiscard]] region_digest collect_digest(time_point now) const;
+    [[nodiscard]] std::string make_datagram(const heartbeat_recipient& recipient,
+                                            const region_digest& collected, time_point now) const;
+    [[nodiscard]] bool is_in_list(heartbeat_content content, const member& host) const;
+    [[nodiscard]] std::size_t part_of_list(heartbeat_content content) const;
+    [[nodiscard]] std::vector<const member*>
+    hosts_to_name(heartbeat_content content, const std::string& region, time_point now) const;
+    [[nodiscard]] std::vector<region_state> regions_to_pass_on(time_point now) const;
+    void end_round(const std::vector<heartbeat_recipient>& recipients);
+    void advance(heartbeat_content content);
+
+    host_identity m_own;
+    fleet_membership_options m_options;
+    member_table m_members;
+    heartbeat_schedule m_schedule;
+    usage_totals m_usage; ///< of the other hosts of this region
+    std::uint64_t m_sequence = 0;
+
+    heartbeat m_last_sent;                      ///< state of this host
+    std::map<std::string, summed_loads> m_sums; ///< by ip of the aggregator
+    std::map<std::string, std::map<std::string, held_region>> m_regions; ///< by region, by ip
+    std::deque<pending_change> m_changes;
+    std::vector<sent_prefix> m_prompts; ///< received since the last digest
+    /// First host of the next part of the list of hosts, by ip, for each content.
+    std::map<heartbeat_content, std::string> m_positions;
+};
+
+} // namespace hickorykeel::gateway
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -5,6 +5,10 @@
 #include <algorithm> // min
 #include <chrono>    // milliseconds
 #include <cmath>     // isfinite
+#include <mutex>     // call_once, once_flag
+
+#include <asio/ip/address_v4.hpp>          // address_v4
+#include <google/protobuf/stubs/logging.h> // SetLogHandler
 
 namespace hickorykeel::gateway {
 
@@ -16,13 +20,62 @@
 /// interval extends the time for which the peer counts as live.
 constexpr milliseconds max_interval{5'000};
 
+/// Maximum number of elements of each list of a heartbeat; further ones are ignored.
+constexpr int max_elements = 4'096;
+
 std::uint32_t to_ms(duration span)
 {
-    return static_cast<std::uint32_t>(to_milliseconds(span).count());
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, to_milliseconds(span).count()));
+}
+
+std::uint32_t to_number(const std::string& ip)
+{
+    asio::error_code failure;
+    const auto address = asio::ip::make_address_v4(ip, failure);
+    return failure ? 0 : address.to_uint();
+}
+
+std::string to_ip(std::uint32_t number)
+{
+    return asio::ip::address_v4{number}.to_string();
+}
+
+/// Calls `use` for the elements of `list`, up to `max_elements` of them.
+template <typename List, typename Use>
+void for_each_bounded(const List& list, Use use)
+{
+    const int count = std::min(list.size(), max_elements);
+    for (int i = 0; i < count; ++i) {
+        use(list.Get(i));
+    }
+}
+
+// encoding, of a message that has the fields
+
+template <typename Message>
+void add_services(Message& message, const service_loads& services)
+{
+    for (const auto& [name, load] : services) {
+        auto& added = *message.add_services();
+        added.set_service(name);
+        added.set_expected_wait_ms(static_cast<float>(to_seconds(load.expected_wait) * 1'000));
+        added.set_free_places(load.free_places);
+    }
+}
+
+template <typename Message>
+void add_used(Message& message, const usage_counts& used)
+{
+    for (const auto& [organisation, units] : used) {
+        auto& added = *message.add_used();
+        added.set_organisation(organisation);
+        added.set_units(units);
+    }
 }
 
-/// Adds the fields that only hosts of the sender's region use.
-void add_endpoints(gossip::heartbeat& message, const heartbeat& sent)
+/// Adds the fields that only hosts of the sender's region use. `sent` is a heartbeat or a digest.
+template <typename Message, typename Sent>
+void add_endpoints(Message& message, const Sent& sent)
 {
     for (const auto& [hash, load] : sent.endpoints) {
         auto& added = *message.add_endpoints();
@@ -40,6 +93,150 @@
     }
 }
 
+void add_group(gossip::region_digest& message, const member_group& group)
+{
+    auto& added_group = *message.add_members();
+    added_group.set_region(group.region);
+    added_group.set_failure_domain(group.failure_domain);
+    for (const relayed_member& host : group.members) {
+        auto& added = *added_group.add_members();
+        added.set_ip(to_number(host.ip));
+        added.set_incarnation(host.incarnation);
+        added.set_sequence(host.sequence);
+        added.set_age_ms(to_ms(host.age));
+        added.set_is_ready(host.is_ready);
+        added.set_is_leaving(host.is_leaving);
+        added.set_is_lost(host.is_lost);
+        added.set_has_configuration(host.has_configuration);
+        added.set_configuration_age_ms(to_ms(host.configuration_age));
+    }
+}
+
+void add_region(gossip::region_digest& message, const region_state& region)
+{
+    auto& added = *message.add_regions();
+    added.set_region(region.region);
+    added.set_ip(to_number(region.ip));
+    added.set_incarnation(region.incarnation);
+    added.set_age_ms(to_ms(region.age));
+    add_services(added, region.services);
+    add_used(added, region.used);
+}
+
+void add_digest(gossip::heartbeat& message, const region_digest& digest, heartbeat_scope scope)
+{
+    gossip::region_digest& added = *message.mutable_digest();
+    added.set_hosts(digest.hosts);
+    added.set_rotation_ms(to_ms(digest.rotation));
+    add_used(added, digest.used);
+    for (const member_group& group : digest.members) {
+        add_group(added, group);
+    }
+    if (scope == heartbeat_scope::own_region) {
+        add_endpoints(added, digest);
+        for (const region_state& region : digest.regions) {
+            add_region(added, region);
+        }
+    }
+}
+
+// decoding
+
+template <typename Message>
+service_loads to_services(const Message& message)
+{
+    service_loads services;
+    for_each_bounded(message.services(), [&services](const auto& load) {
+        if (std::isfinite(load.expected_wait_ms())) {
+            services[load.service()] = {from_seconds(load.expected_wait_ms() / 1'000.0),
+                                        load.free_places()};
+        }
+    });
+    return services;
+}
+
+template <typename Message>
+usage_counts to_used(const Message& message)
+{
+    usage_counts counts;
+    for_each_bounded(message.used(), [&counts](const auto& used) {
+        if (std::isfinite(used.units())) {
+            counts[used.organisation()] = used.units();
+        }
+    });
+    return counts;
+}
+
+template <typename Message, typename Received>
+void read_endpoints(const Message& message, Received& received)
+{
+    for_each_bounded(message.endpoints(), [&received](const auto& load) {
+        received.endpoints[load.endpoint()] = {load.active(), load.waiting_tokens()};
+    });
+    for_each_bounded(message.prompts(), [&received](const auto& prefix) {
+        received.prompts.push_back({prefix.prefix(), prefix.endpoint()});
+    });
+    for_each_bounded(message.warm_endpoints(),
+                     [&received](std::uint32_t hash) { received.warm_endpoints.push_back(hash); });
+}
+
+member_group to_group(const gossip::member_group& message)
+{
+    member_group group{message.region(), message.failure_domain(), {}};
+    for_each_bounded(message.members(), [&group](const gossip::member_state& host) {
+        if (host.ip() == 0 || host.incarnation() == 0) {
+            return;
+        }
+        group.members.push_back({.ip = to_ip(host.ip()),
+                                 .incarnation = host.incarnation(),
+                                 .sequence = host.sequence(),
+                                 .age = milliseconds{host.age_ms()},
+                                 .is_ready = host.is_ready(),
+                                 .is_leaving = host.is_leaving(),
+                                 .is_lost = host.is_lost(),
+                                 .has_configuration = host.has_configuration(),
+                                 .configuration_age = milliseconds{host.configuration_age_ms()}});
+    });
+    return group;
+}
+
+region_digest to_digest(const gossip::region_digest& message)
+{
+    region_digest digest;
+    digest.hosts = message.hosts();
+    digest.rotation = std::min(milliseconds{message.rotation_ms()}, max_interval);
+    digest.used = to_used(message);
+    read_endpoints(message, digest);
+    for_each_bounded(message.members(),
+                     [&digest](const auto& group) { digest.members.push_back(to_group(group)); });
+    for_each_bounded(message.regions(), [&digest](const gossip::region_state& region) {
+        digest.regions.push_back({region.region(), to_ip(region.ip()), region.incarnation(),
+                                  milliseconds{region.age_ms()}, to_services(region),
+                                  to_used(region)});
+    });
+    return digest;
+}
+
+digest_subscription to_subscription(gossip::subscription wanted)
+{
+    switch (wanted) {
+    case gossip::SUBSCRIPTION_PRIMARY:
+        return digest_subscription::primary;
+    case gossip::SUBSCRIPTION_STANDBY:
+        return digest_subscription::standby;
+    default:
+        return digest_subscription::none;
+    }
+}
+
+/// Keeps protobuf from writing a line to standard error for each unreadable datagram; the caller
+/// counts them.
+void silence_protobuf()
+{
+    static std::once_flag is_done;
+    std::call_once(is_done, [] { google::protobuf::SetLogHandler(nullptr); });
+}
+
 } // namespace
 
 std::string encode(const heartbeat& sent, heartbeat_scope scope)
@@ -57,28 +254,21 @@
     message.set_configuration_version(sent.configuration_version);
     message.set_configuration_age_ms(to_ms(sent.configuration_age));
     message.set_interval_ms(to_ms(sent.interval));
-    for (const auto& [name, load] : sent.services) {
-        auto& added = *message.add_services();
-        added.set_service(name);
-        added.set_expected_wait_ms(static_cast<float>(to_seconds(load.expected_wait) * 1'000));
-        added.set_free_places(load.free_places);
-    }
-    for (const auto& [organisation, units] : sent.used) {
-        auto& added = *message.add_used();
-        added.set_organisation(organisation);
-        added.set_units(units);
-    }
-    for (const std::string& ip : sent.known_ips) {
-        message.add_known_ips(ip);
-    }
+    message.set_digests(static_cast<gossip::subscription>(sent.digests));
+    add_services(message, sent.services);
+    add_used(message, sent.used);
     if (scope == heartbeat_scope::own_region) {
         add_endpoints(message, sent);
     }
+    if (sent.digest) {
+        add_digest(message, *sent.digest, scope);
+    }
     return message.SerializeAsString();
 }
 
 std::optional<heartbeat> decode_heartbeat(std::string_view bytes)
 {
+    silence_protobuf();
     gossip::heartbeat message;
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
         message.ip().empty() || message.incarnation() == 0) {
@@ -97,26 +287,13 @@
     received.configuration_version = message.configuration_version();
     received.configuration_age = milliseconds{message.configuration_age_ms()};
     received.interval = std::min(milliseconds{message.interval_ms()}, max_interval);
-    for (const auto& load : message.services()) {
-        if (std::isfinite(load.expected_wait_ms())) {
-            received.services[load.service()] = {from_seconds(load.expected_wait_ms() / 1'000.0),
-                                                 load.free_places()};
-        }
-    }
-    for (const auto& load : message.endpoints()) {
-        received.endpoints[load.endpoint()] = {load.active(), load.waiting_tokens()};
-    }
-    for (const auto& used : message.used()) {
-        if (std::isfinite(used.units())) {
-            received.used[used.organisation()] = used.units();
-        }
-    }
-    for (const auto& prefix : message.prompts()) {
-        received.prompts.push_back({prefix.prefix(), prefix.endpoint()});
+    received.digests = to_subscription(message.digests());
+    received.services = to_services(message);
+    received.used = to_used(message);
+    read_endpoints(message, received);
+    if (message.has_digest()) {
+        received.digest = to_digest(message.digest());
     }
-    received.warm_endpoints.assign(message.warm_endpoints().begin(),
-                                   message.warm_endpoints().end());
-    received.known_ips.assign(message.known_ips().begin(), message.known_ips().end());
     return received;
 }
 
--- a/src/gateway/membership/gossip_codec.h
+++ b/src/gateway/membership/gossip_codec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/membership/member_table.h"
+#include "gateway/membership/heartbeat.h"
 
 #include <optional>    // optional
 #include <string>      // string
--- /dev/null
+++ b/src/gateway/membership/heartbeat.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "process/clock.h"
+
+#include <cstdint>       // uint32_t, uint64_t, uint8_t
+#include <map>           // map
+#include <optional>      // optional
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+namespace hickorykeel::gateway {
+
+/// Capacity of a region for requests to one service.
+struct service_load {
+    duration expected_wait{0}; ///< expected time to first byte of a typical request
+    std::uint32_t free_places = 0;
+};
+
+using service_loads = std::map<std::string, service_load>; // by service
+
+/// Load that one host, or a group of hosts, has placed on an endpoint.
+struct endpoint_load {
+    std::uint32_t active = 0;
+    std::uint32_t waiting_tokens = 0; ///< prompt tokens sent that the engine has yet to process
+};
+
+using endpoint_loads = std::unordered_map<std::uint32_t, endpoint_load>; // by hash of the id
+
+/// Units by organisation, counted since the start of a process.
+using usage_counts = std::map<std::string, double>;
+
+/// A shared prompt prefix that was sent to an endpoint, which caches it.
+struct sent_prefix {
+    std::uint64_t prefix = 0;   ///< id of the prompt's longest prefix that other requests may share
+    std::uint32_t endpoint = 0; ///< hash of the endpoint's id
+};
+
+/// How often a host wants the digests of another host.
+enum class digest_subscription : std::uint8_t {
+    none,
+    standby, ///< seldom, as a replacement for the primary
+    primary, ///< with every heartbeat
+};
+
+/// State of a host as reported by another host.
+struct relayed_member {
+    std::string ip;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0; ///< of the host's last heartbeat
+    duration age{0};            ///< since the receipt of that heartbeat
+    bool is_ready = false;
+    bool is_leaving = false;
+    bool is_lost = false; ///< its heartbeats have stopped
+    bool has_configuration = false;
+    duration configuration_age{0}; ///< at the receipt of that heartbeat
+};
+
+/// Hosts of one failure domain, as reported by another host.
+struct member_group {
+    std::string region;
+    std::string failure_domain;
+    std::vector<relayed_member> members;
+};
+
+/// State of another region, from the digest of one of its hosts.
+struct region_state {
+    std::string region;
+    std::string ip; ///< of that host
+    std::uint64_t incarnation = 0;
+    duration age{0}; ///< since the receipt of the digest
+    service_loads services;
+    usage_counts used; ///< of all hosts of the region
+};
+
+/// State of a region that an aggregator has collected from the heartbeats of its hosts.
+struct region_digest {
+    std::uint32_t hosts = 0; ///< whose loads are summed, with the aggregator
+    endpoint_loads endpoints;
+    usage_counts used; ///< of all hosts of the region, since the aggregator's start
+    std::vector<sent_prefix> prompts;
+    std::vector<std::uint32_t> warm_endpoints;
+    std::vector<member_group> members; ///< a part of the known hosts
+    duration rotation{0};              ///< time in which the digests name every known host
+    std::vector<region_state> regions; ///< other regions
+};
+
+/// Heartbeat of a host.
+struct heartbeat {
+    std::string host;
+    std::string ip;
+    std::string failure_domain;
+    std::string region;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    bool is_ready = false;
+    bool is_leaving = false;
+    bool has_configuration = false;
+    std::uint64_t configuration_version = 0;
+    duration configuration_age{0}; ///< since it was confirmed up to date
+    duration interval{0};          ///< maximum time until the next heartbeat to this receiver
+    service_loads services;
+    endpoint_loads endpoints;
+    usage_counts used;
+    std::vector<sent_prefix> prompts; ///< sent since the previous heartbeat
+    /// Hashes of endpoints that reported being warm within their cold time.
+    std::vector<std::uint32_t> warm_endpoints;
+    digest_subscription digests = digest_subscription::none;
+    std::optional<region_digest> digest;
+};
+
+} // namespace hickorykeel::gateway
--- a/src/gateway/membership/heartbeat_schedule.cpp
+++ b/src/gateway/membership/heartbeat_schedule.cpp
@@ -1,6 +1,8 @@
 #include "gateway/membership/heartbeat_schedule.h"
 
-#include <algorithm> // find, max
+#include "gateway/membership/aggregator_choice.h"
+
+#include <algorithm> // any_of, find, max
 #include <utility>   // exchange, move
 
 namespace hickorykeel::gateway {
@@ -14,37 +16,251 @@
 
 } // namespace
 
-heartbeat_schedule::recipients heartbeat_schedule::choose(const member_table& members, bool to_all)
+void heartbeat_schedule::on_heartbeat(const std::string& ip, const std::string& region,
+                                      digest_subscription wanted, time_point now)
+{
+    if (wanted == digest_subscription::none) {
+        m_subscribers.erase(ip);
+        return;
+    }
+    m_subscribers[ip] = {region, wanted, now};
+}
+
+std::vector<std::string> heartbeat_schedule::take_silent_subscribers(time_point now)
+{
+    std::vector<std::string> silent;
+    for (auto it = m_subscribers.begin(); it != m_subscribers.end();) {
+        const auto& [ip, held] = *it;
+        if (now - held.last_heard < m_options.subscription_timeout) {
+            ++it;
+            continue;
+        }
+        if (held.region == m_own.region) {
+            silent.push_back(ip);
+        }
+        it = m_subscribers.erase(it);
+    }
+    return silent;
+}
+
+std::vector<heartbeat_recipient> heartbeat_schedule::choose(const member_table& members,
+                                                            std::uint64_t sequence, bool is_leaving,
+                                                            time_point now)
 {
+    replace_silent(members, now);
     recipients chosen;
-    std::vector<std::string> others;
-    for (const std::string& ip : members.targets()) {
-        const member* host = members.find(ip);
-        const bool is_own_region =
-            host == nullptr ? members.is_seed(ip) : host->last.region == m_own_region;
-        (is_own_region ? chosen.own_region : others).push_back(ip);
-    }
-    const std::size_t max_hosts = m_options.max_other_region_hosts;
-    const std::size_t rounds =
-        std::max<std::size_t>(1, (others.size() + max_hosts - 1) / max_hosts);
-    chosen.interval = m_options.heartbeat_interval * static_cast<int>(rounds);
-    const std::vector<std::string> new_hosts = std::exchange(m_new_hosts, {});
-    if (to_all || rounds == 1) {
-        chosen.other_regions = std::move(others);
-        return chosen;
-    }
-    // the same number each time, so that after `rounds` calls each host has been sent one
-    const std::size_t count = (others.size() + rounds - 1) / rounds;
-    for (std::size_t i = 0; i < count; ++i) {
-        chosen.other_regions.push_back(others[(m_next + i) % others.size()]);
-    }
-    m_next = (m_next + count) % others.size();
-    for (const std::string& ip : new_hosts) {
-        if (contains(others, ip) && !contains(chosen.other_regions, ip)) {
-            chosen.other_regions.push_back(ip);
-        }
-    }
-    return chosen;
+    add_own_aggregators(chosen, members, is_leaving, now);
+    if (m_is_aggregator) {
+        add_other_aggregators(chosen, members, now);
+        add_lost_hosts(chosen, members, now);
+    }
+    // forgets the hosts that are aggregators no longer
+    std::erase_if(m_contacts, [&](const auto& item) { return !chosen.contains(item.first); });
+    add_subscribers(chosen, sequence, now);
+    add_seeds(chosen, members, sequence, now);
+    add_former(chosen);
+    std::vector<heartbeat_recipient> result;
+    result.reserve(chosen.size());
+    for (auto& [ip, recipient] : chosen) {
+        result.push_back(std::move(recipient));
+    }
+    return result;
+}
+
+/// Marks the aggregators as replaced that haven't been heard within the timeout.
+void heartbeat_schedule::replace_silent(const member_table& members, time_point now)
+{
+    for (auto& [ip, held] : m_contacts) {
+        const member* const host = members.find(ip);
+        const time_point heard_at = host == nullptr ? time_point{} : host->heard_at;
+        const duration timeout = held.wanted == digest_subscription::primary
+                                     ? m_options.primary_timeout
+                                     : m_options.standby_timeout;
+        if (held.replaced_at && heard_at > *held.replaced_at) {
+            held.replaced_at.reset();
+        }
+        if (!held.replaced_at && now - std::max(held.since, heard_at) >= timeout) {
+            held.replaced_at = now;
+        }
+    }
+}
+
+bool heartbeat_schedule::has_replaced_any() const
+{
+    return std::any_of(m_contacts.begin(), m_contacts.end(),
+                       [](const auto& item) { return item.second.replaced_at.has_value(); });
+}
+
+bool heartbeat_schedule::has_replaced(const std::string& ip) const
+{
+    const auto found = m_contacts.find(ip);
+    return found != m_contacts.end() && found->second.replaced_at.has_value();
+}
+
+/// Returns the aggregators of `region`, with this host if it is one.
+std::vector<std::string> heartbeat_schedule::choose_region(const member_table& members,
+                                                           const std::string& region,
+                                                           candidates allowed, bool is_leaving,
+                                                           time_point now) const
+{
+    const bool excludes_replaced = allowed == candidates::not_replaced && has_replaced_any();
+    std::vector<aggregator_candidate> hosts;
+    if (region == m_own.region && !is_leaving) {
+        hosts.push_back({m_own.ip, m_own.failure_domain});
+    }
+    for (const auto& [ip, host] : members.all()) {
+        if (host.last.region == region && !host.last.is_leaving && members.is_live(host, now) &&
+            !(excludes_replaced && has_replaced(ip))) {
+            hosts.push_back({ip, host.last.failure_domain});
+        }
+    }
+    return choose_aggregators(hosts, m_options.max_aggregators);
+}
+
+/// Returns the aggregator whose digests this host wants with every heartbeat: one of its own
+/// failure domain if there is one. Empty if there is no other aggregator.
+std::string heartbeat_schedule::primary_of(const member_table& members) const
+{
+    std::string primary;
+    for (const std::string& ip : m_aggregators) {
+        const member* const host = members.find(ip);
+        if (host == nullptr) {
+            continue; // this host
+        }
+        if (host->last.failure_domain == m_own.failure_domain) {
+            return ip;
+        }
+        if (primary.empty()) {
+            primary = ip;
+        }
+    }
+    return primary;
+}
+
+void heartbeat_schedule::expect_digests(const std::string& ip, digest_subscription wanted,
+                                        time_point now)
+{
+    contact& expected = m_contacts.try_emplace(ip, contact{now, {}, {}}).first->second;
+    if (expected.wanted != wanted) {
+        expected.since = now;
+        expected.wanted = wanted;
+    }
+}
+
+void heartbeat_schedule::add_own_aggregators(recipients& chosen, const member_table& members,
+                                             bool is_leaving, time_point now)
+{
+    m_aggregators = choose_region(members, m_own.region, candidates::not_replaced, is_leaving, now);
+    m_is_aggregator = contains(m_aggregators, m_own.ip);
+    const std::string primary = primary_of(members);
+    for (const std::string& ip : m_aggregators) {
+        if (ip == m_own.ip) {
+            continue;
+        }
+        // an aggregator collects the state itself
+        const auto wanted = ip == primary && !m_is_aggregator ? digest_subscription::primary
+                                                              : digest_subscription::standby;
+        expect_digests(ip, wanted, now);
+        chosen[ip] = {ip, heartbeat_content::own_state, wanted, {}};
+    }
+    // a replaced aggregator stays in contact: others may still use it, and then only through it do
+    // the two groups of hosts hear of each other
+    if (!has_replaced_any()) {
+        return;
+    }
+    for (const std::string& ip :
+         choose_region(members, m_own.region, candidates::all, is_leaving, now)) {
+        if (ip != m_own.ip && !chosen.contains(ip)) {
+            expect_digests(ip, digest_subscription::standby, now);
+            chosen[ip] = {ip, heartbeat_content::own_state, digest_subscription::standby, {}};
+        }
+    }
+}
+
+/// Adds the next hosts, by ip, that are known but not live.
+void heartbeat_schedule::add_lost_hosts(recipients& chosen, const member_table& members,
+                                        time_point now)
+{
+    const auto& all = members.all();
+    auto it = all.upper_bound(m_last_lost_host);
+    std::size_t left = m_options.lost_hosts_per_heartbeat;
+    for (std::size_t examined = 0; examined < all.size() && left > 0; ++examined) {
+        it = it == all.end() ? all.begin() : it;
+        const auto& [ip, host] = *it++;
+        if (!members.is_live(host, now)) {
+            chosen.try_emplace(ip, heartbeat_recipient{ip, {}, digest_subscription::primary, {}});
+            m_last_lost_host = ip;
+            --left;
+        }
+    }
+}
+
+/// Adds the hosts whose digests this host wants no longer, so that they don't miss its heartbeats.
+void heartbeat_schedule::add_former(recipients& chosen)
+{
+    std::vector<std::string> wanted;
+    for (const auto& [ip, recipient] : chosen) {
+        if (recipient.wanted != digest_subscription::none) {
+            wanted.push_back(ip);
+        }
+    }
+    for (const std::string& ip : std::exchange(m_wanted, std::move(wanted))) {
+        chosen.try_emplace(ip, heartbeat_recipient{ip, {}, {}, {}});
+    }
+}
+
+void heartbeat_schedule::add_other_aggregators(recipients& chosen, const member_table& members,
+                                               time_point now)
+{
+    for (const auto& [region, state] : members.regions()) {
+        if (region == m_own.region) {
+            continue;
+        }
+        for (const candidates allowed : {candidates::not_replaced, candidates::all}) {
+            for (const std::string& ip : choose_region(members, region, allowed, false, now)) {
+                expect_digests(ip, digest_subscription::standby, now);
+                chosen[ip] = {ip, heartbeat_content::summary, digest_subscription::primary, region};
+            }
+        }
+    }
+}
+
+void heartbeat_schedule::add_subscribers(recipients& chosen, std::uint64_t sequence,
+                                         time_point now) const
+{
+    for (const auto& [ip, held] : m_subscribers) {
+        const bool is_standby =
+            held.region == m_own.region && held.wanted == digest_subscription::standby;
+        if (now - held.last_heard >= m_options.subscription_timeout ||
+            (is_standby && sequence % m_options.standby_interval != 0)) {
+            continue;
+        }
+        heartbeat_recipient& recipient =
+            chosen.try_emplace(ip, heartbeat_recipient{ip, {}, {}, {}}).first->second;
+        if (held.region != m_own.region) {
+            recipient.content = heartbeat_content::summary;
+            recipient.region = held.region;
+        }
+        else {
+            recipient.content =
+                is_standby ? heartbeat_content::standby_digest : heartbeat_content::digest;
+        }
+    }
+}
+
+void heartbeat_schedule::add_seeds(recipients& chosen, const member_table& members,
+                                   std::uint64_t sequence, time_point now) const
+{
+    if (sequence > m_options.initial_seed_heartbeats && sequence % m_options.seed_interval != 0) {
+        return;
+    }
+    for (const std::string& ip : members.seeds()) {
+        const member* const host = members.find(ip);
+        if (host == nullptr || !members.is_live(*host, now)) {
+            chosen.try_emplace(ip, heartbeat_recipient{ip, {}, {}, {}}).first->second.wanted =
+                digest_subscription::primary;
+        }
+    }
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -5,6 +5,30 @@
 
 namespace hickorykeel::gateway {
 
+namespace {
+
+/// Whether two heartbeats show the same state, as far as other hosts should learn of a change at
+/// once.
+bool has_same_state(const heartbeat& lhs, const heartbeat& rhs)
+{
+    return lhs.incarnation == rhs.incarnation && lhs.is_ready == rhs.is_ready &&
+           lhs.is_leaving == rhs.is_leaving && lhs.has_configuration == rhs.has_configuration;
+}
+
+/// Takes over the state in a report about a host.
+void update_state(heartbeat& state, const relayed_member& reported)
+{
+    state.ip = reported.ip;
+    state.incarnation = reported.incarnation;
+    state.sequence = reported.sequence;
+    state.is_ready = reported.is_ready;
+    state.is_leaving = reported.is_leaving;
+    state.has_configuration = reported.has_configuration;
+    state.configuration_age = reported.configuration_age;
+}
+
+} // namespace
+
 member_table::member_table(std::string own_ip, const std::vector<std::string>& seed_ips,
                            member_table_options options)
     : m_own_ip{std::move(own_ip)}, m_options{options}
@@ -17,18 +41,10 @@
     for (const std::string& ip : seed_ips) {
         if (ip != m_own_ip && std::find(m_seeds.begin(), m_seeds.end(), ip) == m_seeds.end()) {
             m_seeds.push_back(ip);
-            add_target(ip);
         }
     }
 }
 
-void member_table::add_target(const std::string& ip)
-{
-    if (ip != m_own_ip && std::find(m_targets.begin(), m_targets.end(), ip) == m_targets.end()) {
-        m_targets.push_back(ip);
-    }
-}
-
 bool member_table::is_seed(const std::string& ip) const
 {
     return std::find(m_seeds.begin(), m_seeds.end(), ip) != m_seeds.end();
@@ -36,17 +52,30 @@
 
 bool member_table::is_live(const member& candidate, time_point now) const noexcept
 {
-    if (candidate.region == nullptr) {
-        return false; // no heartbeat received yet
+    if (candidate.region == nullptr || candidate.is_lost) {
+        return false;
     }
+    return (is_heard(candidate, now) &&
+            now - candidate.region->last_seen < region_timeout(candidate)) ||
+           is_reported(candidate, now);
+}
+
+/// Whether other hosts report `candidate` as live.
+bool member_table::is_reported(const member& candidate, time_point now) const noexcept
+{
+    const duration report_timeout = candidate.report_interval * m_options.max_lost_heartbeats;
+    return now - candidate.last_seen < report_timeout &&
+           now - candidate.region->last_seen < m_options.relay_timeout;
+}
+
+duration member_table::region_timeout(const member& candidate) const noexcept
+{
     // with several hosts within their timeout, heartbeats of the region arrive the more often: if
     // none does for that fraction of the host's timeout, the region is partitioned from this host,
     // or lost
-    const duration region_timeout = std::max<duration>(
-        m_options.heartbeat_timeout,
-        host_timeout(candidate) / std::max(1, candidate.region->hosts_within_timeout));
-    return now - candidate.last_seen < host_timeout(candidate) &&
-           now - candidate.region->last_seen < region_timeout;
+    return std::max<duration>(m_options.heartbeat_timeout,
+                              host_timeout(candidate) /
+                                  std::max(1, candidate.region->hosts_within_timeout));
 }
 
 duration member_table::host_timeout(const member& candidate) const noexcept
@@ -55,45 +84,162 @@
                               candidate.last.interval * m_options.max_lost_heartbeats);
 }
 
-void member_table::count_hosts_within_timeout(time_point now)
+/// Collects the hosts of each region anew.
+void member_table::update_regions(time_point now)
 {
     for (auto& [name, region] : m_regions) {
         region.hosts_within_timeout = 0;
+        region.hosts.clear();
     }
     for (const auto& [ip, held] : m_members) {
-        if (now - held.last_seen < host_timeout(held)) {
-            ++m_regions[held.last.region].hosts_within_timeout;
-        }
+        held.region->hosts.push_back(&held);
+        held.region->hosts_within_timeout += is_heard(held, now) ? 1 : 0;
+    }
+}
+
+/// Adds `held` to the hosts of the region that its state names, unless it is among them.
+void member_table::assign_region(member& held)
+{
+    region_members& region = m_regions[held.last.region];
+    if (held.region == &region) {
+        return;
+    }
+    if (held.region != nullptr) {
+        std::erase(held.region->hosts, &held);
+    }
+    region.hosts.push_back(&held);
+    held.region = &region;
+}
+
+member* member_table::find_or_add(const std::string& ip)
+{
+    const auto found = m_members.find(ip);
+    if (found != m_members.end()) {
+        return &found->second;
     }
+    return m_members.size() < m_options.max_hosts ? &m_members[ip] : nullptr;
 }
 
-bool member_table::on_heartbeat(heartbeat received, time_point now)
+/// Records that `held` was seen at `seen_at`, after its other fields were updated.
+member_change member_table::record(member& held, time_point seen_at, bool was_live,
+                                   bool has_changed)
+{
+    assign_region(held);
+    held.region->last_seen = std::max(held.region->last_seen, seen_at);
+    held.region->hosts_within_timeout += was_live ? 0 : 1;
+    held.last_seen = std::max(held.last_seen, seen_at);
+    held.is_lost = false;
+    m_was_live[held.last.ip] = true;
+    if (!was_live) {
+        return member_change::became_live;
+    }
+    return has_changed ? member_change::changed : member_change::updated;
+}
+
+member_change member_table::on_heartbeat(heartbeat received, time_point now)
 {
     if (received.ip == m_own_ip) {
-        return false;
+        return member_change::none;
+    }
+    member* const held = find_or_add(received.ip);
+    if (held == nullptr) {
+        return member_change::none;
+    }
+    const bool is_same_process = received.incarnation == held->last.incarnation;
+    if (is_same_process &&
+        (received.sequence <= held->heard_sequence || received.sequence < held->last.sequence)) {
+        return member_change::none;
+    }
+    const bool was_live = is_live(*held, now);
+    const bool has_changed = !has_same_state(held->last, received);
+    held->last = std::move(received);
+    held->heard_at = now;
+    held->heard_sequence = held->last.sequence;
+    return record(*held, now, was_live, has_changed);
+}
+
+member_change member_table::on_report(const relayed_member& reported, const std::string& region,
+                                      const std::string& failure_domain, duration interval,
+                                      time_point now)
+{
+    if (reported.ip == m_own_ip) {
+        return member_change::none;
+    }
+    if (reported.is_lost) {
+        return on_lost(reported, now);
     }
-    add_target(received.ip);
-    for (const std::string& ip : received.known_ips) {
-        add_target(ip);
+    const time_point seen_at = now - reported.age;
+    if (seen_at <= time_point{}) {
+        return member_change::none; // before the clock's start
     }
-    member& held = m_members[received.ip];
-    if (received.incarnation == held.last.incarnation && received.sequence <= held.last.sequence) {
+    member* const held = find_or_add(reported.ip);
+    if (held == nullptr) {
+        return member_change::none;
+    }
+    const bool is_same_process = reported.incarnation == held->last.incarnation;
+    held->report_interval = interval;
+    if (is_same_process ? reported.sequence <= held->last.sequence : seen_at <= held->last_seen) {
+        return member_change::none;
+    }
+    const bool was_live = is_live(*held, now);
+    if (!is_same_process) {
+        held->last = {};
+        held->last.host = reported.ip; // its name is known from its own heartbeats only
+        held->heard_sequence = 0;
+        held->heard_at = {};
+    }
+    const bool has_changed = !is_same_process || held->last.is_ready != reported.is_ready ||
+                             held->last.is_leaving != reported.is_leaving ||
+                             held->last.has_configuration != reported.has_configuration;
+    update_state(held->last, reported);
+    held->last.region = region;
+    held->last.failure_domain = failure_domain;
+    return record(*held, seen_at, was_live, has_changed);
+}
+
+/// Handles a report that a host's heartbeats have stopped.
+member_change member_table::on_lost(const relayed_member& reported, time_point now)
+{
+    const auto found = m_members.find(reported.ip);
+    if (found == m_members.end() || found->second.last.incarnation != reported.incarnation ||
+        found->second.is_lost) {
+        return member_change::none;
+    }
+    member& held = found->second;
+    if (is_heard(held, now) || held.last.sequence > reported.sequence) {
+        return member_change::refuted;
+    }
+    held.is_lost = true;
+    return member_change::changed;
+}
+
+bool member_table::on_silence(const std::string& ip, time_point now)
+{
+    const auto found = m_members.find(ip);
+    if (found == m_members.end()) {
         return false;
     }
-    const bool was_not_live = !is_live(held, now) || held.last_seen == time_point{};
-    region_members& region = m_regions[received.region];
-    region.last_seen = now;
-    region.hosts_within_timeout += was_not_live ? 1 : 0;
-    held.region = &region;
-    held.last = std::move(received);
-    held.last_seen = now;
-    m_was_live[held.last.ip] = true;
-    return was_not_live;
+    member& held = found->second;
+    if (held.is_lost || is_heard(held, now) || held.last.sequence > held.heard_sequence) {
+        return false;
+    }
+    held.is_lost = true;
+    return true;
+}
+
+void member_table::on_services(const std::string& region, service_loads services,
+                               time_point reported_at)
+{
+    region_members& known = m_regions[region];
+    if (reported_at > known.services_seen) {
+        known.services = std::move(services);
+        known.services_seen = reported_at;
+    }
 }
 
 std::vector<std::string> member_table::expire(time_point now)
 {
-    count_hosts_within_timeout(now);
+    update_regions(now);
     std::vector<std::string> lost_hosts;
     for (auto it = m_members.begin(); it != m_members.end();) {
         const auto& [ip, held] = *it;
@@ -105,9 +251,7 @@
             ++it;
             continue;
         }
-        if (!is_seed(ip)) {
-            std::erase(m_targets, ip);
-        }
+        std::erase(held.region->hosts, &held);
         m_was_live.erase(ip);
         it = m_members.erase(it);
     }
@@ -127,10 +271,12 @@
 
 std::vector<const member*> member_table::ready(time_point now) const
 {
-    std::vector<const member*> found = live(now);
-    std::erase_if(found, [](const member* candidate) {
-        return !candidate->last.is_ready || candidate->last.is_leaving;
-    });
+    std::vector<const member*> found;
+    for (const auto& [ip, held] : m_members) {
+        if (is_ready(held, now)) {
+            found.push_back(&held);
+        }
+    }
     return found;
 }
 
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -1,69 +1,47 @@
 #pragma once
 
+#include "gateway/membership/heartbeat.h"
 #include "process/clock.h"
 
-#include <chrono>        // milliseconds, seconds
-#include <cstdint>       // uint32_t, uint64_t
-#include <map>           // map
-#include <string>        // string
-#include <unordered_map> // unordered_map
-#include <vector>        // vector
+#include <chrono>  // milliseconds, seconds
+#include <cstddef> // size_t
+#include <cstdint> // uint64_t, uint8_t
+#include <map>     // map
+#include <string>  // string
+#include <vector>  // vector
 
 namespace hickorykeel::gateway {
 
-/// Capacity of a region for requests to one service.
-struct service_load {
-    duration expected_wait{0}; ///< expected time to first byte of a typical request
-    std::uint32_t free_places = 0;
-};
-
-/// Load that one host, or a group of hosts, has placed on an endpoint.
-struct endpoint_load {
-    std::uint32_t active = 0;
-    std::uint32_t waiting_tokens = 0; ///< prompt tokens sent that the engine has yet to process
-};
-
-/// A shared prompt prefix that was sent to an endpoint, which caches it.
-struct sent_prefix {
-    std::uint64_t prefix = 0;   ///< id of the prompt's longest prefix that other requests may share
-    std::uint32_t endpoint = 0; ///< hash of the endpoint's id
-};
-
-/// Heartbeat of a host.
-struct heartbeat {
-    std::string host;
-    std::string ip;
-    std::string failure_domain;
-    std::string region;
-    std::uint64_t incarnation = 0;
-    std::uint64_t sequence = 0;
-    bool is_ready = false;
-    bool is_leaving = false;
-    bool has_configuration = false;
-    std::uint64_t configuration_version = 0;
-    duration configuration_age{0}; ///< since it was confirmed up to date
-    duration interval{0};          ///< maximum time until the next heartbeat to this receiver
-    std::map<std::string, service_load> services;
-    std::unordered_map<std::uint32_t, endpoint_load> endpoints; ///< by hash of the endpoint's id
-    std::map<std::string, double> used; ///< units since the start, by organisation
-    std::vector<sent_prefix> prompts;   ///< sent since the previous heartbeat
-    /// Hashes of endpoints that reported being warm within their cold time.
-    std::vector<std::uint32_t> warm_endpoints;
-    std::vector<std::string> known_ips;
-};
+struct member;
 
 /// Aggregate state of the hosts of one region.
 struct region_members {
     /// Hosts within their timeout as of the last `expire()`, and those that became live since.
     int hosts_within_timeout = 0;
-    time_point last_seen{}; ///< receipt of the last heartbeat from any of them
+    time_point last_seen{}; ///< receipt of the last heartbeat from any of them, here or elsewhere
+    service_loads services; ///< capacity, as last reported by one of them
+    time_point services_seen{};
+    std::vector<const member*> hosts; ///< all in the table, live or not
 };
 
-/// A host from which a heartbeat was received.
+/// A host that sends heartbeats, to this host or to others that report its state.
 struct member {
-    heartbeat last;
-    time_point last_seen{};
-    const region_members* region = nullptr;
+    heartbeat last; ///< the last one received here; its state fields are kept up to date by reports
+    time_point last_seen{};           ///< receipt of its last heartbeat, here or elsewhere
+    time_point heard_at{};            ///< receipt of its last heartbeat here
+    std::uint64_t heard_sequence = 0; ///< of its last heartbeat here
+    duration report_interval{0};      ///< between reports of other hosts about it; 0: none yet
+    bool is_lost = false;             ///< its heartbeats have stopped, here or at another host
+    region_members* region = nullptr;
+};
+
+/// Effect of a heartbeat or report on the table.
+enum class member_change : std::uint8_t {
+    none,
+    updated,     ///< newer, with the same state
+    changed,     ///< its state changed, as other hosts should learn at once
+    became_live, ///< the host was unknown or not live
+    refuted,     ///< the report is out of date: a later heartbeat is known
 };
 
 struct member_table_options {
@@ -75,6 +53,10 @@
     /// Number of the host's heartbeat intervals that must pass without a heartbeat before it is not
     /// live.
     int max_lost_heartbeats = 3;
+    /// Time without a heartbeat of any host of a region, here or elsewhere, after which the hosts of
+    /// the region known from reports are not live.
+    duration relay_timeout = std::chrono::milliseconds{2'600};
+    std::size_t max_hosts = 4'096; ///< further hosts are ignored
     /// Time without a heartbeat after which a host is removed from the table.
     duration retention = std::chrono::seconds{60};
 };
@@ -90,11 +72,23 @@
     /// @name modifiers
     /// @{
 
-    /// Records a heartbeat and the hosts that it names. A heartbeat of this host is ignored; of one
-    /// that is no newer than the last of the same incarnation only the sender's address and the
-    /// named hosts are recorded.
-    /// @return whether the sender was unknown or not live before
-    bool on_heartbeat(heartbeat received, time_point now);
+    /// Records a heartbeat. A heartbeat of this host is ignored, and one that is no newer than the
+    /// last of the same incarnation.
+    member_change on_heartbeat(heartbeat received, time_point now);
+
+    /// Records the state of a host as reported by another one. Ignored if it is about this host, or
+    /// no newer than what is known. A host that is unknown isn't added if it is reported as lost.
+    /// @param interval maximum time until the next report
+    member_change on_report(const relayed_member& reported, const std::string& region,
+                            const std::string& failure_domain, duration interval, time_point now);
+
+    /// Records that the heartbeats of the host at `ip` to this host have stopped unexpectedly. Unless
+    /// a later heartbeat is known from a report, the host is not live until one is.
+    /// @return whether the host was recorded as lost
+    bool on_silence(const std::string& ip, time_point now);
+
+    /// Records the capacity of a region, reported at `reported_at`, unless a newer one is known.
+    void on_services(const std::string& region, service_loads services, time_point reported_at);
 
     /// Adds hosts named in the settings; those already known as seeds are left as they are.
     void add_seeds(const std::vector<std::string>& seed_ips);
@@ -116,9 +110,33 @@
     /// The host with address `ip`, live or not; null if no heartbeat of it is in the table.
     [[nodiscard]] const member* find(const std::string& ip) const;
 
-    /// IP addresses to send heartbeats to: the seeds, the senders of heartbeats and the hosts named
-    /// in them, without those that `expire()` removed.
-    [[nodiscard]] const std::vector<std::string>& targets() const noexcept { return m_targets; }
+    /// All hosts in the table, live or not, by ip.
+    [[nodiscard]] const std::map<std::string, member>& all() const noexcept { return m_members; }
+
+    [[nodiscard]] const std::vector<std::string>& seeds() const noexcept { return m_seeds; }
+
+    /// State of the regions of which a host is or was known, by name.
+    [[nodiscard]] const std::map<std::string, region_members>& regions() const noexcept
+    {
+        return m_regions;
+    }
+
+    /// Whether `candidate`, which is in the table, is live.
+    [[nodiscard]] bool is_live(const member& candidate, time_point now) const noexcept;
+
+    /// Whether `candidate`, which is in the table, is live, ready and not leaving.
+    [[nodiscard]] bool is_ready(const member& candidate, time_point now) const noexcept
+    {
+        return candidate.last.is_ready && !candidate.last.is_leaving && is_live(candidate, now);
+    }
+
+    /// Whether a heartbeat of `candidate`, which is in the table, was received here within its
+    /// timeout.
+    [[nodiscard]] bool is_heard(const member& candidate, time_point now) const noexcept
+    {
+        return candidate.heard_at != time_point{} &&
+               now - candidate.heard_at < host_timeout(candidate);
+    }
 
     /// Whether the settings name the host.
     [[nodiscard]] bool is_seed(const std::string& ip) const;
@@ -132,16 +150,20 @@
     /// @}
 
 private:
-    void add_target(const std::string& ip);
-    [[nodiscard]] bool is_live(const member& candidate, time_point now) const noexcept;
-    /// Time without a heartbeat after which a host is not live even if others of its region are.
+    [[nodiscard]] member* find_or_add(const std::string& ip);
+    member_change on_lost(const relayed_member& reported, time_point now);
+    member_change record(member& held, time_point seen_at, bool was_live, bool has_changed);
+    [[nodiscard]] bool is_reported(const member& candidate, time_point now) const noexcept;
+    /// Time without a heartbeat here after which a host is not live even if others of its region are.
     [[nodiscard]] duration host_timeout(const member& candidate) const noexcept;
-    void count_hosts_within_timeout(time_point now);
+    /// Time without a heartbeat of the region after which none of its hosts is live.
+    [[nodiscard]] duration region_timeout(const member& candidate) const noexcept;
+    void update_regions(time_point now);
+    void assign_region(member& held);
 
     std::string m_own_ip;
     member_table_options m_options;
     std::vector<std::string> m_seeds;
-    std::vector<std::string> m_targets;
     std::map<std::string, region_members> m_regions; // by name
     std::map<std::string, member> m_members;         // by ip
     std::map<std::string, bool> m_was_live;          // by ip
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -285,7 +285,7 @@
                                          others, m_route->objective, m_context.options.regions);
     if (elsewhere) {
         const region_option& chosen = others[*elsewhere];
-        if (const member* host = pick_host(m_context, m_service, chosen.region, now)) {
+        if (const member* host = pick_host(m_context, chosen.region, now)) {
             send_to_host(*host, chosen.expected_wait);
             return true;
         }
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -1,9 +1,8 @@
 #include "gateway/serving/gateway.h"
 
 #include "gateway/limits/cold_allowance.h"
+#include "gateway/limits/cold_owner.h"
 #include "gateway/membership/directory_choice.h"
-#include "gateway/membership/gossip_codec.h"
-#include "gateway/routing/rendezvous.h"
 #include "process/build_info.h"
 
 #include <algorithm> // max, min
@@ -16,12 +15,6 @@
 
 namespace {
 
-/// Number of heartbeats that list all known hosts, after the start and after the first heartbeat of
-/// a new host.
-constexpr std::uint64_t initial_host_list_heartbeats = 5;
-
-/// Interval, in heartbeats, at which the list is repeated.
-constexpr std::uint64_t host_list_heartbeat_interval = 10;
 constexpr duration placement_interval = std::chrono::milliseconds{20};
 constexpr duration stop_check_interval = std::chrono::milliseconds{100};
 
@@ -85,21 +78,26 @@
             m_settings.host,
             {.request_lines_per_s = static_cast<std::uint64_t>(m_settings.request_log_rate)}},
       m_random{random_seed()}, m_state{{.key_lease = m_settings.key_withdrawal - key_lease_margin}},
-      m_members{m_settings.ip, to_ips(m_settings.seeds), {}}, m_schedule{m_settings.region, {}},
+      m_fleet{{m_settings.host, m_settings.ip, m_settings.failure_domain, m_settings.region,
+               random_seed()},
+              to_ips(m_settings.seeds),
+              {}},
       m_usage{boot_clock::now()}, m_pool{{},
                                          [this](const std::string& endpoint, double rate) {
                                              return cold_rate_for(endpoint, rate);
                                          }},
       m_client{m_loop}, m_source{m_parts.make_source(m_loop, m_client, m_settings)},
-      m_follower{
-          {m_loop, *m_source, m_state, m_members, m_client, m_log, m_metrics},
-          {.relay_port = m_settings.peers_port(), .ip = m_settings.ip, .region = m_settings.region},
-          [this] { on_published(); }},
+      m_follower{{m_loop, *m_source, m_state, m_fleet.members(), m_client, m_log, m_metrics},
+                 {.relay_port = m_settings.peers_port(),
+                  .ip = m_settings.ip,
+                  .failure_domain = m_settings.failure_domain,
+                  .region = m_settings.region},
+                 [this] { on_published(); }},
       m_context{.loop = m_loop,
                 .settings = m_settings,
                 .adapter = m_parts.adapter,
                 .state = m_state,
-                .members = m_members,
+                .members = m_fleet.members(),
                 .usage = m_usage,
                 .pool = m_pool,
                 .client = m_client,
@@ -130,8 +128,7 @@
       m_metrics_server{m_loop, [this](const auto& request) { serve_metrics(request); }},
       m_gossip{m_loop, [this](std::string_view datagram) { on_datagram(datagram); }},
       m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}, m_heartbeat_timer{m_loop},
-      m_placement_timer{m_loop}, m_stop_timer{m_loop}, m_incarnation{random_seed()},
-      m_host_list_until{initial_host_list_heartbeats}, m_started{boot_clock::now()}
+      m_placement_timer{m_loop}, m_stop_timer{m_loop}, m_started{boot_clock::now()}
 {
 }
 
@@ -243,7 +240,7 @@
         candidates.push_back(
             {m_settings.callers_address, m_settings.failure_domain, m_settings.region});
     }
-    for (const member* host : m_members.ready(boot_clock::now())) {
+    for (const member* host : m_fleet.members().ready(boot_clock::now())) {
         candidates.push_back({host->last.ip + port, host->last.failure_domain, host->last.region});
     }
     directory_caller caller{query.failure_domain, query.region, {}};
@@ -258,7 +255,7 @@
     const time_point now = boot_clock::now();
     m_metrics.set_gauge("configuration_age_s", to_seconds(m_state.age(now)));
     m_metrics.set_gauge("endpoints", static_cast<double>(m_pool.size()));
-    m_metrics.set_gauge("live_hosts", static_cast<double>(m_members.live_count(now)));
+    m_metrics.set_gauge("live_hosts", static_cast<double>(m_fleet.members().live_count(now)));
     m_metrics.set_gauge("waiting_requests", static_cast<double>(m_waiting.size()));
     m_metrics.set_gauge("active_requests", static_cast<double>(m_callers.active()));
     m_metrics.set_gauge("connections_opened", static_cast<double>(m_client.connections_opened()));
@@ -269,79 +266,70 @@
 
 // membership
 
-heartbeat gateway::own_heartbeat(time_point now) const
+heartbeat gateway::own_state(time_point now)
 {
-    heartbeat sent;
-    sent.host = m_settings.host;
-    sent.ip = m_settings.ip;
-    sent.failure_domain = m_settings.failure_domain;
-    sent.region = m_settings.region;
-    sent.incarnation = m_incarnation;
-    sent.sequence = m_sequence;
-    sent.is_ready = is_ready();
-    sent.is_leaving = m_is_stopping;
+    heartbeat state;
+    state.is_ready = is_ready();
+    state.is_leaving = m_is_stopping;
     if (const publication_ptr& published = m_state.published()) {
-        sent.has_configuration = true;
-        sent.configuration_version = published->version;
-        sent.configuration_age = m_state.age(now);
+        state.has_configuration = true;
+        state.configuration_version = published->version;
+        state.configuration_age = m_state.age(now);
         for (const auto& [name, of] : published->services()) {
-            sent.services[name] = m_pool.free_capacity(of, now);
+            state.services[name] = m_pool.free_capacity(of, now);
         }
     }
-    sent.endpoints = m_pool.own_loads();
-    sent.warm_endpoints = m_pool.own_warm_endpoints(now);
-    sent.used = m_usage.used();
-    if (m_sequence <= m_host_list_until || m_sequence % host_list_heartbeat_interval == 0) {
-        sent.known_ips = m_members.targets();
-    }
-    return sent;
+    state.endpoints = m_pool.own_loads();
+    state.warm_endpoints = m_pool.own_warm_endpoints(now);
+    state.used = m_usage.used();
+    state.prompts = m_pool.take_sent_prefixes();
+    return state;
 }
 
 void gateway::send_heartbeats()
 {
-    ++m_sequence;
-    const bool has_just_started = m_sequence <= initial_host_list_heartbeats;
-    const heartbeat_schedule::recipients recipients =
-        m_schedule.choose(m_members, has_just_started || m_is_stopping);
-    heartbeat sent = own_heartbeat(boot_clock::now());
-    sent.prompts = m_pool.take_sent_prefixes();
-    sent.interval = m_schedule.heartbeat_interval();
-    const std::string for_region = encode(sent, heartbeat_scope::own_region);
-    for (const std::string& ip : recipients.own_region) {
-        m_gossip.send(ip, for_region);
+    const time_point now = boot_clock::now();
+    for (const outgoing_heartbeat& sent : m_fleet.send(own_state(now), now)) {
+        m_gossip.send(sent.ip, sent.datagram);
     }
-    sent.interval = recipients.interval;
-    const std::string for_fleet = encode(sent, heartbeat_scope::fleet);
-    for (const std::string& ip : recipients.other_regions) {
-        m_gossip.send(ip, for_fleet);
+    log_aggregators();
+}
+
+void gateway::log_aggregators()
+{
+    const std::vector<std::string>& aggregators = m_fleet.schedule().aggregators();
+    if (aggregators == m_aggregators) {
+        return;
     }
+    m_aggregators = aggregators;
+    log_line line{"aggregators"};
+    for (const std::string& ip : aggregators) {
+        line.add("peer", ip);
+    }
+    m_log.write(line);
 }
 
 void gateway::on_datagram(std::string_view datagram)
 {
-    auto received = decode_heartbeat(datagram);
-    if (!received) {
+    const time_point now = boot_clock::now();
+    const received_news news = m_fleet.on_datagram(datagram, now);
+    if (!news.is_readable) {
         m_metrics.count("heartbeat_unreadable");
         return;
     }
-    const std::string region = received->region;
-    const std::string host = received->host;
-    m_usage.on_report(received->ip, received->incarnation, received->used);
-    if (region == m_settings.region) {
-        for (const sent_prefix& prefix : received->prompts) {
-            m_pool.on_peer_prefix(prefix, boot_clock::now());
-        }
-        for (const std::uint32_t hash : received->warm_endpoints) {
-            m_pool.on_peer_warm(hash);
-        }
+    for (const usage_report& report : news.usage) {
+        m_usage.on_report(report);
+    }
+    for (const sent_prefix& prefix : news.prompts) {
+        m_pool.on_peer_prefix(prefix, now);
+    }
+    for (const std::uint32_t hash : news.warm_endpoints) {
+        m_pool.on_peer_warm(hash);
     }
-    const std::string ip = received->ip;
-    if (m_members.on_heartbeat(std::move(*received), boot_clock::now())) {
-        m_schedule.add_new_host(ip);
-        m_host_list_until = m_sequence + initial_host_list_heartbeats;
-        m_log.write(log_line{"host_heard"}.add("peer", host).add("region", region));
+    if (!news.new_host.empty()) {
+        m_log.write(log_line{"host_heard"}.add("peer", news.new_host).add("region", news.region));
     }
-    if (region != m_settings.region) {
+    for (const std::string& region : news.regions) {
         std::erase_if(m_context.forwarded_requests,
                       [&region](const auto& item) { return item.first.starts_with(region + '/'); });
     }
@@ -349,38 +337,24 @@
 
 void gateway::update_members(time_point now)
 {
-    for (const std::string& host : m_members.expire(now)) {
+    for (const std::string& host : m_fleet.expire(now)) {
         m_log.write(log_line{"host_silent"}
                         .add("peer", host)
-                        .add_ms("after_ms", m_members.options().heartbeat_timeout));
+                        .add_ms("after_ms", m_fleet.members().options().heartbeat_timeout));
     }
-    std::unordered_map<std::uint32_t, endpoint_load> loads;
-    for (const member* host : m_members.live(now)) {
-        if (host->last.region != m_settings.region) {
-            continue;
-        }
-        for (const auto& [hash, load] : host->last.endpoints) {
-            loads[hash].active += load.active;
-            loads[hash].waiting_tokens += load.waiting_tokens;
-        }
-    }
-    m_pool.set_peer_loads(loads);
-    m_usage.set_share(static_cast<double>(m_members.live_count(now)) /
-                      static_cast<double>(m_members.known_count()));
+    m_pool.set_peer_loads(m_fleet.peer_loads(now));
+    const member_table& members = m_fleet.members();
+    m_usage.set_share(static_cast<double>(members.live_count(now)) /
+                      static_cast<double>(members.known_count()));
 }
 
 double gateway::cold_rate_for(const std::string& endpoint, double rate) const
 {
     const time_point now = boot_clock::now();
-    const std::uint64_t key = short_hash(endpoint);
-    const std::uint64_t own = rendezvous_weight(key, m_settings.ip);
-    const auto hosts = m_members.live(now);
     cold_ownership ownership;
-    ownership.is_owner = std::none_of(hosts.begin(), hosts.end(), [&](const member* host) {
-        return host->last.region == m_settings.region && !host->last.is_leaving &&
-               rendezvous_weight(key, host->last.ip) > own;
-    });
-    ownership.all_hosts_live = m_members.live_count(now) >= m_members.known_count();
+    ownership.is_owner =
+        is_cold_owner(m_fleet.members(), {m_settings.ip, m_settings.region}, endpoint, now);
+    ownership.all_hosts_live = m_fleet.members().live_count(now) >= m_fleet.members().known_count();
     ownership.uptime = now - m_started;
     return cold_allowance(ownership, rate);
 }
@@ -435,7 +409,7 @@
     update_members(boot_clock::now());
     send_heartbeats();
     place_waiting();
-    m_heartbeat_timer.expires_after(m_schedule.heartbeat_interval());
+    m_heartbeat_timer.expires_after(m_fleet.schedule().options().heartbeat_interval);
     m_heartbeat_timer.async_wait([this](const asio::error_code& failure) {
         if (!failure) {
             run_heartbeat();
@@ -489,7 +463,7 @@
     }
     const auto& settings = std::get<gateway_settings>(loaded);
     m_settings.seeds = settings.seeds;
-    m_members.add_seeds(to_ips(settings.seeds));
+    m_fleet.members().add_seeds(to_ips(settings.seeds));
     m_log.write(log_line{"reload"}.add("seeds", static_cast<std::int64_t>(settings.seeds.size())));
 }
 
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -3,18 +3,18 @@
 #include "gateway/configuration/configuration_follower.h"
 #include "gateway/configuration/publication_source.h"
 #include "gateway/http/http_server.h"
+#include "gateway/membership/fleet_membership.h"
 #include "gateway/membership/gossip_socket.h"
-#include "gateway/membership/heartbeat_schedule.h"
 #include "gateway/serving/health_prober.h"
 #include "gateway/serving/protocol_adapter.h"
 #include "gateway/serving/serving_context.h"
 #include "gateway/serving/waiting_queue.h"
 #include "process/error.h"
 
-#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // unique_ptr
 #include <string>     // string
+#include <vector>     // vector
 
 #include <asio/io_context.hpp>   // io_context
 #include <asio/signal_set.hpp>   // signal_set
@@ -63,7 +63,8 @@
 
     // membership
     void send_heartbeats();
-    [[nodiscard]] heartbeat own_heartbeat(time_point now) const;
+    void log_aggregators();
+    [[nodiscard]] heartbeat own_state(time_point now);
     void on_datagram(std::string_view datagram);
     void update_members(time_point now);
     [[nodiscard]] double cold_rate_for(const std::string& endpoint, double rate) const;
@@ -87,8 +88,7 @@
     gateway_metrics m_metrics;
     random_source m_random;
     published_state m_state;
-    member_table m_members;
-    heartbeat_schedule m_schedule;
+    fleet_membership m_fleet;
     rate_limiter m_usage;
     endpoint_pool m_pool;
     http_client m_client;
@@ -107,11 +107,8 @@
     asio::steady_timer m_heartbeat_timer;
     asio::steady_timer m_placement_timer;
     asio::steady_timer m_stop_timer;
-    std::uint64_t m_incarnation;
-    std::uint64_t m_sequence = 0;
-    /// Sequence number of the last heartbeat that must list all known hosts.
-    std::uint64_t m_host_list_until;
     time_point m_started;
+    std::vector<std::string> m_aggregators; ///< of this region, as last logged
     bool m_is_placement_scheduled = false;
     bool m_is_stopping = false;
     time_point m_shutdown_started{};
--- a/src/gateway/serving/region_options.cpp
+++ b/src/gateway/serving/region_options.cpp
@@ -1,18 +1,18 @@
 #include "gateway/serving/region_options.h"
 
-#include <algorithm> // find, find_if, min
+#include <algorithm> // any_of, find, min
 #include <map>       // map
 
 namespace hickorykeel::gateway {
 
 namespace {
 
-bool is_usable(const serving_context& context, const member& host, const std::string& service,
-               time_point now)
+/// Whether requests may be forwarded to `host`.
+bool is_usable(const serving_context& context, const member& host, time_point now)
 {
     const auto backoff = context.unreachable_until.find(host.last.ip);
     const bool is_in_backoff = backoff != context.unreachable_until.end() && now < backoff->second;
-    return host.last.has_configuration && host.last.services.contains(service) && !is_in_backoff;
+    return context.members.is_ready(host, now) && host.last.has_configuration && !is_in_backoff;
 }
 
 /// Returns the region for requests that share the prompt's prefix, or an empty string if the
@@ -52,18 +52,17 @@
                                                const region_query& query, time_point now)
 {
     std::vector<region_option> options;
-    for (const member* host : context.members.ready(now)) {
-        const std::string& region = host->last.region;
-        if (region == context.settings.region || !is_usable(context, *host, query.service, now) ||
+    for (const auto& [region, known] : context.members.regions()) {
+        const auto load = known.services.find(query.service);
+        if (region == context.settings.region || load == known.services.end() ||
             !allows_region(*query.matched_route, query.caller_organisation, region)) {
             continue;
         }
-        const service_load& load = host->last.services.at(query.service);
-        const auto at = std::find_if(options.begin(), options.end(),
-                                     [&](const auto& option) { return option.region == region; });
-        region_option& option = at == options.end() ? options.emplace_back() : *at;
-        if (option.region.empty() || load.expected_wait < option.expected_wait) {
-            option = {region, load.expected_wait, load.free_places};
+        const bool has_host =
+            std::any_of(known.hosts.begin(), known.hosts.end(),
+                        [&](const member* host) { return is_usable(context, *host, now); });
+        if (has_host) {
+            options.push_back({region, load->second.expected_wait, load->second.free_places});
         }
     }
     const std::string home = home_region_of(context, query);
@@ -77,14 +76,21 @@
     return options;
 }
 
-const member* pick_host(serving_context& context, const std::string& service,
-                        const std::string& region, time_point now)
+const member* pick_host(serving_context& context, const std::string& region, time_point now)
 {
-    std::vector<const member*> hosts = context.members.ready(now);
-    std::erase_if(hosts, [&](const member* host) {
-        return host->last.region != region || !is_usable(context, *host, service, now);
-    });
-    return hosts.empty() ? nullptr : hosts[random_index(context.random, hosts.size())];
+    const auto known = context.members.regions().find(region);
+    if (known == context.members.regions().end() || known->second.hosts.empty()) {
+        return nullptr;
+    }
+    const std::vector<const member*>& hosts = known->second.hosts;
+    const std::size_t first = random_index(context.random, hosts.size());
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        const member* const host = hosts[(first + i) % hosts.size()];
+        if (is_usable(context, *host, now)) {
+            return host;
+        }
+    }
+    return nullptr;
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/region_options.h
+++ b/src/gateway/serving/region_options.h
@@ -22,13 +22,13 @@
                                  const organisation* caller_organisation,
                                  const std::string& region);
 
-/// Returns the other regions that may serve a request now, each with the load of its host with the
-/// lowest expected wait, less the requests forwarded since the region's last heartbeat. O(hosts).
+/// Returns the other regions that may serve a request now, each with the load that one of its hosts
+/// last reported, less the requests forwarded since. O(hosts).
 [[nodiscard]] std::vector<region_option>
 find_region_options(const serving_context& context, const region_query& query, time_point now);
 
-/// Returns a random host of `region` that serves `service`, or null if there is none.
-[[nodiscard]] const member* pick_host(serving_context& context, const std::string& service,
-                                      const std::string& region, time_point now);
+/// Returns a random host of `region` that may be sent requests, or null if there is none.
+[[nodiscard]] const member* pick_host(serving_context& context, const std::string& region,
+                                      time_point now);
 
 } // namespace hickorykeel::gateway
--- a/tests/gateway/configuration_follower_test.cpp
+++ b/tests/gateway/configuration_follower_test.cpp
@@ -1,7 +1,7 @@
 #include "gateway/configuration/configuration_follower.h"
 
-#include "gateway/configuration/reader_choice.h"
 #include "gateway/http/http_server.h"
+#include "gateway/membership/aggregator_choice.h"
 
 #include <chrono>  // hours, milliseconds, seconds
 #include <memory>  // make_shared, make_unique, shared_ptr, unique_ptr
@@ -54,12 +54,12 @@
     return headers;
 }
 
-/// An ip for which `choose_readers()` prefers `reader_ip` as the only reader.
+/// An ip for which `choose_aggregators()` prefers `reader_ip` as the only reader.
 std::string non_reader_ip()
 {
     for (int i = 1;; ++i) {
         std::string ip = "10.1.0." + std::to_string(i);
-        if (choose_readers({ip, reader_ip}, 1).front() == reader_ip) {
+        if (choose_aggregators({{ip, ""}, {reader_ip, ""}}, 1).front() == reader_ip) {
             return ip;
         }
     }
@@ -82,6 +82,7 @@
                              .max_readers = 1,
                              .relay_port = m_reader.port(),
                              .ip = non_reader_ip(),
+                             .failure_domain = "",
                              .region = "attica"},
             [this] { m_has_changed = true; });
     }
--- /dev/null
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -0,0 +1,471 @@
+#include "gateway/membership/fleet_membership.h"
+
+#include "gateway/limits/cold_allowance.h"
+#include "gateway/limits/cold_owner.h"
+#include "gateway/limits/rate_limiter.h"
+#include "simulated_fleet.h"
+
+#include <algorithm> // max
+#include <chrono>    // milliseconds, seconds
+#include <cstddef>   // size_t
+#include <cstdint>   // uint64_t
+#include <map>       // map
+#include <random>    // mt19937_64, uniform_int_distribution
+#include <set>       // set
+#include <string>    // string, to_string
+#include <utility>   // exchange
+#include <vector>    // vector
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace hickorykeel::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Hosts per failure domain of a large fleet, of 198 hosts.
+constexpr int many = 33;
+
+/// Time within which the platform takes a host as reachable again after a disruption.
+constexpr duration contact_time = 6s;
+
+/// Time after its end for which a host may still be named to callers.
+constexpr duration directory_time = 9s;
+
+/// Traffic of a host for heartbeats, mean of the fleet.
+struct traffic {
+    double bytes_per_s = 0;
+    double bytes_between_regions_per_s = 0;
+};
+
+traffic measure_traffic(simulated_fleet& fleet, duration span)
+{
+    fleet.reset_counters();
+    fleet.run_for(span);
+    traffic mean;
+    for (const simulated_fleet::host& sender : fleet.hosts()) {
+        mean.bytes_per_s += static_cast<double>(sender.sent_bytes);
+        mean.bytes_between_regions_per_s += static_cast<double>(sender.sent_bytes_between_regions);
+    }
+    const double host_seconds = static_cast<double>(fleet.running()) * to_seconds(span);
+    return {mean.bytes_per_s / host_seconds, mean.bytes_between_regions_per_s / host_seconds};
+}
+
+/// Number of hosts of `region` that `observer` believes ready.
+std::size_t ready_in(const simulated_fleet& fleet, const simulated_fleet::host& observer,
+                     const std::string& region)
+{
+    std::size_t count = 0;
+    for (const member* host : observer.membership->members().ready(fleet.now())) {
+        count += host->last.region == region ? 1 : 0;
+    }
+    return count;
+}
+
+bool are_in_other_regions(const simulated_fleet::host& lhs, const simulated_fleet::host& rhs)
+{
+    return lhs.region != rhs.region;
+}
+
+/// Most hosts of a region that take themselves for the owner of one of `endpoints` cold endpoints.
+std::size_t most_owners(simulated_fleet& fleet, int endpoints)
+{
+    std::size_t most = 0;
+    for (int i = 0; i < endpoints; ++i) {
+        std::map<std::string, std::size_t> owners; // by region
+        for (const simulated_fleet::host& host : fleet.hosts()) {
+            if (host.is_running && is_cold_owner(host.membership->members(), {host.ip, host.region},
+                                                 "endpoint-" + std::to_string(i), fleet.now())) {
+                most = std::max(most, ++owners[host.region]);
+            }
+        }
+    }
+    return most;
+}
+
+} // namespace
+
+TEST_CASE("a mass start: every host of a large fleet knows all others within two seconds")
+{
+    simulated_fleet fleet{{.hosts_per_domain = many}};
+    fleet.start_all();
+    fleet.run_for(2s);
+    CHECK(fleet.fewest_live() == fleet.running());
+}
+
+TEST_CASE("a mass restart after a loss of power: the former processes are not in the way")
+{
+    simulated_fleet fleet{{.hosts_per_domain = many}};
+    fleet.start_all();
+    fleet.run_for(5s);
+    for (std::size_t i = 0; i < fleet.hosts().size(); ++i) {
+        fleet.kill(i);
+    }
+    fleet.run_for(700ms);
+    fleet.start_all();
+    fleet.run_for(2s);
+    CHECK(fleet.fewest_live() == fleet.running());
+}
+
+TEST_CASE("a mass start: no cold endpoint has several owners once the settling time is over")
+{
+    for (const std::uint64_t seed : {1, 2}) {
+        CAPTURE(seed);
+        simulated_fleet fleet{{.hosts_per_domain = many, .seed = seed}};
+        fleet.start_all();
+        fleet.run_for(cold_settling_time + 200ms); // hosts start within 200 ms
+        for (int round = 0; round < 10; ++round) {
+            CHECK(most_owners(fleet, 20) == 1);
+            fleet.run_for(100ms);
+        }
+    }
+}
+
+TEST_CASE("a quiet fleet: no host is taken for lost")
+{
+    for (const int hosts_per_domain : {1, 3, 10, many}) {
+        CAPTURE(hosts_per_domain);
+        simulated_fleet fleet{{.hosts_per_domain = hosts_per_domain}};
+        fleet.start_all();
+        fleet.run_for(4s);
+        fleet.reset_counters();
+        fleet.run_for(15s);
+        CHECK(fleet.lost_hosts() == 0);
+        CHECK(fleet.fewest_live() == fleet.running());
+    }
+}
+
+TEST_CASE("a large fleet: a host's traffic hardly grows with the fleet")
+{
+    simulated_fleet small{{.hosts_per_domain = 5}};
+    small.start_all();
+    small.run_for(4s);
+    const traffic at_30 = measure_traffic(small, 5s);
+    simulated_fleet large{{.hosts_per_domain = 50}};
+    large.start_all();
+    large.run_for(4s);
+    const traffic at_300 = measure_traffic(large, 5s);
+    CHECK(at_300.bytes_per_s < 20'000);
+    CHECK(at_300.bytes_between_regions_per_s <= 1.5 * at_30.bytes_between_regions_per_s);
+}
+
+TEST_CASE("links that lose packets: no host is taken for lost for long")
+{
+    simulated_fleet fleet{{.hosts_per_domain = 10, .loss = 0.05}};
+    fleet.start_all();
+    fleet.run_for(4s);
+    for (int second = 0; second < 30; ++second) {
+        fleet.run_for(1s);
+        CHECK(fleet.fewest_live() + 1 >= fleet.running());
+    }
+}
+
+TEST_CASE("a rolling stop of half of the fleet: no host that is leaving is named as ready")
+{
+    simulated_fleet fleet{{.hosts_per_domain = 10}};
+    fleet.start_all();
+    fleet.run_for(4s);
+    for (std::size_t i = 0; i < fleet.hosts().size(); i += 2) {
+        fleet.hosts()[i].state.is_leaving = true;
+        fleet.run_for(600ms);
+        for (const simulated_fleet::host& observer : fleet.hosts()) {
+            const member* const leaving = observer.membership->members().find(fleet.hosts()[i].ip);
+            CHECK((leaving == nullptr || leaving->last.is_leaving));
+        }
+        fleet.kill(i);
+        fleet.run_for(400ms);
+        fleet.hosts()[i].state.is_leaving = false;
+        fleet.start(i);
+    }
+    fleet.run_for(2s);
+    CHECK(fleet.fewest_live() == fleet.running());
+}
+
+TEST_CASE("a lost host: no host names it for longer than the directory may")
+{
+    for (const std::uint64_t seed : {1, 2}) {
+        CAPTURE(seed);
+        simulated_fleet fleet{{.hosts_per_domain = many, .seed = seed}};
+        fleet.start_all();
+        fleet.run_for(4s);
+        std::vector<std::size_t> killed{0, 1, 40, 100, 197};
+        for (const simulated_fleet::host& host : fleet.hosts()) {
+            // aggregators too
+            for (const std::string& ip : host.membership->schedule().aggregators()) {
+                killed.push_back(fleet.index_of(ip));
+            }
+        }
+        for (const std::size_t index : killed) {
+            fleet.kill(index);
+        }
+        fleet.run_for(directory_time);
+        CHECK(fleet.most_live() == fleet.running());
+        CHECK(fleet.fewest_live() == fleet.running());
+    }
+}
+
+TEST_CASE("a lost region: the others stop naming its hosts, and find them when they are back")
+{
+    simulated_fleet fleet{{.hosts_per_domain = many}};
+    fleet.start_all();
+    fleet.run_for(4s);
+    for (std::size_t i = 0; i < fleet.hosts().size(); ++i) {
+        if (fleet.hosts()[i].region == "region-2") {
+            fleet.kill(i);
+        }
+    }
+    fleet.run_for(directory_time);
+    CHECK(fleet.most_live() == fleet.running());
+    CHECK(fleet.fewest_live() == fleet.running());
+    for (std::size_t i = 0; i < fleet.hosts().size(); ++i) {
+        if (!fleet.hosts()[i].is_running) {
+            fleet.start(i);
+        }
+    }
+    fleet.run_for(contact_time);
+    CHECK(fleet.fewest_live() == fleet.running());
+}
+
+TEST_CASE("regions cut from each other: each goes on with its own hosts, and they meet again")
+{
+    for (const bool have_seeds : {true, false}) {
+        CAPTURE(have_seeds);
+        simulated_fleet fleet{{.hosts_per_domain = many}};
+        fleet.start_all();
+        fleet.run_for(4s);
+        if (!have_seeds) {
+            for (const std::string& ip : fleet.seed_ips()) {
+                fleet.kill(fleet.index_of(ip));
+            }
+        }
+        fleet.set_filter(
+            [](const auto& from, const auto& to) { return !are_in_other_regions(from, to); });
+        fleet.run_for(directory_time);
+        for (const simulated_fleet::host& observer : fleet.hosts()) {
+            if (observer.is_running) {
+                const std::size_t own = ready_in(fleet, observer, observer.region);
+                CHECK(own + 1 == 2 * many - (have_seeds ? 0 : 1));
+                CHECK(observer.membership->members().live_count(fleet.now()) == own + 1);
+            }
+        }
+        fleet.set_filter({});
+        fleet.run_for(contact_time);
+        CHECK(fleet.fewest_live() == fleet.running());
+    }
+}
+
+TEST_CASE("failure domains of a region cut from each other: each goes on, and they meet again")
+{
+    simulated_fleet fleet{{.hosts_per_domain = many}};
+    fleet.start_all();
+    fleet.run_for(4s);
+    for (const std::string& ip : fleet.seed_ips()) {
+        fleet.kill(fleet.index_of(ip));
+    }
+    fleet.set_filter(
+        [](const auto& from, const auto& to) { return from.failure_domain == to.failure_domain; });
+    fleet.run_for(directory_time);
+    CHECK(fleet.most_live() <= many);
+    CHECK(fleet.fewest_live() >= many - 1);
+    fleet.set_filter({});
+    fleet.run_for(contact_time);
+    CHECK(fleet.fewest_live() == fleet.running());
+}
+
+TEST_CASE("a host that is heard but hears nothing, and the reverse, is live again after the cut")
+{
+    for (const bool is_deaf : {true, false}) {
+        CAPTURE(is_deaf);
+        simulated_fleet fleet{{.hosts_per_domain = 10}};
+        fleet.start_all();
+        fleet.run_for(4s);
+        const std::string cut = fleet.hosts()[7].ip;
+        fleet.set_filter([&](const auto& from, const auto& to) {
+            return is_deaf ? to.ip != cut : from.ip != cut;
+        });
+        fleet.run_for(5s);
+        fleet.set_filter({});
+        fleet.run_for(contact_time);
+        CHECK(fleet.fewest_live() == fleet.running());
+    }
+}
+
+TEST_CASE("random kills, restarts and cuts: the fleet is whole within the contact time afterwards")
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        CAPTURE(seed);
+        simulated_fleet fleet{{.hosts_per_domain = 12, .seed = seed, .loss = 0.01}};
+        std::mt19937_64 random{seed};
+        const auto pick = [&random](std::size_t bound) {
+            return std::uniform_int_distribution<std::size_t>{0, bound - 1}(random);
+        };
+        fleet.start_all();
+        fleet.run_for(3s);
+        for (int step = 0; step < 20; ++step) {
+            for (std::size_t n = pick(10); n > 0; --n) {
+                fleet.kill(pick(fleet.hosts().size()));
+            }
+            for (std::size_t i = 0; i < fleet.hosts().size(); ++i) {
+                if (!fleet.hosts()[i].is_running && pick(3) == 0) {
+                    fleet.start(i);
+                }
+            }
+            const std::string cut = fleet.hosts()[pick(fleet.hosts().size())].failure_domain;
+            if (pick(2) == 0) {
+                fleet.set_filter([cut](const auto& from, const auto& to) {
+                    return (from.failure_domain == cut) == (to.failure_domain == cut);
+                });
+            }
+            else {
+                fleet.set_filter({});
+            }
+            fleet.run_for(std::chrono::milliseconds{200 + 100 * pick(15)});
+        }
+        fleet.set_filter({});
+        for (std::size_t i = 0; i < fleet.hosts().size(); ++i) {
+            if (!fleet.hosts()[i].is_running) {
+                fleet.start(i);
+            }
+        }
+        fleet.run_for(contact_time);
+        CHECK(fleet.fewest_live() + 1 >= fleet.running()); // a lossy link may hide one for a moment
+    }
+}
+
+// limits
+
+namespace {
+
+/// A fleet whose hosts admit requests of one organisation and charge each other's.
+class limited_fleet {
+public:
+    explicit limited_fleet(const fleet_shape& shape) : m_fleet{shape}
+    {
+        m_fleet.on_news = [this](auto& receiver, const received_news& news) {
+            for (const usage_report& report : news.usage) {
+                limiter_of(receiver.ip).on_report(report);
+            }
+        };
+        m_fleet.on_start = [this](auto& host) {
+            m_limiters.erase(host.ip);
+            host.state.used.clear();
+        };
+        m_fleet.start_all();
+    }
+
+    [[nodiscard]] simulated_fleet& fleet() noexcept { return m_fleet; }
+
+    /// Offers requests of `units` to random hosts, `demand` units a second in all.
+    void run_for(duration span, double units, double demand, rate_limit limit)
+    {
+        constexpr duration step = 20ms;
+        std::uniform_real_distribution<double> fraction{0, 1};
+        for (duration done{0}; done < span; done += step) {
+            m_fleet.run_for(step);
+            const double per_host =
+                demand * to_seconds(step) / units / static_cast<double>(m_fleet.running());
+            for (simulated_fleet::host& host : m_fleet.hosts()) {
+                if (host.is_running && fraction(m_random) < per_host) {
+                    offer(host, units, limit);
+                }
+            }
+        }
+    }
+
+    /// Units admitted since the last call.
+    double take_admitted() { return std::exchange(m_admitted, 0); }
+
+private:
+    void offer(simulated_fleet::host& host, double units, rate_limit limit)
+    {
+        rate_limiter& usage = limiter_of(host.ip);
+        const member_table& members = host.membership->members();
+        usage.set_share(static_cast<double>(members.live_count(m_fleet.now())) /
+                        static_cast<double>(members.known_count()));
+        if (usage.take("o", limit, units, m_fleet.now()) == duration{0}) {
+            m_admitted += units;
+            host.state.used = usage.used();
+        }
+    }
+
+    rate_limiter& limiter_of(const std::string& ip)
+    {
+        return m_limiters.try_emplace(ip, m_fleet.now()).first->second;
+    }
+
+    simulated_fleet m_fleet;
+    std::map<std::string, rate_limiter> m_limiters; // by ip
+    std::mt19937_64 m_random{7};
+    double m_admitted = 0;
+};
+
+constexpr rate_limit hot_limit{18'000, 40'000};
+constexpr double request_units = 1'500;
+constexpr double hot_demand = 5 * 18'000; // units a second
+constexpr duration quota_window = 8s;
+constexpr double quota_overage = 0.25;
+constexpr double quota_slack = 72'000;
+constexpr double quota_bound =
+    (18'000 * 8 + 40'000) * (1 + quota_overage) + quota_slack; // units in one window
+
+} // namespace
+
+TEST_CASE("a hot organisation in all regions of a large fleet stays within its limit")
+{
+    limited_fleet limited{{.hosts_per_domain = many}};
+    limited.fleet().run_for(3s);
+    for (int window = 0; window < 3; ++window) {
+        limited.run_for(quota_window, request_units, hot_demand, hot_limit);
+        const double admitted = limited.take_admitted();
+        CHECK(admitted <= quota_bound);
+        CHECK(admitted >= 18'000 * 8 * 0.8);
+    }
+}
+
+TEST_CASE(
+    "a hot organisation while the aggregators are lost: the limit holds, and isn't used twice")
+{
+    limited_fleet limited{{.hosts_per_domain = many}};
+    limited.fleet().run_for(3s);
+    limited.run_for(4s, request_units, hot_demand, hot_limit);
+    for (int window = 0; window < 3; ++window) {
+        simulated_fleet& fleet = limited.fleet();
+        std::set<std::string> aggregators;
+        for (const simulated_fleet::host& host : fleet.hosts()) {
+            if (host.is_running) {
+                const auto& chosen = host.membership->schedule().aggregators();
+                aggregators.insert(chosen.begin(), chosen.end());
+            }
+        }
+        limited.take_admitted();
+        for (const std::string& ip : aggregators) {
+            fleet.kill(fleet.index_of(ip));
+        }
+        limited.run_for(1s, request_units, hot_demand, hot_limit);
+        for (const std::string& ip : aggregators) {
+            fleet.start(fleet.index_of(ip));
+        }
+        limited.run_for(quota_window - 1s, request_units, hot_demand, hot_limit);
+        const double admitted = limited.take_admitted();
+        CHECK(admitted <= quota_bound);
+        CHECK(admitted >= 18'000 * 8 * 0.5);
+    }
+}
+
+TEST_CASE("a hot organisation while regions are cut from each other: each side keeps to its share")
+{
+    limited_fleet limited{{.hosts_per_domain = 10}};
+    limited.fleet().run_for(3s);
+    limited.run_for(4s, request_units, hot_demand, hot_limit);
+    limited.fleet().set_filter(
+        [](const auto& from, const auto& to) { return !are_in_other_regions(from, to); });
+    for (int window = 0; window < 2; ++window) {
+        limited.take_admitted();
+        limited.run_for(quota_window, request_units, hot_demand, hot_limit);
+        CHECK(limited.take_admitted() <= quota_bound);
+    }
+    limited.fleet().set_filter({});
+    limited.run_for(quota_window, request_units, hot_demand, hot_limit);
+    CHECK(limited.take_admitted() <= quota_bound);
+}
--- /dev/null
+++ b/tests/gateway/gossip_codec_test.cpp
@@ -0,0 +1,211 @@
+#include "gateway/membership/gossip_codec.h"
+
+#include "gateway/membership/fleet_membership.h"
+#include "generated/gossip.pb.h"
+
+#include <chrono>  // milliseconds, seconds
+#include <cstdint> // uint32_t
+#include <limits>  // numeric_limits
+#include <random>  // mt19937_64
+#include <string>  // string, to_string
+
+#include <doctest/doctest.h>
+#include <google/protobuf/stubs/logging.h> // SetLogHandler
+
+using namespace hickorykeel;
+using namespace hickorykeel::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{1'000s};
+
+heartbeat make_digest_heartbeat()
+{
+    heartbeat sent;
+    sent.host = "host-2";
+    sent.ip = "10.0.0.2";
+    sent.failure_domain = "r-a";
+    sent.region = "r";
+    sent.incarnation = 7;
+    sent.sequence = 4;
+    sent.interval = 200ms;
+    sent.digests = digest_subscription::primary;
+    region_digest digest;
+    digest.hosts = 12;
+    digest.rotation = 2s;
+    digest.used["o"] = 1'234.5;
+    digest.endpoints[99] = {4, 5'000};
+    digest.prompts = {{77, 99}};
+    digest.warm_endpoints = {99};
+    digest.members = {{"r",
+                       "r-b",
+                       {{.ip = "10.0.1.3",
+                         .incarnation = 9,
+                         .sequence = 20,
+                         .age = 150ms,
+                         .is_ready = true,
+                         .has_configuration = true,
+                         .configuration_age = 700ms}}}};
+    digest.regions = {{"s", "10.1.0.1", 3, 80ms, {{"llm", {45ms, 17}}}, {{"o", 9}}}};
+    sent.digest = digest;
+    return sent;
+}
+
+gossip::heartbeat make_message()
+{
+    gossip::heartbeat message;
+    message.set_host("host-2");
+    message.set_ip("10.0.0.2");
+    message.set_region("r");
+    message.set_incarnation(7);
+    message.set_sequence(1);
+    return message;
+}
+
+fleet_membership make_membership(const fleet_membership_options& options = {})
+{
+    return {{"host-1", "10.0.0.1", "r-a", "r", 1}, {}, options};
+}
+
+} // namespace
+
+TEST_CASE("a digest is unchanged by encoding and decoding")
+{
+    const heartbeat sent = make_digest_heartbeat();
+    const auto received = decode_heartbeat(encode(sent, heartbeat_scope::own_region));
+    REQUIRE(received);
+    REQUIRE(received->digest);
+    const region_digest& digest = *received->digest;
+    CHECK(digest.hosts == 12);
+    CHECK(digest.rotation == 2s);
+    CHECK(digest.used.at("o") == 1'234.5);
+    CHECK(digest.endpoints.at(99).waiting_tokens == 5'000);
+    CHECK(digest.prompts.at(0).endpoint == 99);
+    CHECK(digest.warm_endpoints.size() == 1);
+    const relayed_member& host = digest.members.at(0).members.at(0);
+    CHECK(digest.members.at(0).failure_domain == "r-b");
+    CHECK(host.ip == "10.0.1.3");
+    CHECK(host.sequence == 20);
+    CHECK(host.age == 150ms);
+    CHECK(host.is_ready);
+    CHECK_FALSE(host.is_lost);
+    CHECK(host.configuration_age == 700ms);
+    const region_state& region = digest.regions.at(0);
+    CHECK(region.ip == "10.1.0.1");
+    CHECK(region.services.at("llm").free_places == 17);
+    CHECK(region.used.at("o") == 9);
+}
+
+TEST_CASE("a digest for another region omits what only its own region uses")
+{
+    const auto received = decode_heartbeat(encode(make_digest_heartbeat(), heartbeat_scope::fleet));
+    REQUIRE(received);
+    REQUIRE(received->digest);
+    CHECK(received->digest->endpoints.empty());
+    CHECK(received->digest->prompts.empty());
+    CHECK(received->digest->regions.empty());
+    CHECK(received->digest->used.size() == 1);
+    CHECK(received->digest->members.size() == 1);
+}
+
+TEST_CASE("a heartbeat that was cut or changed on the way never causes more than its rejection")
+{
+    const std::string sent = encode(make_digest_heartbeat(), heartbeat_scope::own_region);
+    std::mt19937_64 random{1};
+    fleet_membership membership = make_membership();
+    for (std::size_t length = 0; length < sent.size(); ++length) {
+        membership.on_datagram(sent.substr(0, length), start);
+    }
+    for (int i = 0; i < 20'000; ++i) {
+        std::string changed = sent;
+        for (int n = 0; n < 3; ++n) {
+            changed[random() % changed.size()] = static_cast<char>(random());
+        }
+        membership.on_datagram(changed, start);
+        static_cast<void>(membership.peer_loads(start));
+    }
+    membership.expire(start + 1s);
+    CHECK(membership.members().all().size() <= member_table_options{}.max_hosts);
+}
+
+TEST_CASE("unreadable datagrams don't cause a line on standard error each")
+{
+    static_cast<void>(decode_heartbeat("nonsense"));
+    // null stands for no output
+    const bool is_silent = google::protobuf::SetLogHandler(nullptr) == nullptr;
+    CHECK(is_silent);
+}
+
+TEST_CASE("absurd figures in a heartbeat are left out or bounded")
+{
+    gossip::heartbeat message = make_message();
+    message.set_interval_ms(std::numeric_limits<std::uint32_t>::max());
+    auto& used = *message.add_used();
+    used.set_organisation("o");
+    used.set_units(std::numeric_limits<double>::quiet_NaN());
+    auto& load = *message.add_services();
+    load.set_service("llm");
+    load.set_expected_wait_ms(std::numeric_limits<float>::infinity());
+    message.mutable_digest()->set_rotation_ms(std::numeric_limits<std::uint32_t>::max());
+    const auto received = decode_heartbeat(message.SerializeAsString());
+    REQUIRE(received);
+    CHECK(received->interval <= 5s);
+    CHECK(received->used.empty());
+    CHECK(received->services.empty());
+    CHECK(received->digest->rotation <= 5s);
+}
+
+TEST_CASE("a heartbeat that names thousands of hosts doesn't fill the table without limit")
+{
+    fleet_membership_options options;
+    options.members.max_hosts = 500;
+    fleet_membership membership = make_membership(options);
+    std::uint32_t next_ip = 0x0A000100;
+    for (std::uint64_t sequence = 1; sequence <= 5; ++sequence) {
+        gossip::heartbeat message = make_message();
+        message.set_sequence(sequence);
+        auto& group = *message.mutable_digest()->add_members();
+        group.set_region("r");
+        for (int i = 0; i < 3'000; ++i) {
+            auto& host = *group.add_members();
+            host.set_ip(++next_ip);
+            host.set_incarnation(1);
+            host.set_sequence(1);
+        }
+        membership.on_datagram(message.SerializeAsString(), start);
+    }
+    CHECK(membership.members().all().size() == 500);
+}
+
+TEST_CASE("a report about a host that was last seen before the clock's start is ignored")
+{
+    fleet_membership membership = make_membership();
+    gossip::heartbeat message = make_message();
+    auto& group = *message.mutable_digest()->add_members();
+    group.set_region("s");
+    auto& host = *group.add_members();
+    host.set_ip(0x0A000102);
+    host.set_incarnation(1);
+    host.set_sequence(1);
+    host.set_age_ms(std::numeric_limits<std::uint32_t>::max());
+    membership.on_datagram(message.SerializeAsString(), start);
+    CHECK(membership.members().all().size() == 1);
+    CHECK(membership.expire(start + 1s).empty());
+}
+
+TEST_CASE("a heartbeat of an older incarnation or a repeated one changes nothing")
+{
+    fleet_membership membership = make_membership();
+    gossip::heartbeat message = make_message();
+    message.set_is_ready(true);
+    message.set_sequence(5);
+    const std::string fifth = message.SerializeAsString();
+    CHECK(membership.on_datagram(fifth, start).new_host == "host-2");
+    message.set_is_ready(false);
+    message.set_sequence(4);
+    membership.on_datagram(message.SerializeAsString(), start + 100ms);
+    CHECK(membership.members().ready(start + 100ms).size() == 1);
+    membership.on_datagram(fifth, start + 200ms);
+    CHECK(membership.members().find("10.0.0.2")->heard_at == start);
+}
--- a/tests/gateway/member_table_test.cpp
+++ b/tests/gateway/member_table_test.cpp
@@ -26,17 +26,32 @@
     return result;
 }
 
+relayed_member make_report(const std::string& ip, std::uint64_t sequence, duration age = 0s,
+                           std::uint64_t incarnation = 7)
+{
+    relayed_member report;
+    report.ip = ip;
+    report.incarnation = incarnation;
+    report.sequence = sequence;
+    report.age = age;
+    report.is_ready = true;
+    return report;
+}
+
 } // namespace
 
-TEST_CASE("hosts are learnt from heartbeats and from the known hosts listed in them")
+TEST_CASE("hosts are learnt from heartbeats and from the reports of other hosts")
 {
     member_table members{"10.0.0.1", {"10.0.0.1", "10.0.0.2"}, {}};
-    CHECK(members.targets() == std::vector<std::string>{"10.0.0.2"});
-    auto received = make_heartbeat("10.0.0.2", 1);
-    received.known_ips = {"10.0.0.1", "10.0.0.3"};
-    CHECK(members.on_heartbeat(received, start));
-    CHECK(members.targets() == std::vector<std::string>{"10.0.0.2", "10.0.0.3"});
-    CHECK(members.live(start).size() == 1);
+    CHECK(members.seeds() == std::vector<std::string>{"10.0.0.2"});
+    CHECK(members.on_heartbeat(make_heartbeat("10.0.0.2", 1), start) == member_change::became_live);
+    CHECK(members.on_report(make_report("10.0.0.1", 1), "r", "d", 2s, start) ==
+          member_change::none);
+    CHECK(members.on_report(make_report("10.0.0.3", 1), "r", "d", 2s, start) ==
+          member_change::became_live);
+    CHECK(members.live(start).size() == 2);
+    CHECK(members.find("10.0.0.1") == nullptr);
+    CHECK(members.find("10.0.0.3")->last.failure_domain == "d");
 }
 
 TEST_CASE("a host without heartbeats is first not live and later removed")
@@ -49,7 +64,7 @@
     CHECK(members.known_count() == 2);
     members.expire(start + 61s);
     CHECK(members.known_count() == 1);
-    CHECK(members.targets().empty());
+    CHECK(members.find("10.0.0.2") == nullptr);
 }
 
 TEST_CASE("a leaving host is not ready, and an older heartbeat doesn't change that")
@@ -90,7 +105,7 @@
     sent.endpoints[99] = {4, 5'000};
     sent.used["o"] = 12.5;
     sent.prompts = {{77, 99}};
-    sent.known_ips = {"10.0.0.3"};
+    sent.digests = digest_subscription::standby;
     sent.warm_endpoints = {99};
     const auto received = decode_heartbeat(encode(sent, heartbeat_scope::own_region));
     REQUIRE(received);
@@ -101,7 +116,8 @@
     CHECK(received->endpoints.at(99).waiting_tokens == 5'000);
     CHECK(received->used.at("o") == 12.5);
     CHECK(received->prompts.at(0).prefix == 77);
-    CHECK(received->known_ips == sent.known_ips);
+    CHECK(received->digests == digest_subscription::standby);
+    CHECK_FALSE(received->digest);
     CHECK(received->warm_endpoints == sent.warm_endpoints);
 }
 
--- a/tests/gateway/rate_limiter_test.cpp
+++ b/tests/gateway/rate_limiter_test.cpp
@@ -72,7 +72,8 @@
         for (std::size_t to = isolated_hosts; to < hosts; ++to) {
             for (std::size_t from = isolated_hosts; from < hosts; ++from) {
                 if (from != to) {
-                    limiters[to].on_report(std::to_string(from), 1, used[from]);
+                    const std::string host = std::to_string(from);
+                    limiters[to].on_report({host, host, 1, used[from]});
                 }
             }
         }
@@ -142,9 +143,9 @@
 TEST_CASE("the reports of a restarted host start from zero")
 {
     rate_limiter limiter{start};
-    limiter.on_report("h", 1, {{"o", 5'000}});
-    limiter.on_report("h", 2, {{"o", 100}});
-    limiter.on_report("h", 2, {{"o", 300}});
+    limiter.on_report({"h", "h", 1, {{"o", 5'000}}});
+    limiter.on_report({"h", "h", 2, {{"o", 100}}});
+    limiter.on_report({"h", "h", 2, {{"o", 300}}});
     double admitted = 0;
     while (limiter.take("o", limit, 100, start + 10s) == duration{0}) {
         admitted += 100;
