Choose at random among equivalent endpoints

The 65 hosts of a region know each other's load 0.2 to 0.4 s late and all chose the one best endpoint.

Change: endpoint_pool takes the expected times to first byte within 20 ms of the best as equal, and picks one at random, the preferred one for the prompt if it is among them.

--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -2,7 +2,7 @@
 
 #include "gateway/routing/rendezvous.h"
 
-#include <algorithm> // clamp, find, max, min
+#include <algorithm> // clamp, find, find_if, max, min, min_element
 #include <array>     // array
 #include <utility>   // exchange, move
 
@@ -261,26 +261,47 @@
     return locations;
 }
 
-std::optional<placement> endpoint_pool::choose(const placement_request& request, time_point now)
+std::vector<endpoint_pool::placement_option>
+endpoint_pool::find_options(const placement_request& request, const prefix_locations& locations,
+                            time_point now)
 {
-    const prefix_locations locations = find_locations(request, now);
-    endpoint_state* best = nullptr;
-    duration best_expected{0};
+    std::vector<placement_option> options;
     for (auto& [id, state] : m_endpoints) {
-        if (!is_candidate(state, request) || !has_free_slot(state) || !may_send(state, now)) {
-            continue;
-        }
-        const duration expected = expected_time(state, request.request_prompt, locations, now);
-        if (best == nullptr || expected < best_expected) {
-            best = &state;
-            best_expected = expected;
+        if (is_candidate(state, request) && has_free_slot(state) && may_send(state, now)) {
+            options.push_back(
+                {&state, expected_time(state, request.request_prompt, locations, now)});
         }
     }
-    if (best == nullptr) {
+    return options;
+}
+
+/// Returns a random one of the options that are equivalent to the best, but the preferred endpoint
+/// if it is among them. Precondition: `options` is not empty.
+const endpoint_pool::placement_option& endpoint_pool::pick(std::vector<placement_option>& options,
+                                                           const endpoint_state* preferred,
+                                                           random_source& random) const
+{
+    const auto best =
+        std::min_element(options.begin(), options.end(), [](const auto& lhs, const auto& rhs) {
+            return lhs.expected < rhs.expected;
+        });
+    const duration bound = best->expected + m_options.equivalence_range;
+    std::erase_if(options, [bound](const auto& option) { return option.expected > bound; });
+    const auto found = std::find_if(options.begin(), options.end(),
+                                    [&](const auto& option) { return option.state == preferred; });
+    return found != options.end() ? *found : options[random_index(random, options.size())];
+}
+
+std::optional<placement> endpoint_pool::choose(const placement_request& request, time_point now,
+                                               random_source& random)
+{
+    const prefix_locations locations = find_locations(request, now);
+    std::vector<placement_option> options = find_options(request, locations, now);
+    if (options.empty()) {
         return std::nullopt;
     }
-    placement chosen{
-        best->entry.id, best->entry.address, best_expected, is_cold(*best, now), {}, 0};
+    const auto& [best, expected] = pick(options, locations.preferred, random);
+    placement chosen{best->entry.id, best->entry.address, expected, is_cold(*best, now), {}, 0};
     if (request.request_prompt != nullptr) {
         chosen.fetched_tokens =
             tokens_to_fetch(*best, cached_tokens(*best, *request.request_prompt, now), locations);
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -5,6 +5,7 @@
 #include "gateway/membership/member_table.h"
 #include "gateway/routing/prompt.h"
 #include "process/clock.h"
+#include "process/routing/random_source.h"
 
 #include <chrono>        // milliseconds, seconds
 #include <cstdint>       // uint32_t, uint64_t
@@ -27,6 +28,8 @@
     /// Weight of prompt processing in the expected time to first byte. Above 1, because the
     /// requests that an engine runs also wait while it processes a prompt.
     double prefill_weight = 1.5;
+    /// Endpoints whose expected times to first byte differ by less are equivalent.
+    duration equivalence_range = std::chrono::milliseconds{20};
     duration prefix_retention = std::chrono::seconds{8}; ///< time that an engine caches a prefix
     /// Fewer tokens are recomputed rather than fetched from another engine.
     std::uint64_t min_fetched_tokens = 1'000;
@@ -139,9 +142,11 @@
     /// @name placement
     /// @{
 
-    /// Returns the endpoint with a free slot that has the lowest `placement::expected`, or nothing
-    /// if no endpoint can take the request now.
-    [[nodiscard]] std::optional<placement> choose(const placement_request& request, time_point now);
+    /// Returns one of the endpoints with a free slot whose `placement::expected` is lowest, or
+    /// nothing if no endpoint can take the request now. Among equivalent ones the choice is random,
+    /// so that hosts with the same view don't all choose the same one at once.
+    [[nodiscard]] std::optional<placement> choose(const placement_request& request, time_point now,
+                                                  random_source& random);
 
     /// Whether any endpoint of the service could take the request now, or once slots are free or
     /// a backoff of less than `max_backoff` is over.
@@ -245,6 +250,17 @@
                                                 const prefix_locations& locations) const;
     [[nodiscard]] double prefill_tokens(const endpoint_state& state, const prompt& request_prompt,
                                         const prefix_locations& locations, time_point now) const;
+    struct placement_option {
+        endpoint_state* state = nullptr;
+        duration expected{0};
+    };
+
+    [[nodiscard]] std::vector<placement_option> find_options(const placement_request& request,
+                                                             const prefix_locations& locations,
+                                                             time_point now);
+    [[nodiscard]] const placement_option& pick(std::vector<placement_option>& options,
+                                               const endpoint_state* preferred,
+                                               random_source& random) const;
     [[nodiscard]] prefix_locations find_locations(const placement_request& request,
                                                   time_point now) const;
     [[nodiscard]] std::uint32_t max_active(const endpoint_state& state) const;
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -224,7 +224,8 @@
     const placement_request request{of, engine_prompt(*of), m_excluded};
     const bool is_allowed_here =
         allows_region(*m_route, caller_organisation(), m_context.settings.region);
-    auto here = is_allowed_here ? m_context.pool.choose(request, now) : std::nullopt;
+    auto here =
+        is_allowed_here ? m_context.pool.choose(request, now, m_context.random) : std::nullopt;
     auto others = find_other_region_options(now);
     const bool is_overloaded = remove_late_options(here, others, now);
     if (send(here, others, now)) {
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -62,7 +62,7 @@
     std::optional<placement> choose(time_point now, const prompt* request_prompt = nullptr,
                                     std::vector<std::string> excluded = {})
     {
-        return m_pool.choose({&m_service, request_prompt, std::move(excluded)}, now);
+        return m_pool.choose({&m_service, request_prompt, std::move(excluded)}, now, m_random);
     }
 
     /// Sends requests until none can be placed; returns the number sent.
@@ -87,6 +87,7 @@
     std::map<std::string, endpoint_entry> m_entries;
     std::set<std::string> m_evacuated;
     bool m_owns_cold = true;
+    random_source m_random{1};
     endpoint_pool m_pool{
         {}, [this](const std::string&, double rate) { return m_owns_cold ? rate : 0.0; }};
 };
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -121,7 +121,7 @@
     void occupy(const std::string& name)
     {
         for (const placement_request any{m_state.published()->find_service("s"), nullptr, {}};
-             m_pool.choose(any, boot_clock::now());) {
+             m_pool.choose(any, boot_clock::now(), m_random);) {
             static_cast<void>(m_pool.on_sent(name, nullptr, boot_clock::now()));
             ++m_occupied;
         }
