Let the TLS scenario wait until every host has the new list

Cause of scenario_tls_test's rare failure, as far as it is known: the test publishes an endpoint of another authority, waits for one failed attempt at one host, and then requires that a call fails. A dispatch process of another host may still have the former list then, and calls an endpoint of it.

Change: the test first waits until the dispatch processes of all hosts have a newer revision in force. All its checks stay.

--- a/tests/scenarios/tls_test.cpp
+++ b/tests/scenarios/tls_test.cpp
@@ -4,10 +4,12 @@
 #include "support/test_certificate.h"
 #include "support/wait_for.h"
 
-#include <atomic> // atomic
-#include <memory> // unique_ptr
-#include <string> // string
-#include <thread> // thread
+#include <algorithm> // all_of, max
+#include <atomic>    // atomic
+#include <memory>    // unique_ptr
+#include <sstream>   // istringstream
+#include <string>    // getline, stod, string
+#include <thread>    // thread
 
 #include <doctest/doctest.h>
 #include <httplib.h>
@@ -69,6 +71,21 @@
                {"tls", true}}}}};
 }
 
+/// Revision of the published entries in force at a host's dispatch process; 0 if it can't be read.
+double revision_in_force(const fleet_host& host)
+{
+    httplib::Client client{"http://" + host.admin_addresses.at("dispatch")};
+    const auto scraped = client.Get("/metrics");
+    std::istringstream lines{scraped ? scraped->body : std::string{}};
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("hickorykeel_revision_in_force{") &&
+            line.find(R"(part="entries")") != std::string::npos) {
+            return std::stod(line.substr(line.rfind(' ')));
+        }
+    }
+    return 0;
+}
+
 std::string to_ip(const std::string& address)
 {
     return address.substr(0, address.find(':'));
@@ -118,7 +135,17 @@
     SUBCASE("an endpoint of another authority is not")
     {
         const tls_service service{{stranger.certificate_path(), stranger.key_path(), ""}};
+        double before = 0;
+        for (const fleet_host& host : running.hosts()) {
+            REQUIRE(wait_for([&] { return revision_in_force(host) > 0; }));
+            before = std::max(before, revision_in_force(host));
+        }
         REQUIRE(running.publish({{"targets/bookings", to_target(service.address())}}));
+        // a dispatch process with the former list would call an endpoint of that list
+        REQUIRE(wait_for([&] {
+            return std::all_of(running.hosts().begin(), running.hosts().end(),
+                               [&](const auto& host) { return revision_in_force(host) > before; });
+        }));
         const std::string& dispatch = running.hosts()[0].admin_addresses.at("dispatch");
         CHECK(wait_for([&] {
             const auto answer = call();
