--- a/tests/gateway/aggregator_choice_test.cpp
+++ b/tests/gateway/aggregator_choice_test.cpp
@@ -21,6 +21,7 @@
                                             std::size_t max_hosts)
 {
     std::vector<aggregator_candidate> candidates;
+    candidates.reserve(hosts.size());
     for (const test_host& host : hosts) {
         candidates.push_back({host.ip, host.failure_domain});
     }
--- a/tests/gateway/simulated_fleet.cpp
+++ b/tests/gateway/simulated_fleet.cpp
@@ -32,9 +32,10 @@
             }
         }
     }
-    const int hosts_per_region = shape.domains_per_region * shape.hosts_per_domain;
-    for (int i = 0; i < std::min(shape.seeds, shape.regions); ++i) {
-        m_seed_ips.push_back(m_hosts[static_cast<std::size_t>(i * hosts_per_region)].ip);
+    const auto seeds = static_cast<std::size_t>(std::min(shape.seeds, shape.regions));
+    const std::size_t hosts_per_region = m_hosts.size() / static_cast<std::size_t>(shape.regions);
+    for (std::size_t i = 0; i < seeds; ++i) {
+        m_seed_ips.push_back(m_hosts[i * hosts_per_region].ip);
     }
 }
 
