Read and pass on only what has changed of the published state

Every host got the whole published text once a second, from the store in pages of 50 items one after the other (60 pages of 165 ms in a region far from it, with 1.2 s allowed), or from a reader whose link carried two or three such texts a second.

Change: the published state is a copy of the store's items, each with its revision (configuration/published_items). The store is asked for its revision with one small call, and for what has changed since only if it differs; a whole read has a timeout for each call. Hosts pass on changes, compressed (configuration/relay_codec). A host without a state takes it from whichever host has it first, while its own read goes on.

--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -1,18 +1,33 @@
 #include "gateway/configuration/configuration_follower.h"
 
+#include "gateway/configuration/relay_codec.h"
 #include "gateway/membership/aggregator_choice.h"
+#include "gateway/routing/rendezvous.h"
 
-#include <algorithm> // find
-#include <optional>  // optional
-#include <utility>   // exchange, move
-#include <variant>   // get_if
-#include <vector>    // vector
+#include <algorithm>    // find
+#include <charconv>     // from_chars
+#include <optional>     // optional
+#include <system_error> // errc
+#include <utility>      // exchange, move
+#include <variant>      // get, get_if
+#include <vector>       // vector
 
 namespace hickorykeel::gateway {
 
 namespace {
 
 constexpr duration relay_connect_timeout = std::chrono::milliseconds{500};
+constexpr int status_ok = 200;
+constexpr std::uint64_t peer_key = 2; // hash key that separates this choice from other hashes
+
+/// Revision that a peer host states; 0, for all items, if it is missing or invalid.
+std::uint64_t parse_revision(std::string_view text)
+{
+    std::uint64_t revision = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), revision);
+    const bool is_whole = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
+    return is_whole ? revision : 0;
+}
 
 /// Age of a peer host's configuration: the age in its last heartbeat plus the time since then.
 duration reported_age(const member& host, time_point now)
@@ -24,14 +39,19 @@
 
 configuration_follower::configuration_follower(dependencies objects, follower_options options,
                                                std::function<void()> on_change)
-    : m_dependencies{objects}, m_options{std::move(options)},
-      m_on_change{std::move(on_change)}, m_timer{objects.loop}
+    : m_dependencies{objects}, m_options{std::move(options)}, m_on_change{std::move(on_change)},
+      m_items{
+          [&source = objects.source](const published_item& item) { return source.decode(item); }},
+      m_timer{objects.loop}, m_peer_timer{objects.loop},
+      // hosts that start at once query different peers
+      m_next_peer{static_cast<std::size_t>(rendezvous_weight(peer_key, m_options.ip))}
 {
 }
 
 void configuration_follower::start()
 {
     read();
+    check_peers();
 }
 
 void configuration_follower::read()
@@ -53,19 +73,28 @@
 
 void configuration_follower::read_source()
 {
-    m_dependencies.source.read(
-        [this, requested_at = boot_clock::now()](result<published_reading> reading) {
-            on_reading(std::move(reading), requested_at);
-        });
+    m_is_reading_source = true;
+    m_dependencies.source.read(m_items.revision(), [this, requested_at = boot_clock::now()](
+                                                       result<published_changes> changes) {
+        m_is_reading_source = false;
+        on_reading(std::move(changes), requested_at);
+    });
 }
 
-void configuration_follower::on_reading(result<published_reading> reading, time_point requested_at)
+void configuration_follower::on_reading(result<published_changes> changes, time_point requested_at)
 {
-    const error* failure = std::get_if<error>(&reading);
+    if (const auto* received = std::get_if<published_changes>(&changes)) {
+        auto applied = apply_changes(*received, requested_at);
+        if (auto* failure = std::get_if<error>(&applied)) {
+            changes = std::move(*failure);
+        }
+    }
+    const error* failure = std::get_if<error>(&changes);
     record_source_result(failure);
     if (failure == nullptr) {
-        apply_reading(std::get<published_reading>(std::move(reading)), requested_at);
-        schedule_read(m_options.read_interval);
+        // after a slow read of many items, the state is already old
+        const bool is_slow = boot_clock::now() - requested_at >= m_options.read_interval;
+        schedule_read(is_slow ? duration{0} : m_options.read_interval);
         return;
     }
     m_dependencies.state.on_failure();
@@ -73,27 +102,56 @@
     schedule_read(m_options.retry_interval);
 }
 
-void configuration_follower::apply_reading(published_reading reading, time_point confirmed_at)
+/// Merges changes whose contents are known to have been up to date at `confirmed_at`.
+result<merge_outcome> configuration_follower::apply_changes(const published_changes& changes,
+                                                            time_point confirmed_at)
 {
-    const std::size_t unusable = reading.unusable_entries;
+    auto merged = m_items.apply(changes);
+    if (!is_ok(merged)) {
+        return merged;
+    }
     const std::size_t before = m_dependencies.state.endpoints().size();
-    const state_change change =
-        m_dependencies.state.apply(std::move(reading), confirmed_at, boot_clock::now());
+    const auto outcome = std::get<merge_outcome>(merged);
+    const state_change change = update_state(outcome, confirmed_at);
     if (change.is_configuration_changed) {
         log_configuration();
     }
-    for (const std::string& id : change.removed) {
-        m_dependencies.log.write(log_line{"endpoint_removed"}.add("endpoint", id));
+    log_endpoints(change, before);
+    if (outcome == merge_outcome::changed || !change.removed.empty()) {
+        m_on_change();
+    }
+    return merged;
+}
+
+state_change configuration_follower::update_state(merge_outcome outcome, time_point confirmed_at)
+{
+    const time_point now = boot_clock::now();
+    if (outcome == merge_outcome::outdated) {
+        return {};
+    }
+    if (outcome == merge_outcome::unchanged) {
+        return m_dependencies.state.confirm(confirmed_at, now);
     }
+    published_reading reading = m_items.to_reading();
+    const std::size_t unusable = reading.unusable_entries;
     if (std::exchange(m_unusable_entries, unusable) != unusable) {
         m_dependencies.log.write(log_line{"endpoint_entries_unusable"}.add(
             "count", static_cast<std::int64_t>(unusable)));
     }
-    if (m_dependencies.state.endpoints().size() != before) {
-        m_dependencies.log.write(log_line{"endpoints"}.add(
-            "count", static_cast<std::int64_t>(m_dependencies.state.endpoints().size())));
+    return m_dependencies.state.apply(std::move(reading), confirmed_at, now);
+}
+
+void configuration_follower::log_endpoints(const state_change& change,
+                                           std::size_t former_count) const
+{
+    for (const std::string& id : change.removed) {
+        m_dependencies.log.write(log_line{"endpoint_removed"}.add("endpoint", id));
+    }
+    const std::size_t count = m_dependencies.state.endpoints().size();
+    if (count != former_count) {
+        m_dependencies.log.write(
+            log_line{"endpoints"}.add("count", static_cast<std::int64_t>(count)));
     }
-    m_on_change();
 }
 
 void configuration_follower::log_configuration() const
@@ -136,18 +194,39 @@
     });
 }
 
+/// Looks for a peer host with a fresher state while a read of the source is under way, which may
+/// take long if all items have to be read.
+void configuration_follower::check_peers()
+{
+    if (m_is_reading_source) {
+        query_fresher_peer();
+    }
+    m_peer_timer.expires_after(m_options.peer_check_interval);
+    m_peer_timer.async_wait([this](const asio::error_code& failure) {
+        if (!failure) {
+            check_peers();
+        }
+    });
+}
+
 const member* configuration_follower::select_fresher_peer(time_point now)
 {
     const auto hosts = m_dependencies.members.live(now);
+    const member* elsewhere = nullptr;
     // round robin, so that a peer that does not respond is not queried again at once
     for (std::size_t examined = 0; examined < hosts.size(); ++examined) {
         const member* candidate = hosts[m_next_peer++ % hosts.size()];
         const duration age = reported_age(*candidate, now);
-        if (candidate->last.has_configuration && age < m_dependencies.state.age(now)) {
+        if (!candidate->last.has_configuration ||
+            age + m_options.min_age_gain >= m_dependencies.state.age(now)) {
+            continue;
+        }
+        if (candidate->last.region == m_options.region) {
             return candidate;
         }
+        elsewhere = elsewhere == nullptr ? candidate : elsewhere;
     }
-    return nullptr;
+    return elsewhere;
 }
 
 /// Returns the reader to query, or null if this host has to read the source itself.
@@ -205,8 +284,9 @@
     time_point requested_at;
     asio::steady_timer timeout_timer;
     std::shared_ptr<client_connection> call;
-    std::optional<duration> age; ///< since the text was confirmed up to date
-    std::string text;
+    int status = 0;
+    std::optional<duration> age; ///< since the state was confirmed up to date
+    std::string body;
 };
 
 /// Queries the published state of `chosen`. Calls `on_end` once, with whether a usable state
@@ -224,7 +304,8 @@
         }
         on_end(failure.empty() && apply_relayed(*query));
     };
-    query->timeout_timer.expires_after(m_options.relay_timeout);
+    query->timeout_timer.expires_after(m_items.revision() == 0 ? m_options.initial_relay_timeout
+                                                               : m_options.relay_timeout);
     query->timeout_timer.async_wait([query, end](const asio::error_code& failure) {
         if (!failure) {
             query->call->cancel();
@@ -234,14 +315,16 @@
     const std::string address = chosen.last.ip + ':' + std::to_string(m_options.relay_port);
     header_list headers;
     headers.add("Host", address);
+    headers.add(std::string{relay_revision_header}, std::to_string(m_items.revision()));
     query->call = m_dependencies.client.call(
         {.address = address, .connect_timeout = relay_connect_timeout},
         format_request("GET", relay_path, headers, {}),
         {.on_head =
              [query](const message_head& head) {
+                 query->status = head.status;
                  query->age = parse_milliseconds(head.headers.find(relay_age_header));
              },
-         .on_body = [query](std::string& bytes) { query->text += std::exchange(bytes, {}); },
+         .on_body = [query](std::string& bytes) { query->body += std::exchange(bytes, {}); },
          .on_end =
              [end](call_end how) {
                  end(how == call_end::complete ? std::string_view{} : to_name(how));
@@ -254,30 +337,61 @@
     m_dependencies.log.write(log_line{"relay_failed"}.add("peer", host).add("reason", reason));
 }
 
-/// Applies a peer host's state. Returns whether it was usable and younger than `max_relay_age`.
+/// Applies a peer host's changes. Returns whether they were usable and younger than
+/// `max_relay_age`.
 bool configuration_follower::apply_relayed(const relay_query& query)
 {
+    if (query.status != status_ok) {
+        on_relay_failure(query.host, "unexpected HTTP status " + std::to_string(query.status));
+        return false;
+    }
     if (!query.age) {
         on_relay_failure(query.host, "age unreadable");
         return false;
     }
-    auto decoded = m_dependencies.source.decode(query.text);
-    if (const auto* failure = std::get_if<error>(&decoded)) {
+    const auto changes = decode_changes(query.body, query.host);
+    if (const auto* failure = std::get_if<error>(&changes)) {
+        on_relay_failure(query.host, failure->to_string());
+        return false;
+    }
+    const bool was_empty = m_items.revision() == 0;
+    const auto applied =
+        apply_changes(std::get<published_changes>(changes), query.requested_at - *query.age);
+    if (const auto* failure = std::get_if<error>(&applied)) {
         on_relay_failure(query.host, failure->to_string());
         return false;
     }
     m_dependencies.metrics.count("relay");
-    apply_reading(std::get<published_reading>(std::move(decoded)), query.requested_at - *query.age);
+    if (was_empty && std::exchange(m_is_reading_source, false)) {
+        // it would read all items
+        m_dependencies.source.cancel_read();
+        schedule_read(duration{0});
+    }
     return *query.age < m_options.max_relay_age;
 }
 
-void configuration_follower::serve_peer(server_exchange& request) const
+/// Returns the message for a peer host that holds `revision`.
+const std::string& configuration_follower::relayed_changes(std::uint64_t revision)
 {
+    if (m_relayed.since != revision || m_relayed.revision != m_items.revision()) {
+        m_relayed = {revision, m_items.revision(), encode_changes(m_items.changes_since(revision))};
+    }
+    return m_relayed.bytes;
+}
+
+void configuration_follower::serve_peer(server_exchange& request)
+{
+    if (m_items.revision() == 0) {
+        request.respond(503, {}, {});
+        return;
+    }
     header_list headers;
-    headers.add("Content-Type", "text/plain");
+    headers.add("Content-Type", "application/octet-stream");
     const duration age = m_dependencies.state.age(boot_clock::now());
     headers.add(std::string{relay_age_header}, std::to_string(to_milliseconds(age).count()));
-    request.respond(200, headers, m_dependencies.state.last().text);
+    const std::uint64_t revision =
+        parse_revision(request.head().headers.find(relay_revision_header));
+    request.respond(200, headers, relayed_changes(revision));
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/configuration/publication_source.h"
+#include "gateway/configuration/published_items.h"
 #include "gateway/configuration/published_state.h"
 #include "gateway/http/http_client.h"
 #include "gateway/http/http_server.h"
@@ -10,7 +11,7 @@
 
 #include <chrono>      // milliseconds
 #include <cstddef>     // size_t
-#include <cstdint>     // uint16_t
+#include <cstdint>     // uint16_t, uint64_t
 #include <functional>  // function
 #include <string>      // string
 #include <string_view> // string_view
@@ -22,17 +23,26 @@
 /// Path at which a host serves its published state to peer hosts.
 inline constexpr std::string_view relay_path = "/peer/published";
 
-/// Response header: milliseconds since the body was confirmed up to date.
+/// Request header: revision that the querying host holds; without it, it holds none.
+inline constexpr std::string_view relay_revision_header = "Keel-Configuration-Revision";
+
+/// Response header: milliseconds since the state was confirmed up to date.
 inline constexpr std::string_view relay_age_header = "Keel-Configuration-Age-Ms";
 
 struct follower_options {
     duration read_interval = std::chrono::milliseconds{1'000}; ///< after a successful read
     duration retry_interval = std::chrono::milliseconds{300};  ///< after a failed read
-    /// Age from which a peer's state counts as stale: such a reader is not queried, and after a
-    /// response that old the source is read too. A failed read of the source leads to a query to a
-    /// peer host once the state of this host has reached this age.
+    /// Age from which a state counts as stale: a reader with such a state is not queried, and after
+    /// a response that old the source is read too. A host whose own state is that old queries a
+    /// peer host with a more recent one.
     duration max_relay_age = std::chrono::milliseconds{1'600};
     duration relay_timeout = std::chrono::milliseconds{800}; ///< of a query to a peer host
+    /// Of a query to a peer host for all items, while this host holds none.
+    duration initial_relay_timeout = std::chrono::milliseconds{3'000};
+    /// A peer host is queried for a more recent state if its state is younger by at least this.
+    duration min_age_gain = std::chrono::milliseconds{400};
+    /// Interval at which a host without a fresh state looks for a peer host that has one.
+    duration peer_check_interval = std::chrono::milliseconds{200};
     std::size_t max_readers = 3; ///< per region; the other hosts normally query them
     std::uint16_t relay_port = 0;
     std::string ip;             ///< of this host
@@ -43,8 +53,11 @@
 /// Keeps the published state up to date. Up to `max_readers` hosts of each region, the readers,
 /// read the source; the other hosts query a reader. They read the source as well if they have no
 /// configuration, if no reader reports a fresh state, or if the query fails or returns a stale
-/// state. If a read of the source fails and this host's state has reached the age `max_relay_age`,
-/// a live peer host that reports a more recent state is queried.
+/// state. While the state of this host is missing or has reached the age `max_relay_age`, a live
+/// peer host that reports a more recent one is queried too, of the own region if there is one.
+///
+/// Both reads and queries ask for the changes since the revision that is held, so that an unchanged
+/// state costs the same at any number of endpoints.
 ///
 /// Thread safety: none; all calls come from the loop's thread.
 class configuration_follower {
@@ -66,21 +79,27 @@
     /// Starts the first read; further reads follow periodically.
     void start();
 
-    /// Responds to a peer host with the state as received from the source, and its age.
-    void serve_peer(server_exchange& request) const;
+    /// Responds to a peer host with the changes since its revision and the age of the state, or
+    /// with 503 while no state is held.
+    void serve_peer(server_exchange& request);
 
 private:
     struct relay_query;
 
     void read();
     void read_source();
-    void on_reading(result<published_reading> reading, time_point requested_at);
-    void apply_reading(published_reading reading, time_point confirmed_at);
+    void on_reading(result<published_changes> changes, time_point requested_at);
+    [[nodiscard]] result<merge_outcome> apply_changes(const published_changes& changes,
+                                                      time_point confirmed_at);
+    [[nodiscard]] state_change update_state(merge_outcome outcome, time_point confirmed_at);
     void log_configuration() const;
+    void log_endpoints(const state_change& change, std::size_t former_count) const;
     void record_source_result(const error* failure);
     void schedule_read(duration delay);
+    void check_peers();
     void query_fresher_peer();
     [[nodiscard]] const member* select_fresher_peer(time_point now);
+    [[nodiscard]] const std::string& relayed_changes(std::uint64_t revision);
     [[nodiscard]] const member* select_reader(time_point now);
     void query_peer(const member& chosen, std::function<void(bool is_fresh)> on_end);
     bool apply_relayed(const relay_query& query);
@@ -89,8 +108,18 @@
     dependencies m_dependencies;
     follower_options m_options;
     std::function<void()> m_on_change;
+    published_items m_items;
     asio::steady_timer m_timer;
+    asio::steady_timer m_peer_timer;
+    /// Last message to a peer host, which others are likely to ask for too.
+    struct relayed_message {
+        std::uint64_t since = 0;
+        std::uint64_t revision = 0; ///< 0: no message yet
+        std::string bytes;
+    };
+    relayed_message m_relayed;
     std::size_t m_unusable_entries = 0;
+    bool m_is_reading_source = false;
     bool m_is_source_lost = false;
     bool m_is_querying_peer = false;
     bool m_is_reader = true;
--- a/src/gateway/configuration/publication.h
+++ b/src/gateway/configuration/publication.h
@@ -154,14 +154,13 @@
     std::uint64_t sequence = 0;  ///< heartbeats since the start
 };
 
-/// Published state as one read of the source returned it.
+/// Published state at one revision of the source.
 struct published_reading {
     publication_ptr published;               ///< null if nothing is published yet
     std::set<std::string> evacuated_domains; ///< failure domains whose endpoints get no requests
     std::vector<endpoint_entry> endpoints;
     std::size_t unusable_entries = 0; ///< endpoint entries that could not be decoded
-    std::uint64_t revision = 0;       ///< of the source at the time of the read
-    std::string text;                 ///< as received from the source, for relaying
+    std::uint64_t revision = 0;       ///< of the source
 };
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/configuration/publication_source.h
+++ b/src/gateway/configuration/publication_source.h
@@ -1,17 +1,16 @@
 #pragma once
 
-#include "gateway/configuration/publication.h"
+#include "gateway/configuration/published_items.h"
 #include "process/error.h"
 
+#include <cstdint>    // uint64_t
 #include <functional> // function
-#include <string>     // string
 
 namespace hickorykeel::gateway {
 
 /// Source of the published configuration and the list of endpoints.
 ///
-/// Each read calls its handler exactly once, on the loop's thread, within a timeout that the
-/// implementation sets.
+/// Thread safety: none; used on the loop's thread only.
 class publication_source {
 public:
     publication_source() = default;
@@ -21,13 +20,20 @@
     publication_source& operator=(publication_source&&) = delete;
     virtual ~publication_source() = default;
 
-    using handler = std::function<void(result<published_reading>)>;
+    using handler = std::function<void(result<published_changes>)>;
 
-    /// Starts a read of the whole published state.
-    virtual void read(handler on_reading) = 0;
+    /// Starts a read of what has changed since revision `since`, or of all items if it is 0 or if
+    /// the source can't tell the changes. Calls `on_changes` once, on the loop's thread, within a
+    /// timeout that the implementation sets, unless the read is cancelled.
+    /// Precondition: no read is under way.
+    virtual void read(std::uint64_t since, handler on_changes) = 0;
 
-    /// Decodes the `text` of a reading that a peer host relayed.
-    [[nodiscard]] virtual result<published_reading> decode(const std::string& text) const = 0;
+    /// Ends the read under way, if any, without its handler.
+    virtual void cancel_read() = 0;
+
+    /// Decodes an item. An item without which the state is of no use, and which is invalid, is an
+    /// error.
+    [[nodiscard]] virtual result<published_value> decode(const published_item& item) const = 0;
 };
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/configuration/published_state.cpp
+++ b/src/gateway/configuration/published_state.cpp
@@ -34,6 +34,17 @@
     return change;
 }
 
+state_change published_state::confirm(time_point confirmed_at, time_point now)
+{
+    state_change change;
+    m_confirmed_at = std::max(m_confirmed_at, confirmed_at);
+    const bool keeps_missing = m_endpoints.size() > m_last.endpoints.size();
+    if (m_had_outage || (keeps_missing && now >= m_settling_until)) {
+        update_endpoints(m_last, now, change);
+    }
+    return change;
+}
+
 void published_state::update_endpoints(const published_reading& reading, time_point now,
                                        state_change& change)
 {
--- a/src/gateway/configuration/published_state.h
+++ b/src/gateway/configuration/published_state.h
@@ -48,6 +48,10 @@
     /// @param confirmed_at latest time at which the reading is known to have been up to date
     state_change apply(published_reading reading, time_point confirmed_at, time_point now);
 
+    /// Records that the held state was up to date at `confirmed_at`. Removes endpoints that were
+    /// kept for the settling time once it is over.
+    state_change confirm(time_point confirmed_at, time_point now);
+
     /// Records a failed read of the source.
     void on_failure() noexcept { m_had_outage = true; }
     /// @}
--- a/standins/gateway/platform_world.cpp
+++ b/standins/gateway/platform_world.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdlib>  // abort
 #include <iostream> // cerr
+#include <string>   // stoull, string
 #include <utility>  // exchange, move
 #include <variant>  // get_if
 
@@ -117,26 +118,41 @@
                     {"revision", m_revision},
                     {"created", m_revision},
                     {"lease", 0}};
+    m_events.push_back(m_items[key]);
 }
 
 void platform_world::remove(const std::string& key)
 {
     ++m_revision;
     m_items.erase(key);
+    m_events.push_back({{"key", key}, {"revision", m_revision}, {"deleted", true}});
 }
 
 void platform_world::serve_store(const std::shared_ptr<server_exchange>& request)
 {
     ++m_reads;
-    const message_head& head = request->head();
-    if (m_refuses || gateway::to_path(head.target) != "/hickorykeel/kv-range") {
-        request->respond(m_refuses ? 503 : 404, {}, {});
-        return;
+    const std::string& target = request->head().target;
+    const std::string_view path = gateway::to_path(target);
+    if (m_refuses) {
+        request->respond(503, {}, {});
+    }
+    else if (path == "/hickorykeel/kv-range") {
+        request->respond(200, json_headers(), range(target).dump());
+    }
+    else if (path == "/hickorykeel/kv-watch") {
+        request->respond(200, json_headers(), changes(target).dump());
     }
+    else {
+        request->respond(404, {}, {});
+    }
+}
+
+nlohmann::json platform_world::range(const std::string& target) const
+{
     // small pages, so that readers must ask for more than one
     constexpr std::size_t page_items = 3;
-    const std::string prefix = gateway::query_value(head.target, "prefix");
-    const std::string after = gateway::query_value(head.target, "after");
+    const std::string prefix = gateway::query_value(target, "prefix");
+    const std::string after = gateway::query_value(target, "after");
     nlohmann::json items = nlohmann::json::array();
     bool has_more = false;
     for (auto it = m_items.upper_bound(after); it != m_items.end(); ++it) {
@@ -149,8 +165,20 @@
         }
         items.push_back(it->second);
     }
-    const nlohmann::json page{{"items", items}, {"hasMore", has_more}, {"asOf", m_revision}};
-    request->respond(200, json_headers(), page.dump());
+    return {{"items", items}, {"hasMore", has_more}, {"asOf", m_revision}};
+}
+
+/// What has changed after a revision; the stand-in never waits.
+nlohmann::json platform_world::changes(const std::string& target) const
+{
+    const std::uint64_t after = std::stoull(gateway::query_value(target, "after"));
+    nlohmann::json events = nlohmann::json::array();
+    for (const nlohmann::json& event : m_events) {
+        if (event.at("revision").get<std::uint64_t>() > after) {
+            events.push_back(event);
+        }
+    }
+    return {{"events", events}, {"asOf", m_revision}};
 }
 
 endpoint_standin& platform_world::add_endpoint(const std::string& id, const std::string& service,
--- a/standins/gateway/platform_world.h
+++ b/standins/gateway/platform_world.h
@@ -92,11 +92,14 @@
 
 private:
     void serve_store(const std::shared_ptr<gateway::server_exchange>& request);
+    [[nodiscard]] nlohmann::json range(const std::string& target) const;
+    [[nodiscard]] nlohmann::json changes(const std::string& target) const;
 
     asio::io_context m_loop{1};
     gateway::http_server m_store;
     gateway::http_client m_caller;
     std::map<std::string, nlohmann::json> m_items; // by key: the item as the store shows it
+    std::vector<nlohmann::json> m_events;          // in the order of their revisions
     std::uint64_t m_revision = 0;
     std::uint64_t m_reads = 0;
     bool m_refuses = false;
--- a/tests/gateway/configuration_follower_test.cpp
+++ b/tests/gateway/configuration_follower_test.cpp
@@ -1,12 +1,16 @@
 #include "gateway/configuration/configuration_follower.h"
 
+#include "gateway/configuration/relay_codec.h"
 #include "gateway/http/http_server.h"
 #include "gateway/membership/aggregator_choice.h"
 
 #include <chrono>  // hours, milliseconds, seconds
+#include <cstdint> // uint64_t
 #include <memory>  // make_shared, make_unique, shared_ptr, unique_ptr
-#include <string>  // string
-#include <utility> // move
+#include <string>  // string, to_string
+#include <utility> // exchange, move
+#include <variant> // get
+#include <vector>  // vector
 
 #include <doctest/doctest.h>
 
@@ -19,32 +23,50 @@
 constexpr auto read_timeout = 20s; // after which a read in a test counts as stuck
 const std::string reader_ip = "127.0.0.1";
 
-/// A source that responds at once and counts its reads.
+/// All items at `revision`: a configuration, and one endpoint called `endpoint`.
+published_changes make_changes(const std::string& endpoint, std::uint64_t revision = 1)
+{
+    return {0, revision, {{"configuration", "", revision, false}, {endpoint, "", revision, false}}};
+}
+
+published_reading make_reading()
+{
+    auto published = std::make_shared<publication>();
+    published->version = 1;
+    published_reading reading;
+    reading.published = published;
+    reading.revision = 1;
+    return reading;
+}
+
+/// A source that responds at once, or never, and counts its reads.
 class counting_source : public publication_source {
 public:
-    void read(handler on_reading) override
+    void read(std::uint64_t since, handler on_changes) override
     {
         ++reads;
-        on_reading(make_reading("from the source"));
+        last_since = since;
+        if (!is_silent) {
+            on_changes(make_changes("from the source"));
+        }
     }
 
-    [[nodiscard]] result<published_reading> decode(const std::string& text) const override
-    {
-        return make_reading(text);
-    }
+    void cancel_read() override { ++cancelled_reads; }
 
-    static published_reading make_reading(const std::string& text)
+    [[nodiscard]] result<published_value> decode(const published_item& item) const override
     {
-        auto published = std::make_shared<publication>();
-        published->version = 1;
-        published_reading reading;
-        reading.published = published;
-        reading.revision = 1;
-        reading.text = text;
-        return reading;
+        if (item.key == "configuration") {
+            return published_value{make_reading().published};
+        }
+        endpoint_entry entry;
+        entry.id = item.key;
+        return published_value{entry};
     }
 
+    bool is_silent = false;
     int reads = 0;
+    int cancelled_reads = 0;
+    std::uint64_t last_since = 0;
 };
 
 header_list with_age(const std::string& ms)
@@ -72,19 +94,19 @@
     explicit single_reader_region(http_server::handler reader) : m_reader{m_loop, std::move(reader)}
     {
         REQUIRE(is_ok(m_reader.listen(reader_ip + ":0")));
-        m_state.apply(counting_source::make_reading(""), boot_clock::now() - 1h, boot_clock::now());
         add_reader();
         m_follower = std::make_unique<configuration_follower>(
             configuration_follower::dependencies{m_loop, source, m_state, m_members, m_client,
                                                  m_log, m_metrics},
-            follower_options{.read_interval = 1h,
+            follower_options{.read_interval = 100ms,
                              .relay_timeout = 100ms,
+                             .initial_relay_timeout = 100ms,
                              .max_readers = 1,
                              .relay_port = m_reader.port(),
                              .ip = non_reader_ip(),
                              .failure_domain = "",
                              .region = "attica"},
-            [this] { m_has_changed = true; });
+            [this] { ++m_changes; });
     }
 
     single_reader_region(const single_reader_region&) = delete;
@@ -94,20 +116,43 @@
 
     ~single_reader_region() = default;
 
-    /// Runs the host until it has applied a reading.
+    /// Gives the host an old configuration, so that it isn't a reader.
+    void hold_old_state()
+    {
+        m_state.apply(make_reading(), boot_clock::now() - 1h, boot_clock::now());
+    }
+
+    /// Runs the host until it has applied changes.
     void read()
     {
         m_follower->start();
+        run_until([this] { return m_changes > 0; });
+    }
+
+    template <typename Condition>
+    void run_until(Condition is_met)
+    {
         const time_point deadline = boot_clock::now() + read_timeout;
-        while (!m_has_changed && boot_clock::now() < deadline) {
+        while (!is_met() && boot_clock::now() < deadline) {
             m_loop.run_one_for(10ms);
         }
-        REQUIRE(m_has_changed);
+        REQUIRE(is_met());
     }
 
-    [[nodiscard]] const std::string& held() const { return m_state.last().text; }
+    /// The endpoint that the host knows.
+    [[nodiscard]] std::string held() const
+    {
+        REQUIRE(m_state.endpoints().size() == 1);
+        return m_state.endpoints().begin()->first;
+    }
     [[nodiscard]] duration age() const { return m_state.age(boot_clock::now()); }
 
+    /// Number of changes that the host has passed on to its other parts.
+    [[nodiscard]] int changes() const noexcept { return m_changes; }
+
+    void serve_peer(server_exchange& request) { m_follower->serve_peer(request); }
+    [[nodiscard]] asio::io_context& loop() noexcept { return m_loop; }
+
     counting_source source;
 
 private:
@@ -131,15 +176,58 @@
     published_state m_state{{}};
     member_table m_members{non_reader_ip(), {}, {}};
     std::unique_ptr<configuration_follower> m_follower;
-    bool m_has_changed = false;
+    int m_changes = 0;
+};
+
+/// Response to a query of a peer host.
+struct relay_response {
+    int status = 0;
+    published_changes changes;
+};
+
+/// A peer host that queries the host of a `single_reader_region`.
+class relay_client {
+public:
+    explicit relay_client(single_reader_region& region)
+        : m_region{region}, m_server{m_region.loop(),
+                                     [this](const auto& request) { m_region.serve_peer(*request); }}
+    {
+        REQUIRE(is_ok(m_server.listen(reader_ip + ":0")));
+    }
+
+    relay_response query(const std::string& revision)
+    {
+        relay_response response;
+        std::string body;
+        bool has_ended = false;
+        header_list headers;
+        headers.add(std::string{relay_revision_header}, revision);
+        m_client.call({.address = reader_ip + ':' + std::to_string(m_server.port())},
+                      format_request("GET", relay_path, headers, {}),
+                      {.on_head = [&](const message_head& head) { response.status = head.status; },
+                       .on_body = [&](std::string& bytes) { body += std::exchange(bytes, {}); },
+                       .on_end = [&](call_end) { has_ended = true; }});
+        m_region.run_until([&] { return has_ended; });
+        if (response.status == 200) {
+            response.changes = std::get<published_changes>(decode_changes(body, "host"));
+        }
+        return response;
+    }
+
+private:
+    single_reader_region& m_region;
+    http_server m_server;
+    http_client m_client{m_region.loop()};
 };
 
 } // namespace
 
 TEST_CASE("a host that is not a reader applies a reader's state and its age")
 {
-    single_reader_region region{
-        [](const auto& request) { request->respond(200, with_age("500"), "from the reader"); }};
+    single_reader_region region{[](const auto& request) {
+        request->respond(200, with_age("500"), encode_changes(make_changes("from the reader")));
+    }};
+    region.hold_old_state();
     region.read();
     CHECK(region.held() == "from the reader");
     CHECK(region.age() >= 500ms);
@@ -150,6 +238,7 @@
 {
     std::shared_ptr<server_exchange> pending;
     single_reader_region region{[&pending](const auto& request) { pending = request; }};
+    region.hold_old_state();
     region.read();
     CHECK(region.held() == "from the source");
     CHECK(region.source.reads == 1);
@@ -157,8 +246,10 @@
 
 TEST_CASE("the source is read if the reader's state is too old")
 {
-    single_reader_region region{
-        [](const auto& request) { request->respond(200, with_age("3000"), "from the reader"); }};
+    single_reader_region region{[](const auto& request) {
+        request->respond(200, with_age("3000"), encode_changes(make_changes("from the reader")));
+    }};
+    region.hold_old_state();
     region.read();
     CHECK(region.source.reads == 1);
 }
@@ -168,9 +259,78 @@
     for (const std::string age : {"", "-1", "5 s", "99999999999"}) {
         CAPTURE(age);
         single_reader_region region{[&age](const auto& request) {
-            request->respond(200, with_age(age), "from the reader");
+            request->respond(200, with_age(age), encode_changes(make_changes("from the reader")));
+        }};
+        region.hold_old_state();
+        region.read();
+        CHECK(region.held() == "from the source");
+    }
+}
+
+TEST_CASE("the source is read if the reader's response is no message of changes")
+{
+    for (const int status : {200, 404, 503}) {
+        CAPTURE(status);
+        single_reader_region region{[status](const auto& request) {
+            request->respond(status, with_age("0"), "from the reader");
         }};
+        region.hold_old_state();
         region.read();
         CHECK(region.held() == "from the source");
     }
 }
+
+TEST_CASE("a reader is queried for the changes since the held revision, and none change nothing")
+{
+    std::vector<std::string> revisions;
+    single_reader_region region{[&revisions](const auto& request) {
+        revisions.emplace_back(request->head().headers.find(relay_revision_header));
+        const bool is_first = revisions.size() == 1;
+        request->respond(200, with_age(is_first ? "1500" : "0"),
+                         encode_changes(is_first ? make_changes("from the reader", 7)
+                                                 : published_changes{7, 7, {}}));
+    }};
+    region.hold_old_state();
+    region.read();
+    region.run_until([&] { return region.age() < 1s; }); // the second response confirms the state
+    REQUIRE(revisions.size() >= 2);
+    CHECK(revisions.at(0) == "0");
+    CHECK(revisions.at(1) == "7");
+    CHECK(region.held() == "from the reader");
+    CHECK(region.changes() == 1);
+    CHECK(region.source.reads == 0);
+}
+
+TEST_CASE("regression: a mass restart with many endpoints far from the source")
+{
+    // reading all items from the source takes long there, so the first host that has them helps
+    single_reader_region region{[](const auto& request) {
+        request->respond(200, with_age("0"), encode_changes(make_changes("from the reader")));
+    }};
+    region.source.is_silent = true;
+    region.read();
+    CHECK(region.held() == "from the reader");
+    CHECK(region.source.reads == 1);
+    CHECK(region.source.cancelled_reads == 1);
+}
+
+TEST_CASE("a host passes on the changes that a peer host lacks")
+{
+    single_reader_region region{[](const auto& request) {
+        request->respond(200, with_age("0"), encode_changes(make_changes("from the reader", 7)));
+    }};
+    region.hold_old_state();
+    relay_client peer{region};
+    CHECK(peer.query("0").status == 503); // it holds none yet
+    region.read();
+    for (const std::string revision : {"0", "6", "", "7 or so", "99999999999999999999"}) {
+        CAPTURE(revision);
+        const relay_response response = peer.query(revision);
+        CHECK(response.status == 200);
+        CHECK(response.changes.since == 0);
+        CHECK(response.changes.items.size() == 2);
+    }
+    const relay_response response = peer.query("7");
+    CHECK(response.changes.revision == 7);
+    CHECK(response.changes.items.empty());
+}
--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -2,7 +2,8 @@
 #include "platform/publication_decoder.h"
 
 #include <string>  // string
-#include <variant> // get, holds_alternative
+#include <utility> // move
+#include <variant> // get, holds_alternative, monostate
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -101,9 +102,12 @@
                              R"({"key":"servers/i-2","value":"%%%","revision":2},)"
                              R"({"key":"servers/i-3","value":")" +
                              good + R"(","revision":3}],"hasMore":false,"asOf":12})";
-    const auto reading = platform::decode_pages(page);
-    REQUIRE(std::holds_alternative<published_reading>(reading));
-    const auto& read = std::get<published_reading>(reading);
+    auto decoded = platform::decode_page(page);
+    REQUIRE(std::holds_alternative<platform::store_page>(decoded));
+    auto& items = std::get<platform::store_page>(decoded);
+    published_items held{platform::decode_item};
+    REQUIRE(is_ok(held.apply({0, items.revision, std::move(items.items)})));
+    const published_reading read = held.to_reading();
     CHECK(read.unusable_entries == 2);
     CHECK(read.revision == 12);
     REQUIRE(read.endpoints.size() == 1);
@@ -119,6 +123,37 @@
     }
 }
 
+TEST_CASE("events of a watch are decoded in their order, deletions too")
+{
+    const auto decoded = platform::decode_events(
+        R"({"events":[{"key":"servers/i-1","value":"e30=","revision":5,"created":2,"lease":0},)"
+        R"({"key":"op/evacuate/d","revision":6,"deleted":true},"odd",{"revision":7}],"asOf":7})");
+    REQUIRE(std::holds_alternative<platform::store_page>(decoded));
+    const auto& page = std::get<platform::store_page>(decoded);
+    CHECK(page.revision == 7);
+    REQUIRE(page.items.size() == 2);
+    CHECK(page.items.front().revision == 5);
+    CHECK(page.items.front().value == "{}");
+    CHECK_FALSE(page.items.front().is_deleted);
+    CHECK(page.items.back().key == "op/evacuate/d");
+    CHECK(page.items.back().revision == 6);
+    CHECK(page.items.back().is_deleted);
+}
+
+TEST_CASE("an item means what its key says")
+{
+    CHECK(std::holds_alternative<error>(platform::decode_item({"op/config", "{}", 1, false})));
+    const auto evacuated = platform::decode_item({"op/evacuate/d", "", 1, false});
+    REQUIRE(is_ok(evacuated));
+    CHECK(std::get<evacuated_domain>(std::get<published_value>(evacuated)).failure_domain == "d");
+    const auto endpoint = platform::decode_item({"servers/i-1", complete_entry, 1, false});
+    REQUIRE(is_ok(endpoint));
+    CHECK(std::get<endpoint_entry>(std::get<published_value>(endpoint)).id == "i-1");
+    const auto other = platform::decode_item({"else/where", "{}", 1, false});
+    REQUIRE(is_ok(other));
+    CHECK(std::holds_alternative<std::monostate>(std::get<published_value>(other)));
+}
+
 TEST_CASE("a configuration is decoded into the gateway's types")
 {
     const auto decoded = platform::decode_publication(configuration);
--- a/tests/gateway/published_state_test.cpp
+++ b/tests/gateway/published_state_test.cpp
@@ -105,3 +105,29 @@
     state.apply(make_endpoints({}, 2), start + 5s, start + 5s);
     CHECK(state.endpoints().empty());
 }
+
+TEST_CASE("confirming the held state extends the key lease and changes nothing else")
+{
+    published_state state{{.key_lease = 4s}};
+    state.apply(make_configuration(1, 1), start, start);
+    const auto change = state.confirm(start + 3s, start + 3s);
+    CHECK_FALSE(change.is_configuration_changed);
+    CHECK(change.removed.empty());
+    CHECK(state.may_accept_keys(start + 6s));
+    state.confirm(start + 1s, start + 6s); // a peer host's word may be older
+    CHECK(state.may_accept_keys(start + 6s));
+    CHECK_FALSE(state.may_accept_keys(start + 7s));
+}
+
+TEST_CASE("a confirmation removes endpoints that were kept after an outage")
+{
+    published_state state{{.settling_time = 2'500ms}};
+    state.apply(make_endpoints({"a", "b"}, 1), start, start);
+    state.on_failure();
+    state.confirm(start + 5s, start + 5s);
+    state.apply(make_endpoints({"b"}, 2), start + 6s, start + 6s);
+    CHECK(state.confirm(start + 7s, start + 7s).removed.empty());
+    CHECK(state.endpoints().contains("a"));
+    CHECK(state.confirm(start + 8s, start + 8s).removed == std::vector<std::string>{"a"});
+    CHECK(state.endpoints().size() == 1);
+}
--- /dev/null
+++ b/tests/gateway/store_client_test.cpp
@@ -0,0 +1,187 @@
+#include "platform/store_client.h"
+
+#include "gateway/http/http_server.h"
+
+#include <chrono>     // milliseconds, seconds
+#include <functional> // function
+#include <memory>     // make_shared, shared_ptr
+#include <string>     // string, to_string
+#include <utility>    // move
+#include <variant>    // get, get_if
+#include <vector>     // vector
+
+#include <asio/steady_timer.hpp> // steady_timer
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace hickorykeel::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto read_limit = 20s; // after which a read in a test counts as stuck
+
+std::string item(const std::string& key, int revision)
+{
+    return R"({"key":")" + key + R"(","value":"e30=","revision":)" + std::to_string(revision) + '}';
+}
+
+std::string page(const std::string& items, int revision, bool has_more = false)
+{
+    return R"({"items":[)" + items + R"(],"hasMore":)" + (has_more ? "true" : "false") +
+           R"(,"asOf":)" + std::to_string(revision) + '}';
+}
+
+std::string events(const std::string& items, int revision)
+{
+    return R"({"events":[)" + items + R"(],"asOf":)" + std::to_string(revision) + '}';
+}
+
+/// A store whose responses the test provides, and a client of it.
+class store_and_client {
+public:
+    struct response {
+        int status = 200;
+        std::string body;
+    };
+    using responder = std::function<response(const std::string& target)>;
+
+    explicit store_and_client(responder respond, duration delay = 0ms)
+        : m_respond{std::move(respond)}, m_delay{delay}, m_store{m_loop,
+                                                                 [this](const auto& request) {
+                                                                     serve(request);
+                                                                 }}
+    {
+        REQUIRE(is_ok(m_store.listen("127.0.0.1:0")));
+    }
+
+    result<published_changes> read(std::uint64_t since)
+    {
+        platform::store_client client{m_loop, m_client,
+                                      "127.0.0.1:" + std::to_string(m_store.port())};
+        std::shared_ptr<result<published_changes>> received;
+        client.read(since, [&received](result<published_changes> changes) {
+            CHECK(received == nullptr);
+            received = std::make_shared<result<published_changes>>(std::move(changes));
+        });
+        const time_point deadline = boot_clock::now() + read_limit;
+        while (received == nullptr && boot_clock::now() < deadline) {
+            m_loop.run_one_for(10ms);
+        }
+        REQUIRE(received != nullptr);
+        return *received;
+    }
+
+    std::vector<std::string> targets;
+
+private:
+    void serve(const std::shared_ptr<server_exchange>& request)
+    {
+        targets.push_back(request->head().target);
+        const response answer = m_respond(request->head().target);
+        const auto timer = std::make_shared<asio::steady_timer>(m_loop, m_delay);
+        timer->async_wait([timer, request, answer](const asio::error_code&) {
+            request->respond(answer.status, {}, answer.body);
+        });
+    }
+
+    responder m_respond;
+    duration m_delay;
+    asio::io_context m_loop{1};
+    http_client m_client{m_loop};
+    http_server m_store;
+};
+
+bool is_watch(const std::string& target)
+{
+    return target.find("kv-watch") != std::string::npos;
+}
+
+bool is_revision_query(const std::string& target)
+{
+    return target.find("prefix=op") != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("an unchanged store is read with one small call")
+{
+    store_and_client store{[](const std::string&) {
+        return store_and_client::response{200, page("", 41)};
+    }};
+    const auto changes = store.read(41);
+    REQUIRE(is_ok(changes));
+    CHECK(std::get<published_changes>(changes).since == 41);
+    CHECK(std::get<published_changes>(changes).revision == 41);
+    CHECK(std::get<published_changes>(changes).items.empty());
+    REQUIRE(store.targets.size() == 1);
+    CHECK(is_revision_query(store.targets.front()));
+}
+
+TEST_CASE("changes are read from the history, in several calls if one does not list them all")
+{
+    store_and_client store{[](const std::string& target) {
+        const bool is_second = target.find("after=42") != std::string::npos;
+        return store_and_client::response{200, !is_watch(target) ? page("", 44)
+                                               : is_second       ? events(item("servers/b", 44), 44)
+                                                           : events(item("servers/a", 42), 42)};
+    }};
+    const auto changes = store.read(41);
+    REQUIRE(is_ok(changes));
+    CHECK(std::get<published_changes>(changes).since == 41);
+    CHECK(std::get<published_changes>(changes).revision == 44);
+    CHECK(std::get<published_changes>(changes).items.size() == 2);
+    CHECK(store.targets.size() == 3);
+}
+
+TEST_CASE("all items are read if the history is lost or the watch misses changes")
+{
+    for (const int status : {410, 200}) {
+        CAPTURE(status);
+        store_and_client store{[status](const std::string& target) {
+            if (is_watch(target)) {
+                return store_and_client::response{status, events("", 44)};
+            }
+            return store_and_client::response{
+                200, page(is_revision_query(target) ? "" : item("servers/a", 42), 44)};
+        }};
+        const auto changes = store.read(41);
+        REQUIRE(is_ok(changes));
+        CHECK(std::get<published_changes>(changes).since == 0);
+        CHECK(std::get<published_changes>(changes).revision == 44);
+        CHECK(std::get<published_changes>(changes).items.size() == 1);
+    }
+}
+
+TEST_CASE("regression: thousands of endpoints in small pages far from the store")
+{
+    // 50 pages of 40 ms each took longer than a read of the store was allowed to
+    constexpr int pages = 50;
+    int served = 0;
+    store_and_client store{[&served](const std::string&) {
+                               ++served;
+                               const std::string key = "servers/" + std::to_string(1'000 + served);
+                               return store_and_client::response{
+                                   200, page(item(key, served), 100 + served, served < pages)};
+                           },
+                           40ms};
+    const auto changes = store.read(0);
+    REQUIRE(is_ok(changes));
+    CHECK(std::get<published_changes>(changes).items.size() == pages);
+    CHECK(std::get<published_changes>(changes).revision == 101); // of the first page
+    CHECK(store.targets.at(1).find("after=servers%2F1001") != std::string::npos);
+}
+
+TEST_CASE("a refusal or an invalid response of the store is an error")
+{
+    for (const store_and_client::response& answer : {store_and_client::response{503, ""},
+                                                     {429, page("", 41)},
+                                                     {200, "{}"},
+                                                     {200, "[]"},
+                                                     {410, ""}}) {
+        CAPTURE(answer.status);
+        store_and_client store{[&answer](const std::string&) { return answer; }};
+        CHECK_FALSE(is_ok(store.read(0)));
+        CHECK_FALSE(is_ok(store.read(40)));
+    }
+}
