Let the readers alone load the source after a mass restart

Change: a host that has no configuration after 0.6 s of reading, and hears that others are the readers of its region, leaves the source to them and asks any host that has a configuration, first in its own region. The readers are chosen among the live hosts, ready or not.

Reads and relays of all items are logged (whole_state_read).

--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -50,13 +50,20 @@
 
 void configuration_follower::start()
 {
+    m_started = boot_clock::now();
     read();
     check_peers();
 }
 
 void configuration_follower::read()
 {
-    const member* reader = m_is_querying_peer ? nullptr : select_reader(boot_clock::now());
+    const time_point now = boot_clock::now();
+    const std::vector<std::string> readers = update_readers(now);
+    if (waits_for_peers(now)) {
+        schedule_read(m_options.peer_check_interval);
+        return;
+    }
+    const member* reader = m_is_querying_peer ? nullptr : select_reader(readers, now);
     if (reader == nullptr) {
         read_source();
         return;
@@ -71,10 +78,18 @@
     });
 }
 
+/// Whether this host has no configuration and leaves the source to the readers for now.
+bool configuration_follower::waits_for_peers(time_point now) const
+{
+    return !m_is_reader && m_dependencies.state.published() == nullptr &&
+           now - m_source_read_at < m_options.unconfigured_read_interval;
+}
+
 void configuration_follower::read_source()
 {
     m_is_reading_source = true;
-    m_dependencies.source.read(m_items.revision(), [this, requested_at = boot_clock::now()](
+    m_source_read_at = boot_clock::now();
+    m_dependencies.source.read(m_items.revision(), [this, requested_at = m_source_read_at](
                                                        result<published_changes> changes) {
         m_is_reading_source = false;
         on_reading(std::move(changes), requested_at);
@@ -84,6 +99,7 @@
 void configuration_follower::on_reading(result<published_changes> changes, time_point requested_at)
 {
     if (const auto* received = std::get_if<published_changes>(&changes)) {
+        log_whole_state(*received, {}, requested_at);
         auto applied = apply_changes(*received, requested_at);
         if (auto* failure = std::get_if<error>(&applied)) {
             changes = std::move(*failure);
@@ -141,6 +157,21 @@
     return m_dependencies.state.apply(std::move(reading), confirmed_at, now);
 }
 
+/// Logs that all items were read, which is rare in an undisturbed fleet.
+/// @param peer host that passed them on; empty: the source
+void configuration_follower::log_whole_state(const published_changes& changes,
+                                             std::string_view peer, time_point requested_at) const
+{
+    if (changes.since != 0) {
+        return;
+    }
+    m_dependencies.log.write(log_line{"whole_state_read"}
+                                 .add("peer", peer)
+                                 .add("items", static_cast<std::int64_t>(changes.items.size()))
+                                 .add("revision", static_cast<std::int64_t>(changes.revision))
+                                 .add_ms("took_ms", boot_clock::now() - requested_at));
+}
+
 void configuration_follower::log_endpoints(const state_change& change,
                                            std::size_t former_count) const
 {
@@ -194,13 +225,21 @@
     });
 }
 
-/// Looks for a peer host with a fresher state while a read of the source is under way, which may
-/// take long if all items have to be read.
+/// Looks for a peer host with a fresher state while this host has none, or while a read of the
+/// source is under way, which may take long if all items have to be read.
 void configuration_follower::check_peers()
 {
-    if (m_is_reading_source) {
+    const time_point now = boot_clock::now();
+    if (m_is_reading_source || m_dependencies.state.published() == nullptr) {
+        static_cast<void>(update_readers(now));
         query_fresher_peer();
     }
+    const bool is_slow = now - m_source_read_at >= m_options.max_unconfigured_read;
+    if (m_is_reading_source && is_slow && m_items.revision() == 0 && waits_for_peers(now)) {
+        m_is_reading_source = false;
+        m_dependencies.source.cancel_read();
+        schedule_read(m_options.peer_check_interval);
+    }
     m_peer_timer.expires_after(m_options.peer_check_interval);
     m_peer_timer.async_wait([this](const asio::error_code& failure) {
         if (!failure) {
@@ -209,6 +248,14 @@
     });
 }
 
+/// Whether a peer host of another region may be queried. Not at once after the start, unless this
+/// host is a reader: then all hosts of a region would fetch the same items from far away.
+bool configuration_follower::may_query_other_regions(time_point now) const
+{
+    return m_is_reader || m_dependencies.state.published() != nullptr ||
+           now - m_started >= m_options.cross_region_delay;
+}
+
 const member* configuration_follower::select_fresher_peer(time_point now)
 {
     const auto hosts = m_dependencies.members.live(now);
@@ -226,27 +273,33 @@
         }
         elsewhere = elsewhere == nullptr ? candidate : elsewhere;
     }
-    return elsewhere;
+    return may_query_other_regions(now) ? elsewhere : nullptr;
 }
 
-/// Returns the reader to query, or null if this host has to read the source itself.
-const member* configuration_follower::select_reader(time_point now)
+/// Chooses the readers of this region among the live hosts and returns their ips.
+std::vector<std::string> configuration_follower::update_readers(time_point now)
 {
     std::vector<aggregator_candidate> candidates{{m_options.ip, m_options.failure_domain}};
-    for (const member* host : m_dependencies.members.ready(now)) {
-        if (host->last.region == m_options.region) {
+    for (const member* host : m_dependencies.members.live(now)) {
+        if (host->last.region == m_options.region && !host->last.is_leaving) {
             candidates.push_back({host->last.ip, host->last.failure_domain});
         }
     }
-    const auto readers = choose_aggregators(candidates, m_options.max_readers);
-    const bool is_reader = m_dependencies.state.published() == nullptr ||
-                           std::find(readers.begin(), readers.end(), m_options.ip) != readers.end();
+    std::vector<std::string> readers = choose_aggregators(candidates, m_options.max_readers);
+    const bool is_reader = std::find(readers.begin(), readers.end(), m_options.ip) != readers.end();
     if (std::exchange(m_is_reader, is_reader) != is_reader) {
         m_dependencies.log.write(
             log_line{is_reader ? "source_read_here" : "source_read_by_others"}.add(
                 "readers", static_cast<std::int64_t>(readers.size())));
     }
-    if (is_reader) {
+    return readers;
+}
+
+/// Returns the reader to query, or null if this host has to read the source itself.
+const member* configuration_follower::select_reader(const std::vector<std::string>& readers,
+                                                    time_point now) const
+{
+    if (m_is_reader || m_dependencies.state.published() == nullptr) {
         return nullptr;
     }
     const member* freshest = nullptr;
@@ -355,8 +408,9 @@
         return false;
     }
     const bool was_empty = m_items.revision() == 0;
-    const auto applied =
-        apply_changes(std::get<published_changes>(changes), query.requested_at - *query.age);
+    const auto& received = std::get<published_changes>(changes);
+    log_whole_state(received, query.host, query.requested_at);
+    const auto applied = apply_changes(received, query.requested_at - *query.age);
     if (const auto* failure = std::get_if<error>(&applied)) {
         on_relay_failure(query.host, failure->to_string());
         return false;
--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -15,6 +15,7 @@
 #include <functional>  // function
 #include <string>      // string
 #include <string_view> // string_view
+#include <vector>      // vector
 
 #include <asio/steady_timer.hpp> // steady_timer
 
@@ -43,6 +44,13 @@
     duration min_age_gain = std::chrono::milliseconds{400};
     /// Interval at which a host without a fresh state looks for a peer host that has one.
     duration peer_check_interval = std::chrono::milliseconds{200};
+    /// Interval of the reads of the source by a host that has no configuration and isn't a reader:
+    /// after a restart of the fleet, the readers alone load the source.
+    duration unconfigured_read_interval = std::chrono::milliseconds{3'000};
+    /// Time after which such a host gives up a read of the source that is still under way.
+    duration max_unconfigured_read = std::chrono::milliseconds{600};
+    /// Time after the start for which such a host does not query hosts of other regions.
+    duration cross_region_delay = std::chrono::milliseconds{1'500};
     std::size_t max_readers = 3; ///< per region; the other hosts normally query them
     std::uint16_t relay_port = 0;
     std::string ip;             ///< of this host
@@ -51,10 +59,14 @@
 };
 
 /// Keeps the published state up to date. Up to `max_readers` hosts of each region, the readers,
-/// read the source; the other hosts query a reader. They read the source as well if they have no
-/// configuration, if no reader reports a fresh state, or if the query fails or returns a stale
-/// state. While the state of this host is missing or has reached the age `max_relay_age`, a live
-/// peer host that reports a more recent one is queried too, of the own region if there is one.
+/// read the source; the other hosts query a reader. They read the source as well if no reader
+/// reports a fresh state, or if the query fails or returns a stale state. While the state of this
+/// host is missing or has reached the age `max_relay_age`, a live peer host that reports a more
+/// recent one is queried too, of the own region if there is one.
+///
+/// A host that starts knows no others and reads the source at once. If that takes long, and it hears
+/// meanwhile that others are the readers, it leaves the source to them and waits for a peer host
+/// with a configuration.
 ///
 /// Both reads and queries ask for the changes since the revision that is held, so that an unchanged
 /// state costs the same at any number of endpoints.
@@ -93,6 +105,8 @@
                                                       time_point confirmed_at);
     [[nodiscard]] state_change update_state(merge_outcome outcome, time_point confirmed_at);
     void log_configuration() const;
+    void log_whole_state(const published_changes& changes, std::string_view peer,
+                         time_point requested_at) const;
     void log_endpoints(const state_change& change, std::size_t former_count) const;
     void record_source_result(const error* failure);
     void schedule_read(duration delay);
@@ -100,7 +114,11 @@
     void query_fresher_peer();
     [[nodiscard]] const member* select_fresher_peer(time_point now);
     [[nodiscard]] const std::string& relayed_changes(std::uint64_t revision);
-    [[nodiscard]] const member* select_reader(time_point now);
+    [[nodiscard]] bool waits_for_peers(time_point now) const;
+    [[nodiscard]] bool may_query_other_regions(time_point now) const;
+    [[nodiscard]] std::vector<std::string> update_readers(time_point now);
+    [[nodiscard]] const member* select_reader(const std::vector<std::string>& readers,
+                                              time_point now) const;
     void query_peer(const member& chosen, std::function<void(bool is_fresh)> on_end);
     bool apply_relayed(const relay_query& query);
     void on_relay_failure(const std::string& host, std::string_view reason);
@@ -120,6 +138,8 @@
     relayed_message m_relayed;
     std::size_t m_unusable_entries = 0;
     bool m_is_reading_source = false;
+    time_point m_started{};
+    time_point m_source_read_at{}; ///< start of the last read of the source
     bool m_is_source_lost = false;
     bool m_is_querying_peer = false;
     bool m_is_reader = true;
--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -147,7 +147,9 @@
                           news, now);
         return;
     }
-    m_sums[received.ip] = {digest.hosts, digest.endpoints, now};
+    if (digest.hosts > 0) {
+        m_sums[received.ip] = {digest.hosts, digest.endpoints, now};
+    }
     news.prompts.insert(news.prompts.end(), digest.prompts.begin(), digest.prompts.end());
     news.warm_endpoints.insert(news.warm_endpoints.end(), digest.warm_endpoints.begin(),
                                digest.warm_endpoints.end());
@@ -301,7 +303,8 @@
 {
     heartbeat sent = m_last_sent;
     const heartbeat_schedule_options& schedule = m_options.schedule;
-    const bool is_seldom = recipient.content == heartbeat_content::standby_digest &&
+    const bool is_brief = recipient.content == heartbeat_content::brief_digest;
+    const bool is_seldom = (is_brief || recipient.content == heartbeat_content::standby_digest) &&
                            recipient.wanted == digest_subscription::none;
     sent.digests = recipient.wanted;
     sent.interval =
@@ -319,6 +322,10 @@
     }
     sent.services.clear();
     sent.digest->regions = regions_to_pass_on(now);
+    if (is_brief) {
+        sent.digest->hosts = 0;
+        sent.digest->endpoints.clear();
+    }
     if (recipient.content == heartbeat_content::digest) {
         sent.digest->prompts = m_prompts;
     }
@@ -335,8 +342,9 @@
 /// Returns the number of hosts of the list that one heartbeat with `content` reports on.
 std::size_t fleet_membership::part_of_list(heartbeat_content content) const
 {
-    const bool is_standby = content == heartbeat_content::standby_digest;
-    const std::size_t rounds = is_standby ? m_options.schedule.standby_interval : 1;
+    const bool is_seldom =
+        content == heartbeat_content::standby_digest || content == heartbeat_content::brief_digest;
+    const std::size_t rounds = is_seldom ? m_options.schedule.standby_interval : 1;
     return (m_members.all().size() * rounds + m_options.digest_rotation - 1) /
            m_options.digest_rotation;
 }
--- a/src/gateway/membership/heartbeat_schedule.cpp
+++ b/src/gateway/membership/heartbeat_schedule.cpp
@@ -237,17 +237,26 @@
         }
         heartbeat_recipient& recipient =
             chosen.try_emplace(ip, heartbeat_recipient{ip, {}, {}, {}}).first->second;
-        if (held.region != m_own.region) {
-            recipient.content = heartbeat_content::summary;
+        recipient.content = content_for(ip, held);
+        if (recipient.content == heartbeat_content::summary) {
             recipient.region = held.region;
         }
-        else {
-            recipient.content =
-                is_standby ? heartbeat_content::standby_digest : heartbeat_content::digest;
-        }
     }
 }
 
+heartbeat_content heartbeat_schedule::content_for(const std::string& ip,
+                                                  const subscriber& held) const
+{
+    if (held.region != m_own.region) {
+        return heartbeat_content::summary;
+    }
+    if (held.wanted == digest_subscription::primary) {
+        return heartbeat_content::digest;
+    }
+    return contains(m_aggregators, ip) ? heartbeat_content::standby_digest
+                                       : heartbeat_content::brief_digest;
+}
+
 void heartbeat_schedule::add_seeds(recipients& chosen, const member_table& members,
                                    std::uint64_t sequence, time_point now) const
 {
--- a/src/gateway/membership/heartbeat_schedule.h
+++ b/src/gateway/membership/heartbeat_schedule.h
@@ -16,10 +16,14 @@
 
 /// Content of a heartbeat beside the sender's own state.
 enum class heartbeat_content : std::uint8_t {
-    own_state,      ///< nothing else
-    standby_digest, ///< a digest in which the list of hosts is longer, since it is sent seldom
-    digest,         ///< a digest for a host of the own region
-    summary,        ///< a digest for a host of another region
+    own_state, ///< nothing else
+    /// A digest for another aggregator, in which the list of hosts is longer, since it is sent
+    /// seldom.
+    standby_digest,
+    /// The same without loads of endpoints, for a host that gets these from another aggregator.
+    brief_digest,
+    digest,  ///< a digest for a host of the own region
+    summary, ///< a digest for a host of another region
 };
 
 /// A host to which a heartbeat is sent.
@@ -128,6 +132,8 @@
                              time_point now);
     void add_other_aggregators(recipients& chosen, const member_table& members, time_point now);
     void add_subscribers(recipients& chosen, std::uint64_t sequence, time_point now) const;
+    [[nodiscard]] heartbeat_content content_for(const std::string& ip,
+                                                const subscriber& held) const;
     void add_seeds(recipients& chosen, const member_table& members, std::uint64_t sequence,
                    time_point now) const;
     void add_lost_hosts(recipients& chosen, const member_table& members, time_point now);
