Charge a retry after a refusal by another host to the retry budget

A request that endpoints of one region had rejected was refused back to the host that forwarded it, which forwarded it again to the next host without asking its budget; there the first sending counts as the first of the request.

Change: a refusal between hosts says whether the request has reached an endpoint. If it has, the next attempt takes from the budget.

--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -25,6 +25,8 @@
 inline constexpr std::string_view refusal_header = "Keel-Refusal"; ///< code of a refusal
 /// Whether the request was executed: "no" or "unknown".
 inline constexpr std::string_view ran_header = "Keel-Ran";
+/// Whether the refused request has reached an endpoint, which may have rejected it: "yes" or "no".
+inline constexpr std::string_view reached_header = "Keel-Reached-Endpoint";
 /// @}
 
 /// One caller's request, from its receipt to its final response.
@@ -153,6 +155,7 @@
     std::vector<std::string> m_excluded;
     attempt_count m_attempt_count;
     bool m_is_queued = false;
+    bool m_has_reached_endpoint = false; ///< here or at the host to which it was forwarded
     bool m_has_response_started = false;
     time_point m_last_progress{};
     /// Maximum time from an event, or a resumed attempt's head, to the next event relayed.
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -37,6 +37,7 @@
 void exchange::on_sent()
 {
     m_attempt.is_sent = true;
+    m_has_reached_endpoint = m_has_reached_endpoint || !m_attempt.endpoint.empty();
     m_attempt.sent_at = boot_clock::now();
     m_last_progress = m_attempt.sent_at;
     arm();
@@ -139,7 +140,10 @@
     const bool is_host = m_attempt.endpoint.empty();
     if (is_host && head.headers.contains(refusal_header)) {
         const bool has_not_run = head.headers.find(ran_header) == "no";
-        fail_attempt({endpoint_outcome::shed, !has_not_run, !has_not_run,
+        const bool has_reached = head.headers.find(reached_header) == "yes";
+        m_has_reached_endpoint = m_has_reached_endpoint || has_reached;
+        // the next endpoint is a retry then, wherever it is
+        fail_attempt({endpoint_outcome::shed, !has_not_run, !has_not_run || has_reached,
                       head.headers.find(refusal_header)});
         return;
     }
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -103,6 +103,27 @@
         }
     }
 
+    /// Adds a host of another region, to which requests are forwarded, and keeps all retries from
+    /// the budget's slack but one.
+    void add_host(const behaviour& on_request)
+    {
+        m_peer = std::make_unique<http_server>(m_loop, on_request);
+        REQUIRE(is_ok(m_peer->listen("127.0.0.2:0")));
+        m_settings.peers_address = "127.0.0.1:" + std::to_string(m_peer->port());
+        m_settings.retry_slack = 0;
+        heartbeat received;
+        received.host = "peer";
+        received.ip = "127.0.0.2";
+        received.region = "elsewhere";
+        received.incarnation = 7;
+        received.sequence = 1;
+        received.is_ready = true;
+        received.has_configuration = true;
+        const time_point now = boot_clock::now();
+        m_members.on_heartbeat(received, now + test_timeout);
+        m_members.on_services("elsewhere", {{"s", {50ms, 100}}}, now);
+    }
+
     void remove_endpoint(const std::string& name)
     {
         m_entries.erase(name);
@@ -139,8 +160,10 @@
     void restart_startup_period() { m_context.started = boot_clock::now(); }
 
     /// Sends one request. The response is filled in while the loop runs.
+    /// @param forwarded_by host that forwards the request; empty: it comes from the caller
     std::shared_ptr<received_response> send_request(const std::string& method = "POST",
-                                                    const std::string& body = "question")
+                                                    const std::string& body = "question",
+                                                    const std::string& forwarded_by = {})
     {
         auto response = std::make_shared<received_response>();
         header_list headers;
@@ -148,6 +171,9 @@
         headers.add("X-Hickorykeel-Attempt-Id", id);
         headers.add("X-Hickorykeel-Deadline-Ms", "5000");
         headers.add("Api-Key", key);
+        if (!forwarded_by.empty()) {
+            headers.add(std::string{forwarded_header}, forwarded_by);
+        }
         m_call = m_caller.call({.address = "127.0.0.1:" + std::to_string(m_front.port())},
                                format_request(method, "/a/x?y=z", headers, body),
                                {.on_head =
@@ -234,10 +260,13 @@
                               .enqueue = [this](const auto& waiting) { m_waiting.add(waiting); },
                               .retry_waiting = [] {}};
     http_server m_front{m_loop, [this](const auto& request) {
-                            std::make_shared<exchange>(m_context, request, false)->start();
+                            const bool is_forwarded =
+                                request->head().headers.contains(forwarded_header);
+                            std::make_shared<exchange>(m_context, request, is_forwarded)->start();
                         }};
     std::map<std::string, endpoint_entry> m_entries;
     std::vector<std::unique_ptr<http_server>> m_endpoints;
+    std::unique_ptr<http_server> m_peer;
     std::shared_ptr<client_connection> m_call;
     unsigned m_occupied = 0;
 };
@@ -560,3 +589,45 @@
     loop.restart();
     loop.run_for(1ms);
 }
+
+TEST_CASE("regression: hops between overloaded regions use the retry budget once an endpoint was "
+          "reached")
+{
+    for (const auto& [reached, max_hops] : {std::pair{std::string{"yes"}, 2}, {"no", 4}}) {
+        CAPTURE(reached);
+        gateway_fixture gateway{make_route(request_kind::safe, 2)};
+        int hops = 0;
+        gateway.add_host([&hops, reached = reached](const auto& request) {
+            ++hops;
+            header_list headers;
+            headers.add(std::string{refusal_header}, "rejected");
+            headers.add(std::string{ran_header}, "no");
+            headers.add(std::string{reached_header}, reached);
+            request->respond(503, headers, {});
+        });
+        const auto response = gateway.send_request();
+        gateway.run_to_end(response);
+        CHECK(response->status == 503);
+        CHECK(hops == max_hops);
+    }
+}
+
+TEST_CASE("a host that refuses a forwarded request says whether an endpoint was reached")
+{
+    gateway_fixture gateway{make_route(request_kind::safe, 2)};
+    SUBCASE("it was")
+    {
+        gateway.add_endpoint("i-1", reject);
+        const auto response = gateway.send_request("POST", "question", "other");
+        gateway.run_to_end(response);
+        CHECK(response->status == 503);
+        CHECK(response->headers.find(reached_header) == "yes");
+    }
+    SUBCASE("there is none")
+    {
+        const auto response = gateway.send_request("POST", "question", "other");
+        gateway.run_to_end(response);
+        CHECK(response->status == 503);
+        CHECK(response->headers.find(reached_header) == "no");
+    }
+}
