Work out the capacities of regions when the published state changes

Cause: the home region of a prompt was found by going over all endpoints, for each request and again every 20 ms while it waited; with 3,000 endpoints that is thousands of look-ups by name a request.

--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/limits/cold_allowance.h"
 #include "gateway/limits/cold_owner.h"
 #include "gateway/membership/directory_choice.h"
+#include "gateway/serving/region_options.h"
 #include "process/build_info.h"
 
 #include <algorithm> // max, min
@@ -108,6 +109,7 @@
                 .retry_budgets = {},
                 .unreachable_until = {},
                 .overload_periods = {},
+                .capacities = {},
                 .forwarded_requests = {},
                 .started = boot_clock::now(),
                 .takes_requests = true,
@@ -379,6 +381,7 @@
         return published->find_service(name);
     };
     m_pool.update(m_state.endpoints(), to_usability, find_service, boot_clock::now());
+    m_context.capacities = to_capacities(m_state, m_settings);
     probe_reinstated_endpoints();
     const caller_limits& limits = published->limits;
     m_callers.set_limits({.message = {limits.max_header_bytes, limits.max_body_bytes},
--- a/src/gateway/serving/region_options.cpp
+++ b/src/gateway/serving/region_options.cpp
@@ -24,16 +24,17 @@
         query.prompt_size->prefixes.back().tokens < context.options.min_home_tokens) {
         return {};
     }
-    std::map<std::string, double> capacities;
-    for (const auto& [id, entry] : context.state.endpoints()) {
-        const std::string region = context.settings.region_of(entry.failure_domain);
-        if (entry.service == query.service && !entry.is_draining &&
-            allows_region(*query.matched_route, query.caller_organisation, region) &&
-            !context.state.is_evacuated(entry.failure_domain)) {
-            capacities[region] += entry.slots;
+    const auto of_service = context.capacities.find(query.service);
+    if (of_service == context.capacities.end()) {
+        return {};
+    }
+    std::map<std::string, double> allowed;
+    for (const auto& [region, slots] : of_service->second) {
+        if (allows_region(*query.matched_route, query.caller_organisation, region)) {
+            allowed.emplace(region, slots);
         }
     }
-    return home_region(query.prompt_size->shared_id(), capacities);
+    return home_region(query.prompt_size->shared_id(), allowed);
 }
 
 } // namespace
@@ -48,6 +49,17 @@
            (caller_organisation == nullptr || allows(caller_organisation->home_regions));
 }
 
+service_capacities to_capacities(const published_state& state, const gateway_settings& settings)
+{
+    service_capacities capacities;
+    for (const auto& [id, entry] : state.endpoints()) {
+        if (!entry.is_draining && !state.is_evacuated(entry.failure_domain)) {
+            capacities[entry.service][settings.region_of(entry.failure_domain)] += entry.slots;
+        }
+    }
+    return capacities;
+}
+
 std::vector<region_option> find_region_options(const serving_context& context,
                                                const region_query& query, time_point now)
 {
--- a/src/gateway/serving/region_options.h
+++ b/src/gateway/serving/region_options.h
@@ -22,6 +22,11 @@
                                  const organisation* caller_organisation,
                                  const std::string& region);
 
+/// Returns the slots of the published endpoints by service and region, without those that get no
+/// requests. O(endpoints).
+[[nodiscard]] service_capacities to_capacities(const published_state& state,
+                                               const gateway_settings& settings);
+
 /// Returns the other regions that may serve a request now, each with the load that one of its hosts
 /// last reported, less the requests forwarded since. O(hosts).
 [[nodiscard]] std::vector<region_option>
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -16,6 +16,7 @@
 #include "process/routing/retry_budget.h"
 
 #include <functional>    // function
+#include <map>           // map
 #include <memory>        // shared_ptr
 #include <string>        // string
 #include <unordered_map> // unordered_map
@@ -68,6 +69,9 @@
     overload_options overload;
 };
 
+/// Slots of the published endpoints, by service and region.
+using service_capacities = std::map<std::string, std::map<std::string, double>>;
+
 /// State shared by all requests of a gateway.
 ///
 /// Thread safety: none; used from the loop's thread only.
@@ -88,6 +92,8 @@
     std::unordered_map<std::string, time_point> unreachable_until;     ///< hosts, by ip
     std::unordered_map<std::string, overload_period> overload_periods; ///< by service
 
+    service_capacities capacities; ///< as of the last change of the published state
+
     /// Requests forwarded to another region since its last heartbeat, by "region/service".
     std::unordered_map<std::string, std::uint32_t> forwarded_requests;
 
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -254,6 +254,7 @@
                               .retry_budgets = {},
                               .unreachable_until = {},
                               .overload_periods = {},
+                              .capacities = {},
                               .forwarded_requests = {},
                               .started = {},
                               .takes_requests = true,
