--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -594,22 +594,26 @@
 TEST_CASE("regression: hops between overloaded regions use the retry budget once an endpoint was "
           "reached")
 {
-    for (const auto& [reached, max_hops] : {std::pair{std::string{"yes"}, 2}, {"no", 4}}) {
-        CAPTURE(reached);
+    struct refusal_case {
+        std::string reached;
+        int max_hops;
+    };
+    for (const refusal_case& refusal : {refusal_case{"yes", 2}, refusal_case{"no", 4}}) {
+        CAPTURE(refusal.reached);
         gateway_fixture gateway{make_route(request_kind::safe, 2)};
         int hops = 0;
-        gateway.add_host([&hops, reached = reached](const auto& request) {
+        gateway.add_host([&hops, &refusal](const auto& request) {
             ++hops;
             header_list headers;
             headers.add(std::string{refusal_header}, "rejected");
             headers.add(std::string{ran_header}, "no");
-            headers.add(std::string{reached_header}, reached);
+            headers.add(std::string{reached_header}, refusal.reached);
             request->respond(503, headers, {});
         });
         const auto response = gateway.send_request();
         gateway.run_to_end(response);
         CHECK(response->status == 503);
-        CHECK(hops == max_hops);
+        CHECK(hops == refusal.max_hops);
     }
 }
 
