--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -1,16 +1,12 @@
 #include "gateway/configuration/configuration_follower.h"
 
 #include "gateway/configuration/relay_codec.h"
-#include "gateway/membership/aggregator_choice.h"
-#include "gateway/routing/rendezvous.h"
 
-#include <algorithm>    // find
 #include <charconv>     // from_chars
 #include <optional>     // optional
 #include <system_error> // errc
 #include <utility>      // exchange, move
 #include <variant>      // get, get_if
-#include <vector>       // vector
 
 namespace hickorykeel::gateway {
 
@@ -18,7 +14,6 @@
 
 constexpr duration relay_connect_timeout = std::chrono::milliseconds{500};
 constexpr int status_ok = 200;
-constexpr std::uint64_t peer_key = 2; // hash key that separates this choice from other hashes
 
 /// Revision that a peer host states; 0, for all items, if it is missing or invalid.
 std::uint64_t parse_revision(std::string_view text)
@@ -29,12 +24,6 @@
     return is_whole ? revision : 0;
 }
 
-/// Age of a peer host's configuration: the age in its last heartbeat plus the time since then.
-duration reported_age(const member& host, time_point now)
-{
-    return host.last.configuration_age + (now - host.last_seen);
-}
-
 } // namespace
 
 configuration_follower::configuration_follower(dependencies objects, follower_options options,
@@ -42,15 +31,13 @@
     : m_dependencies{objects}, m_options{std::move(options)}, m_on_change{std::move(on_change)},
       m_items{
           [&source = objects.source](const published_item& item) { return source.decode(item); }},
-      m_timer{objects.loop}, m_peer_timer{objects.loop},
-      // hosts that start at once query different peers
-      m_next_peer{static_cast<std::size_t>(rendezvous_weight(peer_key, m_options.ip))}
+      m_choice{m_options.choice, objects.members, boot_clock::now()}, m_timer{objects.loop},
+      m_peer_timer{objects.loop}
 {
 }
 
 void configuration_follower::start()
 {
-    m_started = boot_clock::now();
     read();
     check_peers();
 }
@@ -58,12 +45,13 @@
 void configuration_follower::read()
 {
     const time_point now = boot_clock::now();
-    const std::vector<std::string> readers = update_readers(now);
-    if (waits_for_peers(now)) {
+    update_readers(now);
+    const relay_choice_state own = choice_state(now);
+    if (m_choice.waits_for_peers(own, now)) {
         schedule_read(m_options.peer_check_interval);
         return;
     }
-    const member* reader = m_is_querying_peer ? nullptr : select_reader(readers, now);
+    const member* reader = m_is_querying_peer ? nullptr : m_choice.select_reader(own, now);
     if (reader == nullptr) {
         read_source();
         return;
@@ -78,13 +66,6 @@
     });
 }
 
-/// Whether this host has no configuration and leaves the source to the readers for now.
-bool configuration_follower::waits_for_peers(time_point now) const
-{
-    return !m_is_reader && m_dependencies.state.published() == nullptr &&
-           now - m_source_read_at < m_options.unconfigured_read_interval;
-}
-
 void configuration_follower::read_source()
 {
     m_is_reading_source = true;
@@ -231,11 +212,11 @@
 {
     const time_point now = boot_clock::now();
     if (m_is_reading_source || m_dependencies.state.published() == nullptr) {
-        static_cast<void>(update_readers(now));
+        update_readers(now);
         query_fresher_peer();
     }
-    const bool is_slow = now - m_source_read_at >= m_options.max_unconfigured_read;
-    if (m_is_reading_source && is_slow && m_items.revision() == 0 && waits_for_peers(now)) {
+    if (m_is_reading_source && m_items.revision() == 0 &&
+        m_choice.gives_up_read(choice_state(now), now)) {
         m_is_reading_source = false;
         m_dependencies.source.cancel_read();
         schedule_read(m_options.peer_check_interval);
@@ -248,80 +229,29 @@
     });
 }
 
-/// Whether a peer host of another region may be queried. Not at once after the start, unless this
-/// host is a reader: then all hosts of a region would fetch the same items from far away.
-bool configuration_follower::may_query_other_regions(time_point now) const
-{
-    return m_is_reader || m_dependencies.state.published() != nullptr ||
-           now - m_started >= m_options.cross_region_delay;
-}
-
-const member* configuration_follower::select_fresher_peer(time_point now)
-{
-    const auto hosts = m_dependencies.members.live(now);
-    const member* elsewhere = nullptr;
-    // round robin, so that a peer that does not respond is not queried again at once
-    for (std::size_t examined = 0; examined < hosts.size(); ++examined) {
-        const member* candidate = hosts[m_next_peer++ % hosts.size()];
-        const duration age = reported_age(*candidate, now);
-        if (!candidate->last.has_configuration ||
-            age + m_options.min_age_gain >= m_dependencies.state.age(now)) {
-            continue;
-        }
-        if (candidate->last.region == m_options.region) {
-            return candidate;
-        }
-        elsewhere = elsewhere == nullptr ? candidate : elsewhere;
-    }
-    return may_query_other_regions(now) ? elsewhere : nullptr;
-}
-
-/// Chooses the readers of this region among the live hosts and returns their ips.
-std::vector<std::string> configuration_follower::update_readers(time_point now)
+void configuration_follower::update_readers(time_point now)
 {
-    std::vector<aggregator_candidate> candidates{{m_options.ip, m_options.failure_domain}};
-    for (const member* host : m_dependencies.members.live(now)) {
-        if (host->last.region == m_options.region && !host->last.is_leaving) {
-            candidates.push_back({host->last.ip, host->last.failure_domain});
-        }
-    }
-    std::vector<std::string> readers = choose_aggregators(candidates, m_options.max_readers);
-    const bool is_reader = std::find(readers.begin(), readers.end(), m_options.ip) != readers.end();
-    if (std::exchange(m_is_reader, is_reader) != is_reader) {
+    if (m_choice.update(now)) {
         m_dependencies.log.write(
-            log_line{is_reader ? "source_read_here" : "source_read_by_others"}.add(
-                "readers", static_cast<std::int64_t>(readers.size())));
+            log_line{m_choice.is_reader() ? "source_read_here" : "source_read_by_others"}.add(
+                "readers", static_cast<std::int64_t>(m_choice.reader_count())));
     }
-    return readers;
 }
 
-/// Returns the reader to query, or null if this host has to read the source itself.
-const member* configuration_follower::select_reader(const std::vector<std::string>& readers,
-                                                    time_point now) const
+relay_choice_state configuration_follower::choice_state(time_point now) const
 {
-    if (m_is_reader || m_dependencies.state.published() == nullptr) {
-        return nullptr;
-    }
-    const member* freshest = nullptr;
-    duration min_age = m_options.max_relay_age;
-    for (const std::string& ip : readers) {
-        const member* candidate = m_dependencies.members.find(ip);
-        const duration age = reported_age(*candidate, now);
-        if (candidate->last.has_configuration && age < min_age) {
-            freshest = candidate;
-            min_age = age;
-        }
-    }
-    return freshest;
+    return {m_dependencies.state.published() != nullptr, m_dependencies.state.age(now),
+            m_source_read_at};
 }
 
 void configuration_follower::query_fresher_peer()
 {
     const time_point now = boot_clock::now();
-    if (m_is_querying_peer || m_dependencies.state.age(now) < m_options.max_relay_age) {
+    const relay_choice_state own = choice_state(now);
+    if (m_is_querying_peer || own.age < m_options.choice.max_relay_age) {
         return;
     }
-    if (const member* chosen = select_fresher_peer(now)) {
+    if (const member* chosen = m_choice.select_fresher_peer(own, now)) {
         query_peer(*chosen, [](bool) {});
     }
 }
@@ -421,7 +351,7 @@
         m_dependencies.source.cancel_read();
         schedule_read(duration{0});
     }
-    return *query.age < m_options.max_relay_age;
+    return *query.age < m_options.choice.max_relay_age;
 }
 
 /// Returns the message for a peer host that holds `revision`.
--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -3,6 +3,7 @@
 #include "gateway/configuration/publication_source.h"
 #include "gateway/configuration/published_items.h"
 #include "gateway/configuration/published_state.h"
+#include "gateway/configuration/relay_choice.h"
 #include "gateway/http/http_client.h"
 #include "gateway/http/http_server.h"
 #include "gateway/membership/member_table.h"
@@ -15,7 +16,6 @@
 #include <functional>  // function
 #include <string>      // string
 #include <string_view> // string_view
-#include <vector>      // vector
 
 #include <asio/steady_timer.hpp> // steady_timer
 
@@ -33,40 +33,23 @@
 struct follower_options {
     duration read_interval = std::chrono::milliseconds{1'000}; ///< after a successful read
     duration retry_interval = std::chrono::milliseconds{300};  ///< after a failed read
-    /// Age from which a state counts as stale: a reader with such a state is not queried, and after
-    /// a response that old the source is read too. A host whose own state is that old queries a
-    /// peer host with a more recent one.
-    duration max_relay_age = std::chrono::milliseconds{1'600};
-    duration relay_timeout = std::chrono::milliseconds{800}; ///< of a query to a peer host
+    duration relay_timeout = std::chrono::milliseconds{800};   ///< of a query to a peer host
     /// Of a query to a peer host for all items, while this host holds none.
     duration initial_relay_timeout = std::chrono::milliseconds{3'000};
-    /// A peer host is queried for a more recent state if its state is younger by at least this.
-    duration min_age_gain = std::chrono::milliseconds{400};
     /// Interval at which a host without a fresh state looks for a peer host that has one.
     duration peer_check_interval = std::chrono::milliseconds{200};
-    /// Interval of the reads of the source by a host that has no configuration and isn't a reader:
-    /// after a restart of the fleet, the readers alone load the source.
-    duration unconfigured_read_interval = std::chrono::milliseconds{3'000};
-    /// Time after which such a host gives up a read of the source that is still under way.
-    duration max_unconfigured_read = std::chrono::milliseconds{600};
-    /// Time after the start for which such a host does not query hosts of other regions.
-    duration cross_region_delay = std::chrono::milliseconds{1'500};
-    std::size_t max_readers = 3; ///< per region; the other hosts normally query them
     std::uint16_t relay_port = 0;
-    std::string ip;             ///< of this host
-    std::string failure_domain; ///< of this host
-    std::string region;         ///< of this host
+    relay_choice_options choice;
 };
 
-/// Keeps the published state up to date. Up to `max_readers` hosts of each region, the readers,
-/// read the source; the other hosts query a reader. They read the source as well if no reader
+/// Keeps the published state up to date. Some hosts of each region, the readers, read the source;
+/// the other hosts query a reader (see `relay_choice`). They read the source as well if no reader
 /// reports a fresh state, or if the query fails or returns a stale state. While the state of this
-/// host is missing or has reached the age `max_relay_age`, a live peer host that reports a more
-/// recent one is queried too, of the own region if there is one.
+/// host is missing or stale, a live peer host that reports a more recent one is queried too.
 ///
-/// A host that starts knows no others and reads the source at once. If that takes long, and it hears
-/// meanwhile that others are the readers, it leaves the source to them and waits for a peer host
-/// with a configuration.
+/// A host that starts knows no others and reads the source at once. If that takes long, and it
+/// hears meanwhile that others are the readers, it leaves the source to them and waits for a peer
+/// host with a configuration.
 ///
 /// Both reads and queries ask for the changes since the revision that is held, so that an unchanged
 /// state costs the same at any number of endpoints.
@@ -112,13 +95,9 @@
     void schedule_read(duration delay);
     void check_peers();
     void query_fresher_peer();
-    [[nodiscard]] const member* select_fresher_peer(time_point now);
+    void update_readers(time_point now);
+    [[nodiscard]] relay_choice_state choice_state(time_point now) const;
     [[nodiscard]] const std::string& relayed_changes(std::uint64_t revision);
-    [[nodiscard]] bool waits_for_peers(time_point now) const;
-    [[nodiscard]] bool may_query_other_regions(time_point now) const;
-    [[nodiscard]] std::vector<std::string> update_readers(time_point now);
-    [[nodiscard]] const member* select_reader(const std::vector<std::string>& readers,
-                                              time_point now) const;
     void query_peer(const member& chosen, std::function<void(bool is_fresh)> on_end);
     bool apply_relayed(const relay_query& query);
     void on_relay_failure(const std::string& host, std::string_view reason);
@@ -127,6 +106,7 @@
     follower_options m_options;
     std::function<void()> m_on_change;
     published_items m_items;
+    relay_choice m_choice;
     asio::steady_timer m_timer;
     asio::steady_timer m_peer_timer;
     /// Last message to a peer host, which others are likely to ask for too.
@@ -138,12 +118,9 @@
     relayed_message m_relayed;
     std::size_t m_unusable_entries = 0;
     bool m_is_reading_source = false;
-    time_point m_started{};
     time_point m_source_read_at{}; ///< start of the last read of the source
     bool m_is_source_lost = false;
     bool m_is_querying_peer = false;
-    bool m_is_reader = true;
-    std::size_t m_next_peer = 0;
 };
 
 } // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/configuration/relay_choice.cpp
@@ -0,0 +1,102 @@
+#include "gateway/configuration/relay_choice.h"
+
+#include "gateway/membership/aggregator_choice.h"
+#include "gateway/routing/rendezvous.h"
+
+#include <algorithm> // find
+#include <cstdint>   // uint64_t
+#include <utility>   // exchange, move
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+constexpr std::uint64_t peer_key = 2; // hash key that separates this choice from other hashes
+
+/// Age of a peer host's configuration: the age in its last heartbeat plus the time since then.
+duration reported_age(const member& host, time_point now)
+{
+    return host.last.configuration_age + (now - host.last_seen);
+}
+
+} // namespace
+
+relay_choice::relay_choice(relay_choice_options options, const member_table& members,
+                           time_point started)
+    : m_options{std::move(options)}, m_members{members}, m_started{started},
+      // hosts that start at once query different peers
+      m_next_peer{static_cast<std::size_t>(rendezvous_weight(peer_key, m_options.ip))}
+{
+}
+
+bool relay_choice::update(time_point now)
+{
+    std::vector<aggregator_candidate> candidates{{m_options.ip, m_options.failure_domain}};
+    for (const member* host : m_members.live(now)) {
+        if (host->last.region == m_options.region && !host->last.is_leaving) {
+            candidates.push_back({host->last.ip, host->last.failure_domain});
+        }
+    }
+    m_readers = choose_aggregators(candidates, m_options.max_readers);
+    const bool is_reader =
+        std::find(m_readers.begin(), m_readers.end(), m_options.ip) != m_readers.end();
+    return std::exchange(m_is_reader, is_reader) != is_reader;
+}
+
+const member* relay_choice::select_reader(const relay_choice_state& own, time_point now) const
+{
+    if (m_is_reader || !own.has_configuration) {
+        return nullptr;
+    }
+    const member* freshest = nullptr;
+    duration min_age = m_options.max_relay_age;
+    for (const std::string& ip : m_readers) {
+        const member* candidate = m_members.find(ip);
+        if (candidate == nullptr || !candidate->last.has_configuration) {
+            continue;
+        }
+        const duration age = reported_age(*candidate, now);
+        if (age < min_age) {
+            freshest = candidate;
+            min_age = age;
+        }
+    }
+    return freshest;
+}
+
+const member* relay_choice::select_fresher_peer(const relay_choice_state& own, time_point now)
+{
+    const auto hosts = m_members.live(now);
+    const member* elsewhere = nullptr;
+    // round robin, so that a peer that does not respond is not queried again at once
+    for (std::size_t examined = 0; examined < hosts.size(); ++examined) {
+        const member* candidate = hosts[m_next_peer++ % hosts.size()];
+        const bool is_fresher = reported_age(*candidate, now) + m_options.min_age_gain < own.age;
+        if (!candidate->last.has_configuration || !is_fresher) {
+            continue;
+        }
+        if (candidate->last.region == m_options.region) {
+            return candidate;
+        }
+        elsewhere = elsewhere == nullptr ? candidate : elsewhere;
+    }
+    return may_query_other_regions(own, now) ? elsewhere : nullptr;
+}
+
+bool relay_choice::waits_for_peers(const relay_choice_state& own, time_point now) const
+{
+    return !m_is_reader && !own.has_configuration &&
+           now - own.source_read_at < m_options.unconfigured_read_interval;
+}
+
+bool relay_choice::gives_up_read(const relay_choice_state& own, time_point now) const
+{
+    return waits_for_peers(own, now) && now - own.source_read_at >= m_options.max_unconfigured_read;
+}
+
+bool relay_choice::may_query_other_regions(const relay_choice_state& own, time_point now) const
+{
+    return m_is_reader || own.has_configuration || now - m_started >= m_options.cross_region_delay;
+}
+
+} // namespace hickorykeel::gateway
--- a/tests/gateway/configuration_follower_test.cpp
+++ b/tests/gateway/configuration_follower_test.cpp
@@ -101,11 +101,12 @@
             follower_options{.read_interval = 100ms,
                              .relay_timeout = 100ms,
                              .initial_relay_timeout = 100ms,
-                             .max_readers = 1,
                              .relay_port = m_reader.port(),
-                             .ip = non_reader_ip(),
-                             .failure_domain = "",
-                             .region = "attica"},
+                             .choice = {.max_readers = 1,
+                                        .max_unconfigured_read = 100ms,
+                                        .ip = non_reader_ip(),
+                                        .failure_domain = "",
+                                        .region = "attica"}},
             [this] { ++m_changes; });
     }
 
--- a/tests/gateway/heartbeat_schedule_test.cpp
+++ b/tests/gateway/heartbeat_schedule_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // any_of, count_if, find, find_if
 #include <chrono>    // milliseconds
 #include <cstdint>   // uint64_t
+#include <map>       // map
 #include <set>       // set
 #include <string>    // string, to_string
 #include <utility>   // pair
@@ -132,6 +133,30 @@
     CHECK(schedule.take_silent_subscribers(later).empty());
 }
 
+TEST_CASE("a standby subscriber gets brief digests unless it is an aggregator itself")
+{
+    const member_table members = make_members(large_region, 0);
+    heartbeat_schedule schedule = make_schedule();
+    static_cast<void>(schedule.choose(members, 99, false, start));
+    const std::string aggregator = schedule.aggregators().front();
+    std::string other = "10.1.0.1";
+    for (int i = 2; is_in(schedule.aggregators(), other); ++i) {
+        other = "10.1.0." + std::to_string(i);
+    }
+    const std::string primary = "10.1.0." + std::to_string(large_region);
+    REQUIRE_FALSE(is_in(schedule.aggregators(), primary));
+    schedule.on_heartbeat(aggregator, "attica", digest_subscription::standby, start);
+    schedule.on_heartbeat(other, "attica", digest_subscription::standby, start);
+    schedule.on_heartbeat(primary, "attica", digest_subscription::primary, start);
+    std::map<std::string, heartbeat_content> sent;
+    for (const heartbeat_recipient& recipient : schedule.choose(members, 100, false, start)) {
+        sent[recipient.ip] = recipient.content;
+    }
+    CHECK(sent.at(aggregator) == heartbeat_content::standby_digest);
+    CHECK(sent.at(other) == heartbeat_content::brief_digest);
+    CHECK(sent.at(primary) == heartbeat_content::digest);
+}
+
 TEST_CASE("a standby subscriber is sent digests seldom")
 {
     const member_table members = make_members(large_region, 0);
