--- a/src/gateway/configuration/relay_choice.h
+++ b/src/gateway/configuration/relay_choice.h
@@ -59,8 +59,8 @@
     /// Returns the reader to query, or null if this host has to read the source.
     [[nodiscard]] const member* select_reader(const relay_choice_state& own, time_point now) const;
 
-    /// Returns a live host with a more recent state than this one, of the own region if there is one,
-    /// or null. Successive calls return different hosts.
+    /// Returns a live host with a more recent state than this one, of the own region if there is
+    /// one, or null. Successive calls return different hosts.
     [[nodiscard]] const member* select_fresher_peer(const relay_choice_state& own, time_point now);
 
     /// Whether this host leaves the source to the readers for now.
--- a/tests/gateway/store_client_test.cpp
+++ b/tests/gateway/store_client_test.cpp
@@ -140,7 +140,7 @@
         CAPTURE(status);
         store_and_client store{[status](const std::string& target) {
             if (is_watch(target)) {
-                return store_and_client::response{status, events("", 44)};
+                return store_and_client::response{status, status == 410 ? "gone" : events("", 44)};
             }
             return store_and_client::response{
                 200, page(is_revision_query(target) ? "" : item("servers/a", 42), 44)};
