Let both simulated regions share their reports of load

many_hosts_test and saturated_region_test had the same collection and delayed delivery of loads and prompts; it is load_reports now.

--- a/tests/gateway/many_hosts_test.cpp
+++ b/tests/gateway/many_hosts_test.cpp
@@ -1,19 +1,17 @@
+#include "gateway/load_reports.h"
 #include "gateway/routing/endpoint_pool.h"
 #include "process/routing/random_source.h"
 
-#include <algorithm>     // max, min
-#include <chrono>        // milliseconds, seconds
-#include <cstddef>       // size_t
-#include <cstdint>       // uint32_t, uint64_t
-#include <deque>         // deque
-#include <functional>    // greater
-#include <map>           // map
-#include <queue>         // priority_queue
-#include <random>        // poisson_distribution
-#include <string>        // string, to_string
-#include <unordered_map> // unordered_map
-#include <utility>       // pair
-#include <vector>        // vector
+#include <algorithm>  // max, min
+#include <chrono>     // milliseconds, seconds
+#include <cstddef>    // size_t
+#include <cstdint>    // uint32_t, uint64_t
+#include <functional> // greater
+#include <map>        // map
+#include <queue>      // priority_queue
+#include <random>     // poisson_distribution
+#include <string>     // string, to_string
+#include <vector>     // vector
 
 #include <doctest/doctest.h>
 
@@ -48,7 +46,7 @@
 /// other and holds a slot for each request; requests beyond its slots wait.
 class region_simulation {
 public:
-    explicit region_simulation(const region_load& load) : m_load{load}
+    explicit region_simulation(const region_load& load) : m_load{load}, m_reports{load.load_delay}
     {
         m_service.name = "llm";
         m_service.engine = engine_capacity{
@@ -79,7 +77,8 @@
         for (m_now = start; m_now < end; m_now += step) {
             finish_requests();
             if (m_now >= next_report) {
-                report_loads();
+                m_reports.send(m_pools, m_now);
+                m_reports.receive(m_pools, m_now);
                 next_report += 200ms;
             }
             offer(m_load.long_prompts_per_s * to_seconds(step), true);
@@ -175,56 +174,13 @@
         }
     }
 
-    /// Gives each host the load of the others as it was `load_delay` ago.
-    void report_loads()
-    {
-        std::vector<endpoint_loads> loads;
-        std::vector<sent_prefix> prompts;
-        for (endpoint_pool& pool : m_pools) {
-            loads.push_back(pool.own_loads());
-            for (const sent_prefix& prefix : pool.take_sent_prefixes()) {
-                prompts.push_back(prefix);
-            }
-        }
-        m_reports.push_back({m_now + m_load.load_delay, std::move(loads), std::move(prompts)});
-        if (m_reports.front().at > m_now) {
-            return;
-        }
-        const report received = std::move(m_reports.front());
-        m_reports.pop_front();
-        endpoint_loads sums;
-        for (const endpoint_loads& of_host : received.loads) {
-            for (const auto& [hash, load] : of_host) {
-                sums[hash].active += load.active;
-                sums[hash].waiting_tokens += load.waiting_tokens;
-            }
-        }
-        for (std::size_t host = 0; host < m_pools.size(); ++host) {
-            endpoint_loads others = sums;
-            for (const auto& [hash, load] : received.loads[host]) {
-                others[hash].active -= load.active;
-                others[hash].waiting_tokens -= load.waiting_tokens;
-            }
-            m_pools[host].set_peer_loads(others);
-            for (const sent_prefix& prefix : received.prompts) {
-                m_pools[host].on_peer_prefix(prefix, m_now);
-            }
-        }
-    }
-
-    struct report {
-        time_point at{};
-        std::vector<endpoint_loads> loads; ///< by host
-        std::vector<sent_prefix> prompts;
-    };
-
     region_load m_load;
     service m_service;
     std::map<std::string, endpoint_entry> m_entries;
     std::vector<endpoint_pool> m_pools; ///< by host
     std::vector<engine> m_engines;
     std::priority_queue<running, std::vector<running>, std::greater<>> m_running;
-    std::deque<report> m_reports;
+    tests::load_reports m_reports;
     random_source m_random{1};
     time_point m_now = start;
     outcome m_outcome;
--- a/tests/gateway/saturated_region_test.cpp
+++ b/tests/gateway/saturated_region_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/load_reports.h"
 #include "gateway/routing/endpoint_pool.h"
 #include "process/routing/random_source.h"
 
@@ -59,7 +60,7 @@
 /// processed, the other requests of the batch get a quarter of the engine's time.
 class peak_simulation {
 public:
-    explicit peak_simulation(const region_peak& load) : m_load{load}
+    explicit peak_simulation(const region_peak& load) : m_load{load}, m_reports{load.load_delay}
     {
         m_service.name = "llm";
         m_service.engine = engine_capacity{
@@ -90,10 +91,10 @@
                 run_engine(i);
             }
             if (m_now >= next_report) {
-                send_reports();
+                m_reports.send(m_pools, m_now);
                 next_report += 200ms;
             }
-            receive_reports();
+            m_reports.receive(m_pools, m_now);
             place_waiting();
             offer(m_load.long_prompts_per_s, true);
             offer(m_load.short_prompts_per_s, false);
@@ -120,12 +121,6 @@
         std::deque<request> queue;
     };
 
-    struct report {
-        time_point received_at{};
-        std::vector<endpoint_loads> loads; ///< by host
-        std::vector<sent_prefix> prompts;
-    };
-
     static std::string to_id(std::size_t engine) { return "engine-" + std::to_string(engine); }
 
     // engines
@@ -286,57 +281,13 @@
         return true;
     }
 
-    // loads of the other hosts
-
-    void send_reports()
-    {
-        report sent;
-        sent.received_at = m_now + m_load.load_delay;
-        for (endpoint_pool& pool : m_pools) {
-            sent.loads.push_back(pool.own_loads());
-            const std::vector<sent_prefix> prompts = pool.take_sent_prefixes();
-            sent.prompts.insert(sent.prompts.end(), prompts.begin(), prompts.end());
-        }
-        m_reports.push_back(std::move(sent));
-    }
-
-    void receive_reports()
-    {
-        while (!m_reports.empty() && m_reports.front().received_at <= m_now) {
-            apply(m_reports.front());
-            m_reports.pop_front();
-        }
-    }
-
-    void apply(const report& received)
-    {
-        endpoint_loads sums;
-        for (const endpoint_loads& of_host : received.loads) {
-            for (const auto& [hash, load] : of_host) {
-                sums[hash].active += load.active;
-                sums[hash].waiting_tokens += load.waiting_tokens;
-            }
-        }
-        for (std::size_t host = 0; host < m_pools.size(); ++host) {
-            endpoint_loads others = sums;
-            for (const auto& [hash, load] : received.loads[host]) {
-                others[hash].active -= load.active;
-                others[hash].waiting_tokens -= load.waiting_tokens;
-            }
-            m_pools[host].set_peer_loads(others);
-            for (const sent_prefix& prefix : received.prompts) {
-                m_pools[host].on_peer_prefix(prefix, m_now);
-            }
-        }
-    }
-
     region_peak m_load;
     service m_service;
     std::map<std::string, endpoint_entry> m_entries;
     std::vector<endpoint_pool> m_pools; ///< by host
     std::vector<engine> m_engines;
     std::vector<request> m_waiting; ///< at their hosts
-    std::deque<report> m_reports;
+    tests::load_reports m_reports;
     random_source m_random{1};
     time_point m_now = start;
     outcome m_outcome;
