--- a/src/gateway/serving/attempt_rule.h
+++ b/src/gateway/serving/attempt_rule.h
@@ -2,6 +2,11 @@
 
 #include "gateway/configuration/publication.h"
 
+#include <array>       // array
+#include <cstddef>     // size_t
+#include <cstdint>     // uint8_t
+#include <string_view> // string_view
+
 namespace hickorykeel::gateway {
 
 /// The property of a failed attempt that decides whether a retry is safe.
@@ -9,6 +14,20 @@
     bool may_have_run = true; ///< an endpoint may have executed the request
 };
 
+/// Whether a request is sent again after a failed attempt.
+enum class retry_decision : std::uint8_t {
+    retried,
+    not_allowed,  ///< by the rule for its attempts, or too late
+    budget_empty, ///< the service's retry budget has no token left
+};
+
+/// Name of `decision` as written to logs. Thread safe.
+[[nodiscard]] inline std::string_view to_name(retry_decision decision) noexcept
+{
+    constexpr std::array<std::string_view, 3> names{"yes", "not_allowed", "budget_empty"};
+    return names[static_cast<std::size_t>(decision)];
+}
+
 /// Limits on the attempts of one request.
 struct attempt_rule {
     bool is_repeatable = false;      ///< executing the request twice is harmless
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm> // max, min
 #include <utility>   // exchange, move
+#include <variant>   // get, get_if
 
 namespace hickorykeel::gateway {
 
@@ -35,7 +36,7 @@
     if (!authorise()) {
         return;
     }
-    duration allowed = m_route->timeout;
+    duration allowed = m_authorised.matched_route->timeout;
     if (m_fields.deadline) {
         allowed = std::min<duration>(allowed, *m_fields.deadline);
     }
@@ -48,59 +49,27 @@
     }
 }
 
-const organisation* exchange::caller_organisation() const
+authorisation_result exchange::check_authorisation() const
 {
-    const auto found = m_published->organisations().find(m_organisation);
-    return found == m_published->organisations().end() ? nullptr : &found->second;
+    return authorise_request(m_context.state, m_caller->head(), m_fields.key,
+                             m_context.options.authorisation, boot_clock::now());
 }
 
+/// Authorises the request by the configuration published now, or refuses it.
 bool exchange::authorise()
 {
-    const time_point now = boot_clock::now();
-    const published_state& state = m_context.state;
-    m_published = state.published();
-    if (m_published == nullptr) {
-        refuse(503, "no_configuration", "no", m_context.options.retry_after_outage);
-        return false;
-    }
-    const bool is_trusted = state.age(now) < m_context.options.max_trusted_age;
-    const message_head& head = m_caller->head();
-    m_route = m_published->find_route(head.headers.find("Host"), to_path(head.target));
-    if (m_route == nullptr) {
-        if (is_trusted) {
-            refuse(404, "route_unknown", "no", {});
-        }
-        else {
-            refuse(503, "configuration_stale", "no", m_context.options.retry_after_outage);
-        }
-        return false;
-    }
-    m_priority = m_route->priority;
-    if (m_route->allows_anonymous || !m_published->needs_keys()) {
-        return true;
-    }
-    if (!state.may_accept_keys(now)) {
-        refuse(503, "keys_stale", "no", m_context.options.retry_after_outage);
-        return false;
-    }
-    const organisation* found = m_published->find_key_owner(m_fields.key);
-    if (found == nullptr) {
-        if (is_trusted) {
-            refuse(401, "key_unknown", "no", {});
-        }
-        else {
-            refuse(503, "keys_stale", "no", m_context.options.retry_after_outage);
-        }
+    authorisation_result checked = check_authorisation();
+    if (const auto* refusal = std::get_if<authorisation_refusal>(&checked)) {
+        refuse(refusal->status, refusal->code, "no", refusal->retry_after);
         return false;
     }
-    m_organisation = found->name;
-    m_priority = found->priority.value_or(m_priority);
+    m_authorised = std::get<authorisation>(std::move(checked));
     return true;
 }
 
 double exchange::units() const
 {
-    const organisation* of = caller_organisation();
+    const organisation* of = m_authorised.find_organisation();
     if (of == nullptr || !of->counts_tokens) {
         return 1;
     }
@@ -110,7 +79,7 @@
 
 bool exchange::admit()
 {
-    const organisation* of = caller_organisation();
+    const organisation* of = m_authorised.find_organisation();
     if (m_is_forwarded || of == nullptr || m_charged_units > 0) {
         return true;
     }
@@ -147,15 +116,16 @@
         return std::min(m_last_progress + options.max_resumption_wait,
                         m_deadline - options.min_time_left);
     }
-    const duration max_wait =
-        m_is_forwarded ? options.max_forwarded_wait
-                       : from_seconds(to_seconds(m_route->objective) * options.wait_fraction);
+    const duration max_wait = m_is_forwarded
+                                  ? options.max_forwarded_wait
+                                  : from_seconds(to_seconds(m_authorised.matched_route->objective) *
+                                                 options.wait_fraction);
     return std::min(m_received + max_wait, m_deadline - options.min_time_left);
 }
 
 duration exchange::max_expected_first_byte(time_point now) const
 {
-    return max_time_to_first_byte(m_route->objective, m_age + (now - m_received),
+    return max_time_to_first_byte(m_authorised.matched_route->objective, m_age + (now - m_received),
                                   m_context.options.first_byte_limit);
 }
 
@@ -178,11 +148,11 @@
 void exchange::choose_service()
 {
     double sum = 0;
-    for (const weighted_service& candidate : m_route->services) {
+    for (const weighted_service& candidate : m_authorised.matched_route->services) {
         sum += candidate.weight;
     }
     double remaining = random_fraction(m_context.random) * sum;
-    for (const weighted_service& candidate : m_route->services) {
+    for (const weighted_service& candidate : m_authorised.matched_route->services) {
         m_service = candidate.service;
         remaining -= candidate.weight;
         if (remaining < 0) {
@@ -215,87 +185,116 @@
     if (m_service.empty()) {
         choose_service();
     }
-    const service* of = m_published->find_service(m_service);
+    const service* of = m_authorised.published->find_service(m_service);
     if (of == nullptr) {
         give_up("service_unknown");
         return true;
     }
     const time_point now = boot_clock::now();
-    const placement_request request{of, engine_prompt(*of), m_excluded};
-    const bool is_allowed_here =
-        allows_region(*m_route, caller_organisation(), m_context.settings.region);
-    auto here =
-        is_allowed_here ? m_context.pool.choose(request, now, m_context.random) : std::nullopt;
-    auto others = find_other_region_options(now);
-    const bool is_overloaded = remove_late_options(here, others, now);
-    if (send(here, others, now)) {
+    const placement_options options = find_placements(m_authorised, *of, m_excluded, now);
+    if (const auto chosen = choose_destination(options, now)) {
+        send(*chosen);
         return true;
     }
     const bool is_starting = now - m_context.started < m_context.options.startup_period;
     const bool may_become_available =
-        is_overloaded || is_starting || !others.empty() ||
-        (is_allowed_here && m_context.pool.has_candidate(request, now));
+        options.is_overloaded || is_starting || !options.others.empty() ||
+        (allows_own_region(m_authorised) &&
+         m_context.pool.has_candidate({of, engine_prompt(*of), m_excluded}, now));
     if (!may_become_available || now >= wait_deadline()) {
-        give_up(!may_become_available ? "no_endpoint"
-                : is_overloaded       ? "overloaded"
-                                      : "no_free_place");
+        give_up(!may_become_available   ? "no_endpoint"
+                : options.is_overloaded ? "overloaded"
+                                        : "no_free_place");
         return true;
     }
     enqueue();
     return false;
 }
 
+bool exchange::allows_own_region(const authorisation& authorised) const
+{
+    return allows_region(*authorised.matched_route, authorised.find_organisation(),
+                         m_context.settings.region);
+}
+
+/// Finds where a request may be sent now, without the endpoints in `excluded` and without those
+/// from which the first byte is expected too late.
+exchange::placement_options exchange::find_placements(const authorisation& authorised,
+                                                      const service& of,
+                                                      const std::vector<std::string>& excluded,
+                                                      time_point now) const
+{
+    const placement_request request{&of, engine_prompt(of), excluded};
+    placement_options options;
+    if (allows_own_region(authorised)) {
+        options.here = m_context.pool.choose(request, now, m_context.random);
+    }
+    options.others = find_other_region_options(authorised, now);
+    remove_late(options, now);
+    return options;
+}
+
 const prompt* exchange::engine_prompt(const service& of) const
 {
     return m_fields.prompt_size && of.engine ? &*m_fields.prompt_size : nullptr;
 }
 
-std::vector<region_option> exchange::find_other_region_options(time_point now) const
+std::vector<region_option> exchange::find_other_region_options(const authorisation& authorised,
+                                                               time_point now) const
 {
     if (m_is_forwarded) {
         return {};
     }
-    region_query query{m_service, m_route, caller_organisation(), nullptr};
+    region_query query{m_service, authorised.matched_route, authorised.find_organisation(),
+                       nullptr};
     if (m_fields.prompt_size && m_attempt_count.attempts() == 0) {
         query.prompt_size = &*m_fields.prompt_size;
     }
     return find_region_options(m_context, query, now);
 }
 
-/// Removes options whose expected time to first byte exceeds the limit. Returns whether any was
-/// removed.
-bool exchange::remove_late_options(std::optional<placement>& here,
-                                   std::vector<region_option>& others, time_point now) const
+/// Removes options whose expected time to first byte exceeds the limit.
+void exchange::remove_late(placement_options& options, time_point now) const
 {
     const duration limit = m_has_response_started ? time_left() : max_expected_first_byte(now);
-    const bool is_late_here = here && here->expected > limit;
+    const bool is_late_here = options.here && options.here->expected > limit;
     if (is_late_here) {
-        here.reset();
+        options.here.reset();
     }
-    const auto dropped = std::erase_if(others, [&](const region_option& option) {
+    const auto dropped = std::erase_if(options.others, [&](const region_option& option) {
         return option.expected_wait + m_context.options.regions.round_trip > limit;
     });
-    return is_late_here || dropped > 0;
+    options.is_overloaded = is_late_here || dropped > 0;
 }
 
-/// Sends the request to the best of the options. Returns false if there is none.
-bool exchange::send(const std::optional<placement>& here, const std::vector<region_option>& others,
-                    time_point now)
+/// Returns the best of the options, or nothing if there is none.
+std::optional<exchange::destination> exchange::choose_destination(const placement_options& options,
+                                                                  time_point now) const
 {
-    const auto elsewhere = choose_region(here ? std::optional{here->expected} : std::nullopt,
-                                         others, m_route->objective, m_context.options.regions);
+    const auto& here = options.here;
+    const auto elsewhere =
+        choose_region(here ? std::optional{here->expected} : std::nullopt, options.others,
+                      m_authorised.matched_route->objective, m_context.options.regions);
     if (elsewhere) {
-        const region_option& chosen = others[*elsewhere];
+        const region_option& chosen = options.others[*elsewhere];
         if (const member* host = pick_host(m_context, chosen.region, now)) {
-            send_to_host(*host, chosen.expected_wait);
-            return true;
+            return destination{std::nullopt, host, chosen.expected_wait};
         }
     }
     if (here) {
-        send_to_endpoint(*here);
-        return true;
+        return destination{here, nullptr, here->expected};
+    }
+    return std::nullopt;
+}
+
+void exchange::send(const destination& chosen)
+{
+    if (chosen.host != nullptr) {
+        send_to_host(*chosen.host, chosen.expected);
+    }
+    else {
+        send_to_endpoint(*chosen.endpoint);
     }
-    return false;
 }
 
 void exchange::enqueue()
@@ -305,7 +304,7 @@
         m_context.log.write_request(log_line{"request_waits"}
                                         .add("id", m_fields.id)
                                         .add("service", m_service)
-                                        .add("priority", std::int64_t{m_priority}));
+                                        .add("priority", std::int64_t{m_authorised.priority}));
         m_context.metrics.count("request_waits");
         m_context.enqueue(shared_from_this());
     }
@@ -319,7 +318,7 @@
 
 void exchange::send_to_endpoint(const placement& chosen)
 {
-    const service* of = m_published->find_service(m_service);
+    const service* of = m_authorised.published->find_service(m_service);
     const prompt* request_prompt = engine_prompt(*of);
     m_attempt = {};
     m_attempt.endpoint = chosen.endpoint;
@@ -330,7 +329,7 @@
     endpoint_fields fields;
     fields.deadline = to_milliseconds(time_left());
     fields.instance = chosen.endpoint;
-    fields.organisation = m_organisation;
+    fields.organisation = m_authorised.organisation;
     fields.last_event_id = last_event_id();
     fields.prompt_source = chosen.prompt_source;
     const message_head& head = m_caller->head();
@@ -346,7 +345,7 @@
             .add("unread_tokens", std::int64_t{m_attempt.waiting_tokens})
             .add("prompt_source", chosen.prompt_source)
             .add_ms("left_ms", time_left())
-            .add("version", static_cast<std::int64_t>(m_published->version))
+            .add("version", static_cast<std::int64_t>(m_authorised.published->version))
             .add_ms("configuration_age_ms", m_context.state.age(boot_clock::now())));
     call_options options;
     options.address = chosen.address;
@@ -362,8 +361,9 @@
 {
     // the peer may be closing a connection that was idle for long, which leaves it unknown whether
     // the request was executed
-    return m_route->is_repeatable() ? m_context.options.max_idle_time
-                                    : m_context.options.max_idle_time_non_repeatable;
+    return m_authorised.matched_route->is_repeatable()
+               ? m_context.options.max_idle_time
+               : m_context.options.max_idle_time_non_repeatable;
 }
 
 void exchange::send_to_host(const member& chosen, duration expected)
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -2,6 +2,7 @@
 
 #include "gateway/http/http_server.h"
 #include "gateway/serving/attempt_rule.h"
+#include "gateway/serving/authorisation.h"
 #include "gateway/serving/event_splitter.h"
 #include "gateway/serving/serving_context.h"
 
@@ -52,13 +53,30 @@
     /// @name keys of the queue
     /// @{
     /// Lower is more urgent: -1 for a response that has started, otherwise 0 and above.
-    [[nodiscard]] int priority() const noexcept { return m_has_response_started ? -1 : m_priority; }
+    [[nodiscard]] int priority() const noexcept
+    {
+        return m_has_response_started ? -1 : m_authorised.priority;
+    }
     [[nodiscard]] const std::string& service_name() const noexcept { return m_service; }
     /// @}
 
 private:
     enum class stage { placing, waiting, sending, relaying, done };
 
+    /// Where the request may be sent now.
+    struct placement_options {
+        std::optional<placement> here;
+        std::vector<region_option> others;
+        bool is_overloaded = false; ///< an option was left out as too late
+    };
+
+    /// Where the request is sent: to an endpoint here, or to a host of another region.
+    struct destination {
+        std::optional<placement> endpoint;
+        const member* host = nullptr;
+        duration expected{0}; ///< time to first byte
+    };
+
     /// The latest attempt.
     struct attempt_state {
         std::string endpoint; ///< endpoint id; empty if the request was forwarded to a host
@@ -83,22 +101,27 @@
     };
 
     // checks
+    [[nodiscard]] authorisation_result check_authorisation() const;
     bool authorise();
     bool admit();
     [[nodiscard]] double units() const;
-    [[nodiscard]] const organisation* caller_organisation() const;
 
     // placement
     bool place();
     bool place_again();
     /// Returns the request's prompt, or null if it has none or `of` is no engine.
     [[nodiscard]] const prompt* engine_prompt(const service& of) const;
-    [[nodiscard]] std::vector<region_option> find_other_region_options(time_point now) const;
-    [[nodiscard]] bool remove_late_options(std::optional<placement>& here,
-                                           std::vector<region_option>& others,
-                                           time_point now) const;
-    bool send(const std::optional<placement>& here, const std::vector<region_option>& others,
-              time_point now);
+    [[nodiscard]] bool allows_own_region(const authorisation& authorised) const;
+    [[nodiscard]] placement_options find_placements(const authorisation& authorised,
+                                                    const service& of,
+                                                    const std::vector<std::string>& excluded,
+                                                    time_point now) const;
+    [[nodiscard]] std::vector<region_option>
+    find_other_region_options(const authorisation& authorised, time_point now) const;
+    void remove_late(placement_options& options, time_point now) const;
+    [[nodiscard]] std::optional<destination> choose_destination(const placement_options& options,
+                                                                time_point now) const;
+    void send(const destination& chosen);
     void enqueue();
     void choose_service();
     [[nodiscard]] retry_budget& service_retry_budget();
@@ -123,6 +146,7 @@
     void end_attempt(endpoint_outcome outcome);
     void fail_attempt(const attempt_failure& failure);
     [[nodiscard]] bool may_retry(const attempt_failure& failure) const;
+    [[nodiscard]] retry_decision decide_retry(const attempt_failure& failure);
     [[nodiscard]] attempt_rule rule() const;
     [[nodiscard]] bool is_stream() const noexcept;
 
@@ -144,11 +168,8 @@
     duration m_age{0}; ///< at the receipt; 0 unless forwarded by another host
     time_point m_deadline{};
     caller_fields m_fields;
-    publication_ptr m_published;
-    const route* m_route = nullptr; // in m_published
-    std::string m_organisation;
+    authorisation m_authorised; // as of the last placement
     std::string m_service;
-    int m_priority = 0;
     double m_charged_units = 0;
     stage m_stage = stage::placing;
     attempt_state m_attempt;
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -45,7 +45,7 @@
 
 bool exchange::is_stream() const noexcept
 {
-    return m_route->kind == request_kind::streaming;
+    return m_authorised.matched_route->kind == request_kind::streaming;
 }
 
 bool exchange::is_genuine(const message_head& head) const
@@ -198,7 +198,8 @@
 
 attempt_rule exchange::rule() const
 {
-    return to_attempt_rule(*m_route, m_is_forwarded, m_context.options.max_total_attempts);
+    return to_attempt_rule(*m_authorised.matched_route, m_is_forwarded,
+                           m_context.options.max_total_attempts);
 }
 
 bool exchange::may_retry(const attempt_failure& failure) const
@@ -207,10 +208,24 @@
            time_left() > m_context.options.min_time_left;
 }
 
+/// Whether the request is sent again after `failure`. A retry is taken out of the budget.
+retry_decision exchange::decide_retry(const attempt_failure& failure)
+{
+    if (!may_retry(failure)) {
+        return retry_decision::not_allowed;
+    }
+    if (failure.uses_retry_budget && !service_retry_budget().try_take()) {
+        m_context.metrics.count("retry_budget_empty");
+        return retry_decision::budget_empty;
+    }
+    return retry_decision::retried;
+}
+
 void exchange::fail_attempt(const attempt_failure& failure)
 {
     const duration elapsed =
         m_attempt.is_sent ? boot_clock::now() - m_attempt.sent_at : boot_clock::now() - m_received;
+    const retry_decision decision = decide_retry(failure);
     m_context.log.write_request(
         log_line{"request_try_failed"}
             .add("id", m_fields.id)
@@ -220,15 +235,9 @@
             .add("status", std::int64_t{m_attempt.head.status})
             .add("ran", ran_name(failure.may_have_run))
             .add_ms("after_ms", elapsed)
-            .add("events", static_cast<std::int64_t>(m_events.events())));
+            .add("events", static_cast<std::int64_t>(m_events.events()))
+            .add("retry", to_name(decision)));
     m_context.metrics.count("try_" + std::string{to_name(failure.outcome)});
-    bool again = may_retry(failure);
-    if (again && failure.uses_retry_budget) {
-        again = service_retry_budget().try_take();
-        if (!again) {
-            m_context.metrics.count("retry_budget_empty");
-        }
-    }
     // an endpoint that responds with a failure may succeed on the next attempt
     if (!m_attempt.endpoint.empty() && failure.outcome != endpoint_outcome::failed) {
         m_excluded.push_back(m_attempt.endpoint);
@@ -238,7 +247,7 @@
     }
     end_attempt(failure.outcome);
     m_events.discard_partial();
-    if (!again) {
+    if (decision != retry_decision::retried) {
         give_up(failure.reason);
         return;
     }
@@ -250,7 +259,7 @@
 
 std::optional<time_point> exchange::inactivity_deadline() const
 {
-    if (!m_attempt.is_sent || !m_route->is_repeatable() ||
+    if (!m_attempt.is_sent || !m_authorised.matched_route->is_repeatable() ||
         m_attempt_count.executions() + 1 >= rule().max_executions) {
         return std::nullopt;
     }
--- a/src/gateway/serving/exchange_end.cpp
+++ b/src/gateway/serving/exchange_end.cpp
@@ -50,15 +50,16 @@
     m_timer.cancel();
     if (m_attempt_count.executions() == 0 && m_charged_units > 0 && outcome != "answered" &&
         outcome != "endpoint_failed" && outcome != "caller_gone") {
-        m_context.usage.refund(m_organisation, m_charged_units);
+        m_context.usage.refund(m_authorised.organisation, m_charged_units);
     }
     const duration elapsed = boot_clock::now() - m_received;
-    const std::string name = m_route == nullptr ? std::string{} : m_route->name;
+    const std::string name =
+        m_authorised.matched_route == nullptr ? std::string{} : m_authorised.matched_route->name;
     m_context.metrics.on_response(name, std::string{outcome}, elapsed);
     log_line line{"request_end"};
     line.add("id", m_fields.id)
         .add("route", name)
-        .add("organisation", m_organisation)
+        .add("organisation", m_authorised.organisation)
         .add_number("units", m_charged_units)
         .add("outcome", outcome)
         .add("status", std::int64_t{status})
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -9,6 +9,7 @@
 #include "gateway/observability/gateway_metrics.h"
 #include "gateway/routing/endpoint_pool.h"
 #include "gateway/routing/region_choice.h"
+#include "gateway/serving/authorisation.h"
 #include "gateway/serving/first_byte_limit.h"
 #include "gateway/serving/overload_period.h"
 #include "gateway/serving/protocol_adapter.h"
@@ -58,12 +59,11 @@
     duration host_connect_timeout = std::chrono::milliseconds{600};
     /// Retry-After delay while the host stops.
     duration retry_after_stop = std::chrono::milliseconds{100};
-    /// Retry-After delay if no current configuration or keys are known, or no endpoint exists.
+    /// Retry-After delay if no endpoint exists.
     duration retry_after_outage = std::chrono::milliseconds{1'000};
-    /// Maximum age of a configuration from which the absence of a route or key is concluded.
-    duration max_trusted_age = std::chrono::milliseconds{3'000};
     /// Minimum tokens of the shared prefix of a prompt that has a home region.
     std::uint64_t min_home_tokens = 2'000;
+    authorisation_options authorisation;
     region_choice_options regions;
     first_byte_limit_options first_byte_limit;
     overload_options overload;
