Let a silent endpoint's request go on until it can be sent elsewhere

What callers saw: a stream that had begun was closed without its end, or a safe request got a 502, 0.9 s after the endpoint had last sent something, although the endpoint was sound and went on a moment later (LOST).

Cause: on_timer cancelled the silent attempt first and asked then whether the retry budget had a token, whether another endpoint or region could take the request, and whether route and key were still in force. If one of them said no, nothing was left to answer with. An endpoint serves dozens of streams of a host and the budget of a host holds a handful of retries, so a pause of one endpoint ended most of them; a change of the configuration was one more way to lose. The class: giving up what one holds before its replacement is certain.

Change: the attempt is cancelled only if it may be repeated, a token is there and a destination can take the request at once; otherwise it goes on and is checked again every 100 ms. request_waits_for_silent_endpoint and the counter silent_attempt_kept tell it.

--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -143,6 +143,7 @@
     void relay(std::string_view bytes);
     void start_relay();
     [[nodiscard]] bool is_genuine(const message_head& head) const;
+    [[nodiscard]] const std::string& peer_name() const noexcept;
     void end_attempt(endpoint_outcome outcome);
     void fail_attempt(const attempt_failure& failure);
     [[nodiscard]] bool may_retry(const attempt_failure& failure) const;
@@ -154,6 +155,8 @@
     void arm();
     void on_timer();
     [[nodiscard]] std::optional<time_point> inactivity_deadline() const;
+    [[nodiscard]] bool can_place_elsewhere(time_point now) const;
+    void move_silent_attempt(time_point now);
 
     // final responses
     void refuse(int status, std::string_view code, std::string_view ran, duration retry_after);
@@ -179,6 +182,8 @@
     bool m_has_reached_endpoint = false; ///< here or at the host to which it was forwarded
     bool m_has_response_started = false;
     time_point m_last_progress{};
+    /// Next check whether a silent attempt can be moved; unset until one could not be.
+    time_point m_next_move_check{};
     /// Maximum time from an event, or a resumed attempt's head, to the next event relayed.
     duration m_max_event_gap{0};
     event_splitter m_events;
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // max
 #include <utility>   // exchange
+#include <variant>   // get_if
 
 namespace hickorykeel::gateway {
 
@@ -40,6 +41,7 @@
     m_has_reached_endpoint = m_has_reached_endpoint || !m_attempt.endpoint.empty();
     m_attempt.sent_at = boot_clock::now();
     m_last_progress = m_attempt.sent_at;
+    m_next_move_check = {};
     arm();
 }
 
@@ -48,6 +50,11 @@
     return m_authorised.matched_route->kind == request_kind::streaming;
 }
 
+const std::string& exchange::peer_name() const noexcept
+{
+    return m_attempt.endpoint.empty() ? m_attempt.peer : m_attempt.endpoint;
+}
+
 bool exchange::is_genuine(const message_head& head) const
 {
     const response_fields fields = m_context.adapter.read_response_fields(head);
@@ -226,17 +233,16 @@
     const duration elapsed =
         m_attempt.is_sent ? boot_clock::now() - m_attempt.sent_at : boot_clock::now() - m_received;
     const retry_decision decision = decide_retry(failure);
-    m_context.log.write_request(
-        log_line{"request_try_failed"}
-            .add("id", m_fields.id)
-            .add("peer", m_attempt.endpoint.empty() ? m_attempt.peer : m_attempt.endpoint)
-            .add("outcome", to_name(failure.outcome))
-            .add("reason", failure.reason)
-            .add("status", std::int64_t{m_attempt.head.status})
-            .add("ran", ran_name(failure.may_have_run))
-            .add_ms("after_ms", elapsed)
-            .add("events", static_cast<std::int64_t>(m_events.events()))
-            .add("retry", to_name(decision)));
+    m_context.log.write_request(log_line{"request_try_failed"}
+                                    .add("id", m_fields.id)
+                                    .add("peer", peer_name())
+                                    .add("outcome", to_name(failure.outcome))
+                                    .add("reason", failure.reason)
+                                    .add("status", std::int64_t{m_attempt.head.status})
+                                    .add("ran", ran_name(failure.may_have_run))
+                                    .add_ms("after_ms", elapsed)
+                                    .add("events", static_cast<std::int64_t>(m_events.events()))
+                                    .add("retry", to_name(decision)));
     m_context.metrics.count("try_" + std::string{to_name(failure.outcome)});
     // an endpoint that responds with a failure may succeed on the next attempt
     if (!m_attempt.endpoint.empty() && failure.outcome != endpoint_outcome::failed) {
@@ -270,7 +276,45 @@
             std::max(inactivity_timeout,
                      from_seconds(to_seconds(m_attempt.expected) * options.inactivity_factor));
     }
-    return std::max(m_last_progress, m_attempt.sent_at) + inactivity_timeout;
+    return std::max(std::max(m_last_progress, m_attempt.sent_at) + inactivity_timeout,
+                    m_next_move_check);
+}
+
+/// Whether the request could be sent now to another endpoint than that of the current attempt.
+bool exchange::can_place_elsewhere(time_point now) const
+{
+    const authorisation_result checked = check_authorisation();
+    const auto* allowed = std::get_if<authorisation>(&checked);
+    const service* of = allowed == nullptr ? nullptr : allowed->published->find_service(m_service);
+    if (of == nullptr) {
+        return false;
+    }
+    std::vector<std::string> excluded = m_excluded;
+    excluded.push_back(m_attempt.endpoint);
+    return choose_destination(find_placements(*allowed, *of, excluded, now), now).has_value();
+}
+
+/// Retries a silent attempt elsewhere if the request can be sent there now. Otherwise the attempt
+/// goes on, since an endpoint that is silent may be sound.
+void exchange::move_silent_attempt(time_point now)
+{
+    const attempt_failure failure{endpoint_outcome::timed_out, true, true, "silent"};
+    const bool can_move =
+        may_retry(failure) && service_retry_budget().has_token() && can_place_elsewhere(now);
+    if (!can_move) {
+        if (std::exchange(m_next_move_check, now + m_context.options.move_check_interval) ==
+            time_point{}) {
+            m_context.metrics.count("silent_attempt_kept");
+            m_context.log.write_request(log_line{"request_waits_for_silent_endpoint"}
+                                            .add("id", m_fields.id)
+                                            .add("peer", peer_name())
+                                            .add_ms("silent_ms", now - m_last_progress));
+        }
+        arm();
+        return;
+    }
+    m_attempt.call->cancel();
+    fail_attempt(failure);
 }
 
 void exchange::arm()
@@ -323,8 +367,7 @@
     }
     const auto limit = inactivity_deadline();
     if (limit && now >= *limit) {
-        m_attempt.call->cancel();
-        fail_attempt({endpoint_outcome::timed_out, true, true, "silent"});
+        move_silent_attempt(now);
         return;
     }
     arm();
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -38,11 +38,13 @@
     /// disconnect after two seconds.
     duration max_resumption_wait = std::chrono::milliseconds{1'800};
     /// Minimum time without a response head or a complete event after which a repeatable request is
-    /// retried elsewhere, if another execution is allowed.
+    /// retried elsewhere, if another execution is allowed and another endpoint can take it at once.
     duration min_inactivity_timeout = std::chrono::milliseconds{900};
     /// Inactivity timeout until the caller has received a part of the response, in multiples of the
     /// expected time to first byte.
     double inactivity_factor = 5;
+    /// Interval of the checks whether an attempt that is silent for longer can be moved.
+    duration move_check_interval = std::chrono::milliseconds{100};
     /// Maximum number of attempts of one request at endpoints and hosts, executed or not.
     unsigned max_total_attempts = 4;
     /// Minimum time before the deadline at which a request is still sent.
--- a/src/process/routing/retry_budget.h
+++ b/src/process/routing/retry_budget.h
@@ -24,10 +24,13 @@
     /// Adds the tokens of a new request; not to be called for its retries.
     void on_request() noexcept { m_tokens = std::min(m_capacity, m_tokens + m_ratio); }
 
+    /// Whether `try_take()` would succeed.
+    [[nodiscard]] bool has_token() const noexcept { return m_tokens >= 1; }
+
     /// Takes one retry out of the budget. Returns false, without effect, if less than one is left.
     [[nodiscard]] bool try_take() noexcept
     {
-        if (m_tokens < 1) {
+        if (!has_token()) {
             return false;
         }
         m_tokens -= 1;
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -6,11 +6,14 @@
 #include "platform/headers.h"
 
 #include <chrono>     // milliseconds, seconds
+#include <cstddef>    // size_t
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // make_shared, make_unique
 #include <optional>   // optional
 #include <string>     // string
+#include <utility>    // exchange
 #include <vector>     // vector
 
 #include <doctest/doctest.h>
@@ -86,6 +89,16 @@
         m_state.apply(reading, boot_clock::now(), boot_clock::now());
     }
 
+    /// Publishes a configuration without the route.
+    void remove_route(std::uint64_t version)
+    {
+        m_route.prefix = "/another/";
+        publish(version, {key});
+    }
+
+    /// Sets the slack of the fleet's retry budget. Precondition: no request was sent yet.
+    void set_retry_slack(double slack) { m_settings.retry_slack = slack; }
+
     /// Adds an endpoint. Endpoints added earlier are preferred.
     void add_endpoint(const std::string& name, const behaviour& on_request)
     {
@@ -147,6 +160,15 @@
             ++m_occupied;
         }
     }
+
+    /// Occupies all slots of all endpoints.
+    void occupy_all()
+    {
+        const placement_request any{m_state.published()->find_service("s"), nullptr, {}};
+        while (const auto chosen = m_pool.choose(any, boot_clock::now(), m_random)) {
+            static_cast<void>(m_pool.on_sent(chosen->endpoint, nullptr, boot_clock::now()));
+        }
+    }
     void release(const std::string& name)
     {
         for (; m_occupied > 0; --m_occupied) {
@@ -192,6 +214,13 @@
 
     void disconnect() { m_call->cancel(); }
 
+    /// Runs the loop for a while.
+    void run_for(duration span)
+    {
+        const time_point started = boot_clock::now();
+        run_until([&] { return boot_clock::now() - started >= span; });
+    }
+
     /// Runs the loop until `is_done`. Fails the test after `test_timeout`.
     void run_until(const std::function<bool()>& is_done)
     {
@@ -636,3 +665,141 @@
         CHECK(response->headers.find(reached_header) == "no");
     }
 }
+
+namespace {
+
+/// Endpoint that starts a stream of two events and is silent between them until told to go on.
+class pausing_endpoint {
+public:
+    gateway_fixture::behaviour behaviour()
+    {
+        return [this](const std::shared_ptr<server_exchange>& request) {
+            m_running.push_back(request);
+            request->set_on_disconnect([this] { ++m_cancelled; });
+            request->begin(200, response_headers());
+            request->send("id: 1\ndata: a\n\n");
+        };
+    }
+
+    /// Ends all streams with their second event.
+    void go_on()
+    {
+        for (const auto& request : std::exchange(m_running, {})) {
+            request->send("id: 2\ndata: b\n\n");
+            request->end();
+        }
+    }
+
+    [[nodiscard]] std::size_t running() const { return m_running.size(); }
+    [[nodiscard]] int cancelled() const { return m_cancelled; }
+
+private:
+    std::vector<std::shared_ptr<server_exchange>> m_running;
+    int m_cancelled = 0;
+};
+
+/// Longer than an endpoint may be silent before the request is moved, if it can be moved.
+constexpr auto long_silence = 1'200ms;
+
+const std::string both_events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+} // namespace
+
+// guards against LOST: streams of a sound endpoint that fell silent for a second were cancelled,
+// and then broken off because no other endpoint could take them
+TEST_CASE("regression: a silent endpoint's stream isn't ended while no other endpoint is free")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
+    pausing_endpoint silent;
+    recording_endpoint other;
+    gateway.add_endpoint("a", silent.behaviour());
+    const auto response = gateway.send_request();
+    gateway.run_until([&] { return !response->body.empty(); });
+    SUBCASE("there is no other one") {}
+    SUBCASE("the other one is full")
+    {
+        gateway.add_endpoint("b", other.behaviour());
+        gateway.occupy_all();
+    }
+    SUBCASE("the key has been withdrawn")
+    {
+        gateway.add_endpoint("b", other.behaviour());
+        gateway.publish(2, {"another"});
+    }
+    SUBCASE("the route has been removed")
+    {
+        gateway.add_endpoint("b", other.behaviour());
+        gateway.remove_route(2);
+    }
+    gateway.run_for(long_silence);
+    CHECK(silent.cancelled() == 0);
+    silent.go_on();
+    gateway.run_to_end(response);
+    CHECK(response->end == call_end::complete);
+    CHECK(response->body == both_events);
+    CHECK(other.heads().empty());
+}
+
+TEST_CASE("regression: a silent endpoint's streams aren't ended once the retry budget is empty")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
+    gateway.set_retry_slack(0); // one retry
+    pausing_endpoint silent;
+    int moved = 0;
+    gateway.add_endpoint("a", silent.behaviour());
+    std::vector<std::shared_ptr<received_response>> responses;
+    for (int i = 0; i < 3; ++i) {
+        responses.push_back(gateway.send_request());
+        gateway.run_until([&] { return !responses.back()->body.empty(); });
+    }
+    gateway.add_endpoint("b", [&](const std::shared_ptr<server_exchange>& request) {
+        ++moved;
+        request->begin(200, response_headers());
+        request->send("id: 2\ndata: b\n\n");
+        request->end();
+    });
+    gateway.run_for(long_silence);
+    CHECK(moved == 1);
+    CHECK(silent.cancelled() == 1);
+    silent.go_on();
+    for (const auto& response : responses) {
+        gateway.run_to_end(response);
+        CHECK(response->end == call_end::complete);
+        CHECK(response->body == both_events);
+    }
+}
+
+TEST_CASE("regression: a safe request isn't ended before a silent endpoint's response if it can't "
+          "be sent elsewhere")
+{
+    gateway_fixture gateway{make_route(request_kind::safe, 2)};
+    std::shared_ptr<server_exchange> running;
+    gateway.add_endpoint("a", [&](const auto& request) { running = request; });
+    const auto response = gateway.send_request("GET", {});
+    gateway.run_until([&] { return running != nullptr; });
+    gateway.run_for(long_silence);
+    running->respond(200, response_headers(), "answer");
+    gateway.run_to_end(response);
+    CHECK(response->status == 200);
+    CHECK(response->body == "answer");
+}
+
+TEST_CASE("a silent endpoint's stream is resumed elsewhere as soon as another endpoint is free")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
+    pausing_endpoint silent;
+    gateway.add_endpoint("a", silent.behaviour());
+    const auto response = gateway.send_request();
+    gateway.run_until([&] { return !response->body.empty(); });
+    gateway.run_for(long_silence);
+    gateway.add_endpoint("b", [&](const std::shared_ptr<server_exchange>& request) {
+        CHECK(request->head().headers.find("Last-Event-Id") == "1");
+        request->begin(200, response_headers());
+        request->send("id: 2\ndata: b\n\n");
+        request->end();
+    });
+    gateway.run_to_end(response);
+    CHECK(silent.cancelled() == 1);
+    CHECK(response->end == call_end::complete);
+    CHECK(response->body == both_events);
+}
