Move a silent attempt only where it is sure to be served

What callers would see: a stream that had waited long for a silent endpoint was moved and then broken off, because the other endpoint could not be reached or rejected it; a safe request whose long response was arriving was sent elsewhere.

After a long silence no time was left to wait for another slot, since the wait counted from the last event; the move took the last token, so a rejection was the end; the checked destination was thrown away and drawn anew; a silent host could be chosen again; bytes of a response that isn't relayed yet counted as silence.

Change: the wait counts from the end of the attempt; an attempt is moved while two tokens are left; the request is sent to the destination that was checked, which is never the same host; any byte of a response ends the silence. The tests wait for the decision (silent_attempt_kept), no longer for a time.

--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -113,7 +113,7 @@
 {
     const serving_options& options = m_context.options;
     if (m_has_response_started) {
-        return std::min(m_last_progress + options.max_resumption_wait,
+        return std::min(m_last_attempt_end + options.max_resumption_wait,
                         m_deadline - options.min_time_left);
     }
     const duration max_wait = m_is_forwarded
@@ -192,7 +192,7 @@
     }
     const time_point now = boot_clock::now();
     const placement_options options = find_placements(m_authorised, *of, m_excluded, now);
-    if (const auto chosen = choose_destination(options, now)) {
+    if (const auto chosen = choose_destination(m_authorised, options, now)) {
         send(*chosen);
         return true;
     }
@@ -268,13 +268,14 @@
 }
 
 /// Returns the best of the options, or nothing if there is none.
-std::optional<exchange::destination> exchange::choose_destination(const placement_options& options,
+std::optional<exchange::destination> exchange::choose_destination(const authorisation& allowed,
+                                                                  const placement_options& options,
                                                                   time_point now) const
 {
     const auto& here = options.here;
     const auto elsewhere =
         choose_region(here ? std::optional{here->expected} : std::nullopt, options.others,
-                      m_authorised.matched_route->objective, m_context.options.regions);
+                      allowed.matched_route->objective, m_context.options.regions);
     if (elsewhere) {
         const region_option& chosen = options.others[*elsewhere];
         if (const member* host = pick_host(m_context, chosen.region, now)) {
@@ -366,10 +367,15 @@
                : m_context.options.max_idle_time_non_repeatable;
 }
 
+std::string exchange::address_of(const member& host) const
+{
+    return host.last.ip + ':' + std::to_string(m_context.settings.peers_port());
+}
+
 void exchange::send_to_host(const member& chosen, duration expected)
 {
     m_attempt = {};
-    m_attempt.peer = chosen.last.ip + ':' + std::to_string(m_context.settings.peers_port());
+    m_attempt.peer = address_of(chosen);
     m_attempt.expected = expected + m_context.options.regions.round_trip;
     ++m_context.forwarded_requests[chosen.last.region + '/' + m_service];
     const message_head& head = m_caller->head();
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -83,8 +83,9 @@
         std::string peer;     ///< "ip:port"
         std::shared_ptr<client_connection> call;
         time_point sent_at{};
-        duration expected{0};   ///< expected time to first byte when the request was sent
-        duration first_byte{0}; ///< measured time to first byte
+        time_point last_received{}; ///< any bytes of a response
+        duration expected{0};       ///< expected time to first byte when the request was sent
+        duration first_byte{0};     ///< measured time to first byte
         std::uint32_t waiting_tokens = 0;
         bool is_sent = false; ///< the endpoint or host may have received bytes of the request
         bool has_head = false;
@@ -119,7 +120,8 @@
     [[nodiscard]] std::vector<region_option>
     find_other_region_options(const authorisation& authorised, time_point now) const;
     void remove_late(placement_options& options, time_point now) const;
-    [[nodiscard]] std::optional<destination> choose_destination(const placement_options& options,
+    [[nodiscard]] std::optional<destination> choose_destination(const authorisation& allowed,
+                                                                const placement_options& options,
                                                                 time_point now) const;
     void send(const destination& chosen);
     void enqueue();
@@ -128,6 +130,7 @@
     [[nodiscard]] const std::string& last_event_id() const; ///< a resumed stream continues after it
     void send_to_endpoint(const placement& chosen);
     [[nodiscard]] duration max_idle_time() const; ///< of a connection that is reused
+    [[nodiscard]] std::string address_of(const member& host) const;
     void send_to_host(const member& chosen, duration expected);
     [[nodiscard]] duration time_left() const;
     [[nodiscard]] time_point wait_deadline() const;
@@ -146,6 +149,7 @@
     [[nodiscard]] const std::string& peer_name() const noexcept;
     void end_attempt(endpoint_outcome outcome);
     void fail_attempt(const attempt_failure& failure);
+    void end_failed_attempt(const attempt_failure& failure, retry_decision decision);
     [[nodiscard]] bool may_retry(const attempt_failure& failure) const;
     [[nodiscard]] retry_decision decide_retry(const attempt_failure& failure);
     [[nodiscard]] attempt_rule rule() const;
@@ -155,8 +159,10 @@
     void arm();
     void on_timer();
     [[nodiscard]] std::optional<time_point> inactivity_deadline() const;
-    [[nodiscard]] bool can_place_elsewhere(time_point now) const;
+    [[nodiscard]] std::optional<destination> find_other_destination(const authorisation& allowed,
+                                                                    time_point now) const;
     void move_silent_attempt(time_point now);
+    void keep_silent_attempt(time_point now);
 
     // final responses
     void refuse(int status, std::string_view code, std::string_view ran, duration retry_after);
@@ -182,6 +188,7 @@
     bool m_has_reached_endpoint = false; ///< here or at the host to which it was forwarded
     bool m_has_response_started = false;
     time_point m_last_progress{};
+    time_point m_last_attempt_end{};
     /// Next check whether a silent attempt can be moved; unset until one could not be.
     time_point m_next_move_check{};
     /// Maximum time from an event, or a resumed attempt's head, to the next event relayed.
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -74,11 +74,13 @@
         m_context.metrics.on_first_byte(elapsed);
     }
     m_last_progress = boot_clock::now();
+    m_attempt.last_received = m_last_progress;
     arm();
 }
 
 void exchange::on_body(std::string& bytes)
 {
+    m_attempt.last_received = boot_clock::now();
     const std::string taken = std::exchange(bytes, {});
     const bool is_relayed =
         is_stream() && is_success(m_attempt.head.status) && is_genuine(m_attempt.head);
@@ -200,6 +202,7 @@
                               boot_clock::now());
     }
     m_attempt.call = nullptr;
+    m_last_attempt_end = boot_clock::now();
     m_context.retry_waiting();
 }
 
@@ -229,10 +232,22 @@
 }
 
 void exchange::fail_attempt(const attempt_failure& failure)
+{
+    const retry_decision decision = decide_retry(failure);
+    end_failed_attempt(failure, decision);
+    if (decision != retry_decision::retried) {
+        give_up(failure.reason);
+        return;
+    }
+    m_stage = stage::placing;
+    place_again();
+}
+
+/// Records a failed attempt. The request has no attempt after that.
+void exchange::end_failed_attempt(const attempt_failure& failure, retry_decision decision)
 {
     const duration elapsed =
         m_attempt.is_sent ? boot_clock::now() - m_attempt.sent_at : boot_clock::now() - m_received;
-    const retry_decision decision = decide_retry(failure);
     m_context.log.write_request(log_line{"request_try_failed"}
                                     .add("id", m_fields.id)
                                     .add("peer", peer_name())
@@ -253,12 +268,6 @@
     }
     end_attempt(failure.outcome);
     m_events.discard_partial();
-    if (decision != retry_decision::retried) {
-        give_up(failure.reason);
-        return;
-    }
-    m_stage = stage::placing;
-    place_again();
 }
 
 // time
@@ -276,22 +285,25 @@
             std::max(inactivity_timeout,
                      from_seconds(to_seconds(m_attempt.expected) * options.inactivity_factor));
     }
-    return std::max(std::max(m_last_progress, m_attempt.sent_at) + inactivity_timeout,
+    return std::max(std::max(m_attempt.last_received, m_attempt.sent_at) + inactivity_timeout,
                     m_next_move_check);
 }
 
-/// Whether the request could be sent now to another endpoint than that of the current attempt.
-bool exchange::can_place_elsewhere(time_point now) const
+/// Returns where the request could be sent now other than to the peer of the current attempt.
+std::optional<exchange::destination> exchange::find_other_destination(const authorisation& allowed,
+                                                                      time_point now) const
 {
-    const authorisation_result checked = check_authorisation();
-    const auto* allowed = std::get_if<authorisation>(&checked);
-    const service* of = allowed == nullptr ? nullptr : allowed->published->find_service(m_service);
+    const service* of = allowed.published->find_service(m_service);
     if (of == nullptr) {
-        return false;
+        return std::nullopt;
     }
     std::vector<std::string> excluded = m_excluded;
     excluded.push_back(m_attempt.endpoint);
-    return choose_destination(find_placements(*allowed, *of, excluded, now), now).has_value();
+    const auto options = find_placements(allowed, *of, excluded, now);
+    auto chosen = choose_destination(allowed, options, now);
+    const bool is_same_host =
+        chosen && chosen->host != nullptr && address_of(*chosen->host) == m_attempt.peer;
+    return is_same_host ? std::nullopt : chosen;
 }
 
 /// Retries a silent attempt elsewhere if the request can be sent there now. Otherwise the attempt
@@ -299,22 +311,33 @@
 void exchange::move_silent_attempt(time_point now)
 {
     const attempt_failure failure{endpoint_outcome::timed_out, true, true, "silent"};
-    const bool can_move =
-        may_retry(failure) && service_retry_budget().has_token() && can_place_elsewhere(now);
-    if (!can_move) {
-        if (std::exchange(m_next_move_check, now + m_context.options.move_check_interval) ==
-            time_point{}) {
-            m_context.metrics.count("silent_attempt_kept");
-            m_context.log.write_request(log_line{"request_waits_for_silent_endpoint"}
-                                            .add("id", m_fields.id)
-                                            .add("peer", peer_name())
-                                            .add_ms("silent_ms", now - m_last_progress));
-        }
-        arm();
+    authorisation_result checked = check_authorisation();
+    auto* const allowed = std::get_if<authorisation>(&checked);
+    const bool may_move = allowed != nullptr && may_retry(failure) &&
+                          service_retry_budget().tokens() >= m_context.options.min_move_tokens;
+    const auto chosen = may_move ? find_other_destination(*allowed, now) : std::nullopt;
+    if (!chosen) {
+        keep_silent_attempt(now);
         return;
     }
     m_attempt.call->cancel();
-    fail_attempt(failure);
+    m_authorised = std::move(*allowed);
+    end_failed_attempt(failure, decide_retry(failure));
+    send(*chosen);
+}
+
+void exchange::keep_silent_attempt(time_point now)
+{
+    const bool is_first_check = m_next_move_check == time_point{};
+    m_next_move_check = now + m_context.options.move_check_interval;
+    if (is_first_check) {
+        m_context.metrics.count("silent_attempt_kept");
+        m_context.log.write_request(log_line{"request_waits_for_silent_endpoint"}
+                                        .add("id", m_fields.id)
+                                        .add("peer", peer_name())
+                                        .add_ms("silent_ms", now - m_last_progress));
+    }
+    arm();
 }
 
 void exchange::arm()
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -34,8 +34,8 @@
     duration max_forwarded_wait = std::chrono::milliseconds{250};
     /// Time after the start in which heartbeats of hosts of other regions may still be missing.
     duration startup_period = std::chrono::milliseconds{1'000};
-    /// Maximum time without an event while a stream waits for a free slot to resume. Callers
-    /// disconnect after two seconds.
+    /// Maximum time for which a stream whose attempt has ended waits for a free slot to resume.
+    /// Callers disconnect after two seconds without an event.
     duration max_resumption_wait = std::chrono::milliseconds{1'800};
     /// Minimum time without a response head or a complete event after which a repeatable request is
     /// retried elsewhere, if another execution is allowed and another endpoint can take it at once.
@@ -43,6 +43,9 @@
     /// Inactivity timeout until the caller has received a part of the response, in multiples of the
     /// expected time to first byte.
     double inactivity_factor = 5;
+    /// Tokens of the retry budget that are left when a silent attempt is moved, so that the request
+    /// can be sent once more if the other endpoint rejects it.
+    double min_move_tokens = 2;
     /// Interval of the checks whether an attempt that is silent for longer can be moved.
     duration move_check_interval = std::chrono::milliseconds{100};
     /// Maximum number of attempts of one request at endpoints and hosts, executed or not.
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -116,6 +116,17 @@
         }
     }
 
+    /// Adds an endpoint at an address at which nobody listens.
+    void add_unreachable_endpoint(const std::string& name)
+    {
+        endpoint_entry& entry = m_entries[name];
+        entry.id = name;
+        entry.service = "s";
+        entry.address = "127.0.0.1:1";
+        entry.slots = 4;
+        update_pool();
+    }
+
     /// Adds a host of another region, to which requests are forwarded, and keeps all retries from
     /// the budget's slack but one.
     void add_host(const behaviour& on_request)
@@ -157,7 +168,7 @@
         for (const placement_request any{m_state.published()->find_service("s"), nullptr, {}};
              m_pool.choose(any, boot_clock::now(), m_random);) {
             static_cast<void>(m_pool.on_sent(name, nullptr, boot_clock::now()));
-            ++m_occupied;
+            ++m_occupied[name];
         }
     }
 
@@ -167,16 +178,26 @@
         const placement_request any{m_state.published()->find_service("s"), nullptr, {}};
         while (const auto chosen = m_pool.choose(any, boot_clock::now(), m_random)) {
             static_cast<void>(m_pool.on_sent(chosen->endpoint, nullptr, boot_clock::now()));
+            ++m_occupied[chosen->endpoint];
         }
     }
     void release(const std::string& name)
     {
-        for (; m_occupied > 0; --m_occupied) {
+        for (unsigned& left = m_occupied[name]; left > 0; --left) {
             m_pool.on_end(name, 0, endpoint_outcome::answered, boot_clock::now());
         }
         m_waiting.place();
     }
 
+    /// Attempts that weren't ended although their endpoint was silent for long.
+    [[nodiscard]] int kept_attempts() const
+    {
+        const std::string name = R"(silent_attempt_kept"} )";
+        const std::string text = m_metrics.to_text();
+        const std::size_t at = text.find(name);
+        return at == std::string::npos ? 0 : std::stoi(text.substr(at + name.size()));
+    }
+
     [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
 
     void restart_startup_period() { m_context.started = boot_clock::now(); }
@@ -298,7 +319,7 @@
     std::vector<std::unique_ptr<http_server>> m_endpoints;
     std::unique_ptr<http_server> m_peer;
     std::shared_ptr<client_connection> m_call;
-    unsigned m_occupied = 0;
+    std::map<std::string, unsigned> m_occupied; // slots, by endpoint
 };
 
 /// Endpoint that sends complete responses and records the requests.
@@ -698,9 +719,6 @@
     int m_cancelled = 0;
 };
 
-/// Longer than an endpoint may be silent before the request is moved, if it can be moved.
-constexpr auto long_silence = 1'200ms;
-
 const std::string both_events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
 } // namespace
@@ -731,7 +749,7 @@
         gateway.add_endpoint("b", other.behaviour());
         gateway.remove_route(2);
     }
-    gateway.run_for(long_silence);
+    gateway.run_until([&] { return gateway.kept_attempts() == 1; });
     CHECK(silent.cancelled() == 0);
     silent.go_on();
     gateway.run_to_end(response);
@@ -743,7 +761,7 @@
 TEST_CASE("regression: a silent endpoint's streams aren't ended once the retry budget is empty")
 {
     gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
-    gateway.set_retry_slack(0); // one retry
+    gateway.set_retry_slack(4); // of two hosts that may exist: two retries
     pausing_endpoint silent;
     int moved = 0;
     gateway.add_endpoint("a", silent.behaviour());
@@ -758,7 +776,7 @@
         request->send("id: 2\ndata: b\n\n");
         request->end();
     });
-    gateway.run_for(long_silence);
+    gateway.run_until([&] { return moved > 0 && gateway.kept_attempts() == 2; });
     CHECK(moved == 1);
     CHECK(silent.cancelled() == 1);
     silent.go_on();
@@ -776,8 +794,7 @@
     std::shared_ptr<server_exchange> running;
     gateway.add_endpoint("a", [&](const auto& request) { running = request; });
     const auto response = gateway.send_request("GET", {});
-    gateway.run_until([&] { return running != nullptr; });
-    gateway.run_for(long_silence);
+    gateway.run_until([&] { return running != nullptr && gateway.kept_attempts() == 1; });
     running->respond(200, response_headers(), "answer");
     gateway.run_to_end(response);
     CHECK(response->status == 200);
@@ -790,8 +807,7 @@
     pausing_endpoint silent;
     gateway.add_endpoint("a", silent.behaviour());
     const auto response = gateway.send_request();
-    gateway.run_until([&] { return !response->body.empty(); });
-    gateway.run_for(long_silence);
+    gateway.run_until([&] { return gateway.kept_attempts() == 1; });
     gateway.add_endpoint("b", [&](const std::shared_ptr<server_exchange>& request) {
         CHECK(request->head().headers.find("Last-Event-Id") == "1");
         request->begin(200, response_headers());
@@ -803,3 +819,86 @@
     CHECK(response->end == call_end::complete);
     CHECK(response->body == both_events);
 }
+
+// guards against LOST: a stream was moved to an endpoint that could not be reached, after a silence
+// so long that no time was left to wait for another one
+TEST_CASE("regression: a moved stream waits for a free slot if the other endpoint is unreachable")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
+    pausing_endpoint silent;
+    gateway.add_endpoint("a", silent.behaviour());
+    const auto response = gateway.send_request();
+    gateway.run_until([&] { return gateway.kept_attempts() == 1; });
+    gateway.add_endpoint("c", [&](const std::shared_ptr<server_exchange>& request) {
+        request->begin(200, response_headers());
+        request->send("id: 2\ndata: b\n\n");
+        request->end();
+    });
+    gateway.occupy_all();
+    gateway.run_for(serving_options{}.max_resumption_wait);
+    gateway.add_unreachable_endpoint("b");
+    gateway.run_until([&] { return silent.cancelled() == 1; });
+    gateway.run_until([&] { return gateway.waiting() > 0 || response->end.has_value(); });
+    gateway.release("c");
+    gateway.run_to_end(response);
+    CHECK(response->end == call_end::complete);
+    CHECK(response->body == both_events);
+}
+
+// guards against LOST: the retry budget had one token, which the move took, and the other endpoint
+// rejected the request
+TEST_CASE("regression: a stream is moved only if a rejection leaves one more retry")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
+    SUBCASE("one token is left")
+    {
+        gateway.set_retry_slack(0);
+    }
+    SUBCASE("two are left")
+    {
+        gateway.set_retry_slack(4);
+    }
+    pausing_endpoint silent;
+    gateway.add_endpoint("a", silent.behaviour());
+    const auto response = gateway.send_request();
+    gateway.run_until([&] { return !response->body.empty(); });
+    gateway.add_endpoint("b", [&](const std::shared_ptr<server_exchange>& request) {
+        gateway.add_endpoint("c", [](const std::shared_ptr<server_exchange>& other) {
+            other->begin(200, response_headers());
+            other->send("id: 2\ndata: b\n\n");
+            other->end();
+        });
+        reject(request);
+    });
+    gateway.run_until([&] { return gateway.kept_attempts() == 1 || response->end.has_value(); });
+    silent.go_on();
+    gateway.run_to_end(response);
+    CHECK(response->end == call_end::complete);
+    CHECK(response->body == both_events);
+}
+
+// guards against BUDGET: a long response that arrived in parts counted as silence
+TEST_CASE("regression: a safe request isn't retried while its response arrives")
+{
+    route served = make_route(request_kind::safe, 2);
+    served.objective = test_timeout;
+    gateway_fixture gateway{served};
+    recording_endpoint other;
+    std::shared_ptr<server_exchange> running;
+    gateway.add_endpoint("a", [&](const std::shared_ptr<server_exchange>& request) {
+        running = request;
+        request->begin(200, response_headers());
+    });
+    const auto response = gateway.send_request("GET", {});
+    gateway.run_until([&] { return running != nullptr; });
+    gateway.add_endpoint("b", other.behaviour());
+    const time_point started = boot_clock::now();
+    while (boot_clock::now() - started < 2 * serving_options{}.min_inactivity_timeout) {
+        running->send("part");
+        gateway.run_for(100ms);
+    }
+    running->end();
+    gateway.run_to_end(response);
+    CHECK(response->status == 200);
+    CHECK(other.heads().empty());
+}
