Ignore bytes on a connection that closes after its response

What callers would see: a request that was answered with "Connection: close" was run a second time, with an empty body, if its caller sent any further byte while the response was still being sent (TWICE). The count of active requests stayed one too high, so that a shutdown waited for the whole grace.

Cause: close_after_sending() with unsent bytes leaves the channel reading with its handlers set. The exchange was gone, so the bytes went to the parser, which was still complete from the last request, and its head started a new exchange.

Change: bytes are ignored once the connection has ended. This holds for rejected requests too, whose parser must not be fed either.

--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -119,6 +119,10 @@
 
 void server_connection::on_bytes(std::string_view bytes)
 {
+    if (!m_is_counted) {
+        // the last response is still being sent; the parser must not be fed after its end
+        return;
+    }
     if (m_exchange != nullptr) {
         m_pending.append(bytes);
         if (m_pending.size() > max_pending_bytes) {
--- /dev/null
+++ b/tests/gateway/http_server_test.cpp
@@ -0,0 +1,148 @@
+#include "gateway/http/http_server.h"
+
+#include <array>      // array
+#include <chrono>     // milliseconds, seconds
+#include <cstddef>    // size_t
+#include <functional> // function
+#include <memory>     // make_unique, shared_ptr, unique_ptr
+#include <string>     // string
+#include <utility>    // move
+#include <vector>     // vector
+
+#include <asio/buffer.hpp>     // buffer
+#include <asio/io_context.hpp> // io_context
+#include <asio/ip/tcp.hpp>     // tcp
+#include <asio/write.hpp>      // write
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace hickorykeel::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto test_timeout = 20s;
+
+/// More bytes than the kernel takes for a caller that doesn't read.
+constexpr std::size_t large_body_bytes = 16'000'000;
+
+/// A server on its own loop, which keeps the requests that it received.
+class server_fixture {
+public:
+    explicit server_fixture(http_server::handler on_request)
+        : m_server{std::make_unique<http_server>(
+              m_loop, [this, act = std::move(on_request)](const auto& request) {
+                  m_requests.push_back(request);
+                  act(request);
+              })}
+    {
+        REQUIRE(is_ok(m_server->listen("127.0.0.1:0")));
+    }
+
+    [[nodiscard]] asio::io_context& loop() noexcept { return m_loop; }
+    [[nodiscard]] http_server& server() noexcept { return *m_server; }
+    [[nodiscard]] const std::vector<std::shared_ptr<server_exchange>>& requests() const noexcept
+    {
+        return m_requests;
+    }
+
+    /// Closes the server. The loop must not run afterwards.
+    void close() { m_server = nullptr; }
+
+    void run_until(const std::function<bool()>& holds)
+    {
+        const time_point limit = boot_clock::now() + test_timeout;
+        while (!holds()) {
+            REQUIRE(boot_clock::now() < limit);
+            m_loop.restart();
+            m_loop.run_one_for(1ms);
+        }
+    }
+
+private:
+    asio::io_context m_loop{1};
+    std::vector<std::shared_ptr<server_exchange>> m_requests;
+    std::unique_ptr<http_server> m_server;
+};
+
+/// A caller that sends and reads only when told to.
+class raw_caller {
+public:
+    explicit raw_caller(server_fixture& fixture) : m_socket{fixture.loop()}
+    {
+        m_socket.open(asio::ip::tcp::v4());
+        m_socket.set_option(asio::socket_base::receive_buffer_size{4'096});
+        m_socket.connect({asio::ip::make_address_v4("127.0.0.1"), fixture.server().port()});
+    }
+
+    void send(const std::string& bytes)
+    {
+        m_socket.non_blocking(false);
+        asio::write(m_socket, asio::buffer(bytes));
+    }
+
+    /// Reads what has arrived.
+    void read()
+    {
+        m_socket.non_blocking(true);
+        while (read_once()) {}
+    }
+
+    /// Reads until the connection's end.
+    void read_to_end()
+    {
+        m_socket.non_blocking(false);
+        while (read_once()) {}
+    }
+
+    [[nodiscard]] const std::string& received() const noexcept { return m_received; }
+    [[nodiscard]] bool has_ended() const noexcept { return m_has_ended; }
+
+private:
+    bool read_once()
+    {
+        asio::error_code failure;
+        const std::size_t count = m_socket.read_some(asio::buffer(m_buffer), failure);
+        m_received.append(m_buffer.data(), count);
+        m_has_ended = m_has_ended || (failure && failure != asio::error::would_block);
+        return !failure;
+    }
+
+    asio::ip::tcp::socket m_socket;
+    std::array<char, 65'536> m_buffer{};
+    std::string m_received;
+    bool m_has_ended = false;
+};
+
+void respond_large(const std::shared_ptr<server_exchange>& request)
+{
+    request->respond(200, {}, std::string(large_body_bytes, 'x'));
+}
+
+std::size_t body_bytes(const std::string& response)
+{
+    const std::size_t head = response.find("\r\n\r\n");
+    return head == std::string::npos ? 0 : response.size() - head - 4;
+}
+
+} // namespace
+
+// guards against TWICE: a closing connection ran its request again for any further byte
+TEST_CASE("bytes on a connection that closes after its response don't run the request again")
+{
+    server_fixture fixture{respond_large};
+    raw_caller caller{fixture};
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab");
+    fixture.run_until([&] { return !fixture.requests().empty(); });
+    REQUIRE(fixture.requests().front()->unsent() > 0);
+
+    // the byte is read while the response is sent, that is before the connection's end
+    caller.send("G");
+    fixture.run_until([&] {
+        caller.read();
+        return caller.has_ended();
+    });
+    CHECK(fixture.requests().size() == 1);
+    CHECK(fixture.server().active() == 0);
+    CHECK(body_bytes(caller.received()) == large_body_bytes);
+}
