Wait at a shutdown until the kernel has accepted the last responses

What callers would see: a large response that a caller read slowly was cut off when its gateway was told to stop (LOST).

Cause: a request is no longer active once its response is complete, though the channel may still hold most of the bytes. check_shutdown stopped the loop when no request was active, with time left in the grace, and closing the sockets dropped those bytes.

Change: http_server::is_idle() says whether no request is active and no open connection has unsent bytes, and check_shutdown waits for it within the grace. active() and its gauge are unchanged.

The line in check_shutdown itself has no test: no test stops a gateway whose caller reads slowly.

--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -1,6 +1,6 @@
 #include "gateway/http/http_server.h"
 
-#include <algorithm> // max
+#include <algorithm> // max, none_of
 #include <utility>   // move, exchange
 
 #include <fmt/format.h> // format
@@ -286,6 +286,14 @@
     m_acceptor.close(ignored);
 }
 
+bool http_server::is_idle() const
+{
+    return m_active == 0 &&
+           std::ranges::none_of(*m_registry.all(), [](const server_connection* connection) {
+               return connection->m_channel->is_open() && connection->m_channel->unsent() > 0;
+           });
+}
+
 void http_server::accept()
 {
     m_acceptor.async_accept([this](const asio::error_code& failure, asio::ip::tcp::socket socket) {
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -160,6 +160,11 @@
     /// Number of requests without a complete response.
     [[nodiscard]] std::size_t active() const noexcept { return m_active; }
 
+    /// Whether no request is without a complete response, and the kernel has accepted all bytes of
+    /// the responses, so that the process can end without cutting one off. Linear in the
+    /// connections.
+    [[nodiscard]] bool is_idle() const;
+
 private:
     friend class server_connection;
     friend class server_exchange;
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -487,7 +487,7 @@
 void gateway::check_shutdown()
 {
     const duration elapsed = boot_clock::now() - m_shutdown_started;
-    const bool is_idle = m_callers.active() == 0 && m_peers.active() == 0;
+    const bool is_idle = m_callers.is_idle() && m_peers.is_idle();
     if (elapsed >= stop_admission && m_context.takes_requests) {
         m_context.takes_requests = false;
         m_callers.stop_listening();
--- a/tests/gateway/http_server_test.cpp
+++ b/tests/gateway/http_server_test.cpp
@@ -146,3 +146,49 @@
     CHECK(fixture.server().active() == 0);
     CHECK(body_bytes(caller.received()) == large_body_bytes);
 }
+
+// guards against LOST: a shutdown that ended the process once all requests had their response cut
+// off the responses that the kernel had not accepted yet
+TEST_CASE("a server with a response that is still being sent isn't idle")
+{
+    std::string connection;
+    SUBCASE("kept connection")
+    {
+        connection = "keep-alive";
+    }
+    SUBCASE("closing connection")
+    {
+        connection = "close";
+    }
+    CAPTURE(connection);
+    server_fixture fixture{respond_large};
+    raw_caller caller{fixture};
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: " + connection + "\r\n\r\n");
+    fixture.run_until([&] { return !fixture.requests().empty(); });
+    REQUIRE(fixture.requests().front()->unsent() > 0);
+    REQUIRE(fixture.server().active() == 0);
+    CHECK_FALSE(fixture.server().is_idle());
+
+    fixture.run_until([&] {
+        caller.read();
+        return fixture.server().is_idle();
+    });
+    fixture.close();
+    caller.read_to_end();
+    CHECK(body_bytes(caller.received()) == large_body_bytes);
+}
+
+// guards against a shutdown that waits for its whole grace: callers that went away are not waited
+// for
+TEST_CASE("a server whose caller went away within a response is idle")
+{
+    server_fixture fixture{respond_large};
+    {
+        raw_caller caller{fixture};
+        caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        fixture.run_until([&] { return !fixture.requests().empty(); });
+        REQUIRE(fixture.requests().front()->unsent() > 0);
+    }
+    fixture.run_until([&] { return fixture.server().connections() == 0; });
+    CHECK(fixture.server().is_idle());
+}
