Keep the connection that a stream's head has promised to keep

What callers would see: a request that followed a stream on the same connection was dropped without an answer if the gateway had been told to stop while the stream ran (LOST), whether it came after the stream's end or had been received within the stream.

Cause: begin() decided about "Connection: close" for the head, and finish() asked again at the stream's end. A shutdown that began in between closed a connection that its caller could rightly use, and the bytes read ahead went with it.

Change: an exchange remembers what its head has promised, and its end does just that. The next response on the connection says "Connection: close".

A further test, which passed before too, keeps a stream that begins after the shutdown's start closing its connection.

--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -27,7 +27,7 @@
     if (connection == nullptr) {
         return;
     }
-    if (keeps_alive && connection->keeps_alive()) {
+    if (keeps_alive) {
         connection->next_request();
     }
     else {
@@ -51,8 +51,8 @@
 void server_exchange::begin(int status, const header_list& headers)
 {
     if (const auto connection = m_connection.lock(); !m_is_done && connection != nullptr) {
-        connection->m_channel->send(
-            format_chunked_head(status, headers, connection->keeps_alive()));
+        m_keeps_alive = connection->keeps_alive();
+        connection->m_channel->send(format_chunked_head(status, headers, m_keeps_alive));
     }
 }
 
@@ -68,7 +68,7 @@
 {
     if (const auto connection = m_connection.lock(); !m_is_done && connection != nullptr) {
         connection->m_channel->send(last_chunk);
-        finish(true);
+        finish(m_keeps_alive);
     }
 }
 
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -78,6 +78,7 @@
     std::string m_body;
     std::function<void()> m_on_disconnect;
     bool m_is_done = false;
+    bool m_keeps_alive = false; // what the head of a chunked response has promised
 };
 
 /// A caller's connection, which serves its requests one after another.
@@ -143,7 +144,8 @@
     /// Stops accepting connections; existing ones stay open.
     void stop_listening();
 
-    /// From now on closes each connection after its next response.
+    /// From now on closes each connection after its next response. A response whose head has
+    /// promised to keep the connection is followed by one more.
     void announce_close() noexcept { m_is_closing = true; }
 
     /// Sets the handler that is called for each request rejected before it reaches `on_request`.
--- a/tests/gateway/http_server_test.cpp
+++ b/tests/gateway/http_server_test.cpp
@@ -192,3 +192,76 @@
     fixture.run_until([&] { return fixture.server().connections() == 0; });
     CHECK(fixture.server().is_idle());
 }
+
+// guards against LOST: a stream that had promised to keep its connection closed it at its end if a
+// shutdown had begun meanwhile, and the caller's next request was dropped without an answer
+TEST_CASE("a stream begun before a shutdown keeps its connection for one more request")
+{
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    int count = 0;
+    server_fixture fixture{[&](const auto& received) {
+        if (++count == 1) {
+            received->begin(200, {});
+        }
+        else {
+            received->respond(200, {}, "second");
+        }
+    }};
+    raw_caller caller{fixture};
+    bool is_pipelined = false;
+    SUBCASE("sent after the stream's end")
+    {
+        is_pipelined = false;
+    }
+    SUBCASE("sent within the stream")
+    {
+        is_pipelined = true;
+    }
+    CAPTURE(is_pipelined);
+    // one segment, so that the server has read a pipelined request before the stream's end
+    caller.send(is_pipelined ? request + request : request);
+    fixture.run_until([&] { return !fixture.requests().empty(); });
+
+    fixture.server().announce_close();
+    fixture.requests().front()->send("first");
+    fixture.requests().front()->end();
+    fixture.run_until([&] {
+        caller.read();
+        return caller.received().find("0\r\n\r\n") != std::string::npos;
+    });
+    if (!is_pipelined) {
+        caller.send(request);
+    }
+    fixture.run_until([&] {
+        caller.read();
+        return caller.has_ended();
+    });
+    const std::size_t first_end = caller.received().find("0\r\n\r\n") + 5;
+    const std::string first = caller.received().substr(0, first_end);
+    const std::string second = caller.received().substr(first_end);
+    CHECK(first.find("Connection: close") == std::string::npos);
+    CHECK(second.starts_with("HTTP/1.1 200"));
+    CHECK(second.find("Connection: close") != std::string::npos);
+    CHECK(second.ends_with("second"));
+    CHECK(count == 2);
+    CHECK(fixture.server().active() == 0);
+}
+
+// guards against a connection that stays open although its caller was told that it closes
+TEST_CASE("a stream begun after a shutdown's start closes its connection")
+{
+    server_fixture fixture{[](const auto& received) {
+        received->begin(200, {});
+        received->send("only");
+        received->end();
+    }};
+    fixture.server().announce_close();
+    raw_caller caller{fixture};
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.run_until([&] {
+        caller.read();
+        return caller.has_ended();
+    });
+    CHECK(caller.received().find("Connection: close") != std::string::npos);
+    CHECK(fixture.requests().size() == 1);
+}
