Apply changed message limits to open connections too

Cause: the parser of a connection got the limits when the connection was accepted, and never again.

Change: the parser gets the limits in force before the first byte of each request, read ahead or not. They are not set in restart(), as that runs at the end of the former response: a connection that is idle when the configuration changes would keep the former limits for one more request.

Measured: before the change the first new test printed "REQUIRE( 1 == 2 )" for the requests received, between two requests and within one, and "REQUIRE( 0 == 1 )" before the first; the second, on lowered limits, printed "CHECK( 408 == 413 )", as the body was waited for.

--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -136,6 +136,8 @@
 void server_connection::parse(std::string_view bytes)
 {
     if (!m_parser.has_begun()) {
+        // the limits may have changed while the connection was kept open
+        m_parser.set_limits(m_owner.m_limits.message);
         m_deadline = boot_clock::now() + m_owner.m_limits.head_timeout;
         start_timer();
     }
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -154,6 +154,7 @@
         m_on_reject = std::move(on_reject);
     }
 
+    /// Limits on messages apply from the next request of each connection on.
     void set_limits(server_limits limits) noexcept { m_limits = limits; }
 
     /// Number of open connections.
--- a/src/gateway/http/message_parser.h
+++ b/src/gateway/http/message_parser.h
@@ -58,6 +58,9 @@
     /// Prepares for the next message on the connection; unread body bytes are dropped.
     void restart();
 
+    /// Replaces the limits. Precondition: `has_begun()` is false.
+    void set_limits(message_limits limits) noexcept { m_limits = limits; }
+
     /// Expects a response without a body, as to a HEAD request, until `restart()`.
     void expect_no_body() noexcept { m_has_no_body = true; }
     /// @}
--- a/tests/gateway/http_server_test.cpp
+++ b/tests/gateway/http_server_test.cpp
@@ -1,13 +1,14 @@
 #include "gateway/http/http_server.h"
 
-#include <array>      // array
-#include <chrono>     // milliseconds, seconds
-#include <cstddef>    // size_t
-#include <functional> // function
-#include <memory>     // make_unique, shared_ptr, unique_ptr
-#include <string>     // string
-#include <utility>    // move
-#include <vector>     // vector
+#include <array>       // array
+#include <chrono>      // milliseconds, seconds
+#include <cstddef>     // size_t
+#include <functional>  // function
+#include <memory>      // make_unique, shared_ptr, unique_ptr
+#include <string>      // string, to_string
+#include <string_view> // string_view
+#include <utility>     // move
+#include <vector>      // vector
 
 #include <asio/buffer.hpp>     // buffer
 #include <asio/io_context.hpp> // io_context
@@ -265,3 +266,75 @@
     CHECK(caller.received().find("Connection: close") != std::string::npos);
     CHECK(fixture.requests().size() == 1);
 }
+
+// guards against DENIED: a kept connection went on answering 413 after the limit had been raised
+TEST_CASE("raised limits apply to the next request of an open connection")
+{
+    constexpr std::size_t large = 20;
+    const server_limits low{.message = {.max_body_bytes = 10}};
+    const server_limits high{.message = {.max_body_bytes = 1'000}};
+    const auto post = [](std::size_t bytes) {
+        return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) +
+               "\r\n\r\n" + std::string(bytes, 'a');
+    };
+    server_fixture fixture{[](const auto&) {}};
+    fixture.server().set_limits(low);
+    raw_caller caller{fixture};
+    std::size_t expected = 2;
+    SUBCASE("between two requests")
+    {
+        caller.send(post(2));
+        fixture.run_until([&] { return fixture.requests().size() == 1; });
+        fixture.requests().front()->respond(200, {}, "x");
+        fixture.server().set_limits(high);
+        caller.send(post(large));
+    }
+    SUBCASE("within a request that another one follows")
+    {
+        // one segment, so that the server has read the second request before the limit is raised
+        caller.send(post(2) + post(large));
+        fixture.run_until([&] { return fixture.requests().size() == 1; });
+        fixture.server().set_limits(high);
+        fixture.requests().front()->respond(200, {}, "x");
+    }
+    SUBCASE("before the first request")
+    {
+        expected = 1;
+        fixture.run_until([&] { return fixture.server().connections() == 1; });
+        fixture.server().set_limits(high);
+        caller.send(post(large));
+    }
+    CAPTURE(expected);
+    fixture.run_until([&] {
+        caller.read();
+        return caller.has_ended() || fixture.requests().size() == expected;
+    });
+    REQUIRE(fixture.requests().size() == expected);
+    CHECK(fixture.requests().back()->body().size() == large);
+    CHECK(caller.received().find("413") == std::string::npos);
+}
+
+// guards against a request that is accepted by limits no longer in force
+TEST_CASE("lowered limits apply to the next request, and not to the current one")
+{
+    int rejected = 0;
+    server_fixture fixture{[](const auto& request) { request->respond(200, {}, "x"); }};
+    fixture.server().set_on_reject([&](int status, std::string_view) { rejected = status; });
+    fixture.server().set_limits({.message = {.max_body_bytes = 1'000}});
+    raw_caller caller{fixture};
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+                             "Content-Length: 20\r\n\r\n";
+    caller.send(head);
+    fixture.run_until([&] {
+        caller.read();
+        return caller.received().find("100 Continue") != std::string::npos;
+    });
+    fixture.server().set_limits({.message = {.max_body_bytes = 10}});
+    caller.send(std::string(20, 'a'));
+    fixture.run_until([&] { return fixture.requests().size() == 1 || rejected != 0; });
+    CHECK(rejected == 0);
+
+    caller.send(head);
+    fixture.run_until([&] { return fixture.requests().size() == 2 || rejected != 0; });
+    CHECK(rejected == 413);
+}
