Count a refusal as not executed only if it names the request's id

What callers saw: an endpoint that repeated an earlier refusal on a kept connection made the gateway tell a caller "not executed, try again" about a request that was running there (REFUSED), or send it to a second endpoint (TWICE). From then on each response on that connection was one request late.

Cause: on_complete_response took the rejection header or status 421 for the attempt's own before it compared the response's id; the id was only checked later, for other responses. The connection was kept in either case. Two more ways to the same end: a refusal between hosts had no id at all, and a host that gets a forwarded request a second time, which has the same id, used the same connection again, where a repeated rejection matches.

Evidence: three new cases of exchange_test fail on the code before, as does the check that a host's refusal has the id. Forwarded twice: 503 no_endpoint instead of the endpoint's 200. A host's refusal with another id or none: sent once more (2 hops) and answered 503.

Change: a response whose id isn't the request's counts as "may have been executed", whatever it says, and its connection is closed, as the true response may follow there. Hosts echo the id in Keel-Refused-Id. A rejection of a forwarded request closes the connection to the endpoint. The test of hops between regions has the new header in its stand-in, since a refusal without it is no longer the request's; its bounds are unchanged.

Why it works: the id is unique for each attempt of a caller and is sent over one connection to one endpoint only once, so that no earlier bytes have it. During an update of the hosts, refusals of hosts with the former code count as "may have been executed": nothing runs twice, but non-idempotent requests get 502 for 503.

--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -24,6 +24,8 @@
 /// Age of the request in milliseconds at the expected receipt by the peer host.
 inline constexpr std::string_view age_header = "Keel-Age-Ms";
 inline constexpr std::string_view refusal_header = "Keel-Refusal"; ///< code of a refusal
+/// Id of the refused request.
+inline constexpr std::string_view refused_id_header = "Keel-Refused-Id";
 /// Whether the request was executed: "no" or "unknown".
 inline constexpr std::string_view ran_header = "Keel-Ran";
 /// Whether the refused request has reached an endpoint, which may have rejected it: "yes" or "no".
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -147,7 +147,17 @@
 {
     const message_head& head = m_attempt.head;
     const bool is_host = m_attempt.endpoint.empty();
-    if (is_host && head.headers.contains(refusal_header)) {
+    const response_fields fields = m_context.adapter.read_response_fields(head);
+    const bool is_refusal_of_host = is_host && head.headers.contains(refusal_header);
+    const std::string_view answered_id =
+        is_refusal_of_host ? head.headers.find(refused_id_header) : std::string_view{fields.id};
+    if (answered_id != m_fields.id) {
+        // the response to this request may follow on the connection
+        m_attempt.call->cancel();
+        fail_attempt({endpoint_outcome::cut, true, true, "not_the_answer"});
+        return;
+    }
+    if (is_refusal_of_host) {
         const bool has_not_run = head.headers.find(ran_header) == "no";
         const bool has_reached = head.headers.find(reached_header) == "yes";
         m_has_reached_endpoint = m_has_reached_endpoint || has_reached;
@@ -156,9 +166,13 @@
                       head.headers.find(refusal_header)});
         return;
     }
-    const response_fields fields = m_context.adapter.read_response_fields(head);
     if (!is_host && (fields.was_rejected || head.status == status_misdirected)) {
         const bool is_misdirected = head.status == status_misdirected;
+        if (m_is_forwarded) {
+            // the other host may send the request here again with the same id, which a repeated
+            // rejection on this connection would match
+            m_attempt.call->cancel();
+        }
         fail_attempt({is_misdirected ? endpoint_outcome::gone : endpoint_outcome::shed, false, true,
                       is_misdirected ? "misdirected" : "rejected"});
         return;
--- a/src/gateway/serving/exchange_end.cpp
+++ b/src/gateway/serving/exchange_end.cpp
@@ -37,6 +37,7 @@
     }
     if (m_is_forwarded) {
         headers.add(std::string{refusal_header}, std::string{code});
+        headers.add(std::string{refused_id_header}, m_fields.id);
         headers.add(std::string{ran_header}, std::string{ran});
         headers.add(std::string{reached_header}, m_has_reached_endpoint ? "yes" : "no");
     }
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway/serving/exchange.h"
 
 #include "gateway/http/http_server.h"
+#include "gateway/http/tcp_channel.h"
 #include "gateway/routes.h"
 #include "gateway/serving/waiting_queue.h"
 #include "platform/headers.h"
@@ -16,6 +17,7 @@
 #include <utility>    // exchange
 #include <vector>     // vector
 
+#include <asio/ip/tcp.hpp> // tcp
 #include <doctest/doctest.h>
 
 using namespace hickorykeel;
@@ -104,14 +106,20 @@
     {
         auto& server = m_endpoints.emplace_back(std::make_unique<http_server>(m_loop, on_request));
         REQUIRE(is_ok(server->listen("127.0.0.1:0")));
+        add_endpoint_at(name, server->port());
+    }
+
+    /// Adds an endpoint that listens on a local port. Endpoints added earlier are preferred.
+    void add_endpoint_at(const std::string& name, unsigned port)
+    {
         endpoint_entry& entry = m_entries[name];
         entry.id = name;
         entry.service = "s";
-        entry.address = "127.0.0.1:" + std::to_string(server->port());
+        entry.address = "127.0.0.1:" + std::to_string(port);
         entry.slots = 4;
         update_pool();
         // each further endpoint appears slower than those before
-        for (std::size_t i = 0; i < 10 * (m_endpoints.size() - 1); ++i) {
+        for (std::size_t i = 0; i < 10 * (m_entries.size() - 1); ++i) {
             m_pool.on_first_byte(name, 0, 200ms, 50ms);
         }
     }
@@ -127,6 +135,8 @@
         update_pool();
     }
 
+    asio::io_context& loop() { return m_loop; }
+
     /// Adds a host of another region, to which requests are forwarded, and keeps all retries from
     /// the budget's slack but one.
     void add_host(const behaviour& on_request)
@@ -656,6 +666,7 @@
             ++hops;
             header_list headers;
             headers.add(std::string{refusal_header}, "rejected");
+            headers.add(std::string{refused_id_header}, id);
             headers.add(std::string{ran_header}, "no");
             headers.add(std::string{reached_header}, refusal.reached);
             request->respond(503, headers, {});
@@ -677,6 +688,7 @@
         gateway.run_to_end(response);
         CHECK(response->status == 503);
         CHECK(response->headers.find(reached_header) == "yes");
+        CHECK(response->headers.find(refused_id_header) == id);
     }
     SUBCASE("there is none")
     {
@@ -684,6 +696,7 @@
         gateway.run_to_end(response);
         CHECK(response->status == 503);
         CHECK(response->headers.find(reached_header) == "no");
+        CHECK(response->headers.find(refused_id_header) == id);
     }
 }
 
@@ -901,4 +914,186 @@
     gateway.run_to_end(response);
     CHECK(response->status == 200);
     CHECK(other.heads().empty());
+
+namespace {
+
+/// Endpoint that sends literal bytes, among them such as `http_server` never sends.
+///
+/// Expects requests with the default body of `gateway_fixture::send_request`.
+class scripted_endpoint {
+public:
+    struct step {
+        std::string bytes;
+        bool closes = false; ///< the connection is closed in order after the bytes
+    };
+    /// Returns the response to a request.
+    /// @param connection number of the connection, from 1
+    using script = std::function<step(std::size_t connection)>;
+
+    scripted_endpoint(gateway_fixture& gateway, const std::string& name, script respond)
+        : m_acceptor{gateway.loop(), {asio::ip::address_v4::loopback(), 0}}, m_respond{
+                                                                                 std::move(respond)}
+    {
+        accept();
+        gateway.add_endpoint_at(name, m_acceptor.local_endpoint().port());
+    }
+
+    scripted_endpoint(const scripted_endpoint&) = delete;
+    scripted_endpoint& operator=(const scripted_endpoint&) = delete;
+    scripted_endpoint(scripted_endpoint&&) = delete;
+    scripted_endpoint& operator=(scripted_endpoint&&) = delete;
+
+    ~scripted_endpoint()
+    {
+        for (const auto& channel : m_channels) {
+            channel->close();
+        }
+    }
+
+    [[nodiscard]] std::size_t requests() const noexcept { return m_requests; }
+    /// Returns the number of connections that the gateway has closed.
+    [[nodiscard]] std::size_t closed() const noexcept { return m_closed; }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept(
+            [this](const asio::error_code& failure, asio::ip::tcp::socket socket) {
+                if (!failure) {
+                    serve(std::move(socket));
+                    accept();
+                }
+            });
+    }
+
+    void serve(asio::ip::tcp::socket socket)
+    {
+        const auto channel = std::make_shared<tcp_channel>(std::move(socket));
+        m_channels.push_back(channel);
+        const std::size_t number = m_channels.size();
+        channel->set_handlers({
+            .on_bytes =
+                [this, number, received = std::string{}](std::string_view bytes) mutable {
+                    received += bytes;
+                    if (received.ends_with("\r\n\r\nquestion")) {
+                        received.clear();
+                        respond(number);
+                    }
+                },
+            .on_end = [this](channel_end) { ++m_closed; },
+        });
+        channel->start_reading();
+    }
+
+    void respond(std::size_t number)
+    {
+        ++m_requests;
+        const step next = m_respond(number);
+        const auto& channel = m_channels[number - 1];
+        channel->send(next.bytes);
+        if (next.closes) {
+            channel->close_after_sending();
+        }
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    script m_respond;
+    std::vector<std::shared_ptr<tcp_channel>> m_channels;
+    std::size_t m_requests = 0;
+    std::size_t m_closed = 0;
+};
+
+/// Formats a response with a body of known length.
+/// @param status status code and reason
+/// @param more further header lines, each with its line end
+std::string format_answer(const std::string& status, const std::string& attempt,
+                          const std::string& more = {}, const std::string& body = {})
+{
+    return "HTTP/1.1 " + status + "\r\nX-Hickorykeel-Attempt-Id: " + attempt +
+           "\r\nX-Hickorykeel-Response-Seal: seal\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string rejection_line = "X-Hickorykeel-Not-Executed: 1\r\n";
+const std::string another_id = "0000000000000001";
+
+} // namespace
+
+// guards against REFUSED and TWICE: an earlier refusal that an endpoint repeated on a kept
+// connection counted as the refusal of the request that was running there
+TEST_CASE("regression: a refusal of another request doesn't count as not executed")
+{
+    const std::vector<std::string> refusals{
+        format_answer("503 Service Unavailable", another_id, rejection_line),
+        format_answer("421 Misdirected Request", another_id),
+        "HTTP/1.1 503 Service Unavailable\r\n" + rejection_line + "Content-Length: 0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n" +
+            format_answer("429 Too Many Requests", another_id, rejection_line),
+    };
+    for (const std::string& refusal : refusals) {
+        CAPTURE(refusal);
+        for (const auto kind : {request_kind::non_idempotent, request_kind::safe}) {
+            const bool is_safe = kind == request_kind::safe;
+            CAPTURE(is_safe);
+            gateway_fixture gateway{make_route(kind, 2)};
+            recording_endpoint other;
+            scripted_endpoint faulty{gateway, "a",
+                                     [&](std::size_t) { return scripted_endpoint::step{refusal}; }};
+            gateway.add_endpoint("b", other.behaviour());
+            const auto response = gateway.send_request();
+            gateway.run_to_end(response);
+            CHECK(response->status == (is_safe ? 200 : 502));
+            CHECK_FALSE(response->headers.contains("Retry-After"));
+            CHECK(other.heads().size() == (is_safe ? 1 : 0));
+            CHECK(faulty.requests() == 1);
+            // the response to the request may follow on the connection
+            gateway.run_until([&] { return faulty.closed() == 1; });
+        }
+    }
+}
+
+// guards against REFUSED and TWICE: a request that another host sent twice was refused twice by the
+// same bytes of an endpoint, and ran the second time
+TEST_CASE("regression: a repeated refusal of a forwarded request isn't taken for its next one")
+{
+    gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+    scripted_endpoint faulty{
+        gateway, "a", [](std::size_t connection) {
+            return scripted_endpoint::step{
+                connection == 1 ? format_answer("503 Service Unavailable", id, rejection_line)
+                                : format_answer("200 OK", id, {}, "answer")};
+        }};
+    const auto refused = gateway.send_request("POST", "question", "other");
+    gateway.run_to_end(refused);
+    CHECK(refused->status == 503);
+    const auto response = gateway.send_request("POST", "question", "other");
+    gateway.run_to_end(response);
+    CHECK(faulty.requests() == 2);
+    CHECK(response->status == 200);
+    CHECK(response->body == "answer");
+}
+
+// guards against REFUSED and TWICE: a host's refusal had no id, so that it could count for any
+// request
+TEST_CASE("regression: a host's refusal of another request doesn't count as not executed")
+{
+    for (const std::string& refused_id : {another_id, std::string{}, id}) {
+        CAPTURE(refused_id);
+        const bool is_own = refused_id == id;
+        gateway_fixture gateway{make_route(request_kind::non_idempotent, 2)};
+        int hops = 0;
+        gateway.add_host([&](const auto& request) {
+            ++hops;
+            header_list headers;
+            headers.add(std::string{refusal_header}, "overloaded");
+            headers.add(std::string{refused_id_header}, refused_id);
+            headers.add(std::string{ran_header}, "no");
+            headers.add(std::string{reached_header}, "yes");
+            request->respond(503, headers, {});
+        });
+        const auto response = gateway.send_request();
+        gateway.run_to_end(response);
+        CHECK(response->status == (is_own ? 503 : 502));
+        CHECK(hops == (is_own ? 2 : 1));
+    }
 }
