Relay only well-formed events, and end a resumed stream only with its rest

What callers saw: a stream had begun and broke off, and was resumed at an endpoint that sent no rest of it. The text or the head of an error stood in the middle of the stream, or the stream ended as if it were complete (MIXED, ORDER).

A resumed attempt was taken for the rest of the stream with any success status (204, 202), any content type, and also when its body was empty and only the end of the connection had ended it. Found on the way: a faulty event dropped the sound ones before it in the same bytes, but their ids counted as relayed, so that a resumption left them out; and a stream stayed "out of order" after it.

Of 16 responses to a resumed attempt, 204 and an empty response of type JSON or up to the end of the connection ended the stream as complete; 202, events of type JSON, the text of an error and a second head, alone or after an event, were relayed as its rest. A first endpoint with a second head after its event got it relayed. After event 2 came twice, the caller got no event at all but 502. 500, 503, 404, a rejection and a cut event were right before and are tested now.

Change: the splitter returns an event only if each line is a field or a comment; it stops at the first faulty event (a stray blank line is one), returns those before it, and starts anew when the stream is resumed. A resumed response has to have the status with which the stream began, and no other content type than text/event-stream; endpoints may leave the type out. One without events that ends with its connection counts as broken off; one that is empty by its chunks or length is complete, as the first endpoint may have sent its last event. A first response with success that is no event stream fails with "no_event_stream" (before: "event_incomplete", unless it was empty or ended with a blank line).

Why it works: nothing reaches the caller but well-formed events in order, and the stream is ended only by a response that may be its rest and has an end.

--- a/src/gateway/serving/event_splitter.h
+++ b/src/gateway/serving/event_splitter.h
@@ -7,38 +7,47 @@
 
 namespace hickorykeel::gateway {
 
-/// Splits a stream of server-sent events at event boundaries, so that only complete events are
-/// relayed.
+/// Splits a stream of server-sent events at event boundaries, so that only complete and well-formed
+/// events are relayed.
+///
+/// An event is well-formed if each of its lines is a field, `name:value` with a name of letters,
+/// digits and '-', or a comment, which begins with ':', and there is one at least.
 ///
 /// Thread safety: none.
 class event_splitter {
 public:
     /// Appends `bytes` of the stream and returns the bytes of all events that are complete by now
-    /// and have not been returned before.
+    /// and have not been returned before. A faulty event, malformed or out of order, and all bytes
+    /// after it are not returned.
     std::string take(std::string_view bytes);
 
-    /// Discards an incomplete event, before the stream is resumed at another endpoint after the
-    /// last complete event.
-    void discard_partial() { m_partial.clear(); }
+    /// Discards an incomplete or faulty event and what follows it, before the stream is resumed at
+    /// another endpoint after the last event returned.
+    void discard_partial();
     [[nodiscard]] bool has_partial() const noexcept { return !m_partial.empty(); }
 
-    /// Returns the last event id read from a complete event; empty before the first.
+    /// Returns the last event id read from a returned event; empty before the first.
     [[nodiscard]] const std::string& last_id() const noexcept { return m_last_id; }
 
-    /// Returns the number of complete events so far.
+    /// Returns the number of events returned so far.
     [[nodiscard]] std::uint64_t events() const noexcept { return m_events; }
 
+    /// Returns whether an event wasn't well-formed.
+    [[nodiscard]] bool is_malformed() const noexcept { return m_fault == fault::malformed; }
+
     /// Returns whether an event had an id that isn't greater than the previous id. Ids are compared
     /// by their leading number, 0 if there is none.
-    [[nodiscard]] bool is_out_of_order() const noexcept { return m_is_out_of_order; }
+    [[nodiscard]] bool is_out_of_order() const noexcept { return m_fault == fault::out_of_order; }
 
 private:
-    void record_event(std::string_view event);
+    enum class fault { none, malformed, out_of_order };
+
+    [[nodiscard]] fault record_event(std::string_view event);
 
     std::string m_partial;
     std::string m_last_id;
     std::uint64_t m_events = 0;
-    bool m_is_out_of_order = false;
+    fault m_fault = fault::none;
 };
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -91,6 +91,7 @@
         std::uint32_t waiting_tokens = 0;
         bool is_sent = false; ///< the endpoint or host may have received bytes of the request
         bool has_head = false;
+        bool has_relayed = false; ///< events of this attempt were relayed
         message_head head;
         std::string body;
     };
@@ -148,6 +149,8 @@
     void relay(std::string_view bytes);
     void start_relay();
     [[nodiscard]] bool is_genuine(const message_head& head) const;
+    [[nodiscard]] bool is_relayable_stream(const message_head& head) const;
+    [[nodiscard]] std::string_view stream_fault() const;
     [[nodiscard]] const std::string& peer_name() const noexcept;
     void end_attempt(endpoint_outcome outcome);
     void fail_attempt(const attempt_failure& failure);
@@ -189,6 +192,7 @@
     bool m_is_queued = false;
     bool m_has_reached_endpoint = false; ///< here or at the host to which it was forwarded
     bool m_has_response_started = false;
+    int m_started_status = 0; ///< of the response, once it has started
     time_point m_last_progress{};
     time_point m_last_attempt_end{};
     /// Next check whether a silent attempt can be moved; unset until one could not be.
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -16,6 +16,20 @@
     return status >= 200 && status < 300;
 }
 
+/// Whether the body may be a stream of events. Endpoints may leave the content type out.
+bool may_carry_events(const message_head& head) noexcept
+{
+    const std::string_view type = head.headers.find("Content-Type");
+    const std::string_view essence = type.substr(0, type.find_first_of("; "));
+    return type.empty() || is_same_name(essence, "text/event-stream");
+}
+
+/// Whether the body has no end of its own, so that a lost connection looks like its end.
+bool ends_with_connection(const message_head& head) noexcept
+{
+    return !head.headers.contains("Content-Length") && !head.headers.contains("Transfer-Encoding");
+}
+
 std::string_view ran_name(bool may_have_run) noexcept
 {
     return may_have_run ? "unknown" : "no";
@@ -62,6 +76,26 @@
            (!is_success(head.status) || fields.has_seal);
 }
 
+/// Whether the events of a response may be relayed: at the start of a stream, or as its rest.
+bool exchange::is_relayable_stream(const message_head& head) const
+{
+    return is_stream() && is_success(head.status) && is_genuine(head) && may_carry_events(head) &&
+           (!m_has_response_started || head.status == m_started_status);
+}
+
+/// Returns why a complete response with success doesn't end the stream; empty if it does.
+std::string_view exchange::stream_fault() const
+{
+    if (!is_relayable_stream(m_attempt.head)) {
+        return m_has_response_started ? "resumption_failed" : "no_event_stream";
+    }
+    if (m_events.has_partial()) {
+        return "event_incomplete";
+    }
+    const bool may_be_cut = m_has_response_started && !m_attempt.has_relayed;
+    return may_be_cut && ends_with_connection(m_attempt.head) ? "resumption_empty" : "";
+}
+
 void exchange::on_head(const message_head& head)
 {
     const duration elapsed = boot_clock::now() - m_attempt.sent_at;
@@ -82,9 +116,7 @@
 {
     m_attempt.last_received = boot_clock::now();
     const std::string taken = std::exchange(bytes, {});
-    const bool is_relayed =
-        is_stream() && is_success(m_attempt.head.status) && is_genuine(m_attempt.head);
-    if (!is_relayed) {
+    if (!is_relayable_stream(m_attempt.head)) {
         m_attempt.body += taken;
         return;
     }
@@ -95,6 +127,7 @@
 {
     if (!std::exchange(m_has_response_started, true)) {
         m_stage = stage::relaying;
+        m_started_status = m_attempt.head.status;
         m_caller->begin(m_attempt.head.status, m_context.adapter.to_caller_headers(m_attempt.head));
     }
 }
@@ -102,21 +135,22 @@
 void exchange::relay(std::string_view bytes)
 {
     const std::string events = m_events.take(bytes);
-    if (m_events.is_out_of_order()) {
-        m_attempt.call->cancel();
-        fail_attempt({endpoint_outcome::cut, true, true, "events_out_of_order"});
-        return;
+    if (!events.empty()) {
+        const time_point now = boot_clock::now();
+        if (m_has_response_started) {
+            m_max_event_gap = std::max(m_max_event_gap, now - m_last_progress);
+        }
+        start_relay();
+        m_caller->send(events);
+        m_attempt.has_relayed = true;
+        m_last_progress = now;
     }
-    if (events.empty()) {
+    if (m_events.is_out_of_order() || m_events.is_malformed()) {
+        m_attempt.call->cancel();
+        fail_attempt({endpoint_outcome::cut, true, true,
+                      m_events.is_malformed() ? "event_malformed" : "events_out_of_order"});
         return;
     }
-    const time_point now = boot_clock::now();
-    if (m_has_response_started) {
-        m_max_event_gap = std::max(m_max_event_gap, now - m_last_progress);
-    }
-    start_relay();
-    m_caller->send(events);
-    m_last_progress = now;
     if (m_caller->unsent() > m_context.options.max_unsent_bytes) {
         m_attempt.call->pause();
     }
@@ -189,8 +223,8 @@
         }
     }
     if (is_stream() && is_success(head.status)) {
-        if (m_events.has_partial()) {
-            fail_attempt({endpoint_outcome::cut, true, true, "event_incomplete"});
+        if (const std::string_view fault = stream_fault(); !fault.empty()) {
+            fail_attempt({endpoint_outcome::cut, true, true, fault});
             return;
         }
         start_relay();
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -19,6 +19,7 @@
 
 #include <asio/ip/tcp.hpp> // tcp
 #include <doctest/doctest.h>
+#include <fmt/format.h> // format
 
 using namespace hickorykeel;
 using namespace hickorykeel::gateway;
@@ -1097,3 +1098,140 @@
         CHECK(hops == (is_own ? 2 : 1));
     }
 }
+
+namespace {
+
+const std::string first_event = "id: 1\ndata: a\n\n";
+const std::string second_event = "id: 2\ndata: b\n\n";
+
+/// Formats the head of a response whose body ends with the connection.
+std::string format_open_head(const std::string& status)
+{
+    return "HTTP/1.1 " + status + "\r\nX-Hickorykeel-Attempt-Id: " + id +
+           "\r\nX-Hickorykeel-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n";
+}
+
+std::string format_chunked(const std::string& body)
+{
+    std::string message = "HTTP/1.1 200 OK\r\nX-Hickorykeel-Attempt-Id: " + id +
+                          "\r\nX-Hickorykeel-Response-Seal: seal\r\nTransfer-Encoding: "
+                          "chunked\r\nContent-Type: Text/Event-Stream; charset=utf-8\r\n\r\n";
+    if (!body.empty()) {
+        message += fmt::format("{:x}\r\n{}\r\n", body.size(), body);
+    }
+    return message + "0\r\n\r\n";
+}
+
+void break_off_after_first_event(const std::shared_ptr<server_exchange>& request)
+{
+    request->begin(200, response_headers());
+    request->send(first_event + "id: 2\nda");
+    request->abort_response();
+}
+
+} // namespace
+
+// guards against ORDER and MIXED: a stream that had broken off ended as complete, or with bytes that
+// are no event, because the endpoint where it was resumed sent no rest of the stream
+TEST_CASE("regression: a resumed stream is complete only if its rest is a stream")
+{
+    struct resumption {
+        std::string name;
+        scripted_endpoint::step response;
+        bool is_complete;
+        std::string relayed;
+    };
+    const std::string own_head = format_answer("503 Service Unavailable", id);
+    const std::string json_line = "Content-Type: application/json\r\n";
+    const std::vector<resumption> resumptions{
+        {"500", {format_answer("500 Error", id, {}, second_event)}, false, {}},
+        {"503", {format_answer("503 Error", id, {}, second_event)}, false, {}},
+        {"rejection", {format_answer("503 Error", id, rejection_line, second_event)}, false, {}},
+        {"404", {format_answer("404 Not Found", id, {}, second_event)}, false, {}},
+        {"204", {format_answer("204 No Content", id)}, false, {}},
+        {"another success", {format_answer("202 Accepted", id, {}, second_event)}, false, {}},
+        {"no event stream", {format_answer("200 OK", id, json_line, second_event)}, false, {}},
+        {"empty, no event stream", {format_answer("200 OK", id, json_line)}, false, {}},
+        {"text of an error", {format_answer("200 OK", id, {}, "error\n\n")}, false, {}},
+        {"empty up to the end of the connection", {format_open_head("200 OK"), true}, false, {}},
+        {"ends inside an event",
+         {format_open_head("200 OK") + second_event + "id: 3\nda", true},
+         false,
+         second_event},
+        {"a second head follows",
+         {format_open_head("200 OK") + second_event + own_head, true},
+         false,
+         second_event},
+        {"a second head instead of events",
+         {format_open_head("200 OK") + own_head, true},
+         false,
+         {}},
+        {"events up to the end of the connection",
+         {format_open_head("200 OK") + second_event, true},
+         true,
+         second_event},
+        {"events in chunks", {format_chunked(second_event)}, true, second_event},
+        {"no further event", {format_chunked({})}, true, {}},
+    };
+    for (const resumption& resumed : resumptions) {
+        CAPTURE(resumed.name);
+        gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
+        gateway.add_endpoint("a", break_off_after_first_event);
+        scripted_endpoint other{gateway, "b", [&](std::size_t) { return resumed.response; }};
+        const auto response = gateway.send_request();
+        gateway.run_to_end(response);
+        CHECK(other.requests() == 1);
+        CHECK(response->end == (resumed.is_complete ? call_end::complete : call_end::broken));
+        CHECK(response->body == first_event + resumed.relayed);
+    }
+}
+
+// guards against MIXED: the head of another response in a stream that ends with its connection was
+// relayed as an event
+TEST_CASE("regression: a stream with bytes that are no event is broken off or resumed")
+{
+    for (const bool is_resumable : {false, true}) {
+        CAPTURE(is_resumable);
+        gateway_fixture gateway{make_route(request_kind::streaming, 2, is_resumable)};
+        std::string resumed_at;
+        scripted_endpoint faulty{gateway, "a", [](std::size_t) {
+                                     return scripted_endpoint::step{
+                                         format_open_head("200 OK") + first_event +
+                                             format_answer("503 Service Unavailable", id),
+                                         true};
+                                 }};
+        gateway.add_endpoint("b", [&](const std::shared_ptr<server_exchange>& request) {
+            resumed_at = request->head().headers.find("Last-Event-Id");
+            request->begin(200, response_headers());
+            request->send(second_event);
+            request->end();
+        });
+        const auto response = gateway.send_request();
+        gateway.run_to_end(response);
+        CHECK(response->end == (is_resumable ? call_end::complete : call_end::broken));
+        CHECK(response->body == (is_resumable ? first_event + second_event : first_event));
+        CHECK(resumed_at == (is_resumable ? "1" : ""));
+    }
+}
+
+// guards against ORDER: events before a repeated one in the same bytes were missing in the stream
+TEST_CASE("regression: no event is missing after a repeated event")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
+    std::string resumed_at;
+    scripted_endpoint faulty{gateway, "a", [](std::size_t) {
+                                 return scripted_endpoint::step{
+                                     format_chunked(first_event + second_event + second_event)};
+                             }};
+    gateway.add_endpoint("b", [&](const std::shared_ptr<server_exchange>& request) {
+        resumed_at = request->head().headers.find("Last-Event-Id");
+        request->begin(200, response_headers());
+        request->send("id: 3\ndata: c\n\n");
+        request->end();
+    });
+    const auto response = gateway.send_request();
+    gateway.run_to_end(response);
+    CHECK(response->end == call_end::complete);
+    CHECK(response->body == first_event + second_event + "id: 3\ndata: c\n\n");
+    CHECK(resumed_at == "2");
+}
