Take no endpoint, time or count out of range from the store

A deeply nested value in the configuration ended the process. An odd entry counted as an endpoint: with 0 slots, cold until a time that overflowed (1e300 ms, a cast with undefined behaviour), at port 0, at 0.0.0.0 (the host itself) or a multicast address, or with a line end in its id, which the host sends in a header.

Cause: decode_publication copies a part of the document, which the library does by recursion, without the bound of parse_json. Numbers were cast to the type of their field without a check of the range. The address was checked up to its first zero byte, and the id not at all.

Pages and events of the store are parsed without a bound in depth on purpose: one deep item must not cost the others, and nothing in them is copied or printed.

Not changed: an undecodable configuration still fails its whole batch. Passing it over would confirm the held one, and with it keys that the new one may have withdrawn.

--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -1,9 +1,13 @@
 #include "platform/headers.h"
 #include "platform/publication_decoder.h"
 
+#include <cstddef> // size_t
+#include <cstdint> // uint64_t
+#include <random>  // mt19937_64
 #include <string>  // string
 #include <utility> // move
-#include <variant> // get, holds_alternative, monostate
+#include <variant> // get, get_if, holds_alternative, monostate
+#include <vector>  // vector
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -186,6 +190,8 @@
 TEST_CASE("an invalid configuration is an error")
 {
     for (const char* text : {"", "[]", "{}", R"({"version":"x","routes":[],"services":[]})",
+                             R"({"version":-1,"routes":[],"services":[]})",
+                             R"({"version":1e300,"routes":[],"services":[]})",
                              R"({"version":1,"routes":[{}],"services":[]})"}) {
         CAPTURE(text);
         CHECK(std::holds_alternative<error>(platform::decode_publication(text)));
@@ -253,3 +259,226 @@
     CHECK(adapter.format_directory_response({"10.0.0.1:80"}, 2s) ==
           R"({"addresses":["10.0.0.1:80"],"ttlS":2})");
 }
+
+namespace {
+
+constexpr auto day = std::chrono::hours{24};
+constexpr std::size_t deep = 100'000;
+
+std::string nest(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string nest_objects(std::size_t depth)
+{
+    std::string text;
+    for (std::size_t i = 0; i < depth; ++i) {
+        text += R"({"a":)";
+    }
+    return text + '0' + std::string(depth, '}');
+}
+
+/// `complete_entry` with another value, which is JSON, of the field `name`.
+std::string entry_with(const std::string& name, const std::string& value)
+{
+    auto document = nlohmann::json::parse(complete_entry);
+    document.erase(name);
+    std::string text = document.dump();
+    text.pop_back();
+    return text + ",\"" + name + "\":" + value + "}";
+}
+
+bool is_within_bounds(const endpoint_entry& entry)
+{
+    return entry.slots >= 1 && entry.slots <= 1'000'000 && entry.cold_remaining >= 0ms &&
+           entry.cold_remaining <= day && entry.started_ms >= 0 && !entry.address.ends_with(":0") &&
+           entry.address.find('\0') == std::string::npos;
+}
+
+bool is_within_bounds(std::chrono::milliseconds value)
+{
+    return value >= 0ms && value <= day;
+}
+
+bool is_within_bounds(const publication& published)
+{
+    for (const auto& [name, of] : published.services()) {
+        if (!is_within_bounds(of.cold_time) || of.cold_rate < 0 || of.cold_rate > 1e9 ||
+            of.max_connections > 1'000'000 ||
+            (of.engine && (of.engine->slots < 1 || of.engine->slots > 1'000'000 ||
+                           of.engine->kv_cache_tokens > 1'000'000'000'000'000 ||
+                           of.engine->transfer_rate < 0 || of.engine->transfer_rate > 1e9))) {
+            return false;
+        }
+    }
+    const route* a = published.find_route("h.example", "/a/");
+    return is_within_bounds(published.limits.header_timeout) &&
+           is_within_bounds(published.limits.idle_timeout) &&
+           published.limits.max_header_bytes <= 1'073'741'824 &&
+           published.limits.max_body_bytes <= 1'073'741'824 &&
+           (a == nullptr || (is_within_bounds(a->timeout) && is_within_bounds(a->objective) &&
+                             a->max_attempts <= 1'000'000 && a->services.front().weight >= 0));
+}
+
+/// Changes `text` at a few places: other bytes, numbers out of range, parts removed or repeated.
+std::string mutate(std::string text, std::mt19937_64& random)
+{
+    static const std::vector<std::string> parts{"1e300",
+                                                "-1e300",
+                                                "-1",
+                                                "0",
+                                                "4294967296",
+                                                "18446744073709551615",
+                                                "99999999999999999999",
+                                                "1e999",
+                                                "null",
+                                                "[]",
+                                                "{}",
+                                                "\"\"",
+                                                "\"\\u0000\\r\\n\"",
+                                                "\xff",
+                                                "0.5",
+                                                "true",
+                                                nest(500)};
+    const auto pick = [&](std::size_t count) { return random() % count; };
+    for (std::size_t changes = 1 + pick(3); changes > 0 && !text.empty(); --changes) {
+        const std::size_t at = pick(text.size());
+        const std::size_t value = text.find(':', at);
+        switch (pick(4)) {
+        case 0:
+            text[at] = static_cast<char>(pick(256));
+            break;
+        case 1:
+            text.erase(at, pick(8));
+            break;
+        case 2:
+            text.insert(at, text.substr(pick(text.size()), pick(16)));
+            break;
+        default:
+            if (value != std::string::npos) {
+                const std::size_t end = text.find_first_of(",}", value);
+                text.replace(value + 1, end == std::string::npos ? end : end - value - 1,
+                             parts[pick(parts.size())]);
+            }
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+// guards against an odd entry of the store that a host took for an endpoint: cast to no slots,
+// cold until a time that overflowed, at port 0, or with a line end in a header sent to it
+TEST_CASE("regression: an entry with values out of range names no endpoint")
+{
+    REQUIRE(platform::decode_endpoint("i-1", entry_with("slots", "4")));
+    for (const auto& [name, value] : std::vector<std::pair<std::string, std::string>>{
+             {"slots", "4294967296"},
+             {"slots", "4294967297"},
+             {"slots", "18446744073709551615"},
+             {"slots", "1e300"},
+             {"slots", nest(deep)},
+             {"coldRemainingMs", "1e300"},
+             {"coldRemainingMs", "9223372036854775807"},
+             {"coldRemainingMs", "86400001"},
+             {"coldRemainingMs", "1e999"},
+             {"seq", "18446744073709551615"},
+             {"born", "-1"},
+             {"born", "18446744073709551615"},
+             {"address", R"("10.0.0.9:0")"},
+             {"address", R"("10.0.0.9:65536")"},
+             {"address", R"("10.0.0.9:-1")"},
+             {"address", R"("10.0.0.9\u0000\r\nX: y:80")"},
+             {"address", R"("0.0.0.0:80")"},
+             {"address", R"("224.0.0.1:80")"},
+             {"address", R"("255.255.255.255:80")"},
+             {"other", nest(deep)},
+         }) {
+        CAPTURE(name);
+        CAPTURE(value.substr(0, 40));
+        CHECK_FALSE(platform::decode_endpoint("i-1", entry_with(name, value)));
+    }
+    for (const std::string& id : std::vector<std::string>{"", "i\r\nX-Other: 1", "i\n", "i\t",
+                                                          "i 1", std::string{"i\0", 2}, "i\x7f"}) {
+        CAPTURE(id);
+        CHECK_FALSE(platform::decode_endpoint(id, complete_entry));
+    }
+}
+
+// guards against a host that stops following the store because of one deeply nested item
+TEST_CASE("regression: the other items of a page with a deeply nested item hold")
+{
+    auto decoded = platform::decode_page(R"({"items":[{"key":"servers/i-1","value":)" + nest(deep) +
+                                         R"(},{"key":"servers/i-2","value":"e30=","other":)" +
+                                         nest_objects(deep) + R"(}],"asOf":12})");
+    REQUIRE(std::holds_alternative<platform::store_page>(decoded));
+    auto& page = std::get<platform::store_page>(decoded);
+    CHECK(page.items.size() == 2);
+    // the configuration and a sound endpoint beside entries out of range
+    page.items.push_back({"op/config", configuration, 3, false});
+    page.items.push_back({"servers/i-3", complete_entry, 4, false});
+    page.items.push_back({"servers/i-4", entry_with("slots", "4294967296"), 5, false});
+    page.items.push_back({"servers/i-5", entry_with("other", nest(deep)), 6, false});
+    published_items held{platform::decode_item};
+    REQUIRE(is_ok(held.apply({0, page.revision, std::move(page.items)})));
+    const published_reading read = held.to_reading();
+    CHECK(read.revision == 12);
+    CHECK(read.published != nullptr);
+    CHECK(read.unusable_entries == 4);
+    REQUIRE(read.endpoints.size() == 1);
+    CHECK(read.endpoints.front().id == "i-3");
+}
+
+// guards against a timeout, limit or count that overflows when it is converted or added to a time
+TEST_CASE("regression: numbers of a configuration are held within their bounds")
+{
+    const auto document = nlohmann::json::parse(configuration);
+    const auto values = document.flatten();
+    for (const auto& item : values.items()) {
+        if (!item.value().is_number() || item.key() == "/version") {
+            continue;
+        }
+        for (const nlohmann::json& value :
+             std::vector<nlohmann::json>{1e300, -1e300, -1, 4'294'967'296, UINT64_MAX, INT64_MIN}) {
+            CAPTURE(item.key());
+            CAPTURE(value.dump());
+            auto changed = document;
+            changed[nlohmann::json::json_pointer{item.key()}] = value;
+            const auto decoded = platform::decode_publication(changed.dump());
+            REQUIRE(std::holds_alternative<publication_ptr>(decoded));
+            CHECK(is_within_bounds(*std::get<publication_ptr>(decoded)));
+        }
+    }
+}
+
+// guards against bytes of the store that end the process or are decoded to values out of range
+TEST_CASE("regression: mutated documents of the store are decoded within bounds or not at all")
+{
+    const std::string page = R"({"items":[{"key":"servers/i-1","value":"e30=","revision":1},)"
+                             R"({"key":"op/evacuate/d","deleted":true}],"hasMore":false,"asOf":9})";
+    std::mt19937_64 random{5};
+    std::size_t decoded_count = 0;
+    for (int i = 0; i < 8'000; ++i) {
+        CAPTURE(i);
+        const std::string text = mutate(complete_entry, random);
+        const auto entry = platform::decode_endpoint("i-1", text);
+        decoded_count += entry ? 1 : 0;
+        CHECK((!entry || is_within_bounds(*entry)));
+        static_cast<void>(platform::decode_page(mutate(page, random)));
+        const auto published = platform::decode_publication(mutate(configuration, random));
+        if (const auto* sound = std::get_if<publication_ptr>(&published)) {
+            ++decoded_count;
+            CHECK(is_within_bounds(**sound));
+        }
+    }
+    CHECK(decoded_count > 1'000);
+}
+
+// guards against the end of the process by a configuration whose values are copied recursively
+TEST_CASE("regression: a deeply nested configuration is an error")
+{
+    const auto decoded = platform::decode_publication(
+        R"({"version":1,"routes":[],"services":[],"limits":)" + nest(deep) + "}");
+    CHECK(std::holds_alternative<error>(decoded));
+}
