Refuse requests whose prompt has a part that crashes engines

Cause: an attempt that an engine ended counted against the engine only. What the request held was not looked at, so the next request with the part went to the next engine; and no host could have told another one.

--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -89,6 +89,7 @@
     const std::string ip = received->ip;
     const std::string host = received->host;
     const auto digest = std::exchange(received->digest, std::nullopt);
+    news.crashes = std::exchange(received->crashes, {});
     const bool is_own_region = received->region == m_own.region;
     if (is_own_region) {
         read_own_region(*received, news);
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -6,6 +6,7 @@
 #include <chrono>    // milliseconds
 #include <cmath>     // isfinite
 #include <mutex>     // call_once, once_flag
+#include <utility>   // move
 
 #include <asio/ip/address_v4.hpp>          // address_v4
 #include <google/protobuf/stubs/logging.h> // SetLogHandler
@@ -140,8 +141,45 @@
     }
 }
 
+void add_crashes(gossip::heartbeat& message, const crash_evidence& crashes)
+{
+    if (crashes.is_empty()) {
+        return;
+    }
+    gossip::crash_evidence& added = *message.mutable_crashes();
+    for (const crash_report& report : crashes.crashes) {
+        gossip::crash_report& crash = *added.add_crashes();
+        crash.set_endpoint(report.endpoint);
+        crash.set_age_ms(to_ms(report.age));
+        crash.mutable_parts()->Add(report.parts.begin(), report.parts.end());
+    }
+    added.mutable_answered()->Add(crashes.answered.begin(), crashes.answered.end());
+    for (const part_verdict& verdict : crashes.verdicts) {
+        gossip::part_verdict& sent = *added.add_verdicts();
+        sent.set_part(verdict.part);
+        sent.set_age_ms(to_ms(verdict.age));
+    }
+}
+
 // decoding
 
+crash_evidence to_crashes(const gossip::crash_evidence& message)
+{
+    crash_evidence evidence;
+    for_each_bounded(message.crashes(), [&evidence](const gossip::crash_report& crash) {
+        crash_report report{crash.endpoint(), milliseconds{crash.age_ms()}, {}};
+        for_each_bounded(crash.parts(),
+                         [&report](std::uint64_t part) { report.parts.push_back(part); });
+        evidence.crashes.push_back(std::move(report));
+    });
+    for_each_bounded(message.answered(),
+                     [&evidence](std::uint64_t part) { evidence.answered.push_back(part); });
+    for_each_bounded(message.verdicts(), [&evidence](const gossip::part_verdict& verdict) {
+        evidence.verdicts.push_back({verdict.part(), milliseconds{verdict.age_ms()}});
+    });
+    return evidence;
+}
+
 template <typename Message>
 service_loads to_services(const Message& message)
 {
@@ -260,6 +298,7 @@
     if (scope == heartbeat_scope::own_region) {
         add_endpoints(message, sent);
     }
+    add_crashes(message, sent.crashes);
     if (sent.digest) {
         add_digest(message, *sent.digest, scope);
     }
@@ -291,6 +330,7 @@
     received.services = to_services(message);
     received.used = to_used(message);
     read_endpoints(message, received);
+    received.crashes = to_crashes(message.crashes());
     if (message.has_digest()) {
         received.digest = to_digest(message.digest());
     }
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/routing/prompt_quarantine.h"
 #include "process/clock.h"
 
 #include <cstdint>       // uint32_t, uint64_t, uint8_t
@@ -105,6 +106,7 @@
     std::vector<sent_prefix> prompts; ///< sent since the previous heartbeat
     /// Hashes of endpoints that reported being warm within their cold time.
     std::vector<std::uint32_t> warm_endpoints;
+    crash_evidence crashes;
     digest_subscription digests = digest_subscription::none;
     std::optional<region_digest> digest;
 };
--- /dev/null
+++ b/src/gateway/routing/prompt_quarantine.cpp
@@ -0,0 +1,276 @@
+#include "gateway/routing/prompt_quarantine.h"
+
+#include <algorithm> // all_of, any_of, count_if, find, find_if, max, min
+#include <set>       // set
+#include <utility>   // exchange, move
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+bool is_recent(const std::unordered_map<std::uint64_t, time_point>& times, std::uint64_t part,
+               time_point since)
+{
+    const auto found = times.find(part);
+    return found != times.end() && found->second >= since;
+}
+
+bool contains(const std::vector<std::uint64_t>& parts, std::uint64_t part)
+{
+    return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
+} // namespace
+
+// observations
+
+void prompt_quarantine::on_broken_off(std::uint32_t endpoint,
+                                      const std::vector<std::uint64_t>& parts, bool has_begun,
+                                      time_point now)
+{
+    if (!parts.empty()) {
+        add_parts(find_or_add_crash(endpoint, now), parts, !has_begun);
+    }
+}
+
+prompt_quarantine::crash& prompt_quarantine::find_or_add_crash(std::uint32_t endpoint,
+                                                               time_point at)
+{
+    const auto held = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const crash& known) {
+        const duration apart = known.at > at ? known.at - at : at - known.at;
+        return known.endpoint == endpoint && apart < m_options.merge_range;
+    });
+    if (held != m_crashes.end()) {
+        return *held;
+    }
+    if (m_crashes.size() >= m_options.max_crashes) {
+        m_crashes.erase(m_crashes.begin());
+    }
+    const auto later = std::find_if(m_crashes.begin(), m_crashes.end(),
+                                    [at](const crash& known) { return known.at > at; });
+    return *m_crashes.insert(later, crash{endpoint, at, {}});
+}
+
+/// Adds the parts that the crash doesn't have yet.
+void prompt_quarantine::add_parts(crash& observed, const std::vector<std::uint64_t>& parts,
+                                  bool comes_first) const
+{
+    for (const std::uint64_t part : parts) {
+        if (!contains(observed.parts, part)) {
+            observed.parts.insert(comes_first ? observed.parts.begin() : observed.parts.end(),
+                                  part);
+        }
+    }
+    observed.parts.resize(std::min(observed.parts.size(), m_options.max_parts));
+}
+
+void prompt_quarantine::on_answered(const std::vector<std::uint64_t>& parts, time_point now)
+{
+    if (m_answered.size() >= m_options.max_answered) {
+        m_answered.clear();
+    }
+    for (const std::uint64_t part : parts) {
+        m_answered[part] = now;
+        m_verdicts.erase(part);
+    }
+}
+
+// exchange with other hosts
+
+crash_evidence prompt_quarantine::evidence(time_point now) const
+{
+    crash_evidence sent;
+    std::set<std::uint64_t> answered;
+    for (auto it = m_crashes.rbegin();
+         it != m_crashes.rend() && sent.crashes.size() < m_options.max_sent_crashes; ++it) {
+        crash_report report{it->endpoint, now - it->at, {}};
+        for (const std::uint64_t part : it->parts) {
+            if (is_recent(m_answered, part, now - m_options.answer_retention)) {
+                answered.insert(part);
+            }
+            else if (!is_sound(part, now) && report.parts.size() < m_options.max_sent_parts) {
+                report.parts.push_back(part);
+            }
+        }
+        if (!report.parts.empty()) {
+            sent.crashes.push_back(std::move(report));
+        }
+    }
+    sent.answered.assign(answered.begin(), answered.end());
+    for (const auto& [part, at] : m_verdicts) {
+        sent.verdicts.push_back({part, now - at});
+    }
+    return sent;
+}
+
+void prompt_quarantine::on_evidence(const crash_evidence& received, time_point now)
+{
+    for (const std::uint64_t part : received.answered) {
+        if (m_peer_answered.size() >= m_options.max_answered) {
+            m_peer_answered.clear();
+        }
+        m_peer_answered[part] = now;
+        m_verdicts.erase(part);
+    }
+    for (const crash_report& report : received.crashes) {
+        if (report.age < m_options.crash_retention) {
+            add_parts(find_or_add_crash(report.endpoint, now - report.age), report.parts, false);
+        }
+    }
+    for (const part_verdict& verdict : received.verdicts) {
+        if (!is_sound(verdict.part, now) && verdict.age < m_options.quarantine) {
+            add_verdict(verdict.part, now - verdict.age);
+        }
+    }
+}
+
+// verdicts
+
+void prompt_quarantine::add_verdict(std::uint64_t part, time_point at)
+{
+    const auto held = m_verdicts.find(part);
+    if (held != m_verdicts.end()) {
+        // of verdicts that hosts reached at the same time, all end with the first one
+        held->second = std::min(held->second, at);
+    }
+    else if (m_verdicts.size() < m_options.max_verdicts) {
+        m_verdicts.emplace(part, at);
+        m_new_verdicts.push_back(part);
+    }
+}
+
+std::vector<std::uint64_t> prompt_quarantine::update(time_point now)
+{
+    remove_outdated(now);
+    withdraw_explained_verdicts();
+    for (auto culprits = find_culprits(now);
+         !culprits.empty() && m_verdicts.size() < m_options.max_verdicts;
+         culprits = find_culprits(now)) {
+        for (const std::uint64_t part : culprits) {
+            add_verdict(part, now);
+        }
+    }
+    return std::exchange(m_new_verdicts, {});
+}
+
+void prompt_quarantine::remove_outdated(time_point now)
+{
+    std::erase_if(m_crashes,
+                  [&](const crash& known) { return now - known.at >= m_options.crash_retention; });
+    std::erase_if(m_verdicts, [&](const auto& verdict) {
+        return now - verdict.second >= m_options.quarantine;
+    });
+}
+
+/// Withdraws verdicts on parts whose crashes another refused part explains, and more crashes
+/// besides. A host that was cut off may have reached them without having seen that part.
+void prompt_quarantine::withdraw_explained_verdicts()
+{
+    std::vector<std::uint64_t> withdrawn;
+    for (const auto& [part, at] : m_verdicts) {
+        const std::size_t crashes = count_crashes_with({part});
+        for (const auto& [other, other_at] : m_verdicts) {
+            if (crashes > 0 && other != part && count_crashes_with({part, other}) == crashes &&
+                count_crashes_with({other}) > crashes) {
+                withdrawn.push_back(part);
+                break;
+            }
+        }
+    }
+    for (const std::uint64_t part : withdrawn) {
+        m_verdicts.erase(part);
+    }
+}
+
+/// Counts the crashes that have all of `parts` in common.
+std::size_t prompt_quarantine::count_crashes_with(const std::vector<std::uint64_t>& parts) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_crashes.begin(), m_crashes.end(), [&parts](const crash& observed) {
+            return std::all_of(parts.begin(), parts.end(), [&observed](std::uint64_t part) {
+                return contains(observed.parts, part);
+            });
+        }));
+}
+
+bool prompt_quarantine::is_sound(std::uint64_t part, time_point now) const
+{
+    const time_point since = now - m_options.answer_retention;
+    return is_recent(m_answered, part, since) || is_recent(m_peer_answered, part, since);
+}
+
+bool prompt_quarantine::is_explained(const crash& observed) const
+{
+    return std::any_of(m_verdicts.begin(), m_verdicts.end(), [&observed](const auto& verdict) {
+        return contains(observed.parts, verdict.first);
+    });
+}
+
+/// Counts the crashes, at separate moments, that no verdict explains, and for each suspected part
+/// those of them that it may have caused.
+prompt_quarantine::crash_counts prompt_quarantine::count_crashes(time_point now) const
+{
+    crash_counts counts;
+    std::optional<time_point> last_moment;
+    std::unordered_map<std::uint64_t, time_point> last_counted;
+    for (const crash& observed : m_crashes) {
+        if (is_explained(observed)) {
+            continue;
+        }
+        if (!last_moment || observed.at - *last_moment >= m_options.separation) {
+            last_moment = observed.at;
+            ++counts.moments;
+        }
+        for (const std::uint64_t part : observed.parts) {
+            if (is_sound(part, now)) {
+                continue;
+            }
+            const auto [last, is_first] = last_counted.try_emplace(part, observed.at);
+            if (is_first || observed.at - last->second >= m_options.separation) {
+                last->second = observed.at;
+                ++counts.by_part[part];
+            }
+        }
+    }
+    return counts;
+}
+
+/// Returns the parts to be refused next; several, or one that explains few of the crashes, only if
+/// the evidence is strong.
+std::vector<std::uint64_t> prompt_quarantine::find_culprits(time_point now) const
+{
+    if (m_crashes.size() < m_options.min_crashes) {
+        return {};
+    }
+    const crash_counts counts = count_crashes(now);
+    unsigned most = 0;
+    std::vector<std::uint64_t> culprits;
+    for (const auto& [part, count] : counts.by_part) {
+        if (count > most) {
+            most = count;
+            culprits.clear();
+        }
+        if (count == most) {
+            culprits.push_back(part);
+        }
+    }
+    const bool is_clear = culprits.size() == 1 && 2 * most >= counts.moments;
+    const unsigned needed = is_clear ? m_options.min_crashes : m_options.min_unclear_crashes;
+    return most >= needed ? culprits : std::vector<std::uint64_t>{};
+}
+
+std::optional<duration> prompt_quarantine::refusal(const std::vector<std::uint64_t>& parts,
+                                                   time_point now) const
+{
+    std::optional<duration> longest;
+    for (const std::uint64_t part : parts) {
+        const auto found = m_verdicts.find(part);
+        if (found != m_verdicts.end() && now - found->second < m_options.quarantine) {
+            const duration remaining = m_options.quarantine - (now - found->second);
+            longest = std::max(longest.value_or(duration{0}), remaining);
+        }
+    }
+    return longest;
+}
+
+} // namespace hickorykeel::gateway
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -182,6 +182,9 @@
         give_up("deadline");
         return true;
     }
+    if (refuse_quarantined()) {
+        return true;
+    }
     if (m_service.empty()) {
         choose_service();
     }
@@ -234,6 +237,27 @@
     return options;
 }
 
+/// Refuses the request if its prompt has a part that crashes engines. Returns whether it does.
+bool exchange::refuse_quarantined()
+{
+    if (!m_fields.prompt_size) {
+        return false;
+    }
+    const auto remaining =
+        m_context.quarantine.refusal(m_fields.prompt_size->shared_parts, boot_clock::now());
+    if (!remaining) {
+        return false;
+    }
+    m_context.metrics.count("prompt_quarantined");
+    if (m_attempt_count.executions() > 0) {
+        refuse(502, "prompt_quarantined", "unknown", {});
+    }
+    else {
+        refuse(503, "prompt_quarantined", "no", *remaining);
+    }
+    return true;
+}
+
 const prompt* exchange::engine_prompt(const service& of) const
 {
     return m_fields.prompt_size && of.engine ? &*m_fields.prompt_size : nullptr;
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -112,6 +112,7 @@
 
     // placement
     bool place();
+    bool refuse_quarantined();
     bool place_again();
     /// Returns the request's prompt, or null if it has none or `of` is no engine.
     [[nodiscard]] const prompt* engine_prompt(const service& of) const;
@@ -152,6 +153,8 @@
     [[nodiscard]] bool is_relayable_stream(const message_head& head) const;
     [[nodiscard]] std::string_view stream_fault() const;
     [[nodiscard]] const std::string& peer_name() const noexcept;
+    void note_broken_off();
+    void note_answered();
     void end_attempt(endpoint_outcome outcome);
     void fail_attempt(const attempt_failure& failure);
     void end_failed_attempt(const attempt_failure& failure, retry_decision decision);
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -1,5 +1,7 @@
 #include "gateway/serving/exchange.h"
 
+#include "gateway/routing/rendezvous.h"
+
 #include <algorithm> // max
 #include <utility>   // exchange
 #include <variant>   // get_if
@@ -174,9 +176,29 @@
         fail_attempt({endpoint_outcome::unreachable, false, false, to_name(end)});
         return;
     }
+    if (end != call_end::malformed) {
+        note_broken_off();
+    }
     fail_attempt({endpoint_outcome::cut, true, true, to_name(end)});
 }
 
+/// Tells the quarantine that an engine broke off the response, perhaps because of the prompt.
+void exchange::note_broken_off()
+{
+    if (!m_attempt.endpoint.empty() && m_fields.prompt_size) {
+        m_context.quarantine.on_broken_off(short_hash(m_attempt.endpoint),
+                                           m_fields.prompt_size->shared_parts,
+                                           m_events.events() > 0, boot_clock::now());
+    }
+}
+
+void exchange::note_answered()
+{
+    if (!m_attempt.endpoint.empty() && m_fields.prompt_size) {
+        m_context.quarantine.on_answered(m_fields.prompt_size->shared_parts, boot_clock::now());
+    }
+}
+
 void exchange::on_complete_response()
 {
     const message_head& head = m_attempt.head;
@@ -224,9 +246,15 @@
     }
     if (is_stream() && is_success(head.status)) {
         if (const std::string_view fault = stream_fault(); !fault.empty()) {
+            if (m_events.has_partial()) {
+                note_broken_off();
+            }
             fail_attempt({endpoint_outcome::cut, true, true, fault});
             return;
         }
+        if (m_events.events() > 0) {
+            note_answered();
+        }
         start_relay();
         end_attempt(endpoint_outcome::answered);
         m_caller->end();
@@ -237,6 +265,9 @@
         fail_attempt({endpoint_outcome::failed, true, true, "resumption_failed"});
         return;
     }
+    if (is_success(head.status)) {
+        note_answered();
+    }
     end_attempt(head.status >= min_failure_status ? endpoint_outcome::failed
                                                   : endpoint_outcome::answered);
     m_caller->respond(head.status, m_context.adapter.to_caller_headers(head), m_attempt.body);
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -12,6 +12,8 @@
 #include <random>    // random_device
 #include <utility>   // exchange, move
 
+#include <fmt/format.h> // format
+
 namespace hickorykeel::gateway {
 
 namespace {
@@ -101,6 +103,7 @@
                 .members = m_fleet.members(),
                 .usage = m_usage,
                 .pool = m_pool,
+                .quarantine = m_quarantine,
                 .client = m_client,
                 .log = m_log,
                 .metrics = m_metrics,
@@ -285,6 +288,7 @@
     state.warm_endpoints = m_pool.own_warm_endpoints(now);
     state.used = m_usage.used();
     state.prompts = m_pool.take_sent_prefixes();
+    state.crashes = m_quarantine.evidence(now);
     return state;
 }
 
@@ -297,6 +301,13 @@
     log_aggregators();
 }
 
+void gateway::update_quarantine(time_point now)
+{
+    for (const std::uint64_t part : m_quarantine.update(now)) {
+        m_log.write(log_line{"prompt_part_quarantined"}.add("part", fmt::format("{:x}", part)));
+    }
+}
+
 void gateway::log_aggregators()
 {
     const std::vector<std::string>& aggregators = m_fleet.schedule().aggregators();
@@ -328,6 +339,7 @@
     for (const std::uint32_t hash : news.warm_endpoints) {
         m_pool.on_peer_warm(hash);
     }
+    m_quarantine.on_evidence(news.crashes, now);
     if (!news.new_host.empty()) {
         m_log.write(log_line{"host_heard"}.add("peer", news.new_host).add("region", news.region));
     }
@@ -410,6 +422,7 @@
 void gateway::run_heartbeat()
 {
     update_members(boot_clock::now());
+    update_quarantine(boot_clock::now());
     send_heartbeats();
     place_waiting();
     m_heartbeat_timer.expires_after(m_fleet.schedule().options().heartbeat_interval);
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -64,6 +64,7 @@
     // membership
     void send_heartbeats();
     void log_aggregators();
+    void update_quarantine(time_point now);
     [[nodiscard]] heartbeat own_state(time_point now);
     void on_datagram(std::string_view datagram);
     void update_members(time_point now);
@@ -91,6 +92,7 @@
     fleet_membership m_fleet;
     rate_limiter m_usage;
     endpoint_pool m_pool;
+    prompt_quarantine m_quarantine{{}};
     http_client m_client;
     std::unique_ptr<publication_source> m_source;
     configuration_follower m_follower;
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -8,6 +8,7 @@
 #include "gateway/observability/event_log.h"
 #include "gateway/observability/gateway_metrics.h"
 #include "gateway/routing/endpoint_pool.h"
+#include "gateway/routing/prompt_quarantine.h"
 #include "gateway/routing/region_choice.h"
 #include "gateway/serving/authorisation.h"
 #include "gateway/serving/first_byte_limit.h"
@@ -88,6 +89,7 @@
     member_table& members;
     rate_limiter& usage;
     endpoint_pool& pool;
+    prompt_quarantine& quarantine;
     http_client& client;
     event_log& log;
     gateway_metrics& metrics;
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -99,6 +99,11 @@
         publish(version, {key});
     }
 
+    /// Sends the following requests with a prompt of these parts.
+    void set_prompt(const std::string& parts) { m_prompt = parts; }
+
+    [[nodiscard]] prompt_quarantine& quarantine() noexcept { return m_quarantine; }
+
     /// Sets the slack of the fleet's retry budget. Precondition: no request was sent yet.
     void set_retry_slack(double slack) { m_settings.retry_slack = slack; }
 
@@ -225,6 +230,10 @@
         headers.add("X-Hickorykeel-Attempt-Id", id);
         headers.add("X-Hickorykeel-Deadline-Ms", "5000");
         headers.add("Api-Key", key);
+        if (!m_prompt.empty()) {
+            headers.add("X-Hickorykeel-Token-Usage", "100,10");
+            headers.add("X-Hickorykeel-Prompt-Prefix", m_prompt);
+        }
         if (!forwarded_by.empty()) {
             headers.add(std::string{forwarded_header}, forwarded_by);
         }
@@ -294,6 +303,7 @@
     member_table m_members{"127.0.0.1", {}, {}};
     rate_limiter m_usage{boot_clock::now()};
     endpoint_pool m_pool{{}, [](const std::string&, double rate) { return rate; }};
+    prompt_quarantine m_quarantine{{}};
     http_client m_client{m_loop};
     http_client m_caller{m_loop};
     event_log m_log{m_loop, "host", {.request_lines_per_s = 0}};
@@ -307,6 +317,7 @@
                               .members = m_members,
                               .usage = m_usage,
                               .pool = m_pool,
+                              .quarantine = m_quarantine,
                               .client = m_client,
                               .log = m_log,
                               .metrics = m_metrics,
@@ -330,6 +341,7 @@
     std::vector<std::unique_ptr<http_server>> m_endpoints;
     std::unique_ptr<http_server> m_peer;
     std::shared_ptr<client_connection> m_call;
+    std::string m_prompt;                       // parts; empty: none
     std::map<std::string, unsigned> m_occupied; // slots, by endpoint
 };
 
@@ -915,6 +927,7 @@
     gateway.run_to_end(response);
     CHECK(response->status == 200);
     CHECK(other.heads().empty());
+}
 
 namespace {
 
@@ -1235,3 +1248,40 @@
     CHECK(response->body == first_event + second_event + "id: 3\ndata: c\n\n");
     CHECK(resumed_at == "2");
 }
+
+// guards against BUDGET: each request with a part that crashes engines was sent to the next engine
+TEST_CASE("regression: a request whose prompt crashes engines is refused without being sent")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 1)};
+    const auto stream = [](const std::shared_ptr<server_exchange>& request) {
+        request->begin(200, response_headers());
+        request->send("id: 1\ndata: a\n\n");
+        request->end();
+    };
+    gateway.set_prompt("bad:10,5:10,1:10");
+    for (const std::string endpoint : {"a", "b", "c"}) {
+        gateway.add_endpoint(endpoint, cut);
+        const auto crashed = gateway.send_request();
+        gateway.run_to_end(crashed);
+        CHECK(crashed->status == 502);
+        gateway.remove_endpoint(endpoint);
+        gateway.run_for(prompt_quarantine_options{}.separation);
+    }
+    int sent = 0;
+    gateway.add_endpoint("d", [&](const auto& request) {
+        ++sent;
+        stream(request);
+    });
+    gateway.set_prompt("5:10,2:10");
+    const auto sound = gateway.send_request();
+    gateway.run_to_end(sound);
+    CHECK(sound->end == call_end::complete);
+    gateway.quarantine().update(boot_clock::now());
+    gateway.set_prompt("bad:10,7:10,3:10");
+    const auto tainted = gateway.send_request();
+    gateway.run_to_end(tainted);
+    CHECK(tainted->status == 503);
+    CHECK(tainted->body.find("prompt_quarantined") != std::string::npos);
+    CHECK(tainted->headers.contains("Retry-After"));
+    CHECK(sent == 1);
+}
--- a/tests/gateway/gossip_codec_test.cpp
+++ b/tests/gateway/gossip_codec_test.cpp
@@ -209,3 +209,24 @@
     membership.on_datagram(fifth, start + 200ms);
     CHECK(membership.members().find("10.0.0.2")->heard_at == start);
 }
+
+TEST_CASE("evidence of crashes is unchanged by encoding and decoding, also for other regions")
+{
+    heartbeat sent = make_digest_heartbeat();
+    sent.crashes.crashes = {{99, 1'500ms, {3, 0xffff'ffff'ffff'ffff}}};
+    sent.crashes.answered = {4};
+    sent.crashes.verdicts = {{5, 20s}};
+    for (const auto scope : {heartbeat_scope::own_region, heartbeat_scope::fleet}) {
+        const auto received = decode_heartbeat(encode(sent, scope));
+        REQUIRE(received);
+        const crash_evidence& crashes = received->crashes;
+        REQUIRE(crashes.crashes.size() == 1);
+        CHECK(crashes.crashes.front().endpoint == 99);
+        CHECK(crashes.crashes.front().age == 1'500ms);
+        CHECK(crashes.crashes.front().parts == sent.crashes.crashes.front().parts);
+        CHECK(crashes.answered == sent.crashes.answered);
+        REQUIRE(crashes.verdicts.size() == 1);
+        CHECK(crashes.verdicts.front().part == 5);
+        CHECK(crashes.verdicts.front().age == 20s);
+    }
+}
