--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -214,6 +214,20 @@
     CHECK_FALSE(adapter.read_caller_fields({}).refusal_reason.empty());
 }
 
+// guards against a request that was refused at once as late: a caller's long deadline overflowed
+TEST_CASE("regression: a caller's deadline of any length can be added to a time")
+{
+    const protocol_adapter adapter = platform::make_protocol_adapter();
+    for (const char* text : {"9223372036854775807", "9223372036855", "99999999999999999999"}) {
+        CAPTURE(text);
+        message_head head;
+        head.headers.add("X-Hickorykeel-Attempt-Id", "9c41");
+        head.headers.add("X-Hickorykeel-Deadline-Ms", text);
+        const auto deadline = adapter.read_caller_fields(head).deadline;
+        CHECK((!deadline || (*deadline >= 0ms && *deadline <= std::chrono::hours{24})));
+    }
+}
+
 TEST_CASE("an endpoint gets neither the API key nor callers' values of reserved headers")
 {
     const protocol_adapter adapter = platform::make_protocol_adapter();
