Send nothing to an endpoint that says in a response that it is leaving

It went on sending there until the store's list said "draining" or dropped the entry, so a host that is cut off from the store sent until the endpoint was gone.

Cause: nothing read the header, and the pool knew only what is published.

Change: routing/endpoint_notices keeps what an incarnation (id and start time) has said; the pool leaves such an incarnation out from the moment of the first head that says so, of answers, failures, rejections, streams and health probes, and whatever is published of it later. It ends with the incarnation. At most 4,096 notices are kept. A 421 doesn't count, since another incarnation has sent it. A new counter and log line, endpoint_leaving; a header that can't be read is endpoint_statement_malformed.

Not covered: a restart under the former id that answers and leaves before this host has its new entry counts for the former incarnation until the next response. No other host is told.

--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -31,6 +31,8 @@
                  "of the published configuration"},
     setting_rule{"limits", "key_withdrawal_ms", setting_kind::number, false, "5000", 1'000, 600'000,
                  "a withdrawn key is refused after so many milliseconds"},
+    setting_rule{"limits", "drain_ms", setting_kind::number, false, "4000", 1, 600'000,
+                 "an endpoint that said it is leaving gets no request after so many milliseconds"},
     setting_rule{"limits", "retry_ratio", setting_kind::decimal, false, "0.2", 0, 1,
                  "retries for each request"},
     setting_rule{"limits", "retry_slack", setting_kind::decimal, false, "50", 0, 1'000'000,
@@ -82,6 +84,7 @@
     result.seeds = loaded.list("peers", "seeds");
     result.source_address = loaded.text("source", "address");
     result.key_withdrawal = std::chrono::milliseconds{loaded.number("limits", "key_withdrawal_ms")};
+    result.drain = std::chrono::milliseconds{loaded.number("limits", "drain_ms")};
     result.retry_ratio = loaded.decimal("limits", "retry_ratio");
     result.retry_slack = loaded.decimal("limits", "retry_slack");
     result.stop_grace = std::chrono::seconds{loaded.number("limits", "stop_grace_s")};
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -31,6 +31,8 @@
 
     /// Maximum time for which a withdrawn key may still be accepted.
     std::chrono::milliseconds key_withdrawal{5'000};
+    /// Time after an endpoint said that it is leaving, from which it may get no request.
+    std::chrono::milliseconds drain{4'000};
     double retry_ratio = 0.2; ///< retries allowed per request
     /// Retries of all hosts together, allowed beyond `retry_ratio`.
     double retry_slack = 52;
--- /dev/null
+++ b/src/gateway/routing/endpoint_notices.cpp
@@ -0,0 +1,54 @@
+#include "gateway/routing/endpoint_notices.h"
+
+#include <algorithm> // min_element
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+/// Whether two incarnations with the same id may be the same one.
+bool may_be_same(std::int64_t lhs_started_ms, std::int64_t rhs_started_ms) noexcept
+{
+    return lhs_started_ms == rhs_started_ms || lhs_started_ms == 0 || rhs_started_ms == 0;
+}
+
+} // namespace
+
+bool endpoint_notices::on_leaving(const endpoint_incarnation& endpoint, time_point now)
+{
+    const bool is_new = !is_leaving(endpoint);
+    find_or_add(endpoint, now).is_leaving = true;
+    return is_new;
+}
+
+bool endpoint_notices::is_leaving(const endpoint_incarnation& endpoint) const
+{
+    for (auto it = m_notices.lower_bound({endpoint.id, INT64_MIN});
+         it != m_notices.end() && it->first.id == endpoint.id; ++it) {
+        if (it->second.is_leaving && may_be_same(it->first.started_ms, endpoint.started_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+endpoint_notices::notice& endpoint_notices::find_or_add(const endpoint_incarnation& endpoint,
+                                                        time_point now)
+{
+    if (m_notices.size() >= max_notices && !m_notices.contains(endpoint)) {
+        drop_oldest();
+    }
+    notice& found = m_notices[endpoint];
+    found.updated = now;
+    return found;
+}
+
+void endpoint_notices::drop_oldest()
+{
+    m_notices.erase(
+        std::min_element(m_notices.begin(), m_notices.end(), [](const auto& lhs, const auto& rhs) {
+            return lhs.second.updated < rhs.second.updated;
+        }));
+}
+
+} // namespace hickorykeel::gateway
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -62,6 +62,7 @@
         state.cold_rate = used_service->cold_rate;
         state.cold_time = used_service->cold_time;
         state.is_listed = use == usability::usable && !entry.is_draining;
+        state.is_leaving = m_notices.is_leaving({id, entry.started_ms});
         if (state.is_evacuated && use == usability::usable) {
             // it may have become cold during the evacuation, after its last known heartbeat
             state.reinstated_cold_until = now + state.cold_time;
@@ -75,9 +76,24 @@
     m_endpoints = std::move(next);
 }
 
+bool endpoint_pool::on_leaving(const endpoint_incarnation& endpoint, time_point now)
+{
+    const bool is_new = m_notices.on_leaving(endpoint, now);
+    const auto found = m_endpoints.find(endpoint.id);
+    if (found != m_endpoints.end()) {
+        found->second.is_leaving =
+            m_notices.is_leaving({endpoint.id, found->second.entry.started_ms});
+    }
+    return is_new;
+}
+
 std::vector<endpoint_entry> endpoint_pool::take_reinstated()
 {
-    return std::exchange(m_reinstated, {});
+    std::vector<endpoint_entry> reinstated = std::exchange(m_reinstated, {});
+    std::erase_if(reinstated, [this](const endpoint_entry& entry) {
+        return m_notices.is_leaving({entry.id, entry.started_ms});
+    });
+    return reinstated;
 }
 
 void endpoint_pool::on_warm(const std::string& endpoint, time_point now)
@@ -123,7 +139,8 @@
 
 bool endpoint_pool::is_candidate(const endpoint_state& state, const placement_request& request)
 {
-    return state.is_listed && state.entry.service == request.requested_service->name &&
+    return state.is_listed && !state.is_leaving &&
+           state.entry.service == request.requested_service->name &&
            std::find(request.excluded.begin(), request.excluded.end(), state.entry.id) ==
                request.excluded.end();
 }
@@ -301,7 +318,9 @@
         return std::nullopt;
     }
     const auto& [best, expected] = pick(options, locations.preferred, random);
-    placement chosen{best->entry.id, best->entry.address, expected, is_cold(*best, now), {}, 0};
+    placement chosen{
+        best->entry.id,        best->entry.address, expected, is_cold(*best, now), {}, 0,
+        best->entry.started_ms};
     if (request.request_prompt != nullptr) {
         chosen.fetched_tokens =
             tokens_to_fetch(*best, cached_tokens(*best, *request.request_prompt, now), locations);
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -3,6 +3,7 @@
 #include "gateway/configuration/publication.h"
 #include "gateway/limits/cold_rate_limiter.h"
 #include "gateway/membership/member_table.h"
+#include "gateway/routing/endpoint_notices.h"
 #include "gateway/routing/prompt.h"
 #include "process/clock.h"
 #include "process/routing/random_source.h"
@@ -62,6 +63,7 @@
     bool is_cold = false;
     std::string prompt_source;        ///< address of the engine to fetch a prefix from; empty: none
     std::uint64_t fetched_tokens = 0; ///< size of the part that is fetched
+    std::int64_t started_ms = 0;      ///< start of the incarnation; 0: unknown
 };
 
 /// Requirements of a request on its endpoint.
@@ -80,7 +82,8 @@
 /// An endpoint is ejected when it is unreachable, or when a connection breaks or times out and this
 /// isn't the first of these failures since its last complete response that isn't a failure. The
 /// backoff doubles with each such failure, up to a maximum. A response that reports a failure only
-/// raises the failure rate. An endpoint that sheds a request gets a backoff of fixed length.
+/// raises the failure rate. An endpoint that sheds a request gets a backoff of fixed length. One
+/// that has said that it is leaving gets no request any more, whatever is published of it.
 ///
 /// Thread safety: none; the owner serialises calls. No I/O.
 class endpoint_pool {
@@ -119,7 +122,12 @@
     /// too many for one heartbeat, the first ones.
     [[nodiscard]] std::vector<sent_prefix> take_sent_prefixes();
 
-    /// Returns the endpoints whose evacuation has ended since the last call. Each of them is
+    /// Records that `endpoint` has said that it is leaving. Returns whether that is new. The
+    /// incarnation may be a former one, or not be published at present.
+    bool on_leaving(const endpoint_incarnation& endpoint, time_point now);
+
+    /// Returns the endpoints whose evacuation has ended since the last call, but for those that have
+    /// said that they are leaving. Each of them is
     /// treated as cold for its service's cold time, or until `on_warm()` or `on_peer_warm()` is
     /// called.
     [[nodiscard]] std::vector<endpoint_entry> take_reinstated();
@@ -199,6 +207,7 @@
         endpoint_entry entry;
         std::uint32_t hash = 0;
         bool is_listed = true;
+        bool is_leaving = false; ///< the incarnation has said so itself
         bool is_engine = false;
         double transfer_rate = 0;
         double cold_rate = 0;
@@ -274,6 +283,7 @@
 
     std::vector<sent_prefix> m_sent_prefixes;
     std::vector<endpoint_entry> m_reinstated;
+    endpoint_notices m_notices;
     endpoint_pool_options m_options;
     cold_allowance_function m_to_cold_allowance;
     std::map<std::string, endpoint_state> m_endpoints;
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -348,6 +348,7 @@
     m_attempt = {};
     m_attempt.endpoint = chosen.endpoint;
     m_attempt.peer = chosen.address;
+    m_attempt.endpoint_started_ms = chosen.started_ms;
     m_attempt.expected = chosen.expected;
     m_attempt.waiting_tokens = m_context.pool.on_sent(chosen.endpoint, request_prompt,
                                                       boot_clock::now(), chosen.fetched_tokens);
@@ -374,7 +375,9 @@
             .add_ms("configuration_age_ms", m_context.state.age(boot_clock::now())));
     call_options options;
     options.address = chosen.address;
-    options.connect_timeout = m_context.options.endpoint_connect_timeout;
+    // a request must not reach an endpoint that says meanwhile that it is leaving
+    options.connect_timeout =
+        std::min<duration>(m_context.options.endpoint_connect_timeout, m_context.settings.drain);
     options.max_idle_time = max_idle_time();
     m_attempt_count.on_attempt();
     m_stage = m_has_response_started ? stage::relaying : stage::sending;
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -6,7 +6,7 @@
 #include "gateway/serving/event_splitter.h"
 #include "gateway/serving/serving_context.h"
 
-#include <cstdint>     // uint64_t
+#include <cstdint>     // int64_t, uint64_t
 #include <memory>      // enable_shared_from_this, shared_ptr
 #include <optional>    // optional
 #include <string>      // string
@@ -83,6 +83,7 @@
     struct attempt_state {
         std::string endpoint; ///< endpoint id; empty if the request was forwarded to a host
         std::string peer;     ///< "ip:port"
+        std::int64_t endpoint_started_ms = 0; ///< of the endpoint's incarnation; 0: unknown
         std::shared_ptr<client_connection> call;
         time_point sent_at{};
         time_point last_received{}; ///< any bytes of a response
@@ -144,6 +145,7 @@
     call_handlers handlers();
     void on_sent();
     void on_head(const message_head& head);
+    void record_endpoint_statement();
     void on_body(std::string& bytes);
     void on_end(call_end end);
     void on_complete_response();
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -1,6 +1,7 @@
 #include "gateway/serving/exchange.h"
 
 #include "gateway/routing/rendezvous.h"
+#include "gateway/serving/endpoint_statements.h"
 
 #include <algorithm> // max
 #include <utility>   // exchange
@@ -104,6 +105,7 @@
     m_attempt.has_head = true;
     m_attempt.head = head;
     m_attempt.first_byte = elapsed;
+    record_endpoint_statement();
     if (!m_attempt.endpoint.empty() && is_success(head.status)) {
         m_context.pool.on_first_byte(m_attempt.endpoint, std::exchange(m_attempt.waiting_tokens, 0),
                                      elapsed, m_attempt.expected);
@@ -114,6 +116,15 @@
     arm();
 }
 
+void exchange::record_endpoint_statement()
+{
+    if (!m_attempt.endpoint.empty()) {
+        record_statement({m_context.adapter, m_context.pool, m_context.log, m_context.metrics},
+                         {m_attempt.endpoint, m_attempt.endpoint_started_ms}, m_attempt.head,
+                         boot_clock::now());
+    }
+}
+
 void exchange::on_body(std::string& bytes)
 {
     m_attempt.last_received = boot_clock::now();
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/limits/cold_allowance.h"
 #include "gateway/limits/cold_owner.h"
 #include "gateway/membership/directory_choice.h"
+#include "gateway/serving/endpoint_statements.h"
 #include "gateway/serving/region_options.h"
 #include "process/build_info.h"
 
@@ -409,14 +410,27 @@
         // only the endpoint's owner probes, since a probe may count as a request to a cold endpoint
         if (of != nullptr && !of->health_path.empty() &&
             cold_rate_for(entry.id, of->cold_rate) >= 1) {
-            m_prober.probe(entry, of->health_path, [this, id = entry.id] {
-                m_pool.on_warm(id, boot_clock::now());
-                place_waiting();
-            });
+            probe_reinstated(entry, of->health_path);
         }
     }
 }
 
+void gateway::probe_reinstated(const endpoint_entry& entry, const std::string& health_path)
+{
+    const endpoint_incarnation endpoint{entry.id, entry.started_ms};
+    m_prober.probe(entry, health_path,
+                   {.on_warm =
+                        [this, id = entry.id] {
+                            m_pool.on_warm(id, boot_clock::now());
+                            place_waiting();
+                        },
+                    .on_head =
+                        [this, endpoint](const message_head& head) {
+                            record_statement({m_parts.adapter, m_pool, m_log, m_metrics}, endpoint,
+                                             head, boot_clock::now());
+                        }});
+}
+
 // lifecycle
 
 void gateway::run_heartbeat()
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -73,6 +73,7 @@
     // configuration
     void on_published();
     void probe_reinstated_endpoints();
+    void probe_reinstated(const endpoint_entry& entry, const std::string& health_path);
 
     // lifecycle
     void run_heartbeat();
--- a/src/gateway/serving/health_prober.cpp
+++ b/src/gateway/serving/health_prober.cpp
@@ -17,23 +17,23 @@
 } // namespace
 
 struct health_prober::probe_state {
-    probe_state(asio::io_context& loop, std::string id, std::function<void()> handler)
-        : endpoint{std::move(id)}, on_warm{std::move(handler)}, timer{loop}
+    probe_state(asio::io_context& loop, std::string id, probe_handlers used)
+        : endpoint{std::move(id)}, handlers{std::move(used)}, timer{loop}
     {
     }
 
     std::string endpoint;
-    std::function<void()> on_warm;
+    probe_handlers handlers;
     asio::steady_timer timer;
     std::shared_ptr<client_connection> call;
     message_head head;
 };
 
 void health_prober::probe(const endpoint_entry& endpoint, const std::string& path,
-                          std::function<void()> on_warm) const
+                          probe_handlers handlers) const
 {
     const auto state =
-        std::make_shared<probe_state>(m_dependencies.loop, endpoint.id, std::move(on_warm));
+        std::make_shared<probe_state>(m_dependencies.loop, endpoint.id, std::move(handlers));
     state->timer.expires_after(response_timeout);
     state->timer.async_wait([this, state](const asio::error_code& failure) {
         if (!failure) {
@@ -47,11 +47,20 @@
         {.address = endpoint.address, .connect_timeout = connect_timeout},
         format_request("GET", path,
                        m_dependencies.adapter.to_health_headers(endpoint.address, endpoint.id), {}),
-        {.on_head = [state](const message_head& head) { state->head = head; },
+        {.on_head = [this, state](const message_head& head) { on_head(*state, head); },
          .on_body = [](std::string& bytes) { bytes.clear(); },
          .on_end = [this, state](call_end end) { on_response(*state, end); }});
 }
 
+void health_prober::on_head(probe_state& state, const message_head& head) const
+{
+    state.head = head;
+    const std::string_view instance = m_dependencies.adapter.read_health_fields(head).instance;
+    if (state.handlers.on_head && (instance.empty() || instance == state.endpoint)) {
+        state.handlers.on_head(head);
+    }
+}
+
 void health_prober::on_response(probe_state& state, call_end end) const
 {
     state.timer.cancel();
@@ -64,7 +73,7 @@
                                  .add("status", std::int64_t{state.head.status})
                                  .add_ms("cold_ms", fields.cold_remaining));
     if (is_from_endpoint && fields.cold_remaining.count() == 0) {
-        state.on_warm();
+        state.handlers.on_warm();
     }
 }
 
--- a/src/gateway/serving/health_prober.h
+++ b/src/gateway/serving/health_prober.h
@@ -28,15 +28,23 @@
 
     explicit health_prober(dependencies components) : m_dependencies{components} {}
 
+    /// Handlers of a probe. They run on the loop's thread.
+    struct probe_handlers {
+        std::function<void()> on_warm;
+        /// Receives the head of a response that isn't another incarnation's.
+        std::function<void(const message_head&)> on_head = {};
+    };
+
     /// Sends a probe for `path` to `endpoint`. Calls `on_warm` once if the endpoint responds that
     /// it isn't cold, and never if it is cold, fails, doesn't respond in time or is another
     /// incarnation.
     void probe(const endpoint_entry& endpoint, const std::string& path,
-               std::function<void()> on_warm) const;
+               probe_handlers handlers) const;
 
 private:
     struct probe_state;
 
+    void on_head(probe_state& state, const message_head& head) const;
     void on_response(probe_state& state, call_end end) const;
 
     dependencies m_dependencies;
--- a/src/gateway/serving/protocol_adapter.h
+++ b/src/gateway/serving/protocol_adapter.h
@@ -30,6 +30,12 @@
     bool is_encoded = false;   ///< the body has a content encoding, so it isn't the endpoint's own
 };
 
+/// What the head of any response of an endpoint says of the endpoint itself.
+struct endpoint_statement {
+    bool is_leaving = false;          ///< it wants no new requests, since it is about to end
+    std::string_view malformed_value; ///< one that could not be read; empty: none
+};
+
 /// Header fields of an endpoint's response to a health probe.
 struct health_fields {
     /// Responding incarnation; empty if missing or if the state is unreadable.
@@ -81,6 +87,8 @@
     std::function<caller_fields(const message_head&)> read_caller_fields;
     std::function<response_fields(const message_head&)> read_response_fields;
 
+    std::function<endpoint_statement(const message_head&)> read_endpoint_statement;
+
     /// Reads the response to a health probe, and builds the headers of the probe.
     std::function<health_fields(const message_head&)> read_health_fields;
     std::function<header_list(const std::string& address, const std::string& instance)>
--- /dev/null
+++ b/tests/gateway/endpoint_notices_test.cpp
@@ -0,0 +1,184 @@
+#include "gateway/routing/endpoint_notices.h"
+
+#include "gateway/routing/endpoint_pool.h"
+
+#include <chrono> // milliseconds, seconds
+#include <map>    // map
+#include <string> // string, to_string
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace hickorykeel::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{1'000s};
+
+/// A host's pool, whose published entries the test sets.
+class pool_fixture {
+public:
+    pool_fixture() { m_service.name = "s"; }
+
+    /// Publishes an endpoint at `address`.
+    void publish(const std::string& id, std::int64_t started_ms,
+                 const std::string& address = "10.0.0.9:80")
+    {
+        endpoint_entry& entry = m_entries[id];
+        entry.id = id;
+        entry.service = "s";
+        entry.address = address;
+        entry.slots = 4;
+        entry.started_ms = started_ms;
+        ++entry.sequence;
+        update();
+    }
+
+    void withdraw(const std::string& id)
+    {
+        m_entries.erase(id);
+        update();
+    }
+
+    [[nodiscard]] bool can_place() { return m_pool.choose(any(), start, m_random).has_value(); }
+
+    [[nodiscard]] placement_request any() const { return {&m_service, nullptr, {}}; }
+    [[nodiscard]] const service& requested_service() const { return m_service; }
+    endpoint_pool& pool() { return m_pool; }
+    bool is_evacuated = false;
+
+    void update()
+    {
+        m_pool.update(
+            m_entries,
+            [this](const endpoint_entry&) {
+                return is_evacuated ? endpoint_pool::usability::evacuated
+                                    : endpoint_pool::usability::usable;
+            },
+            [this](const std::string&) { return &m_service; }, start);
+    }
+
+private:
+    service m_service;
+    std::map<std::string, endpoint_entry> m_entries;
+    random_source m_random{1};
+    endpoint_pool m_pool{{}, [](const std::string&, double rate) { return rate; }};
+};
+
+} // namespace
+
+// guards against an entry that is still, or again, published as ready
+TEST_CASE("leaving endpoint: a later heartbeat brings it back")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    CHECK(host.pool().on_leaving({"a", 1}, start));
+    CHECK_FALSE(host.pool().on_leaving({"a", 1}, start));
+    CHECK_FALSE(host.can_place());
+    host.publish("a", 1);
+    CHECK_FALSE(host.can_place());
+    CHECK_FALSE(host.pool().has_candidate(host.any(), start));
+    CHECK(host.pool().free_capacity(host.requested_service(), start).free_places == 0);
+}
+
+// guards against forgetting an endpoint together with its entry
+TEST_CASE("leaving endpoint: it gets requests once its lapsed entry is back")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.pool().on_leaving({"a", 1}, start);
+    host.withdraw("a");
+    host.publish("a", 1);
+    CHECK_FALSE(host.can_place());
+}
+
+// guards against losing a response that arrives while the entry is gone
+TEST_CASE("leaving endpoint: it isn't heard while its entry has lapsed")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.withdraw("a");
+    host.pool().on_leaving({"a", 1}, start);
+    host.publish("a", 1);
+    CHECK_FALSE(host.can_place());
+}
+
+// guards against leaving out an endpoint for what its former incarnation said
+TEST_CASE("restarted endpoint: it stays without requests")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.pool().on_leaving({"a", 1}, start);
+    host.publish("a", 2);
+    CHECK(host.can_place());
+    // a late response of the former incarnation
+    host.pool().on_leaving({"a", 1}, start);
+    CHECK(host.can_place());
+    // an old copy of the entry
+    host.publish("a", 1);
+    CHECK_FALSE(host.can_place());
+}
+
+// guards against telling two incarnations apart by a start time that isn't known
+TEST_CASE("leaving endpoint: an entry without a start time brings it back")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.pool().on_leaving({"a", 1}, start);
+    host.publish("a", 0);
+    CHECK_FALSE(host.can_place());
+}
+
+// guards against notices that are kept by address
+TEST_CASE("reused address: the new endpoint gets no requests")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.pool().on_leaving({"a", 1}, start);
+    host.withdraw("a");
+    host.publish("b", 1);
+    CHECK(host.can_place());
+}
+
+// guards against relying on the store: a host that is cut off from it gets no publication
+TEST_CASE("host cut off from the store: it goes on sending to a leaving endpoint")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.publish("b", 1, "10.0.0.9:81");
+    host.pool().on_leaving({"a", 1}, start);
+    for (int i = 0; i < 3; ++i) {
+        random_source random{static_cast<random_source::result_type>(i)};
+        const auto chosen = host.pool().choose(host.any(), start + 60s, random);
+        REQUIRE(chosen.has_value());
+        CHECK(chosen->endpoint == "b");
+        static_cast<void>(host.pool().on_sent("b", nullptr, start));
+    }
+}
+
+// guards against health probes, which count as requests
+TEST_CASE("leaving endpoint: it is probed when its evacuation ends")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.is_evacuated = true;
+    host.update();
+    host.pool().on_leaving({"a", 1}, start);
+    host.is_evacuated = false;
+    host.update();
+    CHECK(host.pool().take_reinstated().empty());
+}
+
+// guards against unbounded memory, and against dropping the newest notices
+TEST_CASE("many leaving endpoints: all notices are kept for ever")
+{
+    endpoint_notices notices;
+    for (std::size_t i = 0; i <= endpoint_notices::max_notices; ++i) {
+        notices.on_leaving({std::to_string(i), 1}, start + std::chrono::milliseconds{i});
+    }
+    CHECK(notices.size() == endpoint_notices::max_notices);
+    CHECK_FALSE(notices.is_leaving({"0", 1}));
+    CHECK(notices.is_leaving({"1", 1}));
+    CHECK(notices.is_leaving({std::to_string(endpoint_notices::max_notices), 1}));
+}
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -206,12 +206,14 @@
     }
 
     /// Attempts that weren't ended although their endpoint was silent for long.
-    [[nodiscard]] int kept_attempts() const
+    [[nodiscard]] int kept_attempts() const { return events("silent_attempt_kept"); }
+
+    /// Counter of `event`.
+    [[nodiscard]] int events(const std::string& event) const
     {
-        const std::string name = R"(silent_attempt_kept"} )";
         const std::string text = m_metrics.to_text();
-        const std::size_t at = text.find(name);
-        return at == std::string::npos ? 0 : std::stoi(text.substr(at + name.size()));
+        const std::size_t at = text.find("{event=\"" + event + "\"} ");
+        return at == std::string::npos ? 0 : std::stoi(text.substr(text.find(' ', at)));
     }
 
     [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
@@ -401,6 +403,37 @@
     request->respond(200, headers, "not sealed");
 }
 
+header_list leaving_headers()
+{
+    header_list headers = response_headers();
+    headers.add("Server-Leaving", "1");
+    return headers;
+}
+
+void answer_and_leave(const std::shared_ptr<server_exchange>& request)
+{
+    request->respond(200, leaving_headers(), "answer");
+}
+
+void fail_and_leave(const std::shared_ptr<server_exchange>& request)
+{
+    request->respond(500, leaving_headers(), "failure");
+}
+
+void reject_and_leave(const std::shared_ptr<server_exchange>& request)
+{
+    header_list headers = leaving_headers();
+    headers.add("X-Hickorykeel-Not-Executed", "1");
+    request->respond(503, headers, {});
+}
+
+void break_off_and_leave(const std::shared_ptr<server_exchange>& request)
+{
+    request->begin(200, leaving_headers());
+    request->send("ans");
+    request->abort_response();
+}
+
 } // namespace
 
 TEST_CASE("a request and its response are relayed unchanged")
@@ -1285,3 +1318,78 @@
     CHECK(tainted->headers.contains("Retry-After"));
     CHECK(sent == 1);
 }
+
+// guards against requests to an endpoint whose published entry doesn't say yet that it is leaving
+TEST_CASE("leaving endpoint: it gets another request after a response that said so")
+{
+    for (const auto& leave :
+         {answer_and_leave, fail_and_leave, reject_and_leave, break_off_and_leave}) {
+        gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+        int calls = 0;
+        recording_endpoint other;
+        gateway.add_endpoint("a", [&](const auto& request) {
+            ++calls;
+            leave(request);
+        });
+        gateway.add_endpoint("b", other.behaviour());
+        gateway.run_to_end(gateway.send_request());
+        // a publication in between must not reinstate it
+        gateway.slow_down("b");
+        gateway.add_endpoint("c", other.behaviour());
+        for (int i = 0; i < 5; ++i) {
+            const auto response = gateway.send_request();
+            gateway.run_to_end(response);
+            CHECK(response->status == 200);
+        }
+        CHECK(calls == 1);
+        CHECK(gateway.events("endpoint_leaving") == 1);
+    }
+}
+
+// guards against waiting for the end of a stream before its head counts
+TEST_CASE("leaving endpoint: it gets another request while its stream is still under way")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
+    int calls = 0;
+    std::shared_ptr<server_exchange> stream;
+    recording_endpoint other;
+    gateway.add_endpoint("a", [&](const auto& request) {
+        ++calls;
+        stream = request;
+        request->begin(200, leaving_headers());
+        request->send("id: 1\ndata: x\n\n");
+    });
+    gateway.add_endpoint("b", other.behaviour());
+    const auto first = gateway.send_request();
+    gateway.run_until([&] { return !first->body.empty(); });
+    gateway.run_to_end(gateway.send_request());
+    CHECK(calls == 1);
+    CHECK(other.heads().size() == 1);
+}
+
+// guards against taking the response of a new endpoint on a reused address for the former one's
+TEST_CASE("leaving endpoint: another incarnation at its address is taken for it")
+{
+    gateway_fixture gateway{make_route(request_kind::safe, 2)};
+    recording_endpoint other;
+    gateway.add_endpoint("a",
+                         [](const auto& request) { request->respond(421, leaving_headers(), {}); });
+    gateway.add_endpoint("b", other.behaviour());
+    gateway.run_to_end(gateway.send_request());
+    CHECK(other.heads().size() == 1);
+    CHECK(gateway.events("endpoint_leaving") == 0);
+}
+
+// guards against a refusal that a caller can't act on, and against waiting for no endpoint
+TEST_CASE("leaving endpoint: requests wait for it though it is the only one")
+{
+    gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+    gateway.add_endpoint("a", answer_and_leave);
+    gateway.run_to_end(gateway.send_request());
+    const auto refused = gateway.send_request();
+    gateway.run_to_end(refused);
+    CHECK(refused->status == 503);
+    CHECK(refused->headers.contains("Retry-After"));
+    CHECK(refused->body.find(R"("ran":"no")") != std::string::npos);
+    CHECK(gateway.events("request_waits") == 0);
+}
--- a/tests/gateway/health_prober_test.cpp
+++ b/tests/gateway/health_prober_test.cpp
@@ -42,13 +42,22 @@
     bool probe()
     {
         bool is_warm = false;
-        m_prober.probe(m_entry, "/healthz", [&] { is_warm = true; });
+        m_prober.probe(m_entry, "/healthz",
+                       {.on_warm = [&] { is_warm = true; },
+                        .on_head =
+                            [&](const message_head& head) {
+                                m_is_leaving = m_adapter.read_endpoint_statement(head).is_leaving;
+                            }});
         // longer than the prober's response timeout
         m_loop.run_for(1s);
         return is_warm;
     }
 
+    /// Whether the endpoint has said that it is leaving.
+    [[nodiscard]] bool is_leaving() const { return m_is_leaving; }
+
 private:
+    bool m_is_leaving = false;
     asio::io_context m_loop{1};
     http_server m_endpoint;
     http_client m_client{m_loop};
@@ -91,3 +100,17 @@
     std::shared_ptr<server_exchange> held;
     CHECK_FALSE(probe_fixture{[&](const auto& request) { held = request; }}.probe());
 }
+
+// guards against requests to an endpoint that only its response to a probe reports as leaving
+TEST_CASE("leaving endpoint: its response to a health probe isn't heard")
+{
+    const auto is_leaving = [](int status, const std::string& instance) {
+        probe_fixture fixture{respond_with(
+            status, {{"X-Hickorykeel-Instance-Id", instance}, {"Server-Leaving", "1"}})};
+        CHECK(fixture.probe() == (status == 200 && instance == "i-1"));
+        return fixture.is_leaving();
+    };
+    CHECK(is_leaving(200, "i-1"));
+    CHECK(is_leaving(503, "i-1"));
+    CHECK_FALSE(is_leaving(503, "i-2"));
+}
--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -495,4 +495,24 @@
     const auto decoded = platform::decode_publication(
         R"({"version":1,"routes":[],"services":[],"limits":)" + nest(deep) + "}");
     CHECK(std::holds_alternative<error>(decoded));
-}
+
+    // guards against a lost statement beside others, and against obeying one that can't be read
+    TEST_CASE("leaving endpoint: its header is missed or misread")
+    {
+        const protocol_adapter adapter = platform::make_protocol_adapter();
+        const auto read = [&](const std::vector<std::string>& values) {
+            static message_head head;
+            head = {};
+            for (const std::string& value : values) {
+                head.headers.add("server-leaving", value);
+            }
+            return adapter.read_endpoint_statement(head);
+        };
+        CHECK_FALSE(read({}).is_leaving);
+        CHECK(read({"1"}).is_leaving);
+        CHECK(read({"0", "1"}).is_leaving);
+        CHECK_FALSE(read({"0"}).is_leaving);
+        CHECK_FALSE(read({"soon"}).is_leaving);
+        CHECK(read({"soon"}).malformed_value == "soon");
+        CHECK(read({"1", ""}).is_leaving);
+    }
