Send nothing to an endpoint for the time for which it turns this host away

Cause: the header was not read. A rejection led to a backoff of 60 ms, and a 503 that is passed on as an answer to none.

Change: endpoint_notices also keeps until when an incarnation wants nothing (30 s at most, the longest of several); the pool places nothing there, takes no prefix from there, doesn't offer its slots to other regions and doesn't probe it after an evacuation. A request waits for such an endpoint only if the time ends before the request's own wait would; otherwise it is refused at once as "turned_away", with the time until the first endpoint wants requests again. Delays that are negative, dates, text or not finite are ignored, repeated ones read as the longest, those above 30 s cut; each of these is logged and counted (endpoint_statement_malformed). New counter and log line: endpoint_turned_away. Empty header values are reported now too.

Not covered: times above 30 s are not kept; requests that were placed before the 503 arrived; all callers that are refused get the same time to return.

--- a/src/gateway/routing/endpoint_notices.cpp
+++ b/src/gateway/routing/endpoint_notices.cpp
@@ -1,6 +1,6 @@
 #include "gateway/routing/endpoint_notices.h"
 
-#include <algorithm> // min_element
+#include <algorithm> // max, min, min_element
 
 namespace hickorykeel::gateway {
 
@@ -21,6 +21,26 @@
     return is_new;
 }
 
+void endpoint_notices::on_turned_away(const endpoint_incarnation& endpoint, duration delay,
+                                      time_point now)
+{
+    notice& found = find_or_add(endpoint, now);
+    found.turned_away_until =
+        std::max(found.turned_away_until, now + std::min(delay, max_turn_away));
+}
+
+time_point endpoint_notices::turned_away_until(const endpoint_incarnation& endpoint) const
+{
+    time_point until{};
+    for (auto it = m_notices.lower_bound({endpoint.id, INT64_MIN});
+         it != m_notices.end() && it->first.id == endpoint.id; ++it) {
+        if (may_be_same(it->first.started_ms, endpoint.started_ms)) {
+            until = std::max(until, it->second.turned_away_until);
+        }
+    }
+    return until;
+}
+
 bool endpoint_notices::is_leaving(const endpoint_incarnation& endpoint) const
 {
     for (auto it = m_notices.lower_bound({endpoint.id, INT64_MIN});
@@ -36,15 +56,23 @@
                                                         time_point now)
 {
     if (m_notices.size() >= max_notices && !m_notices.contains(endpoint)) {
-        drop_oldest();
+        make_room(now);
     }
     notice& found = m_notices[endpoint];
     found.updated = now;
     return found;
 }
 
-void endpoint_notices::drop_oldest()
+/// Drops the notices that are over, or the oldest one if there are none. Precondition: there is a
+/// notice.
+void endpoint_notices::make_room(time_point now)
 {
+    const auto dropped = std::erase_if(m_notices, [now](const auto& item) {
+        return !item.second.is_leaving && item.second.turned_away_until <= now;
+    });
+    if (dropped > 0) {
+        return;
+    }
     m_notices.erase(
         std::min_element(m_notices.begin(), m_notices.end(), [](const auto& lhs, const auto& rhs) {
             return lhs.second.updated < rhs.second.updated;
--- a/src/gateway/routing/endpoint_notices.h
+++ b/src/gateway/routing/endpoint_notices.h
@@ -2,6 +2,7 @@
 
 #include "process/clock.h"
 
+#include <chrono>  // seconds
 #include <compare> // strong_ordering
 #include <cstddef> // size_t
 #include <cstdint> // int64_t
@@ -28,12 +29,18 @@
 class endpoint_notices {
 public:
     static constexpr std::size_t max_notices = 4'096;
+    /// Longest time for which an endpoint can turn this host away.
+    static constexpr duration max_turn_away = std::chrono::seconds{30};
 
     /// @name modifiers
     /// @{
 
     /// Records that `endpoint` has said that it is leaving. Returns whether that is new.
     bool on_leaving(const endpoint_incarnation& endpoint, time_point now);
+
+    /// Records that `endpoint` wants no request of this host for `delay`, of which at most
+    /// `max_turn_away` counts. A time that ends earlier than a recorded one has no effect.
+    void on_turned_away(const endpoint_incarnation& endpoint, duration delay, time_point now);
     /// @}
 
     /// @name state
@@ -41,17 +48,22 @@
 
     /// Whether `endpoint` has said that it is leaving.
     [[nodiscard]] bool is_leaving(const endpoint_incarnation& endpoint) const;
+
+    /// End of the time for which `endpoint` has turned this host away; it may be in the past, and is
+    /// `time_point{}` if there was none.
+    [[nodiscard]] time_point turned_away_until(const endpoint_incarnation& endpoint) const;
     [[nodiscard]] std::size_t size() const noexcept { return m_notices.size(); }
     /// @}
 
 private:
     struct notice {
         bool is_leaving = false;
+        time_point turned_away_until{};
         time_point updated{};
     };
 
     notice& find_or_add(const endpoint_incarnation& endpoint, time_point now);
-    void drop_oldest();
+    void make_room(time_point now);
 
     std::map<endpoint_incarnation, notice> m_notices;
 };
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -63,10 +63,13 @@
         state.cold_time = used_service->cold_time;
         state.is_listed = use == usability::usable && !entry.is_draining;
         state.is_leaving = m_notices.is_leaving({id, entry.started_ms});
+        state.turned_away_until = m_notices.turned_away_until({id, entry.started_ms});
         if (state.is_evacuated && use == usability::usable) {
             // it may have become cold during the evacuation, after its last known heartbeat
             state.reinstated_cold_until = now + state.cold_time;
-            m_reinstated.push_back(entry);
+            if (!state.is_leaving && now >= state.turned_away_until) {
+                m_reinstated.push_back(entry);
+            }
         }
         state.is_evacuated = use == usability::evacuated;
         if (state.is_evacuated) {
@@ -87,13 +90,20 @@
     return is_new;
 }
 
+void endpoint_pool::on_turned_away(const endpoint_incarnation& endpoint, duration delay,
+                                   time_point now)
+{
+    m_notices.on_turned_away(endpoint, delay, now);
+    const auto found = m_endpoints.find(endpoint.id);
+    if (found != m_endpoints.end()) {
+        found->second.turned_away_until =
+            m_notices.turned_away_until({endpoint.id, found->second.entry.started_ms});
+    }
+}
+
 std::vector<endpoint_entry> endpoint_pool::take_reinstated()
 {
-    std::vector<endpoint_entry> reinstated = std::exchange(m_reinstated, {});
-    std::erase_if(reinstated, [this](const endpoint_entry& entry) {
-        return m_notices.is_leaving({entry.id, entry.started_ms});
-    });
-    return reinstated;
+    return std::exchange(m_reinstated, {});
 }
 
 void endpoint_pool::on_warm(const std::string& endpoint, time_point now)
@@ -157,7 +167,7 @@
 
 bool endpoint_pool::may_send(endpoint_state& state, time_point now)
 {
-    if (now < state.backoff_until || (state.is_half_open && state.own.active > 0)) {
+    if (is_blocked(state, now) || (state.is_half_open && state.own.active > 0)) {
         return false;
     }
     if (is_cold(state, now) && state.cold_rate > 0) {
@@ -261,7 +271,7 @@
     }
     std::uint64_t best_weight = 0;
     for (const auto& [id, state] : m_endpoints) {
-        if (!is_candidate(state, request) || now < state.backoff_until || is_cold(state, now)) {
+        if (!is_candidate(state, request) || is_blocked(state, now) || is_cold(state, now)) {
             continue;
         }
         const std::uint64_t weight = rendezvous_weight(request.request_prompt->shared_id(), id);
@@ -331,21 +341,40 @@
     return chosen;
 }
 
-bool endpoint_pool::has_candidate(const placement_request& request, time_point now) const
+bool endpoint_pool::has_candidate(const placement_request& request, time_point now,
+                                  time_point wait_until) const
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
         return is_candidate(item.second, request) &&
-               item.second.backoff_until < now + m_options.max_backoff;
+               item.second.backoff_until < now + m_options.max_backoff &&
+               (item.second.turned_away_until <= now || item.second.turned_away_until < wait_until);
     });
 }
 
+std::optional<duration> endpoint_pool::time_turned_away(const placement_request& request,
+                                                        time_point now) const
+{
+    std::optional<duration> shortest;
+    for (const auto& [id, state] : m_endpoints) {
+        if (!is_candidate(state, request)) {
+            continue;
+        }
+        if (state.turned_away_until <= now) {
+            return std::nullopt;
+        }
+        const duration left = state.turned_away_until - now;
+        shortest = shortest ? std::min(*shortest, left) : left;
+    }
+    return shortest;
+}
+
 service_load endpoint_pool::free_capacity(const service& queried_service, time_point now) const
 {
     service_load load;
     load.expected_wait = max_expected_wait;
     const placement_request any{&queried_service, nullptr, {}};
     for (const auto& [id, state] : m_endpoints) {
-        if (!is_candidate(state, any) || now < state.backoff_until || is_cold(state, now)) {
+        if (!is_candidate(state, any) || is_blocked(state, now) || is_cold(state, now)) {
             continue;
         }
         const std::uint32_t active = state.own.active + state.peers.active;
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -83,7 +83,8 @@
 /// isn't the first of these failures since its last complete response that isn't a failure. The
 /// backoff doubles with each such failure, up to a maximum. A response that reports a failure only
 /// raises the failure rate. An endpoint that sheds a request gets a backoff of fixed length. One
-/// that has said that it is leaving gets no request any more, whatever is published of it.
+/// that has said that it is leaving gets no request any more, whatever is published of it. One that
+/// has turned this host away with a time gets none until that time is over.
 ///
 /// Thread safety: none; the owner serialises calls. No I/O.
 class endpoint_pool {
@@ -126,10 +127,14 @@
     /// incarnation may be a former one, or not be published at present.
     bool on_leaving(const endpoint_incarnation& endpoint, time_point now);
 
-    /// Returns the endpoints whose evacuation has ended since the last call, but for those that have
-    /// said that they are leaving. Each of them is
-    /// treated as cold for its service's cold time, or until `on_warm()` or `on_peer_warm()` is
-    /// called.
+    /// Records that `endpoint` wants no request of this host for `delay`; at most
+    /// `endpoint_notices::max_turn_away` counts. The incarnation may be a former one, or not be
+    /// published at present.
+    void on_turned_away(const endpoint_incarnation& endpoint, duration delay, time_point now);
+
+    /// Returns the endpoints whose evacuation has ended since the last call, but for those that
+    /// wanted no requests then. Each endpoint whose evacuation has ended is treated as cold for its
+    /// service's cold time, or until `on_warm()` or `on_peer_warm()` is called.
     [[nodiscard]] std::vector<endpoint_entry> take_reinstated();
 
     /// Records that the endpoint itself has reported being warm. No effect while it is evacuated.
@@ -157,11 +162,19 @@
                                                   random_source& random);
 
     /// Whether any endpoint of the service could take the request now, or once slots are free or
-    /// a backoff of less than `max_backoff` is over.
-    [[nodiscard]] bool has_candidate(const placement_request& request, time_point now) const;
+    /// a backoff of less than `max_backoff` is over. An endpoint that turns this host away until
+    /// `wait_until` or longer doesn't count.
+    [[nodiscard]] bool has_candidate(const placement_request& request, time_point now,
+                                     time_point wait_until = time_point::max()) const;
+
+    /// Returns the time until the first of the service's endpoints wants requests of this host
+    /// again, or nothing unless there are some and all of them turn it away.
+    [[nodiscard]] std::optional<duration> time_turned_away(const placement_request& request,
+                                                           time_point now) const;
 
     /// Returns the free slots of the region for a service and the lowest expected time to first
-    /// byte of a typical request. Cold endpoints and those in backoff are left out.
+    /// byte of a typical request. Cold endpoints, those in backoff and those that turn this host
+    /// away are left out.
     /// The expected time is 10 s if no slot is free.
     [[nodiscard]] service_load free_capacity(const service& queried_service, time_point now) const;
     /// @}
@@ -223,6 +236,7 @@
         /// complete response arrives.
         bool is_half_open = false;
         time_point backoff_until{};
+        time_point turned_away_until{}; ///< by the incarnation itself
         time_point cold_until{};
         time_point reinstated_cold_until{}; ///< after an evacuation, unless reported warm
         time_point warm_report_until{};     ///< until then, heartbeats report it as warm
@@ -235,6 +249,11 @@
     {
         return now < state.cold_until || now < state.reinstated_cold_until;
     }
+    /// Whether the endpoint gets nothing now, after failures or by its own wish.
+    [[nodiscard]] static bool is_blocked(const endpoint_state& state, time_point now) noexcept
+    {
+        return now < state.backoff_until || now < state.turned_away_until;
+    }
     [[nodiscard]] static bool is_candidate(const endpoint_state& state,
                                            const placement_request& request);
     [[nodiscard]] bool has_free_slot(const endpoint_state& state) const;
@@ -243,7 +262,7 @@
     /// fetch its prefix.
     struct prefix_locations {
         /// Owner of the longest shareable prefix by rendezvous hashing, among the warm endpoints
-        /// that are not in backoff.
+        /// that are not blocked.
         const endpoint_state* preferred = nullptr;
         /// The one of these endpoints that has processed the longest prefix.
         const endpoint_state* source = nullptr;
--- a/src/gateway/serving/endpoint_statements.cpp
+++ b/src/gateway/serving/endpoint_statements.cpp
@@ -2,6 +2,8 @@
 
 #include <string_view> // string_view
 
+#include <fmt/format.h> // format
+
 namespace hickorykeel::gateway {
 
 namespace {
@@ -18,6 +20,21 @@
                                   .add("value", value.substr(0, max_logged_value)));
 }
 
+void record_turn_away(const statement_context& context, const endpoint_incarnation& endpoint,
+                      duration delay, time_point now)
+{
+    if (delay > endpoint_notices::max_turn_away) {
+        report_malformed(
+            context, endpoint,
+            fmt::format("Retry-After above {} s", to_seconds(endpoint_notices::max_turn_away)));
+    }
+    context.pool.on_turned_away(endpoint, delay, now);
+    context.metrics.count("endpoint_turned_away");
+    context.log.write_request(log_line{"endpoint_turned_away"}
+                                  .add("endpoint", endpoint.id)
+                                  .add_ms("retry_after_ms", delay));
+}
+
 } // namespace
 
 void record_statement(const statement_context& context, const endpoint_incarnation& endpoint,
@@ -27,8 +44,11 @@
         return;
     }
     const endpoint_statement statement = context.adapter.read_endpoint_statement(head);
-    if (!statement.malformed_value.empty()) {
-        report_malformed(context, endpoint, statement.malformed_value);
+    if (statement.malformed_value) {
+        report_malformed(context, endpoint, *statement.malformed_value);
+    }
+    if (statement.retry_after) {
+        record_turn_away(context, endpoint, *statement.retry_after, now);
     }
     if (statement.is_leaving && context.pool.on_leaving(endpoint, now)) {
         context.metrics.count("endpoint_leaving");
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -203,11 +203,13 @@
     const bool may_become_available =
         options.is_overloaded || is_starting || !options.others.empty() ||
         (allows_own_region(m_authorised) &&
-         m_context.pool.has_candidate({of, engine_prompt(*of), m_excluded}, now));
-    if (!may_become_available || now >= wait_deadline()) {
-        give_up(!may_become_available   ? "no_endpoint"
-                : options.is_overloaded ? "overloaded"
-                                        : "no_free_place");
+         m_context.pool.has_candidate({of, engine_prompt(*of), m_excluded}, now, wait_deadline()));
+    if (!may_become_available) {
+        give_up_without_endpoint(*of);
+        return true;
+    }
+    if (now >= wait_deadline()) {
+        give_up(options.is_overloaded ? "overloaded" : "no_free_place");
         return true;
     }
     enqueue();
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -176,7 +176,8 @@
 
     // final responses
     void refuse(int status, std::string_view code, std::string_view ran, duration retry_after);
-    void give_up(std::string_view code);
+    void give_up(std::string_view code, std::optional<duration> retry_after = std::nullopt);
+    void give_up_without_endpoint(const service& of);
     void finish(std::string_view outcome, int status);
     void on_disconnect();
 
--- a/src/gateway/serving/exchange_end.cpp
+++ b/src/gateway/serving/exchange_end.cpp
@@ -6,18 +6,34 @@
 
 // final responses
 
-void exchange::give_up(std::string_view code)
+/// Ends the request without a response of an endpoint. Without `retry_after`, the delay grows with
+/// the time for which the service has been refusing.
+void exchange::give_up(std::string_view code, std::optional<duration> retry_after)
 {
-    if (m_attempt_count.executions() == 0) {
-        const serving_options& options = m_context.options;
-        refuse(503, code, "no",
-               code == "no_endpoint"
-                   ? options.retry_after_outage
-                   : m_context.overload_periods[m_service].on_refusal(
-                         options.overload, boot_clock::now(), random_fraction(m_context.random)));
+    if (m_attempt_count.executions() > 0) {
+        refuse(code == "deadline" ? 504 : 502, code, "unknown", {});
         return;
     }
-    refuse(code == "deadline" ? 504 : 502, code, "unknown", {});
+    if (!retry_after) {
+        retry_after = m_context.overload_periods[m_service].on_refusal(
+            m_context.options.overload, boot_clock::now(), random_fraction(m_context.random));
+    }
+    refuse(503, code, "no", *retry_after);
+}
+
+/// Gives up a request that no endpoint can take before it has waited too long.
+void exchange::give_up_without_endpoint(const service& of)
+{
+    // a caller's next request may use the endpoints that rejected this one
+    const auto turned_away =
+        allows_own_region(m_authorised)
+            ? m_context.pool.time_turned_away({&of, nullptr, {}}, boot_clock::now())
+            : std::nullopt;
+    if (turned_away) {
+        give_up("turned_away", turned_away);
+        return;
+    }
+    give_up("no_endpoint", m_context.options.retry_after_outage);
 }
 
 void exchange::refuse(int status, std::string_view code, std::string_view ran, duration retry_after)
--- a/src/gateway/serving/protocol_adapter.h
+++ b/src/gateway/serving/protocol_adapter.h
@@ -32,8 +32,11 @@
 
 /// What the head of any response of an endpoint says of the endpoint itself.
 struct endpoint_statement {
-    bool is_leaving = false;          ///< it wants no new requests, since it is about to end
-    std::string_view malformed_value; ///< one that could not be read; empty: none
+    bool is_leaving = false; ///< it wants no new requests, since it is about to end
+    /// With which it turns a request away: time for which it wants no further one.
+    std::optional<duration> retry_after;
+    /// One that could not be read, or repeats a field.
+    std::optional<std::string_view> malformed_value;
 };
 
 /// Header fields of an endpoint's response to a health probe.
--- a/tests/gateway/endpoint_notices_test.cpp
+++ b/tests/gateway/endpoint_notices_test.cpp
@@ -41,7 +41,10 @@
         update();
     }
 
-    [[nodiscard]] bool can_place() { return m_pool.choose(any(), start, m_random).has_value(); }
+    [[nodiscard]] bool can_place(time_point now = start)
+    {
+        return m_pool.choose(any(), now, m_random).has_value();
+    }
 
     [[nodiscard]] placement_request any() const { return {&m_service, nullptr, {}}; }
     [[nodiscard]] const service& requested_service() const { return m_service; }
@@ -170,6 +173,19 @@
     CHECK(host.pool().take_reinstated().empty());
 }
 
+// guards against health probes, which count as requests
+TEST_CASE("endpoint that turns away: it is probed when its evacuation ends")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.is_evacuated = true;
+    host.update();
+    host.pool().on_turned_away({"a", 1}, 5s, start);
+    host.is_evacuated = false;
+    host.update();
+    CHECK(host.pool().take_reinstated().empty());
+}
+
 // guards against unbounded memory, and against dropping the newest notices
 TEST_CASE("many leaving endpoints: all notices are kept for ever")
 {
@@ -182,3 +198,83 @@
     CHECK(notices.is_leaving({"1", 1}));
     CHECK(notices.is_leaving({std::to_string(endpoint_notices::max_notices), 1}));
 }
+
+// guards against requests to an endpoint in the time for which it wants none
+TEST_CASE("endpoint that turns away: it gets requests before its time is over")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.pool().on_turned_away({"a", 1}, 2s, start);
+    CHECK_FALSE(host.can_place(start));
+    CHECK_FALSE(host.can_place(start + 1'999ms));
+    CHECK(host.pool().free_capacity(host.requested_service(), start).free_places == 0);
+    CHECK(host.can_place(start + 2s));
+    CHECK(host.pool().free_capacity(host.requested_service(), start + 2s).free_places > 0);
+}
+
+// guards against a shorter time, or a publication, that ends a longer one
+TEST_CASE("endpoint that turns away: a later response or heartbeat shortens its time")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.pool().on_turned_away({"a", 1}, 5s, start);
+    host.pool().on_turned_away({"a", 1}, 1s, start);
+    host.publish("a", 1);
+    CHECK_FALSE(host.can_place(start + 4s));
+    host.withdraw("a");
+    host.publish("a", 1);
+    CHECK_FALSE(host.can_place(start + 4s));
+    CHECK(host.can_place(start + 5s));
+}
+
+// guards against leaving out an endpoint for what a former incarnation or a former address said
+TEST_CASE("endpoint that turns away: its next incarnation gets no requests")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.pool().on_turned_away({"a", 1}, 20s, start);
+    host.publish("a", 2);
+    CHECK(host.can_place());
+    host.withdraw("a");
+    host.publish("b", 1);
+    CHECK(host.can_place());
+}
+
+// guards against obeying a value without limit
+TEST_CASE("endpoint that turns away: an absurd time is obeyed")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.pool().on_turned_away({"a", 1}, 24h, start);
+    CHECK_FALSE(host.can_place(start + endpoint_notices::max_turn_away - 1ms));
+    CHECK(host.can_place(start + endpoint_notices::max_turn_away));
+}
+
+// guards against requests that wait for an endpoint which comes back too late for them
+TEST_CASE("endpoint that turns away: requests wait for it beyond their time")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    CHECK_FALSE(host.pool().time_turned_away(host.any(), start).has_value());
+    host.pool().on_turned_away({"a", 1}, 2s, start);
+    CHECK_FALSE(host.pool().has_candidate(host.any(), start, start + 2s));
+    CHECK(host.pool().has_candidate(host.any(), start, start + 2'001ms));
+    CHECK(host.pool().time_turned_away(host.any(), start + 500ms) == 1'500ms);
+    // one that takes requests is worth coming back for at once
+    host.publish("b", 1, "10.0.0.9:81");
+    CHECK_FALSE(host.pool().time_turned_away(host.any(), start).has_value());
+    host.pool().on_turned_away({"b", 1}, 1s, start);
+    CHECK(host.pool().time_turned_away(host.any(), start) == 1s);
+}
+
+// guards against dropping a leaving endpoint's notice for those of times that are over
+TEST_CASE("many endpoints that turn away: a leaving one is forgotten")
+{
+    endpoint_notices notices;
+    notices.on_leaving({"leaving", 1}, start);
+    for (std::size_t i = 0; i < 2 * endpoint_notices::max_notices; ++i) {
+        notices.on_turned_away({std::to_string(i), 1}, 1s, start + std::chrono::milliseconds{i});
+    }
+    CHECK(notices.size() <= endpoint_notices::max_notices);
+    CHECK(notices.is_leaving({"leaving", 1}));
+}
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -434,6 +434,19 @@
     request->abort_response();
 }
 
+/// Endpoint that turns requests away for `delay` seconds.
+gateway_fixture::behaviour turn_away(const std::string& delay, bool is_rejection = true)
+{
+    return [=](const std::shared_ptr<server_exchange>& request) {
+        header_list headers = response_headers();
+        if (is_rejection) {
+            headers.add("X-Hickorykeel-Not-Executed", "1");
+        }
+        headers.add("Retry-After", delay);
+        request->respond(503, headers, {});
+    };
+}
+
 } // namespace
 
 TEST_CASE("a request and its response are relayed unchanged")
@@ -1393,3 +1406,68 @@
     CHECK(refused->body.find(R"("ran":"no")") != std::string::npos);
     CHECK(gateway.events("request_waits") == 0);
 }
+
+// guards against requests to an endpoint in the time for which it wants none, and against refusals
+// that don't say when to return
+TEST_CASE("endpoint that turns away: requests are sent to it, or wait until they time out")
+{
+    for (const bool is_rejection : {true, false}) {
+        CAPTURE(is_rejection);
+        gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+        int calls = 0;
+        const auto respond = turn_away("20", is_rejection);
+        gateway.add_endpoint("a", [&](const auto& request) {
+            ++calls;
+            respond(request);
+        });
+        gateway.run_to_end(gateway.send_request());
+        // longer than the backoff after a rejection
+        gateway.run_for(200ms);
+        for (int i = 0; i < 3; ++i) {
+            const auto refused = gateway.send_request();
+            gateway.run_to_end(refused);
+            CHECK(refused->status == 503);
+            CHECK(refused->body.find("turned_away") != std::string::npos);
+            const double delay = std::stod("0" + std::string{refused->headers.find("Retry-After")});
+            CHECK(delay > 1);
+            CHECK(delay <= 20);
+        }
+        CHECK(calls == 1);
+        CHECK(gateway.events("request_waits") == 0);
+        CHECK(gateway.events("endpoint_turned_away") == 1);
+    }
+}
+
+// guards against giving up a request that could be served in time
+TEST_CASE("endpoint that turns away for a short time: a request doesn't wait for it")
+{
+    gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+    int calls = 0;
+    gateway.add_endpoint("a", [&](const auto& request) {
+        if (++calls == 1) {
+            turn_away("0.2")(request);
+            return;
+        }
+        request->respond(200, response_headers(), "answer");
+    });
+    gateway.run_to_end(gateway.send_request());
+    const auto response = gateway.send_request();
+    gateway.run_for(250ms);
+    gateway.release("a");
+    gateway.run_to_end(response);
+    CHECK(response->status == 200);
+    CHECK(calls == 2);
+}
+
+// guards against a delay that an endpoint sends by mistake
+TEST_CASE("endpoint that turns away: an invalid delay is obeyed, or not reported")
+{
+    for (const std::string delay : {"-1", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "86400"}) {
+        CAPTURE(delay);
+        gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+        gateway.add_endpoint("a", turn_away(delay));
+        gateway.run_to_end(gateway.send_request());
+        CHECK(gateway.events("endpoint_statement_malformed") == 1);
+        CHECK(gateway.events("endpoint_turned_away") == (delay == "86400" ? 1 : 0));
+    }
+}
--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -495,24 +495,59 @@
     const auto decoded = platform::decode_publication(
         R"({"version":1,"routes":[],"services":[],"limits":)" + nest(deep) + "}");
     CHECK(std::holds_alternative<error>(decoded));
+}
 
-    // guards against a lost statement beside others, and against obeying one that can't be read
-    TEST_CASE("leaving endpoint: its header is missed or misread")
-    {
-        const protocol_adapter adapter = platform::make_protocol_adapter();
-        const auto read = [&](const std::vector<std::string>& values) {
-            static message_head head;
-            head = {};
-            for (const std::string& value : values) {
-                head.headers.add("server-leaving", value);
-            }
-            return adapter.read_endpoint_statement(head);
-        };
-        CHECK_FALSE(read({}).is_leaving);
-        CHECK(read({"1"}).is_leaving);
-        CHECK(read({"0", "1"}).is_leaving);
-        CHECK_FALSE(read({"0"}).is_leaving);
-        CHECK_FALSE(read({"soon"}).is_leaving);
-        CHECK(read({"soon"}).malformed_value == "soon");
-        CHECK(read({"1", ""}).is_leaving);
+// guards against a lost statement beside others, and against obeying one that can't be read
+TEST_CASE("leaving endpoint: its header is missed or misread")
+{
+    const protocol_adapter adapter = platform::make_protocol_adapter();
+    const auto read = [&](const std::vector<std::string>& values) {
+        static message_head head;
+        head = {};
+        for (const std::string& value : values) {
+            head.headers.add("server-leaving", value);
+        }
+        return adapter.read_endpoint_statement(head);
+    };
+    CHECK_FALSE(read({}).is_leaving);
+    CHECK(read({"1"}).is_leaving);
+    CHECK(read({"0", "1"}).is_leaving);
+    CHECK_FALSE(read({"0"}).is_leaving);
+    CHECK_FALSE(read({"soon"}).is_leaving);
+    CHECK(read({"soon"}).malformed_value == "soon");
+    CHECK(read({"1", ""}).is_leaving);
+}
+
+// guards against obeying a delay that is negative, no number or said twice, and against overflow
+TEST_CASE("endpoint that turns away: its delay is misread")
+{
+    const protocol_adapter adapter = platform::make_protocol_adapter();
+    const auto read = [&](int status, const std::vector<std::string>& values) {
+        static message_head head;
+        head = {};
+        head.status = status;
+        for (const std::string& value : values) {
+            head.headers.add("retry-after", value);
+        }
+        return adapter.read_endpoint_statement(head);
+    };
+    CHECK(read(503, {"2"}).retry_after == 2s);
+    CHECK(read(503, {"0.25"}).retry_after == 250ms);
+    CHECK(read(503, {"0"}).retry_after == 0s);
+    CHECK_FALSE(read(503, {}).retry_after.has_value());
+    CHECK_FALSE(read(429, {"2"}).retry_after.has_value());
+    CHECK_FALSE(read(200, {"2"}).retry_after.has_value());
+    for (const std::string& value :
+         {std::string{}, std::string{"-1"}, std::string{"-0"}, std::string{"soon"},
+          std::string{"1e3"}, std::string{"inf"}, std::string{"nan"}, std::string{"2 s"},
+          std::string{"1, 2"}, std::string{"0x10"}, std::string{"Wed, 21 Oct 2026 07:28:00 GMT"},
+          std::string(400, '9')}) {
+        CAPTURE(value);
+        CHECK_FALSE(read(503, {value}).retry_after.has_value());
+        CHECK(read(503, {value}).malformed_value == value);
     }
+    CHECK(read(503, {std::string(30, '9')}).retry_after == 24h);
+    CHECK(read(503, {"1", "3", "2"}).retry_after == 3s);
+    CHECK(read(503, {"1", "3"}).malformed_value == "3");
+    CHECK(read(503, {"soon", "3"}).retry_after == 3s);
+}
--- a/tests/gateway/statement_schedules_test.cpp
+++ b/tests/gateway/statement_schedules_test.cpp
@@ -1,12 +1,13 @@
 #include "gateway/routing/endpoint_pool.h"
 
-#include <chrono>  // milliseconds, seconds
-#include <cstddef> // size_t
-#include <cstdint> // int64_t, uint64_t
-#include <map>     // map, multimap
-#include <memory>  // make_unique, unique_ptr
-#include <string>  // string, to_string
-#include <vector>  // vector
+#include <chrono>   // milliseconds, seconds
+#include <cstddef>  // size_t
+#include <cstdint>  // int64_t, uint64_t
+#include <map>      // map, multimap
+#include <memory>   // make_unique, unique_ptr
+#include <optional> // optional
+#include <string>   // string, to_string
+#include <vector>   // vector
 
 #include <doctest/doctest.h>
 
@@ -20,16 +21,20 @@
 constexpr duration length = 14s;
 constexpr duration step = 50ms;
 constexpr duration drain = 4s;
+/// Time from a response that turns a host away to the moment from which it binds.
+constexpr duration turn_away_slack = 500ms;
+constexpr int max_requests_while_turned_away = 2;
 constexpr int endpoint_count = 6;
 constexpr std::uint64_t schedules = 200;
 
-/// Hosts that send requests to endpoints which leave, end and start again, on a clock of its own.
+/// Hosts that send requests to endpoints which turn them away for a time, leave, end and start
+/// again, on a clock of its own.
 ///
 /// Some hosts are cut off from the store at some moment and never hear of it again; the others hear
 /// late. Entries lapse for a while. A response may be a failure, or break off after its head.
-class leaving_schedule {
+class statement_schedule {
 public:
-    leaving_schedule(std::size_t hosts, std::uint64_t seed) : m_random{seed}
+    statement_schedule(std::size_t hosts, std::uint64_t seed) : m_random{seed}
     {
         m_service.name = "s";
         for (int i = 0; i < endpoint_count; ++i) {
@@ -59,6 +64,25 @@
     }
 
     [[nodiscard]] int late_requests() const { return m_late_requests; }
+    /// Times for which an endpoint had turned a host away and got too many requests of it.
+    [[nodiscard]] int broken_turn_aways() const
+    {
+        int broken = 0;
+        for (const auto& host : m_hosts) {
+            for (const turn_away& each : host->turn_aways) {
+                broken += each.requests > max_requests_while_turned_away ? 1 : 0;
+            }
+        }
+        return broken;
+    }
+    [[nodiscard]] std::size_t turn_aways() const
+    {
+        std::size_t count = 0;
+        for (const auto& host : m_hosts) {
+            count += host->turn_aways.size();
+        }
+        return count;
+    }
     [[nodiscard]] int notices() const { return m_notices; }
     /// Requests to incarnations that started during the schedule.
     [[nodiscard]] int requests_to_new() const { return m_requests_to_new; }
@@ -67,17 +91,28 @@
     struct endpoint {
         endpoint_entry entry;
         bool reports_draining = false;
+        time_point busy_from{};
+        time_point busy_until{};
         time_point leaves_at{};
         time_point ends_at{};
         time_point lapses_at{};
     };
 
+    /// Time for which an incarnation wants no requests of a host.
+    struct turn_away {
+        endpoint_incarnation endpoint;
+        time_point from{};
+        time_point until{};
+        int requests = 0;
+    };
+
     struct host_state {
         endpoint_pool pool{{}, [](const std::string&, double rate) { return rate; }};
         time_point next_update{};
         time_point cut_at{};
         /// When the host first passed on that an incarnation is leaving.
         std::map<endpoint_incarnation, time_point> heard_leaving;
+        std::vector<turn_away> turn_aways;
     };
 
     struct response {
@@ -85,6 +120,7 @@
         endpoint_incarnation named;     ///< that the host meant
         endpoint_incarnation responder; ///< that has got the request
         bool is_leaving = false;
+        std::optional<duration> retry_after;
         endpoint_outcome outcome = endpoint_outcome::answered;
     };
 
@@ -103,6 +139,8 @@
         made.entry.slots = 50;
         made.entry.started_ms = to_milliseconds(now.time_since_epoch()).count();
         made.reports_draining = chance(0.5);
+        made.busy_from = now + span(1500ms, 4s);
+        made.busy_until = made.busy_from + span(0ms, 2s);
         made.leaves_at = now + span(2s, 8s);
         made.ends_at = made.leaves_at + span(drain, drain + 3s);
         made.lapses_at = now + span(0ms, 10s);
@@ -142,7 +180,7 @@
             return;
         }
         static_cast<void>(host.pool.on_sent(chosen->endpoint, nullptr, m_now));
-        response made{&host, {chosen->endpoint, chosen->started_ms}, {}, false, {}};
+        response made{&host, {chosen->endpoint, chosen->started_ms}, {}, false, {}, {}};
         const endpoint* found = find(chosen->endpoint);
         if (found == nullptr) {
             made.outcome = endpoint_outcome::unreachable;
@@ -153,6 +191,10 @@
             made.outcome = chance(0.8)   ? endpoint_outcome::answered
                            : chance(0.5) ? endpoint_outcome::shed
                                          : endpoint_outcome::cut;
+            if (m_now >= found->busy_from && m_now < found->busy_until) {
+                made.outcome = chance(0.7) ? endpoint_outcome::shed : endpoint_outcome::failed;
+                made.retry_after = span(300ms, 4s);
+            }
             judge(host, made.responder);
         }
         m_responses.emplace(m_now + span(20ms, 400ms), made);
@@ -169,12 +211,17 @@
     }
 
     /// Counts a request that reaches an endpoint too late.
-    void judge(const host_state& host, const endpoint_incarnation& reached)
+    void judge(host_state& host, const endpoint_incarnation& reached)
     {
         const auto heard = host.heard_leaving.find(reached);
         if (heard != host.heard_leaving.end() && m_now > heard->second + drain) {
             ++m_late_requests;
         }
+        for (turn_away& each : host.turn_aways) {
+            if (each.endpoint == reached && m_now >= each.from && m_now < each.until) {
+                ++each.requests;
+            }
+        }
         if (reached.started_ms > to_milliseconds(start.time_since_epoch()).count()) {
             ++m_requests_to_new;
         }
@@ -191,6 +238,11 @@
                     received.host->heard_leaving.try_emplace(received.responder, m_now).second ? 1
                                                                                                : 0;
             }
+            if (received.retry_after) {
+                received.host->pool.on_turned_away(received.named, *received.retry_after, m_now);
+                received.host->turn_aways.push_back(
+                    {received.responder, m_now + turn_away_slack, m_now + *received.retry_after});
+            }
             received.host->pool.on_end(received.named.id, 0, received.outcome, m_now);
         }
     }
@@ -208,22 +260,27 @@
 
 } // namespace
 
-// guards against requests to a leaving endpoint in orders of events that no single test has
-TEST_CASE("random schedules: a leaving endpoint gets a request after the drain time")
+// guards against requests that endpoints don't want, in orders of events that no single test has
+TEST_CASE("random schedules: a leaving endpoint gets a request after the drain time, or one that "
+          "turns away gets several")
 {
     for (const std::size_t hosts : {std::size_t{6}, std::size_t{60}}) {
         int notices = 0;
+        std::size_t turn_aways = 0;
         int requests_to_new = 0;
         for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
             CAPTURE(hosts);
             CAPTURE(seed);
-            leaving_schedule schedule{hosts, seed};
+            statement_schedule schedule{hosts, seed};
             schedule.run();
             CHECK(schedule.late_requests() == 0);
+            CHECK(schedule.broken_turn_aways() == 0);
+            turn_aways += schedule.turn_aways();
             notices += schedule.notices();
             requests_to_new += schedule.requests_to_new();
         }
         // the schedules have what the check is about, and new incarnations are used
+        CHECK(turn_aways > 0);
         CHECK(notices > 0);
         CHECK(requests_to_new > 0);
     }
