Spell out the comparison of endpoint incarnations

The linter reports the defaulted three-way comparison of endpoint_incarnation (modernize-use-nullptr).

--- a/src/gateway/routing/endpoint_notices.h
+++ b/src/gateway/routing/endpoint_notices.h
@@ -3,11 +3,11 @@
 #include "process/clock.h"
 
 #include <chrono>  // seconds
-#include <compare> // strong_ordering
 #include <cstddef> // size_t
 #include <cstdint> // int64_t
 #include <map>     // map
 #include <string>  // string
+#include <tuple>   // tie
 
 namespace hickorykeel::gateway {
 
@@ -16,7 +16,11 @@
     std::string id;
     std::int64_t started_ms = 0; ///< Unix milliseconds; 0: unknown
 
-    [[nodiscard]] auto operator<=>(const endpoint_incarnation&) const = default;
+    [[nodiscard]] bool operator==(const endpoint_incarnation&) const = default;
+    [[nodiscard]] bool operator<(const endpoint_incarnation& rhs) const noexcept
+    {
+        return std::tie(id, started_ms) < std::tie(rhs.id, rhs.started_ms);
+    }
 };
 
 /// What endpoints have said of themselves in the heads of their responses.
