Give a cold endpoint no successor before its last owner's requests are old

Seen by callers: requests to an endpoint that had just started may crash it, and are then lost.

Cause (class: two owners at once, at a handover): the owner sent its 3 at 7.53 to 7.62 s. At 7.830 s it and a second host of the region got SIGTERM and told each other that they were leaving. A host left leaving hosts out of the choice of the owner, but never itself, so the second host, itself leaving, took over and sent 3 at 7.843 to 7.872 s; the third host, to which both were leaving, sent 3 more at 7.880 to 7.991 s. Each kept to its own limit. The rate limiter of one host knows nothing of what the last owner has sent.

Fix: a host that is leaving owns no endpoint, and a host that announces its leaving counts as a candidate for 1.2 s more (longer than the limiter's window of 1.15 s), so its successor starts when the last request of the former one is over a second old, however many hosts leave one after the other. A host that falls silent needs none of this: it counts for 1.3 s anyway. The member table keeps when a host was first known to be leaving.

--- a/src/gateway/limits/cold_owner.h
+++ b/src/gateway/limits/cold_owner.h
@@ -3,20 +3,28 @@
 #include "gateway/membership/member_table.h"
 #include "process/clock.h"
 
+#include <chrono>      // milliseconds
 #include <string>      // string
 #include <string_view> // string_view
 
 namespace hickorykeel::gateway {
 
-/// Address and region of this host.
+/// This host as a candidate.
 struct cold_owner_candidate {
     std::string ip;
     std::string region;
+    bool is_leaving = false;
 };
 
+/// Time for which a host that has begun to leave has no successor as an owner. It is longer than
+/// the window of `cold_rate_limiter`, so that the requests that it has sent aren't added to those of
+/// its successor.
+inline constexpr duration cold_handover_time = std::chrono::milliseconds{1'200};
+
 /// Returns whether `own` is the owner of a cold endpoint: the host with the largest rendezvous
-/// weight among the live hosts of its region that are not leaving. Hosts with the same members
-/// agree on it.
+/// weight among the live hosts of its region that are not leaving. A host that is leaving owns
+/// none; the endpoints that it owned have no owner for `cold_handover_time`. Hosts with the same
+/// members agree on it.
 ///
 /// Thread safe. Complexity: O(hosts).
 [[nodiscard]] bool is_cold_owner(const member_table& members, const cold_owner_candidate& own,
--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -120,11 +120,15 @@
     return m_members.size() < m_options.max_hosts ? &m_members[ip] : nullptr;
 }
 
-/// Records that `held` was seen at `seen_at`, after its other fields were updated.
+/// Records that `held` was seen at `seen_at`, after its other fields were updated. `was_leaving`:
+/// whether the same process was known to be leaving.
 member_change member_table::record(member& held, time_point seen_at, bool was_live,
-                                   bool has_changed)
+                                   bool was_leaving, bool has_changed)
 {
     assign_region(held);
+    if (held.last.is_leaving && !was_leaving) {
+        held.leaving_since = seen_at;
+    }
     held.region->last_seen = std::max(held.region->last_seen, seen_at);
     held.region->hosts_within_timeout += was_live ? 0 : 1;
     held.last_seen = std::max(held.last_seen, seen_at);
@@ -151,11 +155,12 @@
         return member_change::none;
     }
     const bool was_live = is_live(*held, now);
+    const bool was_leaving = is_same_process && held->last.is_leaving;
     const bool has_changed = !has_same_state(held->last, received);
     held->last = std::move(received);
     held->heard_at = now;
     held->heard_sequence = held->last.sequence;
-    return record(*held, now, was_live, has_changed);
+    return record(*held, now, was_live, was_leaving, has_changed);
 }
 
 member_change member_table::on_report(const relayed_member& reported, const std::string& region,
@@ -182,6 +187,7 @@
         return member_change::none;
     }
     const bool was_live = is_live(*held, now);
+    const bool was_leaving = is_same_process && held->last.is_leaving;
     if (!is_same_process) {
         held->last = {};
         held->last.host = reported.ip; // its name is known from its own heartbeats only
@@ -194,7 +200,7 @@
     update_state(held->last, reported);
     held->last.region = region;
     held->last.failure_domain = failure_domain;
-    return record(*held, seen_at, was_live, has_changed);
+    return record(*held, seen_at, was_live, was_leaving, has_changed);
 }
 
 /// Handles a report that a host's heartbeats have stopped.
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -31,6 +31,7 @@
     time_point heard_at{};            ///< receipt of its last heartbeat here
     std::uint64_t heard_sequence = 0; ///< of its last heartbeat here
     duration report_interval{0};      ///< between reports of other hosts about it; 0: none yet
+    time_point leaving_since{};       ///< receipt of the news that it is leaving, if it is
     bool is_lost = false;             ///< its heartbeats have stopped, here or at another host
     region_members* region = nullptr;
 };
@@ -152,7 +153,8 @@
 private:
     [[nodiscard]] member* find_or_add(const std::string& ip);
     member_change on_lost(const relayed_member& reported, time_point now);
-    member_change record(member& held, time_point seen_at, bool was_live, bool has_changed);
+    member_change record(member& held, time_point seen_at, bool was_live, bool was_leaving,
+                         bool has_changed);
     [[nodiscard]] bool is_reported(const member& candidate, time_point now) const noexcept;
     /// Time without a heartbeat here after which a host is not live even if others of its region are.
     [[nodiscard]] duration host_timeout(const member& candidate) const noexcept;
