Let leaving hosts pass on heartbeats while their whole region is leaving

Cause (class: news of a planned stop not passed on, so stale membership): the hosts of a region hear of other regions through its aggregators, and a leaving host was never one. Two rolling restarts overlapped: all of attica was leaving from 4.03 s, crete-1 too, and crete-2 and epirus-1 from 4.68 s. From then on no region had an aggregator. The attica hosts named crete-1 until 6.0 s, though it had been leaving since 4.03 s.

Fix: the aggregators of a region are chosen among its leaving hosts if all its live hosts are leaving. The choice is made in one place, for the own region and others, so both ends agree on it; while any host stays, nothing changes. directory_choice and addresses_for are unchanged: they were right about what they were told.

Evidence: the new case in tests/gateway/fleet_membership_test.cpp failed before the fix (hosts of the first region named 2 and 3 hosts of the second a second after these had begun to stop).

--- a/src/gateway/membership/heartbeat_schedule.cpp
+++ b/src/gateway/membership/heartbeat_schedule.cpp
@@ -97,24 +97,26 @@
     return found != m_contacts.end() && found->second.replaced_at.has_value();
 }
 
-/// Returns the aggregators of `region`, with this host if it is one.
+/// Returns the aggregators of `region`, with this host if it is one: hosts that are not leaving, or,
+/// if all of its hosts are, some of those, which still have to hear of the others and be heard.
 std::vector<std::string> heartbeat_schedule::choose_region(const member_table& members,
                                                            const std::string& region,
                                                            candidates allowed, bool is_leaving,
                                                            time_point now) const
 {
     const bool excludes_replaced = allowed == candidates::not_replaced && has_replaced_any();
-    std::vector<aggregator_candidate> hosts;
-    if (region == m_own.region && !is_leaving) {
-        hosts.push_back({m_own.ip, m_own.failure_domain});
+    std::vector<aggregator_candidate> staying;
+    std::vector<aggregator_candidate> leaving;
+    if (region == m_own.region) {
+        (is_leaving ? leaving : staying).push_back({m_own.ip, m_own.failure_domain});
     }
     for (const auto& [ip, host] : members.all()) {
-        if (host.last.region == region && !host.last.is_leaving && members.is_live(host, now) &&
+        if (host.last.region == region && members.is_live(host, now) &&
             !(excludes_replaced && has_replaced(ip))) {
-            hosts.push_back({ip, host.last.failure_domain});
+            (host.last.is_leaving ? leaving : staying).push_back({ip, host.last.failure_domain});
         }
     }
-    return choose_aggregators(hosts, m_options.max_aggregators);
+    return choose_aggregators(staying.empty() ? leaving : staying, m_options.max_aggregators);
 }
 
 /// Returns the aggregator whose digests this host wants with every heartbeat: one of its own
--- a/src/gateway/membership/heartbeat_schedule.h
+++ b/src/gateway/membership/heartbeat_schedule.h
@@ -86,7 +86,8 @@
 
     /// Returns the recipients of the heartbeat that is due now, each once.
     /// @param sequence of the heartbeat
-    /// @param is_leaving whether this host is stopping, and isn't to be an aggregator
+    /// @param is_leaving whether this host is stopping, and isn't to be an aggregator unless all hosts
+    /// of its region are stopping
     /// O(hosts · log hosts).
     [[nodiscard]] std::vector<heartbeat_recipient>
     choose(const member_table& members, std::uint64_t sequence, bool is_leaving, time_point now);
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -182,6 +182,33 @@
     CHECK(fleet.fewest_live() == fleet.running());
 }
 
+// the stopping hosts of a region named those of another one for two seconds after they had left
+TEST_CASE("regression: hosts of a region that is stopping hear that another region stops too")
+{
+    for (const int hosts_per_domain : {1, 2, 3}) {
+        CAPTURE(hosts_per_domain);
+        simulated_fleet fleet{{.domains_per_region = 1, .hosts_per_domain = hosts_per_domain}};
+        fleet.start_all();
+        fleet.run_for(5s);
+        const std::string first = fleet.hosts().front().region;
+        const std::string second = fleet.hosts().back().region;
+        for (const std::string& stopped : {first, second}) {
+            for (simulated_fleet::host& host : fleet.hosts()) {
+                if (host.region == stopped) {
+                    host.state.is_leaving = true;
+                    host.state.is_ready = false;
+                }
+            }
+            fleet.run_for(1s);
+            for (const simulated_fleet::host& observer : fleet.hosts()) {
+                CAPTURE(observer.region);
+                CAPTURE(stopped);
+                CHECK(ready_in(fleet, observer, stopped) == 0);
+            }
+        }
+    }
+}
+
 TEST_CASE("a lost host: no host names it for longer than the directory may")
 {
     simulated_fleet fleet{{.hosts_per_domain = many}};
