Test that a stopping gateway sends complete responses to their end

The line in check_shutdown that waits for unsent bytes had no test. The new case of gateway_calm_day_test stops a real gateway that holds four complete responses of 4 MB for a caller that reads only once no more requests are taken. The endpoint stand-in's body can be set for that.

--- a/standins/gateway/platform_world.cpp
+++ b/standins/gateway/platform_world.cpp
@@ -54,9 +54,9 @@
 
 endpoint_standin::endpoint_standin(asio::io_context& loop, std::string id, std::string service,
                                    std::string failure_domain, const std::string& address)
-    : m_loop{loop}, m_id{std::move(id)}, m_service{std::move(service)}, m_failure_domain{std::move(
-                                                                            failure_domain)},
-      m_address{address}, m_server{loop, [this](const auto& request) { serve(request); }}
+    : m_loop{loop}, m_id{std::move(id)}, m_service{std::move(service)},
+      m_failure_domain{std::move(failure_domain)}, m_address{address}, m_body{"answer of " + m_id},
+      m_server{loop, [this](const auto& request) { serve(request); }}
 {
     listen_or_abort(m_server, address);
 }
@@ -82,7 +82,7 @@
     ++m_runs[attempt];
     headers.add("X-Hickorykeel-Response-Seal", "seal-of-" + m_id);
     if (head.target.find("/stream/") == std::string::npos) {
-        request->respond(200, headers, "answer of " + m_id);
+        request->respond(200, headers, m_body);
         return;
     }
     request->begin(200, headers);
--- a/standins/gateway/platform_world.h
+++ b/standins/gateway/platform_world.h
@@ -33,6 +33,9 @@
     void set_state(std::string state) { m_state = std::move(state); }
     void set_events(int events) noexcept { m_events = events; }
 
+    /// Replaces the body of responses that are not streams.
+    void set_body(std::string body) { m_body = std::move(body); }
+
 private:
     void serve(const std::shared_ptr<gateway::server_exchange>& request);
     void stream(const std::shared_ptr<gateway::server_exchange>& request, int next);
@@ -44,6 +47,7 @@
     std::string m_address;
     std::string m_state = "ready";
     int m_events = 5;
+    std::string m_body;
     std::uint64_t m_sequence = 0;
     std::map<std::string, int> m_runs;
     gateway::http_server m_server;
--- a/tests/scenarios/gateway_calm_day_test.cpp
+++ b/tests/scenarios/gateway_calm_day_test.cpp
@@ -1,14 +1,22 @@
+#include "gateway/http/tcp_channel.h"
 #include "standins/gateway/platform_world.h"
 #include "support/child_process.h"
 #include "support/free_port.h"
 #include "support/scratch_file.h"
 
-#include <map>    // map
-#include <memory> // unique_ptr
-#include <set>    // set
-#include <string> // string
-#include <vector> // vector
+#include <algorithm> // count
+#include <cstddef>   // ptrdiff_t, size_t
+#include <map>       // map
+#include <memory>    // unique_ptr
+#include <set>       // set
+#include <string>    // string
+#include <vector>    // vector
 
+#include <asio/buffer.hpp>     // buffer, dynamic_buffer
+#include <asio/io_context.hpp> // io_context
+#include <asio/ip/tcp.hpp>     // tcp
+#include <asio/read.hpp>       // read
+#include <asio/write.hpp>      // write
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -171,6 +179,24 @@
         });
     }
 
+    /// Sends `count` requests on a connection of its own, whose responses are read by the test.
+    asio::ip::tcp::socket send_unread(std::size_t at, const std::string& target, int count)
+    {
+        std::string requests;
+        for (int i = 0; i < count; ++i) {
+            m_id = std::to_string(++m_count);
+            requests += "GET " + target + " HTTP/1.1\r\nHost: " + caller_host +
+                        "\r\nX-Hickorykeel-Attempt-Id: " + m_id +
+                        "\r\nX-Hickorykeel-Deadline-Ms: 20000\r\nApi-Key: " + first_key +
+                        "\r\nConnection: " + (i + 1 < count ? "keep-alive" : "close") + "\r\n\r\n";
+        }
+        asio::ip::tcp::socket socket{m_unread_loop, asio::ip::tcp::v4()};
+        socket.set_option(asio::socket_base::receive_buffer_size{4'096});
+        socket.connect(*gateway::to_tcp_endpoint(m_hosts.at(at).ip + m_ports.callers));
+        asio::write(socket, asio::buffer(requests));
+        return socket;
+    }
+
     std::string directory(std::size_t at, const std::string& region)
     {
         const auto answer = m_world.ask(m_hosts.at(at).ip + m_ports.directory, "GET",
@@ -211,6 +237,7 @@
             "hickorykeel-gateway", std::vector<std::string>{"--settings", host.settings->path()});
     }
 
+    asio::io_context m_unread_loop;
     std::string m_store_address = free_address();
     platform_world m_world{m_store_address};
     day_ports m_ports;
@@ -309,3 +336,30 @@
     CHECK(day.host(0).process->exit_code() == 0);
     CHECK(day.host(0).process->output().find(R"("event":"stop")") != std::string::npos);
 }
+
+// guards against LOST: the process ended while it still held most of a complete response
+TEST_CASE("a gateway that is told to stop sends complete responses to their end")
+{
+    // together more than the kernel takes for a caller that doesn't read
+    constexpr int count = 4;
+    constexpr std::size_t body_bytes = 4'000'000;
+    calm_day day;
+    for (const char* id : {"i-a1", "i-a2"}) {
+        day.endpoint(id).set_body(std::string(body_bytes, '~'));
+    }
+    auto socket = day.send_unread(0, "/safe/x", count);
+    REQUIRE(day.world().run_until([&] { return day.runs_of_last() > 0; }));
+    REQUIRE(day.world().run_until(
+        [&] { return day.metrics(0).find("active_requests\"} 0\n") != std::string::npos; }));
+    day.host(0).process->terminate();
+    // a gateway without unsent bytes ends as soon as it takes no more requests
+    REQUIRE(day.world().run_until([&] { return day.ask(0, "GET", "/once/x").status != 200; }));
+
+    std::string received;
+    asio::error_code failure;
+    asio::read(socket, asio::dynamic_buffer(received), failure);
+    CHECK(failure == asio::error::eof);
+    CHECK(std::ranges::count(received, '~') == static_cast<std::ptrdiff_t>(count * body_bytes));
+    CHECK(day.world().run_until([&] { return day.host(0).process->exit_code().has_value(); }));
+    CHECK(day.host(0).process->exit_code() == 0);
+}
