Count a crash of an engine once, however late it is reported

What callers would see: sound requests refused for five minutes after a single crash, and evidence that never ended.

Cause: hosts recognised a crash by its endpoint and age only. The age grows by the transit time with each relay, so a crash that slow heartbeats or a frozen host reported came back as another one. Crashes of one sick endpoint counted like those of several.

Change: a crash has an id from the host that saw it and ends for good with its retention; a clear verdict needs two endpoints; negative ages and empty reports are ignored; the answered parts in a heartbeat are bounded.

The new cases were not run on the code before.

--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -149,6 +149,7 @@
     gossip::crash_evidence& added = *message.mutable_crashes();
     for (const crash_report& report : crashes.crashes) {
         gossip::crash_report& crash = *added.add_crashes();
+        crash.set_id(report.id);
         crash.set_endpoint(report.endpoint);
         crash.set_age_ms(to_ms(report.age));
         crash.mutable_parts()->Add(report.parts.begin(), report.parts.end());
@@ -167,7 +168,7 @@
 {
     crash_evidence evidence;
     for_each_bounded(message.crashes(), [&evidence](const gossip::crash_report& crash) {
-        crash_report report{crash.endpoint(), milliseconds{crash.age_ms()}, {}};
+        crash_report report{crash.id(), crash.endpoint(), milliseconds{crash.age_ms()}, {}};
         for_each_bounded(crash.parts(),
                          [&report](std::uint64_t part) { report.parts.push_back(part); });
         evidence.crashes.push_back(std::move(report));
--- a/src/gateway/routing/prompt_quarantine.cpp
+++ b/src/gateway/routing/prompt_quarantine.cpp
@@ -28,27 +28,38 @@
                                       const std::vector<std::uint64_t>& parts, bool has_begun,
                                       time_point now)
 {
-    if (!parts.empty()) {
-        add_parts(find_or_add_crash(endpoint, now), parts, !has_begun);
+    if (parts.empty()) {
+        return;
+    }
+    const std::uint64_t id = m_options.salt + ++m_own_crashes;
+    if (crash* const observed = find_or_add_crash({id, endpoint, duration{0}, {}}, now)) {
+        add_parts(*observed, parts, !has_begun);
     }
 }
 
-prompt_quarantine::crash& prompt_quarantine::find_or_add_crash(std::uint32_t endpoint,
-                                                               time_point at)
+/// Returns the crash that was seen, or null if it is too old.
+prompt_quarantine::crash* prompt_quarantine::find_or_add_crash(const crash_report& seen,
+                                                               time_point now)
 {
+    const time_point at = now - seen.age;
     const auto held = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const crash& known) {
         const duration apart = known.at > at ? known.at - at : at - known.at;
-        return known.endpoint == endpoint && apart < m_options.merge_range;
+        return known.id == seen.id ||
+               (known.endpoint == seen.endpoint && apart < m_options.merge_range);
     });
+    const bool was_heard = !m_heard.insert_or_assign(seen.id, now).second;
     if (held != m_crashes.end()) {
-        return *held;
+        return &*held;
+    }
+    if (was_heard) {
+        return nullptr;
     }
     if (m_crashes.size() >= m_options.max_crashes) {
         m_crashes.erase(m_crashes.begin());
     }
     const auto later = std::find_if(m_crashes.begin(), m_crashes.end(),
                                     [at](const crash& known) { return known.at > at; });
-    return *m_crashes.insert(later, crash{endpoint, at, {}});
+    return &*m_crashes.insert(later, crash{seen.id, seen.endpoint, at, {}});
 }
 
 /// Adds the parts that the crash doesn't have yet.
@@ -83,10 +94,12 @@
     std::set<std::uint64_t> answered;
     for (auto it = m_crashes.rbegin();
          it != m_crashes.rend() && sent.crashes.size() < m_options.max_sent_crashes; ++it) {
-        crash_report report{it->endpoint, now - it->at, {}};
+        crash_report report{it->id, it->endpoint, now - it->at, {}};
         for (const std::uint64_t part : it->parts) {
             if (is_recent(m_answered, part, now - m_options.answer_retention)) {
-                answered.insert(part);
+                if (answered.size() < m_options.max_sent_answered) {
+                    answered.insert(part);
+                }
             }
             else if (!is_sound(part, now) && report.parts.size() < m_options.max_sent_parts) {
                 report.parts.push_back(part);
@@ -113,12 +126,16 @@
         m_verdicts.erase(part);
     }
     for (const crash_report& report : received.crashes) {
-        if (report.age < m_options.crash_retention) {
-            add_parts(find_or_add_crash(report.endpoint, now - report.age), report.parts, false);
+        const bool is_usable = report.age >= duration{0} && !report.parts.empty() &&
+                               report.age < m_options.crash_retention;
+        crash* const observed = is_usable ? find_or_add_crash(report, now) : nullptr;
+        if (observed != nullptr) {
+            add_parts(*observed, report.parts, false);
         }
     }
     for (const part_verdict& verdict : received.verdicts) {
-        if (!is_sound(verdict.part, now) && verdict.age < m_options.quarantine) {
+        if (!is_sound(verdict.part, now) && verdict.age >= duration{0} &&
+            verdict.age < m_options.quarantine) {
             add_verdict(verdict.part, now - verdict.age);
         }
     }
@@ -157,6 +174,9 @@
 {
     std::erase_if(m_crashes,
                   [&](const crash& known) { return now - known.at >= m_options.crash_retention; });
+    std::erase_if(m_heard, [&](const auto& heard) {
+        return now - heard.second >= 2 * m_options.crash_retention;
+    });
     std::erase_if(m_verdicts, [&](const auto& verdict) {
         return now - verdict.second >= m_options.quarantine;
     });
@@ -230,6 +250,7 @@
                 last->second = observed.at;
                 ++counts.by_part[part];
             }
+            counts.endpoints[part].insert(observed.endpoint);
         }
     }
     return counts;
@@ -242,7 +263,7 @@
     if (m_crashes.size() < m_options.min_crashes) {
         return {};
     }
-    const crash_counts counts = count_crashes(now);
+    crash_counts counts = count_crashes(now);
     unsigned most = 0;
     std::vector<std::uint64_t> culprits;
     for (const auto& [part, count] : counts.by_part) {
@@ -254,7 +275,8 @@
             culprits.push_back(part);
         }
     }
-    const bool is_clear = culprits.size() == 1 && 2 * most >= counts.moments;
+    const bool is_clear = culprits.size() == 1 && 2 * most >= counts.moments &&
+                          counts.endpoints[culprits.front()].size() > 1;
     const unsigned needed = is_clear ? m_options.min_crashes : m_options.min_unclear_crashes;
     return most >= needed ? culprits : std::vector<std::uint64_t>{};
 }
--- a/src/gateway/routing/prompt_quarantine.h
+++ b/src/gateway/routing/prompt_quarantine.h
@@ -8,12 +8,14 @@
 #include <map>           // map
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
+#include <unordered_set> // unordered_set
 #include <vector>        // vector
 
 namespace hickorykeel::gateway {
 
 /// A crash of an engine: the parts of the prompts whose responses it broke off.
 struct crash_report {
+    std::uint64_t id = 0;       ///< given by the host that saw it
     std::uint32_t endpoint = 0; ///< hash of the endpoint's id
     duration age{0};
     std::vector<std::uint64_t> parts; ///< those of responses that had not begun come first
@@ -39,10 +41,13 @@
 };
 
 struct prompt_quarantine_options {
+    /// Distinguishes the crashes that this host sees from those that other hosts see.
+    std::uint64_t salt = 0;
     /// Crashes, at separate moments, that had a part in common before it is refused, if it explains
-    /// at least half of all crashes, and more than any other part.
+    /// at least half of all crashes, and more than any other part, and two endpoints have crashed.
     unsigned min_crashes = 3;
-    /// The same if it explains fewer, or if another part explains as many.
+    /// The same if it explains fewer, if another part explains as many, or if only one endpoint has
+    /// crashed.
     unsigned min_unclear_crashes = 5;
     /// Crashes within this time count as one: they may have one outer cause.
     duration separation = std::chrono::milliseconds{300};
@@ -58,6 +63,7 @@
     std::size_t max_verdicts = 64;
     std::size_t max_sent_crashes = 8; ///< in one heartbeat, the newest ones
     std::size_t max_sent_parts = 24;  ///< of one crash in a heartbeat
+    std::size_t max_sent_answered = 128;
 };
 
 /// Finds the parts of prompts that crash the engines which process them, and refuses requests with
@@ -109,6 +115,7 @@
 
 private:
     struct crash {
+        std::uint64_t id = 0;
         std::uint32_t endpoint = 0;
         time_point at{};
         std::vector<std::uint64_t> parts; ///< as in `crash_report`
@@ -117,9 +124,10 @@
     struct crash_counts {
         unsigned moments = 0; ///< of all crashes
         std::unordered_map<std::uint64_t, unsigned> by_part;
+        std::unordered_map<std::uint64_t, std::unordered_set<std::uint32_t>> endpoints; ///< by part
     };
 
-    crash& find_or_add_crash(std::uint32_t endpoint, time_point at);
+    crash* find_or_add_crash(const crash_report& seen, time_point now);
     void add_parts(crash& observed, const std::vector<std::uint64_t>& parts,
                    bool comes_first) const;
     void add_verdict(std::uint64_t part, time_point at);
@@ -132,7 +140,11 @@
     [[nodiscard]] std::vector<std::uint64_t> find_culprits(time_point now) const;
 
     prompt_quarantine_options m_options;
-    std::vector<crash> m_crashes;                                  ///< oldest first
+    std::vector<crash> m_crashes; ///< oldest first
+    /// When each crash that was ever reported was heard of last, by its id. A crash whose
+    /// retention is over doesn't count again while hosts still report it.
+    std::unordered_map<std::uint64_t, time_point> m_heard;
+    std::uint64_t m_own_crashes = 0;
     std::unordered_map<std::uint64_t, time_point> m_answered;      ///< by part, here
     std::unordered_map<std::uint64_t, time_point> m_peer_answered; ///< by part, at other hosts
     std::map<std::uint64_t, time_point> m_verdicts;                ///< by part
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -90,7 +90,8 @@
                                          [this](const std::string& endpoint, double rate) {
                                              return cold_rate_for(endpoint, rate);
                                          }},
-      m_client{m_loop}, m_source{m_parts.make_source(m_loop, m_client, m_settings)},
+      m_quarantine{{.salt = random_seed()}}, m_client{m_loop}, m_source{m_parts.make_source(
+                                                                   m_loop, m_client, m_settings)},
       m_follower{{m_loop, *m_source, m_state, m_fleet.members(), m_client, m_log, m_metrics},
                  {.relay_port = m_settings.peers_port(),
                   .choice = {.ip = m_settings.ip,
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -93,7 +93,7 @@
     fleet_membership m_fleet;
     rate_limiter m_usage;
     endpoint_pool m_pool;
-    prompt_quarantine m_quarantine{{}};
+    prompt_quarantine m_quarantine;
     http_client m_client;
     std::unique_ptr<publication_source> m_source;
     configuration_follower m_follower;
--- a/tests/gateway/gossip_codec_test.cpp
+++ b/tests/gateway/gossip_codec_test.cpp
@@ -213,7 +213,7 @@
 TEST_CASE("evidence of crashes is unchanged by encoding and decoding, also for other regions")
 {
     heartbeat sent = make_digest_heartbeat();
-    sent.crashes.crashes = {{99, 1'500ms, {3, 0xffff'ffff'ffff'ffff}}};
+    sent.crashes.crashes = {{8, 99, 1'500ms, {3, 0xffff'ffff'ffff'ffff}}};
     sent.crashes.answered = {4};
     sent.crashes.verdicts = {{5, 20s}};
     for (const auto scope : {heartbeat_scope::own_region, heartbeat_scope::fleet}) {
@@ -221,6 +221,7 @@
         REQUIRE(received);
         const crash_evidence& crashes = received->crashes;
         REQUIRE(crashes.crashes.size() == 1);
+        CHECK(crashes.crashes.front().id == 8);
         CHECK(crashes.crashes.front().endpoint == 99);
         CHECK(crashes.crashes.front().age == 1'500ms);
         CHECK(crashes.crashes.front().parts == sent.crashes.crashes.front().parts);
--- a/tests/gateway/prompt_quarantine_test.cpp
+++ b/tests/gateway/prompt_quarantine_test.cpp
@@ -57,7 +57,13 @@
     void set_cut_off(std::size_t host, bool is_cut_off) { m_is_cut_off.at(host) = is_cut_off; }
 
 private:
-    std::vector<prompt_quarantine> m_hosts{hosts, prompt_quarantine{{}}};
+    std::vector<prompt_quarantine> m_hosts = [] {
+        std::vector<prompt_quarantine> made;
+        for (std::uint64_t host = 0; host < hosts; ++host) {
+            made.emplace_back(prompt_quarantine_options{.salt = host << 32U});
+        }
+        return made;
+    }();
     std::array<bool, hosts> m_is_cut_off{};
 };
 
@@ -175,14 +181,48 @@
     CHECK_FALSE(fleet.at(5).refusal({shared}, now + 30s).has_value());
 }
 
+// guards against refused sound requests: a crash that late heartbeats reported again and again
+// counted as several, and was never forgotten
+TEST_CASE("regression: a crash that is reported late, in turns, is one crash and ends")
+{
+    prompt_quarantine_options options;
+    options.salt = 1;
+    prompt_quarantine here{options};
+    options.salt = 1'000;
+    prompt_quarantine there{options};
+    here.on_broken_off(1, {7, 8}, false, start);
+    // each report is older than it says by the time for which it was under way
+    constexpr duration delay = 1s;
+    for (time_point now = start; now < start + 120s; now += 200ms) {
+        const crash_evidence from_here = here.evidence(now);
+        const crash_evidence from_there = there.evidence(now);
+        there.on_evidence(from_here, now + delay);
+        here.on_evidence(from_there, now + delay);
+        CHECK(here.update(now + delay).empty());
+        CHECK(there.update(now + delay).empty());
+    }
+    CHECK(here.evidence(start + 121s).is_empty());
+    CHECK(there.evidence(start + 121s).is_empty());
+}
+
+// guards against refused sound requests: one sick endpoint broke off the same session three times
+TEST_CASE("regression: three crashes of one endpoint refuse nothing")
+{
+    prompt_quarantine quarantine{{}};
+    for (int i = 0; i < 3; ++i) {
+        quarantine.on_broken_off(1, {tainted}, false, start + i * 2s);
+    }
+    CHECK(quarantine.update(start + 6s).empty());
+}
+
 TEST_CASE("evidence is bounded, whatever is received")
 {
     prompt_quarantine quarantine{{}};
     const prompt_quarantine_options bounds;
     for (std::uint32_t i = 0; i < 1'000; ++i) {
         crash_evidence received;
-        received.crashes.push_back({i, duration{i}, parts(1'000, i)});
-        received.crashes.push_back({i, -1s, {}});
+        received.crashes.push_back({i, i, duration{i}, parts(1'000, i)});
+        received.crashes.push_back({i, i, -1s, {}});
         received.answered.assign(100, i);
         received.verdicts.push_back({i, 1s});
         quarantine.on_evidence(received, start);
