Find the parts of a prompt also where its tokens aren't stated

Cause: the parts were read together with the sizes, and not at all without them. A reader of the quarantine showed it by leaving the header out of its test.

Change: the ids of the parts are a field of the caller's request by themselves.

--- a/src/gateway/routing/prompt.h
+++ b/src/gateway/routing/prompt.h
@@ -20,9 +20,8 @@
 /// Size and shared prefixes of a generation request's prompt.
 struct prompt {
     std::uint64_t prompt_tokens = 0;
-    std::uint64_t output_tokens = 0;              ///< upper bound
-    std::vector<prompt_prefix> prefixes;          ///< shareable prefixes, shortest first
-    std::vector<std::uint64_t> shared_parts = {}; ///< ids of all parts but the last
+    std::uint64_t output_tokens = 0;     ///< upper bound
+    std::vector<prompt_prefix> prefixes; ///< shareable prefixes, shortest first
 
     /// Tokens that the request occupies in an engine's memory when it completes.
     [[nodiscard]] std::uint64_t total_tokens() const noexcept
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -242,11 +242,7 @@
 /// Refuses the request if its prompt has a part that crashes engines. Returns whether it does.
 bool exchange::refuse_quarantined()
 {
-    if (!m_fields.prompt_size) {
-        return false;
-    }
-    const auto remaining =
-        m_context.quarantine.refusal(m_fields.prompt_size->shared_parts, boot_clock::now());
+    const auto remaining = m_context.quarantine.refusal(m_fields.shared_parts, boot_clock::now());
     if (!remaining) {
         return false;
     }
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -196,17 +196,16 @@
 /// Tells the quarantine that an engine broke off the response, perhaps because of the prompt.
 void exchange::note_broken_off()
 {
-    if (!m_attempt.endpoint.empty() && m_fields.prompt_size) {
-        m_context.quarantine.on_broken_off(short_hash(m_attempt.endpoint),
-                                           m_fields.prompt_size->shared_parts,
+    if (!m_attempt.endpoint.empty()) {
+        m_context.quarantine.on_broken_off(short_hash(m_attempt.endpoint), m_fields.shared_parts,
                                            m_events.events() > 0, boot_clock::now());
     }
 }
 
 void exchange::note_answered()
 {
-    if (!m_attempt.endpoint.empty() && m_fields.prompt_size) {
-        m_context.quarantine.on_answered(m_fields.prompt_size->shared_parts, boot_clock::now());
+    if (!m_attempt.endpoint.empty()) {
+        m_context.quarantine.on_answered(m_fields.shared_parts, boot_clock::now());
     }
 }
 
--- a/src/gateway/serving/protocol_adapter.h
+++ b/src/gateway/serving/protocol_adapter.h
@@ -4,6 +4,7 @@
 #include "gateway/routing/prompt.h"
 
 #include <chrono>      // milliseconds
+#include <cstdint>     // uint64_t
 #include <functional>  // function
 #include <optional>    // optional
 #include <string>      // string
@@ -17,8 +18,9 @@
     std::string id; ///< attempt id; unique for each attempt of a caller
     std::string key;
     std::optional<std::chrono::milliseconds> deadline; ///< time allowed from the receipt
-    std::optional<prompt> prompt_size;                 ///< set for generation requests only
-    std::string last_event_id;  ///< a resumed stream continues after this event
+    std::optional<prompt> prompt_size; ///< set for generation requests that state their tokens
+    std::vector<std::uint64_t> shared_parts; ///< ids of the prompt's parts but the last
+    std::string last_event_id;               ///< a resumed stream continues after this event
     std::string refusal_reason; ///< reason if the fields are malformed, otherwise empty
 };
 
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -102,6 +102,9 @@
     /// Sends the following requests with a prompt of these parts.
     void set_prompt(const std::string& parts) { m_prompt = parts; }
 
+    /// Sets whether requests with a prompt state its tokens.
+    void set_states_tokens(bool states_tokens) { m_states_tokens = states_tokens; }
+
     [[nodiscard]] prompt_quarantine& quarantine() noexcept { return m_quarantine; }
 
     /// Sets the slack of the fleet's retry budget. Precondition: no request was sent yet.
@@ -233,7 +236,9 @@
         headers.add("X-Hickorykeel-Deadline-Ms", "5000");
         headers.add("Api-Key", key);
         if (!m_prompt.empty()) {
-            headers.add("X-Hickorykeel-Token-Usage", "100,10");
+            if (m_states_tokens) {
+                headers.add("X-Hickorykeel-Token-Usage", "100,10");
+            }
             headers.add("X-Hickorykeel-Prompt-Prefix", m_prompt);
         }
         if (!forwarded_by.empty()) {
@@ -343,6 +348,7 @@
     std::vector<std::unique_ptr<http_server>> m_endpoints;
     std::unique_ptr<http_server> m_peer;
     std::shared_ptr<client_connection> m_call;
+    bool m_states_tokens = true;
     std::string m_prompt;                       // parts; empty: none
     std::map<std::string, unsigned> m_occupied; // slots, by endpoint
 };
@@ -1304,6 +1310,11 @@
         request->send("id: 1\ndata: a\n\n");
         request->end();
     };
+    SUBCASE("its tokens are stated") {}
+    SUBCASE("its tokens are not stated")
+    {
+        gateway.set_states_tokens(false);
+    }
     gateway.set_prompt("bad:10,5:10,1:10");
     for (const std::string endpoint : {"a", "b", "c"}) {
         gateway.add_endpoint(endpoint, cut);
