--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -387,7 +387,7 @@
 TEST_CASE("regression: an entry with values out of range names no endpoint")
 {
     REQUIRE(platform::decode_endpoint("i-1", entry_with("slots", "4")));
-    for (const auto& [name, value] : std::vector<std::pair<std::string, std::string>>{
+    for (const auto& field : std::vector<std::pair<std::string, std::string>>{
              {"slots", "4294967296"},
              {"slots", "4294967297"},
              {"slots", "18446744073709551615"},
@@ -409,6 +409,8 @@
              {"address", R"("255.255.255.255:80")"},
              {"other", nest(deep)},
          }) {
+        const auto& name = field.first;
+        const auto& value = field.second;
         CAPTURE(name);
         CAPTURE(value.substr(0, 40));
         CHECK_FALSE(platform::decode_endpoint("i-1", entry_with(name, value)));
