--- a/tests/scenarios/gateway_calm_day_test.cpp
+++ b/tests/scenarios/gateway_calm_day_test.cpp
@@ -18,6 +18,7 @@
 #include <asio/read.hpp>       // read
 #include <asio/write.hpp>      // write
 #include <doctest/doctest.h>
+#include <fmt/format.h> // format
 #include <nlohmann/json.hpp>
 
 using namespace hickorykeel;
@@ -185,10 +186,12 @@
         std::string requests;
         for (int i = 0; i < count; ++i) {
             m_id = std::to_string(++m_count);
-            requests += "GET " + target + " HTTP/1.1\r\nHost: " + caller_host +
-                        "\r\nX-Hickorykeel-Attempt-Id: " + m_id +
-                        "\r\nX-Hickorykeel-Deadline-Ms: 20000\r\nApi-Key: " + first_key +
-                        "\r\nConnection: " + (i + 1 < count ? "keep-alive" : "close") + "\r\n\r\n";
+            requests += fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n"
+                                    "X-Hickorykeel-Attempt-Id: {}\r\n"
+                                    "X-Hickorykeel-Deadline-Ms: 20000\r\n"
+                                    "Api-Key: {}\r\nConnection: {}\r\n\r\n",
+                                    target, caller_host, m_id, first_key,
+                                    i + 1 < count ? "keep-alive" : "close");
         }
         asio::ip::tcp::socket socket{m_unread_loop, asio::ip::tcp::v4()};
         socket.set_option(asio::socket_base::receive_buffer_size{4'096});
