Limit only what is held of an endpoint's response, not its length

Callers saw streams broken off, and 502 in place of whole responses, once an endpoint had sent more than 4 MiB. Cause: the client read responses with the default limits for callers' requests, which count all bytes of a body; its own limits were declared and never used. Class: a limit on one direction applied to the other. It also held for the answers of the store and of other hosts.

Change: the parser limits the bytes of a body that haven't been taken out, which for requests is the whole body as before; the client sets its own limits with each call (64 KiB of head, 64 MiB held); a response that is collected before it is relayed has the same bound.

Test before the change: 4,134,356 of 6,553,600 bytes arrived, then the call was malformed. After: passed, with a whole response of 6 MB and one above the bound (502).

--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t response_head_bytes = 65'536;
+constexpr std::size_t max_response_head_bytes = 65'536;
 constexpr std::size_t max_idle_connections = 24; // to one address
 
 /// Idle time after which a connection is not reused; less if the peer's Keep-Alive timeout is
@@ -44,6 +44,7 @@
     m_head_delivered = false;
     m_handlers = std::move(handlers);
     m_parser.restart();
+    m_parser.set_limits({max_response_head_bytes, options.max_response_bytes});
     if (has_no_body) {
         m_parser.expect_no_body();
     }
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -35,7 +35,8 @@
     std::string address;                               ///< "ip:port"
     duration max_idle_time = std::chrono::seconds{60}; ///< of a connection that may be reused
     duration connect_timeout = std::chrono::milliseconds{500};
-    std::size_t max_response_bytes = 16'777'216; ///< unused: `message_limits` apply
+    /// Maximum size of a response's body, or of what `call_handlers::on_body` leaves of it.
+    std::size_t max_response_bytes = 67'108'864;
 };
 
 /// Handlers of a call. They run on the loop's thread, and never after `cancel()`.
--- a/src/gateway/http/message_parser.cpp
+++ b/src/gateway/http/message_parser.cpp
@@ -30,7 +30,6 @@
     m_state = parse_state::reading_head;
     m_head = {};
     m_body.clear();
-    m_body_bytes = 0;
     m_head_bytes = 0;
     m_last_was_value = true;
     m_has_no_body = false;
@@ -168,8 +167,7 @@
 int message_parser::on_body(http_parser* parser, const char* at, std::size_t length)
 {
     message_parser& self = self_from(parser);
-    self.m_body_bytes += length;
-    if (self.m_body_bytes > self.m_limits.max_body_bytes) {
+    if (self.m_body.size() + length > self.m_limits.max_body_bytes) {
         self.m_state = parse_state::body_too_large;
         return 1;
     }
--- a/src/gateway/http/message_parser.h
+++ b/src/gateway/http/message_parser.h
@@ -26,7 +26,7 @@
 /// Size limits of an accepted message, in bytes.
 struct message_limits {
     std::size_t max_head_bytes = 16'384;
-    std::size_t max_body_bytes = 4'194'304;
+    std::size_t max_body_bytes = 4'194'304; ///< of the body that hasn't been taken out
 };
 
 /// Incremental parser of HTTP/1.1 messages on one connection.
@@ -102,7 +102,6 @@
     parse_state m_state = parse_state::reading_head;
     message_head m_head;
     std::string m_body;
-    std::uint64_t m_body_bytes = 0;
     std::size_t m_head_bytes = 0;
     bool m_last_was_value = true;
     bool m_has_no_body = false;
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -131,6 +131,10 @@
     const std::string taken = std::exchange(bytes, {});
     if (!is_relayable_stream(m_attempt.head)) {
         m_attempt.body += taken;
+        if (m_attempt.body.size() > m_context.options.max_response_bytes) {
+            m_attempt.call->cancel();
+            fail_attempt({endpoint_outcome::cut, true, true, "response_too_large"});
+        }
         return;
     }
     relay(taken);
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -53,6 +53,8 @@
     unsigned max_total_attempts = 4;
     /// Minimum time before the deadline at which a request is still sent.
     duration min_time_left = std::chrono::milliseconds{15};
+    /// Maximum size of the body of a response that isn't relayed as it arrives.
+    std::size_t max_response_bytes = 67'108'864;
     /// Bytes buffered for a slow caller above which reading from the endpoint is paused.
     std::size_t max_unsent_bytes = 262'144;
     /// Backoff of a host to which no connection could be established.
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -107,6 +107,9 @@
 
     [[nodiscard]] prompt_quarantine& quarantine() noexcept { return m_quarantine; }
 
+    /// Sets the maximum size of a response's body.
+    void set_max_response_bytes(std::size_t bytes) { m_context.options.max_response_bytes = bytes; }
+
     /// Sets the slack of the fleet's retry budget. Precondition: no request was sent yet.
     void set_retry_slack(double slack) { m_settings.retry_slack = slack; }
 
@@ -1085,6 +1088,32 @@
 
 } // namespace
 
+// guards against LOST: the limit on callers' requests was applied to what endpoints send
+TEST_CASE("regression: a response may be longer than a request")
+{
+    gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+    const std::string body(6'000'000, 'x');
+    gateway.add_endpoint("a", [&body](const std::shared_ptr<server_exchange>& request) {
+        request->respond(200, response_headers(), body);
+    });
+    const auto response = gateway.send_request();
+    gateway.run_to_end(response);
+    CHECK(response->status == 200);
+    CHECK((response->body == body));
+}
+
+TEST_CASE("a response above the maximum size ends in a refusal")
+{
+    gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+    gateway.set_max_response_bytes(1'000);
+    gateway.add_endpoint("a", [](const std::shared_ptr<server_exchange>& request) {
+        request->respond(200, response_headers(), std::string(1'001, 'x'));
+    });
+    const auto response = gateway.send_request();
+    gateway.run_to_end(response);
+    CHECK(response->status == 502);
+}
+
 // guards against REFUSED and TWICE: an earlier refusal that an endpoint repeated on a kept
 // connection counted as the refusal of the request that was running there
 TEST_CASE("regression: a refusal of another request doesn't count as not executed")
--- /dev/null
+++ b/tests/gateway/http_client_test.cpp
@@ -0,0 +1,84 @@
+#include "gateway/http/http_client.h"
+#include "gateway/http/http_server.h"
+#include "gateway/http/message.h"
+
+#include <functional> // function
+#include <memory>     // shared_ptr
+#include <optional>   // optional
+#include <string>     // string, to_string
+#include <utility>    // move
+
+#include <asio/io_context.hpp> // io_context
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace hickorykeel::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration test_timeout = 5s;
+
+/// Client and server on one loop.
+class client_fixture {
+public:
+    explicit client_fixture(http_server::handler on_request)
+        : m_server{m_loop, std::move(on_request)}
+    {
+        REQUIRE(is_ok(m_server.listen("127.0.0.1:0")));
+    }
+
+    std::shared_ptr<client_connection> call(call_handlers handlers)
+    {
+        call_options options;
+        options.address = "127.0.0.1:" + std::to_string(m_server.port());
+        return m_client.call(options, format_request("GET", "/", {}, {}), std::move(handlers));
+    }
+
+    /// Runs the loop until `is_done`, or for `test_timeout`. Returns whether it is done.
+    bool run_until(const std::function<bool()>& is_done)
+    {
+        const time_point limit = boot_clock::now() + test_timeout;
+        while (!is_done() && boot_clock::now() < limit) {
+            m_loop.restart();
+            m_loop.run_one_for(10ms);
+        }
+        return is_done();
+    }
+
+    [[nodiscard]] const http_client& client() const noexcept { return m_client; }
+
+private:
+    asio::io_context m_loop{1};
+    http_server m_server;
+    http_client m_client{m_loop};
+};
+
+} // namespace
+
+// guards against LOST: the limit on callers' requests was applied to what endpoints send, so that
+// long streams were ended
+TEST_CASE("regression: a response that is taken as it arrives has no maximum length")
+{
+    const std::string piece(65'536, 'x');
+    constexpr std::size_t pieces = 100;
+    client_fixture fixture{[&piece](const std::shared_ptr<server_exchange>& request) {
+        request->begin(200, {});
+        for (std::size_t i = 0; i < pieces; ++i) {
+            request->send(piece);
+        }
+        request->end();
+    }};
+    std::optional<call_end> ended;
+    std::size_t received = 0;
+    call_handlers handlers;
+    handlers.on_body = [&received](std::string& bytes) {
+        received += bytes.size();
+        bytes.clear();
+    };
+    handlers.on_end = [&ended](call_end end) { ended = end; };
+    fixture.call(std::move(handlers));
+    REQUIRE(fixture.run_until([&ended] { return ended.has_value(); }));
+    CHECK(ended == call_end::complete);
+    CHECK(received == pieces * piece.size());
+}
