Read a connection again once its call has ended

A request got no answer until its deadline, or was sent on a connection that the endpoint had long closed. Cause: an exchange stops reading its endpoint while the caller falls behind; if the stream ended in that state, its connection went back among the idle ones and stayed unread. The next request on it was sent, and its answer never read. Class: state of one user of a shared resource that outlives its use.

Change: the end of a call resumes reading. A channel waits for bytes only once, however often reading is resumed.

Test before the change: the second call on the connection had no end after 5 s. After: passed.

--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -186,6 +186,7 @@
     m_is_busy = false;
     m_idle_since = boot_clock::now();
     m_reusable_until = m_idle_since + idle;
+    m_channel->resume_reading();
     m_owner.add_idle(shared_from_this());
     handlers.on_end(call_end::complete);
 }
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -61,7 +61,8 @@
     /// Ends the call without its handlers and closes the connection.
     void cancel();
 
-    /// Stops or resumes reading; while stopped, TCP flow control holds the peer back.
+    /// Stops or resumes reading; while stopped, TCP flow control holds the peer back. The end of
+    /// the call resumes it.
     void pause() { m_channel->pause_reading(); }
     void resume() { m_channel->resume_reading(); }
 
--- a/src/gateway/http/tcp_channel.cpp
+++ b/src/gateway/http/tcp_channel.cpp
@@ -82,8 +82,13 @@
 
 void tcp_channel::wait_readable()
 {
+    if (m_waits_readable) {
+        return;
+    }
+    m_waits_readable = true;
     m_socket.async_wait(asio::ip::tcp::socket::wait_read,
                         [self = shared_from_this()](const asio::error_code& failure) {
+                            self->m_waits_readable = false;
                             if (!failure && self->m_is_open && !self->m_is_paused) {
                                 self->read_available();
                             }
--- a/src/gateway/http/tcp_channel.h
+++ b/src/gateway/http/tcp_channel.h
@@ -94,6 +94,7 @@
     bool m_is_open = false;
     bool m_is_reading = false;
     bool m_is_paused = false;
+    bool m_waits_readable = false;
     bool m_waits_writable = false;
     bool m_closes_after_sending = false;
     bool m_is_lingering = false;
--- a/tests/gateway/http_client_test.cpp
+++ b/tests/gateway/http_client_test.cpp
@@ -56,6 +56,33 @@
 
 } // namespace
 
+// guards against LOST: a stream to a slow caller ended while its connection wasn't read, and the
+// next request on that connection got no answer
+TEST_CASE("regression: a connection is read again for its next call though the last one was paused")
+{
+    client_fixture fixture{
+        [](const std::shared_ptr<server_exchange>& request) { request->respond(200, {}, "text"); }};
+    std::optional<call_end> first;
+    std::shared_ptr<client_connection> connection;
+    call_handlers handlers;
+    handlers.on_body = [&connection](std::string& bytes) {
+        bytes.clear();
+        connection->pause();
+    };
+    handlers.on_end = [&first](call_end end) { first = end; };
+    connection = fixture.call(std::move(handlers));
+    REQUIRE(fixture.run_until([&first] { return first.has_value(); }));
+    CHECK(first == call_end::complete);
+
+    std::optional<call_end> second;
+    call_handlers next;
+    next.on_end = [&second](call_end end) { second = end; };
+    fixture.call(std::move(next));
+    CHECK(fixture.run_until([&second] { return second.has_value(); }));
+    CHECK(second == call_end::complete);
+    CHECK(fixture.client().connections_opened() == 1);
+}
+
 // guards against LOST: the limit on callers' requests was applied to what endpoints send, so that
 // long streams were ended
 TEST_CASE("regression: a response that is taken as it arrives has no maximum length")
