Continue a stream as soon as a slow caller has caught up

Callers that read slowly for a moment got no more events, and their stream was broken off. Cause: once 256 KiB wait for a caller, its endpoint isn't read; only the exchange's timer resumed that, for most routes at the deadline. Where a stream can be resumed, the endpoint counted as silent meanwhile and a sound stream was moved to another one.

Change: the caller's connection reports when the kernel has accepted all bytes, and the exchange reads on. An endpoint that this host itself holds back isn't silent.

--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -105,6 +105,7 @@
     m_channel->set_handlers({
         .on_bytes = [self](std::string_view bytes) { self->on_bytes(bytes); },
         .on_end = [self](channel_end) { self->on_end(); },
+        .on_drained = [self] { self->on_drained(); },
     });
     m_deadline = boot_clock::now() + m_owner.m_limits.idle_timeout;
     start_timer();
@@ -222,6 +223,13 @@
     }
 }
 
+void server_connection::on_drained()
+{
+    if (m_exchange != nullptr && !m_exchange->m_is_done && m_exchange->m_on_drained) {
+        m_exchange->m_on_drained();
+    }
+}
+
 void server_connection::start_timer()
 {
     m_timer.expires_after(
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -49,6 +49,9 @@
         m_on_disconnect = std::move(on_disconnect);
     }
 
+    /// Sets the handler that is called each time the kernel has accepted all bytes that were sent.
+    void set_on_drained(std::function<void()> on_drained) { m_on_drained = std::move(on_drained); }
+
     /// @name response
     /// @{
 
@@ -77,6 +80,7 @@
     message_head m_head;
     std::string m_body;
     std::function<void()> m_on_disconnect;
+    std::function<void()> m_on_drained;
     bool m_is_done = false;
     bool m_keeps_alive = false; // what the head of a chunked response has promised
 };
@@ -97,6 +101,7 @@
     void start_exchange();
     void reject(int status, std::string_view reason);
     void on_end();
+    void on_drained();
     void next_request();
     void start_timer();
     void on_timeout();
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -24,6 +24,11 @@
             self->on_disconnect();
         }
     });
+    m_caller->set_on_drained([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->resume_reading();
+        }
+    });
     m_fields = m_context.adapter.read_caller_fields(m_caller->head());
     if (!m_fields.refusal_reason.empty()) {
         refuse(400, m_fields.refusal_reason, "no", {});
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -92,7 +92,8 @@
         std::uint32_t waiting_tokens = 0;
         bool is_sent = false; ///< the endpoint or host may have received bytes of the request
         bool has_head = false;
-        bool has_relayed = false; ///< events of this attempt were relayed
+        bool has_relayed = false;  ///< events of this attempt were relayed
+        bool is_held_back = false; ///< isn't read until the caller has received what was relayed
         message_head head;
         std::string body;
     };
@@ -151,6 +152,7 @@
     void on_complete_response();
     void relay(std::string_view bytes);
     void start_relay();
+    void resume_reading();
     [[nodiscard]] bool is_genuine(const message_head& head) const;
     [[nodiscard]] bool is_relayable_stream(const message_head& head) const;
     [[nodiscard]] std::string_view stream_fault() const;
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -169,10 +169,21 @@
         return;
     }
     if (m_caller->unsent() > m_context.options.max_unsent_bytes) {
+        m_attempt.is_held_back = true;
         m_attempt.call->pause();
     }
 }
 
+/// Continues to read an attempt that was held back for a slow caller.
+void exchange::resume_reading()
+{
+    if (m_attempt.call != nullptr && std::exchange(m_attempt.is_held_back, false)) {
+        m_attempt.last_received = boot_clock::now(); // it could not send meanwhile
+        m_attempt.call->resume();
+        arm();
+    }
+}
+
 void exchange::on_end(call_end end)
 {
     if (m_stage == stage::done) {
@@ -367,7 +378,8 @@
 
 std::optional<time_point> exchange::inactivity_deadline() const
 {
-    if (!m_attempt.is_sent || !m_authorised.matched_route->is_repeatable() ||
+    if (!m_attempt.is_sent || m_attempt.is_held_back ||
+        !m_authorised.matched_route->is_repeatable() ||
         m_attempt_count.executions() + 1 >= rule().max_executions) {
         return std::nullopt;
     }
@@ -466,9 +478,6 @@
         }
         return;
     }
-    if (m_attempt.call != nullptr && m_caller->unsent() <= m_context.options.max_unsent_bytes) {
-        m_attempt.call->resume();
-    }
     if (now >= m_deadline) {
         const bool may_have_run = m_attempt.is_sent;
         if (m_attempt.call != nullptr) {
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -265,6 +265,10 @@
 
     void disconnect() { m_call->cancel(); }
 
+    /// Stops or resumes reading of the last request's response. Precondition: it hasn't ended.
+    void pause_caller() { m_call->pause(); }
+    void resume_caller() { m_call->resume(); }
+
     /// Runs the loop for a while.
     void run_for(duration span)
     {
@@ -1114,6 +1118,76 @@
     CHECK(response->status == 502);
 }
 
+namespace {
+
+/// Endpoint that sends a whole stream at once, of more bytes than are buffered for a slow caller.
+class fast_endpoint {
+public:
+    gateway_fixture::behaviour behaviour()
+    {
+        return [this](const std::shared_ptr<server_exchange>& request) {
+            request->begin(200, response_headers());
+            request->send(m_events);
+            request->end();
+        };
+    }
+
+    [[nodiscard]] const std::string& events() const { return m_events; }
+
+private:
+    std::string m_events = [] {
+        std::string events;
+        for (int i = 1; i <= 250; ++i) {
+            events += fmt::format("id: {}\ndata: {}\n\n", i, std::string(65'000, 'x'));
+        }
+        return events;
+    }();
+};
+
+/// Runs the loop until the caller has received a part of the response, which it then stops reading
+/// for `span`.
+void delay_reading(gateway_fixture& gateway, const received_response& response, duration span)
+{
+    gateway.run_until([&response] { return !response.body.empty(); });
+    gateway.pause_caller();
+    gateway.run_for(span);
+    gateway.resume_caller();
+}
+
+} // namespace
+
+// guards against LOST: once the caller had fallen behind, its stream was read again only by a
+// timer, for most routes at the deadline
+TEST_CASE("regression: a stream goes on as soon as a slow caller has caught up")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 1)};
+    fast_endpoint endpoint;
+    gateway.add_endpoint("a", endpoint.behaviour());
+    const auto response = gateway.send_request();
+    delay_reading(gateway, *response, 300ms);
+    const time_point resumed = boot_clock::now();
+    gateway.run_to_end(response);
+    CHECK(response->end == call_end::complete);
+    CHECK((response->body == endpoint.events()));
+    CHECK(boot_clock::now() - resumed < 2s); // the deadline is 5 s after the start
+}
+
+// guards against LOST: while this host itself didn't read a stream, its endpoint counted as silent
+TEST_CASE("regression: an endpoint isn't silent while its stream is held back for a slow caller")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
+    fast_endpoint endpoint;
+    recording_endpoint other;
+    gateway.add_endpoint("a", endpoint.behaviour());
+    gateway.add_endpoint("b", other.behaviour());
+    const auto response = gateway.send_request();
+    delay_reading(gateway, *response, 1'500ms);
+    gateway.run_to_end(response);
+    CHECK(response->end == call_end::complete);
+    CHECK((response->body == endpoint.events()));
+    CHECK(other.heads().empty());
+}
+
 // guards against REFUSED and TWICE: an earlier refusal that an endpoint repeated on a kept
 // connection counted as the refusal of the request that was running there
 TEST_CASE("regression: a refusal of another request doesn't count as not executed")
