Leave an endpoint alone for all of the time that it asks for

An endpoint that responded 503 with Retry-After: 45 got requests from this host again after 30 s. Cause: every time above 30 s was cut to 30 s.

Test before the change: a request could be placed after 44.999 s. After: only from 45 s on.

--- a/src/gateway/routing/endpoint_notices.h
+++ b/src/gateway/routing/endpoint_notices.h
@@ -34,7 +34,7 @@
 public:
     static constexpr std::size_t max_notices = 4'096;
     /// Longest time for which an endpoint can turn this host away.
-    static constexpr duration max_turn_away = std::chrono::seconds{30};
+    static constexpr duration max_turn_away = std::chrono::minutes{10};
 
     /// @name modifiers
     /// @{
--- a/tests/gateway/endpoint_notices_test.cpp
+++ b/tests/gateway/endpoint_notices_test.cpp
@@ -240,12 +240,22 @@
     CHECK(host.can_place());
 }
 
+// guards against BUDGET: an endpoint that wanted no request for 45 s got requests after 30 s
+TEST_CASE("regression: an endpoint that turns away for long is left alone for all of that time")
+{
+    pool_fixture host;
+    host.publish("a", 1);
+    host.pool().on_turned_away({"a", 1}, 45s, start);
+    CHECK_FALSE(host.can_place(start + 45s - 1ms));
+    CHECK(host.can_place(start + 45s));
+}
+
 // guards against obeying a value without limit
 TEST_CASE("endpoint that turns away: an absurd time is obeyed")
 {
     pool_fixture host;
     host.publish("a", 1);
-    host.pool().on_turned_away({"a", 1}, 24h, start);
+    host.pool().on_turned_away({"a", 1}, 24h * 365, start);
     CHECK_FALSE(host.can_place(start + endpoint_notices::max_turn_away - 1ms));
     CHECK(host.can_place(start + endpoint_notices::max_turn_away));
 }
