--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -218,7 +218,8 @@
 TEST_CASE("regression: a caller's deadline of any length can be added to a time")
 {
     const protocol_adapter adapter = platform::make_protocol_adapter();
-    for (const char* text : {"9223372036854775807", "9223372036855", "99999999999999999999"}) {
+    for (const char* text :
+         {"9223372036854775807", "9223372036855", "99999999999999999999", "-1", "-9223372036855"}) {
         CAPTURE(text);
         message_head head;
         head.headers.add("X-Hickorykeel-Attempt-Id", "9c41");
