Bound the ids of crashes that are remembered

Memory grew with each id that a faulty host sent in its heartbeats, up to a minute's worth. Cause: the ids of crashes that no longer count had no bound, as all other evidence has. Change: at most 65,536 are kept; a crash beyond them isn't counted until some are forgotten.

Test before the change: 20,000 ids of 20,000 sent were kept. After: with 100,000 sent, the bound holds.

--- a/src/gateway/routing/prompt_quarantine.cpp
+++ b/src/gateway/routing/prompt_quarantine.cpp
@@ -47,7 +47,11 @@
         return known.id == seen.id ||
                (known.endpoint == seen.endpoint && apart < m_options.merge_range);
     });
-    const bool was_heard = !m_heard.insert_or_assign(seen.id, now).second;
+    const bool was_heard = m_heard.contains(seen.id);
+    if (!was_heard && m_heard.size() >= m_options.max_known_crashes) {
+        return nullptr;
+    }
+    m_heard[seen.id] = now;
     if (held != m_crashes.end()) {
         return &*held;
     }
--- a/src/gateway/routing/prompt_quarantine.h
+++ b/src/gateway/routing/prompt_quarantine.h
@@ -58,6 +58,7 @@
     duration answer_retention = std::chrono::seconds{60};
     duration quarantine = std::chrono::minutes{5}; ///< time for which a part is refused
     std::size_t max_crashes = 64;                  ///< that are kept
+    std::size_t max_known_crashes = 65'536;        ///< whose ids are kept; more aren't counted
     std::size_t max_parts = 256;                   ///< of one crash
     std::size_t max_answered = 8'192;              ///< parts that are kept
     std::size_t max_verdicts = 64;
@@ -111,6 +112,9 @@
     /// nothing if it isn't.
     [[nodiscard]] std::optional<duration> refusal(const std::vector<std::uint64_t>& parts,
                                                   time_point now) const;
+
+    /// Number of crashes whose ids are kept.
+    [[nodiscard]] std::size_t known_crashes() const noexcept { return m_heard.size(); }
     /// @}
 
 private:
--- a/tests/gateway/prompt_quarantine_test.cpp
+++ b/tests/gateway/prompt_quarantine_test.cpp
@@ -221,7 +221,10 @@
     const prompt_quarantine_options bounds;
     for (std::uint32_t i = 0; i < 1'000; ++i) {
         crash_evidence received;
-        received.crashes.push_back({i, i, duration{i}, parts(1'000, i)});
+        for (std::uint64_t id = 0; id < 100; ++id) {
+            received.crashes.push_back(
+                {std::uint64_t{i} * 100 + id, i, duration{i}, parts(1'000, i)});
+        }
         received.crashes.push_back({i, i, -1s, {}});
         received.answered.assign(100, i);
         received.verdicts.push_back({i, 1s});
@@ -231,6 +234,7 @@
     const crash_evidence sent = quarantine.evidence(start);
     CHECK(sent.crashes.size() <= bounds.max_sent_crashes);
     CHECK(sent.verdicts.size() <= bounds.max_verdicts);
+    CHECK(quarantine.known_crashes() <= bounds.max_known_crashes);
 }
 
 TEST_CASE("random days: the part is refused everywhere in time, and no other part ever is")
