Apply the published limits to requests that other hosts forward

A request within the published limits got a 502 when it was served by another region. Cause: hosts applied the default limits (4 MiB, 16 KiB) to each other, whatever the configuration said; a head near the limit exceeded it through the headers that the forwarding host adds.

Change: the limits between hosts follow the published ones, aren't below the default ones, and leave 1 KiB for the added headers.

Test before the change, over real processes: a body of 6 MB that the limit allowed got 502; a long head too with the room for the added headers left out. After: passed.

--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -25,6 +25,8 @@
 /// Time for which callers may cache a response of the directory.
 constexpr auto directory_ttl = std::chrono::seconds{1};
 constexpr std::size_t max_addresses = 64;
+/// Maximum size of the headers that a host adds to a request that it forwards.
+constexpr std::size_t max_added_header_bytes = 1'024;
 
 /// Time for which a stopping host accepts requests: nearly three times `directory_ttl`, since
 /// callers may use an address list for three times its time to live. Requests accepted later might
@@ -39,6 +41,16 @@
 /// transit.
 constexpr duration key_lease_margin = std::chrono::milliseconds{600};
 
+/// Returns the limits on requests that other hosts forward, which have applied the callers' limits.
+/// Their configuration may be newer or older than this host's, so the limits aren't below the
+/// default ones.
+message_limits to_forwarded_limits(const caller_limits& limits)
+{
+    const message_limits defaults;
+    return {std::max(limits.max_header_bytes, defaults.max_head_bytes) + max_added_header_bytes,
+            std::max(limits.max_body_bytes, defaults.max_body_bytes)};
+}
+
 std::vector<std::string> to_ips(const std::vector<std::string>& addresses)
 {
     std::vector<std::string> ips;
@@ -401,6 +413,7 @@
     m_callers.set_limits({.message = {limits.max_header_bytes, limits.max_body_bytes},
                           .head_timeout = limits.header_timeout,
                           .idle_timeout = limits.idle_timeout});
+    m_peers.set_limits({.message = to_forwarded_limits(limits)});
     place_waiting();
 }
 
--- a/standins/gateway/platform_world.cpp
+++ b/standins/gateway/platform_world.cpp
@@ -34,6 +34,9 @@
     return text;
 }
 
+constexpr std::size_t max_request_head_bytes = 65'536;
+constexpr std::size_t max_request_body_bytes = 16'777'216;
+
 header_list json_headers()
 {
     header_list headers;
@@ -58,6 +61,8 @@
       m_failure_domain{std::move(failure_domain)}, m_address{address}, m_body{"answer of " + m_id},
       m_server{loop, [this](const auto& request) { serve(request); }}
 {
+    // whether a request is too large is decided before it arrives here
+    m_server.set_limits({.message = {max_request_head_bytes, max_request_body_bytes}});
     listen_or_abort(m_server, address);
 }
 
--- a/tests/scenarios/gateway_calm_day_test.cpp
+++ b/tests/scenarios/gateway_calm_day_test.cpp
@@ -72,7 +72,7 @@
 }
 
 nlohmann::json make_configuration(int version, const std::vector<std::string>& keys,
-                                  bool has_late_route = false)
+                                  bool has_late_route = false, std::size_t body_bytes = 1'000'000)
 {
     nlohmann::json routes{make_route("safe", "/safe/", "safe"),
                           make_route("once", "/once/", "non_idempotent"),
@@ -86,7 +86,7 @@
             {"services", {{{"name", "s"}, {"healthPath", "/healthz"}, {"maxConns", 50}}}},
             {"limits",
              {{"headerBytes", 16'384},
-              {"bodyBytes", 1'000'000},
+              {"bodyBytes", body_bytes},
               {"headerTimeoutMs", 10'000},
               {"idleTimeoutMs", 60'000}}},
             {"tenants",
@@ -305,6 +305,21 @@
     }
 }
 
+// guards against DENIED: hosts applied default limits to each other, which a caller's request within
+// the published limits could exceed
+TEST_CASE("regression: a request within the limits is served by another region too")
+{
+    calm_day day;
+    constexpr std::size_t body_bytes = 6'000'000;
+    day.world().put("op/config", make_configuration(2, {first_key, second_key}, true, body_bytes));
+    REQUIRE(day.world().run_until([&] { return day.ask(0, "GET", "/late/x").status == 200; }));
+    REQUIRE(day.world().run_until([&] { return day.ask(1, "GET", "/late/x").status == 200; }));
+    CHECK(day.ask(0, "POST", "/homed/x", first_key, std::string(body_bytes, 'x')).status == 200);
+    CHECK(day.ran_last().contains("i-b1") != day.ran_last().contains("i-b2"));
+    CHECK(day.ask(0, "GET", "/homed/" + std::string(16'270, 'x')).status == 200);
+    CHECK(day.ran_last().contains("i-b1") != day.ran_last().contains("i-b2"));
+}
+
 TEST_CASE("keys are refused once nobody can tell that they are still in force")
 {
     calm_day day;
