Log coldness, incarnation and time to connect of each attempt

Cause: no line said whether the host that sent a request took the endpoint for cold, nor which incarnation it meant, nor how long the connection took. Without these, several owners, a host that doesn't know of the coldness and late connections look the same.

No decision changes.

--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -352,6 +352,7 @@
     m_attempt.endpoint = chosen.endpoint;
     m_attempt.peer = chosen.address;
     m_attempt.endpoint_started_ms = chosen.started_ms;
+    m_attempt.placed_at = boot_clock::now();
     m_attempt.expected = chosen.expected;
     m_attempt.waiting_tokens = m_context.pool.on_sent(chosen.endpoint, request_prompt,
                                                       boot_clock::now(), chosen.fetched_tokens);
@@ -370,6 +371,8 @@
             .add("id", m_fields.id)
             .add("endpoint", chosen.endpoint)
             .add("service", m_service)
+            .add("started_ms", chosen.started_ms)
+            .add("cold", chosen.is_cold)
             .add_ms("expected_ms", chosen.expected)
             .add("unread_tokens", std::int64_t{m_attempt.waiting_tokens})
             .add("prompt_source", chosen.prompt_source)
@@ -406,6 +409,7 @@
 {
     m_attempt = {};
     m_attempt.peer = address_of(chosen);
+    m_attempt.placed_at = boot_clock::now();
     m_attempt.expected = expected + m_context.options.regions.round_trip;
     ++m_context.forwarded_requests[chosen.last.region + '/' + m_service];
     const message_head& head = m_caller->head();
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -85,6 +85,7 @@
         std::string peer;     ///< "ip:port"
         std::int64_t endpoint_started_ms = 0; ///< of the endpoint's incarnation; 0: unknown
         std::shared_ptr<client_connection> call;
+        time_point placed_at{}; ///< when the peer was chosen
         time_point sent_at{};
         time_point last_received{}; ///< any bytes of a response
         duration expected{0};       ///< expected time to first byte when the request was sent
@@ -157,6 +158,7 @@
     [[nodiscard]] bool is_relayable_stream(const message_head& head) const;
     [[nodiscard]] std::string_view stream_fault() const;
     [[nodiscard]] const std::string& peer_name() const noexcept;
+    [[nodiscard]] duration connect_time() const noexcept;
     void note_broken_off();
     void note_answered();
     void end_attempt(endpoint_outcome outcome);
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -62,6 +62,12 @@
     arm();
 }
 
+/// Returns the time from the choice of the peer until the request was sent; 0 if it wasn't.
+duration exchange::connect_time() const noexcept
+{
+    return m_attempt.is_sent ? m_attempt.sent_at - m_attempt.placed_at : duration{0};
+}
+
 bool exchange::is_stream() const noexcept
 {
     return m_authorised.matched_route->kind == request_kind::streaming;
@@ -359,6 +365,7 @@
                                     .add("reason", failure.reason)
                                     .add("status", std::int64_t{m_attempt.head.status})
                                     .add("ran", ran_name(failure.may_have_run))
+                                    .add_ms("connect_ms", connect_time())
                                     .add_ms("after_ms", elapsed)
                                     .add("events", static_cast<std::int64_t>(m_events.events()))
                                     .add("retry", to_name(decision)));
