Let the registry of connections hold objects of any type

Cause: a stopping host has to reach its open requests, as servers and clients reach their connections.

Change: connection_registry becomes instance_registry, a template over the type; names and comments only.

--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/http/connection_registry.h"
 #include "gateway/http/message_parser.h"
 #include "gateway/http/tcp_channel.h"
+#include "gateway/instance_registry.h"
 #include "process/clock.h"
 
 #include <chrono>        // milliseconds
@@ -78,7 +78,7 @@
     [[nodiscard]] duration idle_time() const;
 
     http_client& m_owner;
-    connection_registry<client_connection>::entry m_registration;
+    instance_registry<client_connection>::entry m_registration;
     std::string m_address;
     std::shared_ptr<tcp_channel> m_channel;
     message_parser m_parser;
@@ -122,7 +122,7 @@
     void remove_idle(const client_connection& connection);
 
     asio::io_context& m_loop;
-    connection_registry<client_connection> m_registry;
+    instance_registry<client_connection> m_registry;
     std::unordered_map<std::string, std::vector<std::shared_ptr<client_connection>>> m_idle;
     std::uint64_t m_opened = 0;
 };
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/http/connection_registry.h"
 #include "gateway/http/message_parser.h"
 #include "gateway/http/tcp_channel.h"
+#include "gateway/instance_registry.h"
 #include "process/clock.h"
 #include "process/error.h"
 
@@ -108,7 +108,7 @@
     [[nodiscard]] bool keeps_alive() const;
 
     http_server& m_owner;
-    connection_registry<server_connection>::entry m_registration;
+    instance_registry<server_connection>::entry m_registration;
     std::shared_ptr<tcp_channel> m_channel;
     asio::steady_timer m_timer;
     message_parser m_parser;
@@ -180,7 +180,7 @@
     void accept();
 
     asio::io_context& m_loop;
-    connection_registry<server_connection> m_registry;
+    instance_registry<server_connection> m_registry;
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_accept_timer; // delays the next accept after a failure
     handler m_on_request;
