Bound how many sides of a partition send to a cold endpoint

Seen by callers: requests to an endpoint that has just started may crash it, and are then lost (FAILBACK).

Cause (class: each host keeps to its own limit, and nothing bounds how many do): a host that hears no other takes itself for the owner of every endpoint after 1.3 s and sends one request a second. That holds for up to six sides. Many hosts that are cut off one by one are as many sides.

Evidence: cold_schedules_test (hosts stop, end, freeze and are cut off; every host sends what it may) failed on the former code: 26 hosts of which half are cut off, 27 requests in a second, 6 allowed; random schedules: 7 at 6 hosts, 15 at 26, 46 at 100.

Fix: a side sends only if its live hosts are a quarter of the region's known hosts or more, so that four sides at most send, which leaves room for a whole owner while the partition heals. A host that falls silent has no successor for 1.2 s, as one that leaves: by then all hosts of a side have noticed it. A host that has heard no other since its start sends none. An endpoint is cold for seconds; the others of the region serve.

--- a/src/gateway/limits/cold_allowance.h
+++ b/src/gateway/limits/cold_allowance.h
@@ -2,7 +2,8 @@
 
 #include "process/clock.h"
 
-#include <chrono> // milliseconds
+#include <chrono>  // milliseconds
+#include <cstddef> // size_t
 
 namespace hickorykeel::gateway {
 
@@ -12,7 +13,9 @@
     /// are not leaving.
     bool is_owner = false;
     bool all_hosts_live = false; ///< every known host is live
-    duration uptime{0};          ///< time since this host's start
+    /// The live hosts of the region are at least a part of 1 / `max_cold_sides` of the known ones,
+    /// and another host was heard since the start.
+    bool is_large_side = false;
 };
 
 /// Time after its start during which a host sends nothing to cold endpoints. Before it has received
@@ -24,15 +27,26 @@
 /// own.
 inline constexpr double cold_rate_during_partition = 1;
 
+/// Most sides of a partition that may send to a cold endpoint. The hosts of smaller sides, as of a
+/// single host that is cut off from many, send none.
+inline constexpr std::size_t max_cold_sides = 4;
+
 /// Returns the requests per second that this host may send to a cold endpoint whose service's
-/// cold rate is `rate`: 0 unless this host owns the endpoint and the settling time is over.
+/// cold rate is `rate`: 0 unless this host owns the endpoint, the settling time is over and this
+/// side of a partition is large enough.
+/// @param uptime time since this host's start
+///
 /// Thread safe.
-[[nodiscard]] constexpr double cold_allowance(const cold_ownership& view, double rate) noexcept
+[[nodiscard]] constexpr double cold_allowance(const cold_ownership& view, duration uptime,
+                                              double rate) noexcept
 {
-    if (!view.is_owner || view.uptime < cold_settling_time) {
+    if (!view.is_owner || uptime < cold_settling_time) {
         return 0;
     }
-    return view.all_hosts_live ? rate : cold_rate_during_partition;
+    if (view.all_hosts_live) {
+        return rate;
+    }
+    return view.is_large_side ? cold_rate_during_partition : 0;
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/limits/cold_owner.cpp
+++ b/src/gateway/limits/cold_owner.cpp
@@ -3,6 +3,7 @@
 #include "gateway/routing/rendezvous.h"
 
 #include <algorithm> // none_of
+#include <cstddef>   // size_t
 #include <cstdint>   // uint64_t
 
 namespace hickorykeel::gateway {
@@ -12,8 +13,29 @@
 /// Whether `host` may be an owner, or has been one too recently for another to take its place.
 bool is_owner_candidate(const member_table& members, const member& host, time_point now)
 {
-    return host.last.is_leaving ? now - host.leaving_since < cold_handover_time
-                                : members.is_live(host, now);
+    if (host.last.is_leaving) {
+        return now - host.leaving_since < cold_handover_time;
+    }
+    return members.is_live(host, now) || !host.silent_since ||
+           now - *host.silent_since < cold_handover_time;
+}
+
+/// Whether the live hosts of `region`, this one included, are a large enough part of those that
+/// exist. A host that has heard of no other yet can't tell.
+bool is_large_side(const member_table& members, const std::string& region, time_point now)
+{
+    if (members.all().empty() && !members.seeds().empty()) {
+        return false;
+    }
+    std::size_t known = 1;
+    std::size_t live = 1;
+    for (const auto& [ip, host] : members.all()) {
+        if (host.last.region == region) {
+            ++known;
+            live += members.is_live(host, now) ? 1 : 0;
+        }
+    }
+    return live * max_cold_sides >= known;
 }
 
 } // namespace
@@ -33,4 +55,12 @@
     });
 }
 
+cold_ownership to_cold_ownership(const member_table& members, const cold_owner_candidate& own,
+                                 std::string_view endpoint, time_point now)
+{
+    return {.is_owner = is_cold_owner(members, own, endpoint, now),
+            .all_hosts_live = members.live_count(now) >= members.known_count(),
+            .is_large_side = is_large_side(members, own.region, now)};
+}
+
 } // namespace hickorykeel::gateway
--- a/src/gateway/limits/cold_owner.h
+++ b/src/gateway/limits/cold_owner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/limits/cold_allowance.h"
 #include "gateway/membership/member_table.h"
 #include "process/clock.h"
 
@@ -16,18 +17,26 @@
     bool is_leaving = false;
 };
 
-/// Time for which a host that has begun to leave has no successor as an owner. It is longer than
-/// the window of `cold_rate_limiter`, so that the requests that it has sent aren't added to those of
-/// its successor.
+/// Time for which a host that has begun to leave, or has fallen silent, has no successor as an owner.
+/// It is longer than the window of `cold_rate_limiter`, so that the requests that it has sent aren't
+/// added to those of its successor, and than the time within which the hosts of a region notice a
+/// partition.
 inline constexpr duration cold_handover_time = std::chrono::milliseconds{1'200};
 
 /// Returns whether `own` is the owner of a cold endpoint: the host with the largest rendezvous
 /// weight among the live hosts of its region that are not leaving. A host that is leaving owns
-/// none; the endpoints that it owned have no owner for `cold_handover_time`. Hosts with the same
-/// members agree on it.
+/// none; the endpoints that it owned, and those of a host that has fallen silent, have no owner for
+/// `cold_handover_time`. Hosts with the same members agree on it.
 ///
 /// Thread safe. Complexity: O(hosts).
 [[nodiscard]] bool is_cold_owner(const member_table& members, const cold_owner_candidate& own,
                                  std::string_view endpoint, time_point now);
 
+/// Returns this host's view of the ownership of a cold endpoint.
+///
+/// Thread safe. Complexity: O(hosts).
+[[nodiscard]] cold_ownership to_cold_ownership(const member_table& members,
+                                               const cold_owner_candidate& own,
+                                               std::string_view endpoint, time_point now);
+
 } // namespace hickorykeel::gateway
--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -133,7 +133,7 @@
     held.region->hosts_within_timeout += was_live ? 0 : 1;
     held.last_seen = std::max(held.last_seen, seen_at);
     held.is_lost = false;
-    m_was_live[held.last.ip] = true;
+    held.silent_since.reset();
     if (!was_live) {
         return member_change::became_live;
     }
@@ -248,9 +248,9 @@
     update_regions(now);
     std::vector<std::string> lost_hosts;
     for (auto it = m_members.begin(); it != m_members.end();) {
-        const auto& [ip, held] = *it;
-        if (!is_live(held, now) && m_was_live[ip]) {
-            m_was_live[ip] = false;
+        auto& [ip, held] = *it;
+        if (!is_live(held, now) && !held.silent_since) {
+            held.silent_since = now;
             lost_hosts.push_back(held.last.host);
         }
         if (now - held.last_seen < m_options.retention) {
@@ -258,7 +258,6 @@
             continue;
         }
         std::erase(held.region->hosts, &held);
-        m_was_live.erase(ip);
         it = m_members.erase(it);
     }
     return lost_hosts;
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -3,12 +3,13 @@
 #include "gateway/membership/heartbeat.h"
 #include "process/clock.h"
 
-#include <chrono>  // milliseconds, seconds
-#include <cstddef> // size_t
-#include <cstdint> // uint64_t, uint8_t
-#include <map>     // map
-#include <string>  // string
-#include <vector>  // vector
+#include <chrono>   // milliseconds, seconds
+#include <cstddef>  // size_t
+#include <cstdint>  // uint64_t, uint8_t
+#include <map>      // map
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
 
 namespace hickorykeel::gateway {
 
@@ -33,6 +34,8 @@
     duration report_interval{0};      ///< between reports of other hosts about it; 0: none yet
     time_point leaving_since{};       ///< receipt of the news that it is leaving, if it is
     bool is_lost = false;             ///< its heartbeats have stopped, here or at another host
+    /// When `member_table::expire()` first found that it isn't live; unset while it is.
+    std::optional<time_point> silent_since;
     region_members* region = nullptr;
 };
 
@@ -168,7 +171,6 @@
     std::vector<std::string> m_seeds;
     std::map<std::string, region_members> m_regions; // by name
     std::map<std::string, member> m_members;         // by ip
-    std::map<std::string, bool> m_was_live;          // by ip
 };
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -372,12 +372,9 @@
 double gateway::cold_rate_for(const std::string& endpoint, double rate) const
 {
     const time_point now = boot_clock::now();
-    cold_ownership ownership;
-    ownership.is_owner = is_cold_owner(
+    const cold_ownership ownership = to_cold_ownership(
         m_fleet.members(), {m_settings.ip, m_settings.region, m_is_stopping}, endpoint, now);
-    ownership.all_hosts_live = m_fleet.members().live_count(now) >= m_fleet.members().known_count();
-    ownership.uptime = now - m_started;
-    return cold_allowance(ownership, rate);
+    return cold_allowance(ownership, now - m_started, rate);
 }
 
 // configuration
--- a/tests/gateway/cold_owner_test.cpp
+++ b/tests/gateway/cold_owner_test.cpp
@@ -42,8 +42,8 @@
     /// Sends as many requests as allowed, and returns their number.
     std::size_t send_all(time_point now)
     {
-        const bool are_live = members.live_count(now) >= members.known_count();
-        const double allowed = cold_allowance({is_owner(now), are_live, 10s}, rate);
+        const double allowed =
+            cold_allowance(to_cold_ownership(members, own, endpoint, now), 10s, rate);
         std::size_t sent = 0;
         for (; limiter.has_capacity(allowed, now); ++sent) {
             limiter.on_sent(now);
