Ask endpoints whether they are cold while the published state is old

Fix: while the published state is older than 2 s, the owner of an endpoint asks it each 0.5 s for its health, which says for how long it is cold. What it says goes to the region with the heartbeats and the aggregators' digests, counts for the service's cold time at most, and is added to what the store says. Endpoints known to be cold, blocked or leaving are not asked.

--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -124,6 +124,7 @@
     m_usage.on_report(received.ip, received.incarnation, received.used);
     news.prompts = std::exchange(received.prompts, {});
     news.warm_endpoints = received.warm_endpoints;
+    news.cold_endpoints = received.cold_endpoints;
     if (m_prompts.size() < m_options.max_prompts) {
         m_prompts.insert(m_prompts.end(), news.prompts.begin(), news.prompts.end());
     }
@@ -154,6 +155,8 @@
     news.prompts.insert(news.prompts.end(), digest.prompts.begin(), digest.prompts.end());
     news.warm_endpoints.insert(news.warm_endpoints.end(), digest.warm_endpoints.begin(),
                                digest.warm_endpoints.end());
+    news.cold_endpoints.insert(news.cold_endpoints.end(), digest.cold_endpoints.begin(),
+                               digest.cold_endpoints.end());
     add_usage(news, m_own.region, received.ip, received.incarnation, digest.used);
     for (const region_state& state : digest.regions) {
         read_other_region(state, news, now);
@@ -276,6 +279,28 @@
     return sent;
 }
 
+/// Returns which endpoints have said to a host of the region that they are cold.
+std::vector<cold_report> fleet_membership::collect_cold_endpoints(time_point now) const
+{
+    std::map<std::uint32_t, duration> remaining;
+    for (const auto& [ip, host] : m_members.all()) {
+        if (host.last.region != m_own.region || !m_members.is_heard(host, now)) {
+            continue;
+        }
+        for (const cold_report& report : host.last.cold_endpoints) {
+            duration& longest = remaining[report.endpoint];
+            longest = std::max(longest, report.remaining - (now - host.heard_at));
+        }
+    }
+    std::vector<cold_report> reports;
+    for (const auto& [endpoint, longest] : remaining) {
+        if (longest > duration{0}) {
+            reports.push_back({endpoint, longest});
+        }
+    }
+    return reports;
+}
+
 /// Collects what all digests of a round contain; the lists of hosts and regions are left empty.
 region_digest fleet_membership::collect_digest(time_point now) const
 {
@@ -294,6 +319,7 @@
         }
     }
     digest.warm_endpoints.assign(warm.begin(), warm.end());
+    digest.cold_endpoints = collect_cold_endpoints(now);
     digest.rotation =
         m_options.schedule.heartbeat_interval * static_cast<int>(m_options.digest_rotation);
     return digest;
--- a/src/gateway/membership/fleet_membership.h
+++ b/src/gateway/membership/fleet_membership.h
@@ -60,6 +60,7 @@
     std::string region;                        ///< of the sender
     std::vector<sent_prefix> prompts;          ///< sent by hosts of this region
     std::vector<std::uint32_t> warm_endpoints; ///< of this region
+    std::vector<cold_report> cold_endpoints;   ///< of this region
     std::vector<usage_report> usage;
     crash_evidence crashes;
     std::vector<std::string> regions; ///< other regions whose capacity was reported
@@ -131,6 +132,7 @@
 
     [[nodiscard]] summed_loads own_sums(time_point now) const;
     [[nodiscard]] region_digest collect_digest(time_point now) const;
+    [[nodiscard]] std::vector<cold_report> collect_cold_endpoints(time_point now) const;
     [[nodiscard]] std::string make_datagram(const heartbeat_recipient& recipient,
                                             const region_digest& collected, time_point now) const;
     [[nodiscard]] bool is_in_list(heartbeat_content content, const member& host) const;
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -92,6 +92,11 @@
     for (const std::uint32_t hash : sent.warm_endpoints) {
         message.add_warm_endpoints(hash);
     }
+    for (const cold_report& report : sent.cold_endpoints) {
+        auto& added = *message.add_cold_endpoints();
+        added.set_endpoint(report.endpoint);
+        added.set_remaining_ms(to_ms(report.remaining));
+    }
 }
 
 void add_group(gossip::region_digest& message, const member_group& group)
@@ -217,6 +222,9 @@
     });
     for_each_bounded(message.warm_endpoints(),
                      [&received](std::uint32_t hash) { received.warm_endpoints.push_back(hash); });
+    for_each_bounded(message.cold_endpoints(), [&received](const gossip::cold_report& report) {
+        received.cold_endpoints.push_back({report.endpoint(), milliseconds{report.remaining_ms()}});
+    });
 }
 
 member_group to_group(const gossip::member_group& message)
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -37,6 +37,12 @@
     std::uint32_t endpoint = 0; ///< hash of the endpoint's id
 };
 
+/// An endpoint that has said that it is cold.
+struct cold_report {
+    std::uint32_t endpoint = 0; ///< hash of the endpoint's id
+    duration remaining{0};      ///< until it is warm
+};
+
 /// How often a host wants the digests of another host.
 enum class digest_subscription : std::uint8_t {
     none,
@@ -81,6 +87,7 @@
     usage_counts used; ///< of all hosts of the region, since the aggregator's start
     std::vector<sent_prefix> prompts;
     std::vector<std::uint32_t> warm_endpoints;
+    std::vector<cold_report> cold_endpoints;
     std::vector<member_group> members; ///< a part of the known hosts
     duration rotation{0};              ///< time in which the digests name every known host
     std::vector<region_state> regions; ///< other regions
@@ -106,6 +113,7 @@
     std::vector<sent_prefix> prompts; ///< sent since the previous heartbeat
     /// Hashes of endpoints that reported being warm within their cold time.
     std::vector<std::uint32_t> warm_endpoints;
+    std::vector<cold_report> cold_endpoints; ///< that have said so to this host
     crash_evidence crashes;
     digest_subscription digests = digest_subscription::none;
     std::optional<region_digest> digest;
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -139,6 +139,58 @@
     return hashes;
 }
 
+void endpoint_pool::set_cold(endpoint_state& state, duration remaining, time_point now)
+{
+    const duration counted = std::min<duration>(remaining, state.cold_time);
+    state.cold_until = std::max(state.cold_until, now + counted);
+    state.warm_report_until = {};
+}
+
+bool endpoint_pool::on_cold(const std::string& endpoint, duration remaining, time_point now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return false;
+    }
+    endpoint_state& state = found->second;
+    const bool was_cold = is_cold(state, now);
+    set_cold(state, remaining, now);
+    state.cold_report_until = state.cold_until;
+    return !was_cold;
+}
+
+void endpoint_pool::on_peer_cold(const cold_report& report, time_point now)
+{
+    for (auto& [id, state] : m_endpoints) {
+        if (state.hash == report.endpoint) {
+            set_cold(state, report.remaining, now);
+        }
+    }
+}
+
+std::vector<cold_report> endpoint_pool::own_cold_endpoints(time_point now) const
+{
+    std::vector<cold_report> reports;
+    for (const auto& [id, state] : m_endpoints) {
+        if (now < state.cold_report_until) {
+            reports.push_back({state.hash, state.cold_report_until - now});
+        }
+    }
+    return reports;
+}
+
+std::vector<endpoint_entry> endpoint_pool::assumed_warm(time_point now) const
+{
+    std::vector<endpoint_entry> entries;
+    for (const auto& [id, state] : m_endpoints) {
+        if (state.cold_rate > 0 && state.is_listed && !state.is_leaving &&
+            !is_blocked(state, now) && !is_cold(state, now)) {
+            entries.push_back(state.entry);
+        }
+    }
+    return entries;
+}
+
 void endpoint_pool::set_peer_loads(const std::unordered_map<std::uint32_t, endpoint_load>& loads)
 {
     for (auto& [id, state] : m_endpoints) {
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -148,6 +148,21 @@
     /// host within their service's cold time and have not been evacuated since.
     [[nodiscard]] std::vector<std::uint32_t> own_warm_endpoints(time_point now) const;
 
+    /// Records that the endpoint itself has said that it is cold for `remaining`; at most its
+    /// service's cold time counts. Returns whether this host took it for warm.
+    bool on_cold(const std::string& endpoint, duration remaining, time_point now);
+
+    /// Records that an endpoint has said to another host that it is cold, as `on_cold()` does.
+    void on_peer_cold(const cold_report& report, time_point now);
+
+    /// Returns, for the heartbeat, the endpoints that have said to this host that they are cold, and
+    /// still are.
+    [[nodiscard]] std::vector<cold_report> own_cold_endpoints(time_point now) const;
+
+    /// Returns the endpoints that this host sends to as warm ones, and whose service limits the
+    /// requests to cold ones.
+    [[nodiscard]] std::vector<endpoint_entry> assumed_warm(time_point now) const;
+
     /// Replaces the load placed by the other hosts of the region, by hash of the endpoint's id.
     void set_peer_loads(const std::unordered_map<std::uint32_t, endpoint_load>& loads);
     /// @}
@@ -240,11 +255,13 @@
         time_point cold_until{};
         time_point reinstated_cold_until{}; ///< after an evacuation, unless reported warm
         time_point warm_report_until{};     ///< until then, heartbeats report it as warm
+        time_point cold_report_until{};     ///< until then, heartbeats report it as cold
         std::chrono::milliseconds cold_time{0};
         cold_rate_limiter cold_limiter;
         std::unordered_map<std::uint64_t, cached_prefix> cached_prefixes; ///< by prefix id
     };
 
+    static void set_cold(endpoint_state& state, duration remaining, time_point now);
     [[nodiscard]] static bool is_cold(const endpoint_state& state, time_point now) noexcept
     {
         return now < state.cold_until || now < state.reinstated_cold_until;
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -29,6 +29,13 @@
 /// Maximum size of the headers that a host adds to a request that it forwards.
 constexpr std::size_t max_added_header_bytes = 1'024;
 
+/// Age of the published state above which this host asks endpoints whether they have become cold:
+/// nobody else may be able to tell it. Above the age that the state reaches in an undisturbed fleet.
+constexpr duration max_told_age = std::chrono::milliseconds{2'000};
+
+/// Interval of these probes.
+constexpr duration assumed_warm_probe_interval = std::chrono::milliseconds{500};
+
 /// Margin by which the key lease is shorter than the allowed time, to allow for requests in
 /// transit.
 constexpr duration key_lease_margin = std::chrono::milliseconds{600};
@@ -293,6 +300,7 @@
     }
     state.endpoints = m_pool.own_loads();
     state.warm_endpoints = m_pool.own_warm_endpoints(now);
+    state.cold_endpoints = m_pool.own_cold_endpoints(now);
     state.used = m_usage.used();
     state.prompts = m_pool.take_sent_prefixes();
     state.crashes = m_quarantine.evidence(now);
@@ -346,6 +354,9 @@
     for (const std::uint32_t hash : news.warm_endpoints) {
         m_pool.on_peer_warm(hash);
     }
+    for (const cold_report& report : news.cold_endpoints) {
+        m_pool.on_peer_cold(report, now);
+    }
     m_quarantine.on_evidence(news.crashes, now);
     if (!news.new_host.empty()) {
         m_log.write(log_line{"host_heard"}.add("peer", news.new_host).add("region", news.region));
@@ -411,28 +422,67 @@
 {
     for (const endpoint_entry& entry : m_pool.take_reinstated()) {
         const service* of = m_state.published()->find_service(entry.service);
-        // only the endpoint's owner probes, since a probe may count as a request to a cold endpoint
-        if (of != nullptr && !of->health_path.empty() &&
-            cold_rate_for(entry.id, of->cold_rate) >= 1) {
+        if (is_prober_of(entry, of)) {
             probe_reinstated(entry, of->health_path);
         }
     }
 }
 
+/// Whether this host probes the endpoint of a service. Only one of its region does, the owner, since
+/// a probe may count as a request to a cold endpoint.
+bool gateway::is_prober_of(const endpoint_entry& entry, const service* of) const
+{
+    return of != nullptr && !of->health_path.empty() && cold_rate_for(entry.id, of->cold_rate) >= 1;
+}
+
+/// Asks endpoints whether they are cold while the published state, which tells it otherwise, is old.
+void gateway::probe_assumed_warm_endpoints(time_point now)
+{
+    if (m_state.published() == nullptr || m_state.age(now) < max_told_age ||
+        now - m_assumed_warm_probed_at < assumed_warm_probe_interval) {
+        return;
+    }
+    m_assumed_warm_probed_at = now;
+    for (const endpoint_entry& entry : m_pool.assumed_warm(now)) {
+        const service* of = m_state.published()->find_service(entry.service);
+        if (is_prober_of(entry, of)) {
+            probe_assumed_warm(entry, of->health_path);
+        }
+    }
+}
+
+void gateway::probe_assumed_warm(const endpoint_entry& entry, const std::string& health_path)
+{
+    m_metrics.count("probe_with_old_state");
+    m_prober.probe(entry, health_path,
+                   {.on_cold =
+                        [this, id = entry.id](duration remaining) {
+                            if (m_pool.on_cold(id, remaining, boot_clock::now())) {
+                                m_metrics.count("endpoint_found_cold");
+                            }
+                        },
+                    .on_head = statement_recorder(entry)});
+}
+
 void gateway::probe_reinstated(const endpoint_entry& entry, const std::string& health_path)
 {
-    const endpoint_incarnation endpoint{entry.id, entry.started_ms};
     m_prober.probe(entry, health_path,
                    {.on_warm =
                         [this, id = entry.id] {
                             m_pool.on_warm(id, boot_clock::now());
                             place_waiting();
                         },
-                    .on_head =
-                        [this, endpoint](const message_head& head) {
-                            record_statement({m_parts.adapter, m_pool, m_log, m_metrics}, endpoint,
-                                             head, boot_clock::now());
-                        }});
+                    .on_head = statement_recorder(entry)});
+}
+
+/// Returns a handler that records what an endpoint says of itself in the head of a response.
+std::function<void(const message_head&)> gateway::statement_recorder(const endpoint_entry& entry)
+{
+    return [this,
+            endpoint = endpoint_incarnation{entry.id, entry.started_ms}](const message_head& head) {
+        record_statement({m_parts.adapter, m_pool, m_log, m_metrics}, endpoint, head,
+                         boot_clock::now());
+    };
 }
 
 // lifecycle
@@ -441,6 +491,7 @@
 {
     update_members(boot_clock::now());
     update_quarantine(boot_clock::now());
+    probe_assumed_warm_endpoints(boot_clock::now());
     send_heartbeats();
     place_waiting();
     m_heartbeat_timer.expires_after(m_fleet.schedule().options().heartbeat_interval);
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -73,6 +73,10 @@
     // configuration
     void on_published();
     void probe_reinstated_endpoints();
+    void probe_assumed_warm_endpoints(time_point now);
+    void probe_assumed_warm(const endpoint_entry& entry, const std::string& health_path);
+    std::function<void(const message_head&)> statement_recorder(const endpoint_entry& entry);
+    [[nodiscard]] bool is_prober_of(const endpoint_entry& entry, const service* of) const;
     void probe_reinstated(const endpoint_entry& entry, const std::string& health_path);
 
     // lifecycle
@@ -112,6 +116,7 @@
     asio::steady_timer m_placement_timer;
     asio::steady_timer m_stop_timer;
     time_point m_started;
+    time_point m_assumed_warm_probed_at{};
     std::vector<std::string> m_aggregators; ///< of this region, as last logged
     bool m_is_placement_scheduled = false;
     bool m_is_stopping = false;
--- a/src/gateway/serving/health_prober.cpp
+++ b/src/gateway/serving/health_prober.cpp
@@ -72,8 +72,16 @@
                                  .add("outcome", to_name(end))
                                  .add("status", std::int64_t{state.head.status})
                                  .add_ms("cold_ms", fields.cold_remaining));
-    if (is_from_endpoint && fields.cold_remaining.count() == 0) {
-        state.handlers.on_warm();
+    if (!is_from_endpoint) {
+        return;
+    }
+    if (fields.cold_remaining.count() == 0) {
+        if (state.handlers.on_warm) {
+            state.handlers.on_warm();
+        }
+    }
+    else if (state.handlers.on_cold) {
+        state.handlers.on_cold(fields.cold_remaining);
     }
 }
 
--- a/src/gateway/serving/health_prober.h
+++ b/src/gateway/serving/health_prober.h
@@ -13,7 +13,7 @@
 
 namespace hickorykeel::gateway {
 
-/// Probes endpoints to find out whether they are warm.
+/// Probes endpoints to find out whether they are warm or cold.
 ///
 /// Thread safety: none; all calls come from the loop's thread. The prober must outlive its probes.
 class health_prober {
@@ -30,14 +30,16 @@
 
     /// Handlers of a probe. They run on the loop's thread.
     struct probe_handlers {
-        std::function<void()> on_warm;
+        std::function<void()> on_warm = {};
+        /// Receives the time for which the endpoint stays cold.
+        std::function<void(duration)> on_cold = {};
         /// Receives the head of a response that isn't another incarnation's.
         std::function<void(const message_head&)> on_head = {};
     };
 
-    /// Sends a probe for `path` to `endpoint`. Calls `on_warm` once if the endpoint responds that
-    /// it isn't cold, and never if it is cold, fails, doesn't respond in time or is another
-    /// incarnation.
+    /// Sends a probe for `path` to `endpoint`. Calls `on_warm` or `on_cold` once if the endpoint
+    /// responds that it is warm or cold, and neither if it fails, doesn't respond in time or is
+    /// another incarnation.
     void probe(const endpoint_entry& endpoint, const std::string& path,
                probe_handlers handlers) const;
 
--- a/standins/gateway/platform_world.cpp
+++ b/standins/gateway/platform_world.cpp
@@ -80,6 +80,11 @@
     header_list headers;
     headers.add("X-Hickorykeel-Attempt-Id", attempt);
     headers.add("X-Hickorykeel-Instance-Id", m_id);
+    if (head.target == "/healthz") {
+        headers.add("X-Hickorykeel-Cold-Ms", std::to_string(m_cold_ms));
+        request->respond(200, headers, {});
+        return;
+    }
     if (head.headers.find("X-Hickorykeel-Target-Instance") != m_id) {
         request->respond(421, headers, {});
         return;
--- a/standins/gateway/platform_world.h
+++ b/standins/gateway/platform_world.h
@@ -36,6 +36,9 @@
     /// Sets whether requests run without a response; their connections stay open.
     void set_silent(bool is_silent) noexcept { m_is_silent = is_silent; }
 
+    /// Sets for how long health responses say that it is cold; its entry doesn't.
+    void set_cold_ms(int cold_ms) noexcept { m_cold_ms = cold_ms; }
+
     /// Replaces the body of responses that are not streams.
     void set_body(std::string body) { m_body = std::move(body); }
 
@@ -50,6 +53,7 @@
     std::string m_address;
     std::string m_state = "ready";
     int m_events = 5;
+    int m_cold_ms = 0;
     bool m_is_silent = false;
     std::vector<std::shared_ptr<gateway::server_exchange>> m_unanswered;
     std::string m_body;
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -335,6 +335,46 @@
     CHECK(with.fill(start + 3'100ms) > 3);
 }
 
+// guards against FAILBACK: hosts that could not read the store sent their full load to endpoints
+// which had become cold, and these crashed
+TEST_CASE("regression: an endpoint that says itself that it is cold gets a warm one's requests")
+{
+    fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    REQUIRE(with.pool().assumed_warm(start).size() == 1);
+    SUBCASE("it told this host")
+    {
+        CHECK(with.pool().on_cold("a", 2s, start));
+        CHECK_FALSE(with.pool().on_cold("a", 2s, start)); // not new
+        REQUIRE(with.pool().own_cold_endpoints(start + 500ms).size() == 1);
+        CHECK(with.pool().own_cold_endpoints(start + 500ms)[0].remaining == 1'500ms);
+        CHECK(with.pool().own_cold_endpoints(start + 2s).empty());
+    }
+    SUBCASE("it told another host")
+    {
+        with.pool().on_peer_cold({short_hash("a"), 2s}, start);
+        CHECK(with.pool().own_cold_endpoints(start).empty());
+    }
+    CHECK(with.pool().assumed_warm(start).empty());
+    CHECK(with.fill(start) == 3);
+    with.update(start + 1'500ms); // the same entry as before
+    CHECK(with.fill(start + 1'500ms) == 3);
+    CHECK(with.pool().assumed_warm(start + 2s).size() == 1);
+    CHECK(with.fill(start + 2s) > 3);
+}
+
+TEST_CASE("cold endpoint: no more than its service's cold time is believed")
+{
+    fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    with.pool().on_peer_cold({short_hash("a"), 1h}, start);
+    CHECK(with.fill(start + 2s) == 3);
+    CHECK(with.fill(start + 3'200ms) > 3);
+    CHECK_FALSE(with.pool().on_cold("unknown", 1s, start));
+}
+
 TEST_CASE("evacuated endpoint: nothing is sent, and it counts as cold when it is reinstated")
 {
     fixture with{true, 48};
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -209,6 +209,35 @@
     }
 }
 
+TEST_CASE("what an endpoint tells one host of its coldness reaches all hosts of the region")
+{
+    for (const int hosts_per_domain : {1, 10, many}) {
+        CAPTURE(hosts_per_domain);
+        simulated_fleet fleet{{.hosts_per_domain = hosts_per_domain}};
+        std::map<std::string, duration> told; // by ip: the time for which it stays cold
+        fleet.on_news = [&told](const simulated_fleet::host& receiver, const received_news& news) {
+            for (const cold_report& report : news.cold_endpoints) {
+                CHECK(report.endpoint == 7);
+                told[receiver.ip] = report.remaining;
+            }
+        };
+        fleet.start_all();
+        fleet.run_for(4s);
+        simulated_fleet::host& teller = fleet.hosts().front();
+        teller.state.cold_endpoints = {{7, 2s}};
+        fleet.run_for(700ms);
+        for (const simulated_fleet::host& host : fleet.hosts()) {
+            CAPTURE(host.ip);
+            if (host.ip == teller.ip) {
+                continue;
+            }
+            const bool is_told = host.region == teller.region;
+            CHECK(told.contains(host.ip) == is_told);
+            CHECK((!is_told || (told[host.ip] > 1s && told[host.ip] <= 2s)));
+        }
+    }
+}
+
 TEST_CASE("a lost host: no host names it for longer than the directory may")
 {
     simulated_fleet fleet{{.hosts_per_domain = many}};
--- a/tests/gateway/gossip_codec_test.cpp
+++ b/tests/gateway/gossip_codec_test.cpp
@@ -38,6 +38,7 @@
     digest.endpoints[99] = {4, 5'000};
     digest.prompts = {{77, 99}};
     digest.warm_endpoints = {99};
+    digest.cold_endpoints = {{98, 1'200ms}};
     digest.members = {{"r",
                        "r-b",
                        {{.ip = "10.0.1.3",
@@ -83,6 +84,9 @@
     CHECK(digest.endpoints.at(99).waiting_tokens == 5'000);
     CHECK(digest.prompts.at(0).endpoint == 99);
     CHECK(digest.warm_endpoints.size() == 1);
+    REQUIRE(digest.cold_endpoints.size() == 1);
+    CHECK(digest.cold_endpoints.at(0).endpoint == 98);
+    CHECK(digest.cold_endpoints.at(0).remaining == 1'200ms);
     const relayed_member& host = digest.members.at(0).members.at(0);
     CHECK(digest.members.at(0).failure_domain == "r-b");
     CHECK(host.ip == "10.0.1.3");
--- a/tests/gateway/health_prober_test.cpp
+++ b/tests/gateway/health_prober_test.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+const std::string instance = "X-Hickorykeel-Instance-Id";
+const std::string cold = "X-Hickorykeel-Cold-Ms";
+
 /// Probes a local endpoint "i-1" with a given behaviour.
 class probe_fixture {
 public:
@@ -44,6 +47,7 @@
         bool is_warm = false;
         m_prober.probe(m_entry, "/healthz",
                        {.on_warm = [&] { is_warm = true; },
+                        .on_cold = [&](duration remaining) { m_cold_remaining = remaining; },
                         .on_head =
                             [&](const message_head& head) {
                                 m_is_leaving = m_adapter.read_endpoint_statement(head).is_leaving;
@@ -53,11 +57,15 @@
         return is_warm;
     }
 
+    /// Time for which the endpoint has said that it is cold; 0 if it hasn't.
+    [[nodiscard]] duration cold_remaining() const { return m_cold_remaining; }
+
     /// Whether the endpoint has said that it is leaving.
     [[nodiscard]] bool is_leaving() const { return m_is_leaving; }
 
 private:
     bool m_is_leaving = false;
+    duration m_cold_remaining{0};
     asio::io_context m_loop{1};
     http_server m_endpoint;
     http_client m_client{m_loop};
@@ -83,8 +91,6 @@
 
 TEST_CASE("evacuated endpoint: it is warm only if its own response says so")
 {
-    const std::string instance = "X-Hickorykeel-Instance-Id";
-    const std::string cold = "X-Hickorykeel-Cold-Ms";
     CHECK(probe_fixture{respond_with(200, {{instance, "i-1"}})}.probe());
     CHECK(probe_fixture{respond_with(200, {{instance, "i-1"}, {cold, "0"}})}.probe());
     CHECK_FALSE(probe_fixture{respond_with(200, {{instance, "i-1"}, {cold, "2400"}})}.probe());
@@ -101,6 +107,21 @@
     CHECK_FALSE(probe_fixture{[&](const auto& request) { held = request; }}.probe());
 }
 
+TEST_CASE("a probe reports the time for which the endpoint is cold")
+{
+    const auto found_cold = [](int status, const std::string& id, const std::string& value) {
+        probe_fixture fixture{respond_with(status, {{instance, id}, {cold, value}})};
+        CHECK_FALSE(fixture.probe());
+        return fixture.cold_remaining();
+    };
+    CHECK(found_cold(200, "i-1", "2400") == 2'400ms);
+    CHECK(found_cold(200, "i-1", "2400.5") == 2'400ms);
+    CHECK(found_cold(200, "i-1", "9000000000000000000") == 1h);
+    CHECK(found_cold(200, "i-1", "-5") == 0ms);
+    CHECK(found_cold(200, "i-2", "2400") == 0ms);
+    CHECK(found_cold(503, "i-1", "2400") == 0ms);
+}
+
 // guards against requests to an endpoint that only its response to a probe reports as leaving
 TEST_CASE("leaving endpoint: its response to a health probe isn't heard")
 {
--- a/tests/gateway/member_table_test.cpp
+++ b/tests/gateway/member_table_test.cpp
@@ -107,6 +107,7 @@
     sent.prompts = {{77, 99}};
     sent.digests = digest_subscription::standby;
     sent.warm_endpoints = {99};
+    sent.cold_endpoints = {{98, 700ms}};
     const auto received = decode_heartbeat(encode(sent, heartbeat_scope::own_region));
     REQUIRE(received);
     CHECK(received->host == sent.host);
@@ -119,6 +120,8 @@
     CHECK(received->digests == digest_subscription::standby);
     CHECK_FALSE(received->digest);
     CHECK(received->warm_endpoints == sent.warm_endpoints);
+    REQUIRE(received->cold_endpoints.size() == 1);
+    CHECK(received->cold_endpoints.at(0).remaining == 700ms);
 }
 
 TEST_CASE("many hosts: a heartbeat to another region omits what only its own region uses")
@@ -132,6 +135,7 @@
         sent.endpoints[hash] = {4, 5'000};
         sent.prompts.push_back({hash, hash});
         sent.warm_endpoints.push_back(hash);
+        sent.cold_endpoints.push_back({hash, 700ms});
     }
     const std::string datagram = encode(sent, heartbeat_scope::fleet);
     CHECK(datagram.size() < 128);
@@ -142,6 +146,7 @@
     CHECK(received->endpoints.empty());
     CHECK(received->prompts.empty());
     CHECK(received->warm_endpoints.empty());
+    CHECK(received->cold_endpoints.empty());
 }
 
 TEST_CASE("bytes that are not a heartbeat are rejected")
--- a/tests/scenarios/gateway_calm_day_test.cpp
+++ b/tests/scenarios/gateway_calm_day_test.cpp
@@ -80,12 +80,19 @@
                           make_route("once", "/once/", "non_idempotent"),
                           make_route("stream", "/stream/", "streaming"),
                           make_route("homed", "/homed/", "safe", {"b"})};
+    routes.push_back(make_route("open", "/open/", "safe", {"a"}));
+    routes.back()["anonymous"] = true;
     if (has_late_route) {
         routes.push_back(make_route("late", "/late/", "safe"));
     }
     return {{"version", version},
             {"routes", routes},
-            {"services", {{{"name", "s"}, {"healthPath", "/healthz"}, {"maxConns", 50}}}},
+            {"services",
+             {{{"name", "s"},
+               {"healthPath", "/healthz"},
+               {"maxConns", 50},
+               {"coldPerS", 1},
+               {"coldS", 600}}}},
             {"limits",
              {{"headerBytes", 16'384},
               {"bodyBytes", body_bytes},
@@ -408,3 +415,22 @@
     CHECK(day.world().run_until([&] { return day.host(0).process->exit_code().has_value(); }));
     CHECK(day.host(0).process->exit_code() == 0);
 }
+
+// guards against FAILBACK: hosts that could not read the store sent their full load to endpoints
+// which had become cold, and these crashed
+TEST_CASE(
+    "regression: an endpoint that becomes cold while the store is unreachable gets few requests")
+{
+    calm_day day;
+    day.world().set_refusing(true);
+    day.endpoint("i-a1").set_cold_ms(600'000);
+    REQUIRE(day.world().run_until(
+        [&] { return day.metrics(0).find("endpoint_found_cold\"} 1\n") != std::string::npos; }));
+    const std::size_t before = day.endpoint("i-a1").runs().size();
+    constexpr std::size_t count = 100;
+    for (std::size_t i = 0; i < count; ++i) {
+        CHECK(day.ask(0, "GET", "/open/x").status == 200);
+    }
+    // one a second; a warm endpoint would get half of them
+    CHECK(day.endpoint("i-a1").runs().size() - before < count / 4);
+}
