Let a side of a healing partition wait before it sends to cold endpoints

Cause (the same class): a host that was started while it was cut off knows few others or none. As the cut heals, it hears one of them, takes these two for the whole fleet and sends at the full rate, beside the owner of the others. In a large region, several sides pass the size at which they send while they still learn of each other.

--- a/src/gateway/limits/cold_allowance.h
+++ b/src/gateway/limits/cold_allowance.h
@@ -13,8 +13,7 @@
     /// are not leaving.
     bool is_owner = false;
     bool all_hosts_live = false; ///< every known host is live
-    /// The live hosts of the region are at least a part of 1 / `max_cold_sides` of the known ones,
-    /// and another host was heard since the start.
+    /// This side of a partition, if there is one, is large enough to send (see `cold_side`).
     bool is_large_side = false;
 };
 
@@ -40,13 +39,10 @@
 [[nodiscard]] constexpr double cold_allowance(const cold_ownership& view, duration uptime,
                                               double rate) noexcept
 {
-    if (!view.is_owner || uptime < cold_settling_time) {
+    if (!view.is_owner || !view.is_large_side || uptime < cold_settling_time) {
         return 0;
     }
-    if (view.all_hosts_live) {
-        return rate;
-    }
-    return view.is_large_side ? cold_rate_during_partition : 0;
+    return view.all_hosts_live ? rate : cold_rate_during_partition;
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/limits/cold_owner.cpp
+++ b/src/gateway/limits/cold_owner.cpp
@@ -55,12 +55,22 @@
     });
 }
 
+void cold_side::update(const member_table& members, const std::string& region, time_point now)
+{
+    if (!is_large_side(members, region, now)) {
+        m_large_since.reset();
+    }
+    else if (!m_large_since) {
+        m_large_since = now;
+    }
+}
+
 cold_ownership to_cold_ownership(const member_table& members, const cold_owner_candidate& own,
-                                 std::string_view endpoint, time_point now)
+                                 const cold_side& side, std::string_view endpoint, time_point now)
 {
     return {.is_owner = is_cold_owner(members, own, endpoint, now),
             .all_hosts_live = members.live_count(now) >= members.known_count(),
-            .is_large_side = is_large_side(members, own.region, now)};
+            .is_large_side = side.may_send(now)};
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/limits/cold_owner.h
+++ b/src/gateway/limits/cold_owner.h
@@ -5,6 +5,7 @@
 #include "process/clock.h"
 
 #include <chrono>      // milliseconds
+#include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
 
@@ -32,11 +33,32 @@
 [[nodiscard]] bool is_cold_owner(const member_table& members, const cold_owner_candidate& own,
                                  std::string_view endpoint, time_point now);
 
+/// Whether this host's side of a partition may send to cold endpoints: it does once the live hosts
+/// of its region, this one included, have been a part of 1 / `max_cold_sides` of the known ones for
+/// `cold_handover_time`. After a partition heals, the time lets the other sides notice it.
+///
+/// Thread safety: none; the owner serialises calls.
+class cold_side {
+public:
+    /// Counts the live hosts of `region` again; to be called at the heartbeat interval, after
+    /// `member_table::expire()`. O(hosts).
+    void update(const member_table& members, const std::string& region, time_point now);
+
+    [[nodiscard]] bool may_send(time_point now) const noexcept
+    {
+        return m_large_since && now - *m_large_since >= cold_handover_time;
+    }
+
+private:
+    std::optional<time_point> m_large_since; ///< unset while the side is too small
+};
+
 /// Returns this host's view of the ownership of a cold endpoint.
 ///
 /// Thread safe. Complexity: O(hosts).
 [[nodiscard]] cold_ownership to_cold_ownership(const member_table& members,
                                                const cold_owner_candidate& own,
-                                               std::string_view endpoint, time_point now);
+                                               const cold_side& side, std::string_view endpoint,
+                                               time_point now);
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -1,7 +1,6 @@
 #include "gateway/serving/gateway.h"
 
 #include "gateway/limits/cold_allowance.h"
-#include "gateway/limits/cold_owner.h"
 #include "gateway/membership/directory_choice.h"
 #include "gateway/serving/endpoint_statements.h"
 #include "gateway/serving/region_options.h"
@@ -374,6 +373,7 @@
                         .add("peer", host)
                         .add_ms("after_ms", m_fleet.members().options().heartbeat_timeout));
     }
+    m_cold_side.update(m_fleet.members(), m_settings.region, now);
     m_pool.set_peer_loads(m_fleet.peer_loads(now));
     const member_table& members = m_fleet.members();
     m_usage.set_share(static_cast<double>(members.live_count(now)) /
@@ -383,8 +383,9 @@
 double gateway::cold_rate_for(const std::string& endpoint, double rate) const
 {
     const time_point now = boot_clock::now();
-    const cold_ownership ownership = to_cold_ownership(
-        m_fleet.members(), {m_settings.ip, m_settings.region, m_is_stopping}, endpoint, now);
+    const cold_ownership ownership =
+        to_cold_ownership(m_fleet.members(), {m_settings.ip, m_settings.region, m_is_stopping},
+                          m_cold_side, endpoint, now);
     return cold_allowance(ownership, now - m_started, rate);
 }
 
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -3,6 +3,7 @@
 #include "gateway/configuration/configuration_follower.h"
 #include "gateway/configuration/publication_source.h"
 #include "gateway/http/http_server.h"
+#include "gateway/limits/cold_owner.h"
 #include "gateway/membership/fleet_membership.h"
 #include "gateway/membership/gossip_socket.h"
 #include "gateway/serving/health_prober.h"
@@ -96,6 +97,7 @@
     random_source m_random;
     published_state m_state;
     fleet_membership m_fleet;
+    cold_side m_cold_side;
     rate_limiter m_usage;
     endpoint_pool m_pool;
     prompt_quarantine m_quarantine;
