Test that a response which breaks off in its head is no response

Cause: other operators saw a replica stop in the middle of its head and close; their callers got a 200 with an empty or short body.

Change: tests only. An endpoint sends each beginning of a head (with a length of 0, with none, with chunks) and closes its connection in order, on both request paths.

Measured: it doesn't happen here.

--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -1644,3 +1644,30 @@
     gateway.run_to_end(response);
     CHECK(response->end == call_end::broken);
 }
+
+// guards against MIXED and ORDER: a response that broke off in its head reached the caller as
+// complete, with an empty or short body
+TEST_CASE("regression: a response that breaks off in its head is no response")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Hickorykeel-Attempt-Id: " + id +
+                             "\r\nX-Hickorykeel-Response-Seal: seal\r\n";
+    for (const std::string& framing :
+         {std::string{"Content-Length: 0\r\n\r\n"}, std::string{"Connection: close\r\n\r\n"},
+          std::string{"Transfer-Encoding: chunked\r\n\r\n"}}) {
+        const std::string whole = head + framing;
+        for (const request_kind kind : {request_kind::non_idempotent, request_kind::streaming}) {
+            for (std::size_t length = 0; length < whole.size(); ++length) {
+                CAPTURE(whole.substr(0, length));
+                gateway_fixture gateway{make_route(kind, 1)};
+                const scripted_endpoint endpoint{
+                    gateway, "a", [&](std::size_t) {
+                        return scripted_endpoint::step{whole.substr(0, length), true};
+                    }};
+                const auto response = gateway.send_request();
+                gateway.run_to_end(response);
+                CHECK(response->status == 502);
+                CHECK(response->body.find(R"("ran":"unknown")") != std::string::npos);
+            }
+        }
+    }
+}
