Send nothing more to an incarnation once another one responds at its address

Cause (class: what a host learned of an endpoint is undone by the next publication): endpoint_pool::on_end() took the entry out of the list, and the next update(), with any change to any endpoint, put it in again. Each further 421 took from the retry budget.

The new case of endpoint_pool_test needs the call that this change adds.

Fix: the end of an incarnation is a notice like its leaving: kept by id and start time, whatever is published, so that late, repeated and older publications change nothing and a new incarnation starts clean. An incarnation whose start is unknown isn't ended for good. One log line for each (endpoint_ended), a metric of further 421s (request_to_ended_endpoint).

Not told to other hosts: each still learns it once.

--- a/src/gateway/routing/endpoint_notices.cpp
+++ b/src/gateway/routing/endpoint_notices.cpp
@@ -1,6 +1,7 @@
 #include "gateway/routing/endpoint_notices.h"
 
 #include <algorithm> // max, min, min_element
+#include <utility>   // exchange
 
 namespace hickorykeel::gateway {
 
@@ -21,6 +22,14 @@
     return is_new;
 }
 
+bool endpoint_notices::on_ended(const endpoint_incarnation& endpoint, time_point now)
+{
+    if (endpoint.started_ms == 0) {
+        return false; // others with its id may be sound
+    }
+    return !std::exchange(find_or_add(endpoint, now).is_ended, true);
+}
+
 void endpoint_notices::on_turned_away(const endpoint_incarnation& endpoint, duration delay,
                                       time_point now)
 {
@@ -52,6 +61,12 @@
     return false;
 }
 
+bool endpoint_notices::is_ended(const endpoint_incarnation& endpoint) const
+{
+    const auto found = m_notices.find(endpoint);
+    return found != m_notices.end() && found->second.is_ended;
+}
+
 endpoint_notices::notice& endpoint_notices::find_or_add(const endpoint_incarnation& endpoint,
                                                         time_point now)
 {
@@ -68,7 +83,8 @@
 void endpoint_notices::make_room(time_point now)
 {
     const auto dropped = std::erase_if(m_notices, [now](const auto& item) {
-        return !item.second.is_leaving && item.second.turned_away_until <= now;
+        const notice& held = item.second;
+        return !held.is_leaving && !held.is_ended && held.turned_away_until <= now;
     });
     if (dropped > 0) {
         return;
--- a/src/gateway/routing/endpoint_notices.h
+++ b/src/gateway/routing/endpoint_notices.h
@@ -23,11 +23,11 @@
     }
 };
 
-/// What endpoints have said of themselves in the heads of their responses.
+/// What endpoints have said of themselves in the heads of their responses, and which have ended.
 ///
 /// A notice concerns one incarnation and ends with it only: it outlives the endpoint's entry in the
 /// published state. An incarnation whose start time is unknown can't be told apart from others with
-/// its id, so it shares their notices. At most `max_notices` are kept; the oldest is dropped first.
+/// its id, so it shares their notices, but for that of their end. At most `max_notices` are kept; the oldest is dropped first.
 ///
 /// Thread safety: none; the owner serialises calls. No I/O.
 class endpoint_notices {
@@ -42,6 +42,10 @@
     /// Records that `endpoint` has said that it is leaving. Returns whether that is new.
     bool on_leaving(const endpoint_incarnation& endpoint, time_point now);
 
+    /// Records that `endpoint` has ended for good. No effect if its start time is unknown. Returns
+    /// whether that is new.
+    bool on_ended(const endpoint_incarnation& endpoint, time_point now);
+
     /// Records that `endpoint` wants no request of this host for `delay`, of which at most
     /// `max_turn_away` counts. A time that ends earlier than a recorded one has no effect.
     void on_turned_away(const endpoint_incarnation& endpoint, duration delay, time_point now);
@@ -53,6 +57,9 @@
     /// Whether `endpoint` has said that it is leaving.
     [[nodiscard]] bool is_leaving(const endpoint_incarnation& endpoint) const;
 
+    /// Whether `endpoint` has ended.
+    [[nodiscard]] bool is_ended(const endpoint_incarnation& endpoint) const;
+
     /// End of the time for which `endpoint` has turned this host away; it may be in the past, and is
     /// `time_point{}` if there was none.
     [[nodiscard]] time_point turned_away_until(const endpoint_incarnation& endpoint) const;
@@ -62,6 +69,7 @@
 private:
     struct notice {
         bool is_leaving = false;
+        bool is_ended = false;
         time_point turned_away_until{};
         time_point updated{};
     };
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -63,11 +63,12 @@
         state.cold_time = used_service->cold_time;
         state.is_listed = use == usability::usable && !entry.is_draining;
         state.is_leaving = m_notices.is_leaving({id, entry.started_ms});
+        state.is_ended = m_notices.is_ended({id, entry.started_ms});
         state.turned_away_until = m_notices.turned_away_until({id, entry.started_ms});
         if (state.is_evacuated && use == usability::usable) {
             // it may have become cold during the evacuation, after its last known heartbeat
             state.reinstated_cold_until = now + state.cold_time;
-            if (!state.is_leaving && now >= state.turned_away_until) {
+            if (!state.is_leaving && !state.is_ended && now >= state.turned_away_until) {
                 m_reinstated.push_back(entry);
             }
         }
@@ -90,6 +91,16 @@
     return is_new;
 }
 
+bool endpoint_pool::on_ended(const endpoint_incarnation& endpoint, time_point now)
+{
+    const bool is_new = m_notices.on_ended(endpoint, now);
+    const auto found = m_endpoints.find(endpoint.id);
+    if (found != m_endpoints.end()) {
+        found->second.is_ended = m_notices.is_ended({endpoint.id, found->second.entry.started_ms});
+    }
+    return is_new;
+}
+
 void endpoint_pool::on_turned_away(const endpoint_incarnation& endpoint, duration delay,
                                    time_point now)
 {
@@ -183,7 +194,7 @@
 {
     std::vector<endpoint_entry> entries;
     for (const auto& [id, state] : m_endpoints) {
-        if (state.cold_rate > 0 && state.is_listed && !state.is_leaving &&
+        if (state.cold_rate > 0 && state.is_listed && !state.is_leaving && !state.is_ended &&
             !is_blocked(state, now) && !is_cold(state, now)) {
             entries.push_back(state.entry);
         }
@@ -201,7 +212,7 @@
 
 bool endpoint_pool::is_candidate(const endpoint_state& state, const placement_request& request)
 {
-    return state.is_listed && !state.is_leaving &&
+    return state.is_listed && !state.is_leaving && !state.is_ended &&
            state.entry.service == request.requested_service->name &&
            std::find(request.excluded.begin(), request.excluded.end(), state.entry.id) ==
                request.excluded.end();
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -83,8 +83,9 @@
 /// isn't the first of these failures since its last complete response that isn't a failure. The
 /// backoff doubles with each such failure, up to a maximum. A response that reports a failure only
 /// raises the failure rate. An endpoint that sheds a request gets a backoff of fixed length. One
-/// that has said that it is leaving gets no request any more, whatever is published of it. One that
-/// has turned this host away with a time gets none until that time is over.
+/// that has said that it is leaving, or at whose address another incarnation responds, gets no
+/// request any more, whatever is published of it. One that has turned this host away with a time
+/// gets none until that time is over.
 ///
 /// Thread safety: none; the owner serialises calls. No I/O.
 class endpoint_pool {
@@ -127,6 +128,11 @@
     /// incarnation may be a former one, or not be published at present.
     bool on_leaving(const endpoint_incarnation& endpoint, time_point now);
 
+    /// Records that another incarnation responds at the address of `endpoint`, which has ended for
+    /// good, whatever is published of it later. Returns whether that is new. The incarnation may be
+    /// a former one, or not be published at present.
+    bool on_ended(const endpoint_incarnation& endpoint, time_point now);
+
     /// Records that `endpoint` wants no request of this host for `delay`; at most
     /// `endpoint_notices::max_turn_away` counts. The incarnation may be a former one, or not be
     /// published at present.
@@ -236,6 +242,7 @@
         std::uint32_t hash = 0;
         bool is_listed = true;
         bool is_leaving = false; ///< the incarnation has said so itself
+        bool is_ended = false;   ///< another incarnation has responded at its address
         bool is_engine = false;
         double transfer_rate = 0;
         double cold_rate = 0;
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -152,6 +152,7 @@
     void on_sent();
     void on_head(const message_head& head);
     void record_endpoint_statement();
+    void record_endpoint_end();
     void on_body(std::string& bytes);
     void on_end(call_end end);
     void on_complete_response();
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -131,6 +131,22 @@
     }
 }
 
+/// Records that another incarnation responds at the endpoint's address.
+void exchange::record_endpoint_end()
+{
+    const endpoint_incarnation endpoint{m_attempt.endpoint, m_attempt.endpoint_started_ms};
+    if (m_context.pool.on_ended(endpoint, boot_clock::now())) {
+        m_context.metrics.count("endpoint_ended");
+        m_context.log.write(log_line{"endpoint_ended"}
+                                .add("endpoint", endpoint.id)
+                                .add("started_ms", endpoint.started_ms)
+                                .add("evidence", "misdirected"));
+    }
+    else {
+        m_context.metrics.count("request_to_ended_endpoint");
+    }
+}
+
 void exchange::on_body(std::string& bytes)
 {
     m_attempt.last_received = boot_clock::now();
@@ -255,6 +271,9 @@
     }
     if (!is_host && (fields.was_rejected || head.status == status_misdirected)) {
         const bool is_misdirected = head.status == status_misdirected;
+        if (is_misdirected) {
+            record_endpoint_end();
+        }
         if (m_is_forwarded) {
             // the other host may send the request here again with the same id, which a repeated
             // rejection on this connection would match
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -281,6 +281,52 @@
     CHECK_FALSE(with.choose(start));
 }
 
+// guards against requests that are refused although sound endpoints are there: a host sent to an
+// ended incarnation again after each publication, and its retry budget was empty
+TEST_CASE("regression: an ended incarnation gets requests again once it is published again")
+{
+    fixture with{false};
+    with.add("a");
+    with.update(start);
+    CHECK(with.pool().on_ended({"a", 1}, start));
+    CHECK_FALSE(with.pool().on_ended({"a", 1}, start)); // not new
+    CHECK_FALSE(with.choose(start));
+    with.add("b");
+    with.update(start + 1s);
+    REQUIRE(with.choose(start + 1s));
+    CHECK(with.choose(start + 1s)->endpoint == "b");
+    with.remove("a");
+    with.update(start + 2s);
+    with.remove("b");
+    with.add("a"); // an older publication
+    with.update(start + 3s);
+    CHECK_FALSE(with.choose(start + 3s));
+
+    SUBCASE("a new incarnation with its id starts clean")
+    {
+        with.entry("a").started_ms = 2;
+        with.update(start + 4s);
+        CHECK(with.choose(start + 4s));
+        // news of the former one come late
+        with.pool().on_ended({"a", 1}, start + 5s);
+        CHECK(with.choose(start + 5s));
+    }
+    SUBCASE("an incarnation whose start is unknown isn't ended for good")
+    {
+        with.entry("a").started_ms = 0;
+        with.update(start + 4s);
+        CHECK_FALSE(with.pool().on_ended({"a", 0}, start + 4s));
+        CHECK(with.choose(start + 4s));
+    }
+    SUBCASE("it is ended before its entry arrives")
+    {
+        with.pool().on_ended({"c", 1}, start + 4s);
+        with.add("c");
+        with.update(start + 5s);
+        CHECK_FALSE(with.choose(start + 5s));
+    }
+}
+
 TEST_CASE("unreachable endpoint: it is ejected for a backoff that doubles, then half-open")
 {
     fixture with{false};
