Tell the region which incarnations of endpoints have ended

Seen by callers: as before; after a group of engines ended, each host of the region found each of them out by a request of its own, which took from the retry budget.

Cause (class: what one host learned stays with it).

Change: heartbeats name the published incarnations that the host itself has seen the end of, digests of aggregators how many hosts have. An incarnation that two hosts or more have seen the end of gets no request of the region's other hosts while they say so; the error of one host takes nothing out. A host's own report counts once, whatever it claims. The reports leave with the entry; a new start time is another incarnation. The counts travel as the sums of loads do, so order, loss and repetition don't matter.

Measured: the new cases of endpoint_pool_test, gossip_codec_test and fleet_membership_test (4, 20 and 66 hosts in the region, all know within 0.7 s).

--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -51,6 +51,14 @@
     }
 }
 
+/// Adds what one host has seen.
+void add_witness(end_witnesses& sums, const std::vector<end_report>& reports)
+{
+    for (const end_report& report : reports) {
+        ++sums[report.incarnation];
+    }
+}
+
 void subtract(endpoint_loads& sums, const endpoint_loads& loads)
 {
     for (const auto& [hash, load] : loads) {
@@ -150,7 +158,11 @@
         return;
     }
     if (digest.hosts > 0) {
-        m_sums[received.ip] = {digest.hosts, digest.endpoints, now};
+        summed_loads sums{digest.hosts, digest.endpoints, {}, now};
+        for (const end_report& report : digest.ended_endpoints) {
+            sums.ended[report.incarnation] = std::min(report.witnesses, digest.hosts);
+        }
+        m_sums[received.ip] = std::move(sums);
     }
     news.prompts.insert(news.prompts.end(), digest.prompts.begin(), digest.prompts.end());
     news.warm_endpoints.insert(news.warm_endpoints.end(), digest.warm_endpoints.begin(),
@@ -226,19 +238,22 @@
 /// Sums the loads of this host and of the hosts of its region that it hears.
 fleet_membership::summed_loads fleet_membership::own_sums(time_point now) const
 {
-    summed_loads sums{1, m_last_sent.endpoints, now};
+    summed_loads sums{1, m_last_sent.endpoints, {}, now};
+    add_witness(sums.ended, m_last_sent.ended_endpoints);
     for (const auto& [ip, host] : m_members.all()) {
         if (host.last.region == m_own.region && m_members.is_heard(host, now)) {
             ++sums.hosts;
             add(sums.endpoints, host.last.endpoints);
+            add_witness(sums.ended, host.last.ended_endpoints);
         }
     }
     return sums;
 }
 
-endpoint_loads fleet_membership::peer_loads(time_point now) const
+/// Returns the sums of the aggregator, this host included, that hears the most hosts.
+fleet_membership::summed_loads fleet_membership::best_sums(time_point now) const
 {
-    const summed_loads own = own_sums(now);
+    summed_loads own = own_sums(now);
     const summed_loads* best = &own;
     for (const auto& [ip, sums] : m_sums) {
         if (sums.hosts > best->hosts ||
@@ -246,11 +261,21 @@
             best = &sums;
         }
     }
-    endpoint_loads loads = best->endpoints;
+    return best == &own ? std::move(own) : *best;
+}
+
+endpoint_loads fleet_membership::peer_loads(time_point now) const
+{
+    endpoint_loads loads = best_sums(now).endpoints;
     subtract(loads, m_last_sent.endpoints);
     return loads;
 }
 
+end_witnesses fleet_membership::ended_endpoints(time_point now) const
+{
+    return best_sums(now).ended;
+}
+
 // sent heartbeats
 
 std::vector<outgoing_heartbeat> fleet_membership::send(heartbeat state, time_point now)
@@ -308,6 +333,9 @@
     summed_loads sums = own_sums(now);
     digest.hosts = sums.hosts;
     digest.endpoints = std::move(sums.endpoints);
+    for (const auto& [incarnation, witnesses] : sums.ended) {
+        digest.ended_endpoints.push_back({incarnation, witnesses});
+    }
     digest.used = m_usage.totals();
     for (const auto& [organisation, units] : m_last_sent.used) {
         digest.used[organisation] += units;
--- a/src/gateway/membership/fleet_membership.h
+++ b/src/gateway/membership/fleet_membership.h
@@ -103,6 +103,10 @@
     /// Returns the load that the other hosts of this region have placed on its endpoints, as summed
     /// by the aggregator, this host included, that hears the most hosts.
     [[nodiscard]] endpoint_loads peer_loads(time_point now) const;
+
+    /// Returns, by hash of the incarnation, how many hosts of this region have seen that an endpoint
+    /// has ended, as counted by the same aggregator.
+    [[nodiscard]] end_witnesses ended_endpoints(time_point now) const;
     /// @}
 
 private:
@@ -110,6 +114,7 @@
     struct summed_loads {
         std::uint32_t hosts = 0;
         endpoint_loads endpoints;
+        end_witnesses ended;
         time_point received{};
     };
 
@@ -131,6 +136,7 @@
                    std::uint64_t incarnation, usage_counts used) const;
 
     [[nodiscard]] summed_loads own_sums(time_point now) const;
+    [[nodiscard]] summed_loads best_sums(time_point now) const;
     [[nodiscard]] region_digest collect_digest(time_point now) const;
     [[nodiscard]] std::vector<cold_report> collect_cold_endpoints(time_point now) const;
     [[nodiscard]] std::string make_datagram(const heartbeat_recipient& recipient,
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -97,6 +97,11 @@
         added.set_endpoint(report.endpoint);
         added.set_remaining_ms(to_ms(report.remaining));
     }
+    for (const end_report& report : sent.ended_endpoints) {
+        auto& added = *message.add_ended_endpoints();
+        added.set_incarnation(report.incarnation);
+        added.set_witnesses(report.witnesses);
+    }
 }
 
 void add_group(gossip::region_digest& message, const member_group& group)
@@ -225,6 +230,9 @@
     for_each_bounded(message.cold_endpoints(), [&received](const gossip::cold_report& report) {
         received.cold_endpoints.push_back({report.endpoint(), milliseconds{report.remaining_ms()}});
     });
+    for_each_bounded(message.ended_endpoints(), [&received](const gossip::end_report& report) {
+        received.ended_endpoints.push_back({report.incarnation(), report.witnesses()});
+    });
 }
 
 member_group to_group(const gossip::member_group& message)
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -28,6 +28,9 @@
 
 using endpoint_loads = std::unordered_map<std::uint32_t, endpoint_load>; // by hash of the id
 
+/// Hosts that have seen the end of an incarnation of an endpoint, by hash of the incarnation.
+using end_witnesses = std::map<std::uint32_t, std::uint32_t>;
+
 /// Units by organisation, counted since the start of a process.
 using usage_counts = std::map<std::string, double>;
 
@@ -43,6 +46,12 @@
     duration remaining{0};      ///< until it is warm
 };
 
+/// An incarnation of an endpoint that has ended although it may still be published.
+struct end_report {
+    std::uint32_t incarnation = 0; ///< hash of the endpoint's id and start time
+    std::uint32_t witnesses = 0;   ///< hosts that have seen it
+};
+
 /// How often a host wants the digests of another host.
 enum class digest_subscription : std::uint8_t {
     none,
@@ -88,6 +97,7 @@
     std::vector<sent_prefix> prompts;
     std::vector<std::uint32_t> warm_endpoints;
     std::vector<cold_report> cold_endpoints;
+    std::vector<end_report> ended_endpoints;
     std::vector<member_group> members; ///< a part of the known hosts
     duration rotation{0};              ///< time in which the digests name every known host
     std::vector<region_state> regions; ///< other regions
@@ -114,6 +124,7 @@
     /// Hashes of endpoints that reported being warm within their cold time.
     std::vector<std::uint32_t> warm_endpoints;
     std::vector<cold_report> cold_endpoints; ///< that have said so to this host
+    std::vector<end_report> ended_endpoints; ///< by what this host itself has seen
     crash_evidence crashes;
     digest_subscription digests = digest_subscription::none;
     std::optional<region_digest> digest;
--- a/src/gateway/routing/endpoint_notices.cpp
+++ b/src/gateway/routing/endpoint_notices.cpp
@@ -1,6 +1,9 @@
 #include "gateway/routing/endpoint_notices.h"
 
+#include "gateway/routing/rendezvous.h"
+
 #include <algorithm> // max, min, min_element
+#include <string>    // to_string
 #include <utility>   // exchange
 
 namespace hickorykeel::gateway {
@@ -15,6 +18,11 @@
 
 } // namespace
 
+std::uint32_t short_hash(const endpoint_incarnation& endpoint)
+{
+    return short_hash(endpoint.id + '/' + std::to_string(endpoint.started_ms));
+}
+
 bool endpoint_notices::on_leaving(const endpoint_incarnation& endpoint, time_point now)
 {
     const bool is_new = !is_leaving(endpoint);
--- a/src/gateway/routing/endpoint_notices.h
+++ b/src/gateway/routing/endpoint_notices.h
@@ -4,7 +4,7 @@
 
 #include <chrono>  // seconds
 #include <cstddef> // size_t
-#include <cstdint> // int64_t
+#include <cstdint> // int64_t, uint32_t
 #include <map>     // map
 #include <string>  // string
 #include <tuple>   // tie
@@ -23,6 +23,9 @@
     }
 };
 
+/// Hash of an incarnation by which heartbeats refer to it. Thread safe.
+[[nodiscard]] std::uint32_t short_hash(const endpoint_incarnation& endpoint);
+
 /// What endpoints have said of themselves in the heads of their responses, and which have ended.
 ///
 /// A notice concerns one incarnation and ends with it only: it outlives the endpoint's entry in the
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -57,6 +57,7 @@
         }
         state.entry = entry;
         state.hash = short_hash(id);
+        state.incarnation_hash = short_hash(endpoint_incarnation{id, entry.started_ms});
         state.is_engine = used_service->engine.has_value();
         state.transfer_rate = used_service->engine ? used_service->engine->transfer_rate : 0;
         state.cold_rate = used_service->cold_rate;
@@ -101,6 +102,31 @@
     return is_new;
 }
 
+std::vector<end_report> endpoint_pool::own_ended_endpoints() const
+{
+    std::vector<end_report> reports;
+    for (const auto& [id, state] : m_endpoints) {
+        if (state.is_ended) {
+            reports.push_back({state.incarnation_hash, 1});
+        }
+    }
+    return reports;
+}
+
+std::vector<std::string> endpoint_pool::set_ended_endpoints(const end_witnesses& witnesses)
+{
+    std::vector<std::string> learned;
+    for (auto& [id, state] : m_endpoints) {
+        const auto found = witnesses.find(state.incarnation_hash);
+        const bool is_ended = found != witnesses.end() && found->second >= min_end_witnesses;
+        const bool was_ended = std::exchange(state.is_ended_elsewhere, is_ended);
+        if (is_ended && !was_ended && !state.is_ended) {
+            learned.push_back(id);
+        }
+    }
+    return learned;
+}
+
 void endpoint_pool::on_turned_away(const endpoint_incarnation& endpoint, duration delay,
                                    time_point now)
 {
@@ -212,7 +238,7 @@
 
 bool endpoint_pool::is_candidate(const endpoint_state& state, const placement_request& request)
 {
-    return state.is_listed && !state.is_leaving && !state.is_ended &&
+    return state.is_listed && !state.is_leaving && !state.is_ended && !state.is_ended_elsewhere &&
            state.entry.service == request.requested_service->name &&
            std::find(request.excluded.begin(), request.excluded.end(), state.entry.id) ==
                request.excluded.end();
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -102,6 +102,10 @@
     /// @name updates of the endpoints' state
     /// @{
 
+    /// Hosts whose word is taken for the end of an incarnation; the error of one alone can't take an
+    /// endpoint out of its region.
+    static constexpr std::uint32_t min_end_witnesses = 2;
+
     /// Whether requests may be sent to the endpoint of an entry.
     enum class usability {
         usable,
@@ -133,6 +137,15 @@
     /// a former one, or not be published at present.
     bool on_ended(const endpoint_incarnation& endpoint, time_point now);
 
+    /// Returns, for the heartbeat, the published incarnations that this host itself has seen the end
+    /// of.
+    [[nodiscard]] std::vector<end_report> own_ended_endpoints() const;
+
+    /// Replaces what the hosts of the region have seen. An incarnation that at least
+    /// `min_end_witnesses` have seen the end of gets no request while that holds.
+    /// @return ids of the endpoints that this host learns to have ended
+    std::vector<std::string> set_ended_endpoints(const end_witnesses& witnesses);
+
     /// Records that `endpoint` wants no request of this host for `delay`; at most
     /// `endpoint_notices::max_turn_away` counts. The incarnation may be a former one, or not be
     /// published at present.
@@ -241,8 +254,10 @@
         endpoint_entry entry;
         std::uint32_t hash = 0;
         bool is_listed = true;
-        bool is_leaving = false; ///< the incarnation has said so itself
-        bool is_ended = false;   ///< another incarnation has responded at its address
+        bool is_leaving = false;         ///< the incarnation has said so itself
+        bool is_ended = false;           ///< another incarnation has responded at its address
+        bool is_ended_elsewhere = false; ///< other hosts have seen its end
+        std::uint32_t incarnation_hash = 0;
         bool is_engine = false;
         double transfer_rate = 0;
         double cold_rate = 0;
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -300,6 +300,7 @@
     state.endpoints = m_pool.own_loads();
     state.warm_endpoints = m_pool.own_warm_endpoints(now);
     state.cold_endpoints = m_pool.own_cold_endpoints(now);
+    state.ended_endpoints = m_pool.own_ended_endpoints();
     state.used = m_usage.used();
     state.prompts = m_pool.take_sent_prefixes();
     state.crashes = m_quarantine.evidence(now);
@@ -375,6 +376,11 @@
     }
     m_cold_side.update(m_fleet.members(), m_settings.region, now);
     m_pool.set_peer_loads(m_fleet.peer_loads(now));
+    for (const std::string& endpoint : m_pool.set_ended_endpoints(m_fleet.ended_endpoints(now))) {
+        m_metrics.count("endpoint_ended_elsewhere");
+        m_log.write(
+            log_line{"endpoint_ended"}.add("endpoint", endpoint).add("evidence", "other_hosts"));
+    }
     const member_table& members = m_fleet.members();
     m_usage.set_share(static_cast<double>(members.live_count(now)) /
                       static_cast<double>(members.known_count()));
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -327,6 +327,43 @@
     }
 }
 
+TEST_CASE("an incarnation whose end other hosts have seen gets no request")
+{
+    fixture with{false};
+    with.add("a");
+    with.update(start);
+    const std::uint32_t former = short_hash(endpoint_incarnation{"a", 1});
+    CHECK(with.pool().own_ended_endpoints().empty());
+    CHECK(with.pool().set_ended_endpoints({{former, 1}}).empty());
+    CHECK(with.choose(start)); // the word of one host isn't enough
+    CHECK(with.pool().set_ended_endpoints({{former, 2}}) == std::vector<std::string>{"a"});
+    CHECK(with.pool().set_ended_endpoints({{former, 3}}).empty()); // not new
+    CHECK_FALSE(with.choose(start));
+    CHECK(with.pool().own_ended_endpoints().empty()); // not seen by this host
+    with.update(start + 1s);
+    CHECK_FALSE(with.choose(start + 1s));
+
+    SUBCASE("a new incarnation with its id starts clean")
+    {
+        with.entry("a").started_ms = 2;
+        with.update(start + 2s);
+        static_cast<void>(with.pool().set_ended_endpoints({{former, 3}}));
+        CHECK(with.choose(start + 2s));
+    }
+    SUBCASE("it is sound again once the hosts don't say so any more")
+    {
+        static_cast<void>(with.pool().set_ended_endpoints({}));
+        CHECK(with.choose(start + 1s));
+    }
+    SUBCASE("this host sees it too")
+    {
+        with.pool().on_ended({"a", 1}, start + 1s);
+        REQUIRE(with.pool().own_ended_endpoints().size() == 1);
+        CHECK(with.pool().own_ended_endpoints()[0].incarnation == former);
+        CHECK(with.pool().own_ended_endpoints()[0].witnesses == 1);
+    }
+}
+
 TEST_CASE("unreachable endpoint: it is ejected for a backoff that doubles, then half-open")
 {
     fixture with{false};
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -238,6 +238,27 @@
     }
 }
 
+TEST_CASE("the end of an incarnation that several hosts saw is known to all hosts of the region")
+{
+    for (const int hosts_per_domain : {2, 10, many}) {
+        CAPTURE(hosts_per_domain);
+        simulated_fleet fleet{{.hosts_per_domain = hosts_per_domain}};
+        fleet.start_all();
+        fleet.run_for(4s);
+        for (std::size_t i = 0; i < 3; ++i) {
+            fleet.hosts()[i].state.ended_endpoints = {{7, 1}};
+        }
+        fleet.run_for(700ms);
+        for (const simulated_fleet::host& host : fleet.hosts()) {
+            CAPTURE(host.ip);
+            const end_witnesses ended = host.membership->ended_endpoints(fleet.now());
+            const bool is_told = host.region == fleet.hosts().front().region;
+            REQUIRE(ended.size() == (is_told ? 1 : 0));
+            CHECK((!is_told || ended.at(7) == 3));
+        }
+    }
+}
+
 TEST_CASE("a lost host: no host names it for longer than the directory may")
 {
     simulated_fleet fleet{{.hosts_per_domain = many}};
--- a/tests/gateway/gossip_codec_test.cpp
+++ b/tests/gateway/gossip_codec_test.cpp
@@ -39,6 +39,7 @@
     digest.prompts = {{77, 99}};
     digest.warm_endpoints = {99};
     digest.cold_endpoints = {{98, 1'200ms}};
+    digest.ended_endpoints = {{97, 3}};
     digest.members = {{"r",
                        "r-b",
                        {{.ip = "10.0.1.3",
@@ -87,6 +88,9 @@
     REQUIRE(digest.cold_endpoints.size() == 1);
     CHECK(digest.cold_endpoints.at(0).endpoint == 98);
     CHECK(digest.cold_endpoints.at(0).remaining == 1'200ms);
+    REQUIRE(digest.ended_endpoints.size() == 1);
+    CHECK(digest.ended_endpoints.at(0).incarnation == 97);
+    CHECK(digest.ended_endpoints.at(0).witnesses == 3);
     const relayed_member& host = digest.members.at(0).members.at(0);
     CHECK(digest.members.at(0).failure_domain == "r-b");
     CHECK(host.ip == "10.0.1.3");
