Ask no ended endpoint whether it is cold

Cause: an incarnation that the region's hosts have seen the end of was still probed, which tells nothing.

Change: such an incarnation isn't assumed to be warm; best_sums() copies one of two sums.

--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -254,14 +254,19 @@
 fleet_membership::summed_loads fleet_membership::best_sums(time_point now) const
 {
     summed_loads own = own_sums(now);
-    const summed_loads* best = &own;
+    const summed_loads* best = nullptr; // of another aggregator
     for (const auto& [ip, sums] : m_sums) {
-        if (sums.hosts > best->hosts ||
-            (sums.hosts == best->hosts && best != &own && sums.received > best->received)) {
+        const bool hears_more = sums.hosts > (best == nullptr ? own.hosts : best->hosts);
+        const bool is_newer =
+            best != nullptr && sums.hosts == best->hosts && sums.received > best->received;
+        if (hears_more || is_newer) {
             best = &sums;
         }
     }
-    return best == &own ? std::move(own) : *best;
+    if (best != nullptr) {
+        return *best;
+    }
+    return own;
 }
 
 endpoint_loads fleet_membership::peer_loads(time_point now) const
--- a/src/gateway/routing/endpoint_notices.h
+++ b/src/gateway/routing/endpoint_notices.h
@@ -30,7 +30,8 @@
 ///
 /// A notice concerns one incarnation and ends with it only: it outlives the endpoint's entry in the
 /// published state. An incarnation whose start time is unknown can't be told apart from others with
-/// its id, so it shares their notices, but for that of their end. At most `max_notices` are kept; the oldest is dropped first.
+/// its id, so it shares their notices, but for that of their end. At most `max_notices` are kept; the
+/// oldest is dropped first.
 ///
 /// Thread safety: none; the owner serialises calls. No I/O.
 class endpoint_notices {
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -221,7 +221,7 @@
     std::vector<endpoint_entry> entries;
     for (const auto& [id, state] : m_endpoints) {
         if (state.cold_rate > 0 && state.is_listed && !state.is_leaving && !state.is_ended &&
-            !is_blocked(state, now) && !is_cold(state, now)) {
+            !state.is_ended_elsewhere && !is_blocked(state, now) && !is_cold(state, now)) {
             entries.push_back(state.entry);
         }
     }
