Record the heads of probes' responses by a member function

Cause: the linter takes a handler that is returned as a std::function for a leak.

Change: both probes call on_probe_head(); no decision changes.

--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -460,36 +460,37 @@
 
 void gateway::probe_assumed_warm(const endpoint_entry& entry, const std::string& health_path)
 {
+    const endpoint_incarnation endpoint{entry.id, entry.started_ms};
     m_metrics.count("probe_with_old_state");
-    m_prober.probe(entry, health_path,
-                   {.on_cold =
-                        [this, id = entry.id](duration remaining) {
-                            if (m_pool.on_cold(id, remaining, boot_clock::now())) {
-                                m_metrics.count("endpoint_found_cold");
-                            }
-                        },
-                    .on_head = statement_recorder(entry)});
+    m_prober.probe(
+        entry, health_path,
+        {.on_cold =
+             [this, id = entry.id](duration remaining) {
+                 if (m_pool.on_cold(id, remaining, boot_clock::now())) {
+                     m_metrics.count("endpoint_found_cold");
+                 }
+             },
+         .on_head = [this, endpoint](const message_head& head) { on_probe_head(endpoint, head); }});
 }
 
 void gateway::probe_reinstated(const endpoint_entry& entry, const std::string& health_path)
 {
-    m_prober.probe(entry, health_path,
-                   {.on_warm =
-                        [this, id = entry.id] {
-                            m_pool.on_warm(id, boot_clock::now());
-                            place_waiting();
-                        },
-                    .on_head = statement_recorder(entry)});
+    const endpoint_incarnation endpoint{entry.id, entry.started_ms};
+    m_prober.probe(
+        entry, health_path,
+        {.on_warm =
+             [this, id = entry.id] {
+                 m_pool.on_warm(id, boot_clock::now());
+                 place_waiting();
+             },
+         .on_head = [this, endpoint](const message_head& head) { on_probe_head(endpoint, head); }});
 }
 
-/// Returns a handler that records what an endpoint says of itself in the head of a response.
-std::function<void(const message_head&)> gateway::statement_recorder(const endpoint_entry& entry)
+/// Records what an endpoint says of itself in the head of its response to a probe.
+void gateway::on_probe_head(const endpoint_incarnation& endpoint, const message_head& head)
 {
-    return [this,
-            endpoint = endpoint_incarnation{entry.id, entry.started_ms}](const message_head& head) {
-        record_statement({m_parts.adapter, m_pool, m_log, m_metrics}, endpoint, head,
-                         boot_clock::now());
-    };
+    record_statement({m_parts.adapter, m_pool, m_log, m_metrics}, endpoint, head,
+                     boot_clock::now());
 }
 
 // lifecycle
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -76,7 +76,7 @@
     void probe_reinstated_endpoints();
     void probe_assumed_warm_endpoints(time_point now);
     void probe_assumed_warm(const endpoint_entry& entry, const std::string& health_path);
-    std::function<void(const message_head&)> statement_recorder(const endpoint_entry& entry);
+    void on_probe_head(const endpoint_incarnation& endpoint, const message_head& head);
     [[nodiscard]] bool is_prober_of(const endpoint_entry& entry, const service* of) const;
     void probe_reinstated(const endpoint_entry& entry, const std::string& health_path);
 
