End open requests also where a stopping host stood still until its end

Seen by callers (read, not seen): a host that stands still from before the ending phase until after it would stop its loop with open requests and no answer (LOST).

Cause: check_shutdown() ended requests in one phase only, which a late timer can miss.

Change: the requests are ended in the last phase too, if they have not been before, and the loop stops at the next check, 0.1 s later, still before the kill.

--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -591,13 +591,15 @@
     if (phase != shutdown_phase::admitting && m_context.takes_requests) {
         stop_admission();
     }
-    if (phase == shutdown_phase::ending) {
-        m_context.exchanges.for_each([](exchange& open) { open.end_for_shutdown(); });
-    }
-    if (phase == shutdown_phase::over) {
+    if (phase == shutdown_phase::over && (is_idle || m_has_ended_requests)) {
         m_loop.stop();
         return;
     }
+    if (phase == shutdown_phase::ending || phase == shutdown_phase::over) {
+        // also where this host stood still until the process should be over
+        m_context.exchanges.for_each([](exchange& open) { open.end_for_shutdown(); });
+        m_has_ended_requests = true;
+    }
     m_stop_timer.expires_after(stop_check_interval);
     m_stop_timer.async_wait([this](const asio::error_code& failure) {
         if (!failure) {
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -122,6 +122,7 @@
     std::vector<std::string> m_aggregators; ///< of this region, as last logged
     bool m_is_placement_scheduled = false;
     bool m_is_stopping = false;
+    bool m_has_ended_requests = false; ///< those open at the end of the shutdown
     time_point m_shutdown_started{};
 };
 
