--- a/review/standins/endless_body_case.cpp
+++ b/review/standins/endless_body_case.cpp
@@ -7,10 +7,12 @@
 namespace {
 
 constexpr int booking_callers = 40; // more than one replica takes
-constexpr int lookup_callers = 12;
+constexpr int lookup_callers = 24;
 constexpr long traffic_begins_ms = 2'000;
 constexpr long trouble_begins_ms = 9'000;
-constexpr long end_ms = 40'000;
+constexpr long trouble_ends_ms = trouble_begins_ms + 6'500;
+constexpr long end_ms = 24'000;
+constexpr int faults_per_hundred = 45; // of the answers, as `srv_grey` in the site file
 
 /// Answers with a head and then a body without an end, until the caller closes.
 bool send_endless_body(connection& peer, const message& request, const replica& sender,
@@ -45,10 +47,12 @@
     }
     fleet tested{argv[1]};
     machine_link troubled_link;
+    std::atomic<int> answers = 0;
     if (has_trouble()) {
         replica& troubled = tested.desk(fleet::desks - 1);
         troubled.set_special([&](connection& peer, const message& request) {
-            return now_ms() >= trouble_begins_ms &&
+            return now_ms() >= trouble_begins_ms && now_ms() < trouble_ends_ms &&
+                   ++answers * faults_per_hundred % 100 < faults_per_hundred &&
                    send_endless_body(peer, request, troubled, troubled_link);
         });
     }
--- a/review/standins/endless_event_case.cpp
+++ b/review/standins/endless_event_case.cpp
@@ -6,12 +6,14 @@
 
 namespace {
 
-constexpr int booking_callers = 12;
+constexpr int booking_callers = 24;
 constexpr int stream_callers = 8;
 constexpr int subjects = 464; // of household reviews
 constexpr long traffic_begins_ms = 2'000;
 constexpr long trouble_begins_ms = 9'000;
-constexpr long end_ms = 32'000;
+constexpr long trouble_ends_ms = trouble_begins_ms + 5'500;
+constexpr long end_ms = 22'000;
+constexpr int answers_per_fault = 33; // 0.03 of the answers, as `garble` in the site file
 
 /// Answers with a head and then one event without an end, until the caller closes.
 bool send_endless_event(connection& peer, const message& request, const replica& sender,
@@ -57,10 +59,12 @@
     }
     fleet tested{argv[1]};
     machine_link troubled_link;
+    std::atomic<int> answers = 0;
     if (has_trouble()) {
         replica& troubled = tested.engine(fleet::engines - 1);
         troubled.set_special([&](connection& peer, const message& request) {
-            return now_ms() >= trouble_begins_ms &&
+            return now_ms() >= trouble_begins_ms && now_ms() < trouble_ends_ms &&
+                   ++answers % answers_per_fault == 1 &&
                    send_endless_event(peer, request, troubled, troubled_link);
         });
     }
--- a/review/standins/large_bodies_case.cpp
+++ b/review/standins/large_bodies_case.cpp
@@ -11,7 +11,8 @@
 constexpr std::size_t body_limit = 4'194'304; // `bodyBytes` of the configuration
 constexpr long traffic_begins_ms = 2'000;
 constexpr long trouble_begins_ms = 9'000;
-constexpr long end_ms = 40'000;
+constexpr long trouble_ends_ms = trouble_begins_ms + 10'000;
+constexpr long end_ms = 26'000;
 
 void upload(fleet& tested, int number, machine_link& used, tally& counts)
 {
@@ -20,7 +21,7 @@
     const std::string front = tested.place().front(number % fleet::machines);
     sleep_ms(trouble_begins_ms - now_ms());
     const std::string body(body_limit, 'u');
-    while (now_ms() < end_ms) {
+    while (now_ms() < trouble_ends_ms) {
         const call_result got = asking.call(front, "POST", "/pule252/2f", "", body, 10'000);
         ++(got.how == outcome::answered ? counts.answered : counts.other);
         tested.record().write("upload " + got.attempt + " ended with status " +
