--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -1,12 +1,13 @@
 #include "fleet.h"
 
 #include <cstdlib>  // _Exit
-#include <iostream> // cout
+#include <iostream> // cerr, cout
 
 namespace review {
 
 namespace {
 
+constexpr int exit_not_run = 2;
 constexpr int allowed_cuts = 3;     // LOST is broken by more than three
 constexpr int allowed_own_ends = 2; // of one machine; the rules count three as a fault
 constexpr int engine_addresses = 10;
@@ -53,7 +54,11 @@
         front->start();
     }
     for (int at = 0; at < machines; ++at) {
-        wait_until_ready(m_deployment, at);
+        if (!wait_until_ready(m_deployment, at)) {
+            std::cerr << "the system isn't ready\n";
+            stop_machines();
+            std::_Exit(exit_not_run);
+        }
     }
 }
 
@@ -101,7 +106,7 @@
                                 std::to_string(own_ends) + remarks;
     m_record.write(summary);
     std::cout << summary << std::endl;
-    m_fronts.clear();
+    stop_machines();
     const bool is_broken = bookings.unanswered > allowed_cuts || faulty_machines >= machines;
     std::_Exit(is_broken ? 1 : 0);
 }
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -31,6 +31,9 @@
     /// Starts the machines and waits until they are ready.
     void start_machines();
 
+    /// Stops the machines and removes their folders.
+    void stop_machines() { m_fronts.clear(); }
+
     [[nodiscard]] const deployment& place() const { return m_deployment; }
     [[nodiscard]] recorder& record() { return m_record; }
     [[nodiscard]] store& platform() { return m_store; }
--- a/review/standins/fractional_grace_case.cpp
+++ b/review/standins/fractional_grace_case.cpp
@@ -75,9 +75,7 @@
     for (std::thread& running : callers) {
         running.join();
     }
-    for (int at = 0; at < fleet::machines; ++at) {
-        tested.front(at).stop();
-    }
+    tested.stop_machines();
     const std::string summary = "served before the kill " + to_text(before) +
                                 ", later than recoverS after the machines are back " +
                                 to_text(after);
--- a/review/standins/world.cpp
+++ b/review/standins/world.cpp
@@ -466,19 +466,18 @@
     return value == nullptr || std::string{value} != "0";
 }
 
-void wait_until_ready(const deployment& used, int at)
+bool wait_until_ready(const deployment& used, int at)
 {
     for (int attempt = 0; attempt < 200; ++attempt) {
         connection asked{connection::open(used.ready(at))};
         message answer;
         if (asked.is_open() && asked.send("GET /hickorykeel/readyz HTTP/1.1\r\nHost: x\r\n\r\n") &&
             asked.read(answer, 1'000) == read_result::message && answer.second_word() == "200") {
-            return;
+            return true;
         }
         sleep_ms(100);
     }
-    std::cerr << "the system isn't ready\n";
-    std::_Exit(exit_not_run);
+    return false;
 }
 
 void keep_beating(store& used, const std::vector<replica*>& replicas)
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -217,8 +217,8 @@
 /// Whether the variable TROUBLE asks for the disruption; it does unless it is 0.
 bool has_trouble();
 
-/// Waits until machine `at` is ready. Ends the process with 2 after 20 s.
-void wait_until_ready(const deployment& used, int at);
+/// Waits until machine `at` is ready. Returns false after 20 s.
+bool wait_until_ready(const deployment& used, int at);
 
 /// Writes the entries of `replicas` every 1,200 ms.
 void keep_beating(store& used, const std::vector<replica*>& replicas);
