--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -1,8 +1,10 @@
 #include "gateway/configuration/configuration_follower.h"
 
 #include "gateway/configuration/relay_codec.h"
+#include "gateway/http/body_buffer.h"
 
 #include <charconv>     // from_chars
+#include <cstddef>      // size_t
 #include <optional>     // optional
 #include <system_error> // errc
 #include <utility>      // exchange, move
@@ -15,6 +17,9 @@
 constexpr duration relay_connect_timeout = std::chrono::milliseconds{500};
 constexpr int status_ok = 200;
 
+/// Maximum size of the body of a peer host's answer, which is compressed.
+constexpr std::size_t max_relay_body_bytes = 16'777'216;
+
 /// Revision that a peer host states; 0, for all items, if it is missing or invalid.
 std::uint64_t parse_revision(std::string_view text)
 {
@@ -269,7 +274,7 @@
     std::shared_ptr<client_connection> call;
     int status = 0;
     std::optional<duration> age; ///< since the state was confirmed up to date
-    std::string body;
+    body_buffer body{{.max_bytes = max_relay_body_bytes}};
 };
 
 /// Queries the published state of `chosen`. Calls `on_end` once, with whether a usable state
@@ -307,7 +312,14 @@
                  query->status = head.status;
                  query->age = parse_milliseconds(head.headers.find(relay_age_header));
              },
-         .on_body = [query](std::string& bytes) { query->body += std::exchange(bytes, {}); },
+         .on_body =
+             [query, end](std::string& bytes) {
+                 using append_result = body_buffer::append_result;
+                 if (query->body.append(std::exchange(bytes, {})) != append_result::appended) {
+                     query->call->cancel();
+                     end("answer too large");
+                 }
+             },
          .on_end =
              [end](call_end how) {
                  end(how == call_end::complete ? std::string_view{} : to_name(how));
@@ -322,7 +334,7 @@
 
 /// Applies a peer host's changes. Returns whether they were usable and younger than
 /// `max_relay_age`.
-bool configuration_follower::apply_relayed(const relay_query& query)
+bool configuration_follower::apply_relayed(relay_query& query)
 {
     if (query.status != status_ok) {
         on_relay_failure(query.host, "unexpected HTTP status " + std::to_string(query.status));
@@ -332,7 +344,7 @@
         on_relay_failure(query.host, "age unreadable");
         return false;
     }
-    const auto changes = decode_changes(query.body, query.host);
+    const auto changes = decode_changes(query.body.take_text(), query.host);
     if (const auto* failure = std::get_if<error>(&changes)) {
         on_relay_failure(query.host, failure->to_string());
         return false;
--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -99,7 +99,7 @@
     [[nodiscard]] relay_choice_state choice_state(time_point now) const;
     [[nodiscard]] const std::string& relayed_changes(std::uint64_t revision);
     void query_peer(const member& chosen, std::function<void(bool is_fresh)> on_end);
-    bool apply_relayed(const relay_query& query);
+    bool apply_relayed(relay_query& query);
     void on_relay_failure(const std::string& host, std::string_view reason);
 
     dependencies m_dependencies;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -39,6 +39,8 @@
                  "retries of all hosts together beyond the ratio"},
     setting_rule{"limits", "stop_grace_s", setting_kind::number, false, "8", 1, 3'600,
                  "seconds from the stop signal to the kill"},
+    setting_rule{"limits", "memory_mb", setting_kind::decimal, false, "256", 32, 1'048'576,
+                 "MiB of memory of the process; half of it is for requests and responses"},
     setting_rule{"log", "request_lines_per_s", setting_kind::number, false, "400", 1, 1'000'000,
                  "lines on requests in a second; the rest is counted"},
 };
@@ -88,6 +90,7 @@
     result.retry_ratio = loaded.decimal("limits", "retry_ratio");
     result.retry_slack = loaded.decimal("limits", "retry_slack");
     result.stop_grace = std::chrono::seconds{loaded.number("limits", "stop_grace_s")};
+    result.memory_mb = loaded.decimal("limits", "memory_mb");
     result.request_log_rate = loaded.number("log", "request_lines_per_s");
     return result;
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -37,6 +37,7 @@
     /// Retries of all hosts together, allowed beyond `retry_ratio`.
     double retry_slack = 52;
     std::chrono::seconds stop_grace{8};  ///< from the stop signal to the kill of the process
+    double memory_mb = 256;              ///< of the process; more ends it
     std::int64_t request_log_rate = 400; ///< lines per second
 
     /// Returns the port of `peers_address`.
--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -3,7 +3,7 @@
 #include <algorithm> // find_if, min
 #include <array>     // array
 #include <charconv>  // from_chars
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 #include <asio/post.hpp> // post
 
@@ -25,8 +25,8 @@
 
 std::string_view to_name(call_end end) noexcept
 {
-    constexpr std::array<std::string_view, 5> names{"complete", "not_connected", "no_response",
-                                                    "broken", "malformed"};
+    constexpr std::array<std::string_view, 6> names{"complete", "not_connected", "no_response",
+                                                    "broken",   "malformed",     "out_of_memory"};
     return names[static_cast<std::size_t>(end)];
 }
 
@@ -35,9 +35,11 @@
     : m_owner{owner}, m_registration{owner.m_registry.all(), this}, m_address{std::move(address)},
       m_channel{std::make_shared<tcp_channel>(loop)}, m_parser{message_role::response, {}}
 {
+    m_parser.set_memory(owner.m_memory);
+    m_channel->set_memory(owner.m_memory);
 }
 
-void client_connection::begin(std::string request, bool has_no_body, const call_options& options,
+void client_connection::begin(outgoing_request request, const call_options& options,
                               call_handlers handlers)
 {
     m_is_busy = true;
@@ -45,14 +47,11 @@
     m_handlers = std::move(handlers);
     m_parser.restart();
     m_parser.set_limits({max_response_head_bytes, options.max_response_bytes});
-    if (has_no_body) {
+    if (request.head.starts_with("HEAD ")) {
         m_parser.expect_no_body();
     }
     if (m_is_connected) {
-        m_channel->send(request);
-        if (m_handlers.on_sent) {
-            m_handlers.on_sent();
-        }
+        send(request);
         return;
     }
     m_request = std::move(request);
@@ -78,16 +77,23 @@
         .on_connected =
             [self] {
                 self->m_is_connected = true;
-                self->m_channel->send(self->m_request);
-                self->m_request = {};
-                if (self->m_handlers.on_sent) {
-                    self->m_handlers.on_sent();
-                }
+                self->send(*std::exchange(self->m_request, {}));
             },
     });
     m_channel->connect(*peer, timeout);
 }
 
+void client_connection::send(const outgoing_request& request)
+{
+    m_channel->send(request.head);
+    if (request.body != nullptr) {
+        m_channel->send(request.body);
+    }
+    if (m_handlers.on_sent) {
+        m_handlers.on_sent();
+    }
+}
+
 void client_connection::cancel()
 {
     m_is_busy = false;
@@ -108,7 +114,8 @@
     }
     const std::size_t used = m_parser.feed(bytes);
     if (m_parser.is_failed()) {
-        finish(call_end::malformed);
+        finish(m_parser.state() == parse_state::out_of_memory ? call_end::out_of_memory
+                                                              : call_end::malformed);
         return;
     }
     const auto self = shared_from_this();
@@ -187,6 +194,7 @@
     m_idle_since = boot_clock::now();
     m_reusable_until = m_idle_since + idle;
     m_channel->resume_reading();
+    m_parser.restart();
     m_owner.add_idle(shared_from_this());
     handlers.on_end(call_end::complete);
 }
@@ -208,16 +216,15 @@
     m_registry.for_each([](client_connection& connection) { connection.cancel(); });
 }
 
-std::shared_ptr<client_connection> http_client::call(const call_options& options,
-                                                     std::string request, call_handlers handlers)
+std::shared_ptr<client_connection>
+http_client::call(const call_options& options, outgoing_request request, call_handlers handlers)
 {
-    const bool has_no_body = request.starts_with("HEAD ");
     auto connection = take_idle(options);
     if (connection == nullptr) {
         ++m_opened;
         connection = std::make_shared<client_connection>(m_loop, *this, options.address);
     }
-    connection->begin(std::move(request), has_no_body, options, std::move(handlers));
+    connection->begin(std::move(request), options, std::move(handlers));
     return connection;
 }
 
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -10,6 +10,7 @@
 #include <cstdint>       // uint64_t
 #include <functional>    // function
 #include <memory>        // enable_shared_from_this, shared_ptr, weak_ptr
+#include <optional>      // optional
 #include <string>        // string
 #include <string_view>   // string_view
 #include <unordered_map> // unordered_map
@@ -26,6 +27,7 @@
     no_response,   ///< connection ended after the request, before any byte of a response
     broken,        ///< the connection ended within the response
     malformed,     ///< no valid response, or one over the size limits
+    out_of_memory, ///< the memory budget did not admit the response's head
 };
 
 [[nodiscard]] std::string_view to_name(call_end end) noexcept;
@@ -35,7 +37,7 @@
     std::string address;                               ///< "ip:port"
     duration max_idle_time = std::chrono::seconds{60}; ///< of a connection that may be reused
     duration connect_timeout = std::chrono::milliseconds{500};
-    /// Maximum size of a response's body, or of what `call_handlers::on_body` leaves of it.
+    /// Maximum size of what `call_handlers::on_body` leaves of a response's body.
     std::size_t max_response_bytes = 67'108'864;
 };
 
@@ -55,8 +57,7 @@
 public:
     client_connection(asio::io_context& loop, http_client& owner, std::string address);
 
-    void begin(std::string request, bool has_no_body, const call_options& options,
-               call_handlers handlers);
+    void begin(outgoing_request request, const call_options& options, call_handlers handlers);
 
     /// Ends the call without its handlers and closes the connection.
     void cancel();
@@ -70,6 +71,7 @@
     friend class http_client;
 
     void open(duration timeout);
+    void send(const outgoing_request& request);
     void on_bytes(std::string_view bytes);
     void on_end(channel_end how);
     void deliver();
@@ -83,7 +85,7 @@
     std::shared_ptr<tcp_channel> m_channel;
     message_parser m_parser;
     call_handlers m_handlers;
-    std::string m_request;
+    std::optional<outgoing_request> m_request; // until the connection is established
     time_point m_idle_since{};
     time_point m_reusable_until{};
     bool m_is_connected = false;
@@ -106,9 +108,13 @@
     /// Ends all calls without their handlers. The loop must still exist.
     ~http_client();
 
+    /// Charges the heads of responses and the unsent bytes of connections that are opened from now
+    /// on to `budget`.
+    void set_memory(std::shared_ptr<memory_budget> budget) { m_memory = std::move(budget); }
+
     /// Starts a call on an idle or a new connection. `request` is the complete request, as
     /// formatted by `format_request()`.
-    std::shared_ptr<client_connection> call(const call_options& options, std::string request,
+    std::shared_ptr<client_connection> call(const call_options& options, outgoing_request request,
                                             call_handlers handlers);
 
     /// Number of connections created since the start, failed ones included.
@@ -124,6 +130,7 @@
     asio::io_context& m_loop;
     instance_registry<client_connection> m_registry;
     std::unordered_map<std::string, std::vector<std::shared_ptr<client_connection>>> m_idle;
+    std::shared_ptr<memory_budget> m_memory; // may be null
     std::uint64_t m_opened = 0;
 };
 
--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-/// Bytes beyond the current request after which reading from its caller is paused.
-constexpr std::size_t max_pending_bytes = 65'536;
+/// Bytes beyond the current request after which reading from its caller is paused: usually, and
+/// while memory is scarce.
+constexpr std::size_t usual_pending_bytes = 65'536;
+constexpr std::size_t scarce_pending_bytes = 0;
 
 /// Delay before the next attempt to accept after a failure.
 constexpr duration accept_retry_delay = std::chrono::milliseconds{50};
@@ -19,6 +21,13 @@
 
 // server_exchange
 
+server_exchange::server_exchange(std::weak_ptr<server_connection> connection, message_head head,
+                                 std::string body, memory_charge charge)
+    : m_connection{std::move(connection)}, m_head{std::move(head)},
+      m_content{std::make_shared<const content>(content{std::move(body), std::move(charge)})}
+{
+}
+
 void server_exchange::finish(bool keeps_alive)
 {
     m_is_done = true;
@@ -48,6 +57,24 @@
     finish(keeps_alive);
 }
 
+void server_exchange::respond(int status, const header_list& headers, body_buffer& body)
+{
+    if (body.size() <= memory_budget::max_small_bytes || m_head.method == "HEAD") {
+        respond(status, headers, body.take_text());
+        return;
+    }
+    const auto connection = m_connection.lock();
+    if (m_is_done || connection == nullptr) {
+        return;
+    }
+    const bool keeps_alive = connection->keeps_alive();
+    connection->m_channel->send(format_response_head(status, headers, body.size(), keeps_alive));
+    for (const std::string& piece : body.take_pieces()) {
+        connection->m_channel->send(piece);
+    }
+    finish(keeps_alive);
+}
+
 void server_exchange::begin(int status, const header_list& headers)
 {
     if (const auto connection = m_connection.lock(); !m_is_done && connection != nullptr) {
@@ -94,8 +121,10 @@
 server_connection::server_connection(http_server& owner, asio::ip::tcp::socket socket)
     : m_owner{owner}, m_registration{owner.m_registry.all(), this},
       m_channel{std::make_shared<tcp_channel>(std::move(socket))}, m_timer{owner.m_loop},
-      m_parser{message_role::request, owner.m_limits.message}
+      m_parser{message_role::request, owner.m_limits.message}, m_pending_charge{owner.m_memory}
 {
+    m_parser.set_memory(owner.m_memory);
+    m_channel->set_memory(owner.m_memory);
     ++m_owner.m_connections;
 }
 
@@ -126,7 +155,8 @@
     }
     if (m_exchange != nullptr) {
         m_pending.append(bytes);
-        if (m_pending.size() > max_pending_bytes) {
+        m_pending_charge.resize(m_pending.size());
+        if (m_pending.size() > max_pending_bytes()) {
             m_channel->pause_reading();
         }
         return;
@@ -156,6 +186,11 @@
         break;
     case parse_state::complete:
         m_pending.assign(bytes.substr(used));
+        m_pending_charge.resize(m_pending.size());
+        start_exchange();
+        break;
+    case parse_state::out_of_memory:
+        m_parser.body() = {};
         start_exchange();
         break;
     case parse_state::malformed:
@@ -172,14 +207,21 @@
 
 void server_connection::start_exchange()
 {
-    m_exchange = std::make_shared<server_exchange>(weak_from_this(), m_parser.head(),
-                                                   std::move(m_parser.body()));
+    m_exchange = std::make_shared<server_exchange>(
+        weak_from_this(), m_parser.head(), std::move(m_parser.body()), m_parser.take_charge());
+    m_exchange->m_is_out_of_memory = m_parser.state() == parse_state::out_of_memory;
     ++m_owner.m_active;
     m_timer.cancel();
     const auto exchange = m_exchange;
     m_owner.m_on_request(exchange);
 }
 
+std::size_t server_connection::max_pending_bytes() const noexcept
+{
+    const bool is_scarce = m_owner.m_memory != nullptr && m_owner.m_memory->is_scarce();
+    return is_scarce ? scarce_pending_bytes : usual_pending_bytes;
+}
+
 void server_connection::reject(int status, std::string_view reason)
 {
     if (m_owner.m_on_reject) {
@@ -201,6 +243,7 @@
     m_channel->resume_reading();
     if (!m_pending.empty()) {
         const std::string bytes = std::exchange(m_pending, {});
+        m_pending_charge.resize(0);
         parse(bytes);
     }
 }
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/http/body_buffer.h"
 #include "gateway/http/message_parser.h"
 #include "gateway/http/tcp_channel.h"
 #include "gateway/instance_registry.h"
@@ -35,13 +36,17 @@
 class server_exchange {
 public:
     server_exchange(std::weak_ptr<server_connection> connection, message_head head,
-                    std::string body)
-        : m_connection{std::move(connection)}, m_head{std::move(head)}, m_body{std::move(body)}
-    {
-    }
+                    std::string body, memory_charge charge);
 
     [[nodiscard]] const message_head& head() const noexcept { return m_head; }
-    [[nodiscard]] const std::string& body() const noexcept { return m_body; }
+    [[nodiscard]] const std::string& body() const noexcept { return m_content->body; }
+
+    /// The body, for owners that may outlive this object.
+    [[nodiscard]] shared_bytes shared_body() const { return {m_content, &m_content->body}; }
+
+    /// Whether the body was not received, since the memory budget did not admit it. Its connection
+    /// closes after the response.
+    [[nodiscard]] bool is_out_of_memory() const noexcept { return m_is_out_of_memory; }
 
     /// Sets the handler that is called once if the caller disconnects before the response's end.
     void set_on_disconnect(std::function<void()> on_disconnect)
@@ -58,6 +63,9 @@
     /// Sends a complete response. The body of a response to HEAD is not sent.
     void respond(int status, const header_list& headers, std::string_view body);
 
+    /// The same with a body in pieces, which are moved.
+    void respond(int status, const header_list& headers, body_buffer& body);
+
     /// Sends the head of a chunked response; `send()` adds chunks and `end()` completes it.
     void begin(int status, const header_list& headers);
     void send(std::string_view bytes);
@@ -74,11 +82,18 @@
 private:
     friend class server_connection;
 
+    /// The body, with its charge and that of the head.
+    struct content {
+        std::string body;
+        memory_charge charge;
+    };
+
     void finish(bool keeps_alive);
 
     std::weak_ptr<server_connection> m_connection;
     message_head m_head;
-    std::string m_body;
+    std::shared_ptr<const content> m_content;
+    bool m_is_out_of_memory = false;
     std::function<void()> m_on_disconnect;
     std::function<void()> m_on_drained;
     bool m_is_done = false;
@@ -99,6 +114,7 @@
     void on_bytes(std::string_view bytes);
     void parse(std::string_view bytes);
     void start_exchange();
+    [[nodiscard]] std::size_t max_pending_bytes() const noexcept;
     void reject(int status, std::string_view reason);
     void on_end();
     void on_drained();
@@ -114,7 +130,8 @@
     message_parser m_parser;
     std::shared_ptr<server_exchange> m_exchange; // the current request; null between requests
     std::string m_pending;                       // bytes received after the current request
-    time_point m_deadline{};                     // end of the wait for a request or its next bytes
+    memory_charge m_pending_charge;
+    time_point m_deadline{}; // end of the wait for a request or its next bytes
     bool m_sent_continue = false;
     bool m_is_counted = true; // in the owner's number of connections; false after the end
 };
@@ -139,6 +156,10 @@
     /// Closes all connections. The loop must still exist.
     ~http_server();
 
+    /// Charges the requests and unsent bytes of connections that are accepted from now on to
+    /// `budget`, which may refuse requests.
+    void set_memory(std::shared_ptr<memory_budget> budget) { m_memory = std::move(budget); }
+
     /// Listens at `address` ("ip:port") and starts to accept connections. Fails if the address is
     /// malformed or can't be bound.
     result<bool> listen(const std::string& address);
@@ -186,6 +207,7 @@
     handler m_on_request;
     std::function<void(int, std::string_view)> m_on_reject;
     server_limits m_limits;
+    std::shared_ptr<memory_budget> m_memory; // may be null
     std::size_t m_connections = 0;
     std::size_t m_active = 0;
     bool m_is_closing = false;
--- a/src/gateway/http/message.cpp
+++ b/src/gateway/http/message.cpp
@@ -59,6 +59,9 @@
     }
 }
 
+/// Size up to which a body is sent in one piece with its head.
+constexpr std::size_t max_joined_body_bytes = 65'536;
+
 std::string format_status_line(int status, const header_list& headers, bool keeps_alive)
 {
     std::string text;
@@ -200,32 +203,61 @@
                        [name](std::string_view known) { return is_same_name(known, name); });
 }
 
-std::string format_request(std::string_view method, std::string_view target,
-                           const header_list& headers, std::string_view body)
+namespace {
+
+std::string format_request_head(std::string_view method, std::string_view target,
+                                const header_list& headers, std::size_t body_bytes)
 {
     std::string text;
-    text.reserve(512 + body.size());
+    text.reserve(512 + (body_bytes <= max_joined_body_bytes ? body_bytes : 0));
     text += method;
     text += ' ';
     text += target;
     text += " HTTP/1.1\r\n";
     append_fields(text, headers);
-    if (!body.empty() || (method != "GET" && method != "HEAD" && method != "DELETE")) {
-        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", body.size());
+    if (body_bytes > 0 || (method != "GET" && method != "HEAD" && method != "DELETE")) {
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", body_bytes);
     }
     text += "\r\n";
+    return text;
+}
+
+} // namespace
+
+std::string format_request(std::string_view method, std::string_view target,
+                           const header_list& headers, std::string_view body)
+{
+    std::string text = format_request_head(method, target, headers, body.size());
     text += body;
     return text;
 }
 
-std::string format_response(int status, const header_list& headers, std::string_view body,
-                            bool keeps_alive)
+outgoing_request to_outgoing_request(std::string_view method, std::string_view target,
+                                     const header_list& headers, shared_bytes body)
+{
+    std::string text = format_request_head(method, target, headers, body->size());
+    if (body->size() > max_joined_body_bytes) {
+        return {std::move(text), std::move(body)};
+    }
+    text += *body;
+    return text;
+}
+
+std::string format_response_head(int status, const header_list& headers, std::size_t body_bytes,
+                                 bool keeps_alive)
 {
     std::string text = format_status_line(status, headers, keeps_alive);
     if (status != 204 && status != 304) {
-        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", body.size());
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", body_bytes);
     }
     text += "\r\n";
+    return text;
+}
+
+std::string format_response(int status, const header_list& headers, std::string_view body,
+                            bool keeps_alive)
+{
+    std::string text = format_response_head(status, headers, body.size(), keeps_alive);
     text += body;
     return text;
 }
--- a/src/gateway/http/message.h
+++ b/src/gateway/http/message.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "gateway/http/send_queue.h"
 #include "process/clock.h"
 
 #include <cstddef>     // size_t
 #include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
+#include <utility>     // move
 #include <vector>      // vector
 
 namespace hickorykeel::gateway {
@@ -86,6 +88,28 @@
 [[nodiscard]] std::string format_request(std::string_view method, std::string_view target,
                                          const header_list& headers, std::string_view body);
 
+/// A request as it is sent: its head with a short body, or a long body beside it.
+struct outgoing_request {
+    // not explicit: most requests are one text
+    outgoing_request(std::string whole) : head{std::move(whole)} {}
+    outgoing_request(const char* whole) : head{whole} {}
+    outgoing_request(std::string request_head, shared_bytes request_body)
+        : head{std::move(request_head)}, body{std::move(request_body)}
+    {
+    }
+
+    std::string head;
+    shared_bytes body; ///< may be null
+};
+
+/// Formats a request with a body that is shared rather than copied if it is long.
+[[nodiscard]] outgoing_request to_outgoing_request(std::string_view method, std::string_view target,
+                                                   const header_list& headers, shared_bytes body);
+
+/// Formats the head of a response with a body of `body_bytes`, which follows.
+[[nodiscard]] std::string format_response_head(int status, const header_list& headers,
+                                               std::size_t body_bytes, bool keeps_alive);
+
 /// Formats a response with a body of known length.
 [[nodiscard]] std::string format_response(int status, const header_list& headers,
                                           std::string_view body, bool keeps_alive);
--- a/src/gateway/http/message_parser.cpp
+++ b/src/gateway/http/message_parser.cpp
@@ -1,11 +1,14 @@
 #include "gateway/http/message_parser.h"
 
-#include <algorithm> // none_of
+#include <algorithm> // max, none_of
 
 namespace hickorykeel::gateway {
 
 namespace {
 
+/// Copies of a head that exist at a time: the parser's, and that of the message's owner.
+constexpr std::size_t head_copies = 2;
+
 /// Whether all field names are non-empty and free of whitespace. The next recipient might parse a
 /// name with whitespace as another name (RFC 9112, section 5.1).
 bool has_valid_names(const header_list& headers)
@@ -31,6 +34,7 @@
     m_head = {};
     m_body.clear();
     m_head_bytes = 0;
+    m_charge.resize(0);
     m_last_was_value = true;
     m_has_no_body = false;
     m_has_begun = false;
@@ -91,12 +95,29 @@
 {
     m_head_bytes += length;
     if (m_head_bytes > m_limits.max_head_bytes) {
-        m_state = parse_state::head_too_large;
-        return false;
+        return fail(parse_state::head_too_large);
     }
+    return m_charge.try_resize(head_copies * m_head_bytes) || fail(parse_state::out_of_memory);
+}
+
+/// Makes room for a request's body of `length` bytes. Returns whether the budget admits it.
+bool message_parser::reserve_body(std::uint64_t length)
+{
+    const std::size_t charged = head_copies * m_head_bytes + length;
+    if (!m_charge.try_resize(charged)) {
+        return fail(parse_state::out_of_memory);
+    }
+    m_body.reserve(length);
     return true;
 }
 
+/// Sets a state of failure. Returns false.
+bool message_parser::fail(parse_state state)
+{
+    m_state = state;
+    return false;
+}
+
 int message_parser::on_url(http_parser* parser, const char* at, std::size_t length)
 {
     message_parser& self = self_from(parser);
@@ -152,6 +173,10 @@
             self.m_state = parse_state::body_too_large;
             return -1;
         }
+        const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+        if (has_length && !self.reserve_body(parser->content_length)) {
+            return -1;
+        }
     }
     else {
         self.m_head.status = static_cast<int>(parser->status_code);
@@ -171,6 +196,11 @@
         self.m_state = parse_state::body_too_large;
         return 1;
     }
+    const std::size_t needed = self.m_body.size() + length;
+    if (self.m_role == message_role::request && needed > self.m_body.capacity() &&
+        !self.reserve_body(std::max(needed, 2 * self.m_body.capacity()))) {
+        return 1;
+    }
     self.m_body.append(at, length);
     return 0;
 }
--- a/src/gateway/http/message_parser.h
+++ b/src/gateway/http/message_parser.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "gateway/http/message.h"
+#include "gateway/limits/memory_budget.h"
 
 #include <cstddef>     // size_t
 #include <cstdint>     // uint64_t
+#include <memory>      // shared_ptr
 #include <string>      // string
 #include <string_view> // string_view
 
@@ -20,7 +22,8 @@
     complete,
     malformed,
     head_too_large,
-    body_too_large
+    body_too_large,
+    out_of_memory ///< the memory budget does not admit the message
 };
 
 /// Size limits of an accepted message, in bytes.
@@ -61,6 +64,13 @@
     /// Replaces the limits. Precondition: `has_begun()` is false.
     void set_limits(message_limits limits) noexcept { m_limits = limits; }
 
+    /// Charges messages to `budget`: their heads, and the bodies of requests. Bodies of responses are
+    /// left to the owner, which takes them out. Precondition: `has_begun()` is false.
+    void set_memory(std::shared_ptr<memory_budget> budget)
+    {
+        m_charge = memory_charge{std::move(budget)};
+    }
+
     /// Expects a response without a body, as to a HEAD request, until `restart()`.
     void expect_no_body() noexcept { m_has_no_body = true; }
     /// @}
@@ -76,6 +86,9 @@
     /// Body bytes that were parsed and not yet moved out.
     [[nodiscard]] std::string& body() noexcept { return m_body; }
 
+    /// Returns the charge of a complete message, which its new owner holds as long as the message.
+    [[nodiscard]] memory_charge take_charge() noexcept { return std::move(m_charge); }
+
     /// Whether any byte of the current message has been read.
     [[nodiscard]] bool has_begun() const noexcept { return m_has_begun; }
 
@@ -95,6 +108,8 @@
     static int on_complete(http_parser* parser);
 
     bool add_head_bytes(std::size_t length);
+    bool reserve_body(std::uint64_t length);
+    bool fail(parse_state state);
 
     message_role m_role;
     message_limits m_limits;
@@ -103,6 +118,7 @@
     message_head m_head;
     std::string m_body;
     std::size_t m_head_bytes = 0;
+    memory_charge m_charge;
     bool m_last_was_value = true;
     bool m_has_no_body = false;
     bool m_has_begun = false;
--- a/src/gateway/http/tcp_channel.cpp
+++ b/src/gateway/http/tcp_channel.cpp
@@ -1,9 +1,10 @@
 #include "gateway/http/tcp_channel.h"
 
-#include <array>    // array
-#include <charconv> // from_chars
-#include <chrono>   // milliseconds
-#include <utility>  // move
+#include <algorithm> // min
+#include <array>     // array
+#include <charconv>  // from_chars
+#include <chrono>    // milliseconds
+#include <utility>   // move
 
 #include <asio/buffer.hpp> // buffer
 #include <asio/post.hpp>   // post
@@ -16,7 +17,8 @@
 
 constexpr std::size_t read_buffer_bytes = 65'536;
 constexpr unsigned unacknowledged_timeout_ms = 5'000; // value of TCP_USER_TIMEOUT
-constexpr auto linger_time = std::chrono::milliseconds{500};
+constexpr duration linger_time = std::chrono::milliseconds{500};
+constexpr duration max_linger_time = std::chrono::seconds{5};
 
 using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -106,11 +108,16 @@
         return;
     }
     if (failure) {
-        end(failure == asio::error::eof ? channel_end::finished : channel_end::reset);
+        // a failed write has taken the socket's error, and reading then reports a normal end
+        const bool is_finished = failure == asio::error::eof && !m_has_write_failed;
+        end(is_finished ? channel_end::finished : channel_end::reset);
         return;
     }
     const auto self = shared_from_this();
-    if (!m_is_lingering) {
+    if (m_is_lingering) {
+        wait_for_silence();
+    }
+    else {
         m_handlers.on_bytes({buffer.data(), count});
     }
     if (m_is_open && !m_is_paused) {
@@ -123,20 +130,35 @@
     if (!m_is_open || m_closes_after_sending) {
         return;
     }
-    if (unsent() == 0) {
-        asio::error_code failure;
-        const std::size_t count = m_socket.write_some(asio::buffer(bytes), failure);
-        if (failure && failure != asio::error::would_block) {
-            // the reading side detects and reports the same error
-            return;
-        }
-        bytes.remove_prefix(failure ? 0 : count);
-        if (bytes.empty()) {
-            return;
-        }
+    if (m_unsent.empty()) {
+        bytes.remove_prefix(write_now(bytes));
+    }
+    if (!bytes.empty() && !m_has_write_failed) {
+        m_unsent.append(bytes);
+        wait_writable();
     }
-    m_unsent.append(bytes);
-    wait_writable();
+}
+
+void tcp_channel::send(const shared_bytes& bytes)
+{
+    if (!m_is_open || m_closes_after_sending) {
+        return;
+    }
+    const std::size_t written = m_unsent.empty() ? write_now(*bytes) : 0;
+    if (written < bytes->size() && !m_has_write_failed) {
+        m_unsent.append(bytes, written);
+        wait_writable();
+    }
+}
+
+/// Writes what the kernel accepts and returns its size.
+std::size_t tcp_channel::write_now(std::string_view bytes)
+{
+    asio::error_code failure;
+    const std::size_t count = m_socket.write_some(asio::buffer(bytes), failure);
+    // the reading side detects and reports the end of the connection
+    m_has_write_failed = m_has_write_failed || (failure && failure != asio::error::would_block);
+    return failure ? 0 : count;
 }
 
 void tcp_channel::wait_writable()
@@ -156,18 +178,20 @@
 
 void tcp_channel::write_more()
 {
-    asio::error_code failure;
-    m_unsent_at += m_socket.write_some(
-        asio::buffer(m_unsent.data() + m_unsent_at, m_unsent.size() - m_unsent_at), failure);
-    if (failure && failure != asio::error::would_block) {
+    bool is_accepting = true;
+    while (is_accepting && !m_unsent.empty()) {
+        const std::size_t size = m_unsent.front().size();
+        const std::size_t count = write_now(m_unsent.front());
+        m_unsent.pop(count);
+        is_accepting = count == size;
+    }
+    if (m_has_write_failed) {
         return;
     }
-    if (unsent() > 0) {
+    if (!m_unsent.empty()) {
         wait_writable();
         return;
     }
-    m_unsent = {};
-    m_unsent_at = 0;
     if (m_closes_after_sending) {
         linger();
     }
@@ -193,7 +217,14 @@
     asio::error_code ignored; // a broken connection is closed regardless
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     resume_reading();
-    m_timer.expires_after(linger_time);
+    m_linger_end = boot_clock::now() + max_linger_time;
+    wait_for_silence();
+}
+
+/// Closes once the peer has sent nothing for a while, or has sent for long.
+void tcp_channel::wait_for_silence()
+{
+    m_timer.expires_after(std::min(linger_time, m_linger_end - boot_clock::now()));
     m_timer.async_wait([self = shared_from_this()](const asio::error_code& failure) {
         if (!failure) {
             self->close();
@@ -211,6 +242,7 @@
     asio::post(m_socket.get_executor(), [keep = std::move(m_handlers)] {});
     m_handlers = {};
     m_timer.cancel();
+    m_unsent.clear();
     asio::error_code ignored; // the socket is not used any more
     m_socket.close(ignored);
 }
--- a/src/gateway/http/tcp_channel.h
+++ b/src/gateway/http/tcp_channel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/http/send_queue.h"
 #include "process/clock.h"
 
 #include <cstddef>     // size_t
@@ -60,11 +61,15 @@
     /// or closing channel.
     void send(std::string_view bytes);
 
+    /// The same without a copy of what is buffered.
+    void send(const shared_bytes& bytes);
+
     /// Number of buffered bytes that the kernel has not accepted yet.
-    [[nodiscard]] std::size_t unsent() const noexcept { return m_unsent.size() - m_unsent_at; }
+    [[nodiscard]] std::size_t unsent() const noexcept { return m_unsent.size(); }
 
-    /// Closes after all bytes are sent. Waits up to 500 ms for the peer to close first, since
-    /// closing a socket with unread bytes would send a reset.
+    /// Closes after all bytes are sent. Waits for the peer to close first, since closing a socket
+    /// with unread bytes would send a reset: until it has sent nothing for 500 ms, and for 5 s at
+    /// most.
     void close_after_sending();
 
     /// Closes at once; unsent bytes are lost.
@@ -77,20 +82,29 @@
 
     void set_handlers(handlers chosen) { m_handlers = std::move(chosen); }
 
+    /// Charges buffered bytes to `budget`. Precondition: nothing is buffered.
+    void set_memory(std::shared_ptr<memory_budget> budget)
+    {
+        m_unsent.set_memory(std::move(budget));
+    }
+
 private:
     void configure();
     void wait_readable();
     void read_available();
+    std::size_t write_now(std::string_view bytes);
     void write_more();
     void wait_writable();
     void linger();
+    void wait_for_silence();
     void end(channel_end how);
 
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     handlers m_handlers;
-    std::string m_unsent;
-    std::size_t m_unsent_at = 0;
+    send_queue m_unsent;
+    time_point m_linger_end{}; ///< set while it lingers
+    bool m_has_write_failed = false;
     bool m_is_open = false;
     bool m_is_reading = false;
     bool m_is_paused = false;
--- a/src/gateway/serving/event_splitter.cpp
+++ b/src/gateway/serving/event_splitter.cpp
@@ -83,12 +83,30 @@
     }
     std::string events = m_partial.substr(0, complete_size);
     m_partial.erase(0, complete_size);
+    if (m_fault == fault::none) {
+        charge_partial();
+    }
     return events;
 }
 
+/// Charges the incomplete event, and sets a fault if it is too large or not admitted.
+void event_splitter::charge_partial()
+{
+    if (m_partial.empty() && m_partial.capacity() > memory_budget::max_small_bytes) {
+        m_partial = {};
+    }
+    if (m_partial.size() > max_event_bytes) {
+        m_fault = fault::too_large;
+    }
+    else if (!m_charge.try_resize(m_partial.capacity())) {
+        m_fault = fault::out_of_memory;
+    }
+}
+
 void event_splitter::discard_partial()
 {
-    m_partial.clear();
+    m_partial = {};
+    m_charge.resize(0);
     m_fault = fault::none;
 }
 
--- a/src/gateway/serving/event_splitter.h
+++ b/src/gateway/serving/event_splitter.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "gateway/limits/memory_budget.h"
+
 #include <cstddef>     // size_t
 #include <cstdint>     // uint64_t
+#include <memory>      // shared_ptr
 #include <string>      // string
 #include <string_view> // string_view
+#include <utility>     // move
 
 namespace hickorykeel::gateway {
 
@@ -16,9 +20,17 @@
 /// Thread safety: none.
 class event_splitter {
 public:
+    /// Maximum size of an event, so that one without an end is a fault.
+    static constexpr std::size_t max_event_bytes = 4'194'304;
+
+    event_splitter() = default;
+
+    /// Charges the incomplete event to `budget`.
+    explicit event_splitter(std::shared_ptr<memory_budget> budget) : m_charge{std::move(budget)} {}
+
     /// Appends `bytes` of the stream and returns the bytes of all events that are complete by now
-    /// and have not been returned before. A faulty event, malformed or out of order, and all bytes
-    /// after it are not returned.
+    /// and have not been returned before. A faulty event, malformed, out of order, too large or not
+    /// admitted by the budget, and all bytes after it are not returned.
     std::string take(std::string_view bytes);
 
     /// Discards an incomplete or faulty event and what follows it, before the stream is resumed at
@@ -39,12 +51,20 @@
     /// by their leading number, 0 if there is none.
     [[nodiscard]] bool is_out_of_order() const noexcept { return m_fault == fault::out_of_order; }
 
+    /// Returns whether an event exceeded `max_event_bytes`.
+    [[nodiscard]] bool is_too_large() const noexcept { return m_fault == fault::too_large; }
+
+    /// Returns whether the budget did not admit an event.
+    [[nodiscard]] bool is_out_of_memory() const noexcept { return m_fault == fault::out_of_memory; }
+
 private:
-    enum class fault { none, malformed, out_of_order };
+    enum class fault { none, malformed, out_of_order, too_large, out_of_memory };
 
     [[nodiscard]] fault record_event(std::string_view event);
+    void charge_partial();
 
     std::string m_partial;
+    memory_charge m_charge;
     std::string m_last_id;
     std::uint64_t m_events = 0;
     fault m_fault = fault::none;
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -10,9 +10,9 @@
 
 exchange::exchange(serving_context& context, std::shared_ptr<server_exchange> caller,
                    bool is_forwarded)
-    : m_context{context}, m_registration{context.exchanges.all(), this}, m_caller{std::move(
-                                                                             caller)},
-      m_is_forwarded{is_forwarded}, m_received{boot_clock::now()}, m_timer{context.loop}
+    : m_context{context}, m_registration{context.exchanges.all(), this},
+      m_caller{std::move(caller)}, m_is_forwarded{is_forwarded},
+      m_received{boot_clock::now()}, m_events{context.memory}, m_timer{context.loop}
 {
 }
 
@@ -35,6 +35,11 @@
         refuse(400, m_fields.refusal_reason, "no", {});
         return;
     }
+    if (m_caller->is_out_of_memory()) {
+        m_context.metrics.count("request_out_of_memory");
+        refuse(503, "out_of_memory", "no", m_context.options.retry_after_out_of_memory);
+        return;
+    }
     if (!m_context.takes_requests) {
         refuse(503, "stopping", "no", m_context.options.retry_after_stop);
         return;
@@ -345,11 +350,18 @@
     return m_events.last_id().empty() ? m_fields.last_event_id : m_events.last_id();
 }
 
+exchange::attempt_state exchange::new_attempt() const
+{
+    attempt_state state;
+    state.body = body_buffer{{m_context.options.max_response_bytes, m_context.memory}};
+    return state;
+}
+
 void exchange::send_to_endpoint(const placement& chosen)
 {
     const service* of = m_authorised.published->find_service(m_service);
     const prompt* request_prompt = engine_prompt(*of);
-    m_attempt = {};
+    m_attempt = new_attempt();
     m_attempt.endpoint = chosen.endpoint;
     m_attempt.peer = chosen.address;
     m_attempt.endpoint_started_ms = chosen.started_ms;
@@ -364,9 +376,9 @@
     fields.last_event_id = last_event_id();
     fields.prompt_source = chosen.prompt_source;
     const message_head& head = m_caller->head();
-    std::string request =
-        format_request(head.method, head.target,
-                       m_context.adapter.to_endpoint_headers(head, fields), m_caller->body());
+    outgoing_request request = to_outgoing_request(
+        head.method, head.target, m_context.adapter.to_endpoint_headers(head, fields),
+        m_caller->shared_body());
     m_context.log.write_request(
         log_line{"request_sent"}
             .add("id", m_fields.id)
@@ -408,7 +420,7 @@
 
 void exchange::send_to_host(const member& chosen, duration expected)
 {
-    m_attempt = {};
+    m_attempt = new_attempt();
     m_attempt.peer = address_of(chosen);
     m_attempt.placed_at = boot_clock::now();
     m_attempt.expected = expected + m_context.options.regions.round_trip;
@@ -434,7 +446,8 @@
     m_attempt_count.on_attempt();
     m_stage = m_has_response_started ? stage::relaying : stage::sending;
     m_attempt.call = m_context.client.call(
-        options, format_request(head.method, head.target, headers, m_caller->body()), handlers());
+        options, to_outgoing_request(head.method, head.target, headers, m_caller->shared_body()),
+        handlers());
     arm();
 }
 
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "gateway/http/body_buffer.h"
 #include "gateway/http/http_server.h"
 #include "gateway/serving/attempt_rule.h"
 #include "gateway/serving/authorisation.h"
 #include "gateway/serving/event_splitter.h"
 #include "gateway/serving/serving_context.h"
 
+#include <cstddef>     // size_t
 #include <cstdint>     // int64_t, uint64_t
 #include <memory>      // enable_shared_from_this, shared_ptr
 #include <optional>    // optional
@@ -100,7 +102,7 @@
         bool has_relayed = false;  ///< events of this attempt were relayed
         bool is_held_back = false; ///< isn't read until the caller has received what was relayed
         message_head head;
-        std::string body;
+        body_buffer body; ///< of a response that isn't relayed as it arrives
     };
 
     /// How an attempt failed.
@@ -140,6 +142,7 @@
     [[nodiscard]] retry_budget& service_retry_budget();
     [[nodiscard]] const std::string& last_event_id() const; ///< a resumed stream continues after it
     void send_to_endpoint(const placement& chosen);
+    [[nodiscard]] attempt_state new_attempt() const;
     [[nodiscard]] duration max_idle_time() const; ///< of a connection that is reused
     [[nodiscard]] std::string address_of(const member& host) const;
     void send_to_host(const member& chosen, duration expected);
@@ -162,6 +165,8 @@
     [[nodiscard]] bool is_genuine(const message_head& head) const;
     [[nodiscard]] bool is_relayable_stream(const message_head& head) const;
     [[nodiscard]] std::string_view stream_fault() const;
+    [[nodiscard]] std::string_view event_fault() const;
+    [[nodiscard]] std::size_t max_unsent_bytes() const;
     [[nodiscard]] const std::string& peer_name() const noexcept;
     [[nodiscard]] duration connect_time() const noexcept;
     void note_broken_off();
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -4,7 +4,7 @@
 #include "gateway/serving/endpoint_statements.h"
 
 #include <algorithm> // max
-#include <utility>   // exchange
+#include <utility>   // exchange, move
 #include <variant>   // get_if
 
 namespace hickorykeel::gateway {
@@ -150,16 +150,19 @@
 void exchange::on_body(std::string& bytes)
 {
     m_attempt.last_received = boot_clock::now();
-    const std::string taken = std::exchange(bytes, {});
-    if (!is_relayable_stream(m_attempt.head)) {
-        m_attempt.body += taken;
-        if (m_attempt.body.size() > m_context.options.max_response_bytes) {
-            m_attempt.call->cancel();
-            fail_attempt({endpoint_outcome::cut, true, true, "response_too_large"});
-        }
+    std::string taken = std::exchange(bytes, {});
+    if (is_relayable_stream(m_attempt.head)) {
+        relay(taken);
         return;
     }
-    relay(taken);
+    using append_result = body_buffer::append_result;
+    const append_result appended = m_attempt.body.append(std::move(taken));
+    if (appended != append_result::appended) {
+        m_attempt.call->cancel();
+        fail_attempt(
+            {endpoint_outcome::cut, true, true,
+             appended == append_result::too_large ? "response_too_large" : "out_of_memory"});
+    }
 }
 
 void exchange::start_relay()
@@ -184,18 +187,40 @@
         m_attempt.has_relayed = true;
         m_last_progress = now;
     }
-    if (m_events.is_out_of_order() || m_events.is_malformed()) {
+    if (const std::string_view fault = event_fault(); !fault.empty()) {
         m_attempt.call->cancel();
-        fail_attempt({endpoint_outcome::cut, true, true,
-                      m_events.is_malformed() ? "event_malformed" : "events_out_of_order"});
+        fail_attempt({endpoint_outcome::cut, true, true, fault});
         return;
     }
-    if (m_caller->unsent() > m_context.options.max_unsent_bytes) {
+    if (m_caller->unsent() > max_unsent_bytes()) {
         m_attempt.is_held_back = true;
         m_attempt.call->pause();
     }
 }
 
+/// Returns what is wrong with the last event received; empty if nothing is.
+std::string_view exchange::event_fault() const
+{
+    if (m_events.is_malformed()) {
+        return "event_malformed";
+    }
+    if (m_events.is_out_of_order()) {
+        return "events_out_of_order";
+    }
+    if (m_events.is_too_large()) {
+        return "event_too_large";
+    }
+    return m_events.is_out_of_memory() ? "out_of_memory" : "";
+}
+
+/// Returns how much is buffered for a slow caller before reading from the endpoint is paused.
+std::size_t exchange::max_unsent_bytes() const
+{
+    const bool is_scarce = m_context.memory != nullptr && m_context.memory->is_scarce();
+    return is_scarce ? m_context.options.max_unsent_bytes_if_scarce
+                     : m_context.options.max_unsent_bytes;
+}
+
 /// Continues to read an attempt that was held back for a slow caller.
 void exchange::resume_reading()
 {
@@ -224,7 +249,7 @@
         fail_attempt({endpoint_outcome::unreachable, false, false, to_name(end)});
         return;
     }
-    if (end != call_end::malformed) {
+    if (end != call_end::malformed && end != call_end::out_of_memory) {
         note_broken_off();
     }
     fail_attempt({endpoint_outcome::cut, true, true, to_name(end)});
@@ -397,6 +422,7 @@
         m_attempt_count.on_execution();
     }
     end_attempt(failure.outcome);
+    m_attempt.body = {};
     m_events.discard_partial();
 }
 
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -49,6 +49,16 @@
             std::max(limits.max_body_bytes, defaults.max_body_bytes)};
 }
 
+/// Fraction of the process's memory that is left to buffers of requests. The rest is for the
+/// published state, the tables of hosts and endpoints, and what the allocator can't give back.
+constexpr double buffer_memory_fraction = 0.5;
+
+std::size_t to_budget_bytes(double memory_mb)
+{
+    constexpr double bytes_per_mb = 1'048'576;
+    return static_cast<std::size_t>(memory_mb * bytes_per_mb * buffer_memory_fraction);
+}
+
 std::vector<std::string> to_ips(const std::vector<std::string>& addresses)
 {
     std::vector<std::string> ips;
@@ -88,6 +98,7 @@
 
 gateway::gateway(gateway_settings settings, gateway_parts parts)
     : m_settings{std::move(settings)}, m_parts{std::move(parts)},
+      m_memory{std::make_shared<memory_budget>(to_budget_bytes(m_settings.memory_mb))},
       m_log{m_loop,
             m_settings.host,
             {.request_lines_per_s = static_cast<std::uint64_t>(m_settings.request_log_rate)}},
@@ -124,6 +135,7 @@
                 .retry_budgets = {},
                 .unreachable_until = {},
                 .overload_periods = {},
+                .memory = m_memory,
                 .capacities = {},
                 .forwarded_requests = {},
                 .exchanges = {},
@@ -148,6 +160,11 @@
       m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}, m_heartbeat_timer{m_loop},
       m_placement_timer{m_loop}, m_stop_timer{m_loop}, m_started{boot_clock::now()}
 {
+    m_client.set_memory(m_memory);
+    for (http_server* server :
+         {&m_callers, &m_peers, &m_readiness, &m_directory, &m_metrics_server}) {
+        server->set_memory(m_memory);
+    }
 }
 
 gateway::~gateway() = default;
@@ -277,6 +294,8 @@
     m_metrics.set_gauge("waiting_requests", static_cast<double>(m_waiting.size()));
     m_metrics.set_gauge("active_requests", static_cast<double>(m_callers.active()));
     m_metrics.set_gauge("connections_opened", static_cast<double>(m_client.connections_opened()));
+    m_metrics.set_gauge("buffer_bytes", static_cast<double>(m_memory->used()));
+    m_metrics.set_gauge("buffer_bytes_allowed", static_cast<double>(m_memory->capacity()));
     m_metrics.set_gauge("heartbeats_not_sent", static_cast<double>(m_gossip.send_failures()));
     m_metrics.set_gauge("log_lines_left_out", static_cast<double>(m_log.dropped_lines()));
     request->respond(200, plain_text(), m_metrics.to_text());
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/configuration/publication_source.h"
 #include "gateway/http/http_server.h"
 #include "gateway/limits/cold_owner.h"
+#include "gateway/limits/memory_budget.h"
 #include "gateway/membership/fleet_membership.h"
 #include "gateway/membership/gossip_socket.h"
 #include "gateway/serving/health_prober.h"
@@ -13,7 +14,7 @@
 #include "process/error.h"
 
 #include <functional> // function
-#include <memory>     // unique_ptr
+#include <memory>     // shared_ptr, unique_ptr
 #include <string>     // string
 #include <vector>     // vector
 
@@ -91,6 +92,7 @@
 
     gateway_settings m_settings;
     gateway_parts m_parts;
+    std::shared_ptr<memory_budget> m_memory;
     asio::io_context m_loop{1};
     event_log m_log;
     gateway_metrics m_metrics;
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -4,6 +4,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/http/http_client.h"
 #include "gateway/instance_registry.h"
+#include "gateway/limits/memory_budget.h"
 #include "gateway/limits/rate_limiter.h"
 #include "gateway/membership/member_table.h"
 #include "gateway/observability/event_log.h"
@@ -58,6 +59,8 @@
     std::size_t max_response_bytes = 67'108'864;
     /// Bytes buffered for a slow caller above which reading from the endpoint is paused.
     std::size_t max_unsent_bytes = 262'144;
+    /// The same while memory is scarce.
+    std::size_t max_unsent_bytes_if_scarce = 16'384;
     /// Backoff of a host to which no connection could be established.
     duration unreachable_backoff = std::chrono::milliseconds{1'000};
     /// Maximum idle time of a connection that is reused for a repeatable request.
@@ -68,6 +71,8 @@
     duration host_connect_timeout = std::chrono::milliseconds{600};
     /// Retry-After delay while the host stops.
     duration retry_after_stop = std::chrono::milliseconds{100};
+    /// Retry-After delay if the memory budget did not admit the request.
+    duration retry_after_out_of_memory = std::chrono::milliseconds{1'000};
     /// Retry-After delay if no endpoint exists.
     duration retry_after_outage = std::chrono::milliseconds{1'000};
     /// Minimum tokens of the shared prefix of a prompt that has a home region.
@@ -102,6 +107,9 @@
     std::unordered_map<std::string, time_point> unreachable_until;     ///< hosts, by ip
     std::unordered_map<std::string, overload_period> overload_periods; ///< by service
 
+    /// Of what is held for requests; null: unlimited.
+    std::shared_ptr<memory_budget> memory = nullptr;
+
     service_capacities capacities; ///< as of the last change of the published state
 
     /// Requests forwarded to another region since its last heartbeat, by "region/service".
--- a/standins/gateway/platform_world.cpp
+++ b/standins/gateway/platform_world.cpp
@@ -2,12 +2,14 @@
 
 #include "process/clock.h"
 
-#include <cstdlib>  // abort
-#include <iostream> // cerr
-#include <string>   // stoull, string
-#include <utility>  // exchange, move
-#include <variant>  // get_if
+#include <algorithm> // max
+#include <cstdlib>   // abort
+#include <iostream>  // cerr
+#include <string>    // stoull, string
+#include <utility>   // exchange, move
+#include <variant>   // get_if
 
+#include <asio/post.hpp>         // post
 #include <asio/steady_timer.hpp> // steady_timer
 #include <openssl/evp.h>         // EVP_EncodeBlock
 
@@ -34,6 +36,8 @@
     return text;
 }
 
+constexpr std::size_t endless_block_bytes = 1'048'576;
+constexpr std::size_t max_endless_response_bytes = 134'217'728;
 constexpr std::size_t max_request_head_bytes = 65'536;
 constexpr std::size_t max_request_body_bytes = 16'777'216;
 
@@ -95,6 +99,12 @@
         return;
     }
     headers.add("X-Hickorykeel-Response-Seal", "seal-of-" + m_id);
+    if (m_is_endless) {
+        request->begin(200, headers);
+        request->send("id: 1\ndata: ");
+        send_endless(request, 0);
+        return;
+    }
     if (head.target.find("/stream/") == std::string::npos) {
         request->respond(200, headers, m_body);
         return;
@@ -103,6 +113,23 @@
     stream(request, 1);
 }
 
+void endpoint_standin::send_endless(const std::shared_ptr<server_exchange>& request,
+                                    std::size_t sent)
+{
+    static const std::string block(endless_block_bytes, 'w');
+    while (request->is_open() && request->unsent() == 0 && sent < max_endless_response_bytes) {
+        request->send(block);
+        sent += block.size();
+        m_max_endless_bytes = std::max(m_max_endless_bytes, sent);
+    }
+    request->set_on_drained([this, weak = std::weak_ptr{request}, sent] {
+        if (const auto open = weak.lock()) {
+            // posted, since this handler is replaced
+            asio::post(m_loop, [this, open, sent] { send_endless(open, sent); });
+        }
+    });
+}
+
 void endpoint_standin::stream(const std::shared_ptr<server_exchange>& request, int next)
 {
     if (next > m_events) {
--- a/standins/gateway/platform_world.h
+++ b/standins/gateway/platform_world.h
@@ -4,6 +4,7 @@
 #include "gateway/http/http_server.h"
 
 #include <chrono>     // milliseconds
+#include <cstddef>    // size_t
 #include <cstdint>    // uint64_t
 #include <functional> // function
 #include <map>        // map
@@ -36,6 +37,13 @@
     /// Sets whether requests run without a response; their connections stay open.
     void set_silent(bool is_silent) noexcept { m_is_silent = is_silent; }
 
+    /// Sets whether the first event of streams and the bodies of other responses have no end; up to
+    /// 128 MiB are sent.
+    void set_endless(bool is_endless) noexcept { m_is_endless = is_endless; }
+
+    /// Bytes of the longest response without an end.
+    [[nodiscard]] std::size_t max_endless_bytes() const noexcept { return m_max_endless_bytes; }
+
     /// Sets for how long health responses say that it is cold; its entry doesn't.
     void set_cold_ms(int cold_ms) noexcept { m_cold_ms = cold_ms; }
 
@@ -44,6 +52,7 @@
 
 private:
     void serve(const std::shared_ptr<gateway::server_exchange>& request);
+    void send_endless(const std::shared_ptr<gateway::server_exchange>& request, std::size_t sent);
     void stream(const std::shared_ptr<gateway::server_exchange>& request, int next);
 
     asio::io_context& m_loop;
@@ -55,6 +64,8 @@
     int m_events = 5;
     int m_cold_ms = 0;
     bool m_is_silent = false;
+    bool m_is_endless = false;
+    std::size_t m_max_endless_bytes = 0;
     std::vector<std::shared_ptr<gateway::server_exchange>> m_unanswered;
     std::string m_body;
     std::uint64_t m_sequence = 0;
--- a/tests/gateway/event_splitter_test.cpp
+++ b/tests/gateway/event_splitter_test.cpp
@@ -1,7 +1,9 @@
 #include "gateway/serving/event_splitter.h"
 
-#include <string> // string
-#include <vector> // vector
+#include <cstddef> // size_t
+#include <memory>  // make_shared
+#include <string>  // string
+#include <vector>  // vector
 
 #include <doctest/doctest.h>
 
@@ -109,3 +111,32 @@
         CHECK_FALSE(splitter.is_malformed());
     }
 }
+
+// guards against LOST: an event without an end was kept until the process was out of memory
+TEST_CASE("regression: an event over the maximum size, or over the budget, is a fault")
+{
+    const std::string block(65'536, 'w');
+    SUBCASE("too large")
+    {
+        event_splitter splitter;
+        CHECK(splitter.take("id: 1\ndata: a\n\nid: 2\ndata: ") == "id: 1\ndata: a\n\n");
+        for (std::size_t sent = 0; sent <= event_splitter::max_event_bytes; sent += block.size()) {
+            CHECK(splitter.take(block).empty());
+        }
+        CHECK(splitter.is_too_large());
+        splitter.discard_partial();
+        CHECK_FALSE(splitter.is_too_large());
+        CHECK(splitter.last_id() == "1");
+    }
+    SUBCASE("over the budget")
+    {
+        const auto budget = std::make_shared<memory_budget>(1'000'000);
+        event_splitter splitter{budget};
+        for (int i = 0; i < 16; ++i) {
+            CHECK(splitter.take(block).empty());
+        }
+        CHECK(splitter.is_out_of_memory());
+        splitter.discard_partial();
+        CHECK(budget->used() == 0);
+    }
+}
--- a/tests/gateway/http_server_test.cpp
+++ b/tests/gateway/http_server_test.cpp
@@ -4,7 +4,7 @@
 #include <chrono>      // milliseconds, seconds
 #include <cstddef>     // size_t
 #include <functional>  // function
-#include <memory>      // make_unique, shared_ptr, unique_ptr
+#include <memory>      // make_shared, make_unique, shared_ptr, unique_ptr
 #include <string>      // string, to_string
 #include <string_view> // string_view
 #include <utility>     // move
@@ -338,3 +338,26 @@
     fixture.run_until([&] { return fixture.requests().size() == 2 || rejected != 0; });
     CHECK(rejected == 413);
 }
+
+// guards against LOST: nothing bounded the bodies of all requests together; one that can't be kept
+// gets a response, whatever its caller still sends
+TEST_CASE("regression: a request over the memory budget is passed on without its body and closes")
+{
+    server_fixture fixture{
+        [](const std::shared_ptr<server_exchange>& request) { request->respond(503, {}, {}); }};
+    fixture.server().set_memory(std::make_shared<memory_budget>(1'000'000));
+    raw_caller caller{fixture};
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n");
+    fixture.run_until([&] { return fixture.requests().size() == 1; });
+    CHECK(fixture.requests().front()->is_out_of_memory());
+    CHECK(fixture.requests().front()->body().empty());
+    for (int i = 0; i < 20; ++i) {
+        // more than half a second in all
+        caller.send(std::string(1'000, 'x'));
+        const time_point next = boot_clock::now() + 40ms;
+        fixture.run_until([&] { return boot_clock::now() >= next; });
+    }
+    caller.read();
+    CHECK(caller.received().starts_with("HTTP/1.1 503 "));
+    CHECK(fixture.server().active() == 0);
+}
--- a/tests/gateway/message_parser_test.cpp
+++ b/tests/gateway/message_parser_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/http/message_parser.h"
 
+#include <memory> // make_shared
 #include <string> // string
 
 #include <doctest/doctest.h>
@@ -104,3 +105,42 @@
     CHECK(parser.head().status == 204);
     CHECK(parser.head().headers.find("a") == "b");
 }
+
+TEST_CASE("a request that the memory budget doesn't admit is refused before its body is kept")
+{
+    const auto budget = std::make_shared<memory_budget>(1'000'000);
+    message_parser parser{message_role::request, {}};
+    parser.set_memory(budget);
+    SUBCASE("with a length")
+    {
+        parser.feed("POST / HTTP/1.1\r\nContent-Length: 300000\r\n\r\nfirst bytes");
+        CHECK(parser.state() == parse_state::out_of_memory);
+        CHECK(parser.body().empty());
+        CHECK(parser.head().method == "POST");
+    }
+    SUBCASE("in chunks")
+    {
+        parser.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n493E0\r\n");
+        CHECK(parser.state() == parse_state::reading_body);
+        parser.feed(std::string(300'000, 'x'));
+        CHECK(parser.state() == parse_state::out_of_memory);
+    }
+    parser.restart();
+    CHECK(budget->used() == 0);
+}
+
+TEST_CASE("a request is charged to the memory budget as long as it has an owner")
+{
+    const auto budget = std::make_shared<memory_budget>(1'000'000);
+    message_parser parser{message_role::request, {}};
+    parser.set_memory(budget);
+    parser.feed("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nwords");
+    CHECK(parser.state() == parse_state::complete);
+    {
+        const memory_charge charge = parser.take_charge();
+        parser.restart();
+        CHECK(budget->used() == charge.size());
+        CHECK(charge.size() >= 5);
+    }
+    CHECK(budget->used() == 0);
+}
--- a/tests/scenarios/gateway_calm_day_test.cpp
+++ b/tests/scenarios/gateway_calm_day_test.cpp
@@ -5,14 +5,16 @@
 #include "support/free_port.h"
 #include "support/scratch_file.h"
 
-#include <algorithm> // count
-#include <chrono>    // seconds
-#include <cstddef>   // ptrdiff_t, size_t
-#include <map>       // map
-#include <memory>    // unique_ptr
-#include <set>       // set
-#include <string>    // string
-#include <vector>    // vector
+#include <algorithm>  // all_of, count, count_if, max
+#include <chrono>     // seconds
+#include <cstddef>    // ptrdiff_t, size_t
+#include <fstream>    // ifstream
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // unique_ptr
+#include <set>        // set
+#include <string>     // string
+#include <vector>     // vector
 
 #include <asio/buffer.hpp>     // buffer, dynamic_buffer
 #include <asio/io_context.hpp> // io_context
@@ -417,6 +419,113 @@
     CHECK(day.host(0).process->exit_code() == 0);
 }
 
+namespace {
+
+/// Anonymous memory of a process, in MiB; 0 where its sanitizer's own would be measured.
+long memory_mib([[maybe_unused]] const gateway_host& host)
+{
+#ifndef __SANITIZE_ADDRESS__
+    std::ifstream file{"/proc/" + std::to_string(host.process->id()) + "/status"};
+    const std::string name = "RssAnon:";
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with(name)) {
+            return std::stol(line.substr(name.size())) / 1'024;
+        }
+    }
+#endif
+    return 0;
+}
+
+/// Runs the day until `is_done` and returns the most memory that the host had in the meantime.
+long max_memory_mib(calm_day& day, std::size_t at, const std::function<bool()>& is_done)
+{
+    long highest = 0;
+    CHECK(day.world().run_until([&] {
+        highest = std::max(highest, memory_mib(day.host(at)));
+        return is_done();
+    }));
+    return highest;
+}
+
+constexpr long host_memory_mib = 256; // the default of limits.memory_mb
+
+} // namespace
+
+// guards against LOST: an endpoint sent an event without an end, and the gateway kept all of it until
+// it was killed for its memory, with all requests that it had open
+TEST_CASE("regression: an event without an end is given up before it fills the memory")
+{
+    calm_day day;
+    day.endpoint("i-a1").set_endless(true);
+    day.endpoint("i-a2").set_endless(true);
+    std::vector<std::shared_ptr<world_answer>> streams;
+    for (int i = 0; i < 4; ++i) {
+        streams.push_back(day.begin(0, "POST", "/stream/x", first_key, "body"));
+    }
+    const long highest = max_memory_mib(day, 0, [&streams] {
+        return std::ranges::all_of(streams, [](const auto& answer) { return answer->has_ended; });
+    });
+    CHECK(highest < host_memory_mib);
+    constexpr std::size_t allowed_bytes = 33'554'432; // an event, and what the kernel buffers
+    CHECK(day.endpoint("i-a1").max_endless_bytes() < allowed_bytes);
+    CHECK(day.endpoint("i-a2").max_endless_bytes() < allowed_bytes);
+    CHECK(day.ask(0, "GET", "/homed/x").status == 200);
+}
+
+// guards against LOST: bodies without an end were each kept up to a limit, and together filled the
+// memory
+TEST_CASE("regression: bodies without an end are given up before they fill the memory")
+{
+    calm_day day;
+    day.endpoint("i-a1").set_endless(true);
+    day.endpoint("i-a2").set_endless(true);
+    std::vector<std::shared_ptr<world_answer>> bookings;
+    for (int i = 0; i < 12; ++i) {
+        bookings.push_back(day.begin(0, "POST", "/once/x", first_key, "body"));
+    }
+    const long highest = max_memory_mib(day, 0, [&bookings] {
+        return std::ranges::all_of(bookings, [](const auto& answer) { return answer->has_ended; });
+    });
+    CHECK(highest < host_memory_mib);
+    for (const auto& answer : bookings) {
+        CHECK(answer->status != 200);
+    }
+    CHECK(day.ask(0, "GET", "/homed/x").status == 200);
+}
+
+// guards against LOST: nothing bounded the bodies of all requests together, so that callers who sent
+// bodies of the allowed size filled the memory
+TEST_CASE("regression: bodies of the allowed size that exceed the memory together are refused")
+{
+    constexpr int count = 80;
+    constexpr std::size_t body_bytes = 4'194'304;
+    calm_day day;
+    day.world().put("op/config", make_configuration(2, {first_key, second_key}, true, body_bytes));
+    REQUIRE(day.world().run_until([&] { return day.ask(0, "GET", "/late/x").status == 200; }));
+    day.endpoint("i-a1").set_silent(true);
+    day.endpoint("i-a2").set_silent(true);
+    std::vector<std::shared_ptr<world_answer>> uploads;
+    std::map<const world_answer*, std::string> ids;
+    for (int i = 0; i < count; ++i) {
+        uploads.push_back(day.begin(0, "POST", "/once/x", first_key, std::string(body_bytes, 'x')));
+        ids[uploads.back().get()] = day.last_id();
+    }
+    const auto count_ended = [&uploads] {
+        return std::ranges::count_if(uploads, [](const auto& answer) { return answer->has_ended; });
+    };
+    // the others are held until their deadline
+    const long highest = max_memory_mib(day, 0, [&] { return count_ended() >= count / 2; });
+    CHECK(highest < host_memory_mib);
+    CHECK(day.ask(0, "GET", "/homed/x").status == 200);
+    for (const auto& answer : uploads) {
+        if (answer->has_ended) {
+            CHECK(answer->status == 503);
+            CHECK_FALSE(day.endpoint("i-a1").runs().contains(ids[answer.get()]));
+            CHECK_FALSE(day.endpoint("i-a2").runs().contains(ids[answer.get()]));
+        }
+    }
+}
+
 // guards against FAILBACK: hosts that could not read the store sent their full load to endpoints
 // which had become cold, and these crashed
 TEST_CASE(
