Start with bounds that have fractions, are empty or can't be used

Callers got no answer any more once all processes had been killed: with stop_grace_s = 7.5 in the settings none started again (code 78).

Cause: the figures that the platform states were checked as whole numbers in narrow ranges, and each value that could not be used kept the process from starting.

Change: bounds are decimals with wide ranges; the default takes the place of one that is empty or unusable, and the log names the latter. Names may have capitals. The grace and the drain time follow a reload, and the settings are read again at the stop signal.

--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 constexpr std::array rules{
-    setting_rule{"host", "name", setting_kind::name, true, "", 0, 0, "name of this host"},
+    setting_rule{"host", "name", setting_kind::label, true, "", 0, 0, "name of this host"},
     setting_rule{"host", "ip", setting_kind::text, true, "", 0, 0, "IPv4 address of this host"},
-    setting_rule{"host", "failure_domain", setting_kind::name, true, "", 0, 0,
+    setting_rule{"host", "failure_domain", setting_kind::label, true, "", 0, 0,
                  "where this host stands"},
-    setting_rule{"host", "region", setting_kind::name, true, "", 0, 0, "region of that domain"},
+    setting_rule{"host", "region", setting_kind::label, true, "", 0, 0, "region of that domain"},
     setting_rule{"host", "failure_domains", setting_kind::pair_list, true, "", 0, 0,
                  "domain:region of all failure domains"},
     setting_rule{"listen", "callers", setting_kind::address, true, "", 0, 0,
@@ -29,22 +29,30 @@
                  "peers' addresses of some hosts; they may be stale"},
     setting_rule{"source", "address", setting_kind::address, true, "", 0, 0,
                  "of the published configuration"},
-    setting_rule{"limits", "key_withdrawal_ms", setting_kind::number, false, "5000", 1'000, 600'000,
-                 "a withdrawn key is refused after so many milliseconds"},
-    setting_rule{"limits", "drain_ms", setting_kind::number, false, "4000", 1, 600'000,
-                 "an endpoint that said it is leaving gets no request after so many milliseconds"},
-    setting_rule{"limits", "retry_ratio", setting_kind::decimal, false, "0.2", 0, 1,
-                 "retries for each request"},
-    setting_rule{"limits", "retry_slack", setting_kind::decimal, false, "50", 0, 1'000'000,
-                 "retries of all hosts together beyond the ratio"},
-    setting_rule{"limits", "stop_grace_s", setting_kind::number, false, "8", 1, 3'600,
-                 "seconds from the stop signal to the kill"},
-    setting_rule{"limits", "memory_mb", setting_kind::decimal, false, "256", 32, 1'048'576,
-                 "MiB of memory of the process; half of it is for requests and responses"},
+    // a host serves with a default rather than not at all
+    setting_rule{"limits", "key_withdrawal_ms", setting_kind::decimal, false, "5000", 1, 86'400'000,
+                 "a withdrawn key is refused after so many milliseconds", true},
+    setting_rule{"limits", "drain_ms", setting_kind::decimal, false, "4000", 0, 86'400'000,
+                 "an endpoint that said it is leaving gets no request after so many milliseconds",
+                 true},
+    setting_rule{"limits", "retry_ratio", setting_kind::decimal, false, "0.2", 0, 100,
+                 "retries for each request", true},
+    setting_rule{"limits", "retry_slack", setting_kind::decimal, false, "50", 0, 1'000'000'000,
+                 "retries of all hosts together beyond the ratio", true},
+    setting_rule{"limits", "stop_grace_s", setting_kind::decimal, false, "8", 0, 86'400,
+                 "seconds from the stop signal to the kill", true},
+    setting_rule{"limits", "memory_mb", setting_kind::decimal, false, "256", 1, 1'048'576,
+                 "MiB of memory of the process; half of it is for requests and responses", true},
     setting_rule{"log", "request_lines_per_s", setting_kind::number, false, "400", 1, 1'000'000,
                  "lines on requests in a second; the rest is counted"},
 };
 
+duration from_ms(double ms) noexcept
+{
+    constexpr double ms_per_s = 1'000;
+    return from_seconds(ms / ms_per_s);
+}
+
 } // namespace
 
 std::span<const setting_rule> gateway_rules() noexcept
@@ -85,13 +93,16 @@
     result.metrics_address = loaded.text("listen", "metrics");
     result.seeds = loaded.list("peers", "seeds");
     result.source_address = loaded.text("source", "address");
-    result.key_withdrawal = std::chrono::milliseconds{loaded.number("limits", "key_withdrawal_ms")};
-    result.drain = std::chrono::milliseconds{loaded.number("limits", "drain_ms")};
+    result.key_withdrawal = from_ms(loaded.decimal("limits", "key_withdrawal_ms"));
+    result.drain = from_ms(loaded.decimal("limits", "drain_ms"));
     result.retry_ratio = loaded.decimal("limits", "retry_ratio");
     result.retry_slack = loaded.decimal("limits", "retry_slack");
-    result.stop_grace = std::chrono::seconds{loaded.number("limits", "stop_grace_s")};
+    result.stop_grace = from_seconds(loaded.decimal("limits", "stop_grace_s"));
     result.memory_mb = loaded.decimal("limits", "memory_mb");
     result.request_log_rate = loaded.number("log", "request_lines_per_s");
+    for (const settings_fault& fault : loaded.replaced()) {
+        result.replaced.push_back(fault.to_string());
+    }
     return result;
 }
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -30,16 +30,20 @@
     std::string source_address;     ///< source of the published configuration
 
     /// Maximum time for which a withdrawn key may still be accepted.
-    std::chrono::milliseconds key_withdrawal{5'000};
+    duration key_withdrawal = std::chrono::milliseconds{5'000};
     /// Time after an endpoint said that it is leaving, from which it may get no request.
-    std::chrono::milliseconds drain{4'000};
+    duration drain = std::chrono::milliseconds{4'000};
     double retry_ratio = 0.2; ///< retries allowed per request
     /// Retries of all hosts together, allowed beyond `retry_ratio`.
     double retry_slack = 52;
-    std::chrono::seconds stop_grace{8};  ///< from the stop signal to the kill of the process
+    /// From the stop signal to the kill of the process.
+    duration stop_grace = std::chrono::seconds{8};
     double memory_mb = 256;              ///< of the process; more ends it
     std::int64_t request_log_rate = 400; ///< lines per second
 
+    /// What was wrong with values that defaults have replaced, one text each.
+    std::vector<std::string> replaced;
+
     /// Returns the port of `peers_address`.
     [[nodiscard]] std::uint16_t peers_port() const;
 
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -2,7 +2,7 @@
 
 #include "gateway/serving/region_options.h"
 
-#include <algorithm> // max, min
+#include <algorithm> // clamp, max, min
 #include <utility>   // exchange, move
 #include <variant>   // get, get_if
 
@@ -396,7 +396,8 @@
     options.address = chosen.address;
     // a request must not reach an endpoint that says meanwhile that it is leaving
     options.connect_timeout =
-        std::min<duration>(m_context.options.endpoint_connect_timeout, m_context.settings.drain);
+        std::clamp<duration>(m_context.settings.drain, m_context.options.min_connect_timeout,
+                             m_context.options.endpoint_connect_timeout);
     options.max_idle_time = max_idle_time();
     m_attempt_count.on_attempt();
     m_stage = m_has_response_started ? stage::relaying : stage::sending;
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -39,6 +39,15 @@
 /// transit.
 constexpr duration key_lease_margin = std::chrono::milliseconds{600};
 
+/// Fraction of the allowed time that the key lease has at least.
+constexpr int min_key_lease_divisor = 2;
+
+/// Returns for how long a key may be accepted without news of it.
+duration to_key_lease(duration key_withdrawal) noexcept
+{
+    return std::max(key_withdrawal - key_lease_margin, key_withdrawal / min_key_lease_divisor);
+}
+
 /// Returns the limits on requests that other hosts forward, which have applied the callers' limits.
 /// Their configuration may be newer or older than this host's, so the limits aren't below the
 /// default ones.
@@ -102,7 +111,7 @@
       m_log{m_loop,
             m_settings.host,
             {.request_lines_per_s = static_cast<std::uint64_t>(m_settings.request_log_rate)}},
-      m_random{random_seed()}, m_state{{.key_lease = m_settings.key_withdrawal - key_lease_margin}},
+      m_random{random_seed()}, m_state{{.key_lease = to_key_lease(m_settings.key_withdrawal)}},
       m_fleet{{m_settings.host, m_settings.ip, m_settings.failure_domain, m_settings.region,
                random_seed()},
               to_ips(m_settings.seeds),
@@ -197,6 +206,7 @@
                     .add("callers", m_settings.callers_address)
                     .add("peers", m_settings.peers_address)
                     .add("metrics", m_settings.metrics_address));
+    log_replaced(m_settings);
     m_callers.set_on_reject([this](int status, std::string_view reason) {
         m_metrics.count("rejected_" + std::string{reason});
         m_log.write_request(
@@ -566,6 +576,13 @@
     });
 }
 
+void gateway::log_replaced(const gateway_settings& settings)
+{
+    for (const std::string& fault : settings.replaced) {
+        m_log.write(log_line{"setting_replaced_by_default"}.add("fault", fault));
+    }
+}
+
 void gateway::reload()
 {
     const auto loaded = m_parts.reload();
@@ -574,7 +591,10 @@
         return;
     }
     const auto& settings = std::get<gateway_settings>(loaded);
+    log_replaced(settings);
     m_settings.seeds = settings.seeds;
+    m_settings.drain = settings.drain;
+    m_settings.stop_grace = settings.stop_grace;
     m_fleet.members().add_seeds(to_ips(settings.seeds));
     m_log.write(log_line{"reload"}.add("seeds", static_cast<std::int64_t>(settings.seeds.size())));
 }
@@ -583,6 +603,7 @@
 {
     m_is_stopping = true;
     m_shutdown_started = boot_clock::now();
+    reload(); // the grace may have changed without a signal
     m_log.write(log_line{"stopping"}
                     .add("host", m_settings.host)
                     .add("open_requests", static_cast<std::int64_t>(m_callers.active()))
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -86,6 +86,7 @@
     void place_waiting();
     void wait_for_signals();
     void reload();
+    void log_replaced(const gateway_settings& settings);
     void begin_shutdown();
     void stop_admission();
     void check_shutdown();
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -67,6 +67,7 @@
     duration max_idle_time = std::chrono::seconds{4};
     /// Maximum idle time of a connection that is reused for a request that isn't repeatable.
     duration max_idle_time_non_repeatable = std::chrono::milliseconds{1'500};
+    duration min_connect_timeout = std::chrono::milliseconds{50};
     duration endpoint_connect_timeout = std::chrono::milliseconds{400};
     duration host_connect_timeout = std::chrono::milliseconds{600};
     /// Retry-After delay while the host stops.
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -1,6 +1,6 @@
 #include "process/settings.h"
 
-#include <algorithm>  // all_of, any_of, find_if
+#include <algorithm>  // all_of, any_of, find_if, transform
 #include <array>      // array
 #include <cassert>    // assert
 #include <charconv>   // from_chars
@@ -128,11 +128,19 @@
     return to_decimal(text).has_value();
 }
 
+bool is_label(std::string_view text)
+{
+    std::string lower{text};
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c | 0x20) : c; });
+    return is_name(lower);
+}
+
 bool is_pair(std::string_view text)
 {
     const auto colon = text.find(':');
-    return colon != std::string_view::npos && is_name(text.substr(0, colon)) &&
-           is_name(text.substr(colon + 1));
+    return colon != std::string_view::npos && is_label(text.substr(0, colon)) &&
+           is_label(text.substr(colon + 1));
 }
 
 bool is_flag(std::string_view text)
@@ -179,6 +187,9 @@
              "Z85 keys of 40 characters, comma-separated"},
     kind_row{setting_kind::digest, is_digest, "64 hex digits in lower case"},
     kind_row{setting_kind::decimal, is_decimal, "a number"},
+    kind_row{setting_kind::label, is_label,
+             "a name of at most 63 characters: letters, 0-9, '.', '_' and '-', first a letter or "
+             "0-9"},
     kind_row{setting_kind::pair_list, is_list<is_pair>, "name:name, comma-separated"},
 };
 
@@ -264,6 +275,8 @@
 
     std::vector<settings_fault> take_faults() { return std::move(m_faults); }
 
+    std::vector<settings_fault> take_replaced() { return std::move(m_replaced); }
+
 private:
     static int on_value(void* self, const char* section, const char* key, const char* value)
     {
@@ -318,9 +331,23 @@
         if (is_missing && !rule.is_required) {
             return;
         }
-        if (!is_allowed(rule, it->second)) {
-            add(rule.section, rule.key, to_shown(rule, it->second), to_allowed(rule));
+        if (is_allowed(rule, it->second)) {
+            return;
+        }
+        if (rule.falls_back) {
+            replace(rule, it->second);
+            return;
+        }
+        add(rule.section, rule.key, to_shown(rule, it->second), to_allowed(rule));
+    }
+
+    void replace(const setting_rule& rule, std::string& value)
+    {
+        if (!value.empty()) {
+            m_replaced.push_back({m_file, std::string{rule.section}, std::string{rule.key},
+                                  to_shown(rule, value), to_allowed(rule)});
         }
+        value = rule.default_value;
     }
 
     void find_long_lines(const std::string& content)
@@ -340,6 +367,7 @@
     std::span<const setting_rule> m_rules;
     value_map m_values;
     std::vector<settings_fault> m_faults;
+    std::vector<settings_fault> m_replaced;
 };
 
 } // namespace
@@ -402,6 +430,7 @@
     }
     settings loaded;
     loaded.m_values = reading.take_values();
+    loaded.m_replaced = reading.take_replaced();
     return loaded;
 }
 
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -21,8 +21,9 @@
     z85_key,
     z85_key_list,
     digest,
-    decimal,  ///< a number with an optional fraction
-    pair_list ///< name:name, comma-separated
+    decimal,   ///< a number with an optional fraction
+    label,     ///< like a name, with capitals too
+    pair_list, ///< label:label, comma-separated
 };
 
 /// One key that a program knows. The tables of rules are the only place that lists keys.
@@ -35,6 +36,8 @@
     std::int64_t minimum;  ///< of a number
     std::int64_t maximum;  ///< of a number
     std::string_view help; ///< with the unit
+    /// Whether the default takes the place of a value that is empty or not allowed.
+    bool falls_back = false;
 };
 
 /// What a value of `rule` must look like, for faults and docs. Thread safe.
@@ -58,9 +61,17 @@
 class settings {
 public:
     /// Reads `path` and checks it against `rules`: every fault is listed, unknown keys are faults.
+    /// A value that its default replaces is none.
     static std::variant<settings, std::vector<settings_fault>>
     load(const std::string& path, std::span<const setting_rule> rules);
 
+    /// Values that were not allowed and that their defaults have replaced. Empty values, of which
+    /// nothing is known, aren't among them.
+    [[nodiscard]] const std::vector<settings_fault>& replaced() const noexcept
+    {
+        return m_replaced;
+    }
+
     /// @name element access
     /// Precondition: a rule of that section and key exists, of a matching kind.
     /// @{
@@ -74,6 +85,7 @@
 
 private:
     std::map<std::string, std::string, std::less<>> m_values; // "section.key"
+    std::vector<settings_fault> m_replaced;
 };
 
 /// Exit code for faulty settings (EX_CONFIG of sysexits.h).
--- a/src/programs/gateway.cpp
+++ b/src/programs/gateway.cpp
@@ -67,6 +67,9 @@
         return *code;
     }
     if (chosen.checks_only) {
+        for (const std::string& fault : std::get<gateway_settings>(loaded).replaced) {
+            std::cout << fault << "; the default is used\n";
+        }
         std::cout << "settings: right\n";
         return EXIT_SUCCESS;
     }
--- /dev/null
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -0,0 +1,92 @@
+#include "gateway/gateway_settings.h"
+
+#include <chrono>  // milliseconds, seconds
+#include <cstdio>  // remove
+#include <fstream> // ofstream
+#include <string>  // string
+#include <variant> // get_if
+
+#include <doctest/doctest.h>
+#include <unistd.h> // getpid
+
+using namespace hickorykeel;
+using namespace hickorykeel::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string required = "[host]\nname = Host-1\nip = 10.0.0.1\nfailure_domain = Attica-a\n"
+                             "region = Attica\nfailure_domains =\n  Attica-a:Attica\n"
+                             "[listen]\ncallers = 10.0.0.1:1\nreadiness = 10.0.0.1:2\n"
+                             "directory = 10.0.0.1:3\npeers = 10.0.0.1:4\nmetrics = 10.0.0.1:5\n"
+                             "[source]\naddress = 10.0.0.2:6\n";
+
+/// Loads the required keys and `lines` of [limits]. Fails the test if they have faults.
+gateway_settings load(const std::string& lines)
+{
+    const std::string path = "/tmp/gateway-settings-test-" + std::to_string(::getpid()) + ".ini";
+    std::ofstream{path} << required << "[limits]\n" << lines << '\n';
+    const auto loaded = settings::load(path, gateway_rules());
+    std::remove(path.c_str());
+    const auto* found = std::get_if<settings>(&loaded);
+    REQUIRE(found != nullptr);
+    return to_gateway_settings(*found);
+}
+
+} // namespace
+
+TEST_CASE("names of hosts, failure domains and regions may have capitals")
+{
+    const gateway_settings loaded = load("");
+    CHECK(loaded.host == "Host-1");
+    CHECK(loaded.region_of("Attica-a") == "Attica");
+    CHECK(loaded.replaced.empty());
+}
+
+// guards against RECOVER and FAULT: a grace of 7.5 s in the settings kept every process from starting
+TEST_CASE("regression: bounds may have fractions")
+{
+    const gateway_settings loaded = load("stop_grace_s = 7.5\ndrain_ms = 4000.0\n"
+                                         "key_withdrawal_ms = 500.25\nmemory_mb = 120.5\n"
+                                         "retry_ratio = 1.5\nretry_slack = 1e7");
+    CHECK(loaded.stop_grace == 7'500ms);
+    CHECK(loaded.drain == 4s);
+    CHECK(loaded.key_withdrawal == 500'250us);
+    CHECK(loaded.memory_mb == doctest::Approx(120.5));
+    CHECK(loaded.retry_ratio == doctest::Approx(1.5));
+    CHECK(loaded.retry_slack == doctest::Approx(1e7));
+    CHECK(loaded.replaced.empty());
+    CHECK(load("stop_grace_s = 0.5").stop_grace == 500ms);
+    CHECK(load("stop_grace_s = 0").stop_grace == 0s);
+}
+
+// guards against RECOVER and FAULT: the same for a bound that a deployment doesn't have, or that
+// can't be used
+TEST_CASE("regression: defaults take the place of bounds without a usable value")
+{
+    const gateway_settings defaults = load("");
+    SUBCASE("an empty one")
+    {
+        const gateway_settings loaded =
+            load("stop_grace_s =\ndrain_ms =\nkey_withdrawal_ms =\nmemory_mb =\nretry_ratio =\n"
+                 "retry_slack =");
+        CHECK(loaded.stop_grace == defaults.stop_grace);
+        CHECK(loaded.drain == defaults.drain);
+        CHECK(loaded.key_withdrawal == defaults.key_withdrawal);
+        CHECK(loaded.memory_mb == defaults.memory_mb);
+        CHECK(loaded.retry_ratio == defaults.retry_ratio);
+        CHECK(loaded.retry_slack == defaults.retry_slack);
+        CHECK(loaded.replaced.empty());
+    }
+    SUBCASE("one that can't be used, which is reported")
+    {
+        const gateway_settings loaded =
+            load("stop_grace_s = -1\ndrain_ms = soon\nretry_slack = true\nmemory_mb = nan");
+        CHECK(loaded.stop_grace == defaults.stop_grace);
+        CHECK(loaded.drain == defaults.drain);
+        CHECK(loaded.retry_slack == defaults.retry_slack);
+        CHECK(loaded.memory_mb == defaults.memory_mb);
+        REQUIRE(loaded.replaced.size() == 4);
+        CHECK(loaded.replaced.front().find("drain_ms = \"soon\"") != std::string::npos);
+    }
+}
