Hold signals back until the gateway has its handlers

Operators saw the system not start: SIGHUP, by which the platform says that the settings have changed, ended a process that was still starting.

Cause: the handlers are installed where the gateway is constructed, after the command line and the settings; until then the default action ends the process. A stop signal at that moment ended it in the same way.

In the test the settings are a pipe, so that the process is known to read them when the signal comes: it ended with 129 on the code before.

Change: the first statement of main() blocks the signals that the gateway handles, and they are released once it has its handlers; a signal that came meanwhile is then handled.

--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm> // max, min
 #include <chrono>    // milliseconds, seconds
-#include <csignal>   // SIGHUP, SIGINT, SIGTERM
 #include <random>    // random_device
 #include <utility>   // exchange, move
 
@@ -166,9 +165,12 @@
       m_directory{m_loop, [this](const auto& request) { serve_directory(request); }},
       m_metrics_server{m_loop, [this](const auto& request) { serve_metrics(request); }},
       m_gossip{m_loop, [this](std::string_view datagram) { on_datagram(datagram); }},
-      m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}, m_heartbeat_timer{m_loop},
-      m_placement_timer{m_loop}, m_stop_timer{m_loop}, m_started{boot_clock::now()}
+      m_signals{m_loop}, m_heartbeat_timer{m_loop}, m_placement_timer{m_loop},
+      m_stop_timer{m_loop}, m_started{boot_clock::now()}
 {
+    for (const int signal : handled_signals) {
+        m_signals.add(signal);
+    }
     m_client.set_memory(m_memory);
     for (http_server* server :
          {&m_callers, &m_peers, &m_readiness, &m_directory, &m_metrics_server}) {
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -13,6 +13,8 @@
 #include "gateway/serving/waiting_queue.h"
 #include "process/error.h"
 
+#include <array>      // array
+#include <csignal>    // SIGHUP, SIGINT, SIGTERM
 #include <functional> // function
 #include <memory>     // shared_ptr, unique_ptr
 #include <string>     // string
@@ -35,6 +37,9 @@
     std::function<result<gateway_settings>()> reload;
 };
 
+/// Signals that a gateway handles, from its construction on.
+inline constexpr std::array handled_signals{SIGTERM, SIGINT, SIGHUP};
+
 /// The gateway process: listeners, membership, published configuration, and requests.
 ///
 /// Thread safety: none; one thread runs the event loop.
--- a/src/programs/gateway.cpp
+++ b/src/programs/gateway.cpp
@@ -2,7 +2,7 @@
 #include "platform/platform.h"
 #include "process/build_info.h"
 
-#include <csignal>  // signal, SIGPIPE
+#include <csignal>  // signal, sigprocmask, SIGPIPE
 #include <cstdlib>  // EXIT_FAILURE, EXIT_SUCCESS
 #include <iostream> // cerr, cout
 #include <string>   // string
@@ -43,6 +43,26 @@
     return {path.getValue(), check.getValue(), describe.getValue()};
 }
 
+/// Blocks the signals that the gateway handles, so that one that arrives during the start waits for
+/// its handler instead of ending the process. Created by the first statement of the process.
+class startup_signal_mask {
+public:
+    startup_signal_mask() noexcept
+    {
+        sigemptyset(&m_signals);
+        for (const int signal : gateway::handled_signals) {
+            sigaddset(&m_signals, signal);
+        }
+        sigprocmask(SIG_BLOCK, &m_signals, nullptr);
+    }
+
+    /// Delivers what has arrived. Precondition: the handlers are installed.
+    void release() const noexcept { sigprocmask(SIG_UNBLOCK, &m_signals, nullptr); }
+
+private:
+    sigset_t m_signals{};
+};
+
 /// Loads the settings; each fault is printed.
 std::variant<gateway_settings, int> load(const std::string& path)
 {
@@ -56,7 +76,7 @@
     return gateway::to_gateway_settings(std::get<settings>(loaded));
 }
 
-int serve(const command_line& chosen)
+int serve(const command_line& chosen, const startup_signal_mask& signals)
 {
     if (chosen.describes_settings) {
         std::cout << describe_settings(gateway::gateway_rules());
@@ -82,6 +102,7 @@
     };
     gateway::gateway serving{std::get<gateway_settings>(std::move(loaded)),
                              platform::make_parts(reload)};
+    signals.release();
     const auto opened = serving.open();
     if (const auto* failure = std::get_if<error>(&opened)) {
         std::cerr << failure->to_string() << '\n';
@@ -95,9 +116,10 @@
 
 int main(int argc, char** argv)
 {
+    const startup_signal_mask signals;
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        return serve(parse(argc, argv));
+        return serve(parse(argc, argv), signals);
     }
     catch (const TCLAP::ExitException& leave) {
         return leave.getExitStatus();
--- /dev/null
+++ b/tests/scenarios/gateway_start_test.cpp
@@ -0,0 +1,89 @@
+#include "support/child_process.h"
+#include "support/free_port.h"
+#include "support/scratch_file.h"
+#include "support/wait_for.h"
+
+#include <cstdio>  // rename
+#include <fstream> // ofstream
+#include <string>  // string
+#include <thread>  // sleep_for
+#include <vector>  // vector
+
+#include <doctest/doctest.h>
+#include <sys/stat.h> // mkfifo
+#include <unistd.h>   // unlink
+
+using namespace hickorykeel::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Addresses of one gateway.
+struct host_addresses {
+    std::string callers = free_address();
+    std::string readiness = free_address();
+    std::string directory = free_address();
+    std::string peers = free_address();
+    std::string metrics = free_address();
+};
+
+std::string make_settings(const host_addresses& used)
+{
+    const std::string ip = used.peers.substr(0, used.peers.rfind(':'));
+    return "[host]\nname = h\nip = " + ip +
+           "\nfailure_domain = a-1\nregion = a\nfailure_domains =\n  a-1:a\n[listen]\ncallers = " +
+           used.callers + "\nreadiness = " + used.readiness + "\ndirectory = " + used.directory +
+           "\npeers = " + used.peers + "\nmetrics = " + used.metrics +
+           "\n[source]\naddress = " + free_address() + "\n";
+}
+
+bool logs(const child_process& process, const std::string& event)
+{
+    return process.output().find(R"("event":")" + event + '"') != std::string::npos;
+}
+
+/// A settings file that the gateway reads only when the test writes it.
+class settings_pipe {
+public:
+    settings_pipe()
+    {
+        ::unlink(m_file.path().c_str());
+        REQUIRE(::mkfifo(m_file.path().c_str(), 0600) == 0);
+    }
+
+    [[nodiscard]] const std::string& path() const { return m_file.path(); }
+
+    /// Waits until the gateway reads the file.
+    [[nodiscard]] std::ofstream open() const { return std::ofstream{m_file.path()}; }
+
+    /// Puts a file with `content` in its place. A read under way goes on.
+    void replace(const std::string& content) const
+    {
+        const std::string next = m_file.path() + "-next";
+        std::ofstream{next} << content;
+        REQUIRE(std::rename(next.c_str(), m_file.path().c_str()) == 0);
+    }
+
+private:
+    scratch_file m_file{""};
+};
+
+} // namespace
+
+// guards against FAULT: a signal that came before the gateway had its handlers ended the process
+TEST_CASE("regression: a signal during the start waits for its handler")
+{
+    const std::string settings = make_settings({});
+    const settings_pipe pipe;
+    child_process process{"hickorykeel-gateway", {"--settings", pipe.path()}};
+    {
+        std::ofstream read_at_start = pipe.open();
+        process.hang_up();
+        std::this_thread::sleep_for(100ms);
+        REQUIRE_FALSE(process.exit_code());
+        pipe.replace(settings);
+        read_at_start << settings;
+    }
+    CHECK(wait_for([&] { return logs(process, "reload"); }));
+    CHECK_FALSE(process.exit_code());
+}
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -129,6 +129,11 @@
     signal(SIGTERM);
 }
 
+void child_process::hang_up()
+{
+    signal(SIGHUP);
+}
+
 void child_process::kill()
 {
     signal(SIGKILL);
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -55,6 +55,7 @@
     /// @name signals
     /// @{
     void terminate(); ///< SIGTERM
+    void hang_up();   ///< SIGHUP
     void kill();      ///< SIGKILL, and waits for the end
     void freeze();    ///< SIGSTOP
     void thaw();      ///< SIGCONT
