Try an address in use again instead of ending the process

Operators saw the system not start. A process that can't bind one of its five ports ended with code 1, and was ended and started again for as long as the port was taken, as by a connection that the kernel gave this port as its own, or by a process that is still ending.

Cause: each failure to listen was taken for a fault of the settings.

Evidence: the test occupies the callers' port; on the code before the process ended.

Change: such a failure has a kind of its own (102), is logged, and is tried again each 200 ms while the other listeners serve. A host isn't ready before its callers' port is open. A malformed address still ends the start.

--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -327,7 +327,8 @@
         m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
     }
     if (failure) {
-        return error{error_kind::settings_invalid, "listen", address, failure.message()};
+        stop_listening();
+        return error{error_kind::address_unavailable, "listen", address, failure.message()};
     }
     accept();
     return true;
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -161,9 +161,12 @@
     void set_memory(std::shared_ptr<memory_budget> budget) { m_memory = std::move(budget); }
 
     /// Listens at `address` ("ip:port") and starts to accept connections. Fails if the address is
-    /// malformed or can't be bound.
+    /// malformed (`settings_invalid`) or can't be bound (`address_unavailable`); it may be called
+    /// again then.
     result<bool> listen(const std::string& address);
 
+    [[nodiscard]] bool is_listening() const { return m_acceptor.is_open(); }
+
     /// Port at which the server listens. Precondition: `listen()` has succeeded.
     [[nodiscard]] std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
--- a/src/gateway/membership/gossip_socket.cpp
+++ b/src/gateway/membership/gossip_socket.cpp
@@ -19,7 +19,9 @@
         m_socket.non_blocking(true, failure);
     }
     if (failure) {
-        return error{error_kind::settings_invalid, "bind", ip + ':' + std::to_string(port),
+        asio::error_code ignored; // it was not used
+        m_socket.close(ignored);
+        return error{error_kind::address_unavailable, "bind", ip + ':' + std::to_string(port),
                      failure.message()};
     }
     receive();
--- a/src/gateway/membership/gossip_socket.h
+++ b/src/gateway/membership/gossip_socket.h
@@ -26,9 +26,11 @@
     }
 
     /// Binds the socket to the IPv4 address `ip` and `port`, and starts to receive.
-    /// @return true, or an error of kind `settings_invalid`
+    /// @return true, or an error of kind `address_unavailable`, after which it may be called again
     result<bool> open(const std::string& ip, std::uint16_t port);
 
+    [[nodiscard]] bool is_open() const { return m_socket.is_open(); }
+
     /// Sends `datagram` to the host at `ip`, on the port given to `open()`. Failures are counted.
     void send(const std::string& ip, std::string_view datagram);
 
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr duration placement_interval = std::chrono::milliseconds{20};
+constexpr duration open_retry_interval = std::chrono::milliseconds{200};
 constexpr duration stop_check_interval = std::chrono::milliseconds{100};
 
 /// Time for which callers may cache a response of the directory.
@@ -165,7 +166,7 @@
       m_directory{m_loop, [this](const auto& request) { serve_directory(request); }},
       m_metrics_server{m_loop, [this](const auto& request) { serve_metrics(request); }},
       m_gossip{m_loop, [this](std::string_view datagram) { on_datagram(datagram); }},
-      m_signals{m_loop}, m_heartbeat_timer{m_loop}, m_placement_timer{m_loop},
+      m_signals{m_loop}, m_open_timer{m_loop}, m_heartbeat_timer{m_loop}, m_placement_timer{m_loop},
       m_stop_timer{m_loop}, m_started{boot_clock::now()}
 {
     for (const int signal : handled_signals) {
@@ -181,6 +182,36 @@
 gateway::~gateway() = default;
 
 result<bool> gateway::open()
+{
+    auto opened = open_missing();
+    const auto* failure = std::get_if<error>(&opened);
+    if (failure == nullptr || failure->kind != error_kind::address_unavailable) {
+        return opened;
+    }
+    m_log.write(log_line{"address_unavailable"}.add("error", failure->to_string()));
+    schedule_open(*failure);
+    return true;
+}
+
+/// Tries again later to open what could not be opened because of `failure`.
+void gateway::schedule_open(const error& failure)
+{
+    m_open_timer.expires_after(open_retry_interval);
+    m_open_timer.async_wait([this, failure](const asio::error_code& cancelled) {
+        if (cancelled || m_is_stopping) {
+            return;
+        }
+        const auto opened = open_missing();
+        if (const auto* next = std::get_if<error>(&opened)) {
+            schedule_open(*next);
+            return;
+        }
+        m_log.write(log_line{"address_available"}.add("error", failure.to_string()));
+    });
+}
+
+/// Opens all that isn't open. Returns the last error.
+result<bool> gateway::open_missing()
 {
     const std::array<std::pair<http_server*, const std::string*>, 5> listeners{{
         {&m_callers, &m_settings.callers_address},
@@ -189,13 +220,23 @@
         {&m_directory, &m_settings.directory_address},
         {&m_metrics_server, &m_settings.metrics_address},
     }};
+    result<bool> outcome = true;
     for (const auto& [server, address] : listeners) {
+        if (server->is_listening()) {
+            continue;
+        }
         auto opened = server->listen(*address);
         if (!is_ok(opened)) {
-            return opened;
+            outcome = std::move(opened);
+        }
+    }
+    if (!m_gossip.is_open()) {
+        auto opened = m_gossip.open(m_settings.ip, m_settings.peers_port());
+        if (!is_ok(opened)) {
+            outcome = std::move(opened);
         }
     }
-    return m_gossip.open(m_settings.ip, m_settings.peers_port());
+    return outcome;
 }
 
 void gateway::run()
@@ -229,7 +270,7 @@
 
 bool gateway::is_ready() const
 {
-    return !m_is_stopping && m_state.published() != nullptr;
+    return !m_is_stopping && m_state.published() != nullptr && m_callers.is_listening();
 }
 
 void gateway::serve_caller(const std::shared_ptr<server_exchange>& request)
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -52,7 +52,8 @@
     gateway& operator=(gateway&&) = delete;
     ~gateway();
 
-    /// Opens all listeners and the gossip socket. Returns the first error.
+    /// Opens all listeners and the gossip socket. An address that is in use or doesn't exist yet is
+    /// tried again until it is free, while the others serve. Returns the first other error.
     result<bool> open();
 
     /// Serves requests until SIGTERM or SIGINT, drains, and returns.
@@ -60,6 +61,8 @@
 
 private:
     // listeners
+    [[nodiscard]] result<bool> open_missing();
+    void schedule_open(const error& failure);
     void serve_caller(const std::shared_ptr<server_exchange>& request);
     void serve_peer(const std::shared_ptr<server_exchange>& request);
     void serve_readiness(const std::shared_ptr<server_exchange>& request);
@@ -122,6 +125,7 @@
     http_server m_metrics_server;
     gossip_socket m_gossip;
     asio::signal_set m_signals;
+    asio::steady_timer m_open_timer;
     asio::steady_timer m_heartbeat_timer;
     asio::steady_timer m_placement_timer;
     asio::steady_timer m_stop_timer;
--- a/src/process/error.h
+++ b/src/process/error.h
@@ -10,6 +10,7 @@
 /// Kinds of failure. The number is stable and appears in every message; docs/API.md lists them.
 enum class error_kind : std::uint16_t {
     settings_invalid = 101,
+    address_unavailable = 102,
     configuration_invalid = 201,
     platform_unreachable = 301,
     platform_answer_invalid = 302,
--- a/tests/scenarios/gateway_start_test.cpp
+++ b/tests/scenarios/gateway_start_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/http/tcp_channel.h"
 #include "support/child_process.h"
 #include "support/free_port.h"
 #include "support/scratch_file.h"
@@ -9,11 +10,15 @@
 #include <thread>  // sleep_for
 #include <vector>  // vector
 
+#include <asio/io_context.hpp> // io_context
+#include <asio/ip/tcp.hpp>     // tcp
 #include <doctest/doctest.h>
+#include <fcntl.h>    // fcntl
 #include <sys/stat.h> // mkfifo
 #include <unistd.h>   // unlink
 
 using namespace hickorykeel::tests;
+using hickorykeel::gateway::to_tcp_endpoint;
 using namespace std::chrono_literals;
 
 namespace {
@@ -42,6 +47,15 @@
     return process.output().find(R"("event":")" + event + '"') != std::string::npos;
 }
 
+bool accepts(const std::string& address)
+{
+    asio::io_context loop;
+    asio::ip::tcp::socket socket{loop};
+    asio::error_code failure;
+    socket.connect(*to_tcp_endpoint(address), failure);
+    return !failure;
+}
+
 /// A settings file that the gateway reads only when the test writes it.
 class settings_pipe {
 public:
@@ -87,3 +101,22 @@
     CHECK(wait_for([&] { return logs(process, "reload"); }));
     CHECK_FALSE(process.exit_code());
 }
+
+// guards against FAULT: a port that was still in use ended the process
+TEST_CASE("regression: an address in use is tried again")
+{
+    const host_addresses used;
+    asio::io_context loop;
+    asio::ip::tcp::acceptor other{loop, *to_tcp_endpoint(used.callers)};
+    ::fcntl(other.native_handle(), F_SETFD, FD_CLOEXEC); // not for the gateway
+    const scratch_file settings{make_settings(used)};
+    child_process process{"hickorykeel-gateway", {"--settings", settings.path()}};
+    CHECK(wait_for([&] { return logs(process, "address_unavailable"); }));
+    REQUIRE_FALSE(process.exit_code());
+    // the others serve meanwhile
+    CHECK(wait_for([&] { return accepts(used.metrics); }));
+    other.close();
+    CHECK(wait_for([&] { return logs(process, "address_available"); }));
+    CHECK(accepts(used.callers));
+    CHECK_FALSE(process.exit_code());
+}
