Parse pipelined requests from the loop instead of within each other

Cause: the response to a request parses the next one, whose response parses the next.

Evidence: the test counts the depth of 1,000 pipelined requests: 1,000 with the call put back, 1 with the change.

Change: the next request is parsed by the loop. A server with such requests isn't idle, so that a stop answers them.

--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -3,7 +3,8 @@
 #include <algorithm> // max, none_of
 #include <utility>   // move, exchange
 
-#include <fmt/format.h> // format
+#include <asio/post.hpp> // post
+#include <fmt/format.h>  // format
 
 namespace hickorykeel::gateway {
 
@@ -153,7 +154,7 @@
         // the last response is still being sent; the parser must not be fed after its end
         return;
     }
-    if (m_exchange != nullptr) {
+    if (m_exchange != nullptr || m_parses_pending) {
         m_pending.append(bytes);
         m_pending_charge.resize(m_pending.size());
         if (m_pending.size() > max_pending_bytes()) {
@@ -242,12 +243,27 @@
     start_timer();
     m_channel->resume_reading();
     if (!m_pending.empty()) {
-        const std::string bytes = std::exchange(m_pending, {});
-        m_pending_charge.resize(0);
-        parse(bytes);
+        // from the loop: a request that is answered at once would nest the next one
+        m_parses_pending = true;
+        asio::post(m_owner.m_loop, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->parse_pending();
+            }
+        });
     }
 }
 
+void server_connection::parse_pending()
+{
+    m_parses_pending = false;
+    if (!m_is_counted) {
+        return;
+    }
+    const std::string bytes = std::exchange(m_pending, {});
+    m_pending_charge.resize(0);
+    parse(bytes);
+}
+
 void server_connection::on_end()
 {
     if (!std::exchange(m_is_counted, false)) {
@@ -286,7 +302,7 @@
 
 void server_connection::on_timeout()
 {
-    if (m_exchange != nullptr || !m_channel->is_open()) {
+    if (m_exchange != nullptr || m_parses_pending || !m_channel->is_open()) {
         return;
     }
     if (boot_clock::now() < m_deadline) {
@@ -344,7 +360,8 @@
 {
     return m_active == 0 &&
            std::ranges::none_of(*m_registry.all(), [](const server_connection* connection) {
-               return connection->m_channel->is_open() && connection->m_channel->unsent() > 0;
+               return connection->m_channel->is_open() &&
+                      (connection->m_channel->unsent() > 0 || connection->m_parses_pending);
            });
 }
 
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -119,6 +119,7 @@
     void on_end();
     void on_drained();
     void next_request();
+    void parse_pending();
     void start_timer();
     void on_timeout();
     [[nodiscard]] bool keeps_alive() const;
@@ -133,7 +134,8 @@
     memory_charge m_pending_charge;
     time_point m_deadline{}; // end of the wait for a request or its next bytes
     bool m_sent_continue = false;
-    bool m_is_counted = true; // in the owner's number of connections; false after the end
+    bool m_parses_pending = false; // soon, from the loop
+    bool m_is_counted = true;      // in the owner's number of connections; false after the end
 };
 
 /// Accepts connections and passes their requests to a handler.
--- a/tests/gateway/http_server_test.cpp
+++ b/tests/gateway/http_server_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/http/http_server.h"
 
+#include <algorithm>   // max
 #include <array>       // array
 #include <chrono>      // milliseconds, seconds
 #include <cstddef>     // size_t
@@ -361,3 +362,26 @@
     CHECK(caller.received().starts_with("HTTP/1.1 503 "));
     CHECK(fixture.server().active() == 0);
 }
+
+// guards against FAULT: each pipelined request was parsed within the one before, so that a few
+// thousand took a hundred megabytes of the stack
+TEST_CASE("regression: pipelined requests aren't nested")
+{
+    constexpr int count = 1'000;
+    int depth = 0;
+    int max_depth = 0;
+    server_fixture fixture{[&](const std::shared_ptr<server_exchange>& request) {
+        max_depth = std::max(max_depth, ++depth);
+        request->respond(200, {}, {});
+        --depth;
+    }};
+    raw_caller caller{fixture};
+    std::string requests;
+    for (int i = 0; i < count; ++i) {
+        requests += "GET /" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    caller.send(requests);
+    fixture.run_until([&] { return fixture.requests().size() == count; });
+    CHECK(max_depth == 1);
+    CHECK(fixture.requests().back()->head().target == "/999");
+}
