Let an unexpected exception end one handler instead of the process

Cause: main() caught the exceptions of the command line only. Any other, such as a failed allocation, ended the process with all that it had open.

Without the change the process is terminated; with it that request gets a 500, which promises nothing, and the next one is served.

Change: the loop goes on after an exception, which is logged (handler_failed) and counted; one at the start is printed.

--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t usual_pending_bytes = 65'536;
 constexpr std::size_t scarce_pending_bytes = 0;
 
+constexpr int status_internal_error = 500;
+
 /// Delay before the next attempt to accept after a failure.
 constexpr duration accept_retry_delay = std::chrono::milliseconds{50};
 
@@ -79,6 +81,7 @@
 void server_exchange::begin(int status, const header_list& headers)
 {
     if (const auto connection = m_connection.lock(); !m_is_done && connection != nullptr) {
+        m_has_begun = true;
         m_keeps_alive = connection->keeps_alive();
         connection->m_channel->send(format_chunked_head(status, headers, m_keeps_alive));
     }
@@ -214,7 +217,19 @@
     ++m_owner.m_active;
     m_timer.cancel();
     const auto exchange = m_exchange;
-    m_owner.m_on_request(exchange);
+    try {
+        m_owner.m_on_request(exchange);
+    }
+    catch (...) {
+        // the caller gets an answer that promises nothing; the owner of the loop reports the failure
+        if (exchange->m_has_begun) {
+            exchange->abort_response();
+        }
+        else {
+            exchange->respond(status_internal_error, {}, {});
+        }
+        throw;
+    }
 }
 
 std::size_t server_connection::max_pending_bytes() const noexcept
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -97,6 +97,7 @@
     std::function<void()> m_on_disconnect;
     std::function<void()> m_on_drained;
     bool m_is_done = false;
+    bool m_has_begun = false;
     bool m_keeps_alive = false; // what the head of a chunked response has promised
 };
 
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm> // max, min
 #include <chrono>    // milliseconds, seconds
+#include <exception> // exception
 #include <random>    // random_device
 #include <utility>   // exchange, move
 
@@ -258,7 +259,7 @@
     wait_for_signals();
     m_follower.start();
     run_heartbeat();
-    m_loop.run();
+    run_loop();
     m_log.write(log_line{"stop"}
                     .add("host", m_settings.host)
                     .add("open_requests", static_cast<std::int64_t>(m_callers.active()))
@@ -567,6 +568,20 @@
 
 // lifecycle
 
+/// Runs the loop until it is stopped. An exception of one handler ends that handler only.
+void gateway::run_loop()
+{
+    while (!m_loop.stopped()) {
+        try {
+            m_loop.run();
+        }
+        catch (const std::exception& failure) {
+            m_metrics.count("handler_failed");
+            m_log.write(log_line{"handler_failed"}.add("error", failure.what()));
+        }
+    }
+}
+
 void gateway::run_heartbeat()
 {
     update_members(boot_clock::now());
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -90,6 +90,7 @@
     void probe_reinstated(const endpoint_entry& entry, const std::string& health_path);
 
     // lifecycle
+    void run_loop();
     void run_heartbeat();
     void place_waiting();
     void wait_for_signals();
--- a/src/programs/gateway.cpp
+++ b/src/programs/gateway.cpp
@@ -2,12 +2,13 @@
 #include "platform/platform.h"
 #include "process/build_info.h"
 
-#include <csignal>  // signal, sigprocmask, SIGPIPE
-#include <cstdlib>  // EXIT_FAILURE, EXIT_SUCCESS
-#include <iostream> // cerr, cout
-#include <string>   // string
-#include <variant>  // get, get_if
-#include <vector>   // vector
+#include <csignal>   // signal, sigprocmask, SIGPIPE
+#include <cstdlib>   // EXIT_FAILURE, EXIT_SUCCESS
+#include <exception> // exception
+#include <iostream>  // cerr, cout
+#include <string>    // string
+#include <variant>   // get, get_if
+#include <vector>    // vector
 
 #include <tclap/CmdLine.h>
 
@@ -128,4 +129,8 @@
         std::cerr << fault.argId() << ": " << fault.error() << '\n';
         return exit_usage;
     }
+    catch (const std::exception& failure) {
+        std::cerr << "start failed: " << failure.what() << '\n';
+        return EXIT_FAILURE;
+    }
 }
