Read a settings file with faults again before the start gives up

Cause: a file that is being written has faults, and a process that starts at that moment ended with 78. Changes of the settings come beside restarts.

Evidence: in the test half of the file is there at the start and the rest 200 ms later; on the code before the process had ended by then.

--- a/src/programs/gateway.cpp
+++ b/src/programs/gateway.cpp
@@ -2,11 +2,13 @@
 #include "platform/platform.h"
 #include "process/build_info.h"
 
+#include <chrono>    // milliseconds
 #include <csignal>   // signal, sigprocmask, SIGPIPE
 #include <cstdlib>   // EXIT_FAILURE, EXIT_SUCCESS
 #include <exception> // exception
 #include <iostream>  // cerr, cout
 #include <string>    // string
+#include <thread>    // this_thread::sleep_for
 #include <variant>   // get, get_if
 #include <vector>    // vector
 
@@ -18,6 +20,8 @@
 using gateway::gateway_settings;
 
 constexpr int exit_usage = 64; // EX_USAGE of sysexits.h
+constexpr int max_settings_reads = 10;
+constexpr auto settings_read_interval = std::chrono::milliseconds{100};
 
 /// What the command line asks for.
 struct command_line {
@@ -64,28 +68,50 @@
     sigset_t m_signals{};
 };
 
-/// Loads the settings; each fault is printed.
-std::variant<gateway_settings, int> load(const std::string& path)
+using settings_result = std::variant<gateway_settings, std::vector<settings_fault>>;
+
+settings_result load(const std::string& path)
 {
     auto loaded = settings::load(path, gateway::gateway_rules());
-    if (const auto* faults = std::get_if<std::vector<settings_fault>>(&loaded)) {
-        for (const settings_fault& fault : *faults) {
-            std::cerr << fault.to_string() << '\n';
-        }
-        return exit_settings;
+    if (auto* faults = std::get_if<std::vector<settings_fault>>(&loaded)) {
+        return std::move(*faults);
     }
     return gateway::to_gateway_settings(std::get<settings>(loaded));
 }
 
+/// The same at a start. A file with faults may be about to be replaced, so it is read again for a
+/// while.
+settings_result load_at_start(const std::string& path)
+{
+    settings_result loaded = load(path);
+    for (int reads = 1; reads < max_settings_reads; ++reads) {
+        if (std::holds_alternative<gateway_settings>(loaded)) {
+            break;
+        }
+        std::this_thread::sleep_for(settings_read_interval);
+        loaded = load(path);
+    }
+    return loaded;
+}
+
+int report(const std::vector<settings_fault>& faults)
+{
+    for (const settings_fault& fault : faults) {
+        std::cerr << fault.to_string() << '\n';
+    }
+    return exit_settings;
+}
+
 int serve(const command_line& chosen, const startup_signal_mask& signals)
 {
     if (chosen.describes_settings) {
         std::cout << describe_settings(gateway::gateway_rules());
         return EXIT_SUCCESS;
     }
-    auto loaded = load(chosen.settings_path);
-    if (const int* code = std::get_if<int>(&loaded)) {
-        return *code;
+    auto loaded =
+        chosen.checks_only ? load(chosen.settings_path) : load_at_start(chosen.settings_path);
+    if (const auto* faults = std::get_if<std::vector<settings_fault>>(&loaded)) {
+        return report(*faults);
     }
     if (chosen.checks_only) {
         for (const std::string& fault : std::get<gateway_settings>(loaded).replaced) {
@@ -96,7 +122,8 @@
     }
     const auto reload = [path = chosen.settings_path]() -> result<gateway_settings> {
         auto again = load(path);
-        if (std::holds_alternative<int>(again)) {
+        if (const auto* faults = std::get_if<std::vector<settings_fault>>(&again)) {
+            report(*faults);
             return error{error_kind::settings_invalid, "reload", path, "the settings have faults"};
         }
         return std::get<gateway_settings>(std::move(again));
--- a/tests/scenarios/gateway_start_test.cpp
+++ b/tests/scenarios/gateway_start_test.cpp
@@ -120,3 +120,24 @@
     CHECK(accepts(used.callers));
     CHECK_FALSE(process.exit_code());
 }
+
+// guards against FAULT: the start of a process whose settings file was being written ended it
+TEST_CASE("regression: a settings file with faults is read again for a while")
+{
+    const std::string whole = make_settings({});
+    scratch_file settings{whole.substr(0, whole.size() / 2)};
+    child_process process{"hickorykeel-gateway", {"--settings", settings.path()}};
+    std::this_thread::sleep_for(200ms);
+    REQUIRE_FALSE(process.exit_code());
+    std::ofstream{settings.path()} << whole;
+    CHECK(wait_for([&] { return logs(process, "start"); }));
+    CHECK_FALSE(process.exit_code());
+}
+
+TEST_CASE("a settings file that keeps its faults ends the start")
+{
+    const scratch_file settings{"[host]\n"};
+    child_process process{"hickorykeel-gateway", {"--settings", settings.path()}};
+    CHECK(process.wait_for_exit() == 78);
+    CHECK(process.errors().find("[listen] callers") != std::string::npos);
+}
