Open closed standard streams before any other descriptor

Cause: a process that is started with closed standard streams gives their descriptors to its event loop and sockets, and the log, which is written to descriptor 1, goes into them.

Change: main() opens what is closed of them as /dev/null.

--- a/src/programs/gateway.cpp
+++ b/src/programs/gateway.cpp
@@ -12,7 +12,9 @@
 #include <variant>   // get, get_if
 #include <vector>    // vector
 
+#include <fcntl.h> // fcntl, open
 #include <tclap/CmdLine.h>
+#include <unistd.h> // STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO
 
 namespace {
 
@@ -68,6 +70,17 @@
     sigset_t m_signals{};
 };
 
+/// Opens the standard streams that are closed, so that no socket gets their descriptors and the log
+/// with them. Precondition: no other descriptor was opened.
+void open_standard_streams()
+{
+    for (const int stream : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+        if (::fcntl(stream, F_GETFD) < 0) {
+            ::open("/dev/null", O_RDWR); // gets the lowest free descriptor, which is `stream`
+        }
+    }
+}
+
 using settings_result = std::variant<gateway_settings, std::vector<settings_fault>>;
 
 settings_result load(const std::string& path)
@@ -145,6 +158,7 @@
 int main(int argc, char** argv)
 {
     const startup_signal_mask signals;
+    open_standard_streams();
     std::signal(SIGPIPE, SIG_IGN);
     try {
         return serve(parse(argc, argv), signals);
--- a/tests/scenarios/gateway_start_test.cpp
+++ b/tests/scenarios/gateway_start_test.cpp
@@ -1,14 +1,16 @@
 #include "gateway/http/tcp_channel.h"
 #include "support/child_process.h"
 #include "support/free_port.h"
+#include "support/paths.h"
 #include "support/scratch_file.h"
 #include "support/wait_for.h"
 
-#include <cstdio>  // rename
-#include <fstream> // ofstream
-#include <string>  // string
-#include <thread>  // sleep_for
-#include <vector>  // vector
+#include <cstdio>     // rename
+#include <filesystem> // read_symlink
+#include <fstream>    // ofstream
+#include <string>     // string
+#include <thread>     // sleep_for
+#include <vector>     // vector
 
 #include <asio/io_context.hpp> // io_context
 #include <asio/ip/tcp.hpp>     // tcp
@@ -141,3 +143,19 @@
     CHECK(process.wait_for_exit() == 78);
     CHECK(process.errors().find("[listen] callers") != std::string::npos);
 }
+
+// guards against FAULT: with closed standard streams, sockets got their descriptors, and the log was
+// written into them
+TEST_CASE("regression: no socket takes the place of a closed standard stream")
+{
+    const host_addresses used;
+    const scratch_file settings{make_settings(used)};
+    child_process process{{"sh", "-c",
+                           "exec " + program_path("hickorykeel-gateway") + " --settings " +
+                               settings.path() + " <&- >&- 2>&-"}};
+    CHECK(wait_for([&] { return accepts(used.metrics); }));
+    for (const std::string stream : {"0", "1", "2"}) {
+        const std::string link = "/proc/" + std::to_string(process.id()) + "/fd/" + stream;
+        CHECK(std::filesystem::read_symlink(link) == "/dev/null");
+    }
+}
