--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -14,6 +14,7 @@
 #include <string>        // string
 #include <string_view>   // string_view
 #include <unordered_map> // unordered_map
+#include <utility>       // move
 #include <vector>        // vector
 
 namespace hickorykeel::gateway {
@@ -116,6 +117,11 @@
     /// formatted by `format_request()`.
     std::shared_ptr<client_connection> call(const call_options& options, outgoing_request request,
                                             call_handlers handlers);
+    std::shared_ptr<client_connection> call(const call_options& options, std::string request,
+                                            call_handlers handlers)
+    {
+        return call(options, outgoing_request{std::move(request)}, std::move(handlers));
+    }
 
     /// Number of connections created since the start, failed ones included.
     [[nodiscard]] std::uint64_t connections_opened() const noexcept { return m_opened; }
--- a/src/gateway/http/message.cpp
+++ b/src/gateway/http/message.cpp
@@ -240,7 +240,7 @@
         return {std::move(text), std::move(body)};
     }
     text += *body;
-    return text;
+    return {std::move(text)};
 }
 
 std::string format_response_head(int status, const header_list& headers, std::size_t body_bytes,
--- a/src/gateway/http/message.h
+++ b/src/gateway/http/message.h
@@ -7,7 +7,6 @@
 #include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
-#include <utility>     // move
 #include <vector>      // vector
 
 namespace hickorykeel::gateway {
@@ -90,16 +89,8 @@
 
 /// A request as it is sent: its head with a short body, or a long body beside it.
 struct outgoing_request {
-    // not explicit: most requests are one text
-    outgoing_request(std::string whole) : head{std::move(whole)} {}
-    outgoing_request(const char* whole) : head{whole} {}
-    outgoing_request(std::string request_head, shared_bytes request_body)
-        : head{std::move(request_head)}, body{std::move(request_body)}
-    {
-    }
-
     std::string head;
-    shared_bytes body; ///< may be null
+    shared_bytes body = nullptr; ///< may be null
 };
 
 /// Formats a request with a body that is shared rather than copied if it is long.
--- a/src/gateway/http/message_parser.h
+++ b/src/gateway/http/message_parser.h
@@ -8,6 +8,7 @@
 #include <memory>      // shared_ptr
 #include <string>      // string
 #include <string_view> // string_view
+#include <utility>     // exchange, move
 
 #include <http_parser.h> // http_parser
 
@@ -87,7 +88,10 @@
     [[nodiscard]] std::string& body() noexcept { return m_body; }
 
     /// Returns the charge of a complete message, which its new owner holds as long as the message.
-    [[nodiscard]] memory_charge take_charge() noexcept { return std::move(m_charge); }
+    [[nodiscard]] memory_charge take_charge()
+    {
+        return std::exchange(m_charge, memory_charge{m_charge.budget()});
+    }
 
     /// Whether any byte of the current message has been read.
     [[nodiscard]] bool has_begun() const noexcept { return m_has_begun; }
--- a/src/gateway/limits/memory_budget.cpp
+++ b/src/gateway/limits/memory_budget.cpp
@@ -17,7 +17,7 @@
 {
     if (this != &other) {
         resize(0);
-        m_budget = other.m_budget;
+        m_budget = std::move(other.m_budget);
         m_bytes = std::exchange(other.m_bytes, 0);
     }
     return *this;
--- a/src/gateway/limits/memory_budget.h
+++ b/src/gateway/limits/memory_budget.h
@@ -59,7 +59,7 @@
     memory_charge(const memory_charge&) = delete;
     memory_charge& operator=(const memory_charge&) = delete;
     memory_charge(memory_charge&& other) noexcept
-        : m_budget{other.m_budget}, m_bytes{std::exchange(other.m_bytes, 0)}
+        : m_budget{std::move(other.m_budget)}, m_bytes{std::exchange(other.m_bytes, 0)}
     {
     }
     memory_charge& operator=(memory_charge&& other) noexcept;
