Don't say that nothing has run when a retry isn't allowed any more

Cause: a request is authorised again before each retry, and a refusal at that moment said "ran":"no" (and 503 where keys are stale), though an attempt before may have run. Only repeatable requests get there, so no rule was broken; the answer was untrue.

Evidence: the test withdraws the key while the first attempt runs; the answer said "no" on the code before.

Change: such a refusal says "unknown", and 502 in place of 503.

--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -71,13 +71,23 @@
 {
     authorisation_result checked = check_authorisation();
     if (const auto* refusal = std::get_if<authorisation_refusal>(&checked)) {
-        refuse(refusal->status, refusal->code, "no", refusal->retry_after);
+        refuse_authorisation(*refusal);
         return false;
     }
     m_authorised = std::get<authorisation>(std::move(checked));
     return true;
 }
 
+void exchange::refuse_authorisation(const authorisation_refusal& refusal)
+{
+    if (m_attempt_count.executions() == 0) {
+        refuse(refusal.status, refusal.code, "no", refusal.retry_after);
+        return;
+    }
+    // an earlier attempt may have run, so that nothing that promises the contrary is sent
+    refuse(refusal.status == 503 ? 502 : refusal.status, refusal.code, "unknown", {});
+}
+
 double exchange::units() const
 {
     const organisation* of = m_authorised.find_organisation();
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -116,6 +116,7 @@
     // checks
     [[nodiscard]] authorisation_result check_authorisation() const;
     bool authorise();
+    void refuse_authorisation(const authorisation_refusal& refusal);
     bool admit();
     [[nodiscard]] double units() const;
 
--- a/tests/gateway/exchange_test.cpp
+++ b/tests/gateway/exchange_test.cpp
@@ -1671,3 +1671,20 @@
         }
     }
 }
+
+// guards against REFUSED: a request whose key was withdrawn while it ran was refused as not run
+TEST_CASE("regression: a retry that isn't allowed any more doesn't say that nothing has run")
+{
+    gateway_fixture gateway{make_route(request_kind::safe, 2)};
+    gateway.add_endpoint("a", [&gateway](const std::shared_ptr<server_exchange>& request) {
+        gateway.publish(2, {"another key"});
+        cut(request);
+    });
+    recording_endpoint other;
+    gateway.add_endpoint("b", other.behaviour());
+    const auto response = gateway.send_request();
+    gateway.run_to_end(response);
+    CHECK(response->status == 401);
+    CHECK(response->body.find(R"("ran":"unknown")") != std::string::npos);
+    CHECK(other.heads().empty());
+}
