Refuse a request whose head is over the memory budget with 503

Found on reading the change once more: such a request has no method or fields yet, and would have been refused with 400, which callers don't repeat. Its test got a 503 with Retry-After; pieces of a long response are also freed as they are sent.

--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t scarce_pending_bytes = 0;
 
 constexpr int status_internal_error = 500;
+constexpr int status_unavailable = 503;
+constexpr std::string_view reject_retry_after = "1"; // seconds
 
 /// Delay before the next attempt to accept after a failure.
 constexpr duration accept_retry_delay = std::chrono::milliseconds{50};
@@ -72,8 +74,9 @@
     }
     const bool keeps_alive = connection->keeps_alive();
     connection->m_channel->send(format_response_head(status, headers, body.size(), keeps_alive));
-    for (const std::string& piece : body.take_pieces()) {
+    for (std::string& piece : body.take_pieces()) {
         connection->m_channel->send(piece);
+        piece = {}; // the channel has a copy of what is unsent
     }
     finish(keeps_alive);
 }
@@ -195,7 +198,7 @@
         break;
     case parse_state::out_of_memory:
         m_parser.body() = {};
-        start_exchange();
+        on_out_of_memory();
         break;
     case parse_state::malformed:
         reject(400, "malformed");
@@ -232,6 +235,17 @@
     }
 }
 
+void server_connection::on_out_of_memory()
+{
+    const bool has_head = !m_parser.head().method.empty();
+    if (has_head) {
+        start_exchange();
+    }
+    else {
+        reject(status_unavailable, "out_of_memory");
+    }
+}
+
 std::size_t server_connection::max_pending_bytes() const noexcept
 {
     const bool is_scarce = m_owner.m_memory != nullptr && m_owner.m_memory->is_scarce();
@@ -243,7 +257,11 @@
     if (m_owner.m_on_reject) {
         m_owner.m_on_reject(status, reason);
     }
-    m_channel->send(format_response(status, {}, {}, false));
+    header_list headers;
+    if (status == status_unavailable) {
+        headers.add("Retry-After", std::string{reject_retry_after});
+    }
+    m_channel->send(format_response(status, headers, {}, false));
     m_channel->close_after_sending();
     on_end();
 }
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -63,7 +63,7 @@
     /// Sends a complete response. The body of a response to HEAD is not sent.
     void respond(int status, const header_list& headers, std::string_view body);
 
-    /// The same with a body in pieces, which are moved.
+    /// The same with a body in pieces, which is left empty.
     void respond(int status, const header_list& headers, body_buffer& body);
 
     /// Sends the head of a chunked response; `send()` adds chunks and `end()` completes it.
@@ -115,6 +115,7 @@
     void on_bytes(std::string_view bytes);
     void parse(std::string_view bytes);
     void start_exchange();
+    void on_out_of_memory();
     [[nodiscard]] std::size_t max_pending_bytes() const noexcept;
     void reject(int status, std::string_view reason);
     void on_end();
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -40,7 +40,7 @@
 /// transit.
 constexpr duration key_lease_margin = std::chrono::milliseconds{600};
 
-/// Fraction of the allowed time that the key lease has at least.
+/// The key lease is at least the allowed time divided by this.
 constexpr int min_key_lease_divisor = 2;
 
 /// Returns for how long a key may be accepted without news of it.
--- a/tests/gateway/http_server_test.cpp
+++ b/tests/gateway/http_server_test.cpp
@@ -385,3 +385,19 @@
     CHECK(max_depth == 1);
     CHECK(fixture.requests().back()->head().target == "/999");
 }
+
+TEST_CASE("a request whose head the memory budget doesn't admit may be sent again later")
+{
+    server_fixture fixture{
+        [](const std::shared_ptr<server_exchange>& request) { request->respond(200, {}, {}); }};
+    fixture.server().set_memory(std::make_shared<memory_budget>(8));
+    raw_caller caller{fixture};
+    caller.send("GET /path HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.run_until([&] {
+        caller.read();
+        return caller.has_ended();
+    });
+    CHECK(caller.received().starts_with("HTTP/1.1 503 "));
+    CHECK(caller.received().find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(fixture.requests().empty());
+}
