Send the stand-in's endless bytes one block a turn

Cause, in the stand-in: it sent blocks in one go until something was unsent. After the gateway had closed the connection, a write failed, the channel dropped the bytes, nothing was unsent and the loop went on to its end, though no byte left the process.

Change: one block a turn of the loop, which notices the close in between. The bound stays.

--- a/standins/gateway/platform_world.cpp
+++ b/standins/gateway/platform_world.cpp
@@ -117,17 +117,21 @@
                                     std::size_t sent)
 {
     static const std::string block(endless_block_bytes, 'w');
-    while (request->is_open() && request->unsent() == 0 && sent < max_endless_response_bytes) {
-        request->send(block);
-        sent += block.size();
-        m_max_endless_bytes = std::max(m_max_endless_bytes, sent);
+    if (!request->is_open() || sent >= max_endless_response_bytes) {
+        return;
     }
-    request->set_on_drained([this, weak = std::weak_ptr{request}, sent] {
+    m_max_endless_bytes = std::max(m_max_endless_bytes, sent);
+    // one block a turn of the loop, which notices in between that the peer has closed
+    const auto send_next = [this, weak = std::weak_ptr{request}, next = sent + block.size()] {
         if (const auto open = weak.lock()) {
-            // posted, since this handler is replaced
-            asio::post(m_loop, [this, open, sent] { send_endless(open, sent); });
+            asio::post(m_loop, [this, open, next] { send_endless(open, next); });
         }
-    });
+    };
+    request->set_on_drained(send_next);
+    request->send(block);
+    if (request->unsent() == 0) {
+        send_next();
+    }
 }
 
 void endpoint_standin::stream(const std::shared_ptr<server_exchange>& request, int next)
