--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -66,7 +66,8 @@
 TEST_CASE("regression: an unexpected exception ends one request only")
 {
     const gateway_settings settings = make_settings();
-    gateway_parts parts = platform::make_parts([settings] { return settings; });
+    gateway_parts parts =
+        platform::make_parts([&settings] { return result<gateway_settings>{settings}; });
     parts.adapter.read_caller_fields =
         [read = parts.adapter.read_caller_fields](const message_head& head) {
             if (head.target == "/failing") {
@@ -74,7 +75,7 @@
             }
             return read(head);
         };
-    gateway::gateway tested{settings, parts};
+    hickorykeel::gateway::gateway tested{settings, parts};
     REQUIRE(is_ok(tested.open()));
     std::thread running{[&tested] { tested.run(); }};
     CHECK(ask(settings.callers_address, "/failing") == "HTTP/1.1 500 Internal Server Error");
