--- a/tests/scenarios/gateway_calm_day_test.cpp
+++ b/tests/scenarios/gateway_calm_day_test.cpp
@@ -447,6 +447,17 @@
     return highest;
 }
 
+/// Sends `count` requests at once.
+std::vector<std::shared_ptr<world_answer>> begin_many(calm_day& day, std::size_t count,
+                                                      const std::string& target)
+{
+    std::vector<std::shared_ptr<world_answer>> answers(count);
+    for (auto& answer : answers) {
+        answer = day.begin(0, "POST", target, first_key, "body");
+    }
+    return answers;
+}
+
 constexpr long host_memory_mib = 256; // the default of limits.memory_mb
 
 } // namespace
@@ -458,10 +469,7 @@
     calm_day day;
     day.endpoint("i-a1").set_endless(true);
     day.endpoint("i-a2").set_endless(true);
-    std::vector<std::shared_ptr<world_answer>> streams;
-    for (int i = 0; i < 4; ++i) {
-        streams.push_back(day.begin(0, "POST", "/stream/x", first_key, "body"));
-    }
+    const auto streams = begin_many(day, 4, "/stream/x");
     const long highest = max_memory_mib(day, 0, [&streams] {
         return std::ranges::all_of(streams, [](const auto& answer) { return answer->has_ended; });
     });
@@ -479,10 +487,7 @@
     calm_day day;
     day.endpoint("i-a1").set_endless(true);
     day.endpoint("i-a2").set_endless(true);
-    std::vector<std::shared_ptr<world_answer>> bookings;
-    for (int i = 0; i < 12; ++i) {
-        bookings.push_back(day.begin(0, "POST", "/once/x", first_key, "body"));
-    }
+    const auto bookings = begin_many(day, 12, "/once/x");
     const long highest = max_memory_mib(day, 0, [&bookings] {
         return std::ranges::all_of(bookings, [](const auto& answer) { return answer->has_ended; });
     });
