--- a/tests/gateway/configuration_follower_test.cpp
+++ b/tests/gateway/configuration_follower_test.cpp
@@ -335,3 +335,18 @@
     CHECK(response.changes.revision == 7);
     CHECK(response.changes.items.empty());
 }
+
+// guards against LOST and FAULT: what a faulty host sends without an end fills the memory
+TEST_CASE("another host's state without an end is given up")
+{
+    std::weak_ptr<server_exchange> answered;
+    single_reader_region region{[&answered](const std::shared_ptr<server_exchange>& request) {
+        answered = request;
+        request->begin(200, with_age("500"));
+        request->send(std::string(33'554'432, 'x'));
+    }};
+    region.hold_old_state();
+    region.read(); // from the source
+    CHECK(region.source.reads > 0);
+    region.run_until([&] { return answered.expired() || !answered.lock()->is_open(); });
+}
--- a/tests/gateway/gateway_settings_test.cpp
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -5,6 +5,7 @@
 #include <fstream> // ofstream
 #include <string>  // string
 #include <variant> // get_if
+#include <vector>  // vector
 
 #include <doctest/doctest.h>
 #include <unistd.h> // getpid
@@ -90,3 +91,42 @@
         CHECK(loaded.replaced.front().find("drain_ms = \"soon\"") != std::string::npos);
     }
 }
+
+// guards against RECOVER and FAULT: a value of any form that the platform may state, or leave out
+TEST_CASE("regression: no form of a bound keeps a process from starting")
+{
+    const std::vector<std::string> keys{"key_withdrawal_ms", "drain_ms",     "retry_ratio",
+                                        "retry_slack",       "stop_grace_s", "memory_mb"};
+    const std::vector<std::string> forms{"",
+                                         "0",
+                                         "1",
+                                         "7.5",
+                                         "4000.0",
+                                         "1e7",
+                                         "1E+3",
+                                         "0.2",
+                                         "-1",
+                                         "true",
+                                         "false",
+                                         "null",
+                                         "[]",
+                                         "\"8\"",
+                                         "{}",
+                                         "1e400",
+                                         "nan",
+                                         "inf",
+                                         "99999999999999999999"};
+    for (const std::string& key : keys) {
+        for (const std::string& form : forms) {
+            CAPTURE(key);
+            CAPTURE(form);
+            const gateway_settings loaded = load(key + " = " + form);
+            CHECK(loaded.key_withdrawal > 0s);
+            CHECK(loaded.drain >= 0s);
+            CHECK(loaded.retry_ratio >= 0);
+            CHECK(loaded.retry_slack >= 0);
+            CHECK(loaded.stop_grace >= 0s);
+            CHECK(loaded.memory_mb >= 1);
+        }
+    }
+}
--- a/tests/gateway/message_parser_test.cpp
+++ b/tests/gateway/message_parser_test.cpp
@@ -1,7 +1,8 @@
 #include "gateway/http/message_parser.h"
 
-#include <memory> // make_shared
-#include <string> // string
+#include <cstddef> // size_t
+#include <memory>  // make_shared
+#include <string>  // string
 
 #include <doctest/doctest.h>
 
@@ -144,3 +145,16 @@
     }
     CHECK(budget->used() == 0);
 }
+
+TEST_CASE("a request's trailer without an end is malformed")
+{
+    message_parser parser{message_role::request, {}};
+    parser.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+    const std::string field = "A: b\r\n";
+    std::size_t sent = 0;
+    while (!parser.is_failed() && sent < 1'048'576) {
+        parser.feed(field);
+        sent += field.size();
+    }
+    CHECK(parser.is_failed());
+}
