Test that a reset while a request is sent isn't the end of its response

What callers could see: an answer that the endpoint broke off, passed on as complete.

Cause: a reset wakes the writing side of a connection first. The failed write takes the error from the socket, so that the next read reports a normal end, which completes a response without a length.

--- a/tests/gateway/http_client_test.cpp
+++ b/tests/gateway/http_client_test.cpp
@@ -3,12 +3,15 @@
 #include "gateway/http/message.h"
 
 #include <functional> // function
-#include <memory>     // shared_ptr
+#include <memory>     // make_shared, shared_ptr
 #include <optional>   // optional
 #include <string>     // string, to_string
-#include <utility>    // move
+#include <utility>    // exchange, move
 
+#include <asio/buffer.hpp>     // buffer
 #include <asio/io_context.hpp> // io_context
+#include <asio/ip/tcp.hpp>     // tcp
+#include <asio/write.hpp>      // write
 #include <doctest/doctest.h>
 
 using namespace hickorykeel;
@@ -109,3 +112,38 @@
     CHECK(ended == call_end::complete);
     CHECK(received == pieces * piece.size());
 }
+
+// guards against MIXED: with a request still being sent, the write took the error of the reset, so
+// that reading reported a normal end and a broken answer without a length passed for complete
+TEST_CASE("regression: a response without a length that is reset isn't complete")
+{
+    asio::io_context loop{1};
+    asio::ip::tcp::acceptor acceptor{loop, {asio::ip::address_v4::loopback(), 0}};
+    asio::ip::tcp::socket server{loop};
+    acceptor.async_accept(server, [&server](const asio::error_code&) {
+        asio::write(server, asio::buffer(std::string{"HTTP/1.1 200 OK\r\n\r\npart"}));
+    });
+    http_client client{loop};
+    std::optional<call_end> ended;
+    std::string received;
+    // more than the kernel takes for a server that doesn't read
+    const auto body = std::make_shared<const std::string>(64'000'000, 'x');
+    client.call(
+        {.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())},
+        to_outgoing_request("POST", "/", {}, body),
+        {.on_body = [&received](std::string& bytes) { received += std::exchange(bytes, {}); },
+         .on_end = [&ended](call_end end) { ended = end; }});
+    const auto run_until = [&loop](const auto& is_done) {
+        const time_point limit = boot_clock::now() + test_timeout;
+        while (!is_done() && boot_clock::now() < limit) {
+            loop.restart();
+            loop.run_one_for(10ms);
+        }
+        REQUIRE(is_done());
+    };
+    run_until([&received] { return received == "part"; });
+    server.set_option(asio::socket_base::linger{true, 0});
+    server.close();
+    run_until([&ended] { return ended.has_value(); });
+    CHECK(ended == call_end::broken);
+}
