--- a/tests/gateway/gateway_settings_test.cpp
+++ b/tests/gateway/gateway_settings_test.cpp
@@ -8,7 +8,8 @@
 #include <vector>  // vector
 
 #include <doctest/doctest.h>
-#include <unistd.h> // getpid
+#include <fmt/format.h> // format
+#include <unistd.h>     // getpid
 
 using namespace hickorykeel;
 using namespace hickorykeel::gateway;
@@ -120,7 +121,7 @@
         for (const std::string& form : forms) {
             CAPTURE(key);
             CAPTURE(form);
-            const gateway_settings loaded = load(key + " = " + form);
+            const gateway_settings loaded = load(fmt::format("{} = {}", key, form));
             CHECK(loaded.key_withdrawal > 0s);
             CHECK(loaded.drain >= 0s);
             CHECK(loaded.retry_ratio >= 0);
