--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -31,9 +31,11 @@
 }
 
 client_connection::client_connection(asio::io_context& loop, http_client& owner,
-                                     std::string address)
+                                     std::string address, std::uint64_t number)
     : m_owner{owner}, m_registration{owner.m_registry.all(), this}, m_address{std::move(address)},
-      m_channel{std::make_shared<tcp_channel>(loop)}, m_parser{message_role::response, {}}
+      m_number{number}, m_channel{std::make_shared<tcp_channel>(loop)}, m_parser{
+                                                                            message_role::response,
+                                                                            {}}
 {
     m_parser.set_memory(owner.m_memory);
     m_channel->set_memory(owner.m_memory);
@@ -42,6 +44,7 @@
 void client_connection::begin(outgoing_request request, const call_options& options,
                               call_handlers handlers)
 {
+    ++m_calls;
     m_is_busy = true;
     m_head_delivered = false;
     m_handlers = std::move(handlers);
@@ -108,6 +111,7 @@
 {
     if (!m_is_busy) {
         // no request is pending, so the bytes are no response
+        ++m_owner.m_unexpected;
         m_owner.remove_idle(*this);
         m_channel->close();
         return;
@@ -181,6 +185,7 @@
 
 void client_connection::complete(bool has_extra_bytes)
 {
+    m_owner.m_unexpected += has_extra_bytes ? 1 : 0;
     const duration idle = idle_time();
     const bool is_reusable = m_parser.head().keeps_alive && !has_extra_bytes &&
                              m_channel->unsent() == 0 && idle > duration{0};
@@ -222,7 +227,7 @@
     auto connection = take_idle(options);
     if (connection == nullptr) {
         ++m_opened;
-        connection = std::make_shared<client_connection>(m_loop, *this, options.address);
+        connection = std::make_shared<client_connection>(m_loop, *this, options.address, m_opened);
     }
     connection->begin(std::move(request), options, std::move(handlers));
     return connection;
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -56,10 +56,18 @@
 /// Thread safety: none; all calls come from the loop's thread.
 class client_connection : public std::enable_shared_from_this<client_connection> {
 public:
-    client_connection(asio::io_context& loop, http_client& owner, std::string address);
+    /// @param number of the connection among those that `owner` has opened, from 1
+    client_connection(asio::io_context& loop, http_client& owner, std::string address,
+                      std::uint64_t number);
 
     void begin(outgoing_request request, const call_options& options, call_handlers handlers);
 
+    /// Number of the connection among those that its client has opened, from 1.
+    [[nodiscard]] std::uint64_t number() const noexcept { return m_number; }
+
+    /// Number of calls that have begun on the connection.
+    [[nodiscard]] std::uint64_t calls() const noexcept { return m_calls; }
+
     /// Ends the call without its handlers and closes the connection.
     void cancel();
 
@@ -83,6 +91,8 @@
     http_client& m_owner;
     instance_registry<client_connection>::entry m_registration;
     std::string m_address;
+    std::uint64_t m_number;
+    std::uint64_t m_calls = 0;
     std::shared_ptr<tcp_channel> m_channel;
     message_parser m_parser;
     call_handlers m_handlers;
@@ -126,6 +136,10 @@
     /// Number of connections created since the start, failed ones included.
     [[nodiscard]] std::uint64_t connections_opened() const noexcept { return m_opened; }
 
+    /// Number of times that bytes arrived which belong to no call: after a complete response, or on
+    /// an idle connection. The connection is closed then.
+    [[nodiscard]] std::uint64_t unexpected_responses() const noexcept { return m_unexpected; }
+
 private:
     friend class client_connection;
 
@@ -138,6 +152,7 @@
     std::unordered_map<std::string, std::vector<std::shared_ptr<client_connection>>> m_idle;
     std::shared_ptr<memory_budget> m_memory; // may be null
     std::uint64_t m_opened = 0;
+    std::uint64_t m_unexpected = 0;
 };
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -408,10 +408,18 @@
     options.connect_timeout =
         std::clamp<duration>(m_context.settings.drain, m_context.options.min_connect_timeout,
                              m_context.options.endpoint_connect_timeout);
+    begin_call(options, std::move(request));
+}
+
+/// Sends the request of the attempt that was prepared.
+void exchange::begin_call(call_options options, outgoing_request request)
+{
     options.max_idle_time = max_idle_time();
     m_attempt_count.on_attempt();
     m_stage = m_has_response_started ? stage::relaying : stage::sending;
     m_attempt.call = m_context.client.call(options, std::move(request), handlers());
+    m_attempt.connection = m_attempt.call->number();
+    m_attempt.connection_calls = m_attempt.call->calls();
     arm();
 }
 
@@ -453,13 +461,8 @@
     call_options options;
     options.address = m_attempt.peer;
     options.connect_timeout = m_context.options.host_connect_timeout;
-    options.max_idle_time = max_idle_time();
-    m_attempt_count.on_attempt();
-    m_stage = m_has_response_started ? stage::relaying : stage::sending;
-    m_attempt.call = m_context.client.call(
-        options, to_outgoing_request(head.method, head.target, headers, m_caller->shared_body()),
-        handlers());
-    arm();
+    begin_call(options,
+               to_outgoing_request(head.method, head.target, headers, m_caller->shared_body()));
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -91,7 +91,9 @@
         std::string peer;     ///< "ip:port"
         std::int64_t endpoint_started_ms = 0; ///< of the endpoint's incarnation; 0: unknown
         std::shared_ptr<client_connection> call;
-        time_point placed_at{}; ///< when the peer was chosen
+        std::uint64_t connection = 0;       ///< its number among those opened by the client
+        std::uint64_t connection_calls = 0; ///< calls on it, this one included
+        time_point placed_at{};             ///< when the peer was chosen
         time_point sent_at{};
         time_point last_received{}; ///< any bytes of a response
         duration expected{0};       ///< expected time to first byte when the request was sent
@@ -147,6 +149,7 @@
     [[nodiscard]] duration max_idle_time() const; ///< of a connection that is reused
     [[nodiscard]] std::string address_of(const member& host) const;
     void send_to_host(const member& chosen, duration expected);
+    void begin_call(call_options options, outgoing_request request);
     [[nodiscard]] duration time_left() const;
     [[nodiscard]] time_point wait_deadline() const;
     [[nodiscard]] duration max_expected_first_byte(time_point now) const;
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -401,17 +401,20 @@
 {
     const duration elapsed =
         m_attempt.is_sent ? boot_clock::now() - m_attempt.sent_at : boot_clock::now() - m_received;
-    m_context.log.write_request(log_line{"request_try_failed"}
-                                    .add("id", m_fields.id)
-                                    .add("peer", peer_name())
-                                    .add("outcome", to_name(failure.outcome))
-                                    .add("reason", failure.reason)
-                                    .add("status", std::int64_t{m_attempt.head.status})
-                                    .add("ran", ran_name(failure.may_have_run))
-                                    .add_ms("connect_ms", connect_time())
-                                    .add_ms("after_ms", elapsed)
-                                    .add("events", static_cast<std::int64_t>(m_events.events()))
-                                    .add("retry", to_name(decision)));
+    m_context.log.write_request(
+        log_line{"request_try_failed"}
+            .add("id", m_fields.id)
+            .add("peer", peer_name())
+            .add("connection", static_cast<std::int64_t>(m_attempt.connection))
+            .add("connection_calls", static_cast<std::int64_t>(m_attempt.connection_calls))
+            .add("outcome", to_name(failure.outcome))
+            .add("reason", failure.reason)
+            .add("status", std::int64_t{m_attempt.head.status})
+            .add("ran", ran_name(failure.may_have_run))
+            .add_ms("connect_ms", connect_time())
+            .add_ms("after_ms", elapsed)
+            .add("events", static_cast<std::int64_t>(m_events.events()))
+            .add("retry", to_name(decision)));
     m_context.metrics.count("try_" + std::string{to_name(failure.outcome)});
     // an endpoint that responds with a failure may succeed on the next attempt
     if (!m_attempt.endpoint.empty() && failure.outcome != endpoint_outcome::failed) {
--- a/src/gateway/serving/gateway_listeners.cpp
+++ b/src/gateway/serving/gateway_listeners.cpp
@@ -118,6 +118,8 @@
     m_metrics.set_gauge("waiting_requests", static_cast<double>(m_waiting.size()));
     m_metrics.set_gauge("active_requests", static_cast<double>(m_callers.active()));
     m_metrics.set_gauge("connections_opened", static_cast<double>(m_client.connections_opened()));
+    m_metrics.set_gauge("unexpected_responses",
+                        static_cast<double>(m_client.unexpected_responses()));
     m_metrics.set_gauge("buffer_bytes", static_cast<double>(m_memory->used()));
     m_metrics.set_gauge("buffer_bytes_allowed", static_cast<double>(m_memory->capacity()));
     m_metrics.set_gauge("heartbeats_not_sent", static_cast<double>(m_gossip.send_failures()));
