--- a/tests/gateway/scripted_endpoint.h
+++ b/tests/gateway/scripted_endpoint.h
@@ -48,6 +48,7 @@
         }
     }
 
+    [[nodiscard]] unsigned port() const { return m_acceptor.local_endpoint().port(); }
     [[nodiscard]] std::size_t requests() const noexcept { return m_requests; }
     /// Returns the number of connections that the gateway has closed.
     [[nodiscard]] std::size_t closed() const noexcept { return m_closed; }
