Send an id over a connection only once

What callers saw: something that must run once ran twice (TWICE); besides, REFUSED: a 503 that says "not run" for a request that has run.

Cause: an endpoint's response is matched to its request by the id alone. A request that is refused keeps its id when it is sent again (a retry at another incarnation, a request that a host forwards once more, a caller's repeat), and connections are kept by address, so the second sending could use the connection that had carried the first. A copy of the refusal then matches it. Closing the connection after the refusal of a forwarded request covered one of these ways.

Change: a connection remembers the ids that it has carried, and is passed over for a request whose id is among them. The rule is the connection's, whoever sends and however the first attempt ended, so the special case for forwarded requests goes.

Ruled out: closing the connection after each refusal (a new connection for each request that a busy endpoint sheds); remembering refused ids only (a copy of a failure or of a stream's begin would still match a retry).

--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // find_if, min
 #include <array>     // array
 #include <charconv>  // from_chars
+#include <cstddef>   // ptrdiff_t, size_t
 #include <utility>   // exchange, move
 
 #include <asio/post.hpp> // post
@@ -45,6 +46,7 @@
                               call_handlers handlers)
 {
     ++m_calls;
+    m_carried_ids.insert(options.request_id);
     m_is_busy = true;
     m_head_delivered = false;
     m_handlers = std::move(handlers);
@@ -187,9 +189,7 @@
 {
     m_owner.m_unexpected += has_extra_bytes ? 1 : 0;
     const duration idle = idle_time();
-    const bool is_reusable = m_parser.head().keeps_alive && !has_extra_bytes &&
-                             m_channel->unsent() == 0 && idle > duration{0};
-    if (!is_reusable) {
+    if (has_extra_bytes || !is_reusable() || idle <= duration{0}) {
         finish(call_end::complete);
         return;
     }
@@ -204,6 +204,12 @@
     handlers.on_end(call_end::complete);
 }
 
+/// Whether the connection may carry another request after a complete response.
+bool client_connection::is_reusable() const
+{
+    return m_parser.head().keeps_alive && m_channel->unsent() == 0 && !m_carried_ids.is_full();
+}
+
 void client_connection::finish(call_end how)
 {
     const auto self = shared_from_this();
@@ -241,17 +247,20 @@
     }
     const time_point now = boot_clock::now();
     auto& idle = found->second;
-    while (!idle.empty()) {
-        // the most recently used connection is the least likely to be closed by the peer
-        auto connection = idle.back();
-        if (connection->m_reusable_until > now && connection->m_channel->is_open()) {
-            if (now - connection->m_idle_since > options.max_idle_time) {
-                return nullptr;
-            }
-            idle.pop_back();
+    // the most recently used connection is the least likely to be closed by the peer
+    for (std::size_t at = idle.size(); at-- > 0;) {
+        const auto connection = idle[at];
+        const bool is_open = connection->m_reusable_until > now && connection->m_channel->is_open();
+        if (is_open && now - connection->m_idle_since > options.max_idle_time) {
+            return nullptr;
+        }
+        if (is_open && connection->m_carried_ids.contains(options.request_id)) {
+            continue;
+        }
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
+        if (is_open) {
             return connection;
         }
-        idle.pop_back();
         connection->m_channel->close();
     }
     return nullptr;
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/http/message_parser.h"
+#include "gateway/http/request_id_set.h"
 #include "gateway/http/tcp_channel.h"
 #include "gateway/instance_registry.h"
 #include "process/clock.h"
@@ -35,7 +36,9 @@
 
 /// Options of one call: a request to a server, and its response.
 struct call_options {
-    std::string address;                               ///< "ip:port"
+    std::string address; ///< "ip:port"
+    /// Id that the peer's response repeats; empty: none. A connection carries an id only once.
+    std::string request_id = {};
     duration max_idle_time = std::chrono::seconds{60}; ///< of a connection that may be reused
     duration connect_timeout = std::chrono::milliseconds{500};
     /// Maximum size of what `call_handlers::on_body` leaves of a response's body.
@@ -53,6 +56,10 @@
 
 /// Client connection for one call at a time.
 ///
+/// A peer may send a response twice, and the copy may arrive where the next response is due. It
+/// carries the id of its request, so it is recognised as long as the connection carries no two
+/// requests with the same id. A connection that can't remember more ids is closed.
+///
 /// Thread safety: none; all calls come from the loop's thread.
 class client_connection : public std::enable_shared_from_this<client_connection> {
 public:
@@ -85,6 +92,7 @@
     void on_end(channel_end how);
     void deliver();
     void complete(bool has_extra_bytes);
+    [[nodiscard]] bool is_reusable() const;
     void finish(call_end how);
     [[nodiscard]] duration idle_time() const;
 
@@ -93,6 +101,7 @@
     std::string m_address;
     std::uint64_t m_number;
     std::uint64_t m_calls = 0;
+    request_id_set m_carried_ids;
     std::shared_ptr<tcp_channel> m_channel;
     message_parser m_parser;
     call_handlers m_handlers;
@@ -123,7 +132,8 @@
     /// on to `budget`.
     void set_memory(std::shared_ptr<memory_budget> budget) { m_memory = std::move(budget); }
 
-    /// Starts a call on an idle or a new connection. `request` is the complete request, as
+    /// Starts a call on a new connection, or on an idle one that has carried no request with the
+    /// same id. `request` is the complete request, as
     /// formatted by `format_request()`.
     std::shared_ptr<client_connection> call(const call_options& options, outgoing_request request,
                                             call_handlers handlers);
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -414,6 +414,7 @@
 /// Sends the request of the attempt that was prepared.
 void exchange::begin_call(call_options options, outgoing_request request)
 {
+    options.request_id = m_fields.id;
     options.max_idle_time = max_idle_time();
     m_attempt_count.on_attempt();
     m_stage = m_has_response_started ? stage::relaying : stage::sending;
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -298,11 +298,6 @@
         if (is_misdirected) {
             record_endpoint_end();
         }
-        if (m_is_forwarded) {
-            // the other host may send the request here again with the same id, which a repeated
-            // rejection on this connection would match
-            m_attempt.call->cancel();
-        }
         fail_attempt({is_misdirected ? endpoint_outcome::gone : endpoint_outcome::shed, false, true,
                       is_misdirected ? "misdirected" : "rejected"});
         return;
--- a/tests/gateway/http_client_test.cpp
+++ b/tests/gateway/http_client_test.cpp
@@ -31,9 +31,11 @@
         REQUIRE(is_ok(m_server.listen("127.0.0.1:0")));
     }
 
-    std::shared_ptr<client_connection> call(call_handlers handlers)
+    std::shared_ptr<client_connection> call(call_handlers handlers,
+                                            const std::string& request_id = {})
     {
         call_options options;
+        options.request_id = request_id;
         options.address = "127.0.0.1:" + std::to_string(m_server.port());
         return m_client.call(options, format_request("GET", "/", {}, {}), std::move(handlers));
     }
@@ -86,6 +88,41 @@
     CHECK(fixture.client().connections_opened() == 1);
 }
 
+TEST_CASE("an id is sent over a connection only once")
+{
+    client_fixture fixture{
+        [](const std::shared_ptr<server_exchange>& request) { request->respond(200, {}, "text"); }};
+    // Returns the number of the connection that was used.
+    const auto call = [&fixture](const std::string& request_id) {
+        std::optional<call_end> end;
+        call_handlers handlers;
+        handlers.on_end = [&end](call_end how) { end = how; };
+        const auto connection = fixture.call(std::move(handlers), request_id);
+        REQUIRE(fixture.run_until([&end] { return end.has_value(); }));
+        return connection->number();
+    };
+    CHECK(call("a") == 1);
+    CHECK(call("b") == 1);
+    CHECK(call("a") == 2);
+    // connections with the id stay open for others
+    CHECK(call("c") == 2);
+    CHECK(call("d") == 2);
+    CHECK(call("a") == 3);
+
+    SUBCASE("requests without an id aren't told apart")
+    {
+        CHECK(call("") == 3);
+        CHECK(call("") == 3);
+    }
+    SUBCASE("a connection that can't remember more ids is closed")
+    {
+        for (std::size_t i = 1; i < request_id_set::capacity; ++i) {
+            CHECK(call("id-" + std::to_string(i)) == 3);
+        }
+        CHECK(call("another") != 3);
+    }
+}
+
 // guards against LOST: the limit on callers' requests was applied to what endpoints send, so that
 // long streams were ended
 TEST_CASE("regression: a response that is taken as it arrives has no maximum length")
