Don't read a late response to a request as the response to a probe

Cause: probes share their connections with requests. The copy of a refusal can arrive where the response to a probe is due; what it says of the endpoint (that it leaves, for how long it turns requests away) was recorded as said now, and a copy of a success could count as healthy. The copy names the id of its request, which a response to a probe doesn't.

The test (health_prober_test, "regression: a probe takes a copy of a response to a request for its own") failed in 2 of 3 checks before, and passes.

--- a/src/gateway/serving/health_prober.cpp
+++ b/src/gateway/serving/health_prober.cpp
@@ -54,6 +54,15 @@
 
 void health_prober::on_head(probe_state& state, const message_head& head) const
 {
+    if (!m_dependencies.adapter.read_response_fields(head).id.empty()) {
+        // a late copy of the response to a request, which says nothing of the present
+        state.call->cancel();
+        state.timer.cancel();
+        m_dependencies.log.write(log_line{"endpoint_probed"}
+                                     .add("endpoint", state.endpoint)
+                                     .add("outcome", "response to a request"));
+        return;
+    }
     state.head = head;
     const std::string_view instance = m_dependencies.adapter.read_health_fields(head).instance;
     if (state.handlers.on_head && (instance.empty() || instance == state.endpoint)) {
--- a/tests/gateway/health_prober_test.cpp
+++ b/tests/gateway/health_prober_test.cpp
@@ -135,3 +135,16 @@
     CHECK(is_leaving(503, "i-1"));
     CHECK_FALSE(is_leaving(503, "i-2"));
 }
+
+// guards against what an endpoint said earlier: a late copy of a refusal was read as the response to
+// a probe
+TEST_CASE("regression: a probe takes a copy of a response to a request for its own")
+{
+    const std::string attempt = "X-Hickorykeel-Attempt-Id";
+    probe_fixture refusing{
+        respond_with(503, {{attempt, "9c41d07be2a35f68"}, {"Server-Leaving", "1"}})};
+    CHECK_FALSE(refusing.probe());
+    CHECK_FALSE(refusing.is_leaving());
+    CHECK_FALSE(probe_fixture{respond_with(200, {{attempt, "9c41d07be2a35f68"}, {instance, "i-1"}})}
+                    .probe());
+}
