Read and log the rate that an endpoint names

No line told which rate a host believes, so the hypotheses on LIMIT could not be told apart. The statement is decoded in platform/, kept by incarnation with its time (the newest one holds; a response without a rate to a request that was sent before the naming ends none) and logged at each change. Values that can't be read, and repeated ones, are reported and ignored. Nothing acts on it yet.

--- a/src/gateway/routing/endpoint_notices.cpp
+++ b/src/gateway/routing/endpoint_notices.cpp
@@ -58,6 +58,31 @@
     return until;
 }
 
+bool endpoint_notices::on_rate_statement(const endpoint_incarnation& endpoint,
+                                         const rate_statement& statement, time_point now)
+{
+    const rate_statement last = last_rate_statement(endpoint);
+    const bool has_said_nothing = !statement.max_rate && last.said_at == time_point{};
+    if (has_said_nothing || statement.said_at <= last.said_at) {
+        return false;
+    }
+    find_or_add(endpoint, now).rate = statement;
+    return statement.max_rate != last.max_rate;
+}
+
+rate_statement endpoint_notices::last_rate_statement(const endpoint_incarnation& endpoint) const
+{
+    rate_statement last;
+    for (auto it = m_notices.lower_bound({endpoint.id, INT64_MIN});
+         it != m_notices.end() && it->first.id == endpoint.id; ++it) {
+        if (may_be_same(it->first.started_ms, endpoint.started_ms) &&
+            it->second.rate.said_at > last.said_at) {
+            last = it->second.rate;
+        }
+    }
+    return last;
+}
+
 bool endpoint_notices::is_leaving(const endpoint_incarnation& endpoint) const
 {
     for (auto it = m_notices.lower_bound({endpoint.id, INT64_MIN});
@@ -92,7 +117,8 @@
 {
     const auto dropped = std::erase_if(m_notices, [now](const auto& item) {
         const notice& held = item.second;
-        return !held.is_leaving && !held.is_ended && held.turned_away_until <= now;
+        return !held.is_leaving && !held.is_ended && !held.rate.max_rate &&
+               held.turned_away_until <= now;
     });
     if (dropped > 0) {
         return;
--- a/src/gateway/routing/endpoint_notices.h
+++ b/src/gateway/routing/endpoint_notices.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/routing/rate_statement.h"
 #include "process/clock.h"
 
 #include <chrono>  // seconds
@@ -53,6 +54,11 @@
     /// Records that `endpoint` wants no request of this host for `delay`, of which at most
     /// `max_turn_away` counts. A time that ends earlier than a recorded one has no effect.
     void on_turned_away(const endpoint_incarnation& endpoint, duration delay, time_point now);
+
+    /// Records the rate that `endpoint` has named, or that it names none. Statements that were made
+    /// no later than the recorded one have no effect. Returns whether the rate is another one now.
+    bool on_rate_statement(const endpoint_incarnation& endpoint, const rate_statement& statement,
+                           time_point now);
     /// @}
 
     /// @name state
@@ -67,6 +73,9 @@
     /// End of the time for which `endpoint` has turned this host away; it may be in the past, and is
     /// `time_point{}` if there was none.
     [[nodiscard]] time_point turned_away_until(const endpoint_incarnation& endpoint) const;
+
+    /// The newest statement of `endpoint` on its rate; one without a rate if there was none.
+    [[nodiscard]] rate_statement last_rate_statement(const endpoint_incarnation& endpoint) const;
     [[nodiscard]] std::size_t size() const noexcept { return m_notices.size(); }
     /// @}
 
@@ -75,6 +84,7 @@
         bool is_leaving = false;
         bool is_ended = false;
         time_point turned_away_until{};
+        rate_statement rate;
         time_point updated{};
     };
 
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -138,6 +138,12 @@
     }
 }
 
+bool endpoint_pool::on_rate_statement(const endpoint_incarnation& endpoint,
+                                      const rate_statement& statement, time_point now)
+{
+    return m_notices.on_rate_statement(endpoint, statement, now);
+}
+
 std::vector<endpoint_entry> endpoint_pool::take_reinstated()
 {
     return std::exchange(m_reinstated, {});
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -151,6 +151,12 @@
     /// published at present.
     void on_turned_away(const endpoint_incarnation& endpoint, duration delay, time_point now);
 
+    /// Records what `endpoint` has said of its rate; see `endpoint_notices::on_rate_statement()`.
+    /// Returns whether the rate is another one now. The incarnation may be a former one, or not be
+    /// published at present.
+    bool on_rate_statement(const endpoint_incarnation& endpoint, const rate_statement& statement,
+                           time_point now);
+
     /// Returns the endpoints whose evacuation has ended since the last call, but for those that
     /// wanted no requests then. Each endpoint whose evacuation has ended is treated as cold for its
     /// service's cold time, or until `on_warm()` or `on_peer_warm()` is called.
--- a/src/gateway/serving/endpoint_statements.cpp
+++ b/src/gateway/serving/endpoint_statements.cpp
@@ -1,5 +1,6 @@
 #include "gateway/serving/endpoint_statements.h"
 
+#include <optional>    // optional
 #include <string_view> // string_view
 
 #include <fmt/format.h> // format
@@ -35,10 +36,28 @@
                                   .add_ms("retry_after_ms", delay));
 }
 
+/// Records the rate that an endpoint names, or that it names none. A response without a rate may have
+/// been sent at any time since its request, so it ends no rate that was named after that.
+void record_max_rate(const statement_context& context, const endpoint_incarnation& endpoint,
+                     const std::optional<double>& max_rate, const statement_times& times)
+{
+    const rate_statement statement{max_rate, max_rate ? times.received_at : times.asked_at};
+    if (!context.pool.on_rate_statement(endpoint, statement, times.received_at)) {
+        return;
+    }
+    context.metrics.count(max_rate ? "endpoint_rate_named" : "endpoint_rate_ended");
+    log_line line{max_rate ? "endpoint_rate_named" : "endpoint_rate_ended"};
+    line.add("endpoint", endpoint.id).add("started_ms", endpoint.started_ms);
+    if (max_rate) {
+        line.add_number("per_s", *max_rate);
+    }
+    context.log.write(line);
+}
+
 } // namespace
 
 void record_statement(const statement_context& context, const endpoint_incarnation& endpoint,
-                      const message_head& head, time_point now)
+                      const message_head& head, const statement_times& times)
 {
     if (head.status == status_misdirected) {
         return;
@@ -48,9 +67,12 @@
         report_malformed(context, endpoint, *statement.malformed_value);
     }
     if (statement.retry_after) {
-        record_turn_away(context, endpoint, *statement.retry_after, now);
+        record_turn_away(context, endpoint, *statement.retry_after, times.received_at);
+    }
+    if (!statement.is_max_rate_malformed) {
+        record_max_rate(context, endpoint, statement.max_rate, times);
     }
-    if (statement.is_leaving && context.pool.on_leaving(endpoint, now)) {
+    if (statement.is_leaving && context.pool.on_leaving(endpoint, times.received_at)) {
         context.metrics.count("endpoint_leaving");
         context.log.write(log_line{"endpoint_leaving"}
                               .add("endpoint", endpoint.id)
--- a/src/gateway/serving/endpoint_statements.h
+++ b/src/gateway/serving/endpoint_statements.h
@@ -15,12 +15,18 @@
     gateway_metrics& metrics;
 };
 
+/// Times of the response in which an endpoint has said something.
+struct statement_times {
+    time_point asked_at{}; ///< sending of the request or probe
+    time_point received_at{};
+};
+
 /// Records what the head of a response to a request or a health probe says of `endpoint`, the
 /// incarnation that the request named. The rest of the response doesn't matter. No effect for a
 /// misdirected request (421), since another incarnation has responded.
 ///
 /// Thread safety: none; called from the loop's thread.
 void record_statement(const statement_context& context, const endpoint_incarnation& endpoint,
-                      const message_head& head, time_point now);
+                      const message_head& head, const statement_times& times);
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -123,10 +123,12 @@
 
 void exchange::record_endpoint_statement()
 {
-    if (!m_attempt.endpoint.empty()) {
+    // another request's response may be a late copy, which says nothing of the present
+    const bool is_own = m_context.adapter.read_response_fields(m_attempt.head).id == m_fields.id;
+    if (!m_attempt.endpoint.empty() && is_own) {
         record_statement({m_context.adapter, m_context.pool, m_context.log, m_context.metrics},
                          {m_attempt.endpoint, m_attempt.endpoint_started_ms}, m_attempt.head,
-                         boot_clock::now());
+                         {m_attempt.sent_at, boot_clock::now()});
     }
 }
 
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -85,7 +85,8 @@
     void probe_reinstated_endpoints();
     void probe_assumed_warm_endpoints(time_point now);
     void probe_assumed_warm(const endpoint_entry& entry, const std::string& health_path);
-    void on_probe_head(const endpoint_incarnation& endpoint, const message_head& head);
+    void on_probe_head(const endpoint_incarnation& endpoint, const message_head& head,
+                       time_point asked_at);
     [[nodiscard]] bool is_prober_of(const endpoint_entry& entry, const service* of) const;
     void probe_reinstated(const endpoint_entry& entry, const std::string& health_path);
 
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -226,7 +226,8 @@
                      m_metrics.count("endpoint_found_cold");
                  }
              },
-         .on_head = [this, endpoint](const message_head& head) { on_probe_head(endpoint, head); }});
+         .on_head = [this, endpoint, asked_at = boot_clock::now()](
+                        const message_head& head) { on_probe_head(endpoint, head, asked_at); }});
 }
 
 void gateway::probe_reinstated(const endpoint_entry& entry, const std::string& health_path)
@@ -239,14 +240,16 @@
                  m_pool.on_warm(id, boot_clock::now());
                  place_waiting();
              },
-         .on_head = [this, endpoint](const message_head& head) { on_probe_head(endpoint, head); }});
+         .on_head = [this, endpoint, asked_at = boot_clock::now()](
+                        const message_head& head) { on_probe_head(endpoint, head, asked_at); }});
 }
 
 /// Records what an endpoint says of itself in the head of its response to a probe.
-void gateway::on_probe_head(const endpoint_incarnation& endpoint, const message_head& head)
+void gateway::on_probe_head(const endpoint_incarnation& endpoint, const message_head& head,
+                            time_point asked_at)
 {
     record_statement({m_parts.adapter, m_pool, m_log, m_metrics}, endpoint, head,
-                     boot_clock::now());
+                     {asked_at, boot_clock::now()});
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/protocol_adapter.h
+++ b/src/gateway/serving/protocol_adapter.h
@@ -37,6 +37,9 @@
     bool is_leaving = false; ///< it wants no new requests, since it is about to end
     /// With which it turns a request away: time for which it wants no further one.
     std::optional<duration> retry_after;
+    /// Requests per second that it takes from all hosts together; nothing if it names no rate.
+    std::optional<double> max_rate;
+    bool is_max_rate_malformed = false; ///< it names a rate that could not be read, or several
     /// One that could not be read, or repeats a field.
     std::optional<std::string_view> malformed_value;
 };
--- a/tests/gateway/endpoint_notices_test.cpp
+++ b/tests/gateway/endpoint_notices_test.cpp
@@ -288,3 +288,46 @@
     CHECK(notices.size() <= endpoint_notices::max_notices);
     CHECK(notices.is_leaving({"leaving", 1}));
 }
+
+TEST_CASE("the newest statement of an endpoint on its rate holds")
+{
+    endpoint_notices notices;
+    const endpoint_incarnation endpoint{"i-1", 1};
+    const auto rate = [&] { return notices.last_rate_statement(endpoint).max_rate; };
+
+    // one that names no rate isn't kept unless there was a rate
+    CHECK_FALSE(notices.on_rate_statement(endpoint, {{}, start}, start));
+    CHECK(notices.size() == 0);
+    CHECK(notices.on_rate_statement(endpoint, {2.5, start + 2s}, start + 2s));
+    CHECK(rate() == 2.5);
+    CHECK_FALSE(notices.on_rate_statement(endpoint, {2.5, start + 3s}, start + 3s));
+    CHECK(notices.on_rate_statement(endpoint, {1, start + 4s}, start + 4s));
+
+    SUBCASE("a response without a rate to an earlier request doesn't end it")
+    {
+        CHECK_FALSE(notices.on_rate_statement(endpoint, {{}, start + 3s}, start + 5s));
+        CHECK_FALSE(notices.on_rate_statement(endpoint, {{}, start + 4s}, start + 5s));
+        CHECK(rate() == 1);
+    }
+    SUBCASE("a response without a rate to a later request ends it")
+    {
+        CHECK(notices.on_rate_statement(endpoint, {{}, start + 5s}, start + 6s));
+        CHECK_FALSE(rate().has_value());
+        // what another host was told before doesn't set it again
+        CHECK_FALSE(notices.on_rate_statement(endpoint, {1, start + 4500ms}, start + 7s));
+        CHECK_FALSE(rate().has_value());
+    }
+    SUBCASE("it is the statement of one incarnation")
+    {
+        CHECK_FALSE(notices.last_rate_statement({"i-1", 2}).max_rate.has_value());
+        CHECK(notices.last_rate_statement({"i-1", 0}).max_rate == 1);
+    }
+    SUBCASE("it isn't dropped for others that are over")
+    {
+        for (std::size_t i = 1; i < endpoint_notices::max_notices; ++i) {
+            notices.on_turned_away({"other-" + std::to_string(i), 1}, 1s, start + 5s);
+        }
+        notices.on_turned_away({"last", 1}, 1s, start + 1h);
+        CHECK(rate() == 1);
+    }
+}
--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -554,3 +554,37 @@
     CHECK(read(503, {"1", "3"}).malformed_value == "3");
     CHECK(read(503, {"soon", "3"}).retry_after == 3s);
 }
+
+// guards against LIMIT, and against obeying a rate that is negative, no number or named twice
+TEST_CASE("endpoint that names a rate: it is missed or misread")
+{
+    const protocol_adapter adapter = platform::make_protocol_adapter();
+    const auto read = [&](const std::vector<std::string>& values) {
+        static message_head head;
+        head = {};
+        for (const std::string& value : values) {
+            head.headers.add("server-limit", value);
+        }
+        return adapter.read_endpoint_statement(head);
+    };
+    CHECK(read({"3.6"}).max_rate == 3.6);
+    CHECK(read({"1"}).max_rate == 1);
+    CHECK(read({"0"}).max_rate == 0);
+    CHECK_FALSE(read({"3.6"}).is_max_rate_malformed);
+    CHECK_FALSE(read({}).max_rate.has_value());
+    CHECK_FALSE(read({}).is_max_rate_malformed);
+    for (const std::string& value :
+         {std::string{}, std::string{"-1"}, std::string{"-0"}, std::string{"soon"},
+          std::string{"1e3"}, std::string{"inf"}, std::string{"nan"}, std::string{"2 /s"},
+          std::string{"1, 2"}, std::string{"0x10"}, std::string{"1000001"},
+          std::string(400, '9')}) {
+        CAPTURE(value);
+        CHECK_FALSE(read({value}).max_rate.has_value());
+        CHECK(read({value}).is_max_rate_malformed);
+        CHECK(read({value}).malformed_value == value);
+    }
+    for (const auto& values : {std::vector<std::string>{"1", "2"}, {"1", "1"}, {"soon", "1"}}) {
+        CHECK_FALSE(read(values).max_rate.has_value());
+        CHECK(read(values).is_max_rate_malformed);
+    }
+}
