Keep to the rate that an endpoint names

Cause: the statement was new, and nothing acted on it: the endpoint was chosen by its load as any other.

Change: each host has a share of the rate (limits/rate_share): equal parts for the known hosts of the region, of which at most 3 + the rate have one, picked by rendezvous hashing. A share is spent from a token bucket of one request that begins empty, so no more than rate * s + 3 + rate requests are sent in s seconds, 1.5 * rate * 4 + 5 being allowed in 4 s. Hosts that have fallen silent keep their shares, so the sides of a partition don't add up. First attempts, retries, resumed streams, forwarded requests and health probes all draw on it. Endpoints that name a rate are no home of prompts and are not offered to other regions. A request that the rate can't serve within its wait is refused at once, and callers are told to return one after the other, as the rate admits them.

Ruled out: one owner of the whole rate, as with cold endpoints (the callers of all other hosts would be refused where every endpoint names a rate); a count that hosts report to each other (the excess of one reporting delay is unbounded). cold_owner and the limits of organisations are left as they are.

--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -52,6 +52,13 @@
     std::uint32_t witnesses = 0;   ///< hosts that have seen it
 };
 
+/// What an endpoint has last said of its rate.
+struct rate_report {
+    std::uint32_t incarnation = 0;  ///< hash of the endpoint's id and start time
+    std::optional<double> max_rate; ///< requests per second over all hosts; nothing: any number
+    duration age{0};                ///< since it can have said so at the earliest
+};
+
 /// How often a host wants the digests of another host.
 enum class digest_subscription : std::uint8_t {
     none,
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -1,5 +1,6 @@
 #include "gateway/routing/endpoint_pool.h"
 
+#include "gateway/limits/rate_share.h"
 #include "gateway/routing/rendezvous.h"
 
 #include <algorithm> // clamp, find, find_if, max, min, min_element
@@ -18,6 +19,7 @@
 constexpr double failure_penalty = 4;
 constexpr std::size_t max_cached_prefixes = 4'096;
 constexpr std::size_t max_sent_prefixes = 128; // in one heartbeat
+constexpr std::size_t max_rate_reports = 128;  // in one heartbeat
 constexpr std::uint64_t typical_tokens = 2'000;
 /// Bounds a measured time to first byte, and stands for the expected time of a region without a
 /// free slot.
@@ -66,6 +68,7 @@
         state.is_leaving = m_notices.is_leaving({id, entry.started_ms});
         state.is_ended = m_notices.is_ended({id, entry.started_ms});
         state.turned_away_until = m_notices.turned_away_until({id, entry.started_ms});
+        update_rate(state, now);
         if (state.is_evacuated && use == usability::usable) {
             // it may have become cold during the evacuation, after its last known heartbeat
             state.reinstated_cold_until = now + state.cold_time;
@@ -141,7 +144,76 @@
 bool endpoint_pool::on_rate_statement(const endpoint_incarnation& endpoint,
                                       const rate_statement& statement, time_point now)
 {
-    return m_notices.on_rate_statement(endpoint, statement, now);
+    const bool is_changed = m_notices.on_rate_statement(endpoint, statement, now);
+    const auto found = m_endpoints.find(endpoint.id);
+    if (found != m_endpoints.end()) {
+        update_rate(found->second, now);
+    }
+    return is_changed;
+}
+
+/// Takes over the newest statement of the endpoint on its rate. A share that is new begins empty.
+void endpoint_pool::update_rate(endpoint_state& state, time_point now) const
+{
+    state.rate = m_notices.last_rate_statement({state.entry.id, state.entry.started_ms});
+    if (!state.rate.max_rate) {
+        state.share.reset();
+    }
+    else if (!state.share) {
+        state.share.emplace(now);
+    }
+}
+
+/// Returns the time until this host's share of the endpoint's rate admits a request, or nothing if it
+/// has none; 0 without a rate.
+std::optional<duration> endpoint_pool::time_to_share(endpoint_state& state, time_point now) const
+{
+    if (!state.share) {
+        return duration{0};
+    }
+    const double rate = m_to_rate_share(state.entry.id, *state.rate.max_rate);
+    state.share->set_rights(rate, rate_share_burst, now);
+    return state.share->wait_for(rate_share_burst, now);
+}
+
+bool endpoint_pool::try_take_share(const std::string& endpoint, time_point now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end() || !found->second.share) {
+        return true;
+    }
+    if (time_to_share(found->second, now) != duration{0}) {
+        return false;
+    }
+    found->second.share->take_up_to(1, now);
+    return true;
+}
+
+std::vector<rate_report> endpoint_pool::rate_reports(time_point now) const
+{
+    std::vector<rate_report> reports;
+    for (const auto& [id, state] : m_endpoints) {
+        if (state.rate.said_at != time_point{}) {
+            reports.push_back(
+                {state.incarnation_hash, state.rate.max_rate, now - state.rate.said_at});
+        }
+    }
+    if (reports.size() > max_rate_reports) {
+        std::nth_element(reports.begin(), reports.begin() + max_rate_reports, reports.end(),
+                         [](const auto& lhs, const auto& rhs) { return lhs.age < rhs.age; });
+        reports.resize(max_rate_reports);
+    }
+    return reports;
+}
+
+void endpoint_pool::on_peer_rate(const rate_report& report, time_point now)
+{
+    for (auto& [id, state] : m_endpoints) {
+        if (state.incarnation_hash == report.incarnation) {
+            on_rate_statement({id, state.entry.started_ms}, {report.max_rate, now - report.age},
+                              now);
+        }
+    }
 }
 
 std::vector<endpoint_entry> endpoint_pool::take_reinstated()
@@ -265,6 +337,9 @@
     if (is_blocked(state, now) || (state.is_half_open && state.own.active > 0)) {
         return false;
     }
+    if (time_to_share(state, now) != duration{0}) {
+        return false;
+    }
     if (is_cold(state, now) && state.cold_rate > 0) {
         return state.cold_limiter.has_capacity(m_to_cold_allowance(state.entry.id, state.cold_rate),
                                                now);
@@ -366,7 +441,8 @@
     }
     std::uint64_t best_weight = 0;
     for (const auto& [id, state] : m_endpoints) {
-        if (!is_candidate(state, request) || is_blocked(state, now) || is_cold(state, now)) {
+        const bool is_in_need = is_cold(state, now) || state.share;
+        if (!is_candidate(state, request) || is_blocked(state, now) || is_in_need) {
             continue;
         }
         const std::uint64_t weight = rendezvous_weight(request.request_prompt->shared_id(), id);
@@ -437,39 +513,68 @@
 }
 
 bool endpoint_pool::has_candidate(const placement_request& request, time_point now,
-                                  time_point wait_until) const
+                                  time_point wait_until, std::size_t waiting_ahead)
 {
-    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
-        return is_candidate(item.second, request) &&
-               item.second.backoff_until < now + m_options.max_backoff &&
-               (item.second.turned_away_until <= now || item.second.turned_away_until < wait_until);
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](auto& item) {
+        endpoint_state& state = item.second;
+        if (!is_candidate(state, request) || state.backoff_until >= now + m_options.max_backoff) {
+            return false;
+        }
+        std::optional<duration> wait = time_unwanted(state, now);
+        if (wait && state.share) {
+            *wait += from_seconds(static_cast<double>(waiting_ahead) / state.share->rate());
+        }
+        return wait && (*wait <= duration{0} || *wait < wait_until - now);
     });
 }
 
 std::optional<duration> endpoint_pool::time_turned_away(const placement_request& request,
-                                                        time_point now) const
+                                                        time_point now)
 {
     std::optional<duration> shortest;
-    for (const auto& [id, state] : m_endpoints) {
+    for (auto& [id, state] : m_endpoints) {
         if (!is_candidate(state, request)) {
             continue;
         }
-        if (state.turned_away_until <= now) {
+        const std::optional<duration> wait = time_unwanted(state, now);
+        if (!wait) {
+            continue;
+        }
+        if (*wait <= duration{0}) {
             return std::nullopt;
         }
-        const duration left = state.turned_away_until - now;
-        shortest = shortest ? std::min(*shortest, left) : left;
+        shortest = shortest ? std::min(*shortest, *wait) : *wait;
     }
     return shortest;
 }
 
+/// Returns the time until the endpoint, by its own word, wants a request of this host, or nothing if
+/// it wants none; 0 or less if it does now.
+std::optional<duration> endpoint_pool::time_unwanted(endpoint_state& state, time_point now) const
+{
+    const std::optional<duration> wait = time_to_share(state, now);
+    return wait ? std::max(state.turned_away_until - now, *wait) : wait;
+}
+
+double endpoint_pool::total_share(const placement_request& request) const
+{
+    double total = 0;
+    for (const auto& [id, state] : m_endpoints) {
+        if (state.share && is_candidate(state, request)) {
+            total += m_to_rate_share(id, *state.rate.max_rate);
+        }
+    }
+    return total;
+}
+
 service_load endpoint_pool::free_capacity(const service& queried_service, time_point now) const
 {
     service_load load;
     load.expected_wait = max_expected_wait;
     const placement_request any{&queried_service, nullptr, {}};
     for (const auto& [id, state] : m_endpoints) {
-        if (!is_candidate(state, any) || is_blocked(state, now) || is_cold(state, now)) {
+        const bool is_in_need = is_cold(state, now) || state.share;
+        if (!is_candidate(state, any) || is_blocked(state, now) || is_in_need) {
             continue;
         }
         const std::uint32_t active = state.own.active + state.peers.active;
@@ -491,6 +596,9 @@
     }
     endpoint_state& state = found->second;
     ++state.own.active;
+    if (state.share) {
+        state.share->take_up_to(1, now);
+    }
     if (is_cold(state, now)) {
         state.cold_limiter.on_sent(now);
     }
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -6,6 +6,7 @@
 #include "gateway/routing/endpoint_notices.h"
 #include "gateway/routing/prompt.h"
 #include "process/clock.h"
+#include "process/limits/token_bucket.h"
 #include "process/routing/random_source.h"
 
 #include <chrono>        // milliseconds, seconds
@@ -85,7 +86,8 @@
 /// raises the failure rate. An endpoint that sheds a request gets a backoff of fixed length. One
 /// that has said that it is leaving, or at whose address another incarnation responds, gets no
 /// request any more, whatever is published of it. One that has turned this host away with a time
-/// gets none until that time is over.
+/// gets none until that time is over. One that names a rate gets this host's share of it, and isn't
+/// offered to other regions.
 ///
 /// Thread safety: none; the owner serialises calls. No I/O.
 class endpoint_pool {
@@ -94,8 +96,14 @@
     /// service's cold rate is `rate`.
     using cold_allowance_function = std::function<double(const std::string& id, double rate)>;
 
-    explicit endpoint_pool(endpoint_pool_options options, cold_allowance_function to_cold_allowance)
-        : m_options{options}, m_to_cold_allowance{std::move(to_cold_allowance)}
+    /// Returns the requests per second that this host may send to the endpoint `id`, which takes
+    /// `rate` of them from all hosts together.
+    using rate_share_function = std::function<double(const std::string& id, double rate)>;
+
+    endpoint_pool(endpoint_pool_options options, cold_allowance_function to_cold_allowance,
+                  rate_share_function to_rate_share)
+        : m_options{options}, m_to_cold_allowance{std::move(to_cold_allowance)},
+          m_to_rate_share{std::move(to_rate_share)}
     {
     }
 
@@ -157,6 +165,13 @@
     bool on_rate_statement(const endpoint_incarnation& endpoint, const rate_statement& statement,
                            time_point now);
 
+    /// Returns, for the heartbeat, the newest statements that are known of published endpoints which
+    /// have named a rate; the newest `max_rate_reports` if there are more.
+    [[nodiscard]] std::vector<rate_report> rate_reports(time_point now) const;
+
+    /// Records what an endpoint has said of its rate to another host.
+    void on_peer_rate(const rate_report& report, time_point now);
+
     /// Returns the endpoints whose evacuation has ended since the last call, but for those that
     /// wanted no requests then. Each endpoint whose evacuation has ended is treated as cold for its
     /// service's cold time, or until `on_warm()` or `on_peer_warm()` is called.
@@ -203,14 +218,26 @@
 
     /// Whether any endpoint of the service could take the request now, or once slots are free or
     /// a backoff of less than `max_backoff` is over. An endpoint that turns this host away until
-    /// `wait_until` or longer doesn't count.
+    /// `wait_until` or longer doesn't count, nor does one whose rate doesn't admit the request before
+    /// that.
+    /// @param waiting_ahead requests that wait for the service, and are placed first
     [[nodiscard]] bool has_candidate(const placement_request& request, time_point now,
-                                     time_point wait_until = time_point::max()) const;
+                                     time_point wait_until = time_point::max(),
+                                     std::size_t waiting_ahead = 0);
 
     /// Returns the time until the first of the service's endpoints wants requests of this host
-    /// again, or nothing unless there are some and all of them turn it away.
+    /// again, or nothing unless there are some and all of them turn it away or admit none now by
+    /// the rates that they have named. Those of whose rate this host has no share are left out.
     [[nodiscard]] std::optional<duration> time_turned_away(const placement_request& request,
-                                                           time_point now) const;
+                                                           time_point now);
+
+    /// Returns the requests per second that this host may send to those of the service's endpoints
+    /// that name a rate; 0 if there are none.
+    [[nodiscard]] double total_share(const placement_request& request) const;
+
+    /// Takes a request out of this host's share of the endpoint's rate, for a health probe. Returns
+    /// false, without effect, if the share admits none now; true if the endpoint names no rate.
+    [[nodiscard]] bool try_take_share(const std::string& endpoint, time_point now);
 
     /// Returns the free slots of the region for a service and the lowest expected time to first
     /// byte of a typical request. Cold endpoints, those in backoff and those that turn this host
@@ -286,6 +313,8 @@
         time_point cold_report_until{};     ///< until then, heartbeats report it as cold
         std::chrono::milliseconds cold_time{0};
         cold_rate_limiter cold_limiter;
+        rate_statement rate;               ///< its newest
+        std::optional<token_bucket> share; ///< this host's of the rate; set if it names one
         std::unordered_map<std::uint64_t, cached_prefix> cached_prefixes; ///< by prefix id
     };
 
@@ -303,6 +332,11 @@
                                            const placement_request& request);
     [[nodiscard]] bool has_free_slot(const endpoint_state& state) const;
     [[nodiscard]] bool may_send(endpoint_state& state, time_point now);
+    void update_rate(endpoint_state& state, time_point now) const;
+    [[nodiscard]] std::optional<duration> time_to_share(endpoint_state& state,
+                                                        time_point now) const;
+    [[nodiscard]] std::optional<duration> time_unwanted(endpoint_state& state,
+                                                        time_point now) const;
     /// For a given prompt: the endpoint that is preferred for it, and the one from which others can
     /// fetch its prefix.
     struct prefix_locations {
@@ -350,6 +384,7 @@
     endpoint_notices m_notices;
     endpoint_pool_options m_options;
     cold_allowance_function m_to_cold_allowance;
+    rate_share_function m_to_rate_share;
     std::map<std::string, endpoint_state> m_endpoints;
 };
 
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -224,7 +224,8 @@
     const bool may_become_available =
         options.is_overloaded || is_starting || !options.others.empty() ||
         (allows_own_region(m_authorised) &&
-         m_context.pool.has_candidate({of, engine_prompt(*of), m_excluded}, now, wait_deadline()));
+         m_context.pool.has_candidate({of, engine_prompt(*of), m_excluded}, now, wait_deadline(),
+                                      m_is_queued ? 0 : m_context.waiting_count(m_service)));
     if (!may_become_available) {
         give_up_without_endpoint(*of);
         return true;
--- a/src/gateway/serving/exchange_end.cpp
+++ b/src/gateway/serving/exchange_end.cpp
@@ -1,5 +1,7 @@
 #include "gateway/serving/exchange.h"
 
+#include <optional> // optional
+
 #include <fmt/format.h> // format
 
 namespace hickorykeel::gateway {
@@ -25,11 +27,14 @@
 void exchange::give_up_without_endpoint(const service& of)
 {
     // a caller's next request may use the endpoints that rejected this one
-    const auto turned_away =
-        allows_own_region(m_authorised)
-            ? m_context.pool.time_turned_away({&of, nullptr, {}}, boot_clock::now())
-            : std::nullopt;
+    const placement_request any{&of, nullptr, {}};
+    const time_point now = boot_clock::now();
+    std::optional<duration> turned_away =
+        allows_own_region(m_authorised) ? m_context.pool.time_turned_away(any, now) : std::nullopt;
     if (turned_away) {
+        if (const double per_s = m_context.pool.total_share(any); per_s > 0) {
+            turned_away = m_context.return_schedules[m_service].next(*turned_away, per_s, now);
+        }
         give_up("turned_away", turned_away);
         return;
     }
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -72,6 +72,9 @@
       m_usage{boot_clock::now()}, m_pool{{},
                                          [this](const std::string& endpoint, double rate) {
                                              return cold_rate_for(endpoint, rate);
+                                         },
+                                         [this](const std::string& endpoint, double rate) {
+                                             return rate_share_of(endpoint, rate);
                                          }},
       m_quarantine{{.salt = random_seed()}}, m_client{m_loop}, m_source{m_parts.make_source(
                                                                    m_loop, m_client, m_settings)},
@@ -81,35 +84,38 @@
                              .failure_domain = m_settings.failure_domain,
                              .region = m_settings.region}},
                  [this] { on_published(); }},
-      m_context{.loop = m_loop,
-                .settings = m_settings,
-                .adapter = m_parts.adapter,
-                .state = m_state,
-                .members = m_fleet.members(),
-                .usage = m_usage,
-                .pool = m_pool,
-                .quarantine = m_quarantine,
-                .client = m_client,
-                .log = m_log,
-                .metrics = m_metrics,
-                .random = m_random,
-                .options = {},
-                .retry_budgets = {},
-                .unreachable_until = {},
-                .overload_periods = {},
-                .memory = m_memory,
-                .capacities = {},
-                .forwarded_requests = {},
-                .exchanges = {},
-                .started = boot_clock::now(),
-                .takes_requests = true,
-                .enqueue = [this](const auto& waiting) { m_waiting.add(waiting); },
-                .retry_waiting =
-                    [this] {
-                        if (m_waiting.size() > 0) {
-                            place_waiting();
-                        }
-                    }},
+      m_context{
+          .loop = m_loop,
+          .settings = m_settings,
+          .adapter = m_parts.adapter,
+          .state = m_state,
+          .members = m_fleet.members(),
+          .usage = m_usage,
+          .pool = m_pool,
+          .quarantine = m_quarantine,
+          .client = m_client,
+          .log = m_log,
+          .metrics = m_metrics,
+          .random = m_random,
+          .options = {},
+          .retry_budgets = {},
+          .unreachable_until = {},
+          .overload_periods = {},
+          .return_schedules = {},
+          .memory = m_memory,
+          .capacities = {},
+          .forwarded_requests = {},
+          .exchanges = {},
+          .started = boot_clock::now(),
+          .takes_requests = true,
+          .enqueue = [this](const auto& waiting) { m_waiting.add(waiting); },
+          .waiting_count = [this](const std::string& service) { return m_waiting.count(service); },
+          .retry_waiting =
+              [this] {
+                  if (m_waiting.size() > 0) {
+                      place_waiting();
+                  }
+              }},
       m_prober{{m_loop, m_client, m_parts.adapter, m_log}}, m_callers{m_loop,
                                                                       [this](const auto& request) {
                                                                           serve_caller(request);
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -79,6 +79,7 @@
     void on_datagram(std::string_view datagram);
     void update_members(time_point now);
     [[nodiscard]] double cold_rate_for(const std::string& endpoint, double rate) const;
+    [[nodiscard]] double rate_share_of(const std::string& endpoint, double rate) const;
 
     // configuration
     void on_published();
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -1,4 +1,5 @@
 #include "gateway/limits/cold_allowance.h"
+#include "gateway/limits/rate_share.h"
 #include "gateway/serving/endpoint_statements.h"
 #include "gateway/serving/gateway.h"
 #include "gateway/serving/region_options.h"
@@ -151,6 +152,12 @@
     return cold_allowance(ownership, now - m_started, rate);
 }
 
+double gateway::rate_share_of(const std::string& endpoint, double rate) const
+{
+    return to_rate_share(m_fleet.members(), {m_settings.ip, m_settings.region, m_is_stopping},
+                         endpoint, rate, boot_clock::now() - m_started);
+}
+
 // configuration
 
 void gateway::on_published()
@@ -185,7 +192,7 @@
 {
     for (const endpoint_entry& entry : m_pool.take_reinstated()) {
         const service* of = m_state.published()->find_service(entry.service);
-        if (is_prober_of(entry, of)) {
+        if (is_prober_of(entry, of) && m_pool.try_take_share(entry.id, boot_clock::now())) {
             probe_reinstated(entry, of->health_path);
         }
     }
@@ -208,7 +215,7 @@
     m_assumed_warm_probed_at = now;
     for (const endpoint_entry& entry : m_pool.assumed_warm(now)) {
         const service* of = m_state.published()->find_service(entry.service);
-        if (is_prober_of(entry, of)) {
+        if (is_prober_of(entry, of) && m_pool.try_take_share(entry.id, now)) {
             probe_assumed_warm(entry, of->health_path);
         }
     }
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -16,9 +16,11 @@
 #include "gateway/serving/first_byte_limit.h"
 #include "gateway/serving/overload_period.h"
 #include "gateway/serving/protocol_adapter.h"
+#include "gateway/serving/return_schedule.h"
 #include "process/routing/random_source.h"
 #include "process/routing/retry_budget.h"
 
+#include <cstddef>       // size_t
 #include <functional>    // function
 #include <map>           // map
 #include <memory>        // shared_ptr
@@ -107,6 +109,7 @@
     std::unordered_map<std::string, retry_budget> retry_budgets;       ///< by service
     std::unordered_map<std::string, time_point> unreachable_until;     ///< hosts, by ip
     std::unordered_map<std::string, overload_period> overload_periods; ///< by service
+    std::unordered_map<std::string, return_schedule> return_schedules; ///< by service
 
     /// Of what is held for requests; null: unlimited.
     std::shared_ptr<memory_budget> memory = nullptr;
@@ -125,6 +128,9 @@
     /// Adds a request to the queue of those that wait for a free slot.
     std::function<void(const std::shared_ptr<exchange>&)> enqueue;
 
+    /// Number of queued requests for a service.
+    std::function<std::size_t(const std::string& service)> waiting_count;
+
     /// Retries queued requests; called when a slot may have become free.
     std::function<void()> retry_waiting;
 };
--- a/src/gateway/serving/waiting_queue.h
+++ b/src/gateway/serving/waiting_queue.h
@@ -2,6 +2,7 @@
 
 #include "gateway/serving/exchange.h"
 
+#include <algorithm>   // count_if
 #include <cstddef>     // size_t
 #include <cstdint>     // uint64_t
 #include <map>         // map
@@ -47,6 +48,15 @@
 
     [[nodiscard]] std::size_t size() const noexcept { return m_waiting.size(); }
 
+    /// Number of the queued requests for `service`. O(size).
+    [[nodiscard]] std::size_t count(const std::string& service) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_waiting.begin(), m_waiting.end(), [&service](const auto& item) {
+                return item.second->service_name() == service;
+            }));
+    }
+
 private:
     static constexpr unsigned max_failures = 4;
 
--- a/tests/gateway/endpoint_notices_test.cpp
+++ b/tests/gateway/endpoint_notices_test.cpp
@@ -66,7 +66,9 @@
     service m_service;
     std::map<std::string, endpoint_entry> m_entries;
     random_source m_random{1};
-    endpoint_pool m_pool{{}, [](const std::string&, double rate) { return rate; }};
+    endpoint_pool m_pool{{},
+                         [](const std::string&, double rate) { return rate; },
+                         [](const std::string&, double rate) { return rate; }};
 };
 
 } // namespace
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -89,7 +89,9 @@
     bool m_owns_cold = true;
     random_source m_random{1};
     endpoint_pool m_pool{
-        {}, [this](const std::string&, double rate) { return m_owns_cold ? rate : 0.0; }};
+        {},
+        [this](const std::string&, double rate) { return m_owns_cold ? rate : 0.0; },
+        [](const std::string&, double rate) { return rate; }};
 };
 
 prompt make_session_prompt(std::uint64_t session)
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -325,7 +325,9 @@
     published_state m_state{{}};
     member_table m_members{"127.0.0.1", {}, {}};
     rate_limiter m_usage{boot_clock::now()};
-    endpoint_pool m_pool{{}, [](const std::string&, double rate) { return rate; }};
+    endpoint_pool m_pool{{},
+                         [](const std::string&, double rate) { return rate; },
+                         [](const std::string&, double rate) { return rate; }};
     prompt_quarantine m_quarantine{{}};
     http_client m_client{m_loop};
     http_client m_caller{m_loop};
@@ -333,29 +335,32 @@
     gateway_metrics m_metrics;
     random_source m_random{7};
     waiting_queue m_waiting;
-    serving_context m_context{.loop = m_loop,
-                              .settings = m_settings,
-                              .adapter = m_adapter,
-                              .state = m_state,
-                              .members = m_members,
-                              .usage = m_usage,
-                              .pool = m_pool,
-                              .quarantine = m_quarantine,
-                              .client = m_client,
-                              .log = m_log,
-                              .metrics = m_metrics,
-                              .random = m_random,
-                              .options = {},
-                              .retry_budgets = {},
-                              .unreachable_until = {},
-                              .overload_periods = {},
-                              .capacities = {},
-                              .forwarded_requests = {},
-                              .exchanges = {},
-                              .started = {},
-                              .takes_requests = true,
-                              .enqueue = [this](const auto& waiting) { m_waiting.add(waiting); },
-                              .retry_waiting = [] {}};
+    serving_context m_context{
+        .loop = m_loop,
+        .settings = m_settings,
+        .adapter = m_adapter,
+        .state = m_state,
+        .members = m_members,
+        .usage = m_usage,
+        .pool = m_pool,
+        .quarantine = m_quarantine,
+        .client = m_client,
+        .log = m_log,
+        .metrics = m_metrics,
+        .random = m_random,
+        .options = {},
+        .retry_budgets = {},
+        .unreachable_until = {},
+        .overload_periods = {},
+        .return_schedules = {},
+        .capacities = {},
+        .forwarded_requests = {},
+        .exchanges = {},
+        .started = {},
+        .takes_requests = true,
+        .enqueue = [this](const auto& waiting) { m_waiting.add(waiting); },
+        .waiting_count = [this](const auto& service) { return m_waiting.count(service); },
+        .retry_waiting = [] {}};
     http_server m_front{m_loop, [this](const auto& request) {
                             const bool is_forwarded =
                                 request->head().headers.contains(forwarded_header);
--- a/tests/gateway/many_hosts_test.cpp
+++ b/tests/gateway/many_hosts_test.cpp
@@ -61,8 +61,9 @@
             entry.started_ms = 1;
         }
         for (std::size_t i = 0; i < load.hosts; ++i) {
-            m_pools.emplace_back(endpoint_pool_options{},
-                                 [](const std::string&, double rate) { return rate; });
+            m_pools.emplace_back(
+                endpoint_pool_options{}, [](const std::string&, double rate) { return rate; },
+                [](const std::string&, double rate) { return rate; });
             m_pools.back().update(
                 m_entries, [](const auto&) { return endpoint_pool::usability::usable; },
                 [this](const auto&) { return &m_service; }, start);
--- a/tests/gateway/saturated_region_test.cpp
+++ b/tests/gateway/saturated_region_test.cpp
@@ -75,8 +75,9 @@
             m_engines.push_back({i % 4 == 0 ? 0.55 : 1.2, {}, {}});
         }
         for (std::size_t i = 0; i < load.hosts; ++i) {
-            m_pools.emplace_back(endpoint_pool_options{},
-                                 [](const std::string&, double rate) { return rate; });
+            m_pools.emplace_back(
+                endpoint_pool_options{}, [](const std::string&, double rate) { return rate; },
+                [](const std::string&, double rate) { return rate; });
             m_pools.back().update(
                 m_entries, [](const auto&) { return endpoint_pool::usability::usable; },
                 [this](const auto&) { return &m_service; }, start);
--- a/tests/gateway/statement_schedules_test.cpp
+++ b/tests/gateway/statement_schedules_test.cpp
@@ -107,7 +107,9 @@
     };
 
     struct host_state {
-        endpoint_pool pool{{}, [](const std::string&, double rate) { return rate; }};
+        endpoint_pool pool{{},
+                           [](const std::string&, double rate) { return rate; },
+                           [](const std::string&, double rate) { return rate; }};
         time_point next_update{};
         time_point cut_at{};
         /// When the host first passed on that an incarnation is leaving.
