Tell the hosts of a region which rates endpoints name

A host without requests at an endpoint doesn't hear the endpoint's rate, or that it has ended. What isn't a number or is negative isn't read.

--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -133,6 +133,7 @@
     news.prompts = std::exchange(received.prompts, {});
     news.warm_endpoints = received.warm_endpoints;
     news.cold_endpoints = received.cold_endpoints;
+    news.rates = std::exchange(received.rates, {});
     if (m_prompts.size() < m_options.max_prompts) {
         m_prompts.insert(m_prompts.end(), news.prompts.begin(), news.prompts.end());
     }
--- a/src/gateway/membership/fleet_membership.h
+++ b/src/gateway/membership/fleet_membership.h
@@ -61,6 +61,7 @@
     std::vector<sent_prefix> prompts;          ///< sent by hosts of this region
     std::vector<std::uint32_t> warm_endpoints; ///< of this region
     std::vector<cold_report> cold_endpoints;   ///< of this region
+    std::vector<rate_report> rates;            ///< of endpoints of this region
     std::vector<usage_report> usage;
     crash_evidence crashes;
     std::vector<std::string> regions; ///< other regions whose capacity was reported
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -104,6 +104,19 @@
     }
 }
 
+void add_rates(gossip::heartbeat& message, const std::vector<rate_report>& reports)
+{
+    for (const rate_report& report : reports) {
+        auto& added = *message.add_rates();
+        added.set_incarnation(report.incarnation);
+        if (report.max_rate) {
+            added.set_max_rate(*report.max_rate);
+        }
+        // rounded up, so that a report that goes from host to host doesn't become newer
+        added.set_age_ms(to_ms(report.age) + 1);
+    }
+}
+
 void add_group(gossip::region_digest& message, const member_group& group)
 {
     auto& added_group = *message.add_members();
@@ -235,6 +248,21 @@
     });
 }
 
+std::vector<rate_report> to_rates(const gossip::heartbeat& message)
+{
+    std::vector<rate_report> reports;
+    for_each_bounded(message.rates(), [&reports](const gossip::rate_report& report) {
+        const bool has_rate = report.has_max_rate();
+        if (has_rate && (!std::isfinite(report.max_rate()) || report.max_rate() < 0)) {
+            return;
+        }
+        reports.push_back({report.incarnation(),
+                           has_rate ? std::optional{report.max_rate()} : std::nullopt,
+                           milliseconds{report.age_ms()}});
+    });
+    return reports;
+}
+
 member_group to_group(const gossip::member_group& message)
 {
     member_group group{message.region(), message.failure_domain(), {}};
@@ -314,6 +342,7 @@
     add_used(message, sent.used);
     if (scope == heartbeat_scope::own_region) {
         add_endpoints(message, sent);
+        add_rates(message, sent.rates);
     }
     add_crashes(message, sent.crashes);
     if (sent.digest) {
@@ -347,6 +376,7 @@
     received.services = to_services(message);
     received.used = to_used(message);
     read_endpoints(message, received);
+    received.rates = to_rates(message);
     received.crashes = to_crashes(message.crashes());
     if (message.has_digest()) {
         received.digest = to_digest(message.digest());
--- a/src/gateway/membership/gossip_codec.h
+++ b/src/gateway/membership/gossip_codec.h
@@ -10,7 +10,7 @@
 
 /// Which hosts a heartbeat is for.
 enum class heartbeat_scope {
-    own_region, ///< adds the load, sent prefixes, coldness and ends of single endpoints
+    own_region, ///< adds what is known of single endpoints
     fleet,      ///< any host; without these
 };
 
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -132,6 +132,7 @@
     std::vector<std::uint32_t> warm_endpoints;
     std::vector<cold_report> cold_endpoints; ///< that have said so to this host
     std::vector<end_report> ended_endpoints; ///< by what this host itself has seen
+    std::vector<rate_report> rates;          ///< the newest that this host knows
     crash_evidence crashes;
     digest_subscription digests = digest_subscription::none;
     std::optional<region_digest> digest;
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -159,11 +159,21 @@
     if (!state.rate.max_rate) {
         state.share.reset();
     }
-    else if (!state.share) {
-        state.share.emplace(now);
+    else {
+        if (!state.share) {
+            state.share.emplace(now);
+        }
+        update_share(state, now);
     }
 }
 
+/// Applies this host's present share of the endpoint's rate. Precondition: it names one.
+void endpoint_pool::update_share(endpoint_state& state, time_point now) const
+{
+    state.share->set_rights(m_to_rate_share(state.entry.id, *state.rate.max_rate), rate_share_burst,
+                            now);
+}
+
 /// Returns the time until this host's share of the endpoint's rate admits a request, or nothing if it
 /// has none; 0 without a rate.
 std::optional<duration> endpoint_pool::time_to_share(endpoint_state& state, time_point now) const
@@ -171,8 +181,7 @@
     if (!state.share) {
         return duration{0};
     }
-    const double rate = m_to_rate_share(state.entry.id, *state.rate.max_rate);
-    state.share->set_rights(rate, rate_share_burst, now);
+    update_share(state, now);
     return state.share->wait_for(rate_share_burst, now);
 }
 
@@ -206,14 +215,16 @@
     return reports;
 }
 
-void endpoint_pool::on_peer_rate(const rate_report& report, time_point now)
+bool endpoint_pool::on_peer_rate(const rate_report& report, time_point now)
 {
-    for (auto& [id, state] : m_endpoints) {
+    bool is_changed = false;
+    for (const auto& [id, state] : m_endpoints) {
         if (state.incarnation_hash == report.incarnation) {
-            on_rate_statement({id, state.entry.started_ms}, {report.max_rate, now - report.age},
-                              now);
+            const rate_statement statement{report.max_rate, now - report.age};
+            is_changed |= on_rate_statement({id, state.entry.started_ms}, statement, now);
         }
     }
+    return is_changed;
 }
 
 std::vector<endpoint_entry> endpoint_pool::take_reinstated()
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -169,8 +169,9 @@
     /// have named a rate; the newest `max_rate_reports` if there are more.
     [[nodiscard]] std::vector<rate_report> rate_reports(time_point now) const;
 
-    /// Records what an endpoint has said of its rate to another host.
-    void on_peer_rate(const rate_report& report, time_point now);
+    /// Records what an endpoint has said of its rate to another host. Returns whether the rate is
+    /// another one now.
+    bool on_peer_rate(const rate_report& report, time_point now);
 
     /// Returns the endpoints whose evacuation has ended since the last call, but for those that
     /// wanted no requests then. Each endpoint whose evacuation has ended is treated as cold for its
@@ -333,6 +334,7 @@
     [[nodiscard]] bool has_free_slot(const endpoint_state& state) const;
     [[nodiscard]] bool may_send(endpoint_state& state, time_point now);
     void update_rate(endpoint_state& state, time_point now) const;
+    void update_share(endpoint_state& state, time_point now) const;
     [[nodiscard]] std::optional<duration> time_to_share(endpoint_state& state,
                                                         time_point now) const;
     [[nodiscard]] std::optional<duration> time_unwanted(endpoint_state& state,
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -58,6 +58,7 @@
     state.warm_endpoints = m_pool.own_warm_endpoints(now);
     state.cold_endpoints = m_pool.own_cold_endpoints(now);
     state.ended_endpoints = m_pool.own_ended_endpoints();
+    state.rates = m_pool.rate_reports(now);
     state.used = m_usage.used();
     state.prompts = m_pool.take_sent_prefixes();
     state.crashes = m_quarantine.evidence(now);
@@ -114,6 +115,11 @@
     for (const cold_report& report : news.cold_endpoints) {
         m_pool.on_peer_cold(report, now);
     }
+    for (const rate_report& report : news.rates) {
+        if (m_pool.on_peer_rate(report, now)) {
+            m_metrics.count(report.max_rate ? "endpoint_rate_heard" : "endpoint_rate_end_heard");
+        }
+    }
     m_quarantine.on_evidence(news.crashes, now);
     if (!news.new_host.empty()) {
         m_log.write(log_line{"host_heard"}.add("peer", news.new_host).add("region", news.region));
--- a/tests/gateway/endpoint_notices_test.cpp
+++ b/tests/gateway/endpoint_notices_test.cpp
@@ -333,3 +333,46 @@
         CHECK(rate() == 1);
     }
 }
+
+// guards against LIMIT: hosts to which an endpoint hasn't said its rate send as if it had none
+TEST_CASE("what an endpoint has said of its rate reaches other hosts")
+{
+    pool_fixture told;
+    pool_fixture other;
+    told.publish("i-1", 1);
+    other.publish("i-1", 1);
+    const time_point named_at = start + 2s;
+    const auto tell = [&](time_point now) {
+        bool is_changed = false;
+        for (const rate_report& report : told.pool().rate_reports(now)) {
+            is_changed |= other.pool().on_peer_rate(report, now);
+        }
+        return is_changed;
+    };
+    CHECK(told.pool().rate_reports(start).empty());
+    CHECK(told.pool().on_rate_statement({"i-1", 1}, {0.5, named_at}, named_at));
+    CHECK(tell(named_at + 200ms));
+    CHECK_FALSE(tell(named_at + 400ms));
+    CHECK_FALSE(other.can_place(named_at + 500ms));
+    CHECK(other.can_place(named_at + 2'300ms));
+
+    SUBCASE("another incarnation has named none")
+    {
+        other.publish("i-1", 2);
+        CHECK(other.can_place(named_at + 500ms));
+        CHECK_FALSE(tell(named_at + 600ms));
+    }
+    SUBCASE("its end too")
+    {
+        CHECK(told.pool().on_rate_statement({"i-1", 1}, {{}, named_at + 1s}, named_at + 1s));
+        CHECK(tell(named_at + 1'200ms));
+        CHECK(other.can_place(named_at + 1'200ms));
+    }
+    SUBCASE("an entry that lapses keeps it")
+    {
+        other.withdraw("i-1");
+        other.publish("i-1", 1); // at `start`; the share begins empty
+        CHECK_FALSE(other.can_place(start + 1s));
+        CHECK(other.can_place(start + 2s));
+    }
+}
--- a/tests/gateway/gossip_codec_test.cpp
+++ b/tests/gateway/gossip_codec_test.cpp
@@ -239,3 +239,37 @@
         CHECK(crashes.verdicts.front().age == 20s);
     }
 }
+
+TEST_CASE("reports on the rates of endpoints become no newer by encoding and decoding")
+{
+    heartbeat sent = make_digest_heartbeat();
+    sent.rates = {{97, 3.6, 1'500ms}, {98, std::nullopt, 0ms}, {99, 0.0, 5'999'999ns}};
+    const auto received = decode_heartbeat(encode(sent, heartbeat_scope::own_region));
+    REQUIRE(received.has_value());
+    REQUIRE(received->rates.size() == 3);
+    CHECK(received->rates[0].incarnation == 97);
+    CHECK(received->rates[0].max_rate == 3.6);
+    CHECK(received->rates[1].max_rate == std::nullopt);
+    CHECK(received->rates[2].max_rate == 0.0);
+    for (std::size_t i = 0; i < sent.rates.size(); ++i) {
+        CHECK(received->rates[i].age >= sent.rates[i].age);
+        CHECK(received->rates[i].age <= sent.rates[i].age + 1ms);
+    }
+    const auto elsewhere = decode_heartbeat(encode(sent, heartbeat_scope::fleet));
+    REQUIRE(elsewhere.has_value());
+    CHECK(elsewhere->rates.empty());
+}
+
+TEST_CASE("a rate that is no number or negative isn't read from a heartbeat")
+{
+    gossip::heartbeat message = make_message();
+    for (const double rate : {-1.0, std::numeric_limits<double>::quiet_NaN(),
+                              std::numeric_limits<double>::infinity()}) {
+        auto& added = *message.add_rates();
+        added.set_incarnation(97);
+        added.set_max_rate(rate);
+    }
+    const auto received = decode_heartbeat(message.SerializeAsString());
+    REQUIRE(received.has_value());
+    CHECK(received->rates.empty());
+}
