Find the endpoint of a rate report by its hash, and write up the rates of endpoints

Each report was compared with all endpoints; in a region of 1,000 endpoints and 100 hosts that is the larger part of a heartbeat's cost while many endpoints name a rate. fleet_membership_test shows that what one host was told reaches its region within a second, and no other one.

--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -82,6 +82,10 @@
         }
     }
     m_endpoints = std::move(next);
+    m_incarnations.clear();
+    for (const auto& [id, state] : m_endpoints) {
+        m_incarnations[state.incarnation_hash] = {id, state.entry.started_ms};
+    }
 }
 
 bool endpoint_pool::on_leaving(const endpoint_incarnation& endpoint, time_point now)
@@ -217,14 +221,9 @@
 
 bool endpoint_pool::on_peer_rate(const rate_report& report, time_point now)
 {
-    bool is_changed = false;
-    for (const auto& [id, state] : m_endpoints) {
-        if (state.incarnation_hash == report.incarnation) {
-            const rate_statement statement{report.max_rate, now - report.age};
-            is_changed |= on_rate_statement({id, state.entry.started_ms}, statement, now);
-        }
-    }
-    return is_changed;
+    const auto found = m_incarnations.find(report.incarnation);
+    return found != m_incarnations.end() &&
+           on_rate_statement(found->second, {report.max_rate, now - report.age}, now);
 }
 
 std::vector<endpoint_entry> endpoint_pool::take_reinstated()
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -387,7 +387,8 @@
     endpoint_pool_options m_options;
     cold_allowance_function m_to_cold_allowance;
     rate_share_function m_to_rate_share;
-    std::map<std::string, endpoint_state> m_endpoints;
+    std::map<std::string, endpoint_state> m_endpoints;                      ///< by id
+    std::unordered_map<std::uint32_t, endpoint_incarnation> m_incarnations; ///< of these, by hash
 };
 
 } // namespace hickorykeel::gateway
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -543,3 +543,24 @@
     limited.run_for(quota_window, request_units, hot_demand, hot_limit);
     CHECK(limited.take_admitted() <= quota_bound);
 }
+
+// guards against LIMIT: hosts without requests at an endpoint don't hear which rate it names
+TEST_CASE("the rate that an endpoint has named to one host reaches the hosts of its region")
+{
+    simulated_fleet fleet{{.regions = 2, .domains_per_region = 2, .hosts_per_domain = 13}};
+    constexpr std::uint32_t incarnation = 97;
+    fleet.on_news = [](simulated_fleet::host& receiver, const received_news& news) {
+        if (receiver.state.rates.empty()) {
+            receiver.state.rates = news.rates;
+        }
+    };
+    fleet.start_all();
+    fleet.run_for(3s);
+    fleet.hosts().front().state.rates = {{incarnation, 3.6, 0ms}};
+    fleet.run_for(1s);
+    for (const simulated_fleet::host& host : fleet.hosts()) {
+        CAPTURE(host.ip);
+        const bool is_of_region = host.region == fleet.hosts().front().region;
+        CHECK(host.state.rates.size() == (is_of_region ? 1 : 0));
+    }
+}
