Split the tests of the endpoint pool by subject

Change: shared prompts are in shared_prompts_test, ended incarnations in ended_incarnation_test, cold and evacuated endpoints in cold_endpoint_test. Their fixture is in endpoint_pool_fixture.h and has that name, since it is no longer local to one file; nothing else in the tests is changed.

--- /dev/null
+++ b/tests/gateway/cold_endpoint_test.cpp
@@ -0,0 +1,128 @@
+#include "gateway/endpoint_pool_fixture.h"
+#include "gateway/routing/endpoint_pool.h"
+#include "gateway/routing/rendezvous.h"
+
+#include <chrono> // hours, milliseconds, seconds
+
+#include <doctest/doctest.h>
+
+using namespace hickorykeel;
+using namespace hickorykeel::gateway;
+using namespace hickorykeel::gateway::tests;
+using namespace std::chrono_literals;
+
+TEST_CASE("cold endpoint: only its owner sends, within its cold rate in any second")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a").cold_remaining = 3s;
+    with.update(start);
+    with.set_cold_owner(false);
+    CHECK_FALSE(with.choose(start));
+    with.set_cold_owner(true);
+    CHECK(with.fill(start) == 3);
+    CHECK(with.fill(start + 1s) == 0);
+    CHECK(with.fill(start + 1'200ms) == 3);
+    CHECK(with.fill(start + 3'100ms) > 3);
+}
+
+// guards against FAILBACK: hosts that could not read the store sent their full load to endpoints
+// which had become cold, and these crashed
+TEST_CASE("regression: an endpoint that says itself that it is cold gets a warm one's requests")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    REQUIRE(with.pool().assumed_warm(start).size() == 1);
+    SUBCASE("it told this host")
+    {
+        CHECK(with.pool().on_cold("a", 2s, start));
+        CHECK_FALSE(with.pool().on_cold("a", 2s, start)); // not new
+        REQUIRE(with.pool().own_cold_endpoints(start + 500ms).size() == 1);
+        CHECK(with.pool().own_cold_endpoints(start + 500ms)[0].remaining == 1'500ms);
+        CHECK(with.pool().own_cold_endpoints(start + 2s).empty());
+    }
+    SUBCASE("it told another host")
+    {
+        with.pool().on_peer_cold({short_hash("a"), 2s}, start);
+        CHECK(with.pool().own_cold_endpoints(start).empty());
+    }
+    CHECK(with.pool().assumed_warm(start).empty());
+    CHECK(with.fill(start) == 3);
+    with.update(start + 1'500ms); // the same entry as before
+    CHECK(with.fill(start + 1'500ms) == 3);
+    CHECK(with.pool().assumed_warm(start + 2s).size() == 1);
+    CHECK(with.fill(start + 2s) > 3);
+}
+
+TEST_CASE("cold endpoint: no more than its service's cold time is believed")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    with.pool().on_peer_cold({short_hash("a"), 1h}, start);
+    CHECK(with.fill(start + 2s) == 3);
+    CHECK(with.fill(start + 3'200ms) > 3);
+    CHECK_FALSE(with.pool().on_cold("unknown", 1s, start));
+}
+
+TEST_CASE("evacuated endpoint: nothing is sent, and it counts as cold when it is reinstated")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    with.evacuated().insert("a");
+    with.update(start + 1s);
+    CHECK_FALSE(with.choose(start + 1s));
+    with.evacuated().clear();
+    with.update(start + 9s);
+    CHECK(with.fill(start + 9s) == 3);
+}
+
+TEST_CASE("evacuated endpoint: one that is reinstated warm gets its full load at once")
+{
+    // after the evacuation of the largest region, its engines were idle for three seconds while
+    // those of the other regions were full
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    with.evacuated().insert("a");
+    with.update(start + 1s);
+    CHECK(with.pool().take_reinstated().empty());
+    with.evacuated().clear();
+    with.update(start + 9s);
+    const auto reinstated = with.pool().take_reinstated();
+    REQUIRE(reinstated.size() == 1);
+    CHECK(reinstated.front().id == "a");
+    CHECK(with.pool().take_reinstated().empty());
+    CHECK(with.pool().own_warm_endpoints(start + 9s).empty());
+    SUBCASE("once it has reported being warm")
+    {
+        with.pool().on_warm("a", start + 9s);
+        CHECK(with.fill(start + 9s) == 48);
+        CHECK(with.pool().own_warm_endpoints(start + 9s).size() == 1);
+        CHECK(with.pool().own_warm_endpoints(start + 13s).empty());
+    }
+    SUBCASE("once another host reports it as warm")
+    {
+        with.pool().on_peer_warm(short_hash("a"));
+        CHECK(with.fill(start + 9s) == 48);
+    }
+    SUBCASE("but not if its heartbeats report it as cold")
+    {
+        with.entry("a").sequence = 7;
+        with.entry("a").cold_remaining = 2s;
+        with.update(start + 9s);
+        with.pool().on_warm("a", start + 9s);
+        CHECK(with.fill(start + 9s) == 3);
+    }
+    SUBCASE("but not while it is evacuated again")
+    {
+        with.evacuated().insert("a");
+        with.update(start + 10s);
+        with.pool().on_warm("a", start + 10s);
+        CHECK(with.pool().own_warm_endpoints(start + 10s).empty());
+        with.evacuated().clear();
+        with.update(start + 12s);
+        CHECK(with.fill(start + 12s) == 3);
+    }
+}
