--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -249,7 +249,7 @@
     auto& idle = found->second;
     // the most recently used connection is the least likely to be closed by the peer
     for (std::size_t at = idle.size(); at-- > 0;) {
-        const auto connection = idle[at];
+        auto connection = idle[at];
         const bool is_open = connection->m_reusable_until > now && connection->m_channel->is_open();
         if (is_open && now - connection->m_idle_since > options.max_idle_time) {
             return nullptr;
