Test connections that hold a response too many, and late statements

Cause: no test failed when the client kept a connection on which a response too many had arrived, when it used or dropped the wrong connections while it passed some over, or when what another request's late response says of its endpoint was recorded.

Change: tests for each.

--- a/tests/gateway/http_client_test.cpp
+++ b/tests/gateway/http_client_test.cpp
@@ -1,12 +1,16 @@
 #include "gateway/http/http_client.h"
 #include "gateway/http/http_server.h"
 #include "gateway/http/message.h"
+#include "gateway/http/tcp_channel.h"
 
-#include <functional> // function
-#include <memory>     // make_shared, shared_ptr
-#include <optional>   // optional
-#include <string>     // string, to_string
-#include <utility>    // exchange, move
+#include <cstddef>     // size_t
+#include <functional>  // function
+#include <memory>      // make_shared, shared_ptr
+#include <optional>    // optional
+#include <string>      // string, to_string
+#include <string_view> // string_view
+#include <utility>     // exchange, move
+#include <vector>      // vector
 
 #include <asio/buffer.hpp>     // buffer
 #include <asio/io_context.hpp> // io_context
@@ -59,6 +63,113 @@
     http_client m_client{m_loop};
 };
 
+/// Client and a server that sends literal bytes, on one loop.
+class literal_fixture {
+public:
+    /// @param response to each request
+    explicit literal_fixture(std::string response) : m_response{std::move(response)} { accept(); }
+
+    literal_fixture(const literal_fixture&) = delete;
+    literal_fixture& operator=(const literal_fixture&) = delete;
+    literal_fixture(literal_fixture&&) = delete;
+    literal_fixture& operator=(literal_fixture&&) = delete;
+
+    ~literal_fixture()
+    {
+        for (const auto& channel : m_channels) {
+            channel->close();
+        }
+        m_loop.restart();
+        m_loop.run_for(1ms);
+    }
+
+    /// What a call has led to.
+    struct call_result {
+        std::size_t connection = 0;
+        std::optional<call_end> end;
+        int status = 0;
+        std::string body;
+    };
+
+    std::shared_ptr<call_result> begin(const std::string& request_id = {})
+    {
+        auto result = std::make_shared<call_result>();
+        call_options options;
+        options.request_id = request_id;
+        options.address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        const auto connection = m_client.call(
+            options, format_request("GET", "/", {}, {}),
+            {.on_head = [result](const message_head& head) { result->status = head.status; },
+             .on_body = [result](std::string& bytes) { result->body += std::exchange(bytes, {}); },
+             .on_end = [result](call_end end) { result->end = end; }});
+        result->connection = connection->number();
+        return result;
+    }
+
+    call_result call(const std::string& request_id = {})
+    {
+        const auto result = begin(request_id);
+        REQUIRE(run_until([result] { return result->end.has_value(); }));
+        return *result;
+    }
+
+    /// Sends bytes without running the loop.
+    /// @param connection number of the connection, from 1
+    void send(std::size_t connection, std::string_view bytes)
+    {
+        m_channels[connection - 1]->send(bytes);
+    }
+
+    /// Runs the loop until `is_done`, or for `test_timeout`. Returns whether it is done.
+    bool run_until(const std::function<bool()>& is_done)
+    {
+        const time_point limit = boot_clock::now() + test_timeout;
+        while (!is_done() && boot_clock::now() < limit) {
+            m_loop.restart();
+            m_loop.run_one_for(10ms);
+        }
+        return is_done();
+    }
+
+    [[nodiscard]] const http_client& client() const noexcept { return m_client; }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept(
+            [this](const asio::error_code& failure, asio::ip::tcp::socket socket) {
+                if (!failure) {
+                    serve(std::make_shared<tcp_channel>(std::move(socket)));
+                    accept();
+                }
+            });
+    }
+
+    void serve(const std::shared_ptr<tcp_channel>& channel)
+    {
+        m_channels.push_back(channel);
+        const std::size_t number = m_channels.size();
+        channel->set_handlers({
+            .on_bytes =
+                [this, number](std::string_view bytes) {
+                    if (bytes.ends_with("\r\n\r\n")) {
+                        send(number, m_response);
+                    }
+                },
+            .on_end = [](channel_end) {},
+        });
+        channel->start_reading();
+    }
+
+    asio::io_context m_loop{1};
+    asio::ip::tcp::acceptor m_acceptor{m_loop, {asio::ip::address_v4::loopback(), 0}};
+    std::string m_response;
+    std::vector<std::shared_ptr<tcp_channel>> m_channels;
+    http_client m_client{m_loop};
+};
+
+const std::string short_response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext";
+
 } // namespace
 
 // guards against LOST: a stream to a slow caller ended while its connection wasn't read, and the
@@ -121,6 +232,42 @@
         }
         CHECK(call("another") != 3);
     }
+    SUBCASE("connections that are passed over stay open, and an older one is used")
+    {
+        CHECK(call("e") == 3);
+        CHECK(call("e") == 2);
+        CHECK(call("e") == 1);
+        CHECK(call("e") == 4);
+        CHECK(fixture.client().connections_opened() == 4);
+    }
+}
+
+// guards against a response that is read as the next request's
+TEST_CASE("a connection on which a response too many has arrived isn't used again")
+{
+    SUBCASE("in the same read as the response")
+    {
+        literal_fixture fixture{short_response + short_response};
+        CHECK(fixture.call().body == "text");
+        CHECK(fixture.client().unexpected_responses() == 1);
+        CHECK(fixture.call().connection == 2);
+    }
+    SUBCASE("a part of it, in the same read as the response")
+    {
+        literal_fixture fixture{short_response + "H"};
+        CHECK(fixture.call().body == "text");
+        CHECK(fixture.client().unexpected_responses() == 1);
+        CHECK(fixture.call().connection == 2);
+    }
+    SUBCASE("while the connection was idle")
+    {
+        literal_fixture fixture{short_response};
+        CHECK(fixture.call().connection == 1);
+        CHECK(fixture.call().connection == 1);
+        fixture.send(1, short_response);
+        CHECK(fixture.run_until([&] { return fixture.client().unexpected_responses() == 1; }));
+        CHECK(fixture.call().connection == 2);
+    }
 }
 
 // guards against LOST: the limit on callers' requests was applied to what endpoints send, so that
--- a/tests/gateway/repeated_refusal_test.cpp
+++ b/tests/gateway/repeated_refusal_test.cpp
@@ -133,3 +133,27 @@
     CHECK(requests == 2);
     CHECK(response->status == 200);
 }
+
+// guards against what an endpoint said earlier: a late copy of another request's refusal was read as
+// said now
+TEST_CASE("regression: a late response to another request says nothing of the endpoint")
+{
+    const std::string statements = "Server-Leaving: 1\r\nRetry-After: 5\r\nServer-Limit: 2\r\n";
+    for (const bool is_own : {false, true}) {
+        CAPTURE(is_own);
+        gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+        scripted_endpoint faulty{gateway, "a", [&](std::size_t) {
+                                     return scripted_endpoint::step{format_answer(
+                                         "503 Service Unavailable", is_own ? id : another_id,
+                                         rejection_line + statements)};
+                                 }};
+        const auto response = gateway.send_request();
+        gateway.run_to_end(response);
+        CHECK(response->status == (is_own ? 503 : 502));
+        for (const std::string event :
+             {"endpoint_leaving", "endpoint_turned_away", "endpoint_rate_named"}) {
+            CAPTURE(event);
+            CHECK(gateway.events(event) == (is_own ? 1 : 0));
+        }
+    }
+}
