Test that an id is sent to a host over a connection only once

Cause: no test failed when only requests to endpoints, not those to hosts, named their id to the client.

Change: a test counts the connections to a host that refuses a request twice.

--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -225,6 +225,9 @@
         return at == std::string::npos ? 0 : std::stoi(text.substr(text.find(' ', at)));
     }
 
+    /// Connections that were opened to endpoints and hosts.
+    [[nodiscard]] std::uint64_t connections_opened() const { return m_client.connections_opened(); }
+
     /// Ends all open requests, as at the end of a shutdown.
     void end_all()
     {
--- a/tests/gateway/repeated_refusal_test.cpp
+++ b/tests/gateway/repeated_refusal_test.cpp
@@ -157,3 +157,24 @@
         }
     }
 }
+
+// guards against TWICE: the same between hosts, whose refusals are matched by the id as well
+TEST_CASE("a request that a host has refused goes to that host over another connection")
+{
+    gateway_fixture gateway{make_route(request_kind::non_idempotent, 2)};
+    int hops = 0;
+    gateway.add_host([&](const auto& request) {
+        ++hops;
+        header_list headers;
+        headers.add(std::string{refusal_header}, "overloaded");
+        headers.add(std::string{refused_id_header}, id);
+        headers.add(std::string{ran_header}, "no");
+        headers.add(std::string{reached_header}, "yes");
+        request->respond(503, headers, {});
+    });
+    const auto response = gateway.send_request();
+    gateway.run_to_end(response);
+    CHECK(response->status == 503);
+    CHECK(hops == 2);
+    CHECK(gateway.connections_opened() == 2);
+}
