--- a/tests/gateway/http_client_test.cpp
+++ b/tests/gateway/http_client_test.cpp
@@ -331,3 +331,16 @@
     run_until([&ended] { return ended.has_value(); });
     CHECK(ended == call_end::broken);
 }
+
+// guards against TWICE: a response's head is that of an informational response before it, whose
+// length is ignored (RFC 9112, 6.3)
+TEST_CASE("an informational response isn't the response, whatever its headers")
+{
+    literal_fixture fixture{"HTTP/1.1 103 Early Hints\r\nContent-Length: 200000\r\n\r\n" +
+                            short_response};
+    const auto response = fixture.begin();
+    CHECK(fixture.run_until([response] { return response->end.has_value(); }));
+    CHECK(response->end == call_end::complete);
+    CHECK(response->status == 200);
+    CHECK(response->body == "text");
+}
--- a/tests/gateway/repeated_refusal_test.cpp
+++ b/tests/gateway/repeated_refusal_test.cpp
@@ -178,3 +178,23 @@
     CHECK(hops == 2);
     CHECK(gateway.connections_opened() == 2);
 }
+
+// guards against TWICE: an informational response with a length was taken for the response itself
+TEST_CASE("an informational response with a body doesn't count as a refusal")
+{
+    gateway_fixture gateway{make_route(request_kind::non_idempotent, 3)};
+    gateway.set_retry_slack(100);
+    const std::string hints =
+        format_answer("103 Early Hints", id, rejection_line, std::string(200'000, 'x'));
+    const std::string answer = format_answer("200 OK", id, {}, "answer");
+    scripted_endpoint faulty{gateway, "a",
+                             [&](std::size_t) { return scripted_endpoint::step{hints + answer}; }};
+    std::size_t other_runs = 0;
+    gateway.add_endpoint("b", [&](const auto& request) {
+        ++other_runs;
+        request->respond(200, response_headers(), "other");
+    });
+    const auto response = gateway.send_request();
+    gateway.run_to_end(response);
+    CHECK(faulty.requests() + other_runs == 1);
+}
