Test that a response 304 ends with its head (fails)

Cause: the parser awaits a body of the length that a response 304 names. RFC 9110, 15.4.5 lets it name the length of the response that it stands for; RFC 9112, 6.3 says that it has no body.

Change: a test only. It fails, by a real fault: no end of the response within 5 s.

--- a/tests/gateway/http_client_test.cpp
+++ b/tests/gateway/http_client_test.cpp
@@ -344,3 +344,13 @@
     CHECK(response->status == 200);
     CHECK(response->body == "text");
 }
+
+// guards against LOST: the bytes of the next response were awaited as its body
+TEST_CASE("a response 304 has no body, whatever length it names")
+{
+    literal_fixture fixture{"HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n"};
+    const auto response = fixture.begin();
+    CHECK(fixture.run_until([response] { return response->end.has_value(); }));
+    CHECK(response->end == call_end::complete);
+    CHECK(response->status == 304);
+}
