Test that a connection with an unread response too many isn't used again (fails)

Cause: a connection is taken from the idle list without a look at what the kernel holds for it. A response too many that has arrived, but that the loop hasn't read yet, is read as the response to the new request. By its id it isn't taken for the request's own, so nothing runs twice, but the request may run while its caller is told that this is unknown.

Change: a test only. It fails, by a real fault: the second call uses connection 1 instead of 2, and gets status 503 instead of 200.

--- a/tests/gateway/http_client_test.cpp
+++ b/tests/gateway/http_client_test.cpp
@@ -354,3 +354,15 @@
     CHECK(response->end == call_end::complete);
     CHECK(response->status == 304);
 }
+
+// guards against a response that is read as the next request's: it has arrived, but the loop hasn't
+// read it yet when the next call begins
+TEST_CASE("a connection that holds an unread response too many isn't used again")
+{
+    literal_fixture fixture{short_response};
+    CHECK(fixture.call().connection == 1);
+    fixture.send(1, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    const auto next = fixture.call();
+    CHECK(next.connection == 2);
+    CHECK(next.status == 200);
+}
