Test that a late response says nothing of the endpoint's speed (fails)

Cause: the time until the head of a response with success is recorded as the endpoint's time to first byte before the id is compared. The late copy of another request's success makes a busy endpoint appear fast, and its unread tokens are taken off.

Change: a test, and a count of these times in its fixture. It fails, by a real fault: 1 time recorded instead of 0 for another request's response.

--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -228,6 +228,15 @@
     /// Connections that were opened to endpoints and hosts.
     [[nodiscard]] std::uint64_t connections_opened() const { return m_client.connections_opened(); }
 
+    /// Times to first byte that were measured at endpoints.
+    [[nodiscard]] int first_bytes() const
+    {
+        const std::string text = m_metrics.to_text();
+        const std::string name = "hickorykeel_gateway_first_byte_seconds_count ";
+        const std::size_t at = text.find(name);
+        return at == std::string::npos ? 0 : std::stoi(text.substr(at + name.size()));
+    }
+
     /// Ends all open requests, as at the end of a shutdown.
     void end_all()
     {
--- a/tests/gateway/repeated_refusal_test.cpp
+++ b/tests/gateway/repeated_refusal_test.cpp
@@ -198,3 +198,21 @@
     gateway.run_to_end(response);
     CHECK(faulty.requests() + other_runs == 1);
 }
+
+// guards against a wrong estimate of the endpoint: the time to the late copy of another request's
+// success was taken for the endpoint's time to first byte
+TEST_CASE("a late response to another request says nothing of the endpoint's speed")
+{
+    for (const bool is_own : {false, true}) {
+        CAPTURE(is_own);
+        gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+        scripted_endpoint faulty{gateway, "a", [&](std::size_t) {
+                                     return scripted_endpoint::step{
+                                         format_answer("200 OK", is_own ? id : another_id)};
+                                 }};
+        const auto response = gateway.send_request();
+        gateway.run_to_end(response);
+        CHECK(response->status == (is_own ? 200 : 502));
+        CHECK(gateway.first_bytes() == (is_own ? 1 : 0));
+    }
+}
