Test that a probe doesn't take an earlier probe's response for its own (fails)

Cause: responses to probes name no request, and a probe uses a connection that has carried another one. If the endpoint sends the response to the earlier probe once more, it is read as the response to the new one. An endpoint that has turned cold since then counts as warm.

Change: a test only. It fails, by a fault that needs an endpoint which repeats responses to probes: the prober reports "warm warm" instead of "warm cold".

--- a/tests/gateway/health_prober_test.cpp
+++ b/tests/gateway/health_prober_test.cpp
@@ -1,13 +1,18 @@
 #include "gateway/serving/health_prober.h"
 
 #include "gateway/http/http_server.h"
+#include "gateway/http/tcp_channel.h"
 #include "platform/headers.h"
 
-#include <chrono>  // milliseconds, seconds
-#include <string>  // string
-#include <utility> // move, pair
-#include <vector>  // vector
+#include <chrono>      // milliseconds, seconds
+#include <functional>  // function
+#include <memory>      // make_shared, shared_ptr
+#include <string>      // string
+#include <string_view> // string_view
+#include <utility>     // exchange, move, pair
+#include <vector>      // vector
 
+#include <asio/ip/tcp.hpp> // tcp
 #include <doctest/doctest.h>
 
 using namespace hickorykeel;
@@ -148,3 +153,71 @@
     CHECK_FALSE(probe_fixture{respond_with(200, {{attempt, "9c41d07be2a35f68"}, {instance, "i-1"}})}
                     .probe());
 }
+
+// guards against FAILBACK: an endpoint was warm when it was probed first, and is cold now. The copy of
+// its first response, which names no request, arrives where the next one is due
+TEST_CASE("a probe doesn't take a copy of an earlier probe's response for its own")
+{
+    const std::string warm = "HTTP/1.1 200 OK\r\nX-Hickorykeel-Instance-Id: i-1\r\n"
+                             "X-Hickorykeel-Cold-Ms: 0\r\nContent-Length: 0\r\n\r\n";
+    const std::string now_cold = "HTTP/1.1 200 OK\r\nX-Hickorykeel-Instance-Id: i-1\r\n"
+                                 "X-Hickorykeel-Cold-Ms: 2400\r\nContent-Length: 0\r\n\r\n";
+    asio::io_context loop{1};
+    asio::ip::tcp::acceptor acceptor{loop, {asio::ip::address_v4::loopback(), 0}};
+    std::vector<std::shared_ptr<tcp_channel>> channels;
+    int requests = 0;
+    std::function<void()> accept = [&] {
+        acceptor.async_accept([&](const asio::error_code& failure, asio::ip::tcp::socket socket) {
+            if (failure) {
+                return;
+            }
+            const auto channel = std::make_shared<tcp_channel>(std::move(socket));
+            channels.push_back(channel);
+            channel->set_handlers({
+                .on_bytes =
+                    [&, channel = channel.get(), is_first = true](std::string_view) mutable {
+                        const bool is_first_request = ++requests == 1;
+                        const bool is_new_connection = std::exchange(is_first, false);
+                        if (is_first_request || !is_new_connection) {
+                            channel->send(warm);
+                        }
+                        if (!is_first_request) {
+                            channel->send(now_cold);
+                        }
+                    },
+                .on_end = [](channel_end) {},
+            });
+            channel->start_reading();
+            accept();
+        });
+    };
+    accept();
+    {
+        http_client client{loop};
+        const protocol_adapter adapter = platform::make_protocol_adapter();
+        event_log log{loop, "host", {.request_lines_per_s = 0}};
+        const health_prober prober{{loop, client, adapter, log}};
+        endpoint_entry entry;
+        entry.id = "i-1";
+        entry.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        std::string said;
+        const auto probe = [&] {
+            prober.probe(entry, "/healthz",
+                         {.on_warm = [&] { said += "warm "; },
+                          .on_cold = [&](duration) { said += "cold "; },
+                          .on_head = [](const message_head&) {}});
+            loop.restart();
+            loop.run_for(800ms);
+        };
+        probe();
+        probe();
+        CHECK(requests == 2);
+        CHECK(said == "warm cold ");
+    }
+    for (const auto& channel : channels) {
+        channel->close();
+    }
+    acceptor.close();
+    loop.restart();
+    loop.run_for(10ms);
+}
