Test that an informational response isn't taken for an endpoint's answer (fails)

After 102 or 103, the response that follows is read as the body of the informational one.

Change: a test only. It fails, by a real fault, for 102 and 103 (4 checks of the case): the status is 102 or 103 instead of 200, and the body holds the head of the answer. For 100 it passes.

--- a/tests/connection/endpoint_call_test.cpp
+++ b/tests/connection/endpoint_call_test.cpp
@@ -2,11 +2,12 @@
 
 #include <array>       // array
 #include <chrono>      // seconds
+#include <cstddef>     // size_t
 #include <string>      // string, to_string
 #include <string_view> // string_view
 #include <thread>      // jthread
 #include <utility>     // move
-#include <variant>     // get_if
+#include <variant>     // get_if, holds_alternative
 
 #include <asio/buffer.hpp>     // buffer
 #include <asio/io_context.hpp> // io_context
@@ -89,3 +90,36 @@
         }
     }
 }
+
+// guards against an answer that is an informational response's: 103 was taken for the answer, and the
+// answer itself for its body
+TEST_CASE("an informational response isn't the answer")
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext";
+    for (const std::string status : {"100 Continue", "102 Processing", "103 Early Hints"}) {
+        CAPTURE(status);
+        const scripted_server server{"HTTP/1.1 " + status + "\r\n\r\n" + answer};
+        std::string seen;
+        std::string body;
+        endpoint where;
+        where.name = "e";
+        where.address = server.address();
+        link::dispatch_request request;
+        request.set_method("GET");
+        request.set_path("/");
+        endpoint_call made{where, target_kind::service};
+        const auto outcome = made.run(
+            request, {"id", {}}, 10s,
+            [&](int code, const auto&) {
+                seen += std::to_string(code) + ' ';
+                return true;
+            },
+            [&](const char* bytes, std::size_t size) {
+                body.append(bytes, size);
+                return true;
+            });
+        CHECK(std::holds_alternative<endpoint_call::is_whole>(outcome));
+        CHECK(seen == "200 ");
+        CHECK(body == "text");
+    }
+}
