--- a/tests/gateway/repeated_refusal_test.cpp
+++ b/tests/gateway/repeated_refusal_test.cpp
@@ -133,3 +133,86 @@
     CHECK(requests == 2);
     CHECK(response->status == 200);
 }
+
+// guards against what an endpoint said earlier: a late copy of another request's refusal was read as
+// said now
+TEST_CASE("regression: a late response to another request says nothing of the endpoint")
+{
+    const std::string statements = "Server-Leaving: 1\r\nRetry-After: 5\r\nServer-Limit: 2\r\n";
+    for (const bool is_own : {false, true}) {
+        CAPTURE(is_own);
+        gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+        scripted_endpoint faulty{gateway, "a", [&](std::size_t) {
+                                     return scripted_endpoint::step{format_answer(
+                                         "503 Service Unavailable", is_own ? id : another_id,
+                                         rejection_line + statements)};
+                                 }};
+        const auto response = gateway.send_request();
+        gateway.run_to_end(response);
+        CHECK(response->status == (is_own ? 503 : 502));
+        for (const std::string event :
+             {"endpoint_leaving", "endpoint_turned_away", "endpoint_rate_named"}) {
+            CAPTURE(event);
+            CHECK(gateway.events(event) == (is_own ? 1 : 0));
+        }
+    }
+}
+
+// guards against TWICE: the same between hosts, whose refusals are matched by the id as well
+TEST_CASE("a request that a host has refused goes to that host over another connection")
+{
+    gateway_fixture gateway{make_route(request_kind::non_idempotent, 2)};
+    int hops = 0;
+    gateway.add_host([&](const auto& request) {
+        ++hops;
+        header_list headers;
+        headers.add(std::string{refusal_header}, "overloaded");
+        headers.add(std::string{refused_id_header}, id);
+        headers.add(std::string{ran_header}, "no");
+        headers.add(std::string{reached_header}, "yes");
+        request->respond(503, headers, {});
+    });
+    const auto response = gateway.send_request();
+    gateway.run_to_end(response);
+    CHECK(response->status == 503);
+    CHECK(hops == 2);
+    CHECK(gateway.connections_opened() == 2);
+}
+
+// guards against TWICE: an informational response with a length was taken for the response itself
+TEST_CASE("an informational response with a body doesn't count as a refusal")
+{
+    gateway_fixture gateway{make_route(request_kind::non_idempotent, 3)};
+    gateway.set_retry_slack(100);
+    const std::string hints =
+        format_answer("103 Early Hints", id, rejection_line, std::string(200'000, 'x'));
+    const std::string answer = format_answer("200 OK", id, {}, "answer");
+    scripted_endpoint faulty{gateway, "a",
+                             [&](std::size_t) { return scripted_endpoint::step{hints + answer}; }};
+    std::size_t other_runs = 0;
+    gateway.add_endpoint("b", [&](const auto& request) {
+        ++other_runs;
+        request->respond(200, response_headers(), "other");
+    });
+    const auto response = gateway.send_request();
+    gateway.run_to_end(response);
+    CHECK(faulty.requests() + other_runs == 1);
+}
+
+// guards against a wrong estimate of the endpoint: the time to the late copy of another request's
+// success was taken for the endpoint's time to first byte
+TEST_CASE("a late response to another request says nothing of the endpoint's speed")
+{
+    for (const bool is_own : {false, true}) {
+        CAPTURE(is_own);
+        gateway_fixture gateway{make_route(request_kind::non_idempotent, 1)};
+        scripted_endpoint faulty{gateway, "a", [&](std::size_t) {
+                                     return scripted_endpoint::step{
+                                         format_answer("200 OK", is_own ? id : another_id)};
+                                 }};
+        const auto response = gateway.send_request();
+        gateway.run_to_end(response);
+        CHECK(response->status == (is_own ? 200 : 502));
+        CHECK(gateway.first_bytes() == (is_own ? 1 : 0));
+    }
+}
