Read no body of an informational response or a 304

Cause: the parser read as many bytes as an informational response (1xx) or a 304 names; they have no body, whatever their heads say (RFC 9112, section 6.3). The head of the response that followed was lost in it, and an informational response with the request's id and the rejection header counted as "not run": the request ran again elsewhere (TWICE). A 304 that names a length never ended.

Found by the review of the copies of refusals.

--- a/src/gateway/http/message_parser.cpp
+++ b/src/gateway/http/message_parser.cpp
@@ -18,6 +18,12 @@
     });
 }
 
+/// Whether a response with `status` has no body, whatever its head says (RFC 9112, section 6.3).
+bool is_bodiless(int status) noexcept
+{
+    return status < 200 || status == 204 || status == 304;
+}
+
 } // namespace
 
 message_parser::message_parser(message_role role, message_limits limits)
@@ -163,6 +169,7 @@
     if (!has_valid_names(self.m_head.headers)) {
         return -1;
     }
+    bool has_no_body = self.m_has_no_body;
     if (self.m_role == message_role::request) {
         self.m_head.method = http_method_str(static_cast<http_method>(parser->method));
         if (parser->method == HTTP_CONNECT || self.m_head.headers.count("host") > 1) {
@@ -180,13 +187,13 @@
     }
     else {
         self.m_head.status = static_cast<int>(parser->status_code);
-        self.m_ends_with_connection = !self.m_has_no_body && self.m_head.status >= 200 &&
-                                      self.m_head.status != 204 && self.m_head.status != 304 &&
-                                      (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+        has_no_body = has_no_body || is_bodiless(self.m_head.status);
+        self.m_ends_with_connection =
+            !has_no_body && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
     }
     self.m_head.keeps_alive = http_should_keep_alive(parser) != 0;
     self.m_state = parse_state::reading_body;
-    return self.m_has_no_body ? 1 : 0;
+    return has_no_body ? 1 : 0;
 }
 
 int message_parser::on_body(http_parser* parser, const char* at, std::size_t length)
