Measure no time to first byte by another request's response

Cause: the time to a response's head was recorded before its id was compared, so the late copy of another request's success made a busy endpoint appear fast. Test: repeated_refusal_test ("a late response to another request says nothing of the endpoint's speed"), 1 time recorded before, none now.

--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -110,8 +110,12 @@
     m_attempt.has_head = true;
     m_attempt.head = head;
     m_attempt.first_byte = elapsed;
-    record_endpoint_statement();
-    if (!m_attempt.endpoint.empty() && is_success(head.status)) {
+    // another request's response may be a late copy, which says nothing of the present
+    const bool is_own = m_context.adapter.read_response_fields(head).id == m_fields.id;
+    if (is_own) {
+        record_endpoint_statement();
+    }
+    if (is_own && !m_attempt.endpoint.empty() && is_success(head.status)) {
         m_context.pool.on_first_byte(m_attempt.endpoint, std::exchange(m_attempt.waiting_tokens, 0),
                                      elapsed, m_attempt.expected);
         m_context.metrics.on_first_byte(elapsed);
@@ -123,9 +127,7 @@
 
 void exchange::record_endpoint_statement()
 {
-    // another request's response may be a late copy, which says nothing of the present
-    const bool is_own = m_context.adapter.read_response_fields(m_attempt.head).id == m_fields.id;
-    if (!m_attempt.endpoint.empty() && is_own) {
+    if (!m_attempt.endpoint.empty()) {
         record_statement({m_context.adapter, m_context.pool, m_context.log, m_context.metrics},
                          {m_attempt.endpoint, m_attempt.endpoint_started_ms}, m_attempt.head,
                          {m_attempt.sent_at, boot_clock::now()});
