Send no two probes over one connection

Cause: the response to a probe names no request, so the copy of an earlier probe's response was taken for the present one's: an endpoint that had turned cold counted as warm. Test: health_prober_test ("a probe doesn't take a copy of an earlier probe's response for its own"), "warm warm" before, "warm cold" now. Probes are rare; each further one at an endpoint opens a connection.

--- a/src/gateway/serving/health_prober.cpp
+++ b/src/gateway/serving/health_prober.cpp
@@ -1,7 +1,9 @@
 #include "gateway/serving/health_prober.h"
 
-#include <chrono>  // milliseconds
-#include <utility> // exchange, move
+#include <chrono>      // milliseconds
+#include <string>      // string
+#include <string_view> // string_view
+#include <utility>     // exchange, move
 
 #include <asio/steady_timer.hpp> // steady_timer
 
@@ -13,6 +15,9 @@
 constexpr duration response_timeout = std::chrono::milliseconds{600};
 constexpr duration connect_timeout = std::chrono::milliseconds{300};
 constexpr int status_ok = 200;
+/// Stands for the id that a probe doesn't have, so that no connection carries two probes: a late copy
+/// of the response to the first would be taken for that to the second.
+constexpr std::string_view probe_id = "health probe";
 
 } // namespace
 
@@ -44,7 +49,9 @@
         }
     });
     state->call = m_dependencies.client.call(
-        {.address = endpoint.address, .connect_timeout = connect_timeout},
+        {.address = endpoint.address,
+         .request_id = std::string{probe_id},
+         .connect_timeout = connect_timeout},
         format_request("GET", path,
                        m_dependencies.adapter.to_health_headers(endpoint.address, endpoint.id), {}),
         {.on_head = [this, state](const message_head& head) { on_head(*state, head); },
