Say that a request may have run if any of its attempts may have

Cause: the entry process kept the last failed attempt only. An idempotent request whose first attempt may have run and whose second certainly had not was refused with "ran": "no". Test: request_runner_test, 1 of 16 checks failed before.

--- a/src/process/request_runner.cpp
+++ b/src/process/request_runner.cpp
@@ -255,7 +255,11 @@
     if (detail::is_withdrawn(why) || !may_try_again(why.ran)) {
         return step{give_up(std::move(why))};
     }
+    const bool may_have_run = m_last_failure.ran == ran_state::unknown;
     m_last_failure = std::move(why);
+    if (may_have_run) {
+        m_last_failure.ran = ran_state::unknown;
+    }
     m_last_cause = cause;
     note_visit(cause);
     end_attempt();
