--- a/standins/gateway/platform_world.h
+++ b/standins/gateway/platform_world.h
@@ -88,6 +88,9 @@
 public:
     explicit platform_world(const std::string& store_address);
 
+    /// The loop, for endpoints with faults of their own.
+    [[nodiscard]] asio::io_context& loop() noexcept { return m_loop; }
+
     /// @name store
     /// @{
     void put(const std::string& key, const nlohmann::json& value);
