Test the rate that an endpoint names over real processes

Cause: that endpoints get no more requests than the rate that they name was tested in one process only.

Change: the stand-in endpoint can name a rate in its responses, and keeps the arrivals of what it runs. A scenario with two gateways of one region, an endpoint that names one request a second, and one that names none: from 6 s after the first naming, at most 11 requests (1.5 * 1 * 4 + 5) may arrive in any 4 s. The start of the two gateways is shared with the scenario of late copies. The bound doesn't tell one host's share from two: two hosts that each send the whole rate stay below it.

--- a/standins/gateway/platform_world.cpp
+++ b/standins/gateway/platform_world.cpp
@@ -84,6 +84,9 @@
     header_list headers;
     headers.add("X-Hickorykeel-Attempt-Id", attempt);
     headers.add("X-Hickorykeel-Instance-Id", m_id);
+    if (m_limit > 0) {
+        headers.add("Server-Limit", std::to_string(m_limit));
+    }
     if (head.target == "/healthz") {
         headers.add("X-Hickorykeel-Cold-Ms", std::to_string(m_cold_ms));
         request->respond(200, headers, {});
@@ -94,6 +97,7 @@
         return;
     }
     ++m_runs[attempt];
+    m_arrivals.push_back(boot_clock::now());
     if (m_is_silent) {
         m_unanswered.push_back(request);
         return;
--- a/standins/gateway/platform_world.h
+++ b/standins/gateway/platform_world.h
@@ -2,6 +2,7 @@
 
 #include "gateway/http/http_client.h"
 #include "gateway/http/http_server.h"
+#include "process/clock.h"
 
 #include <chrono>     // milliseconds
 #include <cstddef>    // size_t
@@ -47,6 +48,12 @@
     /// Sets for how long health responses say that it is cold; its entry doesn't.
     void set_cold_ms(int cold_ms) noexcept { m_cold_ms = cold_ms; }
 
+    /// Names, in each response, the requests a second that it takes from all hosts together; 0 none.
+    void set_limit(int per_s) noexcept { m_limit = per_s; }
+
+    /// Arrivals of the requests that it ran, in order.
+    [[nodiscard]] const std::vector<time_point>& arrivals() const noexcept { return m_arrivals; }
+
     /// Replaces the body of responses that are not streams.
     void set_body(std::string body) { m_body = std::move(body); }
 
@@ -63,6 +70,7 @@
     std::string m_state = "ready";
     int m_events = 5;
     int m_cold_ms = 0;
+    int m_limit = 0;
     bool m_is_silent = false;
     bool m_is_endless = false;
     std::size_t m_max_endless_bytes = 0;
@@ -70,6 +78,7 @@
     std::string m_body;
     std::uint64_t m_sequence = 0;
     std::map<std::string, int> m_runs;
+    std::vector<time_point> m_arrivals;
     gateway::http_server m_server;
 };
 
--- a/tests/scenarios/gateway_late_copies_test.cpp
+++ b/tests/scenarios/gateway_late_copies_test.cpp
@@ -5,16 +5,17 @@
 #include "support/free_port.h"
 #include "support/scratch_file.h"
 
-#include <algorithm> // all_of, min
-#include <chrono>    // milliseconds
-#include <cstddef>   // size_t
-#include <cstdint>   // uint64_t
-#include <map>       // map
-#include <memory>    // make_unique, shared_ptr, unique_ptr
-#include <random>    // mt19937_64
-#include <set>       // set
-#include <string>    // string
-#include <vector>    // vector
+#include <algorithm>  // all_of, lower_bound, max, min
+#include <chrono>     // milliseconds
+#include <cstddef>    // size_t
+#include <cstdint>    // uint64_t
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // make_unique, shared_ptr, unique_ptr
+#include <random>     // mt19937_64
+#include <set>        // set
+#include <string>     // string
+#include <vector>     // vector
 
 #include <doctest/doctest.h>
 #include <fmt/format.h> // format
@@ -62,27 +63,28 @@
                {"plainTokens", 1}}}}};
 }
 
-/// Two gateways, one in each of two regions, and two endpoints in each that send late copies of refusals.
-class repeating_platform {
+/// The platform with two gateways, in one region each or in the same.
+class gateway_pair {
 public:
-    explicit repeating_platform(std::uint64_t seed)
+    /// Starts the gateways. @param regions of the failure domains "x-1" and "x-2", one gateway each
+    explicit gateway_pair(const std::vector<std::string>& regions)
+        : m_failure_domains{"\nfailure_domains =\n  x-1:" + regions.at(0) +
+                            "\n  x-2:" + regions.at(1)}
     {
         m_world.put("op/config", make_configuration());
-        const std::vector<std::string> failure_domains{"a-1", "a-1", "b-1", "b-1"};
-        for (std::size_t i = 0; i < failure_domains.size(); ++i) {
-            m_endpoints.push_back(
-                std::make_unique<repeating_endpoint>(m_world, fmt::format("i-{}", i), "s",
-                                                     failure_domains[i], free_address(), seed + i));
-        }
-        start("a", "2", "3");
-        start("b", "3", "2");
+        start("x-1", regions.at(0), "2", "3");
+        start("x-2", regions.at(1), "3", "2");
+    }
+
+    /// Waits until both are ready.
+    void wait_until_ready()
+    {
         for (const std::string& ip : m_ips) {
             REQUIRE(m_world.run_until([&] { return is_ready(ip); }));
         }
     }
 
     platform_world& world() { return m_world; }
-    auto& endpoints() { return m_endpoints; }
 
     std::shared_ptr<world_answer> ask(std::size_t host, const std::string& target,
                                       const std::string& id)
@@ -95,31 +97,6 @@
                            "body");
     }
 
-    [[nodiscard]] int runs(const std::string& id) const
-    {
-        int sum = 0;
-        for (const auto& endpoint : m_endpoints) {
-            const auto found = endpoint->runs().find(id);
-            sum += found == endpoint->runs().end() ? 0 : found->second;
-        }
-        return sum;
-    }
-
-    [[nodiscard]] repeating_endpoint::counts events() const
-    {
-        repeating_endpoint::counts sum;
-        for (const auto& endpoint : m_endpoints) {
-            const auto& more = endpoint->events();
-            sum.rejected += more.rejected;
-            sum.misdirected += more.misdirected;
-            sum.returned += more.returned;
-            sum.copies += more.copies;
-            sum.matched += more.matched;
-            sum.interjected += more.interjected;
-        }
-        return sum;
-    }
-
 private:
     static std::string port()
     {
@@ -127,21 +104,20 @@
         return address.substr(address.rfind(':'));
     }
 
-    void start(const std::string& region, const std::string& last_byte,
-               const std::string& other_last_byte)
+    void start(const std::string& failure_domain, const std::string& region,
+               const std::string& last_byte, const std::string& other_last_byte)
     {
         const std::string any = free_address();
         const std::string net = any.substr(0, any.rfind('.') + 1);
         const std::string ip = net + last_byte;
         m_ips.push_back(ip);
         m_settings.push_back(std::make_unique<scratch_file>(
-            "[host]\nname = host-" + region + "\nip = " + ip + "\nfailure_domain = " + region +
-            "-1\nregion = " + region +
-            "\nfailure_domains =\n  a-1:a\n  b-1:b\n[listen]\ncallers = " + ip + m_callers +
-            "\nreadiness = " + ip + m_readiness + "\ndirectory = " + ip + m_directory +
-            "\npeers = " + ip + m_peers + "\nmetrics = " + ip + m_metrics +
-            "\n[peers]\nseeds =\n  " + ip + m_peers + "\n  " + net + other_last_byte + m_peers +
-            "\n[source]\naddress = " + m_store_address + "\n"));
+            "[host]\nname = host-" + failure_domain + "\nip = " + ip +
+            "\nfailure_domain = " + failure_domain + "\nregion = " + region + m_failure_domains +
+            "\n[listen]\ncallers = " + ip + m_callers + "\nreadiness = " + ip + m_readiness +
+            "\ndirectory = " + ip + m_directory + "\npeers = " + ip + m_peers +
+            "\nmetrics = " + ip + m_metrics + "\n[peers]\nseeds =\n  " + ip + m_peers + "\n  " +
+            net + other_last_byte + m_peers + "\n[source]\naddress = " + m_store_address + "\n"));
         m_processes.push_back(std::make_unique<child_process>(
             "hickorykeel-gateway",
             std::vector<std::string>{"--settings", m_settings.back()->path()}));
@@ -154,6 +130,7 @@
         return answer->status == 200;
     }
 
+    std::string m_failure_domains;
     std::string m_store_address = free_address();
     std::string m_callers = port();
     std::string m_readiness = port();
@@ -161,12 +138,60 @@
     std::string m_peers = port();
     std::string m_metrics = port();
     platform_world m_world{m_store_address};
-    std::vector<std::unique_ptr<repeating_endpoint>> m_endpoints;
     std::vector<std::string> m_ips;
     std::vector<std::unique_ptr<scratch_file>> m_settings;
     std::vector<std::unique_ptr<child_process>> m_processes;
 };
 
+/// Two gateways, one in each of two regions, and two endpoints in each that send late copies of
+/// refusals.
+class repeating_platform {
+public:
+    explicit repeating_platform(std::uint64_t seed)
+    {
+        const std::vector<std::string> failure_domains{"x-1", "x-1", "x-2", "x-2"};
+        for (std::size_t i = 0; i < failure_domains.size(); ++i) {
+            m_endpoints.push_back(std::make_unique<repeating_endpoint>(
+                m_gateways.world(), fmt::format("i-{}", i), "s", failure_domains[i], free_address(),
+                seed + i));
+        }
+        m_gateways.wait_until_ready();
+    }
+
+    platform_world& world() { return m_gateways.world(); }
+    gateway_pair& gateways() { return m_gateways; }
+    auto& endpoints() { return m_endpoints; }
+
+    [[nodiscard]] int runs(const std::string& id) const
+    {
+        int sum = 0;
+        for (const auto& endpoint : m_endpoints) {
+            const auto found = endpoint->runs().find(id);
+            sum += found == endpoint->runs().end() ? 0 : found->second;
+        }
+        return sum;
+    }
+
+    [[nodiscard]] repeating_endpoint::counts events() const
+    {
+        repeating_endpoint::counts sum;
+        for (const auto& endpoint : m_endpoints) {
+            const auto& more = endpoint->events();
+            sum.rejected += more.rejected;
+            sum.misdirected += more.misdirected;
+            sum.returned += more.returned;
+            sum.copies += more.copies;
+            sum.matched += more.matched;
+            sum.interjected += more.interjected;
+        }
+        return sum;
+    }
+
+private:
+    gateway_pair m_gateways{{"a", "b"}};
+    std::vector<std::unique_ptr<repeating_endpoint>> m_endpoints;
+};
+
 /// A caller that sends one request at a time, and repeats most of what was refused under its id.
 struct repeating_caller {
     std::string id;
@@ -222,8 +247,8 @@
         if (!caller.repeats || random() % 4 == 0) {
             caller.host = random() % 2;
         }
-        caller.answer =
-            platform.ask(caller.host, random() % 4 == 0 ? "/homed/x" : "/once/x", caller.id);
+        caller.answer = platform.gateways().ask(
+            caller.host, random() % 4 == 0 ? "/homed/x" : "/once/x", caller.id);
         if (book.sendings % sendings_between_restarts == 0) {
             const std::size_t at = book.sendings / sendings_between_restarts;
             platform.endpoints().at(at % platform.endpoints().size())->restart();
@@ -315,3 +340,71 @@
     CHECK(events.returned > 40);
     CHECK(events.copies > 40);
 }
+
+namespace {
+
+/// Most arrivals within a time of `length`, of those from `first` on.
+std::size_t most_arrivals(const std::vector<time_point>& arrivals, time_point first,
+                          duration length)
+{
+    std::size_t most = 0;
+    auto oldest = std::ranges::lower_bound(arrivals, first);
+    for (auto it = oldest; it != arrivals.end(); ++it) {
+        while (*it - *oldest >= length) {
+            ++oldest;
+        }
+        most = std::max(most, static_cast<std::size_t>(it - oldest) + 1);
+    }
+    return most;
+}
+
+} // namespace
+
+// guards against FAULT: an endpoint that names a rate got far more requests from the hosts together
+TEST_CASE("two gateways keep to the rate that an endpoint names, together")
+{
+    constexpr auto settling_time = 6s;
+    constexpr auto window = 4s;
+    constexpr std::size_t limit_per_s = 1;
+    constexpr std::size_t allowed = limit_per_s * 4 * 3 / 2 + 5; // in a window
+    constexpr auto interval = 25ms; // of requests, at each host in turn
+    gateway_pair gateways{{"a", "a"}};
+    platform_world& world = gateways.world();
+    endpoint_standin& in_need = world.add_endpoint("i-1", "s", "x-1", free_address());
+    endpoint_standin& other = world.add_endpoint("i-2", "s", "x-2", free_address());
+    gateways.wait_until_ready();
+
+    std::size_t sent = 0;
+    time_point next = boot_clock::now();
+    std::vector<std::shared_ptr<world_answer>> answers;
+    const auto send_until = [&](const std::function<bool()>& is_done) {
+        CHECK(world.run_until([&] {
+            const time_point now = boot_clock::now();
+            if (now >= next) {
+                next = now + interval;
+                answers.push_back(
+                    gateways.ask(sent % 2, "/once/x", fmt::format("{:016x}", sent + 1)));
+                ++sent;
+            }
+            return is_done();
+        }));
+    };
+    // more requests arrive before it names a rate
+    send_until([&] { return in_need.arrivals().size() > 2 * allowed; });
+    const std::size_t before = in_need.arrivals().size();
+    in_need.set_limit(limit_per_s);
+    send_until([&] { return in_need.arrivals().size() > before; });
+    const time_point named = boot_clock::now();
+    send_until([&] { return boot_clock::now() >= named + settling_time + 3 * window; });
+
+    CHECK(world.run_until([&] {
+        return std::ranges::all_of(answers, [](const auto& answer) { return answer->has_ended; });
+    }));
+    const std::size_t most = most_arrivals(in_need.arrivals(), named + settling_time, window);
+    MESSAGE(fmt::format("sent {}, before the naming {}, after it {}, most in 4 s {}, other {}",
+                        sent, before, in_need.arrivals().size() - before, most,
+                        other.arrivals().size()));
+    CHECK(most <= allowed);
+    // the endpoint isn't left alone either
+    CHECK(most > 0);
+}
