Test the age of what hosts and responses say of a rate

Cause: no test failed when a report's age was left out, but for a random schedule, and none when a response without a rate counted from its receipt rather than from its request. Change: a test of each, in the pool and through the gateway.

--- a/tests/gateway/endpoint_notices_test.cpp
+++ b/tests/gateway/endpoint_notices_test.cpp
@@ -2,9 +2,10 @@
 
 #include "gateway/routing/endpoint_pool.h"
 
-#include <chrono> // milliseconds, seconds
-#include <map>    // map
-#include <string> // string, to_string
+#include <chrono>  // milliseconds, seconds
+#include <cstdint> // int64_t, uint32_t
+#include <map>     // map
+#include <string>  // string, to_string
 
 #include <doctest/doctest.h>
 
@@ -376,3 +377,18 @@
         CHECK(other.can_place(start + 2s));
     }
 }
+
+// guards against a statement that becomes newer on its way from host to host, and so lifts a rate
+TEST_CASE("a report of another host is as old as it says")
+{
+    pool_fixture host;
+    host.publish("i-1", 1);
+    const time_point named_at = start + 2s;
+    CHECK(host.pool().on_rate_statement({"i-1", 1}, {0.5, named_at}, named_at));
+    const std::uint32_t hash = short_hash(endpoint_incarnation{"i-1", 1});
+    CHECK_FALSE(host.pool().on_peer_rate({hash, {}, 600ms}, named_at + 500ms));
+    CHECK_FALSE(host.pool().on_peer_rate({hash, 20.0, 600ms}, named_at + 500ms));
+    CHECK_FALSE(host.can_place(named_at + 500ms));
+    CHECK(host.pool().on_peer_rate({hash, {}, 400ms}, named_at + 500ms));
+    CHECK(host.can_place(named_at + 500ms));
+}
--- a/tests/gateway/endpoint_rate_test.cpp
+++ b/tests/gateway/endpoint_rate_test.cpp
@@ -174,3 +174,29 @@
     CHECK(limited.arrivals() == 1);
     CHECK(other.arrivals() == 19);
 }
+
+// guards against a response that was sent before the endpoint named its rate, and arrives later
+TEST_CASE("endpoint that names a rate: a response to an earlier request doesn't lift it")
+{
+    gateway_fixture gateway{make_route(request_kind::non_idempotent, 2)};
+    std::vector<std::shared_ptr<server_exchange>> requests;
+    gateway.add_endpoint("a", [&](const std::shared_ptr<server_exchange>& request) {
+        requests.push_back(request);
+        if (requests.size() > 1) {
+            header_list headers = response_headers();
+            headers.add("Server-Limit", "0.5");
+            request->respond(200, headers, "answer");
+        }
+    });
+    const auto early = gateway.send_request();
+    gateway.run_until([&] { return requests.size() == 1; });
+    gateway.run_to_end(gateway.send_request()); // names the rate
+    CHECK(requests.size() == 2);
+    requests.front()->respond(200, response_headers(), "answer");
+    gateway.run_to_end(early);
+    CHECK(early->status == 200);
+    const auto refused = gateway.send_request();
+    gateway.run_to_end(refused);
+    CHECK(refused->status == 503);
+    CHECK(requests.size() == 2);
+}
