Let simulated hosts name the age of a rate when they send it

Cause: the schedules computed a host's rate reports in its last step, so that their ages were up to 50 ms too small, and those of a host that was frozen in between by the whole freeze. The gateway computes them with the heartbeat. Change: simulated_fleet::on_send, in which the reports are made.

--- a/tests/gateway/rate_schedules_test.cpp
+++ b/tests/gateway/rate_schedules_test.cpp
@@ -65,6 +65,12 @@
         m_hosts.resize(m_fleet.size());
         m_fleet.on_start = [this](std::size_t index) { start(index); };
         m_fleet.on_step = [this](std::size_t index) { step(index); };
+        m_fleet.fleet().on_send = [this](simulated_fleet::host& sender) {
+            const std::size_t index = m_fleet.fleet().index_of(sender.ip);
+            if (index < m_hosts.size()) {
+                sender.state.rates = m_hosts[index].pool->rate_reports(now());
+            }
+        };
         m_fleet.fleet().on_news = [this](const simulated_fleet::host& receiver,
                                          const received_news& news) { hear(receiver, news); };
     }
@@ -252,7 +258,7 @@
         }
     }
 
-    /// The host receives responses, sends what it may, and tells the others what it knows.
+    /// The host receives responses and sends what it may.
     void step(std::size_t index)
     {
         if (m_last_step != now()) {
@@ -273,7 +279,6 @@
         for (const auto& [name, requested] : m_services) {
             for (int sent = 0; sent < max_requests_in_step && send(index, requested); ++sent) {}
         }
-        m_fleet.fleet().hosts()[index].state.rates = state.pool->rate_reports(now());
     }
 
     void receive(std::size_t index, const response& received)
--- a/tests/gateway/simulated_fleet.cpp
+++ b/tests/gateway/simulated_fleet.cpp
@@ -71,6 +71,9 @@
         for (host& sender : m_hosts) {
             if (sender.is_running && sender.next_heartbeat <= m_now) {
                 sender.lost_hosts += sender.membership->expire(m_now).size();
+                if (on_send) {
+                    on_send(sender);
+                }
                 send(sender);
                 sender.next_heartbeat += m_shape.options.schedule.heartbeat_interval;
             }
--- a/tests/gateway/simulated_fleet.h
+++ b/tests/gateway/simulated_fleet.h
@@ -62,6 +62,9 @@
     /// Called for each datagram that a host has received.
     std::function<void(host& receiver, const received_news& news)> on_news;
 
+    /// Called before a host sends its heartbeats, for its `state`.
+    std::function<void(host& sender)> on_send;
+
     /// Called for each process that starts.
     std::function<void(host& started)> on_start;
 
