--- a/tests/scenarios/gateway_late_copies_test.cpp
+++ b/tests/scenarios/gateway_late_copies_test.cpp
@@ -360,7 +360,7 @@
 
 } // namespace
 
-// guards against FAULT: an endpoint that names a rate got far more requests from the hosts together
+// guards against LIMIT: an endpoint that names a rate got far more requests from the hosts together
 TEST_CASE("two gateways keep to the rate that an endpoint names, together")
 {
     constexpr auto settling_time = 6s;
