Let a host that loses its share of a rate send nothing more

Cause: a bucket without a rate kept the request that it held, so a host that was no holder any more, or was leaving, still sent it; and the wait behind other requests was divided by that rate of 0. Found in the read-through.

--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -174,8 +174,8 @@
 /// Applies this host's present share of the endpoint's rate. Precondition: it names one.
 void endpoint_pool::update_share(endpoint_state& state, time_point now) const
 {
-    state.share->set_rights(m_to_rate_share(state.entry.id, *state.rate.max_rate), rate_share_burst,
-                            now);
+    const double rate = m_to_rate_share(state.entry.id, *state.rate.max_rate);
+    state.share->set_rights(rate, rate > 0 ? rate_share_burst : 0, now);
 }
 
 /// Returns the time until this host's share of the endpoint's rate admits a request, or nothing if it
--- a/tests/gateway/endpoint_notices_test.cpp
+++ b/tests/gateway/endpoint_notices_test.cpp
@@ -47,6 +47,9 @@
         return m_pool.choose(any(), now, m_random).has_value();
     }
 
+    /// Sets the part of each endpoint's rate that belongs to this host.
+    void set_share(double part) { m_share = part; }
+
     [[nodiscard]] placement_request any() const { return {&m_service, nullptr, {}}; }
     [[nodiscard]] const service& requested_service() const { return m_service; }
     endpoint_pool& pool() { return m_pool; }
@@ -69,7 +72,8 @@
     random_source m_random{1};
     endpoint_pool m_pool{{},
                          [](const std::string&, double rate) { return rate; },
-                         [](const std::string&, double rate) { return rate; }};
+                         [this](const std::string&, double rate) { return m_share * rate; }};
+    double m_share = 1;
 };
 
 } // namespace
@@ -392,3 +396,24 @@
     CHECK(host.pool().on_peer_rate({hash, {}, 400ms}, named_at + 500ms));
     CHECK(host.can_place(named_at + 500ms));
 }
+
+// guards against LIMIT: a host that had lost its share of a rate sent what it had held back
+TEST_CASE("a host without a share of an endpoint's rate sends it nothing")
+{
+    pool_fixture host;
+    host.publish("i-1", 1);
+    const time_point named_at = start + 2s;
+    CHECK(host.pool().on_rate_statement({"i-1", 1}, {0.5, named_at}, named_at));
+    CHECK(host.can_place(named_at + 2s));
+
+    host.set_share(0);
+    CHECK_FALSE(host.can_place(named_at + 2s));
+    constexpr std::size_t waiting_ahead = 3;
+    CHECK_FALSE(host.pool().has_candidate(host.any(), named_at + 2s, named_at + 1h, waiting_ahead));
+    CHECK_FALSE(host.pool().time_turned_away(host.any(), named_at + 2s).has_value());
+
+    // a share that is held again begins empty
+    host.set_share(1);
+    CHECK_FALSE(host.can_place(named_at + 2s));
+    CHECK(host.can_place(named_at + 4s));
+}
