Don't let an old report in a frozen host end the rate of an endpoint

What could be seen: an endpoint whose rate ended and was named again while a host was frozen got 32 requests in 4 s, 26 allowed (LIMIT).

Cause: a report's age was counted back from its reading. A host that wakes reads what was sent to it while it stood still, so an old "names no rate" looked newer than the naming, and the host passed it on to the region.

Change: a report without a rate counts from the heartbeat before the last one, as the socket was read then. One with a rate still counts from its reading: taken for too new, it limits.

--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -219,11 +219,15 @@
     return reports;
 }
 
-bool endpoint_pool::on_peer_rate(const rate_report& report, time_point now)
+bool endpoint_pool::on_peer_rate(const rate_report& report, time_point heard_since, time_point now)
 {
     const auto found = m_incarnations.find(report.incarnation);
-    return found != m_incarnations.end() &&
-           on_rate_statement(found->second, {report.max_rate, now - report.age}, now);
+    if (found == m_incarnations.end()) {
+        return false;
+    }
+    // a report that waited is older than it says, and must not end a rate that was named meanwhile
+    const time_point said_by = report.max_rate ? now : heard_since;
+    return on_rate_statement(found->second, {report.max_rate, said_by - report.age}, now);
 }
 
 std::vector<endpoint_entry> endpoint_pool::take_reinstated()
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -171,7 +171,9 @@
 
     /// Records what an endpoint has said of its rate to another host. Returns whether the rate is
     /// another one now.
-    bool on_peer_rate(const rate_report& report, time_point now);
+    /// @param heard_since the report can't have arrived before this time; it may have waited since
+    /// then if the process stood still
+    bool on_peer_rate(const rate_report& report, time_point heard_since, time_point now);
 
     /// Returns the endpoints whose evacuation has ended since the last call, but for those that
     /// wanted no requests then. Each endpoint whose evacuation has ended is treated as cold for its
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -243,6 +243,7 @@
 
 void gateway::run_heartbeat()
 {
+    m_heard_since = std::exchange(m_heartbeat_at, boot_clock::now());
     update_members(boot_clock::now());
     update_quarantine(boot_clock::now());
     probe_assumed_warm_endpoints(boot_clock::now());
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -134,6 +134,10 @@
     asio::steady_timer m_stop_timer;
     time_point m_started;
     time_point m_assumed_warm_probed_at{};
+    time_point m_heartbeat_at{}; ///< the last time that heartbeats were sent
+    /// The time before that. Datagrams that are read now arrived after it, also if the process stood
+    /// still in between.
+    time_point m_heard_since{};
     std::vector<std::string> m_aggregators; ///< of this region, as last logged
     bool m_is_placement_scheduled = false;
     bool m_is_stopping = false;
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -116,7 +116,7 @@
         m_pool.on_peer_cold(report, now);
     }
     for (const rate_report& report : news.rates) {
-        if (m_pool.on_peer_rate(report, now)) {
+        if (m_pool.on_peer_rate(report, m_heard_since, now)) {
             m_metrics.count(report.max_rate ? "endpoint_rate_heard" : "endpoint_rate_end_heard");
         }
     }
--- a/tests/gateway/simulated_fleet.h
+++ b/tests/gateway/simulated_fleet.h
@@ -37,6 +37,8 @@
         std::unique_ptr<fleet_membership> membership;
         heartbeat state; ///< sent with each heartbeat
         bool is_running = false;
+        bool is_frozen = false; ///< it doesn't run, but the datagrams for it wait until `wake()`
+        std::vector<std::string> waiting_datagrams;
         time_point next_heartbeat{};
         std::uint64_t sent_bytes = 0;
         std::uint64_t sent_bytes_between_regions = 0;
@@ -54,6 +56,8 @@
     void start(std::size_t index);
     void start_all();
     void kill(std::size_t index) { m_hosts[index].is_running = false; }
+    /// A host that was frozen runs on, and receives the datagrams that have waited for it.
+    void wake(std::size_t index);
     void set_filter(link_filter filter) { m_filter = std::move(filter); }
     void run_for(duration span);
     void reset_counters();
@@ -92,6 +96,7 @@
 
     void send(host& from);
     void deliver_until(time_point until);
+    void receive(host& to, const std::string& bytes, time_point at);
 
     fleet_shape m_shape;
     std::mt19937_64 m_random;
