--- a/tests/connection/endpoint_call_test.cpp
+++ b/tests/connection/endpoint_call_test.cpp
@@ -98,7 +98,9 @@
     const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext";
     for (const std::string status : {"100 Continue", "102 Processing", "103 Early Hints"}) {
         CAPTURE(status);
-        const scripted_server server{"HTTP/1.1 " + status + "\r\n\r\n" + answer};
+        std::string response = "HTTP/1.1 ";
+        response.append(status).append("\r\n\r\n").append(answer);
+        const scripted_server server{response};
         std::string seen;
         std::string body;
         endpoint where;
