Split the pool's rates and the end of an attempt from long files and functions

The condition on endpoints without a limit of their own stood twice, as did a host's refusal in the tests. New tests: a resumed stream isn't sent over the connection of its first part; retries and forwarded requests draw on an endpoint's rate.

--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -133,8 +133,7 @@
     void set_memory(std::shared_ptr<memory_budget> budget) { m_memory = std::move(budget); }
 
     /// Starts a call on a new connection, or on an idle one that has carried no request with the
-    /// same id. `request` is the complete request, as
-    /// formatted by `format_request()`.
+    /// same id. `request` is the complete request, as formatted by `format_request()`.
     std::shared_ptr<client_connection> call(const call_options& options, outgoing_request request,
                                             call_handlers handlers);
     std::shared_ptr<client_connection> call(const call_options& options, std::string request,
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -1,6 +1,5 @@
 #include "gateway/routing/endpoint_pool.h"
 
-#include "gateway/limits/rate_share.h"
 #include "gateway/routing/rendezvous.h"
 
 #include <algorithm> // clamp, find, find_if, max, min, min_element
@@ -19,7 +18,6 @@
 constexpr double failure_penalty = 4;
 constexpr std::size_t max_cached_prefixes = 4'096;
 constexpr std::size_t max_sent_prefixes = 128; // in one heartbeat
-constexpr std::size_t max_rate_reports = 128;  // in one heartbeat
 constexpr std::uint64_t typical_tokens = 2'000;
 /// Bounds a measured time to first byte, and stands for the expected time of a region without a
 /// free slot.
@@ -145,91 +143,6 @@
     }
 }
 
-bool endpoint_pool::on_rate_statement(const endpoint_incarnation& endpoint,
-                                      const rate_statement& statement, time_point now)
-{
-    const bool is_changed = m_notices.on_rate_statement(endpoint, statement, now);
-    const auto found = m_endpoints.find(endpoint.id);
-    if (found != m_endpoints.end()) {
-        update_rate(found->second, now);
-    }
-    return is_changed;
-}
-
-/// Takes over the newest statement of the endpoint on its rate. A share that is new begins empty.
-void endpoint_pool::update_rate(endpoint_state& state, time_point now) const
-{
-    state.rate = m_notices.last_rate_statement({state.entry.id, state.entry.started_ms});
-    if (!state.rate.max_rate) {
-        state.share.reset();
-    }
-    else {
-        if (!state.share) {
-            state.share.emplace(now);
-        }
-        update_share(state, now);
-    }
-}
-
-/// Applies this host's present share of the endpoint's rate. Precondition: it names one.
-void endpoint_pool::update_share(endpoint_state& state, time_point now) const
-{
-    const double rate = m_to_rate_share(state.entry.id, *state.rate.max_rate);
-    state.share->set_rights(rate, rate > 0 ? rate_share_burst : 0, now);
-}
-
-/// Returns the time until this host's share of the endpoint's rate admits a request, or nothing if it
-/// has none; 0 without a rate.
-std::optional<duration> endpoint_pool::time_to_share(endpoint_state& state, time_point now) const
-{
-    if (!state.share) {
-        return duration{0};
-    }
-    update_share(state, now);
-    return state.share->wait_for(rate_share_burst, now);
-}
-
-bool endpoint_pool::try_take_share(const std::string& endpoint, time_point now)
-{
-    const auto found = m_endpoints.find(endpoint);
-    if (found == m_endpoints.end() || !found->second.share) {
-        return true;
-    }
-    if (time_to_share(found->second, now) != duration{0}) {
-        return false;
-    }
-    found->second.share->take_up_to(1, now);
-    return true;
-}
-
-std::vector<rate_report> endpoint_pool::rate_reports(time_point now) const
-{
-    std::vector<rate_report> reports;
-    for (const auto& [id, state] : m_endpoints) {
-        if (state.rate.said_at != time_point{}) {
-            reports.push_back(
-                {state.incarnation_hash, state.rate.max_rate, now - state.rate.said_at});
-        }
-    }
-    if (reports.size() > max_rate_reports) {
-        std::nth_element(reports.begin(), reports.begin() + max_rate_reports, reports.end(),
-                         [](const auto& lhs, const auto& rhs) { return lhs.age < rhs.age; });
-        reports.resize(max_rate_reports);
-    }
-    return reports;
-}
-
-bool endpoint_pool::on_peer_rate(const rate_report& report, time_point heard_since, time_point now)
-{
-    const auto found = m_incarnations.find(report.incarnation);
-    if (found == m_incarnations.end()) {
-        return false;
-    }
-    // a report that waited is older than it says, and must not end a rate that was named meanwhile
-    const time_point said_by = report.max_rate ? now : heard_since;
-    return on_rate_statement(found->second, {report.max_rate, said_by - report.age}, now);
-}
-
 std::vector<endpoint_entry> endpoint_pool::take_reinstated()
 {
     return std::exchange(m_reinstated, {});
@@ -336,6 +249,14 @@
                request.excluded.end();
 }
 
+/// Whether the endpoint is a candidate that takes as many requests now as it has slots.
+bool endpoint_pool::is_unrestricted(const endpoint_state& state, const placement_request& request,
+                                    time_point now)
+{
+    return is_candidate(state, request) && !is_blocked(state, now) && !is_cold(state, now) &&
+           !state.share;
+}
+
 std::uint32_t endpoint_pool::max_active(const endpoint_state& state) const
 {
     return state.is_engine ? state.entry.slots : state.entry.slots + m_options.max_plain_queue;
@@ -455,8 +376,7 @@
     }
     std::uint64_t best_weight = 0;
     for (const auto& [id, state] : m_endpoints) {
-        const bool is_in_need = is_cold(state, now) || state.share;
-        if (!is_candidate(state, request) || is_blocked(state, now) || is_in_need) {
+        if (!is_unrestricted(state, request, now)) {
             continue;
         }
         const std::uint64_t weight = rendezvous_weight(request.request_prompt->shared_id(), id);
@@ -562,33 +482,13 @@
     return shortest;
 }
 
-/// Returns the time until the endpoint, by its own word, wants a request of this host, or nothing if
-/// it wants none; 0 or less if it does now.
-std::optional<duration> endpoint_pool::time_unwanted(endpoint_state& state, time_point now) const
-{
-    const std::optional<duration> wait = time_to_share(state, now);
-    return wait ? std::max(state.turned_away_until - now, *wait) : wait;
-}
-
-double endpoint_pool::total_share(const placement_request& request) const
-{
-    double total = 0;
-    for (const auto& [id, state] : m_endpoints) {
-        if (state.share && is_candidate(state, request)) {
-            total += m_to_rate_share(id, *state.rate.max_rate);
-        }
-    }
-    return total;
-}
-
 service_load endpoint_pool::free_capacity(const service& queried_service, time_point now) const
 {
     service_load load;
     load.expected_wait = max_expected_wait;
     const placement_request any{&queried_service, nullptr, {}};
     for (const auto& [id, state] : m_endpoints) {
-        const bool is_in_need = is_cold(state, now) || state.share;
-        if (!is_candidate(state, any) || is_blocked(state, now) || is_in_need) {
+        if (!is_unrestricted(state, any, now)) {
             continue;
         }
         const std::uint32_t active = state.own.active + state.peers.active;
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -333,6 +333,8 @@
     }
     [[nodiscard]] static bool is_candidate(const endpoint_state& state,
                                            const placement_request& request);
+    [[nodiscard]] static bool is_unrestricted(const endpoint_state& state,
+                                              const placement_request& request, time_point now);
     [[nodiscard]] bool has_free_slot(const endpoint_state& state) const;
     [[nodiscard]] bool may_send(endpoint_state& state, time_point now);
     void update_rate(endpoint_state& state, time_point now) const;
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -163,6 +163,10 @@
     void on_body(std::string& bytes);
     void on_end(call_end end);
     void on_complete_response();
+    void on_refusal_of_host();
+    void on_rejection();
+    void on_answer();
+    void on_complete_stream();
     void relay(std::string_view bytes);
     void start_relay();
     void resume_reading();
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -286,52 +286,54 @@
         // the response to this request may follow on the connection
         m_attempt.call->cancel();
         fail_attempt({endpoint_outcome::cut, true, true, "not_the_answer"});
-        return;
     }
-    if (is_refusal_of_host) {
-        const bool has_not_run = head.headers.find(ran_header) == "no";
-        const bool has_reached = head.headers.find(reached_header) == "yes";
-        m_has_reached_endpoint = m_has_reached_endpoint || has_reached;
-        // the next endpoint is a retry then, wherever it is
-        fail_attempt({endpoint_outcome::shed, !has_not_run, !has_not_run || has_reached,
-                      head.headers.find(refusal_header)});
-        return;
+    else if (is_refusal_of_host) {
+        on_refusal_of_host();
     }
-    if (!is_host && (fields.was_rejected || head.status == status_misdirected)) {
-        const bool is_misdirected = head.status == status_misdirected;
-        if (is_misdirected) {
-            record_endpoint_end();
-        }
-        fail_attempt({is_misdirected ? endpoint_outcome::gone : endpoint_outcome::shed, false, true,
-                      is_misdirected ? "misdirected" : "rejected"});
-        return;
+    else if (!is_host && (fields.was_rejected || head.status == status_misdirected)) {
+        on_rejection();
     }
-    if (!is_genuine(head)) {
+    else if (!is_genuine(head)) {
         fail_attempt({endpoint_outcome::cut, true, true, "not_the_answer"});
-        return;
     }
-    if (head.status >= min_failure_status) {
-        const attempt_failure failure{endpoint_outcome::failed, true, true, "endpoint_failed"};
-        if (!m_has_response_started && may_retry(failure)) {
-            fail_attempt(failure);
-            return;
-        }
+    else {
+        on_answer();
+    }
+}
+
+void exchange::on_refusal_of_host()
+{
+    const header_list& headers = m_attempt.head.headers;
+    const bool has_not_run = headers.find(ran_header) == "no";
+    const bool has_reached = headers.find(reached_header) == "yes";
+    m_has_reached_endpoint = m_has_reached_endpoint || has_reached;
+    // the next endpoint is a retry then, wherever it is
+    fail_attempt({endpoint_outcome::shed, !has_not_run, !has_not_run || has_reached,
+                  headers.find(refusal_header)});
+}
+
+void exchange::on_rejection()
+{
+    const bool is_misdirected = m_attempt.head.status == status_misdirected;
+    if (is_misdirected) {
+        record_endpoint_end();
+    }
+    fail_attempt({is_misdirected ? endpoint_outcome::gone : endpoint_outcome::shed, false, true,
+                  is_misdirected ? "misdirected" : "rejected"});
+}
+
+/// Ends the request with the endpoint's own response, or retries it if that is a failure.
+void exchange::on_answer()
+{
+    const message_head& head = m_attempt.head;
+    const bool is_failure = head.status >= min_failure_status;
+    const attempt_failure failure{endpoint_outcome::failed, true, true, "endpoint_failed"};
+    if (is_failure && !m_has_response_started && may_retry(failure)) {
+        fail_attempt(failure);
+        return;
     }
     if (is_stream() && is_success(head.status)) {
-        if (const std::string_view fault = stream_fault(); !fault.empty()) {
-            if (m_events.has_partial()) {
-                note_broken_off();
-            }
-            fail_attempt({endpoint_outcome::cut, true, true, fault});
-            return;
-        }
-        if (m_events.events() > 0) {
-            note_answered();
-        }
-        start_relay();
-        end_attempt(endpoint_outcome::answered);
-        m_caller->end();
-        finish("answered", head.status);
+        on_complete_stream();
         return;
     }
     if (m_has_response_started) {
@@ -341,12 +343,29 @@
     if (is_success(head.status)) {
         note_answered();
     }
-    end_attempt(head.status >= min_failure_status ? endpoint_outcome::failed
-                                                  : endpoint_outcome::answered);
+    end_attempt(is_failure ? endpoint_outcome::failed : endpoint_outcome::answered);
     m_caller->respond(head.status, m_context.adapter.to_caller_headers(head), m_attempt.body);
     finish(is_success(head.status) ? "answered" : "endpoint_failed", head.status);
 }
 
+void exchange::on_complete_stream()
+{
+    if (const std::string_view fault = stream_fault(); !fault.empty()) {
+        if (m_events.has_partial()) {
+            note_broken_off();
+        }
+        fail_attempt({endpoint_outcome::cut, true, true, fault});
+        return;
+    }
+    if (m_events.events() > 0) {
+        note_answered();
+    }
+    start_relay();
+    end_attempt(endpoint_outcome::answered);
+    m_caller->end();
+    finish("answered", m_attempt.head.status);
+}
+
 void exchange::end_attempt(endpoint_outcome outcome)
 {
     if (!m_attempt.endpoint.empty()) {
--- a/tests/gateway/endpoint_behaviours.h
+++ b/tests/gateway/endpoint_behaviours.h
@@ -65,4 +65,16 @@
     request->respond(200, headers, "not sealed");
 }
 
+/// Refuses as another host does that an endpoint has rejected: the request has not run.
+inline void refuse_as_host(const std::shared_ptr<server_exchange>& request,
+                           const std::string& refused_id = id)
+{
+    header_list headers;
+    headers.add(std::string{refusal_header}, "overloaded");
+    headers.add(std::string{refused_id_header}, refused_id);
+    headers.add(std::string{ran_header}, "no");
+    headers.add(std::string{reached_header}, "yes");
+    request->respond(503, headers, {});
+}
+
 } // namespace hickorykeel::gateway::tests
--- a/tests/gateway/endpoint_rate_test.cpp
+++ b/tests/gateway/endpoint_rate_test.cpp
@@ -93,6 +93,28 @@
     }
 }
 
+// guards against LIMIT by requests that aren't a caller's first attempt here
+TEST_CASE("endpoint that names a rate: retries and forwarded requests count as well")
+{
+    for (const std::string& forwarded_by : {std::string{}, std::string{"other"}}) {
+        CAPTURE(forwarded_by);
+        gateway_fixture gateway{make_route(request_kind::safe, 3)};
+        gateway.set_retry_slack(1'000);
+        std::size_t arrivals = 0;
+        gateway.add_endpoint("a", [&](const std::shared_ptr<server_exchange>& request) {
+            ++arrivals;
+            header_list headers = response_headers();
+            headers.add("Server-Limit", "0.5");
+            request->respond(500, headers, "failure");
+        });
+        for (int i = 0; i < 20; ++i) {
+            gateway.run_to_end(gateway.send_request("GET", {}, forwarded_by));
+        }
+        // the first names the rate; its retries and all others have to wait for 2 s
+        CHECK(arrivals == 1);
+    }
+}
+
 // guards against requests that wait for a rate that can't serve them
 TEST_CASE("endpoint that names a rate: what it can't take in time is refused at once")
 {
--- a/tests/gateway/forwarded_request_test.cpp
+++ b/tests/gateway/forwarded_request_test.cpp
@@ -128,12 +128,7 @@
         int hops = 0;
         gateway.add_host([&](const auto& request) {
             ++hops;
-            header_list headers;
-            headers.add(std::string{refusal_header}, "overloaded");
-            headers.add(std::string{refused_id_header}, refused_id);
-            headers.add(std::string{ran_header}, "no");
-            headers.add(std::string{reached_header}, "yes");
-            request->respond(503, headers, {});
+            refuse_as_host(request, refused_id);
         });
         const auto response = gateway.send_request();
         gateway.run_to_end(response);
--- a/tests/gateway/repeated_refusal_test.cpp
+++ b/tests/gateway/repeated_refusal_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/endpoint_behaviours.h"
 #include "gateway/gateway_fixture.h"
 #include "gateway/routes.h"
 #include "gateway/scripted_endpoint.h"
@@ -165,12 +166,7 @@
     int hops = 0;
     gateway.add_host([&](const auto& request) {
         ++hops;
-        header_list headers;
-        headers.add(std::string{refusal_header}, "overloaded");
-        headers.add(std::string{refused_id_header}, id);
-        headers.add(std::string{ran_header}, "no");
-        headers.add(std::string{reached_header}, "yes");
-        request->respond(503, headers, {});
+        refuse_as_host(request);
     });
     const auto response = gateway.send_request();
     gateway.run_to_end(response);
@@ -216,3 +212,33 @@
         CHECK(gateway.first_bytes() == (is_own ? 1 : 0));
     }
 }
+
+// guards against ORDER: a stream that is resumed at a new incarnation used the connection that had
+// carried its first part, and the copy of that part was taken for its rest
+TEST_CASE("a resumed stream isn't sent over the connection that carried its first part")
+{
+    route served = make_route(request_kind::streaming, 2);
+    served.is_resumable = true;
+    gateway_fixture gateway{served};
+    gateway.set_retry_slack(100);
+    const std::string type = "Content-Type: text/event-stream\r\n";
+    // ends within its second event
+    const std::string first = format_answer("200 OK", id, type, "id: 1\ndata: a\n\nid: 2\nda");
+    const std::string rest = format_answer("200 OK", id, type, "id: 2\ndata: b\n\n");
+    unsigned port = 0;
+    bool is_listed_again = false;
+    scripted_endpoint faulty{gateway, "a", [&](std::size_t connection) {
+                                 if (!std::exchange(is_listed_again, true)) {
+                                     gateway.remove_endpoint("a");
+                                     gateway.add_endpoint_at("a-restarted", port);
+                                 }
+                                 return scripted_endpoint::step{connection == 1 ? first : rest};
+                             }};
+    port = faulty.port();
+    const auto response = gateway.send_request();
+    gateway.run_to_end(response);
+    CHECK(faulty.requests() == 2);
+    CHECK(gateway.connections_opened() == 2);
+    CHECK(response->end == call_end::complete);
+    CHECK(response->body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
