--- a/tests/gateway/endpoint_rate_test.cpp
+++ b/tests/gateway/endpoint_rate_test.cpp
@@ -36,13 +36,16 @@
             if (m_rate) {
                 headers.add("Server-Limit", *m_rate);
             }
-            request->respond(200, headers, "answer");
+            request->respond(m_status, headers, "answer");
         };
     }
 
     /// Sets the rate that is named from now on; nothing: none.
     void set_rate(std::optional<std::string> rate) { m_rate = std::move(rate); }
 
+    /// Sets the status of the responses from now on.
+    void set_status(int status) noexcept { m_status = status; }
+
     [[nodiscard]] std::size_t arrivals() const noexcept { return m_arrivals.size(); }
 
     /// Most requests that arrived within `window`.
@@ -61,15 +64,18 @@
 
 private:
     std::optional<std::string> m_rate;
+    int m_status = 200;
     std::vector<time_point> m_arrivals;
 };
 
 /// Sends a request each 20 ms, whatever becomes of the earlier ones, and returns the responses.
-std::vector<std::shared_ptr<received_response>> send_many(gateway_fixture& gateway, int count)
+std::vector<std::shared_ptr<received_response>> send_many(gateway_fixture& gateway, int count,
+                                                          const std::string& method = "POST",
+                                                          const std::string& forwarded_by = {})
 {
     std::vector<std::shared_ptr<received_response>> responses;
     for (int i = 0; i < count; ++i) {
-        responses.push_back(gateway.send_request());
+        responses.push_back(gateway.send_request(method, "question", forwarded_by));
         gateway.run_for(20ms);
     }
     for (const auto& response : responses) {
@@ -100,18 +106,12 @@
         CAPTURE(forwarded_by);
         gateway_fixture gateway{make_route(request_kind::safe, 3)};
         gateway.set_retry_slack(1'000);
-        std::size_t arrivals = 0;
-        gateway.add_endpoint("a", [&](const std::shared_ptr<server_exchange>& request) {
-            ++arrivals;
-            header_list headers = response_headers();
-            headers.add("Server-Limit", "0.5");
-            request->respond(500, headers, "failure");
-        });
-        for (int i = 0; i < 20; ++i) {
-            gateway.run_to_end(gateway.send_request("GET", {}, forwarded_by));
-        }
-        // the first names the rate; its retries and all others have to wait for 2 s
-        CHECK(arrivals == 1);
+        limited_endpoint limited{"1"};
+        limited.set_status(500);
+        gateway.add_endpoint("a", limited.behaviour());
+        send_many(gateway, 100, "GET", forwarded_by);
+        CHECK(limited.arrivals() >= 2);
+        CHECK(limited.most_in_window() <= 11); // 1.5 * 1 * 4 + 5
     }
 }
 
