Don't send over a connection that holds unread bytes or has been ended by the peer

What callers saw: a 502, "may have run", for a request that isn't repeatable.

Cause: a connection was taken from the idle list without a look at what the kernel holds for it. A response too many that the loop had not read yet was read as the response to the new request; its id told, so nothing ran twice, but the request had been sent. The same for an end that was not read yet.

Change: the socket is looked at, without reading, before it is used again. One system call a request.

--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -258,7 +258,8 @@
             continue;
         }
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
-        if (is_open) {
+        // what is unread would be taken for the response to the next request
+        if (is_open && !connection->m_channel->has_unread_input()) {
             return connection;
         }
         connection->m_channel->close();
--- a/src/gateway/http/tcp_channel.cpp
+++ b/src/gateway/http/tcp_channel.cpp
@@ -125,6 +125,14 @@
     }
 }
 
+bool tcp_channel::has_unread_input()
+{
+    char next = 0;
+    asio::error_code failure;
+    m_socket.receive(asio::buffer(&next, 1), asio::ip::tcp::socket::message_peek, failure);
+    return failure != asio::error::would_block;
+}
+
 void tcp_channel::send(std::string_view bytes)
 {
     if (!m_is_open || m_closes_after_sending) {
--- a/src/gateway/http/tcp_channel.h
+++ b/src/gateway/http/tcp_channel.h
@@ -78,6 +78,10 @@
     /// Closes with a reset, so that the peer cannot take an unfinished response for a complete one.
     void abort();
     [[nodiscard]] bool is_open() const noexcept { return m_is_open; }
+
+    /// Whether the peer has sent bytes that aren't read yet, or has ended the connection. Reads
+    /// nothing.
+    [[nodiscard]] bool has_unread_input();
     /// @}
 
     void set_handlers(handlers chosen) { m_handlers = std::move(chosen); }
