Test that an endpoint which starts again under its id gets a cold one's requests

What callers saw: responses of cold endpoints that were flooded break off (FAILBACK).

The count of arrivals in a window moves to a header that two scenarios share.

--- a/standins/gateway/platform_world.cpp
+++ b/standins/gateway/platform_world.cpp
@@ -62,19 +62,38 @@
 endpoint_standin::endpoint_standin(asio::io_context& loop, std::string id, std::string service,
                                    std::string failure_domain, const std::string& address)
     : m_loop{loop}, m_id{std::move(id)}, m_service{std::move(service)},
-      m_failure_domain{std::move(failure_domain)}, m_address{address}, m_body{"answer of " + m_id},
-      m_server{loop, [this](const auto& request) { serve(request); }}
+      m_failure_domain{std::move(failure_domain)}, m_address{address}, m_body{"answer of " + m_id}
 {
+    open();
+}
+
+void endpoint_standin::open()
+{
+    m_server = std::make_unique<gateway::http_server>(
+        m_loop, [this](const auto& request) { serve(request); });
     // whether a request is too large is decided before it arrives here
-    m_server.set_limits({.message = {max_request_head_bytes, max_request_body_bytes}});
-    listen_or_abort(m_server, address);
+    m_server->set_limits({.message = {max_request_head_bytes, max_request_body_bytes}});
+    listen_or_abort(*m_server, m_address);
+}
+
+void endpoint_standin::crash()
+{
+    m_unanswered.clear();
+    m_server = nullptr;
+}
+
+void endpoint_standin::restart()
+{
+    ++m_started_ms;
+    m_sequence = 0;
+    open();
 }
 
 nlohmann::json endpoint_standin::entry() const
 {
     return {{"service", m_service}, {"address", m_address}, {"zone", m_failure_domain},
             {"version", "v1"},      {"slots", 8},           {"state", m_state},
-            {"seq", m_sequence},    {"coldRemainingMs", 0}, {"born", 1'700'000'000'000}};
+            {"seq", m_sequence},    {"coldRemainingMs", 0}, {"born", m_started_ms}};
 }
 
 void endpoint_standin::serve(const std::shared_ptr<server_exchange>& request)
--- a/standins/gateway/platform_world.h
+++ b/standins/gateway/platform_world.h
@@ -57,7 +57,16 @@
     /// Replaces the body of responses that are not streams.
     void set_body(std::string body) { m_body = std::move(body); }
 
+    /// Ends the process: its connections and its listener are closed. Not to be called from a handler
+    /// of a request.
+    void crash();
+
+    /// Starts the process again under its id and address, as another incarnation. Its entry in the
+    /// store stays as it was. Precondition: it has crashed.
+    void restart();
+
 private:
+    void open();
     void serve(const std::shared_ptr<gateway::server_exchange>& request);
     void send_endless(const std::shared_ptr<gateway::server_exchange>& request, std::size_t sent);
     void stream(const std::shared_ptr<gateway::server_exchange>& request, int next);
@@ -77,9 +86,10 @@
     std::vector<std::shared_ptr<gateway::server_exchange>> m_unanswered;
     std::string m_body;
     std::uint64_t m_sequence = 0;
+    std::int64_t m_started_ms = 1'700'000'000'000;
     std::map<std::string, int> m_runs;
     std::vector<time_point> m_arrivals;
-    gateway::http_server m_server;
+    std::unique_ptr<gateway::http_server> m_server; ///< null while it has crashed
 };
 
 /// Answer that a caller has received.
--- a/tests/gateway/endpoint_pool_fixture.h
+++ b/tests/gateway/endpoint_pool_fixture.h
@@ -75,6 +75,12 @@
         return sent;
     }
 
+    /// Ends an attempt at the endpoint.
+    void end_attempt(const std::string& id, endpoint_outcome outcome, time_point now)
+    {
+        m_pool.on_end(id, 0, outcome, now);
+    }
+
     endpoint_pool& pool() { return m_pool; }
     const service& requested_service() { return m_service; }
     std::set<std::string>& evacuated() { return m_evacuated; }
--- a/tests/scenarios/gateway_endpoint_rate_test.cpp
+++ b/tests/scenarios/gateway_endpoint_rate_test.cpp
@@ -1,9 +1,10 @@
 #include "gateway_pair.h"
 #include "process/clock.h"
 #include "standins/gateway/platform_world.h"
+#include "support/arrivals.h"
 #include "support/free_port.h"
 
-#include <algorithm>  // all_of, lower_bound, max
+#include <algorithm>  // all_of
 #include <chrono>     // milliseconds, seconds
 #include <cstddef>    // size_t
 #include <functional> // function
@@ -18,25 +19,6 @@
 using namespace hickorykeel::tests;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// Most arrivals within a time of `length`, of those from `first` on.
-std::size_t most_arrivals(const std::vector<time_point>& arrivals, time_point first,
-                          duration length)
-{
-    std::size_t most = 0;
-    auto oldest = std::ranges::lower_bound(arrivals, first);
-    for (auto it = oldest; it != arrivals.end(); ++it) {
-        while (*it - *oldest >= length) {
-            ++oldest;
-        }
-        most = std::max(most, static_cast<std::size_t>(it - oldest) + 1);
-    }
-    return most;
-}
-
-} // namespace
-
 // guards against LIMIT: an endpoint that names a rate got far more requests from the hosts together
 TEST_CASE("two gateways keep to the rate that an endpoint names, together")
 {
