--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -26,8 +26,9 @@
 
 std::string_view to_name(call_end end) noexcept
 {
-    constexpr std::array<std::string_view, 6> names{"complete", "not_connected", "no_response",
-                                                    "broken",   "malformed",     "out_of_memory"};
+    constexpr std::array<std::string_view, 7> names{"complete",     "refused", "not_connected",
+                                                    "no_response",  "broken",  "malformed",
+                                                    "out_of_memory"};
     return names[static_cast<std::size_t>(end)];
 }
 
@@ -151,10 +152,14 @@
 {
     m_owner.remove_idle(*this);
     if (!m_is_busy) {
+        const bool is_early = m_has_idle_time && boot_clock::now() < m_reusable_until;
+        if (is_early && m_owner.m_on_idle_end) {
+            m_owner.m_on_idle_end(m_address);
+        }
         return;
     }
     if (!m_is_connected) {
-        finish(call_end::not_connected);
+        finish(how == channel_end::refused ? call_end::refused : call_end::not_connected);
         return;
     }
     if (!m_parser.has_begun()) {
@@ -171,12 +176,14 @@
     finish(call_end::broken);
 }
 
-duration client_connection::idle_time() const
+/// Returns for how long the connection may be idle by the peer's word, less a margin; nothing if it
+/// hasn't said so.
+std::optional<duration> client_connection::stated_idle_time() const
 {
     const std::string_view text = m_parser.head().headers.find("Keep-Alive");
     const std::size_t at = text.find("timeout=");
     if (at == std::string_view::npos) {
-        return default_idle_time;
+        return std::nullopt;
     }
     std::int64_t seconds = 0;
     const char* first = text.data() + at + std::string_view{"timeout="}.size();
@@ -188,7 +195,8 @@
 void client_connection::complete(bool has_extra_bytes)
 {
     m_owner.m_unexpected += has_extra_bytes ? 1 : 0;
-    const duration idle = idle_time();
+    const std::optional<duration> stated = stated_idle_time();
+    const duration idle = stated.value_or(default_idle_time);
     if (has_extra_bytes || !is_reusable() || idle <= duration{0}) {
         finish(call_end::complete);
         return;
@@ -198,6 +206,7 @@
     m_is_busy = false;
     m_idle_since = boot_clock::now();
     m_reusable_until = m_idle_since + idle;
+    m_has_idle_time = stated.has_value();
     m_channel->resume_reading();
     m_parser.restart();
     m_owner.add_idle(shared_from_this());
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -25,7 +25,8 @@
 /// How a call ended.
 enum class call_end {
     complete,      ///< a complete response was received
-    not_connected, ///< no connection; no byte of the request was sent
+    refused,       ///< the peer's machine refused the connection; no byte was sent
+    not_connected, ///< no connection otherwise; no byte of the request was sent
     no_response,   ///< connection ended after the request, before any byte of a response
     broken,        ///< the connection ended within the response
     malformed,     ///< no valid response, or one over the size limits
@@ -94,7 +95,7 @@
     void complete(bool has_extra_bytes);
     [[nodiscard]] bool is_reusable() const;
     void finish(call_end how);
-    [[nodiscard]] duration idle_time() const;
+    [[nodiscard]] std::optional<duration> stated_idle_time() const;
 
     http_client& m_owner;
     instance_registry<client_connection>::entry m_registration;
@@ -108,6 +109,7 @@
     std::optional<outgoing_request> m_request; // until the connection is established
     time_point m_idle_since{};
     time_point m_reusable_until{};
+    bool m_has_idle_time = false; // stated by the peer
     bool m_is_connected = false;
     bool m_is_busy = false;
     bool m_head_delivered = false;
@@ -128,6 +130,13 @@
     /// Ends all calls without their handlers. The loop must still exist.
     ~http_client();
 
+    /// Sets the handler that is called with the address of a peer that ends an idle connection
+    /// earlier than it has said in its last response.
+    void set_on_idle_end(std::function<void(const std::string& address)> on_idle_end)
+    {
+        m_on_idle_end = std::move(on_idle_end);
+    }
+
     /// Charges the heads of responses and the unsent bytes of connections that are opened from now
     /// on to `budget`.
     void set_memory(std::shared_ptr<memory_budget> budget) { m_memory = std::move(budget); }
@@ -160,6 +169,7 @@
     instance_registry<client_connection> m_registry;
     std::unordered_map<std::string, std::vector<std::shared_ptr<client_connection>>> m_idle;
     std::shared_ptr<memory_budget> m_memory; // may be null
+    std::function<void(const std::string&)> m_on_idle_end;
     std::uint64_t m_opened = 0;
     std::uint64_t m_unexpected = 0;
 };
--- a/src/gateway/http/tcp_channel.cpp
+++ b/src/gateway/http/tcp_channel.cpp
@@ -46,7 +46,7 @@
     m_timer.expires_after(timeout);
     m_timer.async_wait([self](const asio::error_code& failure) {
         if (!failure && self->m_is_open && !self->m_is_reading) {
-            self->end(channel_end::refused);
+            self->end(channel_end::unreachable);
         }
     });
     m_socket.async_connect(peer, [self](const asio::error_code& failure) {
@@ -55,7 +55,8 @@
         }
         self->m_timer.cancel();
         if (failure) {
-            self->end(channel_end::refused);
+            self->end(failure == asio::error::connection_refused ? channel_end::refused
+                                                                 : channel_end::unreachable);
             return;
         }
         self->configure();
--- a/src/gateway/http/tcp_channel.h
+++ b/src/gateway/http/tcp_channel.h
@@ -18,9 +18,10 @@
 
 /// How a connection ended.
 enum class channel_end {
-    finished, ///< the peer closed its side normally
-    reset,    ///< the connection failed
-    refused,  ///< the connection was never established
+    finished,    ///< the peer closed its side normally
+    reset,       ///< the connection failed
+    refused,     ///< the peer's machine refused the connection
+    unreachable, ///< the connection was not established otherwise
 };
 
 /// One non-blocking TCP connection on the event loop.
@@ -47,7 +48,7 @@
     /// @name connection
     /// @{
 
-    /// Connects; a failure or `timeout` ends the channel as `refused`.
+    /// Connects; a failure ends the channel as `refused` or `unreachable`, `timeout` as `unreachable`.
     void connect(const asio::ip::tcp::endpoint& peer, duration timeout);
 
     /// Starts reading, until the connection ends. Precondition: the connection is established.
--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -59,6 +59,26 @@
     }
 }
 
+/// Makes what the reports say to be known as old as it may be, if they have waited for up to `wait`.
+/// The signs of restarts are left as young as they may be.
+void age_known_states(std::vector<restart_report>& reports, duration wait)
+{
+    for (restart_report& report : reports) {
+        if (report.known_age) {
+            *report.known_age += wait;
+        }
+    }
+}
+
+/// Replaces `age` by that of an event which was reported `held` ago if the event is later.
+void keep_later(std::optional<duration>& age, const std::optional<duration>& reported,
+                duration held)
+{
+    if (reported && (!age || *reported + held < *age)) {
+        age = *reported + held;
+    }
+}
+
 void subtract(endpoint_loads& sums, const endpoint_loads& loads)
 {
     for (const auto& [hash, load] : loads) {
@@ -82,7 +102,8 @@
 
 // received heartbeats
 
-received_news fleet_membership::on_datagram(std::string_view datagram, time_point now)
+received_news fleet_membership::on_datagram(std::string_view datagram, time_point arrived_after,
+                                            time_point now)
 {
     received_news news;
     std::optional<heartbeat> received = decode_heartbeat(datagram);
@@ -93,6 +114,10 @@
     if (received->ip == m_own.ip) {
         return news;
     }
+    age_known_states(received->restarts, now - arrived_after);
+    if (received->digest) {
+        age_known_states(received->digest->restarts, now - arrived_after);
+    }
     news.region = received->region;
     const std::string ip = received->ip;
     const std::string host = received->host;
@@ -131,7 +156,7 @@
 {
     m_usage.on_report(received.ip, received.incarnation, received.used);
     news.prompts = std::exchange(received.prompts, {});
-    news.warm_endpoints = received.warm_endpoints;
+    news.restarts = received.restarts;
     news.cold_endpoints = received.cold_endpoints;
     news.rates = std::exchange(received.rates, {});
     if (m_prompts.size() < m_options.max_prompts) {
@@ -166,8 +191,7 @@
         m_sums[received.ip] = std::move(sums);
     }
     news.prompts.insert(news.prompts.end(), digest.prompts.begin(), digest.prompts.end());
-    news.warm_endpoints.insert(news.warm_endpoints.end(), digest.warm_endpoints.begin(),
-                               digest.warm_endpoints.end());
+    news.restarts.insert(news.restarts.end(), digest.restarts.begin(), digest.restarts.end());
     news.cold_endpoints.insert(news.cold_endpoints.end(), digest.cold_endpoints.begin(),
                                digest.cold_endpoints.end());
     add_usage(news, m_own.region, received.ip, received.incarnation, digest.used);
@@ -332,6 +356,30 @@
     return reports;
 }
 
+/// Returns the latest of what the hosts of the region have learned of restarts.
+std::vector<restart_report> fleet_membership::collect_restarts(time_point now) const
+{
+    std::map<std::uint32_t, restart_report> latest;
+    for (const auto& [ip, host] : m_members.all()) {
+        if (host.last.region != m_own.region || !m_members.is_heard(host, now)) {
+            continue;
+        }
+        const duration held = now - host.heard_at;
+        for (const restart_report& report : host.last.restarts) {
+            restart_report& merged = latest[report.endpoint];
+            keep_later(merged.sign_age, report.sign_age, held);
+            keep_later(merged.doubt_age, report.doubt_age, held);
+            keep_later(merged.known_age, report.known_age, held);
+        }
+    }
+    std::vector<restart_report> reports;
+    for (auto& [endpoint, report] : latest) {
+        report.endpoint = endpoint;
+        reports.push_back(report);
+    }
+    return reports;
+}
+
 /// Collects what all digests of a round contain; the lists of hosts and regions are left empty.
 region_digest fleet_membership::collect_digest(time_point now) const
 {
@@ -346,13 +394,7 @@
     for (const auto& [organisation, units] : m_last_sent.used) {
         digest.used[organisation] += units;
     }
-    std::set<std::uint32_t> warm;
-    for (const auto& [ip, host] : m_members.all()) {
-        if (host.last.region == m_own.region && m_members.is_heard(host, now)) {
-            warm.insert(host.last.warm_endpoints.begin(), host.last.warm_endpoints.end());
-        }
-    }
-    digest.warm_endpoints.assign(warm.begin(), warm.end());
+    digest.restarts = collect_restarts(now);
     digest.cold_endpoints = collect_cold_endpoints(now);
     digest.rotation =
         m_options.schedule.heartbeat_interval * static_cast<int>(m_options.digest_rotation);
--- a/src/gateway/membership/fleet_membership.h
+++ b/src/gateway/membership/fleet_membership.h
@@ -56,12 +56,12 @@
 /// What a datagram brought, beside changes to the member table.
 struct received_news {
     bool is_readable = true;
-    std::string new_host;                      ///< name of the sender if it became live
-    std::string region;                        ///< of the sender
-    std::vector<sent_prefix> prompts;          ///< sent by hosts of this region
-    std::vector<std::uint32_t> warm_endpoints; ///< of this region
-    std::vector<cold_report> cold_endpoints;   ///< of this region
-    std::vector<rate_report> rates;            ///< of endpoints of this region
+    std::string new_host;                    ///< name of the sender if it became live
+    std::string region;                      ///< of the sender
+    std::vector<sent_prefix> prompts;        ///< sent by hosts of this region
+    std::vector<restart_report> restarts;    ///< of endpoints of this region
+    std::vector<cold_report> cold_endpoints; ///< of this region
+    std::vector<rate_report> rates;          ///< of endpoints of this region
     std::vector<usage_report> usage;
     crash_evidence crashes;
     std::vector<std::string> regions; ///< other regions whose capacity was reported
@@ -88,7 +88,12 @@
     [[nodiscard]] std::vector<outgoing_heartbeat> send(heartbeat state, time_point now);
 
     /// Records a datagram of another host.
-    received_news on_datagram(std::string_view datagram, time_point now);
+    /// @param arrived_after a time before its arrival; it may have waited since then
+    received_news on_datagram(std::string_view datagram, time_point arrived_after, time_point now);
+    received_news on_datagram(std::string_view datagram, time_point now)
+    {
+        return on_datagram(datagram, now, now);
+    }
 
     /// Removes hosts that are silent for long.
     /// @return names of the hosts that are no longer live, each once until its next heartbeat
@@ -140,6 +145,7 @@
     [[nodiscard]] summed_loads best_sums(time_point now) const;
     [[nodiscard]] region_digest collect_digest(time_point now) const;
     [[nodiscard]] std::vector<cold_report> collect_cold_endpoints(time_point now) const;
+    [[nodiscard]] std::vector<restart_report> collect_restarts(time_point now) const;
     [[nodiscard]] std::string make_datagram(const heartbeat_recipient& recipient,
                                             const region_digest& collected, time_point now) const;
     [[nodiscard]] bool is_in_list(heartbeat_content content, const member& host) const;
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -74,6 +74,21 @@
     }
 }
 
+void add_restart(gossip::restart_report& added, const restart_report& report)
+{
+    added.set_endpoint(report.endpoint);
+    if (report.sign_age) {
+        added.set_sign_age_ms(to_ms(*report.sign_age));
+    }
+    if (report.doubt_age) {
+        added.set_doubt_age_ms(to_ms(*report.doubt_age));
+    }
+    if (report.known_age) {
+        // rounded up, so that it doesn't become later than a sign that came after it
+        added.set_known_age_ms(to_ms(*report.known_age) + 1);
+    }
+}
+
 /// Adds the fields that only hosts of the sender's region use. `sent` is a heartbeat or a digest.
 template <typename Message, typename Sent>
 void add_endpoints(Message& message, const Sent& sent)
@@ -89,8 +104,8 @@
         added.set_prefix(prefix.prefix);
         added.set_endpoint(prefix.endpoint);
     }
-    for (const std::uint32_t hash : sent.warm_endpoints) {
-        message.add_warm_endpoints(hash);
+    for (const restart_report& report : sent.restarts) {
+        add_restart(*message.add_restarts(), report);
     }
     for (const cold_report& report : sent.cold_endpoints) {
         auto& added = *message.add_cold_endpoints();
@@ -229,6 +244,21 @@
     return counts;
 }
 
+restart_report to_restart(const gossip::restart_report& message)
+{
+    restart_report report{message.endpoint(), {}, {}, {}};
+    if (message.has_sign_age_ms()) {
+        report.sign_age = milliseconds{message.sign_age_ms()};
+    }
+    if (message.has_doubt_age_ms()) {
+        report.doubt_age = milliseconds{message.doubt_age_ms()};
+    }
+    if (message.has_known_age_ms()) {
+        report.known_age = milliseconds{message.known_age_ms()};
+    }
+    return report;
+}
+
 template <typename Message, typename Received>
 void read_endpoints(const Message& message, Received& received)
 {
@@ -238,8 +268,9 @@
     for_each_bounded(message.prompts(), [&received](const auto& prefix) {
         received.prompts.push_back({prefix.prefix(), prefix.endpoint()});
     });
-    for_each_bounded(message.warm_endpoints(),
-                     [&received](std::uint32_t hash) { received.warm_endpoints.push_back(hash); });
+    for_each_bounded(message.restarts(), [&received](const gossip::restart_report& report) {
+        received.restarts.push_back(to_restart(report));
+    });
     for_each_bounded(message.cold_endpoints(), [&received](const gossip::cold_report& report) {
         received.cold_endpoints.push_back({report.endpoint(), milliseconds{report.remaining_ms()}});
     });
--- a/src/gateway/membership/gossip_socket.cpp
+++ b/src/gateway/membership/gossip_socket.cpp
@@ -24,6 +24,7 @@
         return error{error_kind::address_unavailable, "bind", ip + ':' + std::to_string(port),
                      failure.message()};
     }
+    m_empty_at = boot_clock::now();
     receive();
     return true;
 }
@@ -48,10 +49,20 @@
                                         return;
                                     }
                                     if (!failure) {
-                                        m_on_datagram({m_buffer.data(), size});
+                                        on_received(size);
                                     }
                                     receive();
                                 });
 }
 
+void gossip_socket::on_received(std::size_t size)
+{
+    m_on_datagram({m_buffer.data(), size}, m_empty_at);
+    asio::error_code failure;
+    const time_point now = boot_clock::now();
+    if (m_socket.available(failure) == 0 && !failure) {
+        m_empty_at = now;
+    }
+}
+
 } // namespace hickorykeel::gateway
--- a/src/gateway/membership/gossip_socket.h
+++ b/src/gateway/membership/gossip_socket.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "process/clock.h"
 #include "process/error.h"
 
 #include <array>       // array
+#include <cstddef>     // size_t
 #include <cstdint>     // uint16_t, uint64_t
 #include <functional>  // function
 #include <string>      // string
@@ -18,7 +20,8 @@
 /// Thread safety: none; all calls must come from the thread of the event loop.
 class gossip_socket {
 public:
-    using handler = std::function<void(std::string_view datagram)>;
+    /// Receives a datagram and a time before its arrival; it may have waited since then.
+    using handler = std::function<void(std::string_view datagram, time_point arrived_after)>;
 
     gossip_socket(asio::io_context& loop, handler on_datagram)
         : m_socket{loop}, m_on_datagram{std::move(on_datagram)}
@@ -42,11 +45,13 @@
     static constexpr std::size_t max_datagram_bytes = 65'536;
 
     void receive();
+    void on_received(std::size_t size);
 
     asio::ip::udp::socket m_socket;
     asio::ip::udp::endpoint m_sender;
     handler m_on_datagram;
     std::array<char, max_datagram_bytes> m_buffer{};
+    time_point m_empty_at{}; ///< the last time at which no datagram was waiting
     std::uint16_t m_port = 0;
     std::uint64_t m_send_failures = 0;
 };
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/routing/prompt_quarantine.h"
+#include "gateway/routing/restart_report.h"
 #include "process/clock.h"
 
 #include <cstdint>       // uint32_t, uint64_t, uint8_t
@@ -102,7 +103,7 @@
     endpoint_loads endpoints;
     usage_counts used; ///< of all hosts of the region, since the aggregator's start
     std::vector<sent_prefix> prompts;
-    std::vector<std::uint32_t> warm_endpoints;
+    std::vector<restart_report> restarts;
     std::vector<cold_report> cold_endpoints;
     std::vector<end_report> ended_endpoints;
     std::vector<member_group> members; ///< a part of the known hosts
@@ -127,9 +128,8 @@
     service_loads services;
     endpoint_loads endpoints;
     usage_counts used;
-    std::vector<sent_prefix> prompts; ///< sent since the previous heartbeat
-    /// Hashes of endpoints that reported being warm within their cold time.
-    std::vector<std::uint32_t> warm_endpoints;
+    std::vector<sent_prefix> prompts;        ///< sent since the previous heartbeat
+    std::vector<restart_report> restarts;    ///< by what this host itself has learned
     std::vector<cold_report> cold_endpoints; ///< that have said so to this host
     std::vector<end_report> ended_endpoints; ///< by what this host itself has seen
     std::vector<rate_report> rates;          ///< the newest that this host knows
--- /dev/null
+++ b/src/gateway/routing/endpoint_history.cpp
@@ -0,0 +1,89 @@
+#include "gateway/routing/endpoint_history.h"
+
+#include <algorithm> // max, min
+
+namespace hickorykeel::gateway {
+
+void endpoint_history::on_entry(const start_statement& entry, time_point read_at, time_point now)
+{
+    const bool is_same_start = m_entry && entry.started_ms == m_entry->started_ms;
+    const bool is_unchanged = is_same_start && entry.sequence == m_entry->sequence;
+    if (!is_unchanged) {
+        m_cold_until = std::max<time_point>(m_cold_until, now + entry.cold_remaining);
+    }
+    if (is_same_start && entry.sequence > m_entry->sequence) {
+        // it was written after the last time at which the former one was the newest
+        m_known_at = std::max(m_known_at, m_entry_read_at);
+    }
+    m_entry_read_at = is_unchanged ? std::max(m_entry_read_at, read_at) : read_at;
+    m_entry = entry;
+}
+
+void endpoint_history::on_cold(duration remaining, time_point asked_at, time_point now)
+{
+    on_peer_cold(remaining, now);
+    m_own_cold_until = m_cold_until;
+    on_warm(asked_at);
+}
+
+void endpoint_history::on_peer_cold(duration remaining, time_point now)
+{
+    m_cold_until = std::max(m_cold_until, now + std::min(remaining, m_cold_time));
+}
+
+void endpoint_history::on_warm(time_point asked_at) noexcept
+{
+    m_own_known_at = std::max(m_own_known_at, asked_at);
+    m_known_at = std::max(m_known_at, asked_at);
+}
+
+void endpoint_history::on_sign(restart_sign sign, time_point at) noexcept
+{
+    m_doubted_at = std::max(m_doubted_at, at);
+    m_own_doubted_at = std::max(m_own_doubted_at, at);
+    if (concerns_region(sign)) {
+        m_own_sign_at = std::max(m_own_sign_at, at);
+    }
+}
+
+void endpoint_history::on_peer_report(const restart_report& report, time_point now) noexcept
+{
+    if (report.sign_age) {
+        m_doubted_at = std::max(m_doubted_at, now - *report.sign_age);
+    }
+    if (report.doubt_age) {
+        m_peers_doubted_at = std::max(m_peers_doubted_at, now - *report.doubt_age);
+    }
+    if (report.known_age) {
+        m_known_at = std::max(m_known_at, now - *report.known_age);
+    }
+}
+
+bool endpoint_history::needs_check(time_point now) const noexcept
+{
+    const time_point doubted_at = std::max(m_doubted_at, m_peers_doubted_at);
+    return doubted_at > m_known_at && now < doubted_at + m_cold_time;
+}
+
+std::optional<restart_report> endpoint_history::to_report(std::uint32_t endpoint,
+                                                          time_point now) const
+{
+    const auto to_age = [&](time_point at) -> std::optional<duration> {
+        return now < at + m_cold_time ? std::optional{now - at} : std::nullopt;
+    };
+    // a sign before the latest statement is over
+    const auto to_sign_age = [&](time_point at) {
+        return at > m_known_at ? to_age(at) : std::nullopt;
+    };
+    const restart_report report{endpoint, to_sign_age(m_own_sign_at), to_sign_age(m_own_doubted_at),
+                                to_age(m_own_known_at)};
+    const bool has_any = report.sign_age || report.doubt_age || report.known_age;
+    return has_any ? std::optional{report} : std::nullopt;
+}
+
+std::optional<duration> endpoint_history::own_cold_report(time_point now) const
+{
+    return now < m_own_cold_until ? std::optional{m_own_cold_until - now} : std::nullopt;
+}
+
+} // namespace hickorykeel::gateway
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -27,15 +27,16 @@
 
 std::string_view to_name(endpoint_outcome outcome) noexcept
 {
-    constexpr std::array<std::string_view, 8> names{
-        "answered", "failed", "shed", "unreachable", "cut", "timed_out", "abandoned", "gone"};
+    constexpr std::array<std::string_view, 10> names{
+        "answered", "failed",    "shed",      "refused",   "unreachable",
+        "cut",      "malformed", "timed_out", "abandoned", "gone"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
 void endpoint_pool::update(const std::map<std::string, endpoint_entry>& entries,
                            const std::function<usability(const endpoint_entry&)>& to_usability,
                            const std::function<const service*(const std::string&)>& find_service,
-                           time_point now)
+                           time_point read_at, time_point now)
 {
     std::map<std::string, endpoint_state> next;
     for (const auto& [id, entry] : entries) {
@@ -51,17 +52,16 @@
         if (is_same) {
             state = std::move(held->second);
         }
-        const bool is_updated = !is_same || state.entry.sequence != entry.sequence;
-        if (is_updated) {
-            state.cold_until = std::max(state.cold_until, now + entry.cold_remaining);
-        }
+        state.history = &history_of(id, now);
+        state.history->set_cold_time(used_service->cold_time);
+        state.history->on_entry({entry.started_ms, entry.sequence, entry.cold_remaining}, read_at,
+                                now);
         state.entry = entry;
         state.hash = short_hash(id);
         state.incarnation_hash = short_hash(endpoint_incarnation{id, entry.started_ms});
         state.is_engine = used_service->engine.has_value();
         state.transfer_rate = used_service->engine ? used_service->engine->transfer_rate : 0;
         state.cold_rate = used_service->cold_rate;
-        state.cold_time = used_service->cold_time;
         state.is_listed = use == usability::usable && !entry.is_draining;
         state.is_leaving = m_notices.is_leaving({id, entry.started_ms});
         state.is_ended = m_notices.is_ended({id, entry.started_ms});
@@ -69,17 +69,15 @@
         update_rate(state, now);
         if (state.is_evacuated && use == usability::usable) {
             // it may have become cold during the evacuation, after its last known heartbeat
-            state.reinstated_cold_until = now + state.cold_time;
+            state.history->on_sign(restart_sign::unconfirmed, now);
             if (!state.is_leaving && !state.is_ended && now >= state.turned_away_until) {
                 m_reinstated.push_back(entry);
             }
         }
         state.is_evacuated = use == usability::evacuated;
-        if (state.is_evacuated) {
-            state.warm_report_until = {};
-        }
     }
     m_endpoints = std::move(next);
+    drop_old_histories(now);
     m_incarnations.clear();
     for (const auto& [id, state] : m_endpoints) {
         m_incarnations[state.incarnation_hash] = {id, state.entry.started_ms};
@@ -143,96 +141,6 @@
     }
 }
 
-std::vector<endpoint_entry> endpoint_pool::take_reinstated()
-{
-    return std::exchange(m_reinstated, {});
-}
-
-void endpoint_pool::on_warm(const std::string& endpoint, time_point now)
-{
-    const auto found = m_endpoints.find(endpoint);
-    if (found == m_endpoints.end() || found->second.is_evacuated) {
-        return;
-    }
-    endpoint_state& state = found->second;
-    // reported for the cold time: a host that reinstates it later would treat it as cold for as
-    // long
-    state.warm_report_until = now + state.cold_time;
-    state.reinstated_cold_until = {};
-}
-
-void endpoint_pool::on_peer_warm(std::uint32_t hash)
-{
-    for (auto& [id, state] : m_endpoints) {
-        if (state.hash == hash && !state.is_evacuated) {
-            state.reinstated_cold_until = {};
-        }
-    }
-}
-
-std::vector<std::uint32_t> endpoint_pool::own_warm_endpoints(time_point now) const
-{
-    std::vector<std::uint32_t> hashes;
-    for (const auto& [id, state] : m_endpoints) {
-        if (now < state.warm_report_until) {
-            hashes.push_back(state.hash);
-        }
-    }
-    return hashes;
-}
-
-void endpoint_pool::set_cold(endpoint_state& state, duration remaining, time_point now)
-{
-    const duration counted = std::min<duration>(remaining, state.cold_time);
-    state.cold_until = std::max(state.cold_until, now + counted);
-    state.warm_report_until = {};
-}
-
-bool endpoint_pool::on_cold(const std::string& endpoint, duration remaining, time_point now)
-{
-    const auto found = m_endpoints.find(endpoint);
-    if (found == m_endpoints.end()) {
-        return false;
-    }
-    endpoint_state& state = found->second;
-    const bool was_cold = is_cold(state, now);
-    set_cold(state, remaining, now);
-    state.cold_report_until = state.cold_until;
-    return !was_cold;
-}
-
-void endpoint_pool::on_peer_cold(const cold_report& report, time_point now)
-{
-    for (auto& [id, state] : m_endpoints) {
-        if (state.hash == report.endpoint) {
-            set_cold(state, report.remaining, now);
-        }
-    }
-}
-
-std::vector<cold_report> endpoint_pool::own_cold_endpoints(time_point now) const
-{
-    std::vector<cold_report> reports;
-    for (const auto& [id, state] : m_endpoints) {
-        if (now < state.cold_report_until) {
-            reports.push_back({state.hash, state.cold_report_until - now});
-        }
-    }
-    return reports;
-}
-
-std::vector<endpoint_entry> endpoint_pool::assumed_warm(time_point now) const
-{
-    std::vector<endpoint_entry> entries;
-    for (const auto& [id, state] : m_endpoints) {
-        if (state.cold_rate > 0 && state.is_listed && !state.is_leaving && !state.is_ended &&
-            !state.is_ended_elsewhere && !is_blocked(state, now) && !is_cold(state, now)) {
-            entries.push_back(state.entry);
-        }
-    }
-    return entries;
-}
-
 void endpoint_pool::set_peer_loads(const std::unordered_map<std::uint32_t, endpoint_load>& loads)
 {
     for (auto& [id, state] : m_endpoints) {
@@ -276,8 +184,8 @@
         return false;
     }
     if (is_cold(state, now) && state.cold_rate > 0) {
-        return state.cold_limiter.has_capacity(m_to_cold_allowance(state.entry.id, state.cold_rate),
-                                               now);
+        return state.history->has_capacity(m_to_cold_allowance(state.entry.id, state.cold_rate),
+                                           now);
     }
     return true;
 }
@@ -513,8 +421,8 @@
     if (state.share) {
         state.share->take_up_to(1, now);
     }
-    if (is_cold(state, now)) {
-        state.cold_limiter.on_sent(now);
+    if (state.cold_rate > 0) {
+        state.history->on_sent(now);
     }
     if (request_prompt == nullptr) {
         return 0;
@@ -620,19 +528,25 @@
     case endpoint_outcome::shed:
         state.backoff_until = std::max(state.backoff_until, now + m_options.shed_backoff);
         break;
+    case endpoint_outcome::refused:
     case endpoint_outcome::unreachable:
-        // it may have restarted, which only a later heartbeat would tell: it counts as cold for the
-        // cold time
-        state.cold_until = std::max<time_point>(state.cold_until, now + state.cold_time);
+        on_restart_sign(endpoint,
+                        outcome == endpoint_outcome::refused ? restart_sign::refused
+                                                             : restart_sign::unconfirmed,
+                        now);
         start_backoff(state, now);
         ++state.failures;
         break;
     case endpoint_outcome::cut:
+        on_disconnected(state, now);
+        count_failure(state, now);
+        break;
     case endpoint_outcome::timed_out:
-        state.failure_rate += failure_weight * (1 - state.failure_rate);
-        if (++state.failures > 1) {
-            start_backoff(state, now);
-        }
+        on_restart_sign(endpoint, restart_sign::unconfirmed, now);
+        count_failure(state, now);
+        break;
+    case endpoint_outcome::malformed:
+        count_failure(state, now);
         break;
     case endpoint_outcome::gone:
         state.is_listed = false;
@@ -642,6 +556,15 @@
     }
 }
 
+/// Counts a failure after which the endpoint is ejected unless it is the first one.
+void endpoint_pool::count_failure(endpoint_state& state, time_point now) const
+{
+    state.failure_rate += failure_weight * (1 - state.failure_rate);
+    if (++state.failures > 1) {
+        start_backoff(state, now);
+    }
+}
+
 std::unordered_map<std::uint32_t, endpoint_load> endpoint_pool::own_loads() const
 {
     std::unordered_map<std::uint32_t, endpoint_load> loads;
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "gateway/configuration/publication.h"
-#include "gateway/limits/cold_rate_limiter.h"
 #include "gateway/membership/member_table.h"
+#include "gateway/routing/endpoint_history.h"
 #include "gateway/routing/endpoint_notices.h"
 #include "gateway/routing/prompt.h"
 #include "process/clock.h"
@@ -14,6 +14,7 @@
 #include <functional>    // function
 #include <map>           // map
 #include <optional>      // optional
+#include <set>           // set
 #include <string>        // string
 #include <unordered_map> // unordered_map
 #include <vector>        // vector
@@ -46,8 +47,10 @@
     answered,    ///< a complete response that isn't a failure
     failed,      ///< a response that reports a failure
     shed,        ///< rejected without being executed
-    unreachable, ///< no connection could be established
-    cut,         ///< the connection broke, or the response was invalid
+    refused,     ///< the endpoint's machine refused the connection: nothing listens there
+    unreachable, ///< no connection could be established otherwise
+    cut,         ///< the endpoint ended the connection before the response was complete
+    malformed,   ///< the response was invalid
     timed_out,   ///< no data within the timeout
     abandoned,   ///< cancelled by this host; doesn't affect the endpoint's health
     gone,        ///< another incarnation uses the address
@@ -80,8 +83,9 @@
 /// the region report. The slowness of an endpoint is estimated from the measured time to first
 /// byte, relative to the one expected under that load.
 ///
-/// An endpoint is ejected when it is unreachable, or when a connection breaks or times out and this
-/// isn't the first of these failures since its last complete response that isn't a failure. The
+/// An endpoint is ejected when it is unreachable, or when a connection breaks or times out, or a
+/// response is invalid, and this isn't the first of these failures since its last complete response
+/// that isn't a failure. The
 /// backoff doubles with each such failure, up to a maximum. A response that reports a failure only
 /// raises the failure rate. An endpoint that sheds a request gets a backoff of fixed length. One
 /// that has said that it is leaving, or at whose address another incarnation responds, gets no
@@ -124,10 +128,11 @@
     /// Replaces the endpoints by those of `entries`. Load and health of an endpoint are kept unless
     /// its entry has another start time. Entries that are not of this region, or for whose service
     /// `find_service` returns null, are left out.
+    /// @param read_at latest time at which the entries are known to have been the newest ones
     void update(const std::map<std::string, endpoint_entry>& entries,
                 const std::function<usability(const endpoint_entry&)>& to_usability,
                 const std::function<const service*(const std::string&)>& find_service,
-                time_point now);
+                time_point read_at, time_point now);
 
     /// Records that another host of the region has sent a prefix to an endpoint, which caches it.
     void on_peer_prefix(const sent_prefix& received, time_point now);
@@ -176,26 +181,44 @@
     bool on_peer_rate(const rate_report& report, time_point heard_since, time_point now);
 
     /// Returns the endpoints whose evacuation has ended since the last call, but for those that
-    /// wanted no requests then. Each endpoint whose evacuation has ended is treated as cold for its
-    /// service's cold time, or until `on_warm()` or `on_peer_warm()` is called.
+    /// wanted no requests then. Each endpoint whose evacuation has ended is in doubt.
     [[nodiscard]] std::vector<endpoint_entry> take_reinstated();
 
-    /// Records that the endpoint itself has reported being warm. No effect while it is evacuated.
-    void on_warm(const std::string& endpoint, time_point now);
+    /// Returns the endpoints that have ended a connection with this host since the last call, which
+    /// puts them in doubt, and that would get requests if it were sound.
+    [[nodiscard]] std::vector<endpoint_entry> take_disconnected();
+
+    /// Records that this host has seen a sign that the endpoint may have restarted. No effect if its
+    /// service doesn't limit the requests to cold endpoints.
+    void on_restart_sign(const std::string& endpoint, restart_sign sign, time_point now);
+
+    /// Records that the endpoint at `address` has ended a connection between two calls.
+    void on_idle_connection_ended(const std::string& address, time_point now);
+
+    /// Records that the endpoint itself has reported, as asked at `asked_at`, that it is warm.
+    void on_warm(const std::string& endpoint, time_point asked_at);
+
+    /// Records what another host has learned of restarts of an endpoint.
+    void on_peer_restart(const restart_report& report, time_point now);
 
-    /// Records that another host reports the endpoint with this hash as warm. No effect while it is
-    /// evacuated.
-    void on_peer_warm(std::uint32_t hash);
+    /// Returns, for the heartbeat, what this host itself has learned of restarts of late.
+    [[nodiscard]] std::vector<restart_report> own_restarts(time_point now);
 
-    /// Returns, for the heartbeat, the hashes of the endpoints that reported being warm to this
-    /// host within their service's cold time and have not been evacuated since.
-    [[nodiscard]] std::vector<std::uint32_t> own_warm_endpoints(time_point now) const;
+    /// Whether there is a sign of a restart which `own_restarts()` hasn't returned yet and on which
+    /// all hosts of the region act.
+    [[nodiscard]] bool has_news_of_restart() const noexcept { return m_has_news_of_restart; }
 
-    /// Records that the endpoint itself has said that it is cold for `remaining`; at most its
-    /// service's cold time counts. Returns whether this host took it for warm.
-    bool on_cold(const std::string& endpoint, duration remaining, time_point now);
+    /// Returns the endpoints of which some host doesn't know whether they have restarted, and that
+    /// would get requests if they haven't.
+    [[nodiscard]] std::vector<endpoint_entry> unconfirmed(time_point now) const;
 
-    /// Records that an endpoint has said to another host that it is cold, as `on_cold()` does.
+    /// Records that the endpoint itself has said, as asked at `asked_at`, that it is cold for
+    /// `remaining`; at most its service's cold time counts. Returns whether this host took it for
+    /// warm.
+    bool on_cold(const std::string& endpoint, duration remaining, time_point asked_at,
+                 time_point now);
+
+    /// Records that an endpoint has said to another host that it is cold.
     void on_peer_cold(const cold_report& report, time_point now);
 
     /// Returns, for the heartbeat, the endpoints that have said to this host that they are cold, and
@@ -309,23 +332,32 @@
         /// complete response arrives.
         bool is_half_open = false;
         time_point backoff_until{};
-        time_point turned_away_until{}; ///< by the incarnation itself
-        time_point cold_until{};
-        time_point reinstated_cold_until{}; ///< after an evacuation, unless reported warm
-        time_point warm_report_until{};     ///< until then, heartbeats report it as warm
-        time_point cold_report_until{};     ///< until then, heartbeats report it as cold
-        std::chrono::milliseconds cold_time{0};
-        cold_rate_limiter cold_limiter;
-        rate_statement rate;               ///< its newest
-        std::optional<token_bucket> share; ///< this host's of the rate; set if it names one
+        time_point turned_away_until{};      ///< by the incarnation itself
+        endpoint_history* history = nullptr; ///< in `m_histories`; never null
+        rate_statement rate;                 ///< its newest
+        std::optional<token_bucket> share;   ///< this host's of the rate; set if it names one
         std::unordered_map<std::uint64_t, cached_prefix> cached_prefixes; ///< by prefix id
     };
 
-    static void set_cold(endpoint_state& state, duration remaining, time_point now);
+    /// What outlives an endpoint's entry for a while.
+    struct held_history {
+        endpoint_history history;
+        time_point listed_at{};
+    };
+
     [[nodiscard]] static bool is_cold(const endpoint_state& state, time_point now) noexcept
     {
-        return now < state.cold_until || now < state.reinstated_cold_until;
+        return state.history->is_cold(now);
+    }
+    /// Whether it would get a full load if it were warm, and its service limits cold ones.
+    [[nodiscard]] static bool is_worth_asking(const endpoint_state& state, time_point now) noexcept
+    {
+        return state.cold_rate > 0 && state.is_listed && !state.is_leaving && !state.is_ended &&
+               !state.is_ended_elsewhere && now >= state.turned_away_until;
     }
+    void on_disconnected(endpoint_state& state, time_point now);
+    [[nodiscard]] endpoint_history& history_of(const std::string& id, time_point now);
+    void drop_old_histories(time_point now);
     /// Whether the endpoint gets nothing now, after failures or by its own wish.
     [[nodiscard]] static bool is_blocked(const endpoint_state& state, time_point now) noexcept
     {
@@ -378,6 +410,7 @@
                                                   time_point now) const;
     [[nodiscard]] std::uint32_t max_active(const endpoint_state& state) const;
     void start_backoff(endpoint_state& state, time_point now) const;
+    void count_failure(endpoint_state& state, time_point now) const;
     static void remove_waiting_tokens(endpoint_state& state, std::uint32_t waiting_tokens);
 
     static void add_cached_prefix(endpoint_state& state, std::uint64_t prefix, cached_prefix added);
@@ -387,10 +420,13 @@
 
     std::vector<sent_prefix> m_sent_prefixes;
     std::vector<endpoint_entry> m_reinstated;
+    std::set<std::string> m_disconnected; ///< ids, since `take_disconnected()`
+    bool m_has_news_of_restart = false;
     endpoint_notices m_notices;
     endpoint_pool_options m_options;
     cold_allowance_function m_to_cold_allowance;
     rate_share_function m_to_rate_share;
+    std::map<std::string, held_history> m_histories;                        ///< by id
     std::map<std::string, endpoint_state> m_endpoints;                      ///< by id
     std::unordered_map<std::uint32_t, endpoint_incarnation> m_incarnations; ///< of these, by hash
 };
--- /dev/null
+++ b/src/gateway/routing/endpoint_pool_restarts.cpp
@@ -0,0 +1,161 @@
+#include "gateway/routing/endpoint_pool.h"
+
+#include <algorithm> // erase_if
+#include <chrono>    // seconds
+#include <utility>   // exchange
+
+// What is known of restarts of endpoints, and of whether they are cold.
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+/// Time for which the history of an endpoint without an entry is kept. Entries may lapse for a moment.
+constexpr duration history_retention = std::chrono::seconds{10};
+
+} // namespace
+
+endpoint_history& endpoint_pool::history_of(const std::string& id, time_point now)
+{
+    held_history& held = m_histories[id];
+    held.listed_at = now;
+    return held.history;
+}
+
+void endpoint_pool::drop_old_histories(time_point now)
+{
+    std::erase_if(m_histories, [&](const auto& item) {
+        return !m_endpoints.contains(item.first) &&
+               now - item.second.listed_at >= history_retention;
+    });
+}
+
+std::vector<endpoint_entry> endpoint_pool::take_reinstated()
+{
+    return std::exchange(m_reinstated, {});
+}
+
+std::vector<endpoint_entry> endpoint_pool::take_disconnected()
+{
+    std::vector<endpoint_entry> entries;
+    for (const std::string& id : std::exchange(m_disconnected, {})) {
+        const auto found = m_endpoints.find(id);
+        if (found != m_endpoints.end()) {
+            entries.push_back(found->second.entry);
+        }
+    }
+    return entries;
+}
+
+/// Records that the endpoint has ended a connection. Whether that is a sign of a restart on which
+/// other hosts have to act is found out by asking it.
+void endpoint_pool::on_disconnected(endpoint_state& state, time_point now)
+{
+    if (is_worth_asking(state, now)) {
+        state.history->on_sign(restart_sign::unconfirmed, now);
+        m_disconnected.insert(state.entry.id);
+    }
+}
+
+void endpoint_pool::on_restart_sign(const std::string& endpoint, restart_sign sign, time_point now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found != m_endpoints.end() && found->second.cold_rate > 0) {
+        found->second.history->on_sign(sign, now);
+        m_has_news_of_restart = m_has_news_of_restart || concerns_region(sign);
+    }
+}
+
+void endpoint_pool::on_idle_connection_ended(const std::string& address, time_point now)
+{
+    for (auto& [id, state] : m_endpoints) {
+        if (state.entry.address == address) {
+            on_disconnected(state, now);
+        }
+    }
+}
+
+void endpoint_pool::on_warm(const std::string& endpoint, time_point asked_at)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found != m_endpoints.end() && !found->second.is_evacuated) {
+        found->second.history->on_warm(asked_at);
+    }
+}
+
+void endpoint_pool::on_peer_restart(const restart_report& report, time_point now)
+{
+    for (auto& [id, state] : m_endpoints) {
+        if (state.hash == report.endpoint && state.cold_rate > 0) {
+            state.history->on_peer_report(report, now);
+        }
+    }
+}
+
+std::vector<restart_report> endpoint_pool::own_restarts(time_point now)
+{
+    m_has_news_of_restart = false;
+    std::vector<restart_report> reports;
+    for (const auto& [id, state] : m_endpoints) {
+        if (const auto report = state.history->to_report(state.hash, now)) {
+            reports.push_back(*report);
+        }
+    }
+    return reports;
+}
+
+std::vector<endpoint_entry> endpoint_pool::unconfirmed(time_point now) const
+{
+    std::vector<endpoint_entry> entries;
+    for (const auto& [id, state] : m_endpoints) {
+        if (is_worth_asking(state, now) && state.history->needs_check(now)) {
+            entries.push_back(state.entry);
+        }
+    }
+    return entries;
+}
+
+bool endpoint_pool::on_cold(const std::string& endpoint, duration remaining, time_point asked_at,
+                            time_point now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end()) {
+        return false;
+    }
+    const bool was_cold = is_cold(found->second, now);
+    found->second.history->on_cold(remaining, asked_at, now);
+    return !was_cold;
+}
+
+void endpoint_pool::on_peer_cold(const cold_report& report, time_point now)
+{
+    for (auto& [id, state] : m_endpoints) {
+        if (state.hash == report.endpoint) {
+            state.history->on_peer_cold(report.remaining, now);
+        }
+    }
+}
+
+std::vector<cold_report> endpoint_pool::own_cold_endpoints(time_point now) const
+{
+    std::vector<cold_report> reports;
+    for (const auto& [id, state] : m_endpoints) {
+        if (const auto remaining = state.history->own_cold_report(now)) {
+            reports.push_back({state.hash, *remaining});
+        }
+    }
+    return reports;
+}
+
+std::vector<endpoint_entry> endpoint_pool::assumed_warm(time_point now) const
+{
+    std::vector<endpoint_entry> entries;
+    for (const auto& [id, state] : m_endpoints) {
+        if (is_worth_asking(state, now) && !is_blocked(state, now) && !is_cold(state, now)) {
+            entries.push_back(state.entry);
+        }
+    }
+    return entries;
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/serving/endpoint_checker.cpp
@@ -0,0 +1,145 @@
+#include "gateway/serving/endpoint_checker.h"
+
+#include "gateway/serving/endpoint_statements.h"
+
+#include <chrono>  // milliseconds
+#include <utility> // exchange
+
+namespace hickorykeel::gateway {
+
+namespace {
+
+/// Age of the published state above which endpoints are asked whether they have become cold: nobody
+/// else may be able to tell it. Above the age that the state reaches in an undisturbed fleet.
+constexpr duration max_told_age = std::chrono::milliseconds{2'000};
+
+/// Interval of the questions to an endpoint in doubt.
+constexpr duration check_interval = std::chrono::milliseconds{500};
+
+} // namespace
+
+void endpoint_checker::check_disconnected()
+{
+    for (const endpoint_entry& entry : m_dependencies.pool.take_disconnected()) {
+        ask_disconnected(entry);
+    }
+}
+
+void endpoint_checker::check_reinstated()
+{
+    for (const endpoint_entry& entry : m_dependencies.pool.take_reinstated()) {
+        ask_owned(entry, silence::unknown, boot_clock::now());
+    }
+}
+
+void endpoint_checker::check_periodically(time_point now)
+{
+    if (now - m_unconfirmed_asked_at < check_interval) {
+        return;
+    }
+    m_unconfirmed_asked_at = now;
+    for (const endpoint_entry& entry : m_dependencies.pool.unconfirmed(now)) {
+        m_dependencies.metrics.count("probe_in_doubt");
+        ask_owned(entry, silence::unconfirmed, now);
+    }
+    if (m_dependencies.state.age(now) < max_told_age) {
+        return;
+    }
+    for (const endpoint_entry& entry : m_dependencies.pool.assumed_warm(now)) {
+        m_dependencies.metrics.count("probe_with_old_state");
+        ask_owned(entry, silence::unknown, now);
+    }
+}
+
+/// Asks an endpoint if this host is the one that has to.
+void endpoint_checker::ask_owned(const endpoint_entry& entry, silence meaning, time_point now)
+{
+    const publication_ptr& published = m_dependencies.state.published();
+    const service* of = published == nullptr ? nullptr : published->find_service(entry.service);
+    if (of != nullptr && !of->health_path.empty() && m_dependencies.is_owner(entry, *of) &&
+        m_dependencies.pool.try_take_share(entry.id, now)) {
+        ask(entry, of->health_path, meaning);
+    }
+}
+
+void endpoint_checker::ask_disconnected(const endpoint_entry& entry)
+{
+    const auto under_way = m_asked.find(entry.id);
+    if (under_way != m_asked.end()) {
+        under_way->second = true;
+        return;
+    }
+    const publication_ptr& published = m_dependencies.state.published();
+    const service* of = published == nullptr ? nullptr : published->find_service(entry.service);
+    if (of != nullptr && !of->health_path.empty() &&
+        m_dependencies.pool.try_take_share(entry.id, boot_clock::now())) {
+        m_asked[entry.id] = false;
+        m_dependencies.metrics.count("probe_after_disconnection");
+        ask(entry, of->health_path, silence::restarted);
+    }
+}
+
+void endpoint_checker::ask(const endpoint_entry& entry, const std::string& health_path,
+                           silence meaning)
+{
+    const endpoint_incarnation endpoint{entry.id, entry.started_ms};
+    const time_point asked_at = boot_clock::now();
+    m_dependencies.prober.probe(
+        entry, health_path,
+        {.on_warm =
+             [this, id = entry.id, asked_at] {
+                 m_dependencies.pool.on_warm(id, asked_at);
+                 m_dependencies.on_warm();
+             },
+         .on_cold = [this, id = entry.id,
+                     asked_at](duration remaining) { on_cold(id, remaining, asked_at); },
+         .on_failure = [this, id = entry.id,
+                        meaning](bool is_refused) { on_failure(id, meaning, is_refused); },
+         .on_head =
+             [this, endpoint, asked_at](const message_head& head) {
+                 record_statement({m_dependencies.adapter, m_dependencies.pool, m_dependencies.log,
+                                   m_dependencies.metrics},
+                                  endpoint, head, {asked_at, boot_clock::now()});
+             },
+         .on_end =
+             [this, entry, meaning] {
+                 if (meaning == silence::restarted) {
+                     on_asked(entry);
+                 }
+             }});
+}
+
+void endpoint_checker::on_cold(const std::string& endpoint, duration remaining, time_point asked_at)
+{
+    if (m_dependencies.pool.on_cold(endpoint, remaining, asked_at, boot_clock::now())) {
+        m_dependencies.metrics.count("endpoint_found_cold");
+    }
+}
+
+void endpoint_checker::on_failure(const std::string& endpoint, silence meaning, bool is_refused)
+{
+    const time_point now = boot_clock::now();
+    if (is_refused) {
+        m_dependencies.pool.on_restart_sign(endpoint, restart_sign::refused, now);
+    }
+    else if (meaning == silence::restarted) {
+        m_dependencies.pool.on_restart_sign(endpoint, restart_sign::connection_ended, now);
+    }
+    else if (meaning == silence::unconfirmed) {
+        m_dependencies.pool.on_restart_sign(endpoint, restart_sign::unconfirmed, now);
+    }
+    m_dependencies.on_restart_sign();
+}
+
+/// Asks an endpoint again if it has ended another connection since it was asked.
+void endpoint_checker::on_asked(const endpoint_entry& entry)
+{
+    const auto found = m_asked.find(entry.id);
+    const bool is_asked_again = found->second;
+    m_asked.erase(found);
+    if (is_asked_again) {
+        ask_disconnected(entry);
+    }
+}
+
+} // namespace hickorykeel::gateway
--- /dev/null
+++ b/src/gateway/serving/endpoint_checker.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "gateway/configuration/published_state.h"
+#include "gateway/observability/event_log.h"
+#include "gateway/observability/gateway_metrics.h"
+#include "gateway/routing/endpoint_pool.h"
+#include "gateway/serving/health_prober.h"
+#include "gateway/serving/protocol_adapter.h"
+#include "process/clock.h"
+
+#include <functional> // function
+#include <map>        // map
+#include <string>     // string
+
+namespace hickorykeel::gateway {
+
+/// Asks endpoints for their health where it is in doubt whether they are warm: after signs of a
+/// restart, after an evacuation, and while the published state is old.
+///
+/// An endpoint that ends a connection is asked at once by the host that has seen it, which tells a
+/// single response that is broken off from the end of the process. All other questions come from the
+/// owner of the endpoint alone, since a question may count as a request to a cold endpoint.
+///
+/// Thread safety: none; all calls come from the loop's thread. The checker must outlive its probes.
+class endpoint_checker {
+public:
+    /// Components used by the checker; they must outlive it.
+    struct dependencies {
+        endpoint_pool& pool;
+        const health_prober& prober;
+        const published_state& state;
+        const protocol_adapter& adapter;
+        event_log& log;
+        gateway_metrics& metrics;
+        /// Whether this host owns the endpoint while it is cold and may send it requests.
+        std::function<bool(const endpoint_entry&, const service&)> is_owner;
+        /// Called when an endpoint has turned out to be warm.
+        std::function<void()> on_warm;
+        /// Called when an endpoint has given a sign of a restart.
+        std::function<void()> on_restart_sign;
+    };
+
+    explicit endpoint_checker(dependencies components) : m_dependencies{std::move(components)} {}
+
+    /// Asks the endpoints that have ended a connection with this host since the last call.
+    void check_disconnected();
+
+    /// Asks the endpoints whose evacuation has ended since the last call.
+    void check_reinstated();
+
+    /// Asks, at intervals, the endpoints that are in doubt, and all of them while the published state
+    /// is old. To be called at the heartbeat interval.
+    void check_periodically(time_point now);
+
+private:
+    /// What a question that gets no answer means.
+    enum class silence { unknown, unconfirmed, restarted };
+
+    void ask_owned(const endpoint_entry& entry, silence meaning, time_point now);
+    void ask_disconnected(const endpoint_entry& entry);
+    void ask(const endpoint_entry& entry, const std::string& health_path, silence meaning);
+    void on_cold(const std::string& endpoint, duration remaining, time_point asked_at);
+    void on_failure(const std::string& endpoint, silence meaning, bool is_refused);
+    void on_asked(const endpoint_entry& entry);
+
+    dependencies m_dependencies;
+    /// Endpoints with a question under way, and whether they have ended a connection since.
+    std::map<std::string, bool> m_asked;
+    time_point m_unconfirmed_asked_at{};
+};
+
+} // namespace hickorykeel::gateway
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -163,7 +163,7 @@
     if (appended != append_result::appended) {
         m_attempt.call->cancel();
         fail_attempt(
-            {endpoint_outcome::cut, true, true,
+            {endpoint_outcome::malformed, true, true,
              appended == append_result::too_large ? "response_too_large" : "out_of_memory"});
     }
 }
@@ -192,7 +192,7 @@
     }
     if (const std::string_view fault = event_fault(); !fault.empty()) {
         m_attempt.call->cancel();
-        fail_attempt({endpoint_outcome::cut, true, true, fault});
+        fail_attempt({endpoint_outcome::malformed, true, true, fault});
         return;
     }
     if (m_caller->unsent() > max_unsent_bytes()) {
@@ -243,19 +243,23 @@
         on_complete_response();
         return;
     }
-    if (end == call_end::not_connected) {
+    if (end == call_end::refused || end == call_end::not_connected) {
         if (m_attempt.endpoint.empty()) {
             const std::string ip = m_attempt.peer.substr(0, m_attempt.peer.rfind(':'));
             m_context.unreachable_until[ip] =
                 boot_clock::now() + m_context.options.unreachable_backoff;
         }
-        fail_attempt({endpoint_outcome::unreachable, false, false, to_name(end)});
+        const bool is_refused = end == call_end::refused;
+        fail_attempt({is_refused ? endpoint_outcome::refused : endpoint_outcome::unreachable, false,
+                      false, to_name(end)});
         return;
     }
-    if (end != call_end::malformed && end != call_end::out_of_memory) {
+    const bool is_invalid = end == call_end::malformed || end == call_end::out_of_memory;
+    if (!is_invalid) {
         note_broken_off();
     }
-    fail_attempt({endpoint_outcome::cut, true, true, to_name(end)});
+    fail_attempt({is_invalid ? endpoint_outcome::malformed : endpoint_outcome::cut, true, true,
+                  to_name(end)});
 }
 
 /// Tells the quarantine that an engine broke off the response, perhaps because of the prompt.
@@ -285,7 +289,7 @@
     if (answered_id != m_fields.id) {
         // the response to this request may follow on the connection
         m_attempt.call->cancel();
-        fail_attempt({endpoint_outcome::cut, true, true, "not_the_answer"});
+        fail_attempt({endpoint_outcome::malformed, true, true, "not_the_answer"});
     }
     else if (is_refusal_of_host) {
         on_refusal_of_host();
@@ -294,7 +298,7 @@
         on_rejection();
     }
     else if (!is_genuine(head)) {
-        fail_attempt({endpoint_outcome::cut, true, true, "not_the_answer"});
+        fail_attempt({endpoint_outcome::malformed, true, true, "not_the_answer"});
     }
     else {
         on_answer();
@@ -371,6 +375,7 @@
     if (!m_attempt.endpoint.empty()) {
         m_context.pool.on_end(m_attempt.endpoint, m_attempt.waiting_tokens, outcome,
                               boot_clock::now());
+        m_context.check_endpoints();
     }
     m_attempt.call = nullptr;
     m_last_attempt_end = boot_clock::now();
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -116,21 +116,40 @@
                       place_waiting();
                   }
               }},
-      m_prober{{m_loop, m_client, m_parts.adapter, m_log}}, m_callers{m_loop,
-                                                                      [this](const auto& request) {
-                                                                          serve_caller(request);
-                                                                      }},
+      m_prober{{m_loop, m_client, m_parts.adapter, m_log}},
+      m_checker{{.pool = m_pool,
+                 .prober = m_prober,
+                 .state = m_state,
+                 .adapter = m_parts.adapter,
+                 .log = m_log,
+                 .metrics = m_metrics,
+                 .is_owner =
+                     [this](const endpoint_entry& entry, const service& of) {
+                         return cold_rate_for(entry.id, of.cold_rate) >= 1;
+                     },
+                 .on_warm = [this] { place_waiting(); },
+                 .on_restart_sign = [this] { tell_restarts(); }}},
+      m_callers{m_loop, [this](const auto& request) { serve_caller(request); }},
       m_peers{m_loop, [this](const auto& request) { serve_peer(request); }},
       m_readiness{m_loop, [this](const auto& request) { serve_readiness(request); }},
       m_directory{m_loop, [this](const auto& request) { serve_directory(request); }},
       m_metrics_server{m_loop, [this](const auto& request) { serve_metrics(request); }},
-      m_gossip{m_loop, [this](std::string_view datagram) { on_datagram(datagram); }},
+      m_gossip{m_loop, [this](std::string_view datagram,
+                              time_point arrived_after) { on_datagram(datagram, arrived_after); }},
       m_signals{m_loop}, m_open_timer{m_loop}, m_heartbeat_timer{m_loop}, m_placement_timer{m_loop},
-      m_stop_timer{m_loop}, m_started{boot_clock::now()}
+      m_restart_timer{m_loop}, m_stop_timer{m_loop}, m_started{boot_clock::now()}
 {
     for (const int signal : handled_signals) {
         m_signals.add(signal);
     }
+    m_context.check_endpoints = [this] {
+        m_checker.check_disconnected();
+        tell_restarts();
+    };
+    m_client.set_on_idle_end([this](const std::string& address) {
+        m_pool.on_idle_connection_ended(address, boot_clock::now());
+        m_checker.check_disconnected();
+    });
     m_client.set_memory(m_memory);
     for (http_server* server :
          {&m_callers, &m_peers, &m_readiness, &m_directory, &m_metrics_server}) {
@@ -246,7 +265,7 @@
     m_heard_since = std::exchange(m_heartbeat_at, boot_clock::now());
     update_members(boot_clock::now());
     update_quarantine(boot_clock::now());
-    probe_assumed_warm_endpoints(boot_clock::now());
+    m_checker.check_periodically(boot_clock::now());
     send_heartbeats();
     place_waiting();
     m_heartbeat_timer.expires_after(m_fleet.schedule().options().heartbeat_interval);
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/limits/memory_budget.h"
 #include "gateway/membership/fleet_membership.h"
 #include "gateway/membership/gossip_socket.h"
+#include "gateway/serving/endpoint_checker.h"
 #include "gateway/serving/health_prober.h"
 #include "gateway/serving/protocol_adapter.h"
 #include "gateway/serving/serving_context.h"
@@ -76,20 +77,14 @@
     void log_aggregators();
     void update_quarantine(time_point now);
     [[nodiscard]] heartbeat own_state(time_point now);
-    void on_datagram(std::string_view datagram);
+    void on_datagram(std::string_view datagram, time_point arrived_after);
+    void tell_restarts();
     void update_members(time_point now);
     [[nodiscard]] double cold_rate_for(const std::string& endpoint, double rate) const;
     [[nodiscard]] double rate_share_of(const std::string& endpoint, double rate) const;
 
     // configuration
     void on_published();
-    void probe_reinstated_endpoints();
-    void probe_assumed_warm_endpoints(time_point now);
-    void probe_assumed_warm(const endpoint_entry& entry, const std::string& health_path);
-    void on_probe_head(const endpoint_incarnation& endpoint, const message_head& head,
-                       time_point asked_at);
-    [[nodiscard]] bool is_prober_of(const endpoint_entry& entry, const service* of) const;
-    void probe_reinstated(const endpoint_entry& entry, const std::string& health_path);
 
     // lifecycle
     void run_loop();
@@ -121,6 +116,7 @@
     waiting_queue m_waiting;
     serving_context m_context;
     health_prober m_prober;
+    endpoint_checker m_checker;
     http_server m_callers;
     http_server m_peers;
     http_server m_readiness;
@@ -131,15 +127,16 @@
     asio::steady_timer m_open_timer;
     asio::steady_timer m_heartbeat_timer;
     asio::steady_timer m_placement_timer;
+    asio::steady_timer m_restart_timer;
     asio::steady_timer m_stop_timer;
     time_point m_started;
-    time_point m_assumed_warm_probed_at{};
     time_point m_heartbeat_at{}; ///< the last time that heartbeats were sent
     /// The time before that. Datagrams that are read now arrived after it, also if the process stood
     /// still in between.
     time_point m_heard_since{};
     std::vector<std::string> m_aggregators; ///< of this region, as last logged
     bool m_is_placement_scheduled = false;
+    bool m_tells_restarts = false; ///< soon, ahead of the next heartbeat
     bool m_is_stopping = false;
     bool m_has_ended_requests = false; ///< those open at the end of the shutdown
     time_point m_shutdown_started{};
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -1,6 +1,5 @@
 #include "gateway/limits/cold_allowance.h"
 #include "gateway/limits/rate_share.h"
-#include "gateway/serving/endpoint_statements.h"
 #include "gateway/serving/gateway.h"
 #include "gateway/serving/region_options.h"
 
@@ -8,6 +7,7 @@
 #include <chrono>    // milliseconds
 #include <cstddef>   // size_t
 #include <string>    // string
+#include <utility>   // exchange
 
 #include <fmt/format.h> // format
 
@@ -20,12 +20,8 @@
 /// Maximum size of the headers that a host adds to a request that it forwards.
 constexpr std::size_t max_added_header_bytes = 1'024;
 
-/// Age of the published state above which this host asks endpoints whether they have become cold:
-/// nobody else may be able to tell it. Above the age that the state reaches in an undisturbed fleet.
-constexpr duration max_told_age = std::chrono::milliseconds{2'000};
-
-/// Interval of these probes.
-constexpr duration assumed_warm_probe_interval = std::chrono::milliseconds{500};
+/// Time for which a sign of a restart waits for others, to be sent together.
+constexpr duration restart_news_delay = std::chrono::milliseconds{20};
 
 /// Returns the limits on requests that other hosts forward, which have applied the callers' limits.
 /// Their configuration may be newer or older than this host's, so the limits aren't below the
@@ -55,7 +51,7 @@
         }
     }
     state.endpoints = m_pool.own_loads();
-    state.warm_endpoints = m_pool.own_warm_endpoints(now);
+    state.restarts = m_pool.own_restarts(now);
     state.cold_endpoints = m_pool.own_cold_endpoints(now);
     state.ended_endpoints = m_pool.own_ended_endpoints();
     state.rates = m_pool.rate_reports(now);
@@ -74,6 +70,22 @@
     log_aggregators();
 }
 
+/// Sends heartbeats ahead of their time if there is a sign of a restart on which other hosts have to
+/// act. Signs that come together are sent together.
+void gateway::tell_restarts()
+{
+    if (!m_pool.has_news_of_restart() || std::exchange(m_tells_restarts, true)) {
+        return;
+    }
+    m_restart_timer.expires_after(restart_news_delay);
+    m_restart_timer.async_wait([this](const asio::error_code& failure) {
+        m_tells_restarts = false;
+        if (!failure && m_pool.has_news_of_restart()) {
+            send_heartbeats();
+        }
+    });
+}
+
 void gateway::update_quarantine(time_point now)
 {
     for (const std::uint64_t part : m_quarantine.update(now)) {
@@ -95,10 +107,10 @@
     m_log.write(line);
 }
 
-void gateway::on_datagram(std::string_view datagram)
+void gateway::on_datagram(std::string_view datagram, time_point arrived_after)
 {
     const time_point now = boot_clock::now();
-    const received_news news = m_fleet.on_datagram(datagram, now);
+    const received_news news = m_fleet.on_datagram(datagram, arrived_after, now);
     if (!news.is_readable) {
         m_metrics.count("heartbeat_unreadable");
         return;
@@ -109,8 +121,8 @@
     for (const sent_prefix& prefix : news.prompts) {
         m_pool.on_peer_prefix(prefix, now);
     }
-    for (const std::uint32_t hash : news.warm_endpoints) {
-        m_pool.on_peer_warm(hash);
+    for (const restart_report& report : news.restarts) {
+        m_pool.on_peer_restart(report, now);
     }
     for (const cold_report& report : news.cold_endpoints) {
         m_pool.on_peer_cold(report, now);
@@ -183,9 +195,10 @@
     const auto find_service = [&published](const std::string& name) {
         return published->find_service(name);
     };
-    m_pool.update(m_state.endpoints(), to_usability, find_service, boot_clock::now());
+    const time_point now = boot_clock::now();
+    m_pool.update(m_state.endpoints(), to_usability, find_service, now - m_state.age(now), now);
     m_context.capacities = to_capacities(m_state, m_settings);
-    probe_reinstated_endpoints();
+    m_checker.check_reinstated();
     const caller_limits& limits = published->limits;
     m_callers.set_limits({.message = {limits.max_header_bytes, limits.max_body_bytes},
                           .head_timeout = limits.header_timeout,
@@ -194,75 +207,4 @@
     place_waiting();
 }
 
-void gateway::probe_reinstated_endpoints()
-{
-    for (const endpoint_entry& entry : m_pool.take_reinstated()) {
-        const service* of = m_state.published()->find_service(entry.service);
-        if (is_prober_of(entry, of) && m_pool.try_take_share(entry.id, boot_clock::now())) {
-            probe_reinstated(entry, of->health_path);
-        }
-    }
-}
-
-/// Whether this host probes the endpoint of a service. Only one of its region does, the owner, since
-/// a probe may count as a request to a cold endpoint.
-bool gateway::is_prober_of(const endpoint_entry& entry, const service* of) const
-{
-    return of != nullptr && !of->health_path.empty() && cold_rate_for(entry.id, of->cold_rate) >= 1;
-}
-
-/// Asks endpoints whether they are cold while the published state, which tells it otherwise, is old.
-void gateway::probe_assumed_warm_endpoints(time_point now)
-{
-    if (m_state.published() == nullptr || m_state.age(now) < max_told_age ||
-        now - m_assumed_warm_probed_at < assumed_warm_probe_interval) {
-        return;
-    }
-    m_assumed_warm_probed_at = now;
-    for (const endpoint_entry& entry : m_pool.assumed_warm(now)) {
-        const service* of = m_state.published()->find_service(entry.service);
-        if (is_prober_of(entry, of) && m_pool.try_take_share(entry.id, now)) {
-            probe_assumed_warm(entry, of->health_path);
-        }
-    }
-}
-
-void gateway::probe_assumed_warm(const endpoint_entry& entry, const std::string& health_path)
-{
-    const endpoint_incarnation endpoint{entry.id, entry.started_ms};
-    m_metrics.count("probe_with_old_state");
-    m_prober.probe(
-        entry, health_path,
-        {.on_cold =
-             [this, id = entry.id](duration remaining) {
-                 if (m_pool.on_cold(id, remaining, boot_clock::now())) {
-                     m_metrics.count("endpoint_found_cold");
-                 }
-             },
-         .on_head = [this, endpoint, asked_at = boot_clock::now()](
-                        const message_head& head) { on_probe_head(endpoint, head, asked_at); }});
-}
-
-void gateway::probe_reinstated(const endpoint_entry& entry, const std::string& health_path)
-{
-    const endpoint_incarnation endpoint{entry.id, entry.started_ms};
-    m_prober.probe(
-        entry, health_path,
-        {.on_warm =
-             [this, id = entry.id] {
-                 m_pool.on_warm(id, boot_clock::now());
-                 place_waiting();
-             },
-         .on_head = [this, endpoint, asked_at = boot_clock::now()](
-                        const message_head& head) { on_probe_head(endpoint, head, asked_at); }});
-}
-
-/// Records what an endpoint says of itself in the head of its response to a probe.
-void gateway::on_probe_head(const endpoint_incarnation& endpoint, const message_head& head,
-                            time_point asked_at)
-{
-    record_statement({m_parts.adapter, m_pool, m_log, m_metrics}, endpoint, head,
-                     {asked_at, boot_clock::now()});
-}
-
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/health_prober.cpp
+++ b/src/gateway/serving/health_prober.cpp
@@ -46,6 +46,8 @@
             m_dependencies.log.write(log_line{"endpoint_probed"}
                                          .add("endpoint", state->endpoint)
                                          .add("outcome", "no answer in time"));
+            fail(*state, false);
+            finish(*state);
         }
     });
     state->call = m_dependencies.client.call(
@@ -68,6 +70,7 @@
         m_dependencies.log.write(log_line{"endpoint_probed"}
                                      .add("endpoint", state.endpoint)
                                      .add("outcome", "response to a request"));
+        finish(state);
         return;
     }
     state.head = head;
@@ -88,10 +91,13 @@
                                  .add("outcome", to_name(end))
                                  .add("status", std::int64_t{state.head.status})
                                  .add_ms("cold_ms", fields.cold_remaining));
-    if (!is_from_endpoint) {
-        return;
+    if (end != call_end::complete) {
+        fail(state, end == call_end::refused);
+    }
+    else if (!is_from_endpoint) {
+        // it says nothing of whether it is cold
     }
-    if (fields.cold_remaining.count() == 0) {
+    else if (fields.cold_remaining.count() == 0) {
         if (state.handlers.on_warm) {
             state.handlers.on_warm();
         }
@@ -99,6 +105,21 @@
     else if (state.handlers.on_cold) {
         state.handlers.on_cold(fields.cold_remaining);
     }
+    finish(state);
+}
+
+void health_prober::fail(probe_state& state, bool is_refused)
+{
+    if (state.handlers.on_failure) {
+        state.handlers.on_failure(is_refused);
+    }
+}
+
+void health_prober::finish(probe_state& state)
+{
+    if (state.handlers.on_end) {
+        state.handlers.on_end();
+    }
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/health_prober.h
+++ b/src/gateway/serving/health_prober.h
@@ -33,13 +33,18 @@
         std::function<void()> on_warm = {};
         /// Receives the time for which the endpoint stays cold.
         std::function<void(duration)> on_cold = {};
+        /// The endpoint gave no complete response in time. Receives whether its machine refused the
+        /// connection.
+        std::function<void(bool is_refused)> on_failure = {};
         /// Receives the head of a response that isn't another incarnation's.
         std::function<void(const message_head&)> on_head = {};
+        /// Called last, however the probe ends.
+        std::function<void()> on_end = {};
     };
 
     /// Sends a probe for `path` to `endpoint`. Calls `on_warm` or `on_cold` once if the endpoint
-    /// responds that it is warm or cold, and neither if it fails, doesn't respond in time or is
-    /// another incarnation.
+    /// responds that it is warm or cold, `on_failure` if there is no complete response in time, and
+    /// none of these if it responds with a failure or is another incarnation.
     void probe(const endpoint_entry& endpoint, const std::string& path,
                probe_handlers handlers) const;
 
@@ -48,6 +53,8 @@
 
     void on_head(probe_state& state, const message_head& head) const;
     void on_response(probe_state& state, call_end end) const;
+    static void fail(probe_state& state, bool is_refused);
+    static void finish(probe_state& state);
 
     dependencies m_dependencies;
 };
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -133,6 +133,9 @@
 
     /// Retries queued requests; called when a slot may have become free.
     std::function<void()> retry_waiting;
+
+    /// Asks endpoints that may have restarted for their health; called after each attempt at one.
+    std::function<void()> check_endpoints = [] {};
 };
 
 } // namespace hickorykeel::gateway
