Test that a change after a restoration of the store comes into force

What callers saw: routes that had been added weren't served, and old ones went on (CONFIG).

Change: the stand-in of the platform's store can be restored from an older copy.

--- a/standins/gateway/platform_world.h
+++ b/standins/gateway/platform_world.h
@@ -115,6 +115,16 @@
     void put(const std::string& key, const nlohmann::json& value);
     void remove(const std::string& key);
 
+    /// Keeps a copy of the store's contents and history as they are now.
+    void copy_store();
+
+    /// Restores the store from the last copy: what was written since is lost, and its revisions are
+    /// given out again. The era that all responses name rises.
+    void restore_store();
+
+    /// Sets whether responses name the era.
+    void set_names_era(bool names_era) noexcept { m_names_era = names_era; }
+
     /// Turns every reader away with 503, or serves again.
     void set_refusing(bool refuses) noexcept { m_refuses = refuses; }
     [[nodiscard]] std::uint64_t reads() const noexcept { return m_reads; }
@@ -137,16 +147,25 @@
     bool run_until(const std::function<bool()>& is_done);
 
 private:
+    /// Contents and history of the store.
+    struct store_state {
+        std::map<std::string, nlohmann::json> items; ///< by key: the item as the store shows it
+        std::vector<nlohmann::json> events;          ///< in the order of their revisions
+        std::uint64_t revision = 0;
+    };
+
     void serve_store(const std::shared_ptr<gateway::server_exchange>& request);
+    [[nodiscard]] gateway::header_list store_headers() const;
     [[nodiscard]] nlohmann::json range(const std::string& target) const;
-    [[nodiscard]] nlohmann::json changes(const std::string& target) const;
+    [[nodiscard]] nlohmann::json changes(std::uint64_t after) const;
 
     asio::io_context m_loop{1};
     gateway::http_server m_store;
     gateway::http_client m_caller;
-    std::map<std::string, nlohmann::json> m_items; // by key: the item as the store shows it
-    std::vector<nlohmann::json> m_events;          // in the order of their revisions
-    std::uint64_t m_revision = 0;
+    store_state m_state;
+    store_state m_copy;
+    std::uint64_t m_era = 1;
+    bool m_names_era = true;
     std::uint64_t m_reads = 0;
     bool m_refuses = false;
     std::vector<std::unique_ptr<endpoint_standin>> m_endpoints;
