Decide the steps of a read of the store outside the platform's folder

Change: source_read has the steps and the eras, as logic without sockets; store_client makes the calls. No behaviour changes.

--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -107,8 +107,8 @@
                              R"({"key":"servers/i-3","value":")" +
                              good + R"(","revision":3}],"hasMore":false,"asOf":12})";
     auto decoded = platform::decode_page(page);
-    REQUIRE(std::holds_alternative<platform::store_page>(decoded));
-    auto& items = std::get<platform::store_page>(decoded);
+    REQUIRE(std::holds_alternative<source_response>(decoded));
+    auto& items = std::get<source_response>(decoded);
     published_items held{platform::decode_item};
     REQUIRE(is_ok(held.apply({{}, {1, items.revision}, std::move(items.items)})));
     const published_reading read = held.to_reading();
@@ -132,8 +132,8 @@
     const auto decoded = platform::decode_events(
         R"({"events":[{"key":"servers/i-1","value":"e30=","revision":5,"created":2,"lease":0},)"
         R"({"key":"op/evacuate/d","revision":6,"deleted":true},"odd",{"revision":7}],"asOf":7})");
-    REQUIRE(std::holds_alternative<platform::store_page>(decoded));
-    const auto& page = std::get<platform::store_page>(decoded);
+    REQUIRE(std::holds_alternative<source_response>(decoded));
+    const auto& page = std::get<source_response>(decoded);
     CHECK(page.revision == 7);
     REQUIRE(page.items.size() == 2);
     CHECK(page.items.front().position.revision == 5);
@@ -429,8 +429,8 @@
     auto decoded = platform::decode_page(R"({"items":[{"key":"servers/i-1","value":)" + nest(deep) +
                                          R"(},{"key":"servers/i-2","value":"e30=","other":)" +
                                          nest_objects(deep) + R"(}],"asOf":12})");
-    REQUIRE(std::holds_alternative<platform::store_page>(decoded));
-    auto& page = std::get<platform::store_page>(decoded);
+    REQUIRE(std::holds_alternative<source_response>(decoded));
+    auto& page = std::get<source_response>(decoded);
     CHECK(page.items.size() == 2);
     // the configuration and a sound endpoint beside entries out of range
     page.items.push_back({"op/config", configuration, 3, false});
