Mend what a reader found in the telling of restarts

A health probe could end twice, if its response and its timeout were due at once; what a host knows of an endpoint got younger by the time that the report was on its way, and could end a later sign; no sign was recorded while the endpoint turned the host away; a history went with its entry if the published state hadn't changed for 10 s; a sound endpoint that is too busy to answer a probe became cold in its region; probes didn't count as requests; aggregators passed signs on with the next heartbeat only.

Change: probes end once; known states count as 500 ms older on other hosts, whose doubts are checked until then; signs are recorded whenever the service limits cold requests; the retention of a history begins when its entry is gone; only refusals are told to act upon, all else to the owner; probes are counted with the requests; aggregators tell at once.

The probe that ended twice has no test.

--- a/src/gateway/routing/endpoint_history.h
+++ b/src/gateway/routing/endpoint_history.h
@@ -12,15 +12,14 @@
 
 /// A sign that an endpoint may have restarted under its id, or may have become cold unnoticed.
 enum class restart_sign {
-    refused,          ///< nothing listens at its address
-    connection_ended, ///< it has ended a connection that it should have kept
-    unconfirmed,      ///< it was out of reach or evacuated, and may be as before
+    refused,     ///< nothing listens at its address
+    unconfirmed, ///< it has ended a connection, was out of reach or evacuated; it may be as before
 };
 
 /// Whether all hosts of the region take the endpoint for cold after such a sign that one has seen.
 [[nodiscard]] constexpr bool concerns_region(restart_sign sign) noexcept
 {
-    return sign != restart_sign::unconfirmed;
+    return sign == restart_sign::refused;
 }
 
 /// What a published entry says of an endpoint's start.
@@ -66,8 +65,8 @@
     /// Records what this host has seen.
     void on_sign(restart_sign sign, time_point at) noexcept;
 
-    /// Records what another host has learned.
-    void on_peer_report(const restart_report& report, time_point now) noexcept;
+    /// Records what another host has learned. Returns whether the endpoint has become doubtful by it.
+    bool on_peer_report(const restart_report& report, time_point now) noexcept;
 
     /// Records a request sent to it, whether it is cold or not.
     void on_sent(time_point now) { m_sent.on_sent(now); }
@@ -88,7 +87,7 @@
         return m_doubted_at > m_known_at && now < m_doubted_at + m_cold_time;
     }
 
-    /// Whether this host or another one is in doubt.
+    /// Whether this host or another one is in doubt, or may not have learned of the latest statement.
     [[nodiscard]] bool needs_check(time_point now) const noexcept;
 
     /// Whether one more request may be sent to it while it is cold and accepts `per_second` requests
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -52,7 +52,7 @@
         if (is_same) {
             state = std::move(held->second);
         }
-        state.history = &history_of(id, now);
+        state.history = &history_of(id);
         state.history->set_cold_time(used_service->cold_time);
         state.history->on_entry({entry.started_ms, entry.sequence, entry.cold_remaining}, read_at,
                                 now);
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -185,7 +185,7 @@
     [[nodiscard]] std::vector<endpoint_entry> take_reinstated();
 
     /// Returns the endpoints that have ended a connection with this host since the last call, which
-    /// puts them in doubt, and that would get requests if it were sound.
+    /// puts them in doubt, and that were taken for warm.
     [[nodiscard]] std::vector<endpoint_entry> take_disconnected();
 
     /// Records that this host has seen a sign that the endpoint may have restarted. No effect if its
@@ -204,8 +204,11 @@
     /// Returns, for the heartbeat, what this host itself has learned of restarts of late.
     [[nodiscard]] std::vector<restart_report> own_restarts(time_point now);
 
-    /// Whether there is a sign of a restart which `own_restarts()` hasn't returned yet and on which
-    /// all hosts of the region act.
+    /// Records that the endpoint is being asked for its health, which may count as a request.
+    void on_asked(const std::string& endpoint, time_point now);
+
+    /// Whether there is a sign of a restart on which all hosts of the region act, and which is new
+    /// since `own_restarts()`.
     [[nodiscard]] bool has_news_of_restart() const noexcept { return m_has_news_of_restart; }
 
     /// Returns the endpoints of which some host doesn't know whether they have restarted, and that
@@ -342,7 +345,7 @@
     /// What outlives an endpoint's entry for a while.
     struct held_history {
         endpoint_history history;
-        time_point listed_at{};
+        std::optional<time_point> unlisted_since; ///< set while there is no entry
     };
 
     [[nodiscard]] static bool is_cold(const endpoint_state& state, time_point now) noexcept
@@ -356,7 +359,7 @@
                !state.is_ended_elsewhere && now >= state.turned_away_until;
     }
     void on_disconnected(endpoint_state& state, time_point now);
-    [[nodiscard]] endpoint_history& history_of(const std::string& id, time_point now);
+    [[nodiscard]] endpoint_history& history_of(const std::string& id);
     void drop_old_histories(time_point now);
     /// Whether the endpoint gets nothing now, after failures or by its own wish.
     [[nodiscard]] static bool is_blocked(const endpoint_state& state, time_point now) noexcept
--- a/src/gateway/routing/endpoint_pool_restarts.cpp
+++ b/src/gateway/routing/endpoint_pool_restarts.cpp
@@ -1,8 +1,9 @@
 #include "gateway/routing/endpoint_pool.h"
 
-#include <algorithm> // erase_if
-#include <chrono>    // seconds
-#include <utility>   // exchange
+#include <chrono>   // seconds
+#include <map>      // erase_if
+#include <optional> // optional
+#include <utility>  // exchange
 
 // What is known of restarts of endpoints, and of whether they are cold.
 
@@ -15,18 +16,23 @@
 
 } // namespace
 
-endpoint_history& endpoint_pool::history_of(const std::string& id, time_point now)
+endpoint_history& endpoint_pool::history_of(const std::string& id)
 {
     held_history& held = m_histories[id];
-    held.listed_at = now;
+    held.unlisted_since.reset();
     return held.history;
 }
 
 void endpoint_pool::drop_old_histories(time_point now)
 {
-    std::erase_if(m_histories, [&](const auto& item) {
-        return !m_endpoints.contains(item.first) &&
-               now - item.second.listed_at >= history_retention;
+    for (auto& [id, held] : m_histories) {
+        if (!m_endpoints.contains(id)) {
+            held.unlisted_since = held.unlisted_since.value_or(now);
+        }
+    }
+    std::erase_if(m_histories, [now](const auto& item) {
+        const std::optional<time_point>& since = item.second.unlisted_since;
+        return since && now - *since >= history_retention;
     });
 }
 
@@ -48,13 +54,24 @@
 }
 
 /// Records that the endpoint has ended a connection. Whether that is a sign of a restart on which
-/// other hosts have to act is found out by asking it.
+/// other hosts have to act is found out by asking it, unless it is cold anyway.
 void endpoint_pool::on_disconnected(endpoint_state& state, time_point now)
 {
-    if (is_worth_asking(state, now)) {
-        state.history->on_sign(restart_sign::unconfirmed, now);
+    if (state.cold_rate <= 0) {
+        return;
+    }
+    if (is_worth_asking(state, now) && !is_cold(state, now)) {
         m_disconnected.insert(state.entry.id);
     }
+    state.history->on_sign(restart_sign::unconfirmed, now);
+}
+
+void endpoint_pool::on_asked(const std::string& endpoint, time_point now)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found != m_endpoints.end()) {
+        found->second.history->on_sent(now);
+    }
 }
 
 void endpoint_pool::on_restart_sign(const std::string& endpoint, restart_sign sign, time_point now)
@@ -87,7 +104,8 @@
 {
     for (auto& [id, state] : m_endpoints) {
         if (state.hash == report.endpoint && state.cold_rate > 0) {
-            state.history->on_peer_report(report, now);
+            const bool is_new = state.history->on_peer_report(report, now);
+            m_has_news_of_restart = m_has_news_of_restart || is_new;
         }
     }
 }
--- a/src/gateway/serving/endpoint_checker.cpp
+++ b/src/gateway/serving/endpoint_checker.cpp
@@ -75,7 +75,7 @@
         m_dependencies.pool.try_take_share(entry.id, boot_clock::now())) {
         m_asked[entry.id] = false;
         m_dependencies.metrics.count("probe_after_disconnection");
-        ask(entry, of->health_path, silence::restarted);
+        ask(entry, of->health_path, silence::unconfirmed);
     }
 }
 
@@ -84,6 +84,7 @@
 {
     const endpoint_incarnation endpoint{entry.id, entry.started_ms};
     const time_point asked_at = boot_clock::now();
+    m_dependencies.pool.on_asked(entry.id, asked_at);
     m_dependencies.prober.probe(
         entry, health_path,
         {.on_warm =
@@ -101,12 +102,7 @@
                                    m_dependencies.metrics},
                                   endpoint, head, {asked_at, boot_clock::now()});
              },
-         .on_end =
-             [this, entry, meaning] {
-                 if (meaning == silence::restarted) {
-                     on_asked(entry);
-                 }
-             }});
+         .on_end = [this, entry] { on_asked(entry); }});
 }
 
 void endpoint_checker::on_cold(const std::string& endpoint, duration remaining, time_point asked_at)
@@ -118,26 +114,19 @@
 
 void endpoint_checker::on_failure(const std::string& endpoint, silence meaning, bool is_refused)
 {
-    const time_point now = boot_clock::now();
-    if (is_refused) {
-        m_dependencies.pool.on_restart_sign(endpoint, restart_sign::refused, now);
+    if (is_refused || meaning == silence::unconfirmed) {
+        m_dependencies.pool.on_restart_sign(
+            endpoint, is_refused ? restart_sign::refused : restart_sign::unconfirmed,
+            boot_clock::now());
+        m_dependencies.on_restart_sign();
     }
-    else if (meaning == silence::restarted) {
-        m_dependencies.pool.on_restart_sign(endpoint, restart_sign::connection_ended, now);
-    }
-    else if (meaning == silence::unconfirmed) {
-        m_dependencies.pool.on_restart_sign(endpoint, restart_sign::unconfirmed, now);
-    }
-    m_dependencies.on_restart_sign();
 }
 
 /// Asks an endpoint again if it has ended another connection since it was asked.
 void endpoint_checker::on_asked(const endpoint_entry& entry)
 {
-    const auto found = m_asked.find(entry.id);
-    const bool is_asked_again = found->second;
-    m_asked.erase(found);
-    if (is_asked_again) {
+    const auto asked = m_asked.extract(entry.id);
+    if (!asked.empty() && asked.mapped()) {
         ask_disconnected(entry);
     }
 }
--- a/src/gateway/serving/endpoint_checker.h
+++ b/src/gateway/serving/endpoint_checker.h
@@ -54,7 +54,7 @@
 
 private:
     /// What a question that gets no answer means.
-    enum class silence { unknown, unconfirmed, restarted };
+    enum class silence { unknown, unconfirmed };
 
     void ask_owned(const endpoint_entry& entry, silence meaning, time_point now);
     void ask_disconnected(const endpoint_entry& entry);
@@ -64,7 +64,8 @@
     void on_asked(const endpoint_entry& entry);
 
     dependencies m_dependencies;
-    /// Endpoints with a question under way, and whether they have ended a connection since.
+    /// Endpoints that are being asked since they have ended a connection, and whether they have ended
+    /// another one since.
     std::map<std::string, bool> m_asked;
     time_point m_unconfirmed_asked_at{};
 };
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -124,6 +124,9 @@
     for (const restart_report& report : news.restarts) {
         m_pool.on_peer_restart(report, now);
     }
+    if (m_fleet.schedule().is_aggregator()) {
+        tell_restarts(); // the others learn of it from this host
+    }
     for (const cold_report& report : news.cold_endpoints) {
         m_pool.on_peer_cold(report, now);
     }
--- a/src/gateway/serving/health_prober.cpp
+++ b/src/gateway/serving/health_prober.cpp
@@ -32,6 +32,7 @@
     asio::steady_timer timer;
     std::shared_ptr<client_connection> call;
     message_head head;
+    bool has_ended = false; ///< the timer and the response may be due at the same time
 };
 
 void health_prober::probe(const endpoint_entry& endpoint, const std::string& path,
@@ -41,7 +42,7 @@
         std::make_shared<probe_state>(m_dependencies.loop, endpoint.id, std::move(handlers));
     state->timer.expires_after(response_timeout);
     state->timer.async_wait([this, state](const asio::error_code& failure) {
-        if (!failure) {
+        if (!failure && !state->has_ended) {
             state->call->cancel();
             m_dependencies.log.write(log_line{"endpoint_probed"}
                                          .add("endpoint", state->endpoint)
@@ -82,6 +83,9 @@
 
 void health_prober::on_response(probe_state& state, call_end end) const
 {
+    if (state.has_ended) {
+        return;
+    }
     state.timer.cancel();
     const health_fields fields = m_dependencies.adapter.read_health_fields(state.head);
     const bool is_from_endpoint = end == call_end::complete && state.head.status == status_ok &&
@@ -117,6 +121,7 @@
 
 void health_prober::finish(probe_state& state)
 {
+    state.has_ended = true;
     if (state.handlers.on_end) {
         state.handlers.on_end();
     }
--- a/tests/gateway/restarted_endpoint_test.cpp
+++ b/tests/gateway/restarted_endpoint_test.cpp
@@ -22,3 +22,46 @@
     with.end_attempt("a", endpoint_outcome::cut, start + 100ms);
     CHECK(with.fill(start + 600ms) <= 3);
 }
+
+// guards against FAILBACK: an endpoint that had turned a host away and then ended was taken for warm
+TEST_CASE("regression: a restart is missed while the endpoint turns the host away")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    static_cast<void>(with.pool().on_sent("a", nullptr, start));
+    with.pool().on_turned_away({"a", 1}, 1s, start);
+    with.end_attempt("a", endpoint_outcome::cut, start + 100ms);
+    CHECK(with.pool().take_disconnected().empty()); // it wants no question either
+    CHECK(with.fill(start + 1'200ms) <= 3);
+    CHECK(with.pool().unconfirmed(start + 1'200ms).size() == 1);
+}
+
+TEST_CASE("an endpoint that ends a connection is asked once, and not while it is cold by its word")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    with.pool().on_idle_connection_ended(with.entry("a").address, start);
+    with.pool().on_idle_connection_ended(with.entry("a").address, start);
+    CHECK(with.pool().take_disconnected().size() == 1);
+    CHECK(with.pool().take_disconnected().empty());
+    with.pool().on_cold("a", 2s, start + 10ms, start + 20ms);
+    with.pool().on_idle_connection_ended(with.entry("a").address, start + 30ms);
+    CHECK(with.pool().take_disconnected().empty());
+}
+
+// guards against FAILBACK: what was known of an endpoint went with its entry after a quiet time
+TEST_CASE("regression: a doubt ends when the entry lapses after a quiet time")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    with.pool().on_restart_sign("a", restart_sign::refused, start + 20s);
+    const endpoint_entry entry = with.entry("a");
+    with.remove("a");
+    with.update(start + 21s);
+    with.add("a") = entry;
+    with.update(start + 22s);
+    CHECK(with.fill(start + 22s) <= 3);
+}
