Let only the question that followed a disconnection end it

Cause: any question to an endpoint ended the note that it is being asked since it has ended a connection, so that it could be asked twice at once.

Change: the note ends with its own question. Found by reading the change.

--- a/src/gateway/routing/endpoint_history.h
+++ b/src/gateway/routing/endpoint_history.h
@@ -108,9 +108,8 @@
 
 private:
     std::optional<start_statement> m_entry;
-    time_point
-        m_entry_read_at{};     ///< latest time at which `m_entry` is known to have been the newest
-    time_point m_cold_until{}; ///< by its entry or its own word
+    time_point m_entry_read_at{};  ///< latest time at which `m_entry` is known to be the newest
+    time_point m_cold_until{};     ///< by its entry or its own word
     time_point m_own_cold_until{}; ///< by its word to this host
     time_point m_known_at{};       ///< latest time of which its state is known
     time_point m_doubted_at{};     ///< latest sign on which this host acts
--- a/src/gateway/serving/endpoint_checker.cpp
+++ b/src/gateway/serving/endpoint_checker.cpp
@@ -2,8 +2,7 @@
 
 #include "gateway/serving/endpoint_statements.h"
 
-#include <chrono>  // milliseconds
-#include <utility> // exchange
+#include <chrono> // milliseconds
 
 namespace hickorykeel::gateway {
 
@@ -75,12 +74,12 @@
         m_dependencies.pool.try_take_share(entry.id, boot_clock::now())) {
         m_asked[entry.id] = false;
         m_dependencies.metrics.count("probe_after_disconnection");
-        ask(entry, of->health_path, silence::unconfirmed);
+        ask(entry, of->health_path, silence::unconfirmed, [this, entry] { on_asked(entry); });
     }
 }
 
 void endpoint_checker::ask(const endpoint_entry& entry, const std::string& health_path,
-                           silence meaning)
+                           silence meaning, std::function<void()> on_end)
 {
     const endpoint_incarnation endpoint{entry.id, entry.started_ms};
     const time_point asked_at = boot_clock::now();
@@ -102,7 +101,7 @@
                                    m_dependencies.metrics},
                                   endpoint, head, {asked_at, boot_clock::now()});
              },
-         .on_end = [this, entry] { on_asked(entry); }});
+         .on_end = std::move(on_end)});
 }
 
 void endpoint_checker::on_cold(const std::string& endpoint, duration remaining, time_point asked_at)
@@ -122,7 +121,7 @@
     }
 }
 
-/// Asks an endpoint again if it has ended another connection since it was asked.
+/// Asks an endpoint that had ended a connection again if it has ended another one since.
 void endpoint_checker::on_asked(const endpoint_entry& entry)
 {
     const auto asked = m_asked.extract(entry.id);
--- a/src/gateway/serving/endpoint_checker.h
+++ b/src/gateway/serving/endpoint_checker.h
@@ -11,6 +11,7 @@
 #include <functional> // function
 #include <map>        // map
 #include <string>     // string
+#include <utility>    // move
 
 namespace hickorykeel::gateway {
 
@@ -58,7 +59,8 @@
 
     void ask_owned(const endpoint_entry& entry, silence meaning, time_point now);
     void ask_disconnected(const endpoint_entry& entry);
-    void ask(const endpoint_entry& entry, const std::string& health_path, silence meaning);
+    void ask(const endpoint_entry& entry, const std::string& health_path, silence meaning,
+             std::function<void()> on_end = {});
     void on_cold(const std::string& endpoint, duration remaining, time_point asked_at);
     void on_failure(const std::string& endpoint, silence meaning, bool is_refused);
     void on_asked(const endpoint_entry& entry);
