Let two gateways meet before an endpoint restarts in the scenario

A run of these that printed how many hosts each gateway took for live, just before the endpoint ended, had 1 at the second one: it had not heard the first yet, so that it could not be told; hosts that start are allowed 6 s for that. Two runs that held printed the same, so the gauge alone doesn't tell a failure beforehand.

Change: the scenario waits until each gateway has heard the other one. The bound and all else stay.

--- a/tests/scenarios/gateway_pair.h
+++ b/tests/scenarios/gateway_pair.h
@@ -72,6 +72,15 @@
         }
     }
 
+    /// Waits until each has heard the other one.
+    void wait_until_met()
+    {
+        for (const std::string& ip : m_ips) {
+            REQUIRE(m_world.run_until(
+                [&] { return metrics(ip).find("live_hosts\"} 2\n") != std::string::npos; }));
+        }
+    }
+
     standins::platform_world& world() { return m_world; }
 
     std::shared_ptr<standins::world_answer> ask(std::size_t host, const std::string& target,
@@ -119,6 +128,13 @@
         return answer->status == 200;
     }
 
+    std::string metrics(const std::string& ip)
+    {
+        const auto answer = m_world.ask(ip + m_metrics, "GET", "/metrics", {});
+        REQUIRE(m_world.run_until([&] { return answer->has_ended; }));
+        return answer->body;
+    }
+
     std::string m_failure_domains;
     std::string m_store_address = free_address();
     std::string m_callers = port();
--- a/tests/scenarios/gateway_restarted_endpoint_test.cpp
+++ b/tests/scenarios/gateway_restarted_endpoint_test.cpp
@@ -31,6 +31,7 @@
     platform_world& world = gateways.world();
     endpoint_standin& restarted = world.add_endpoint("i-1", "s", "x-1", free_address());
     gateways.wait_until_ready();
+    gateways.wait_until_met();
 
     std::size_t sent = 0;
     std::vector<std::shared_ptr<world_answer>> answers;
