Ask an endpoint again that ends the connection of the question after a disconnection

What callers saw: an endpoint that had started again under its id got a warm one's requests from a host that hadn't seen its end, 46 to 49 in a second where 4 are allowed, until its new entry was known.

Cause: the host that sees a connection end asks the endpoint at once, and only a refused connection is told to the region. A process that is ending may still accept the question's connection and end it, so the question failed without telling anything, and it was the only one. The owner of the endpoint asked 1.6 s later.

The endpoint is now asked up to twice more, 50 ms apart, while it ends the questions' connections. One that is ending refuses the next connection; one that resets connections beyond its limit goes on, and isn't taken for restarted in its region. Ruled out for that reason: to take an ended connection for a refusal.

The end of a probe whose response and timeout are due at once gets the test that it lacked.

--- a/src/gateway/serving/endpoint_checker.cpp
+++ b/src/gateway/serving/endpoint_checker.cpp
@@ -15,6 +15,11 @@
 /// Interval of the questions to an endpoint in doubt.
 constexpr duration check_interval = std::chrono::milliseconds{500};
 
+/// Questions to an endpoint that ends their connections, and the pause between them: long enough for
+/// a process that is ending to close its listener.
+constexpr unsigned max_questions = 3;
+constexpr duration question_pause = std::chrono::milliseconds{50};
+
 } // namespace
 
 void endpoint_checker::check_disconnected()
@@ -61,25 +66,75 @@
     }
 }
 
+/// Asks an endpoint that has ended a connection, unless it is being asked already.
 void endpoint_checker::ask_disconnected(const endpoint_entry& entry)
 {
-    const auto under_way = m_asked.find(entry.id);
-    if (under_way != m_asked.end()) {
-        under_way->second = true;
-        return;
+    const auto [check, is_new] = m_checks.try_emplace(entry.id, m_dependencies.loop);
+    if (!is_new) {
+        check->second.has_ended_connection = true;
+    }
+    else if (try_ask(entry, check->second)) {
+        m_dependencies.metrics.count("probe_after_disconnection");
     }
+    else {
+        m_checks.erase(check);
+    }
+}
+
+/// Asks the next question of a check. Returns false, without effect, if the endpoint can't be asked
+/// or takes no more requests of this host now.
+bool endpoint_checker::try_ask(const endpoint_entry& entry, disconnection_check& check)
+{
     const publication_ptr& published = m_dependencies.state.published();
     const service* of = published == nullptr ? nullptr : published->find_service(entry.service);
-    if (of != nullptr && !of->health_path.empty() &&
-        m_dependencies.pool.try_take_share(entry.id, boot_clock::now())) {
-        m_asked[entry.id] = false;
-        m_dependencies.metrics.count("probe_after_disconnection");
-        ask(entry, of->health_path, silence::unconfirmed, [this, entry] { on_asked(entry); });
+    if (of == nullptr || of->health_path.empty() ||
+        !m_dependencies.pool.try_take_share(entry.id, boot_clock::now())) {
+        return false;
+    }
+    ++check.questions;
+    ask(entry, of->health_path, silence::unconfirmed,
+        [this, entry](std::optional<probe_failure> failure) { on_asked(entry, failure); });
+    return true;
+}
+
+/// Asks the next question of a check after a pause.
+void endpoint_checker::ask_again(const endpoint_entry& entry, disconnection_check& check)
+{
+    check.pause_timer.expires_after(question_pause);
+    check.pause_timer.async_wait([this, entry](const asio::error_code& failure) {
+        if (failure) {
+            return;
+        }
+        const auto held = m_checks.find(entry.id);
+        if (held != m_checks.end() && !try_ask(entry, held->second)) {
+            m_checks.erase(held);
+        }
+    });
+}
+
+/// Ends a question of a check. The endpoint is asked again if it has ended the question's connection
+/// or another one meanwhile.
+void endpoint_checker::on_asked(const endpoint_entry& entry, std::optional<probe_failure> failure)
+{
+    const auto held = m_checks.find(entry.id);
+    if (held == m_checks.end()) {
+        return;
+    }
+    disconnection_check& check = held->second;
+    if (failure == probe_failure::disconnected && check.questions < max_questions) {
+        ask_again(entry, check);
+        return;
+    }
+    const bool has_ended_connection = check.has_ended_connection;
+    m_checks.erase(held);
+    if (has_ended_connection) {
+        ask_disconnected(entry);
     }
 }
 
 void endpoint_checker::ask(const endpoint_entry& entry, const std::string& health_path,
-                           silence meaning, std::function<void()> on_end)
+                           silence meaning,
+                           std::function<void(std::optional<probe_failure>)> on_end)
 {
     const endpoint_incarnation endpoint{entry.id, entry.started_ms};
     const time_point asked_at = boot_clock::now();
@@ -94,7 +149,7 @@
          .on_cold = [this, id = entry.id,
                      asked_at](duration remaining) { on_cold(id, remaining, asked_at); },
          .on_failure = [this, id = entry.id,
-                        meaning](bool is_refused) { on_failure(id, meaning, is_refused); },
+                        meaning](probe_failure why) { on_failure(id, meaning, why); },
          .on_head =
              [this, endpoint, asked_at](const message_head& head) {
                  record_statement({m_dependencies.adapter, m_dependencies.pool, m_dependencies.log,
@@ -111,8 +166,9 @@
     }
 }
 
-void endpoint_checker::on_failure(const std::string& endpoint, silence meaning, bool is_refused)
+void endpoint_checker::on_failure(const std::string& endpoint, silence meaning, probe_failure why)
 {
+    const bool is_refused = why == probe_failure::refused;
     if (is_refused || meaning == silence::unconfirmed) {
         m_dependencies.pool.on_restart_sign(
             endpoint, is_refused ? restart_sign::refused : restart_sign::unconfirmed,
@@ -121,13 +177,4 @@
     }
 }
 
-/// Asks an endpoint that had ended a connection again if it has ended another one since.
-void endpoint_checker::on_asked(const endpoint_entry& entry)
-{
-    const auto asked = m_asked.extract(entry.id);
-    if (!asked.empty() && asked.mapped()) {
-        ask_disconnected(entry);
-    }
-}
-
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/endpoint_checker.h
+++ b/src/gateway/serving/endpoint_checker.h
@@ -10,23 +10,30 @@
 
 #include <functional> // function
 #include <map>        // map
+#include <optional>   // optional
 #include <string>     // string
 #include <utility>    // move
 
+#include <asio/io_context.hpp>   // io_context
+#include <asio/steady_timer.hpp> // steady_timer
+
 namespace hickorykeel::gateway {
 
 /// Asks endpoints for their health where it is in doubt whether they are warm: after signs of a
 /// restart, after an evacuation, and while the published state is old.
 ///
 /// An endpoint that ends a connection is asked at once by the host that has seen it, which tells a
-/// single response that is broken off from the end of the process. All other questions come from the
-/// owner of the endpoint alone, since a question may count as a request to a cold endpoint.
+/// single response that is broken off from the end of the process. If it ends the connection of the
+/// question as well, it may be ending or have too many connections, so it is asked a few times more:
+/// an endpoint that has ended refuses the next connection. All other questions come from the owner of
+/// the endpoint alone, since a question may count as a request to a cold endpoint.
 ///
 /// Thread safety: none; all calls come from the loop's thread. The checker must outlive its probes.
 class endpoint_checker {
 public:
     /// Components used by the checker; they must outlive it.
     struct dependencies {
+        asio::io_context& loop;
         endpoint_pool& pool;
         const health_prober& prober;
         const published_state& state;
@@ -58,17 +65,26 @@
     enum class silence { unknown, unconfirmed };
 
     void ask_owned(const endpoint_entry& entry, silence meaning, time_point now);
+    /// Questions to an endpoint that has ended a connection.
+    struct disconnection_check {
+        explicit disconnection_check(asio::io_context& loop) : pause_timer{loop} {}
+
+        asio::steady_timer pause_timer; ///< between two questions
+        unsigned questions = 0;
+        bool has_ended_connection = false; ///< the endpoint has ended another connection since
+    };
+
     void ask_disconnected(const endpoint_entry& entry);
+    bool try_ask(const endpoint_entry& entry, disconnection_check& check);
+    void ask_again(const endpoint_entry& entry, disconnection_check& check);
+    void on_asked(const endpoint_entry& entry, std::optional<probe_failure> failure);
     void ask(const endpoint_entry& entry, const std::string& health_path, silence meaning,
-             std::function<void()> on_end = {});
+             std::function<void(std::optional<probe_failure>)> on_end = {});
     void on_cold(const std::string& endpoint, duration remaining, time_point asked_at);
-    void on_failure(const std::string& endpoint, silence meaning, bool is_refused);
-    void on_asked(const endpoint_entry& entry);
+    void on_failure(const std::string& endpoint, silence meaning, probe_failure why);
 
     dependencies m_dependencies;
-    /// Endpoints that are being asked since they have ended a connection, and whether they have ended
-    /// another one since.
-    std::map<std::string, bool> m_asked;
+    std::map<std::string, disconnection_check> m_checks; ///< under way, by the endpoint's id
     time_point m_unconfirmed_asked_at{};
 };
 
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -117,7 +117,8 @@
                   }
               }},
       m_prober{{m_loop, m_client, m_parts.adapter, m_log}},
-      m_checker{{.pool = m_pool,
+      m_checker{{.loop = m_loop,
+                 .pool = m_pool,
                  .prober = m_prober,
                  .state = m_state,
                  .adapter = m_parts.adapter,
--- a/src/gateway/serving/health_prober.cpp
+++ b/src/gateway/serving/health_prober.cpp
@@ -1,6 +1,7 @@
 #include "gateway/serving/health_prober.h"
 
 #include <chrono>      // milliseconds
+#include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
 #include <utility>     // exchange, move
@@ -19,6 +20,20 @@
 /// of the response to the first would be taken for that to the second.
 constexpr std::string_view probe_id = "health probe";
 
+/// Precondition: the call has not ended with a complete response.
+probe_failure to_probe_failure(call_end end) noexcept
+{
+    switch (end) {
+    case call_end::refused:
+        return probe_failure::refused;
+    case call_end::no_response:
+    case call_end::broken:
+        return probe_failure::disconnected;
+    default:
+        return probe_failure::unanswered;
+    }
+}
+
 } // namespace
 
 struct health_prober::probe_state {
@@ -47,8 +62,7 @@
             m_dependencies.log.write(log_line{"endpoint_probed"}
                                          .add("endpoint", state->endpoint)
                                          .add("outcome", "no answer in time"));
-            fail(*state, false);
-            finish(*state);
+            fail(*state, probe_failure::unanswered);
         }
     });
     state->call = m_dependencies.client.call(
@@ -96,9 +110,10 @@
                                  .add("status", std::int64_t{state.head.status})
                                  .add_ms("cold_ms", fields.cold_remaining));
     if (end != call_end::complete) {
-        fail(state, end == call_end::refused);
+        fail(state, to_probe_failure(end));
+        return;
     }
-    else if (!is_from_endpoint) {
+    if (!is_from_endpoint) {
         // it says nothing of whether it is cold
     }
     else if (fields.cold_remaining.count() == 0) {
@@ -112,18 +127,19 @@
     finish(state);
 }
 
-void health_prober::fail(probe_state& state, bool is_refused)
+void health_prober::fail(probe_state& state, probe_failure why)
 {
     if (state.handlers.on_failure) {
-        state.handlers.on_failure(is_refused);
+        state.handlers.on_failure(why);
     }
+    finish(state, why);
 }
 
-void health_prober::finish(probe_state& state)
+void health_prober::finish(probe_state& state, std::optional<probe_failure> failure)
 {
     state.has_ended = true;
     if (state.handlers.on_end) {
-        state.handlers.on_end();
+        state.handlers.on_end(failure);
     }
 }
 
--- a/src/gateway/serving/health_prober.h
+++ b/src/gateway/serving/health_prober.h
@@ -7,12 +7,20 @@
 
 #include <functional> // function
 #include <memory>     // shared_ptr
+#include <optional>   // optional
 #include <string>     // string
 
 #include <asio/io_context.hpp> // io_context
 
 namespace hickorykeel::gateway {
 
+/// Why a probe got no complete response.
+enum class probe_failure {
+    refused,      ///< nothing listens at the endpoint's address
+    disconnected, ///< the endpoint ended the connection that had been established
+    unanswered,   ///< no connection or no complete response in time, or none that can be read
+};
+
 /// Probes endpoints to find out whether they are warm or cold.
 ///
 /// Thread safety: none; all calls come from the loop's thread. The prober must outlive its probes.
@@ -33,13 +41,12 @@
         std::function<void()> on_warm = {};
         /// Receives the time for which the endpoint stays cold.
         std::function<void(duration)> on_cold = {};
-        /// The endpoint gave no complete response in time. Receives whether its machine refused the
-        /// connection.
-        std::function<void(bool is_refused)> on_failure = {};
+        /// The endpoint gave no complete response in time.
+        std::function<void(probe_failure)> on_failure = {};
         /// Receives the head of a response that isn't another incarnation's.
         std::function<void(const message_head&)> on_head = {};
-        /// Called last, however the probe ends.
-        std::function<void()> on_end = {};
+        /// Called last and once, however the probe ends. Receives why it has failed, if it has.
+        std::function<void(std::optional<probe_failure>)> on_end = {};
     };
 
     /// Sends a probe for `path` to `endpoint`. Calls `on_warm` or `on_cold` once if the endpoint
@@ -53,8 +60,8 @@
 
     void on_head(probe_state& state, const message_head& head) const;
     void on_response(probe_state& state, call_end end) const;
-    static void fail(probe_state& state, bool is_refused);
-    static void finish(probe_state& state);
+    static void fail(probe_state& state, probe_failure why);
+    static void finish(probe_state& state, std::optional<probe_failure> failure = {});
 
     dependencies m_dependencies;
 };
--- a/tests/gateway/health_prober_test.cpp
+++ b/tests/gateway/health_prober_test.cpp
@@ -7,12 +7,16 @@
 #include <chrono>      // milliseconds, seconds
 #include <functional>  // function
 #include <memory>      // make_shared, shared_ptr
+#include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
+#include <thread>      // sleep_for
 #include <utility>     // exchange, move, pair
 #include <vector>      // vector
 
+#include <asio/buffer.hpp> // buffer
 #include <asio/ip/tcp.hpp> // tcp
+#include <asio/write.hpp>  // write
 #include <doctest/doctest.h>
 
 using namespace hickorykeel;
@@ -221,3 +225,57 @@
     loop.restart();
     loop.run_for(10ms);
 }
+
+// guards against an end that is counted twice: the response and the timeout were due at once
+TEST_CASE("regression: a probe ends twice if its response arrives with its timeout")
+{
+    asio::io_context loop{1};
+    asio::ip::tcp::acceptor acceptor{loop, {asio::ip::address_v4::loopback(), 0}};
+    http_client client{loop};
+    const protocol_adapter adapter = platform::make_protocol_adapter();
+    event_log log{loop, "host", {.request_lines_per_s = 0}};
+    const health_prober prober{{loop, client, adapter, log}};
+    endpoint_entry entry;
+    entry.id = "i-1";
+    entry.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    int ends = 0;
+    prober.probe(entry, "/healthz", {.on_end = [&](std::optional<probe_failure>) { ++ends; }});
+    loop.run_for(100ms);
+    asio::ip::tcp::socket accepted = acceptor.accept();
+    asio::write(accepted, asio::buffer(std::string{"HTTP/1.1 200 OK\r\n"
+                                                   "X-Hickorykeel-Instance-Id: i-1\r\n"
+                                                   "Content-Length: 0\r\n\r\n"}));
+    std::this_thread::sleep_for(1s); // longer than the prober's response timeout
+    loop.restart();
+    loop.run_for(100ms);
+    CHECK(ends == 1);
+}
+
+TEST_CASE("a probe tells a refused connection from one that the endpoint has ended")
+{
+    asio::io_context loop{1};
+    asio::ip::tcp::acceptor acceptor{loop, {asio::ip::address_v4::loopback(), 0}};
+    http_client client{loop};
+    const protocol_adapter adapter = platform::make_protocol_adapter();
+    event_log log{loop, "host", {.request_lines_per_s = 0}};
+    const health_prober prober{{loop, client, adapter, log}};
+    endpoint_entry entry;
+    entry.id = "i-1";
+    entry.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    std::optional<probe_failure> found;
+    const auto probe = [&] {
+        found.reset();
+        prober.probe(entry, "/healthz",
+                     {.on_failure = [&](probe_failure failure) { found = failure; }});
+        loop.restart();
+        loop.run_for(100ms);
+    };
+    probe();
+    acceptor.accept().close();
+    loop.restart();
+    loop.run_for(100ms);
+    CHECK(found == probe_failure::disconnected);
+    acceptor.close();
+    probe();
+    CHECK(found == probe_failure::refused);
+}
