Tell the region at once that an endpoint has said that it is cold

Cause: the owner of an endpoint asks it for its health while the published state is old, but tells the other hosts with its next heartbeat, up to 200 ms later, and an aggregator with one more. A sign of a restart is told 20 ms later. Both are news of the same kind.

Evidence: cold_endpoint_test ("regression: an endpoint's word that it is cold isn't told at once") fails without the change.

--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -207,9 +207,9 @@
     /// Records that the endpoint is being asked for its health, which may count as a request.
     void on_asked(const std::string& endpoint, time_point now);
 
-    /// Whether there is a sign of a restart on which all hosts of the region act, and which is new
-    /// since `own_restarts()`.
-    [[nodiscard]] bool has_news_of_restart() const noexcept { return m_has_news_of_restart; }
+    /// Whether the other hosts of the region have to learn at once that an endpoint may have
+    /// restarted, or is cold by its own word: this host has learned it since `own_restarts()`.
+    [[nodiscard]] bool has_urgent_news() const noexcept { return m_has_urgent_news; }
 
     /// Returns the endpoints of which some host doesn't know whether they have restarted, and that
     /// would get requests if they haven't.
@@ -424,7 +424,7 @@
     std::vector<sent_prefix> m_sent_prefixes;
     std::vector<endpoint_entry> m_reinstated;
     std::set<std::string> m_disconnected; ///< ids, since `take_disconnected()`
-    bool m_has_news_of_restart = false;
+    bool m_has_urgent_news = false;
     endpoint_notices m_notices;
     endpoint_pool_options m_options;
     cold_allowance_function m_to_cold_allowance;
--- a/src/gateway/routing/endpoint_pool_restarts.cpp
+++ b/src/gateway/routing/endpoint_pool_restarts.cpp
@@ -79,7 +79,7 @@
     const auto found = m_endpoints.find(endpoint);
     if (found != m_endpoints.end() && found->second.cold_rate > 0) {
         found->second.history->on_sign(sign, now);
-        m_has_news_of_restart = m_has_news_of_restart || concerns_region(sign);
+        m_has_urgent_news = m_has_urgent_news || concerns_region(sign);
     }
 }
 
@@ -105,14 +105,14 @@
     for (auto& [id, state] : m_endpoints) {
         if (state.hash == report.endpoint && state.cold_rate > 0) {
             const bool is_new = state.history->on_peer_report(report, now);
-            m_has_news_of_restart = m_has_news_of_restart || is_new;
+            m_has_urgent_news = m_has_urgent_news || is_new;
         }
     }
 }
 
 std::vector<restart_report> endpoint_pool::own_restarts(time_point now)
 {
-    m_has_news_of_restart = false;
+    m_has_urgent_news = false;
     std::vector<restart_report> reports;
     for (const auto& [id, state] : m_endpoints) {
         if (const auto report = state.history->to_report(state.hash, now)) {
@@ -142,6 +142,7 @@
     }
     const bool was_cold = is_cold(found->second, now);
     found->second.history->on_cold(remaining, asked_at, now);
+    m_has_urgent_news = m_has_urgent_news || !was_cold;
     return !was_cold;
 }
 
@@ -149,6 +150,7 @@
 {
     for (auto& [id, state] : m_endpoints) {
         if (state.hash == report.endpoint) {
+            m_has_urgent_news = m_has_urgent_news || !is_cold(state, now);
             state.history->on_peer_cold(report.remaining, now);
         }
     }
--- a/src/gateway/serving/endpoint_checker.cpp
+++ b/src/gateway/serving/endpoint_checker.cpp
@@ -163,6 +163,7 @@
 {
     if (m_dependencies.pool.on_cold(endpoint, remaining, asked_at, boot_clock::now())) {
         m_dependencies.metrics.count("endpoint_found_cold");
+        m_dependencies.on_urgent_news();
     }
 }
 
@@ -173,7 +174,7 @@
         m_dependencies.pool.on_restart_sign(
             endpoint, is_refused ? restart_sign::refused : restart_sign::unconfirmed,
             boot_clock::now());
-        m_dependencies.on_restart_sign();
+        m_dependencies.on_urgent_news();
     }
 }
 
--- a/src/gateway/serving/endpoint_checker.h
+++ b/src/gateway/serving/endpoint_checker.h
@@ -44,8 +44,8 @@
         std::function<bool(const endpoint_entry&, const service&)> is_owner;
         /// Called when an endpoint has turned out to be warm.
         std::function<void()> on_warm;
-        /// Called when an endpoint has given a sign of a restart.
-        std::function<void()> on_restart_sign;
+        /// Called when an endpoint has given a sign of a restart, or has turned out to be cold.
+        std::function<void()> on_urgent_news;
     };
 
     explicit endpoint_checker(dependencies components) : m_dependencies{std::move(components)} {}
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -129,7 +129,7 @@
                          return cold_rate_for(entry.id, of.cold_rate) >= 1;
                      },
                  .on_warm = [this] { place_waiting(); },
-                 .on_restart_sign = [this] { tell_restarts(); }}},
+                 .on_urgent_news = [this] { tell_urgent_news(); }}},
       m_callers{m_loop, [this](const auto& request) { serve_caller(request); }},
       m_peers{m_loop, [this](const auto& request) { serve_peer(request); }},
       m_readiness{m_loop, [this](const auto& request) { serve_readiness(request); }},
@@ -138,14 +138,14 @@
       m_gossip{m_loop, [this](std::string_view datagram,
                               time_point arrived_after) { on_datagram(datagram, arrived_after); }},
       m_signals{m_loop}, m_open_timer{m_loop}, m_heartbeat_timer{m_loop}, m_placement_timer{m_loop},
-      m_restart_timer{m_loop}, m_stop_timer{m_loop}, m_started{boot_clock::now()}
+      m_news_timer{m_loop}, m_stop_timer{m_loop}, m_started{boot_clock::now()}
 {
     for (const int signal : handled_signals) {
         m_signals.add(signal);
     }
     m_context.check_endpoints = [this] {
         m_checker.check_disconnected();
-        tell_restarts();
+        tell_urgent_news();
     };
     m_client.set_on_idle_end([this](const std::string& address) {
         m_pool.on_idle_connection_ended(address, boot_clock::now());
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -78,7 +78,7 @@
     void update_quarantine(time_point now);
     [[nodiscard]] heartbeat own_state(time_point now);
     void on_datagram(std::string_view datagram, time_point arrived_after);
-    void tell_restarts();
+    void tell_urgent_news();
     void update_members(time_point now);
     [[nodiscard]] double cold_rate_for(const std::string& endpoint, double rate) const;
     [[nodiscard]] double rate_share_of(const std::string& endpoint, double rate) const;
@@ -127,7 +127,7 @@
     asio::steady_timer m_open_timer;
     asio::steady_timer m_heartbeat_timer;
     asio::steady_timer m_placement_timer;
-    asio::steady_timer m_restart_timer;
+    asio::steady_timer m_news_timer;
     asio::steady_timer m_stop_timer;
     time_point m_started;
     time_point m_heartbeat_at{}; ///< the last time that heartbeats were sent
@@ -136,7 +136,7 @@
     time_point m_heard_since{};
     std::vector<std::string> m_aggregators; ///< of this region, as last logged
     bool m_is_placement_scheduled = false;
-    bool m_tells_restarts = false; ///< soon, ahead of the next heartbeat
+    bool m_tells_news = false; ///< soon, ahead of the next heartbeat
     bool m_is_stopping = false;
     bool m_has_ended_requests = false; ///< those open at the end of the shutdown
     time_point m_shutdown_started{};
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -20,8 +20,8 @@
 /// Maximum size of the headers that a host adds to a request that it forwards.
 constexpr std::size_t max_added_header_bytes = 1'024;
 
-/// Time for which a sign of a restart waits for others, to be sent together.
-constexpr duration restart_news_delay = std::chrono::milliseconds{20};
+/// Time for which urgent news wait for others, to be sent together.
+constexpr duration urgent_news_delay = std::chrono::milliseconds{20};
 
 /// Returns the limits on requests that other hosts forward, which have applied the callers' limits.
 /// Their configuration may be newer or older than this host's, so the limits aren't below the
@@ -70,17 +70,17 @@
     log_aggregators();
 }
 
-/// Sends heartbeats ahead of their time if there is a sign of a restart on which other hosts have to
-/// act. Signs that come together are sent together.
-void gateway::tell_restarts()
+/// Sends heartbeats ahead of their time if there is news of endpoints on which other hosts have to act
+/// at once. News that come together are sent together.
+void gateway::tell_urgent_news()
 {
-    if (!m_pool.has_news_of_restart() || std::exchange(m_tells_restarts, true)) {
+    if (!m_pool.has_urgent_news() || std::exchange(m_tells_news, true)) {
         return;
     }
-    m_restart_timer.expires_after(restart_news_delay);
-    m_restart_timer.async_wait([this](const asio::error_code& failure) {
-        m_tells_restarts = false;
-        if (!failure && m_pool.has_news_of_restart()) {
+    m_news_timer.expires_after(urgent_news_delay);
+    m_news_timer.async_wait([this](const asio::error_code& failure) {
+        m_tells_news = false;
+        if (!failure && m_pool.has_urgent_news()) {
             send_heartbeats();
         }
     });
@@ -124,12 +124,12 @@
     for (const restart_report& report : news.restarts) {
         m_pool.on_peer_restart(report, now);
     }
-    if (m_fleet.schedule().is_aggregator()) {
-        tell_restarts(); // the others learn of it from this host
-    }
     for (const cold_report& report : news.cold_endpoints) {
         m_pool.on_peer_cold(report, now);
     }
+    if (m_fleet.schedule().is_aggregator()) {
+        tell_urgent_news(); // the others learn of it from this host
+    }
     for (const rate_report& report : news.rates) {
         if (m_pool.on_peer_rate(report, m_heard_since, now)) {
             m_metrics.count(report.max_rate ? "endpoint_rate_heard" : "endpoint_rate_end_heard");
--- a/tests/gateway/cold_endpoint_test.cpp
+++ b/tests/gateway/cold_endpoint_test.cpp
@@ -69,6 +69,30 @@
     CHECK(with.fill(start + 2s) > 3);
 }
 
+// guards against FAILBACK: the other hosts heard with the next heartbeat only that an endpoint had said
+// that it was cold
+TEST_CASE("regression: an endpoint's word that it is cold isn't told at once")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    REQUIRE_FALSE(with.pool().has_urgent_news());
+    SUBCASE("by the host that has asked")
+    {
+        with.pool().on_cold("a", 2s, start, start);
+    }
+    SUBCASE("by an aggregator that has been told")
+    {
+        with.pool().on_peer_cold({short_hash("a"), 2s}, start);
+    }
+    CHECK(with.pool().has_urgent_news());
+    static_cast<void>(with.pool().own_restarts(start));
+    // it is no news later
+    with.pool().on_cold("a", 1s, start + 1s, start + 1s);
+    with.pool().on_peer_cold({short_hash("a"), 1s}, start + 1s);
+    CHECK_FALSE(with.pool().has_urgent_news());
+}
+
 TEST_CASE("cold endpoint: no more than its service's cold time is believed")
 {
     endpoint_pool_fixture with{true, 48};
--- a/tests/gateway/endpoint_checker_test.cpp
+++ b/tests/gateway/endpoint_checker_test.cpp
@@ -185,7 +185,7 @@
          .metrics = m_metrics,
          .is_owner = [](const endpoint_entry&, const service&) { return true; },
          .on_warm = [] {},
-         .on_restart_sign = [] {}}};
+         .on_urgent_news = [] {}}};
 };
 
 } // namespace
@@ -197,7 +197,7 @@
     checker_fixture with{[](std::size_t) { return reaction::disconnect_and_end; }};
     with.disconnect();
     CHECK(with.questions() == 1);
-    CHECK(with.pool().has_news_of_restart());
+    CHECK(with.pool().has_urgent_news());
     CHECK(with.is_in_doubt());
 }
 
@@ -207,7 +207,7 @@
     checker_fixture with{[](std::size_t) { return reaction::disconnect; }};
     with.disconnect();
     CHECK(with.questions() == 3);
-    CHECK_FALSE(with.pool().has_news_of_restart());
+    CHECK_FALSE(with.pool().has_urgent_news());
     CHECK(with.is_in_doubt());
 }
 
@@ -218,7 +218,7 @@
     }};
     with.disconnect();
     CHECK(with.questions() == 2);
-    CHECK_FALSE(with.pool().has_news_of_restart());
+    CHECK_FALSE(with.pool().has_urgent_news());
     CHECK_FALSE(with.is_in_doubt());
 }
 
