Let a higher version of the configuration win, wherever it stands in the source's history

What callers saw: a gateway that started while a restored store showed an older configuration accepted a key that had been withdrawn, and knew no route that had been added, though the other gateways had the newer one.

Cause: a host that reads the restored store for the first time takes what it shows. The others keep the version in force, as an item of the new era, but nothing makes the new host ask them, since its own state is fresh; and their item may have the same position as the older configuration, or belong to the former era, and lost then.

The version of a configuration decides now, whatever the positions, also in changes that are outdated otherwise. A host that hears of a higher version for longer than a change takes to spread, or soon after its start, asks that host for all items.

Until the new host has heard another one, it still takes what the store shows.

--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -69,7 +69,7 @@
         read_source();
         return;
     }
-    query_peer(*reader, [this](bool is_fresh) {
+    query_peer(*reader, m_items.position(), [this](bool is_fresh) {
         if (is_fresh) {
             schedule_read(m_options.read_interval);
         }
@@ -128,6 +128,9 @@
         log_configuration();
     }
     log_endpoints(change, before);
+    if (outcome == merge_outcome::changed) {
+        m_relayed = {};
+    }
     if (outcome == merge_outcome::changed || change.is_configuration_changed ||
         !change.removed.empty()) {
         m_on_change();
@@ -248,6 +251,7 @@
         update_readers(now);
         query_fresher_peer();
     }
+    query_newer_peer();
     if (m_is_reading_source && m_items.position().is_none() &&
         m_choice.gives_up_read(choice_state(now), now)) {
         m_is_reading_source = false;
@@ -273,8 +277,9 @@
 
 relay_choice_state configuration_follower::choice_state(time_point now) const
 {
-    return {m_dependencies.state.published() != nullptr, m_dependencies.state.age(now),
-            m_source_read_at};
+    const publication_ptr& published = m_dependencies.state.published();
+    return {published != nullptr, m_dependencies.state.age(now), m_source_read_at,
+            published == nullptr ? 0 : published->version};
 }
 
 void configuration_follower::query_fresher_peer()
@@ -285,7 +290,21 @@
         return;
     }
     if (const member* chosen = m_choice.select_fresher_peer(own, now)) {
-        query_peer(*chosen, [](bool) {});
+        query_peer(*chosen, m_items.position(), [](bool) {});
+    }
+}
+
+/// Queries a peer host that holds a higher version of the configuration. It may hold that as a part of
+/// the state that this host has, so it is asked for all items.
+void configuration_follower::query_newer_peer()
+{
+    const time_point now = boot_clock::now();
+    const member* chosen = m_choice.select_newer_peer(choice_state(now), now);
+    const bool is_due = now - m_version_queried_at >= m_options.version_query_interval;
+    if (chosen != nullptr && is_due && !m_is_querying_peer) {
+        m_version_queried_at = now;
+        m_dependencies.metrics.count("newer_version_queried");
+        query_peer(*chosen, {}, [](bool) {});
     }
 }
 
@@ -305,9 +324,9 @@
     body_buffer body{{.max_bytes = max_relay_body_bytes}};
 };
 
-/// Queries the published state of `chosen`. Calls `on_end` once, with whether a usable state
+/// Queries the changes since a position in the published state of `chosen`. Calls `on_end` once, with whether a usable state
 /// younger than `max_relay_age` was received.
-void configuration_follower::query_peer(const member& chosen,
+void configuration_follower::query_peer(const member& chosen, const source_position& since,
                                         std::function<void(bool is_fresh)> on_end)
 {
     m_is_querying_peer = true;
@@ -320,8 +339,8 @@
         }
         on_end(failure.empty() && apply_relayed(*query));
     };
-    query->timeout_timer.expires_after(
-        m_items.position().is_none() ? m_options.initial_relay_timeout : m_options.relay_timeout);
+    query->timeout_timer.expires_after(since.is_none() ? m_options.initial_relay_timeout
+                                                       : m_options.relay_timeout);
     query->timeout_timer.async_wait([query, end](const asio::error_code& failure) {
         if (!failure) {
             query->call->cancel();
@@ -331,8 +350,8 @@
     const std::string address = chosen.last.ip + ':' + std::to_string(m_options.relay_port);
     header_list headers;
     headers.add("Host", address);
-    headers.add(std::string{relay_era_header}, std::to_string(m_items.position().era));
-    headers.add(std::string{relay_revision_header}, std::to_string(m_items.position().revision));
+    headers.add(std::string{relay_era_header}, std::to_string(since.era));
+    headers.add(std::string{relay_revision_header}, std::to_string(since.revision));
     query->call = m_dependencies.client.call(
         {.address = address, .connect_timeout = relay_connect_timeout},
         format_request("GET", relay_path, headers, {}),
--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -39,6 +39,8 @@
     duration initial_relay_timeout = std::chrono::milliseconds{3'000};
     /// Interval at which a host without a fresh state looks for a peer host that has one.
     duration peer_check_interval = std::chrono::milliseconds{200};
+    /// Interval of the queries for a higher version of the configuration, which are for all items.
+    duration version_query_interval = std::chrono::milliseconds{1'000};
     std::uint16_t relay_port = 0;
     relay_choice_options choice;
 };
@@ -46,7 +48,8 @@
 /// Keeps the published state up to date. Some hosts of each region, the readers, read the source;
 /// the other hosts query a reader (see `relay_choice`). They read the source as well if no reader
 /// reports a fresh state, or if the query fails or returns a stale state. While the state of this
-/// host is missing or stale, a live peer host that reports a more recent one is queried too.
+/// host is missing or stale, a live peer host that reports a more recent one is queried too, and one
+/// that reports a higher version of the configuration for longer than a change takes to spread.
 ///
 /// A host that starts knows no others and reads the source at once. If that takes long, and it
 /// hears meanwhile that others are the readers, it leaves the source to them and waits for a peer
@@ -97,10 +100,12 @@
     void schedule_read(duration delay);
     void check_peers();
     void query_fresher_peer();
+    void query_newer_peer();
     void update_readers(time_point now);
     [[nodiscard]] relay_choice_state choice_state(time_point now) const;
     [[nodiscard]] const std::string& relayed_changes(const source_position& since);
-    void query_peer(const member& chosen, std::function<void(bool is_fresh)> on_end);
+    void query_peer(const member& chosen, const source_position& since,
+                    std::function<void(bool is_fresh)> on_end);
     bool apply_relayed(relay_query& query);
     void on_relay_failure(const std::string& host, std::string_view reason);
 
@@ -121,6 +126,7 @@
     std::size_t m_unusable_entries = 0;
     bool m_is_reading_source = false;
     time_point m_source_read_at{}; ///< start of the last read of the source
+    time_point m_version_queried_at{};
     bool m_is_source_lost = false;
     bool m_is_querying_peer = false;
 };
--- a/src/gateway/configuration/published_items.cpp
+++ b/src/gateway/configuration/published_items.cpp
@@ -38,11 +38,10 @@
 
 result<merge_outcome> published_items::apply(const published_changes& changes)
 {
-    const bool is_whole = changes.since.is_none();
-    if (changes.position < m_position || changes.since > m_position ||
-        (!is_whole && changes.since.era != changes.position.era)) {
-        return merge_outcome::outdated;
+    if (is_outdated(changes)) {
+        return take_configuration(changes);
     }
+    const bool is_whole = changes.since.is_none();
     auto decoded = decode_newer(changes);
     if (auto* failure = std::get_if<error>(&decoded)) {
         return std::move(*failure);
@@ -64,11 +63,39 @@
     return has_changed ? merge_outcome::changed : merge_outcome::unchanged;
 }
 
+bool published_items::is_outdated(const published_changes& changes) const
+{
+    const bool spans_eras = !changes.since.is_none() && changes.since.era != changes.position.era;
+    return changes.position < m_position || changes.since > m_position || spans_eras;
+}
+
+/// Takes the configuration out of changes that are outdated otherwise, if its version is higher than
+/// the held one.
+result<merge_outcome> published_items::take_configuration(const published_changes& changes)
+{
+    for (const published_item& item : changes.items) {
+        if (item.is_deleted || item.key != m_configuration_key || !is_newer(item)) {
+            continue;
+        }
+        auto meaning = m_decode(item);
+        if (auto* failure = std::get_if<error>(&meaning)) {
+            return std::move(*failure);
+        }
+        auto& value = std::get<published_value>(meaning);
+        if (std::holds_alternative<publication_ptr>(value) && version_of(value) > held_version()) {
+            insert(item.key, {item.value, std::max(item.position, m_position), std::move(value)});
+            return merge_outcome::changed;
+        }
+    }
+    return merge_outcome::outdated;
+}
+
 bool published_items::is_newer(const published_item& item) const
 {
     const auto held = m_items.find(item.key);
     if (held != m_items.end() && item.position <= held->second.position) {
-        return false;
+        // a configuration may have a higher version all the same
+        return item.key == m_configuration_key && item.value != held->second.value;
     }
     const auto deleted = m_deletions.find(item.key);
     return deleted == m_deletions.end() || item.position > deleted->second;
@@ -88,22 +115,29 @@
     return held == m_items.end() ? 0 : version_of(held->second.meaning);
 }
 
-/// Takes a configuration with a lower version than the held one out of `newer`. The held one is kept
-/// as an item of the changes' era then.
+/// Takes a configuration that doesn't replace the held one out of `newer`. The held one is kept as an
+/// item of the changes' era if it has the higher version. One with a higher version than the held one
+/// counts as a change of its own.
 void published_items::keep_configuration(const published_changes& changes, decoded_items& newer)
 {
-    const std::uint64_t held = held_version();
-    for (auto it = newer.begin(); it != newer.end(); ++it) {
-        if (!std::holds_alternative<publication_ptr>(it->second.meaning)) {
-            continue;
-        }
-        if (version_of(it->second.meaning) < held) {
-            source_position& kept = m_items.at(m_configuration_key).position;
-            kept = std::max(kept, changes.position);
-            newer.erase(it);
-        }
+    const auto shown = newer.find(m_configuration_key);
+    const auto held = m_items.find(m_configuration_key);
+    if (shown == newer.end() || held == m_items.end() ||
+        !std::holds_alternative<publication_ptr>(shown->second.meaning)) {
         return;
     }
+    const std::uint64_t version = version_of(shown->second.meaning);
+    const bool is_later = shown->second.position > held->second.position;
+    if (version < held_version()) {
+        held->second.position = std::max(held->second.position, changes.position);
+        newer.erase(shown);
+    }
+    else if (version > held_version() && !is_later) {
+        shown->second.position = changes.position;
+    }
+    else if (!is_later) {
+        newer.erase(shown);
+    }
 }
 
 result<published_items::decoded_items>
--- a/src/gateway/configuration/published_items.h
+++ b/src/gateway/configuration/published_items.h
@@ -46,15 +46,16 @@
 enum class merge_outcome {
     outdated,  ///< older than what is held, or with a gap to it; nothing was applied
     unchanged, ///< the held items are confirmed
-    changed,
+    changed,   ///< also by a higher version of the configuration in changes that are outdated
 };
 
 /// Copy of the source's contents, kept up to date by changes. Each item has a position, so changes
 /// may overlap and come from different hosts: the newer write or deletion of an item wins.
 ///
-/// The configuration is the exception: a version is never replaced by a lower one, which a source
-/// that was restored from an older copy may show until the newer one is written again. The held one
-/// counts as an item of the new era then, and is passed on as such.
+/// The configuration is the exception: the higher version wins, whatever the positions. A source that
+/// was restored from an older copy may show a lower one until the higher one is written again, so the
+/// held one counts as an item of the new era then, and is passed on as such. A host that has started
+/// meanwhile gets it from the others, whose changes may be outdated otherwise.
 ///
 /// Thread safety: none; the owner serialises calls. No I/O.
 class published_items {
@@ -104,6 +105,8 @@
     bool remove_missing(const published_changes& changes);
     bool remove_deleted(const published_changes& changes);
     void insert(const std::string& key, held_item item);
+    [[nodiscard]] bool is_outdated(const published_changes& changes) const;
+    result<merge_outcome> take_configuration(const published_changes& changes);
     void keep_configuration(const published_changes& changes, decoded_items& newer);
     [[nodiscard]] std::uint64_t held_version() const;
     void limit_deletions();
--- a/src/gateway/configuration/relay_choice.cpp
+++ b/src/gateway/configuration/relay_choice.cpp
@@ -64,23 +64,54 @@
     return freshest;
 }
 
-const member* relay_choice::select_fresher_peer(const relay_choice_state& own, time_point now)
+/// Returns the next live host of the own region that is wanted, or else one of another region.
+relay_choice::found_peer
+relay_choice::find_peer(const std::function<bool(const member&)>& is_wanted, time_point now)
 {
     const auto hosts = m_members.live(now);
-    const member* elsewhere = nullptr;
+    found_peer found;
     // round robin, so that a peer that does not respond is not queried again at once
     for (std::size_t examined = 0; examined < hosts.size(); ++examined) {
         const member* candidate = hosts[m_next_peer++ % hosts.size()];
-        const bool is_fresher = reported_age(*candidate, now) + m_options.min_age_gain < own.age;
-        if (!candidate->last.has_configuration || !is_fresher) {
+        if (!candidate->last.has_configuration || !is_wanted(*candidate)) {
             continue;
         }
         if (candidate->last.region == m_options.region) {
-            return candidate;
+            return {candidate, true};
         }
-        elsewhere = elsewhere == nullptr ? candidate : elsewhere;
+        found.host = found.host == nullptr ? candidate : found.host;
+    }
+    return found;
+}
+
+const member* relay_choice::select_fresher_peer(const relay_choice_state& own, time_point now)
+{
+    const auto is_fresher = [&](const member& host) {
+        return reported_age(host, now) + m_options.min_age_gain < own.age;
+    };
+    const found_peer found = find_peer(is_fresher, now);
+    return found.is_in_region || may_query_other_regions(own, now) ? found.host : nullptr;
+}
+
+const member* relay_choice::select_newer_peer(const relay_choice_state& own, time_point now)
+{
+    const auto is_newer = [&](const member& host) {
+        return host.last.configuration_version > own.version;
+    };
+    const found_peer found = find_peer(is_newer, now);
+    return own.has_configuration && lags_too_long(found.host != nullptr, now) ? found.host
+                                                                              : nullptr;
+}
+
+bool relay_choice::lags_too_long(bool has_newer_peer, time_point now)
+{
+    if (!has_newer_peer) {
+        m_lags_since.reset();
+        return false;
     }
-    return may_query_other_regions(own, now) ? elsewhere : nullptr;
+    m_lags_since = m_lags_since.value_or(now);
+    return now - m_started < m_options.starting_time ||
+           now - *m_lags_since >= m_options.max_version_lag;
 }
 
 bool relay_choice::waits_for_peers(const relay_choice_state& own, time_point now) const
--- a/src/gateway/configuration/relay_choice.h
+++ b/src/gateway/configuration/relay_choice.h
@@ -3,10 +3,13 @@
 #include "gateway/membership/member_table.h"
 #include "process/clock.h"
 
-#include <chrono>  // milliseconds
-#include <cstddef> // size_t
-#include <string>  // string
-#include <vector>  // vector
+#include <chrono>     // milliseconds
+#include <cstddef>    // size_t
+#include <cstdint>    // uint64_t
+#include <functional> // function
+#include <optional>   // optional
+#include <string>     // string
+#include <vector>     // vector
 
 namespace hickorykeel::gateway {
 
@@ -24,6 +27,11 @@
     /// Time after the start for which such a host does not query hosts of other regions: all hosts
     /// of a region would fetch the same items from far away.
     duration cross_region_delay = std::chrono::milliseconds{1'500};
+    /// Time for which this host may hold a lower version of the configuration than another one
+    /// before it queries that host. Longer than a change takes to reach all readers.
+    duration max_version_lag = std::chrono::milliseconds{2'000};
+    /// Time after the start in which it queries that host at once.
+    duration starting_time = std::chrono::milliseconds{5'000};
     std::string ip;             ///< of this host
     std::string failure_domain; ///< of this host
     std::string region;         ///< of this host
@@ -34,6 +42,7 @@
     bool has_configuration = false;
     duration age{0};             ///< of the published state, since it was confirmed up to date
     time_point source_read_at{}; ///< start of the last read of the source
+    std::uint64_t version = 0;   ///< of the configuration; 0: none
 };
 
 /// Chooses from which host to get the published state, or whether to read its source.
@@ -63,6 +72,11 @@
     /// one, or null. Successive calls return different hosts.
     [[nodiscard]] const member* select_fresher_peer(const relay_choice_state& own, time_point now);
 
+    /// Returns a live host that holds a higher version of the configuration than this one, and has
+    /// done so for too long, or null. A source that was restored from an older copy doesn't show that
+    /// version to a host that starts then. Successive calls return different hosts.
+    [[nodiscard]] const member* select_newer_peer(const relay_choice_state& own, time_point now);
+
     /// Whether this host leaves the source to the readers for now.
     [[nodiscard]] bool waits_for_peers(const relay_choice_state& own, time_point now) const;
 
@@ -72,7 +86,15 @@
     [[nodiscard]] const relay_choice_options& options() const noexcept { return m_options; }
 
 private:
+    struct found_peer {
+        const member* host = nullptr; ///< null: none
+        bool is_in_region = false;
+    };
+
+    [[nodiscard]] found_peer find_peer(const std::function<bool(const member&)>& is_wanted,
+                                       time_point now);
     [[nodiscard]] bool may_query_other_regions(const relay_choice_state& own, time_point now) const;
+    [[nodiscard]] bool lags_too_long(bool has_newer_peer, time_point now);
 
     relay_choice_options m_options;
     const member_table& m_members;
@@ -80,6 +102,7 @@
     std::vector<std::string> m_readers; ///< ips
     bool m_is_reader = true;
     std::size_t m_next_peer;
+    std::optional<time_point> m_lags_since; ///< set while another host holds a higher version
 };
 
 } // namespace hickorykeel::gateway
--- a/tests/gateway/published_items_test.cpp
+++ b/tests/gateway/published_items_test.cpp
@@ -388,6 +388,54 @@
     }
 }
 
+// guards against CONFIG: a host that had started while a restored source showed an older
+// configuration kept that, with keys in force that had been withdrawn, though others held the newer one
+TEST_CASE("regression: a host that starts on a restored source keeps an older configuration")
+{
+    published_items held = make_configuration_items();
+    apply(held, {{}, {1, 26}, {{"c", "13", {1, 26}, false}}});
+    published_changes passed_on;
+    SUBCASE("by a host that hasn't read the restored source")
+    {
+        passed_on = held.changes_since({});
+    }
+    SUBCASE("by one that has read it at the revision of the older configuration")
+    {
+        apply(held, {{}, {2, 18}, {{"c", "9", {2, 18}, false}}});
+        passed_on = held.changes_since({});
+    }
+    SUBCASE("by one that has read it later")
+    {
+        apply(held, {{}, {2, 40}, {{"c", "9", {2, 18}, false}}});
+        passed_on = held.changes_since({});
+    }
+    for (const std::uint64_t revision : {18U, 30U}) {
+        published_items started = make_configuration_items();
+        apply(started, {{}, {2, revision}, {{"c", "9", {2, 18}, false}}});
+        CHECK(apply(started, passed_on) == merge_outcome::changed);
+        CHECK(version_of(started) == 13);
+        // it neither takes the older one again nor passes that on
+        const source_position reached = started.position();
+        apply(started, {{}, {2, 50}, {{"c", "9", {2, 18}, false}}});
+        CHECK(version_of(started) == 13);
+        CHECK(reached >= source_position{2, revision});
+        CHECK(apply(started, {{2, 50}, {2, 51}, {{"c", "15", {2, 51}, false}}}) ==
+              merge_outcome::changed);
+        CHECK(version_of(started) == 15);
+    }
+}
+
+TEST_CASE("outdated changes without a higher version of the configuration are ignored")
+{
+    published_items items = make_configuration_items();
+    apply(items, {{}, {2, 18}, {{"c", "13", {2, 18}, false}}});
+    CHECK(apply(items, {{}, {1, 90}, {{"c", "12", {1, 90}, false}}}) == merge_outcome::outdated);
+    CHECK(apply(items, {{}, {2, 17}, {{"c", "13", {2, 17}, false}}}) == merge_outcome::outdated);
+    CHECK(apply(items, {{}, {2, 17}, {{"c", "", {2, 17}, true}}}) == merge_outcome::outdated);
+    CHECK(version_of(items) == 13);
+    CHECK(items.position() == source_position{2, 18});
+}
+
 TEST_CASE("changes of a past era, or from one era to another, are ignored")
 {
     published_items items = make_items();
--- a/tests/gateway/relay_choice_test.cpp
+++ b/tests/gateway/relay_choice_test.cpp
@@ -167,3 +167,40 @@
     CHECK(chooser.choice().select_fresher_peer({true, 2s, start}, now) != nullptr);
     CHECK(chooser.choice().select_fresher_peer({true, 400ms, start}, now) == nullptr);
 }
+
+// guards against CONFIG: a host that started while a restored source showed an older version had no
+// reason to ask the others, which held a newer one, since its state was fresh
+TEST_CASE("a host queries another one that holds a higher version for longer than a change takes")
+{
+    const auto hear = [](member_table& members, std::uint64_t version, time_point now) {
+        heartbeat received = make_heartbeat(1, 2, true);
+        received.sequence = static_cast<std::uint64_t>(now.time_since_epoch().count());
+        received.configuration_version = version;
+        members.on_heartbeat(received, now);
+    };
+    const relay_choice_state own{true, 100ms, start, 12};
+    member_table members{to_ip(1, 1), {}, {}};
+    relay_choice choice{
+        {.ip = to_ip(1, 1), .failure_domain = "d1", .region = "r1"}, members, start};
+    SUBCASE("at once after its start")
+    {
+        hear(members, 12, start + 1s);
+        CHECK(choice.select_newer_peer(own, start + 1s) == nullptr);
+        hear(members, 13, start + 1'200ms);
+        REQUIRE(choice.select_newer_peer(own, start + 1'200ms) != nullptr);
+        CHECK(choice.select_newer_peer({}, start + 1'200ms) == nullptr);
+    }
+    SUBCASE("later")
+    {
+        hear(members, 13, start + 10s);
+        CHECK(choice.select_newer_peer(own, start + 10s) == nullptr);
+        hear(members, 13, start + 11'900ms);
+        CHECK(choice.select_newer_peer(own, start + 11'900ms) == nullptr);
+        CHECK(choice.select_newer_peer(own, start + 12s) != nullptr);
+        SUBCASE("not if it has got the version meanwhile")
+        {
+            CHECK(choice.select_newer_peer({true, 100ms, start, 13}, start + 12s) == nullptr);
+            CHECK(choice.select_newer_peer(own, start + 12s) == nullptr);
+        }
+    }
+}
--- a/tests/scenarios/gateway_pair.h
+++ b/tests/scenarios/gateway_pair.h
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Kills a gateway and starts it again.
+    void restart(std::size_t host)
+    {
+        m_processes.at(host)->kill();
+        m_processes.at(host) = start_process(*m_settings.at(host));
+    }
+
     standins::platform_world& world() { return m_world; }
 
     std::shared_ptr<standins::world_answer> ask(std::size_t host, const std::string& target,
@@ -116,9 +123,13 @@
             "\ndirectory = " + ip + m_directory + "\npeers = " + ip + m_peers +
             "\nmetrics = " + ip + m_metrics + "\n[peers]\nseeds =\n  " + ip + m_peers + "\n  " +
             net + other_last_byte + m_peers + "\n[source]\naddress = " + m_store_address + "\n"));
-        m_processes.push_back(std::make_unique<child_process>(
-            "hickorykeel-gateway",
-            std::vector<std::string>{"--settings", m_settings.back()->path()}));
+        m_processes.push_back(start_process(*m_settings.back()));
+    }
+
+    static std::unique_ptr<child_process> start_process(const scratch_file& settings)
+    {
+        return std::make_unique<child_process>(
+            "hickorykeel-gateway", std::vector<std::string>{"--settings", settings.path()});
     }
 
     bool is_ready(const std::string& ip)
--- a/tests/scenarios/gateway_restored_store_test.cpp
+++ b/tests/scenarios/gateway_restored_store_test.cpp
@@ -80,6 +80,13 @@
         return true;
     }
 
+    /// Kills a gateway and starts it again.
+    void restart(std::size_t host)
+    {
+        m_gateways.restart(host);
+        m_gateways.wait_until_ready();
+    }
+
     void wait_for_reads(std::uint64_t count)
     {
         const std::uint64_t before = world().reads();
@@ -136,3 +143,21 @@
     CHECK(day.becomes("/v3/x", 200));
     CHECK(day.status(0, "/v1/x", second_key) == 401);
 }
+
+// guards against CONFIG: a gateway that started while a restored store showed an older configuration
+// kept that, though the other gateway held the newer one
+TEST_CASE(
+    "a gateway that starts on a restored store gets the newer configuration from the other one")
+{
+    restored_store day{true};
+    day.world().copy_store();
+    day.publish(2, {key});
+    REQUIRE(day.becomes("/v2/x", 401, second_key));
+
+    day.world().restore_store();
+    day.wait_for_reads(8);
+    day.restart(0);
+    CHECK(day.becomes("/v2/x", 401, second_key));
+    CHECK(day.becomes("/v2/x", 200));
+    CHECK(day.status(0, "/v1/x", second_key) == 401);
+}
