Wait for the operator's changes of the store between two reads

What callers saw: endpoints of an evacuated failure domain had turned cold, got up to 10 requests in a second where 7.7 are allowed, and broke off the responses under way.

Cause: hosts ask the store once a second whether anything has changed. An evacuation that is acknowledged just after such a read, as after an outage of the store, is heard of up to 1.3 s later. Ruled out: more frequent reads, which cost as many calls each second as there are; the entries change so often that a watch of everything would never wait.

The hosts that read the store now also wait there for changes of the configuration and of evacuations alone, for 5 s at a time. What the watch lists is merged at once, and confirms nothing. A watch that was under way while a read failed may have lost its connection, so it is begun anew after the next read that succeeds; a slow store may still answer it until then.

Tests: configuration_follower_test ("regression: an evacuation isn't heard of before the next read"), store_client_test. The stand-in of the store waits in watches now.

--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -105,13 +105,76 @@
         // after a slow read of many items, the state is already old
         const bool is_slow = boot_clock::now() - requested_at >= m_options.read_interval;
         schedule_read(is_slow ? duration{0} : m_options.read_interval);
+        renew_watch();
         return;
     }
+    m_has_failed_since_watch = true;
     m_dependencies.state.on_failure();
     query_fresher_peer();
     schedule_read(m_options.retry_interval);
 }
 
+/// Begins a watch unless one is under way. One that was under way while the source didn't respond may
+/// have lost its connection, and is begun anew; until the source responds again, it may still end.
+void configuration_follower::renew_watch()
+{
+    if (m_has_failed_since_watch && std::exchange(m_is_watching_source, false)) {
+        m_dependencies.source.cancel_watch();
+    }
+    watch_source();
+}
+
+/// Waits for the operator's changes, unless that is under way.
+void configuration_follower::watch_source()
+{
+    if (m_items.position().is_none() || std::exchange(m_is_watching_source, true)) {
+        return;
+    }
+    m_has_failed_since_watch = false;
+    const source_position& held = m_items.position();
+    const bool is_ahead = m_watched_up_to.era == held.era && m_watched_up_to > held;
+    m_dependencies.source.watch(
+        is_ahead ? m_watched_up_to : held, m_options.max_watch,
+        [this, started_at = boot_clock::now()](result<watched_changes> changes) {
+            on_watched(std::move(changes), started_at);
+        });
+}
+
+void configuration_follower::on_watched(result<watched_changes> changes, time_point started_at)
+{
+    m_is_watching_source = false;
+    auto* watched = std::get_if<watched_changes>(&changes);
+    if (watched == nullptr) {
+        m_dependencies.metrics.count("watch_failure");
+        return; // the next read starts another one
+    }
+    const bool has_changes = !watched->items.empty();
+    const bool has_waited = boot_clock::now() - started_at >= m_options.min_watch;
+    m_watched_up_to = watched->reached;
+    if (has_changes) {
+        m_dependencies.metrics.count("watched_changes");
+        apply_watched(std::move(*watched));
+    }
+    if (m_choice.is_reader() && (has_changes || has_waited)) {
+        watch_source();
+    }
+}
+
+/// Merges changes that leave the position of the held state as it is: they are only those of the
+/// operator. They don't confirm the state.
+void configuration_follower::apply_watched(watched_changes changes)
+{
+    const source_position held = m_items.position();
+    if (changes.reached.era != held.era) {
+        return;
+    }
+    const auto applied = apply_changes({held, held, std::move(changes.items)}, time_point{});
+    if (const auto* failure = std::get_if<error>(&applied)) {
+        m_dependencies.log.write(
+            log_line{"watched_changes_unusable"}.add("error", failure->to_string()));
+    }
+}
+
 /// Merges changes whose contents are known to have been up to date at `confirmed_at`.
 result<merge_outcome> configuration_follower::apply_changes(const published_changes& changes,
                                                             time_point confirmed_at)
--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -37,6 +37,9 @@
     duration relay_timeout = std::chrono::milliseconds{800};   ///< of a query to a peer host
     /// Of a query to a peer host for all items, while this host holds none.
     duration initial_relay_timeout = std::chrono::milliseconds{3'000};
+    duration max_watch = std::chrono::milliseconds{5'000}; ///< wait for the operator's changes
+    /// A watch that ends sooner without changes is not repeated before the next read.
+    duration min_watch = std::chrono::milliseconds{500};
     /// Interval at which a host without a fresh state looks for a peer host that has one.
     duration peer_check_interval = std::chrono::milliseconds{200};
     /// Interval of the queries for a higher version of the configuration, which are for all items.
@@ -55,6 +58,9 @@
 /// hears meanwhile that others are the readers, it leaves the source to them and waits for a peer
 /// host with a configuration.
 ///
+/// Between its reads, a reader waits for changes of the configuration and of evacuations. Those of the
+/// endpoints' entries are many, and are only read at intervals.
+///
 /// Both reads and queries ask for the changes since the position that is held, so that an unchanged
 /// state costs the same at any number of endpoints.
 ///
@@ -88,6 +94,10 @@
     void read();
     void read_source();
     void on_reading(result<published_changes> changes, time_point requested_at);
+    void renew_watch();
+    void watch_source();
+    void on_watched(result<watched_changes> changes, time_point started_at);
+    void apply_watched(watched_changes changes);
     [[nodiscard]] result<merge_outcome> apply_changes(const published_changes& changes,
                                                       time_point confirmed_at);
     [[nodiscard]] state_change update_state(merge_outcome outcome, time_point confirmed_at);
@@ -127,6 +137,9 @@
     bool m_is_reading_source = false;
     time_point m_source_read_at{}; ///< start of the last read of the source
     time_point m_version_queried_at{};
+    bool m_is_watching_source = false;
+    bool m_has_failed_since_watch = false; ///< a read, since the last watch began
+    source_position m_watched_up_to;       ///< by the last watch
     bool m_is_source_lost = false;
     bool m_is_querying_peer = false;
 };
--- a/standins/gateway/platform_world.cpp
+++ b/standins/gateway/platform_world.cpp
@@ -2,10 +2,10 @@
 
 #include "process/clock.h"
 
-#include <algorithm> // max
+#include <algorithm> // find, max
 #include <cstdlib>   // abort
 #include <iostream>  // cerr
-#include <string>    // stoull, string
+#include <string>    // stoll, stoull, string
 #include <utility>   // exchange, move
 #include <variant>   // get_if
 
@@ -25,6 +25,14 @@
 constexpr auto event_interval = std::chrono::milliseconds{10};
 constexpr auto longest_run = std::chrono::seconds{60};
 constexpr auto loop_step = std::chrono::milliseconds{10};
+constexpr duration immediate_watch = std::chrono::milliseconds{1}; // that doesn't wait
+
+/// How long a watch waits.
+duration max_wait_of(const std::string& target)
+{
+    const std::string wait = gateway::query_value(target, "waitMs");
+    return wait.empty() ? duration{0} : std::chrono::milliseconds{std::stoll(wait)};
+}
 
 std::string to_base64(const std::string& bytes)
 {
@@ -180,6 +188,7 @@
                           {"created", m_state.revision},
                           {"lease", 0}};
     m_state.events.push_back(m_state.items[key]);
+    answer_watches();
 }
 
 void platform_world::remove(const std::string& key)
@@ -187,6 +196,7 @@
     ++m_state.revision;
     m_state.items.erase(key);
     m_state.events.push_back({{"key", key}, {"revision", m_state.revision}, {"deleted", true}});
+    answer_watches();
 }
 
 void platform_world::copy_store()
@@ -198,6 +208,7 @@
 {
     m_state = m_copy;
     ++m_era;
+    cut_watches();
 }
 
 header_list platform_world::store_headers() const
@@ -212,26 +223,77 @@
 
 void platform_world::serve_store(const std::shared_ptr<server_exchange>& request)
 {
-    ++m_reads;
     const std::string& target = request->head().target;
     const std::string_view path = gateway::to_path(target);
+    const bool is_watch = path == "/hickorykeel/kv-watch";
+    m_reads += is_watch && max_wait_of(target) > immediate_watch ? 0 : 1;
     if (m_refuses) {
         request->respond(503, store_headers(), {});
     }
     else if (path == "/hickorykeel/kv-range") {
         request->respond(200, store_headers(), range(target).dump());
     }
-    else if (path == "/hickorykeel/kv-watch") {
-        const std::uint64_t after = std::stoull(gateway::query_value(target, "after"));
-        const bool has_history = after <= m_state.revision;
-        request->respond(has_history ? 200 : 410, store_headers(),
-                         has_history ? changes(after).dump() : std::string{"{}"});
+    else if (is_watch) {
+        serve_watch(request);
     }
     else {
         request->respond(404, store_headers(), {});
     }
 }
 
+void platform_world::serve_watch(const std::shared_ptr<server_exchange>& request)
+{
+    const std::string& target = request->head().target;
+    const std::string prefix = gateway::query_value(target, "prefix");
+    const std::uint64_t after = std::stoull(gateway::query_value(target, "after"));
+    const duration max_wait = max_wait_of(target);
+    if (after > m_state.revision) {
+        request->respond(410, store_headers(), "{}");
+        return;
+    }
+    const nlohmann::json found = changes(prefix, after);
+    if (max_wait <= immediate_watch || !found.at("events").empty()) {
+        request->respond(200, store_headers(), found.dump());
+        return;
+    }
+    wait({prefix, after, request, std::make_shared<asio::steady_timer>(m_loop)}, max_wait);
+}
+
+void platform_world::wait(waiting_watch watch, duration max_wait)
+{
+    watch.timer->expires_after(max_wait);
+    watch.timer->async_wait([this, timer = watch.timer](const asio::error_code& failure) {
+        const auto held = std::ranges::find(m_watches, timer, &waiting_watch::timer);
+        if (failure || held == m_watches.end()) {
+            return;
+        }
+        held->request->respond(200, store_headers(), changes(held->prefix, held->after).dump());
+        m_watches.erase(held);
+    });
+    m_watches.push_back(std::move(watch));
+}
+
+void platform_world::answer_watches()
+{
+    std::erase_if(m_watches, [this](const waiting_watch& watch) {
+        const nlohmann::json found = changes(watch.prefix, watch.after);
+        if (found.at("events").empty()) {
+            return false;
+        }
+        watch.timer->cancel();
+        watch.request->respond(200, store_headers(), found.dump());
+        return true;
+    });
+}
+
+void platform_world::cut_watches()
+{
+    for (const waiting_watch& watch : std::exchange(m_watches, {})) {
+        watch.timer->cancel();
+        watch.request->abort_response();
+    }
+}
+
 nlohmann::json platform_world::range(const std::string& target) const
 {
     // small pages, so that readers must ask for more than one
@@ -253,12 +315,13 @@
     return {{"items", items}, {"hasMore", has_more}, {"asOf", m_state.revision}};
 }
 
-/// What has changed after a revision; the stand-in never waits.
-nlohmann::json platform_world::changes(std::uint64_t after) const
+/// What has changed after a revision.
+nlohmann::json platform_world::changes(const std::string& prefix, std::uint64_t after) const
 {
     nlohmann::json events = nlohmann::json::array();
     for (const nlohmann::json& event : m_state.events) {
-        if (event.at("revision").get<std::uint64_t>() > after) {
+        const bool is_wanted = event.at("key").get_ref<const std::string&>().starts_with(prefix);
+        if (is_wanted && event.at("revision").get<std::uint64_t>() > after) {
             events.push_back(event);
         }
     }
--- a/standins/gateway/platform_world.h
+++ b/standins/gateway/platform_world.h
@@ -14,7 +14,8 @@
 #include <string>     // string
 #include <vector>     // vector
 
-#include <asio/io_context.hpp> // io_context
+#include <asio/io_context.hpp>   // io_context
+#include <asio/steady_timer.hpp> // steady_timer
 #include <nlohmann/json.hpp>
 
 namespace hickorykeel::standins {
@@ -127,6 +128,8 @@
 
     /// Turns every reader away with 503, or serves again.
     void set_refusing(bool refuses) noexcept { m_refuses = refuses; }
+
+    /// Number of calls so far, without watches that wait.
     [[nodiscard]] std::uint64_t reads() const noexcept { return m_reads; }
     /// @}
 
@@ -154,10 +157,22 @@
         std::uint64_t revision = 0;
     };
 
+    /// A watch without an event so far.
+    struct waiting_watch {
+        std::string prefix;
+        std::uint64_t after = 0;
+        std::shared_ptr<gateway::server_exchange> request;
+        std::shared_ptr<asio::steady_timer> timer; ///< end of its wait
+    };
+
     void serve_store(const std::shared_ptr<gateway::server_exchange>& request);
+    void serve_watch(const std::shared_ptr<gateway::server_exchange>& request);
+    void wait(waiting_watch watch, duration max_wait);
+    void answer_watches();
+    void cut_watches();
     [[nodiscard]] gateway::header_list store_headers() const;
     [[nodiscard]] nlohmann::json range(const std::string& target) const;
-    [[nodiscard]] nlohmann::json changes(std::uint64_t after) const;
+    [[nodiscard]] nlohmann::json changes(const std::string& prefix, std::uint64_t after) const;
 
     asio::io_context m_loop{1};
     gateway::http_server m_store;
@@ -168,6 +183,7 @@
     bool m_names_era = true;
     std::uint64_t m_reads = 0;
     bool m_refuses = false;
+    std::vector<waiting_watch> m_watches;
     std::vector<std::unique_ptr<endpoint_standin>> m_endpoints;
 };
 
--- a/tests/gateway/configuration_follower_test.cpp
+++ b/tests/gateway/configuration_follower_test.cpp
@@ -22,6 +22,7 @@
 
 constexpr auto read_timeout = 20s; // after which a read in a test counts as stuck
 const std::string reader_ip = "127.0.0.1";
+const std::string evacuation = "evacuation of "; // a failure domain follows
 
 /// All items at `revision`: a configuration, and one endpoint called `endpoint`.
 published_changes make_changes(const std::string& endpoint, std::uint64_t revision = 1)
@@ -48,27 +49,58 @@
     {
         ++reads;
         last_since = since;
-        if (!is_silent) {
+        if (is_failing) {
+            on_changes(error{error_kind::platform_unreachable, "read", "source", "down"});
+        }
+        else if (!is_silent) {
             on_changes(make_changes("from the source"));
         }
     }
 
     void cancel_read() override { ++cancelled_reads; }
 
+    void watch(const source_position& since, duration max_wait, watch_handler on_changes) override
+    {
+        CHECK(on_watched == nullptr);
+        CHECK(max_wait > 0ms);
+        watched_since.push_back(since);
+        on_watched = std::move(on_changes);
+    }
+
+    void cancel_watch() override
+    {
+        ++cancelled_watches;
+        on_watched = nullptr;
+    }
+
+    /// Ends the watch under way.
+    void end_watch(result<watched_changes> changes)
+    {
+        REQUIRE(on_watched != nullptr);
+        std::exchange(on_watched, nullptr)(std::move(changes));
+    }
+
     [[nodiscard]] result<published_value> decode(const published_item& item) const override
     {
         if (item.key == "configuration") {
             return published_value{make_reading().published};
         }
+        if (item.key.starts_with(evacuation)) {
+            return published_value{evacuated_domain{item.key.substr(evacuation.size())}};
+        }
         endpoint_entry entry;
         entry.id = item.key;
         return published_value{entry};
     }
 
     bool is_silent = false;
+    bool is_failing = false;
     int reads = 0;
     int cancelled_reads = 0;
+    int cancelled_watches = 0;
     source_position last_since;
+    std::vector<source_position> watched_since; ///< of all watches, in their order
+    watch_handler on_watched;                   ///< of the watch under way; null: none
 };
 
 header_list with_age(const std::string& ms)
@@ -148,6 +180,10 @@
         REQUIRE(m_state.endpoints().size() == 1);
         return m_state.endpoints().begin()->first;
     }
+    [[nodiscard]] bool is_evacuated(const std::string& failure_domain) const
+    {
+        return m_state.is_evacuated(failure_domain);
+    }
     [[nodiscard]] duration age() const { return m_state.age(boot_clock::now()); }
 
     /// Number of changes that the host has passed on to its other parts.
@@ -354,3 +390,100 @@
     CHECK(region.source.reads > 0);
     region.run_until([&] { return answered.expired() || !answered.lock()->is_open(); });
 }
+
+namespace {
+
+/// A host of which nobody else has a usable state, so that it reads the source itself.
+std::unique_ptr<single_reader_region> make_source_reader()
+{
+    auto region = std::make_unique<single_reader_region>(
+        [](const auto& request) { request->respond(503, {}, {}); });
+    region->hold_old_state();
+    region->read();
+    return region;
+}
+
+watched_changes make_evacuation(const std::string& failure_domain, std::uint64_t revision,
+                                bool has_ended = false)
+{
+    return {{{evacuation + failure_domain, "", {0, revision}, has_ended}}, {0, revision}};
+}
+
+} // namespace
+
+// guards against FAILBACK: hosts heard of an evacuation with their next read only, when the endpoints
+// there had become cold
+TEST_CASE("regression: an evacuation isn't heard of before the next read")
+{
+    const auto region = make_source_reader();
+    counting_source& source = region->source;
+    REQUIRE(source.watched_since == std::vector<source_position>{{0, 1}});
+    const int reads = source.reads;
+    const time_point confirmed_at = boot_clock::now() - region->age();
+    source.end_watch(make_evacuation("d", 4));
+    CHECK(region->is_evacuated("d"));
+    CHECK(region->held() == "from the source");
+    CHECK(source.reads == reads);
+    // it says nothing of the endpoints
+    CHECK(boot_clock::now() - region->age() <= confirmed_at + 1ms);
+
+    SUBCASE("nor is its end, which another watch after the first one tells")
+    {
+        region->run_until([&] { return source.reads > reads; });
+        CHECK(source.watched_since.back() == source_position{0, 4});
+        source.end_watch(make_evacuation("d", 6, true));
+        CHECK_FALSE(region->is_evacuated("d"));
+    }
+    SUBCASE("an earlier state that is read afterwards doesn't end it")
+    {
+        region->run_until([&] { return source.reads > reads; });
+        CHECK(region->is_evacuated("d"));
+    }
+}
+
+TEST_CASE("a watch of the source that ends early starts again after the next read")
+{
+    const auto region = make_source_reader();
+    counting_source& source = region->source;
+    SUBCASE("with an error")
+    {
+        source.end_watch(error{error_kind::platform_unreachable, "watch", "source", "cut"});
+    }
+    SUBCASE("without changes")
+    {
+        source.end_watch(watched_changes{{}, {0, 1}});
+    }
+    CHECK(source.on_watched == nullptr);
+    region->run_until([&] { return source.on_watched != nullptr; });
+    CHECK(source.reads >= 2);
+    CHECK(source.watched_since.size() == 2);
+}
+
+TEST_CASE("a watch of the source is begun anew after a read that fails")
+{
+    const auto region = make_source_reader();
+    counting_source& source = region->source;
+    const int reads = source.reads;
+    source.is_failing = true;
+    region->run_until([&] { return source.reads > reads; });
+    CHECK(source.cancelled_watches == 0);
+    int cancelled = 1;
+    SUBCASE("and may tell something meanwhile")
+    {
+        source.end_watch(make_evacuation("d", 4));
+        CHECK(region->is_evacuated("d"));
+        cancelled = 0;
+    }
+    SUBCASE("") {}
+    source.is_failing = false;
+    region->run_until([&] { return source.watched_since.size() == 2; });
+    CHECK(source.on_watched != nullptr);
+    CHECK(source.cancelled_watches == cancelled);
+}
+
+TEST_CASE("watched changes of another era are left to the next read")
+{
+    const auto region = make_source_reader();
+    region->source.end_watch(watched_changes{{{evacuation + "d", "", {1, 4}, false}}, {1, 4}});
+    CHECK_FALSE(region->is_evacuated("d"));
+}
--- a/tests/gateway/store_client_test.cpp
+++ b/tests/gateway/store_client_test.cpp
@@ -74,6 +74,40 @@
         return *received;
     }
 
+    /// Watches for 300 ms.
+    result<watched_changes> watch(const source_position& since)
+    {
+        platform::store_client client{m_loop, m_client,
+                                      "127.0.0.1:" + std::to_string(m_store.port())};
+        std::shared_ptr<result<watched_changes>> received;
+        client.watch(since, 300ms, [&received](result<watched_changes> changes) {
+            CHECK(received == nullptr);
+            received = std::make_shared<result<watched_changes>>(std::move(changes));
+        });
+        const time_point deadline = boot_clock::now() + read_limit;
+        while (received == nullptr && boot_clock::now() < deadline) {
+            m_loop.run_one_for(10ms);
+        }
+        REQUIRE(received != nullptr);
+        return *received;
+    }
+
+    /// Starts a read and a watch, and destroys the client before they have ended.
+    void abandon()
+    {
+        platform::store_client client{m_loop, m_client,
+                                      "127.0.0.1:" + std::to_string(m_store.port())};
+        client.read({0, 41}, [](const auto&) { FAIL("the read has ended"); });
+        client.watch({0, 41}, 300ms, [](const auto&) { FAIL("the watch has ended"); });
+        m_loop.run_for(10ms);
+    }
+
+    void run_for(duration span)
+    {
+        m_loop.restart();
+        m_loop.run_for(span);
+    }
+
     std::vector<std::string> targets;
 
 private:
@@ -298,3 +332,48 @@
     CHECK(std::get<published_changes>(changes).position == source_position{7, 20});
     CHECK(store.targets.size() == 1);
 }
+
+TEST_CASE("a watch lists the operator's changes")
+{
+    store_and_client store{[](const std::string&) {
+        return store_and_client::response{200, events(item("op/evacuate/d", 43), 44), "2"};
+    }};
+    const auto changes = store.watch({2, 41});
+    REQUIRE(is_ok(changes));
+    const auto& watched = std::get<watched_changes>(changes);
+    CHECK(watched.reached == source_position{2, 44});
+    REQUIRE(watched.items.size() == 1);
+    CHECK(watched.items.front().key == "op/evacuate/d");
+    CHECK(watched.items.front().position == source_position{2, 43});
+    REQUIRE(store.targets.size() == 1);
+    CHECK(store.targets.front() == "/hickorykeel/kv-watch?prefix=op%2F&after=41&waitMs=300");
+}
+
+TEST_CASE("a watch fails if the store can't list the changes since a position")
+{
+    const auto fails = [](const store_and_client::response& answer) {
+        store_and_client store{[&answer](const std::string&) { return answer; }};
+        return !is_ok(store.watch({2, 41}));
+    };
+    CHECK(fails({410, "{}", "2"}));
+    CHECK(fails({200, events("", 12), "3"}));
+    CHECK(fails({200, "{}", "2"}));
+    CHECK(fails({503, "", "2"}));
+    CHECK_FALSE(fails({200, events("", 41), "2"}));
+    CHECK_FALSE(fails({200, events("", 41)}));
+}
+
+TEST_CASE("a watch that the store doesn't answer fails some time after its wait")
+{
+    store_and_client store{[](const std::string&) { return store_and_client::response{}; }, 1h};
+    const time_point started = boot_clock::now();
+    CHECK_FALSE(is_ok(store.watch({2, 41})));
+    CHECK(boot_clock::now() - started >= 300ms);
+}
+
+TEST_CASE("a client of the store that is destroyed ends its read and its watch")
+{
+    store_and_client store{[](const std::string&) { return store_and_client::response{}; }, 50ms};
+    store.abandon();
+    store.run_for(200ms);
+}
