Tell other hosts which change of the operator is known, and query it at once

Cause: the few hosts of a region that read the store hear of an evacuation in time, the others don't.

Heartbeats name the newest change of the configuration or of an evacuation that a host knows. A host that hears of a newer one than its own queries the other one for what it lacks. Such a change may be ahead of the position up to which all items are known, and is passed on and taken as such.

Tests: configuration_follower_test ("regression: the change that a peer host tells isn't queried before the next read"), published_items_test, relay_choice_test.

--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -3,6 +3,7 @@
 #include "gateway/configuration/relay_codec.h"
 #include "gateway/http/body_buffer.h"
 
+#include <algorithm>    // max
 #include <charconv>     // from_chars
 #include <cstddef>      // size_t
 #include <optional>     // optional
@@ -315,6 +316,7 @@
         query_fresher_peer();
     }
     query_newer_peer();
+    query_informed_peer();
     if (m_is_reading_source && m_items.position().is_none() &&
         m_choice.gives_up_read(choice_state(now), now)) {
         m_is_reading_source = false;
@@ -342,7 +344,8 @@
 {
     const publication_ptr& published = m_dependencies.state.published();
     return {published != nullptr, m_dependencies.state.age(now), m_source_read_at,
-            published == nullptr ? 0 : published->version};
+            published == nullptr ? 0 : published->version,
+            std::max(m_items.position(), m_items.operator_change())};
 }
 
 void configuration_follower::query_fresher_peer()
@@ -371,6 +374,24 @@
     }
 }
 
+/// Queries a peer host that knows a newer change of the operator.
+void configuration_follower::query_informed_peer()
+{
+    const time_point now = boot_clock::now();
+    const member* chosen = m_choice.select_informed_peer(choice_state(now), now);
+    if (chosen == nullptr || m_is_querying_peer || m_items.position().is_none()) {
+        return;
+    }
+    const source_position& change = chosen->last.operator_change;
+    const bool is_due = now - m_change_queried_at >= m_options.change_query_interval;
+    if (change > m_change_queried || is_due) {
+        m_change_queried = change;
+        m_change_queried_at = now;
+        m_dependencies.metrics.count("operator_change_queried");
+        query_peer(*chosen, m_items.position(), [](bool) {});
+    }
+}
+
 /// A query to a peer host, and its response.
 struct configuration_follower::relay_query {
     relay_query(asio::io_context& loop, std::string peer)
--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -42,6 +42,8 @@
     duration min_watch = std::chrono::milliseconds{500};
     /// Interval at which a host without a fresh state looks for a peer host that has one.
     duration peer_check_interval = std::chrono::milliseconds{200};
+    /// Interval at which the same change of the operator is queried again.
+    duration change_query_interval = std::chrono::milliseconds{1'000};
     /// Interval of the queries for a higher version of the configuration, which are for all items.
     duration version_query_interval = std::chrono::milliseconds{1'000};
     std::uint16_t relay_port = 0;
@@ -53,6 +55,8 @@
 /// reports a fresh state, or if the query fails or returns a stale state. While the state of this
 /// host is missing or stale, a live peer host that reports a more recent one is queried too, and one
 /// that reports a higher version of the configuration for longer than a change takes to spread.
+/// Hosts tell in their heartbeats which change of the operator they know, so that the others query it
+/// at once.
 ///
 /// A host that starts knows no others and reads the source at once. If that takes long, and it
 /// hears meanwhile that others are the readers, it leaves the source to them and waits for a peer
@@ -84,6 +88,12 @@
     /// Starts the first read; further reads follow periodically.
     void start();
 
+    /// Newest change of the configuration or of an evacuation that this host knows.
+    [[nodiscard]] const source_position& operator_change() const noexcept
+    {
+        return m_items.operator_change();
+    }
+
     /// Responds to a peer host with the changes since its position and the age of the state, or
     /// with 503 while no state is held.
     void serve_peer(server_exchange& request);
@@ -111,6 +121,7 @@
     void check_peers();
     void query_fresher_peer();
     void query_newer_peer();
+    void query_informed_peer();
     void update_readers(time_point now);
     [[nodiscard]] relay_choice_state choice_state(time_point now) const;
     [[nodiscard]] const std::string& relayed_changes(const source_position& since);
@@ -137,6 +148,8 @@
     bool m_is_reading_source = false;
     time_point m_source_read_at{}; ///< start of the last read of the source
     time_point m_version_queried_at{};
+    source_position m_change_queried; ///< newest change of the operator that a peer was queried for
+    time_point m_change_queried_at{};
     bool m_is_watching_source = false;
     bool m_has_failed_since_watch = false; ///< a read, since the last watch began
     source_position m_watched_up_to;       ///< by the last watch
--- a/src/gateway/configuration/published_items.cpp
+++ b/src/gateway/configuration/published_items.cpp
@@ -39,7 +39,7 @@
 result<merge_outcome> published_items::apply(const published_changes& changes)
 {
     if (is_outdated(changes)) {
-        return take_configuration(changes);
+        return take_ahead(changes);
     }
     const bool is_whole = changes.since.is_none();
     auto decoded = decode_newer(changes);
@@ -69,25 +69,37 @@
     return changes.position < m_position || changes.since > m_position || spans_eras;
 }
 
-/// Takes the configuration out of changes that are outdated otherwise, if its version is higher than
-/// the held one.
-result<merge_outcome> published_items::take_configuration(const published_changes& changes)
+/// Takes what is newer than the held state out of changes that are outdated otherwise: items that are
+/// ahead of the held position, and the configuration if its version is higher.
+result<merge_outcome> published_items::take_ahead(const published_changes& changes)
 {
+    published_changes ahead{m_position, m_position, {}};
+    const bool has_gap = changes.since > m_position;
     for (const published_item& item : changes.items) {
-        if (item.is_deleted || item.key != m_configuration_key || !is_newer(item)) {
-            continue;
-        }
-        auto meaning = m_decode(item);
-        if (auto* failure = std::get_if<error>(&meaning)) {
-            return std::move(*failure);
-        }
-        auto& value = std::get<published_value>(meaning);
-        if (std::holds_alternative<publication_ptr>(value) && version_of(value) > held_version()) {
-            insert(item.key, {item.value, std::max(item.position, m_position), std::move(value)});
-            return merge_outcome::changed;
+        const bool is_ahead =
+            !has_gap && item.position.era == m_position.era && item.position > m_position;
+        const bool is_configuration = !item.is_deleted && item.key == m_configuration_key;
+        if (is_ahead || is_configuration) {
+            ahead.items.push_back(item);
         }
     }
-    return merge_outcome::outdated;
+    if (ahead.items.empty() || m_position.is_none()) {
+        return merge_outcome::outdated;
+    }
+    auto merged = apply(ahead);
+    const auto* outcome = std::get_if<merge_outcome>(&merged);
+    return outcome != nullptr && *outcome == merge_outcome::unchanged
+               ? result<merge_outcome>{merge_outcome::outdated}
+               : std::move(merged);
+}
+
+/// Notes a change of an item with the given meaning.
+void published_items::note_change(const published_value& meaning, const source_position& position)
+{
+    if (std::holds_alternative<publication_ptr>(meaning) ||
+        std::holds_alternative<evacuated_domain>(meaning)) {
+        m_operator_change = std::max(m_operator_change, position);
+    }
 }
 
 bool published_items::is_newer(const published_item& item) const
@@ -106,6 +118,7 @@
     if (std::holds_alternative<publication_ptr>(item.meaning)) {
         m_configuration_key = key;
     }
+    note_change(item.meaning, item.position);
     m_items.insert_or_assign(key, std::move(item));
 }
 
@@ -129,7 +142,9 @@
     const std::uint64_t version = version_of(shown->second.meaning);
     const bool is_later = shown->second.position > held->second.position;
     if (version < held_version()) {
-        held->second.position = std::max(held->second.position, changes.position);
+        if (is_later) {
+            held->second.position = changes.position;
+        }
         newer.erase(shown);
     }
     else if (version > held_version() && !is_later) {
@@ -192,7 +207,11 @@
             continue;
         }
         m_deletions[item.key] = item.position;
-        has_removed = m_items.erase(item.key) > 0 || has_removed;
+        if (const auto held = m_items.find(item.key); held != m_items.end()) {
+            note_change(held->second.meaning, item.position);
+            m_items.erase(held);
+            has_removed = true;
+        }
     }
     return has_removed;
 }
@@ -209,7 +228,7 @@
 {
     published_changes changes;
     changes.position = m_position;
-    if (position >= m_position && !m_position.is_none()) {
+    if (position >= m_position && position >= m_operator_change && !m_position.is_none()) {
         changes.since = position;
         return changes;
     }
--- a/src/gateway/configuration/published_items.h
+++ b/src/gateway/configuration/published_items.h
@@ -46,7 +46,7 @@
 enum class merge_outcome {
     outdated,  ///< older than what is held, or with a gap to it; nothing was applied
     unchanged, ///< the held items are confirmed
-    changed,   ///< also by a higher version of the configuration in changes that are outdated
+    changed,   ///< also by single items that are newer although the changes are outdated
 };
 
 /// Copy of the source's contents, kept up to date by changes. Each item has a position, so changes
@@ -82,8 +82,15 @@
     /// The position up to which the items are complete; none while none are held.
     [[nodiscard]] const source_position& position() const noexcept { return m_position; }
 
-    /// Changes that bring a copy at `position` up to date: none if it is at the same or a higher
-    /// one, all items if it is of another era or too old for the remembered deletions. O(items)
+    /// Newest known change of the configuration or of an evacuation, which may be known ahead of the
+    /// position up to which all items are complete.
+    [[nodiscard]] const source_position& operator_change() const noexcept
+    {
+        return m_operator_change;
+    }
+
+    /// Changes that bring a copy at `position` up to date: none if it is at the same or a higher one
+    /// and no newer change of the operator is known, all items if it is of another era or too old for the remembered deletions. O(items)
     /// unless none.
     [[nodiscard]] published_changes changes_since(const source_position& position) const;
 
@@ -106,7 +113,8 @@
     bool remove_deleted(const published_changes& changes);
     void insert(const std::string& key, held_item item);
     [[nodiscard]] bool is_outdated(const published_changes& changes) const;
-    result<merge_outcome> take_configuration(const published_changes& changes);
+    result<merge_outcome> take_ahead(const published_changes& changes);
+    void note_change(const published_value& meaning, const source_position& position);
     void keep_configuration(const published_changes& changes, decoded_items& newer);
     [[nodiscard]] std::uint64_t held_version() const;
     void limit_deletions();
@@ -115,6 +123,7 @@
     std::map<std::string, held_item> m_items;           // by key
     std::map<std::string, source_position> m_deletions; // by key
     source_position m_position;
+    source_position m_operator_change;
     source_position m_deletions_since; // all later deletions are in m_deletions
     std::string m_configuration_key;   // empty while no configuration is held
 };
--- a/src/gateway/configuration/relay_choice.cpp
+++ b/src/gateway/configuration/relay_choice.cpp
@@ -103,6 +103,15 @@
                                                                               : nullptr;
 }
 
+const member* relay_choice::select_informed_peer(const relay_choice_state& own, time_point now)
+{
+    const auto is_informed = [&](const member& host) {
+        return host.last.operator_change > own.operator_changes;
+    };
+    const found_peer found = find_peer(is_informed, now);
+    return found.is_in_region || own.age >= m_options.max_relay_age ? found.host : nullptr;
+}
+
 bool relay_choice::lags_too_long(bool has_newer_peer, time_point now)
 {
     if (!has_newer_peer) {
--- a/src/gateway/configuration/relay_choice.h
+++ b/src/gateway/configuration/relay_choice.h
@@ -43,6 +43,8 @@
     duration age{0};             ///< of the published state, since it was confirmed up to date
     time_point source_read_at{}; ///< start of the last read of the source
     std::uint64_t version = 0;   ///< of the configuration; 0: none
+    /// Up to which the operator's changes are known.
+    source_position operator_changes = {};
 };
 
 /// Chooses from which host to get the published state, or whether to read its source.
@@ -77,6 +79,10 @@
     /// version to a host that starts then. Successive calls return different hosts.
     [[nodiscard]] const member* select_newer_peer(const relay_choice_state& own, time_point now);
 
+    /// Returns a live host that knows a newer change of the operator than this one, or null. It is of
+    /// the own region unless the state of this host is stale. Successive calls return different hosts.
+    [[nodiscard]] const member* select_informed_peer(const relay_choice_state& own, time_point now);
+
     /// Whether this host leaves the source to the readers for now.
     [[nodiscard]] bool waits_for_peers(const relay_choice_state& own, time_point now) const;
 
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/configuration/source_position.h"
 #include "gateway/routing/prompt_quarantine.h"
 #include "gateway/routing/restart_report.h"
 #include "process/clock.h"
@@ -124,7 +125,9 @@
     bool has_configuration = false;
     std::uint64_t configuration_version = 0;
     duration configuration_age{0}; ///< since it was confirmed up to date
-    duration interval{0};          ///< maximum time until the next heartbeat to this receiver
+    /// Newest change of the configuration or of an evacuation that the host knows.
+    source_position operator_change;
+    duration interval{0}; ///< maximum time until the next heartbeat to this receiver
     service_loads services;
     endpoint_loads endpoints;
     usage_counts used;
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -46,6 +46,7 @@
         state.has_configuration = true;
         state.configuration_version = published->version;
         state.configuration_age = m_state.age(now);
+        state.operator_change = m_follower.operator_change();
         for (const auto& [name, of] : published->services()) {
             state.services[name] = m_pool.free_capacity(of, now);
         }
--- a/tests/gateway/configuration_follower_test.cpp
+++ b/tests/gateway/configuration_follower_test.cpp
@@ -180,6 +180,15 @@
         REQUIRE(m_state.endpoints().size() == 1);
         return m_state.endpoints().begin()->first;
     }
+    /// Hears that the reader knows a change of the operator.
+    void hear(const source_position& operator_change)
+    {
+        heartbeat received = make_heartbeat();
+        received.sequence = 2;
+        received.operator_change = operator_change;
+        m_members.on_heartbeat(received, boot_clock::now() + 1h);
+    }
+
     [[nodiscard]] bool is_evacuated(const std::string& failure_domain) const
     {
         return m_state.is_evacuated(failure_domain);
@@ -195,7 +204,7 @@
     counting_source source;
 
 private:
-    void add_reader()
+    static heartbeat make_heartbeat()
     {
         heartbeat received;
         received.ip = reader_ip;
@@ -204,9 +213,11 @@
         received.sequence = 1;
         received.is_ready = true;
         received.has_configuration = true;
-        m_members.on_heartbeat(received, boot_clock::now() + 1h);
+        return received;
     }
 
+    void add_reader() { m_members.on_heartbeat(make_heartbeat(), boot_clock::now() + 1h); }
+
     asio::io_context m_loop{1};
     http_client m_client{m_loop};
     http_server m_reader;
@@ -487,3 +498,28 @@
     region->source.end_watch(watched_changes{{{evacuation + "d", "", {1, 4}, false}}, {1, 4}});
     CHECK_FALSE(region->is_evacuated("d"));
 }
+
+// guards against FAILBACK: only the readers of a region heard of an evacuation in time; the other hosts
+// found the store slow and the readers' state stale
+TEST_CASE("regression: the change that a peer host tells isn't queried before the next read")
+{
+    std::vector<std::string> revisions;
+    single_reader_region region{[&revisions](const auto& request) {
+        revisions.emplace_back(request->head().headers.find(relay_revision_header));
+        const bool is_first = revisions.size() == 1;
+        // a stale state, in which a change is known ahead
+        request->respond(
+            200, with_age(is_first ? "0" : "3000"),
+            encode_changes(
+                is_first
+                    ? make_changes("from the reader", 7)
+                    : published_changes{{0, 7}, {0, 7}, {{evacuation + "d", "", {0, 9}, false}}}));
+    }};
+    region.hold_old_state();
+    region.read();
+    region.source.is_silent = true;
+    region.hear({0, 9});
+    region.run_until([&] { return region.is_evacuated("d"); });
+    CHECK(revisions.at(1) == "7");
+    CHECK(region.held() == "from the reader");
+}
--- a/tests/gateway/published_items_test.cpp
+++ b/tests/gateway/published_items_test.cpp
@@ -2,14 +2,16 @@
 
 #include "gateway/configuration/relay_codec.h"
 
-#include <cstdint> // uint64_t
-#include <map>     // map
-#include <memory>  // make_shared
-#include <random>  // mt19937_64, uniform_int_distribution
-#include <string>  // stoull, string, to_string
-#include <utility> // move
-#include <variant> // get
-#include <vector>  // vector
+#include <algorithm> // max
+#include <cstdint>   // uint64_t
+#include <map>       // map
+#include <memory>    // make_shared
+#include <random>    // mt19937_64, uniform_int_distribution
+#include <set>       // set
+#include <string>    // stoull, string, to_string
+#include <utility>   // move
+#include <variant>   // get
+#include <vector>    // vector
 
 #include <doctest/doctest.h>
 
@@ -388,6 +390,53 @@
     }
 }
 
+namespace {
+
+/// Each item is the evacuation of a failure domain, unless its key begins with "e": an endpoint.
+published_items make_evacuation_items()
+{
+    return published_items{[](const published_item& item) -> result<published_value> {
+        return item.key.starts_with("e") ? decode(item)
+                                         : published_value{evacuated_domain{item.key}};
+    }};
+}
+
+std::set<std::string> evacuated(const published_items& items)
+{
+    return items.to_reading().evacuated_domains;
+}
+
+} // namespace
+
+TEST_CASE("a change of the operator that is known ahead is passed on to copies at any position")
+{
+    for (const std::uint64_t revision : {8U, 10U, 12U}) {
+        CAPTURE(revision);
+        published_items informed = make_evacuation_items();
+        apply(informed, {{}, {1, 10}, {{"e1", "1", {1, 10}, false}}});
+        CHECK(informed.operator_change().is_none());
+        apply(informed, {{1, 10}, {1, 10}, {{"d", "", {1, 14}, false}}});
+        CHECK(evacuated(informed) == std::set<std::string>{"d"});
+        CHECK(informed.position() == source_position{1, 10});
+        CHECK(informed.operator_change() == source_position{1, 14});
+        CHECK(informed.changes_since({1, 14}).items.empty());
+
+        published_items other = make_evacuation_items();
+        apply(other, {{}, {1, revision}, {{"e1", "1", {1, 8}, false}}});
+        CHECK(apply(other, informed.changes_since({1, revision})) == merge_outcome::changed);
+        CHECK(evacuated(other) == std::set<std::string>{"d"});
+        CHECK(other.position() == source_position{1, std::max<std::uint64_t>(revision, 10)});
+        CHECK(other.operator_change() == source_position{1, 14});
+        // again, it changes nothing
+        CHECK(apply(other, informed.changes_since({1, revision})) != merge_outcome::changed);
+
+        apply(informed, {{1, 10}, {1, 10}, {{"d", "", {1, 16}, true}}});
+        CHECK(informed.operator_change() == source_position{1, 16});
+        apply(other, informed.changes_since(other.position()));
+        CHECK(evacuated(other).empty());
+    }
+}
+
 // guards against CONFIG: a host that had started while a restored source showed an older
 // configuration kept that, with keys in force that had been withdrawn, though others held the newer one
 TEST_CASE("regression: a host that starts on a restored source keeps an older configuration")
--- a/tests/gateway/relay_choice_test.cpp
+++ b/tests/gateway/relay_choice_test.cpp
@@ -204,3 +204,28 @@
         }
     }
 }
+
+TEST_CASE("a host queries another one of its region that knows a newer change of the operator")
+{
+    member_table members{to_ip(1, 1), {}, {}};
+    relay_choice choice{
+        {.ip = to_ip(1, 1), .failure_domain = "d1", .region = "r1"}, members, start};
+    const auto hear = [&](int region, std::uint64_t revision) {
+        heartbeat received = make_heartbeat(region, 2, true);
+        received.sequence = revision;
+        received.operator_change = {1, revision};
+        members.on_heartbeat(received, start);
+    };
+    const relay_choice_state own{true, 100ms, start, 12, {1, 20}};
+    hear(1, 20);
+    CHECK(choice.select_informed_peer(own, start) == nullptr);
+    hear(2, 21);
+    CHECK(choice.select_informed_peer(own, start) == nullptr);
+    // behind a cut, other regions may be all that can be heard
+    CHECK(choice.select_informed_peer({true, 3s, start, 12, {1, 20}}, start) != nullptr);
+    hear(1, 21);
+    REQUIRE(choice.select_informed_peer(own, start) != nullptr);
+    CHECK(choice.select_informed_peer(own, start)->last.region == "r1");
+    // a store that has been restored from a copy is read by each region's readers
+    CHECK(choice.select_informed_peer({true, 100ms, start, 12, {2, 3}}, start) == nullptr);
+}
