Keep deletions that are known ahead when all items are read

A list of all items made a host forget every deletion that it remembered, also one that it had been told ahead of the list's position, as by a watch.

--- a/src/gateway/configuration/published_items.cpp
+++ b/src/gateway/configuration/published_items.cpp
@@ -193,8 +193,10 @@
         return held.second.position <= changes.position && held.first != m_configuration_key &&
                !listed.contains(held.first);
     });
-    // a list of all items doesn't say when the missing ones were deleted
-    m_deletions.clear();
+    // a list of all items doesn't say when the missing ones were deleted; later deletions, known
+    // ahead, still count
+    std::erase_if(m_deletions,
+                  [&](const auto& deleted) { return deleted.second <= changes.position; });
     m_deletions_since = changes.position;
     return removed > 0;
 }
--- a/tests/gateway/published_items_test.cpp
+++ b/tests/gateway/published_items_test.cpp
@@ -156,14 +156,26 @@
 
 namespace {
 
+/// Whether an item is the operator's: the evacuation of a failure domain, called by its key.
+bool is_operators(const std::string& key)
+{
+    return key < "e";
+}
+
+result<published_value> decode_any(const published_item& item)
+{
+    return is_operators(item.key) ? published_value{evacuated_domain{item.key}} : decode(item);
+}
+
 /// A source whose items change at random and which is restored from older copies of itself, and hosts
-/// that learn of it from the source and from each other, partly late.
+/// that learn of it from the source and from each other, partly late. Of the operator's changes they
+/// may learn ahead of all others.
 class random_fleet {
 public:
     random_fleet(std::uint64_t seed, bool is_restored) : m_is_restored{is_restored}, m_random{seed}
     {
         for (int i = 0; i < 5; ++i) {
-            m_hosts.push_back(make_items());
+            m_hosts.emplace_back();
         }
     }
 
@@ -172,13 +184,29 @@
         for (int i = 0; i < steps; ++i) {
             step();
         }
-        for (published_items& host : m_hosts) {
-            learn(host, from_source(host.position()));
-            CHECK(contents(host) == m_source.contents);
+        for (host_state& host : m_hosts) {
+            learn(host, from_source(host.items.position()));
+            CHECK(all_contents(host) == m_source.contents);
         }
     }
 
 private:
+    struct host_state {
+        published_items items{decode_any};
+        /// Newest change of each key that the host was told, of the present era.
+        std::map<std::string, source_position> told;
+    };
+
+    /// Values of all items by key.
+    static address_map all_contents(const host_state& host)
+    {
+        address_map values;
+        for (const published_item& item : host.items.changes_since({}).items) {
+            values[item.key] = item.value;
+        }
+        return values;
+    }
+
     struct source_state {
         std::uint64_t revision = 0;
         address_map contents;
@@ -190,29 +218,32 @@
         return std::uniform_int_distribution<std::uint64_t>{0, limit - 1}(m_random);
     }
 
-    published_items& any_host() { return m_hosts[below(m_hosts.size())]; }
+    host_state& any_host() { return m_hosts[below(m_hosts.size())]; }
 
     void step()
     {
-        switch (below(m_is_restored ? 7 : 5)) {
+        switch (below(m_is_restored ? 8 : 6)) {
         case 0:
         case 1:
             change_source();
             break;
         case 2: {
-            published_items& host = any_host();
-            learn(host, from_source(below(4) == 0 ? source_position{} : host.position()));
+            host_state& host = any_host();
+            learn(host, from_source(below(4) == 0 ? source_position{} : host.items.position()));
             break;
         }
         case 3: {
-            published_items& host = any_host();
-            learn(host, any_host().changes_since(host.position()));
+            host_state& host = any_host();
+            learn(host, any_host().items.changes_since(host.items.position()));
             break;
         }
         case 4:
             deliver_late();
             break;
         case 5:
+            watch(any_host());
+            break;
+        case 6:
             m_copy = m_source;
             break;
         default:
@@ -280,30 +311,50 @@
     void deliver_late()
     {
         if (below(2) == 0 || m_late.empty()) {
-            m_late.push_back(any_host().changes_since({m_era, below(m_source.revision + 1)}));
+            m_late.push_back(any_host().items.changes_since({m_era, below(m_source.revision + 1)}));
             return;
         }
         learn(any_host(), m_late[below(m_late.size())]);
     }
 
-    void learn(published_items& host, const published_changes& changes)
+    /// Lists some of the operator's changes to a host, ahead of the others.
+    void watch(host_state& host)
     {
-        const source_position before = host.position();
-        const address_map held = contents(host);
+        const source_position held = host.items.position();
+        if (held.era != m_era) {
+            return;
+        }
+        published_changes ahead{held, held, {}};
+        for (const published_item& event : m_source.events) {
+            const bool is_new = event.position.revision > held.revision;
+            if (is_operators(event.key) && is_new && below(3) != 0) {
+                ahead.items.push_back(in_era(event));
+            }
+        }
+        learn(host, ahead);
+        CHECK(host.items.position() == held);
+    }
+
+    void learn(host_state& host, const published_changes& changes)
+    {
+        const source_position before = host.items.position();
         if (changes.position.is_none()) {
             return; // a host without a state has nothing to pass on
         }
-        apply(host, changes);
-        CHECK(host.position() >= before);
-        if (host.position().era != before.era) {
-            return;
+        const bool is_taken = apply(host.items, changes) != merge_outcome::outdated;
+        CHECK(host.items.position() >= before);
+        if (host.items.position().era != before.era) {
+            host.told.clear();
         }
-        for (const auto& [key, value] : contents(host)) {
-            const auto former = held.find(key);
-            if (former != held.end()) {
-                CHECK(std::stoull(value) >= std::stoull(former->second));
+        for (const published_item& item : changes.items) {
+            if (is_taken && item.position.era == host.items.position().era) {
+                source_position& told = host.told[item.key];
+                told = std::max(told, item.position);
             }
         }
+        for (const published_item& item : host.items.changes_since({}).items) {
+            CHECK(item.position >= host.told[item.key]);
+        }
     }
 
     bool m_is_restored;
@@ -311,7 +362,7 @@
     std::uint64_t m_era = 1;
     source_state m_source;
     source_state m_copy;
-    std::vector<published_items> m_hosts;
+    std::vector<host_state> m_hosts;
     std::vector<published_changes> m_late;
 };
 
