--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -53,17 +53,17 @@
 /// Keeps the published state up to date. Some hosts of each region, the readers, read the source;
 /// the other hosts query a reader (see `relay_choice`). They read the source as well if no reader
 /// reports a fresh state, or if the query fails or returns a stale state. While the state of this
-/// host is missing or stale, a live peer host that reports a more recent one is queried too, and one
-/// that reports a higher version of the configuration for longer than a change takes to spread.
-/// Hosts tell in their heartbeats which change of the operator they know, so that the others query it
-/// at once.
+/// host is missing or stale, a live peer host that reports a more recent one is queried too, and
+/// one that reports a higher version of the configuration for longer than a change takes to spread.
+/// Hosts tell in their heartbeats which change of the operator they know, so that the others query
+/// it at once.
 ///
 /// A host that starts knows no others and reads the source at once. If that takes long, and it
 /// hears meanwhile that others are the readers, it leaves the source to them and waits for a peer
 /// host with a configuration.
 ///
-/// Between its reads, a reader waits for changes of the configuration and of evacuations. Those of the
-/// endpoints' entries are many, and are only read at intervals.
+/// Between its reads, a reader waits for changes of the configuration and of evacuations. Those of
+/// the endpoints' entries are many, and are only read at intervals.
 ///
 /// Both reads and queries ask for the changes since the position that is held, so that an unchanged
 /// state costs the same at any number of endpoints.
--- a/src/gateway/configuration/publication_source.h
+++ b/src/gateway/configuration/publication_source.h
@@ -30,8 +30,9 @@
     using handler = std::function<void(result<published_changes>)>;
 
     /// Starts a read of what has changed since `since`, or of all items if it is none or if the
-    /// source can't tell the changes, for example because its era is another one. Calls `on_changes` once, on the loop's thread, within a
-    /// timeout that the implementation sets, unless the read is cancelled.
+    /// source can't tell the changes, for example because its era is another one. Calls
+    /// `on_changes` once, on the loop's thread, within a timeout that the implementation sets,
+    /// unless the read is cancelled.
     /// Precondition: no read is under way.
     virtual void read(const source_position& since, handler on_changes) = 0;
 
--- a/src/gateway/configuration/published_items.cpp
+++ b/src/gateway/configuration/published_items.cpp
@@ -69,8 +69,8 @@
     return changes.position < m_position || changes.since > m_position || spans_eras;
 }
 
-/// Takes what is newer than the held state out of changes that are outdated otherwise: items that are
-/// ahead of the held position, and the configuration if its version is higher.
+/// Takes what is newer than the held state out of changes that are outdated otherwise: items that
+/// are ahead of the held position, and the configuration if its version is higher.
 result<merge_outcome> published_items::take_ahead(const published_changes& changes)
 {
     published_changes ahead{m_position, m_position, {}};
@@ -128,9 +128,9 @@
     return held == m_items.end() ? 0 : version_of(held->second.meaning);
 }
 
-/// Takes a configuration that doesn't replace the held one out of `newer`. The held one is kept as an
-/// item of the changes' era if it has the higher version. One with a higher version than the held one
-/// counts as a change of its own.
+/// Takes a configuration that doesn't replace the held one out of `newer`. The held one is kept as
+/// an item of the changes' era if it has the higher version. One with a higher version than the
+/// held one counts as a change of its own.
 void published_items::keep_configuration(const published_changes& changes, decoded_items& newer)
 {
     const auto shown = newer.find(m_configuration_key);
--- a/src/gateway/configuration/published_items.h
+++ b/src/gateway/configuration/published_items.h
@@ -52,10 +52,10 @@
 /// Copy of the source's contents, kept up to date by changes. Each item has a position, so changes
 /// may overlap and come from different hosts: the newer write or deletion of an item wins.
 ///
-/// The configuration is the exception: the higher version wins, whatever the positions. A source that
-/// was restored from an older copy may show a lower one until the higher one is written again, so the
-/// held one counts as an item of the new era then, and is passed on as such. A host that has started
-/// meanwhile gets it from the others, whose changes may be outdated otherwise.
+/// The configuration is the exception: the higher version wins, whatever the positions. A source
+/// that was restored from an older copy may show a lower one until the higher one is written again,
+/// so the held one counts as an item of the new era then, and is passed on as such. A host that has
+/// started meanwhile gets it from the others, whose changes may be outdated otherwise.
 ///
 /// Thread safety: none; the owner serialises calls. No I/O.
 class published_items {
@@ -82,16 +82,16 @@
     /// The position up to which the items are complete; none while none are held.
     [[nodiscard]] const source_position& position() const noexcept { return m_position; }
 
-    /// Newest known change of the configuration or of an evacuation, which may be known ahead of the
-    /// position up to which all items are complete.
+    /// Newest known change of the configuration or of an evacuation, which may be known ahead of
+    /// the position up to which all items are complete.
     [[nodiscard]] const source_position& operator_change() const noexcept
     {
         return m_operator_change;
     }
 
-    /// Changes that bring a copy at `position` up to date: none if it is at the same or a higher one
-    /// and no newer change of the operator is known, all items if it is of another era or too old for the remembered deletions. O(items)
-    /// unless none.
+    /// Changes that bring a copy at `position` up to date: none if it is at the same or a higher
+    /// one and no newer change of the operator is known, all items if it is of another era or too
+    /// old for the remembered deletions. O(items) unless none.
     [[nodiscard]] published_changes changes_since(const source_position& position) const;
 
     /// The meaning of all items. O(items).
--- a/src/gateway/configuration/relay_choice.h
+++ b/src/gateway/configuration/relay_choice.h
@@ -75,12 +75,13 @@
     [[nodiscard]] const member* select_fresher_peer(const relay_choice_state& own, time_point now);
 
     /// Returns a live host that holds a higher version of the configuration than this one, and has
-    /// done so for too long, or null. A source that was restored from an older copy doesn't show that
-    /// version to a host that starts then. Successive calls return different hosts.
+    /// done so for too long, or null. A source that was restored from an older copy doesn't show
+    /// that version to a host that starts then. Successive calls return different hosts.
     [[nodiscard]] const member* select_newer_peer(const relay_choice_state& own, time_point now);
 
-    /// Returns a live host that knows a newer change of the operator than this one, or null. It is of
-    /// the own region unless the state of this host is stale. Successive calls return different hosts.
+    /// Returns a live host that knows a newer change of the operator than this one, or null. It is
+    /// of the own region unless the state of this host is stale. Successive calls return different
+    /// hosts.
     [[nodiscard]] const member* select_informed_peer(const relay_choice_state& own, time_point now);
 
     /// Whether this host leaves the source to the readers for now.
--- a/src/gateway/serving/endpoint_checker.cpp
+++ b/src/gateway/serving/endpoint_checker.cpp
@@ -15,8 +15,8 @@
 /// Interval of the questions to an endpoint in doubt.
 constexpr duration check_interval = std::chrono::milliseconds{500};
 
-/// Questions to an endpoint that ends their connections, and the pause between them: long enough for
-/// a process that is ending to close its listener.
+/// Questions to an endpoint that ends their connections, and the pause between them: long enough
+/// for a process that is ending to close its listener.
 constexpr unsigned max_questions = 3;
 constexpr duration question_pause = std::chrono::milliseconds{50};
 
@@ -112,8 +112,8 @@
     });
 }
 
-/// Ends a question of a check. The endpoint is asked again if it has ended the question's connection
-/// or another one meanwhile.
+/// Ends a question of a check. The endpoint is asked again if it has ended the question's
+/// connection or another one meanwhile.
 void endpoint_checker::on_asked(const endpoint_entry& entry, std::optional<probe_failure> failure)
 {
     const auto held = m_checks.find(entry.id);
--- a/src/gateway/serving/endpoint_checker.h
+++ b/src/gateway/serving/endpoint_checker.h
@@ -24,9 +24,9 @@
 ///
 /// An endpoint that ends a connection is asked at once by the host that has seen it, which tells a
 /// single response that is broken off from the end of the process. If it ends the connection of the
-/// question as well, it may be ending or have too many connections, so it is asked a few times more:
-/// an endpoint that has ended refuses the next connection. All other questions come from the owner of
-/// the endpoint alone, since a question may count as a request to a cold endpoint.
+/// question as well, it may be ending or have too many connections, so it is asked a few times
+/// more: an endpoint that has ended refuses the next connection. All other questions come from the
+/// owner of the endpoint alone, since a question may count as a request to a cold endpoint.
 ///
 /// Thread safety: none; all calls come from the loop's thread. The checker must outlive its probes.
 class endpoint_checker {
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -71,8 +71,8 @@
     log_aggregators();
 }
 
-/// Sends heartbeats ahead of their time if there is news of endpoints on which other hosts have to act
-/// at once. News that come together are sent together.
+/// Sends heartbeats ahead of their time if there is news of endpoints on which other hosts have to
+/// act at once. News that come together are sent together.
 void gateway::tell_urgent_news()
 {
     if (!m_pool.has_urgent_news() || std::exchange(m_tells_news, true)) {
--- a/tests/gateway/cold_endpoint_test.cpp
+++ b/tests/gateway/cold_endpoint_test.cpp
@@ -69,8 +69,8 @@
     CHECK(with.fill(start + 2s) > 3);
 }
 
-// guards against FAILBACK: the other hosts heard with the next heartbeat only that an endpoint had said
-// that it was cold
+// guards against FAILBACK: the other hosts heard with the next heartbeat only that an endpoint had
+// said that it was cold
 TEST_CASE("regression: an endpoint's word that it is cold isn't told at once")
 {
     endpoint_pool_fixture with{true, 48};
--- a/tests/gateway/configuration_follower_test.cpp
+++ b/tests/gateway/configuration_follower_test.cpp
@@ -422,8 +422,8 @@
 
 } // namespace
 
-// guards against FAILBACK: hosts heard of an evacuation with their next read only, when the endpoints
-// there had become cold
+// guards against FAILBACK: hosts heard of an evacuation with their next read only, when the
+// endpoints there had become cold
 TEST_CASE("regression: an evacuation isn't heard of before the next read")
 {
     const auto region = make_source_reader();
@@ -499,8 +499,8 @@
     CHECK_FALSE(region->is_evacuated("d"));
 }
 
-// guards against FAILBACK: only the readers of a region heard of an evacuation in time; the other hosts
-// found the store slow and the readers' state stale
+// guards against FAILBACK: only the readers of a region heard of an evacuation in time; the other
+// hosts found the store slow and the readers' state stale
 TEST_CASE("regression: the change that a peer host tells isn't queried before the next read")
 {
     std::vector<std::string> revisions;
--- a/tests/gateway/published_items_test.cpp
+++ b/tests/gateway/published_items_test.cpp
@@ -167,9 +167,9 @@
     return is_operators(item.key) ? published_value{evacuated_domain{item.key}} : decode(item);
 }
 
-/// A source whose items change at random and which is restored from older copies of itself, and hosts
-/// that learn of it from the source and from each other, partly late. Of the operator's changes they
-/// may learn ahead of all others.
+/// A source whose items change at random and which is restored from older copies of itself, and
+/// hosts that learn of it from the source and from each other, partly late. Of the operator's
+/// changes they may learn ahead of all others.
 class random_fleet {
 public:
     random_fleet(std::uint64_t seed, bool is_restored) : m_is_restored{is_restored}, m_random{seed}
@@ -489,7 +489,8 @@
 }
 
 // guards against CONFIG: a host that had started while a restored source showed an older
-// configuration kept that, with keys in force that had been withdrawn, though others held the newer one
+// configuration kept that, with keys in force that had been withdrawn, though others held the newer
+// one
 TEST_CASE("regression: a host that starts on a restored source keeps an older configuration")
 {
     published_items held = make_configuration_items();
--- a/tests/scenarios/gateway_restored_store_test.cpp
+++ b/tests/scenarios/gateway_restored_store_test.cpp
@@ -144,8 +144,8 @@
     CHECK(day.status(0, "/v1/x", second_key) == 401);
 }
 
-// guards against CONFIG: a gateway that started while a restored store showed an older configuration
-// kept that, though the other gateway held the newer one
+// guards against CONFIG: a gateway that started while a restored store showed an older
+// configuration kept that, though the other gateway held the newer one
 TEST_CASE(
     "a gateway that starts on a restored store gets the newer configuration from the other one")
 {
