Let a server be destroyed while its loop goes on

A handler of a connection that was being accepted ran after the server's destruction, and used it; so did a connection that was about to read its next request. The gateway's servers live as long as their loop.

--- a/src/gateway/http/http_server.cpp
+++ b/src/gateway/http/http_server.cpp
@@ -315,6 +315,18 @@
     }
 }
 
+/// Closes the connection as its server is destroyed. Its exchange has no effect any more.
+void server_connection::abandon()
+{
+    m_channel->close();
+    m_timer.cancel();
+    m_is_counted = false;
+    if (const auto exchange = std::exchange(m_exchange, nullptr)) {
+        exchange->m_is_done = true;
+        exchange->m_on_disconnect = nullptr;
+    }
+}
+
 void server_connection::on_drained()
 {
     if (m_exchange != nullptr && !m_exchange->m_is_done && m_exchange->m_on_drained) {
@@ -354,7 +366,7 @@
 
 http_server::~http_server()
 {
-    m_registry.for_each([](server_connection& connection) { connection.m_channel->close(); });
+    m_registry.for_each([](server_connection& connection) { connection.abandon(); });
 }
 
 result<bool> http_server::listen(const std::string& address)
@@ -400,23 +412,28 @@
 
 void http_server::accept()
 {
-    m_acceptor.async_accept([this](const asio::error_code& failure, asio::ip::tcp::socket socket) {
-        if (!m_acceptor.is_open()) {
-            return;
-        }
-        if (!failure) {
-            std::make_shared<server_connection>(*this, std::move(socket))->start();
-            accept();
-            return;
-        }
-        // probably out of file descriptors: retry later, when some may be free
-        m_accept_timer.expires_after(accept_retry_delay);
-        m_accept_timer.async_wait([this](const asio::error_code& timer_failure) {
-            if (!timer_failure && m_acceptor.is_open()) {
+    // a handler that is due when the server is destroyed runs afterwards
+    const auto is_closed = [this, lifetime = std::weak_ptr<void>{m_lifetime}] {
+        return lifetime.expired() || !m_acceptor.is_open();
+    };
+    m_acceptor.async_accept(
+        [this, is_closed](const asio::error_code& failure, asio::ip::tcp::socket socket) {
+            if (is_closed()) {
+                return;
+            }
+            if (!failure) {
+                std::make_shared<server_connection>(*this, std::move(socket))->start();
                 accept();
+                return;
             }
+            // probably out of file descriptors: retry later, when some may be free
+            m_accept_timer.expires_after(accept_retry_delay);
+            m_accept_timer.async_wait([this, is_closed](const asio::error_code& timer_failure) {
+                if (!is_closed() && !timer_failure) {
+                    accept();
+                }
+            });
         });
-    });
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/http/http_server.h
+++ b/src/gateway/http/http_server.h
@@ -119,6 +119,7 @@
     [[nodiscard]] std::size_t max_pending_bytes() const noexcept;
     void reject(int status, std::string_view reason);
     void on_end();
+    void abandon();
     void on_drained();
     void next_request();
     void parse_pending();
@@ -157,7 +158,7 @@
     http_server(http_server&&) = delete;
     http_server& operator=(http_server&&) = delete;
 
-    /// Closes all connections. The loop must still exist.
+    /// Closes all connections. The loop must still exist, and may go on.
     ~http_server();
 
     /// Charges the requests and unsent bytes of connections that are accepted from now on to
@@ -218,6 +219,7 @@
     std::size_t m_connections = 0;
     std::size_t m_active = 0;
     bool m_is_closing = false;
+    std::shared_ptr<void> m_lifetime = std::make_shared<char>(); ///< ends with the server
 };
 
 } // namespace hickorykeel::gateway
--- a/tests/gateway/http_server_test.cpp
+++ b/tests/gateway/http_server_test.cpp
@@ -401,3 +401,44 @@
     CHECK(caller.received().find("Retry-After: 1\r\n") != std::string::npos);
     CHECK(fixture.requests().empty());
 }
+
+// guards against a use of the server after its destruction: a caller's connection was being accepted
+// then, or a request was being answered
+TEST_CASE("regression: a server that is destroyed while its loop goes on is used afterwards")
+{
+    asio::io_context loop{1};
+    std::vector<std::shared_ptr<server_exchange>> requests;
+    auto server = std::make_unique<http_server>(
+        loop, [&requests](const auto& request) { requests.push_back(request); });
+    REQUIRE(is_ok(server->listen("127.0.0.1:0")));
+    const auto port = server->port();
+    std::vector<asio::ip::tcp::socket> callers;
+    const auto connect = [&] {
+        callers.emplace_back(loop);
+        callers.back().connect({asio::ip::address_v4::loopback(), port});
+    };
+    const auto run = [&loop] {
+        loop.restart();
+        loop.run_for(50ms);
+    };
+    connect();
+    asio::write(callers.back(), asio::buffer(std::string{"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+                                                         "GET / HTTP/1.1\r\nHost: a\r\n\r\n"}));
+    run();
+    REQUIRE(requests.size() == 1);
+    SUBCASE("before the connection is accepted")
+    {
+        connect();
+        loop.restart();
+        loop.poll_one();
+    }
+    SUBCASE("after a response, before the next request is read")
+    {
+        requests.front()->respond(200, {}, {});
+    }
+    server = nullptr;
+    run();
+    requests.front()->respond(200, {}, {});
+    run();
+    CHECK(requests.size() == 1);
+}
