Let only the question for a told change bring it in its test

The test of the change that a peer host tells passed with that question left out, since the next read came after 100 ms. The host's next read is an hour away now: without the question the test fails, with it it passes.

--- a/tests/gateway/configuration_follower_test.cpp
+++ b/tests/gateway/configuration_follower_test.cpp
@@ -125,14 +125,15 @@
 /// reader's responses.
 class single_reader_region {
 public:
-    explicit single_reader_region(http_server::handler reader) : m_reader{m_loop, std::move(reader)}
+    explicit single_reader_region(http_server::handler reader, duration read_interval = 100ms)
+        : m_reader{m_loop, std::move(reader)}
     {
         REQUIRE(is_ok(m_reader.listen(reader_ip + ":0")));
         add_reader();
         m_follower = std::make_unique<configuration_follower>(
             configuration_follower::dependencies{m_loop, source, m_state, m_members, m_client,
                                                  m_log, m_metrics},
-            follower_options{.read_interval = 100ms,
+            follower_options{.read_interval = read_interval,
                              .relay_timeout = 100ms,
                              .initial_relay_timeout = 100ms,
                              .relay_port = m_reader.port(),
@@ -504,7 +505,7 @@
 TEST_CASE("regression: the change that a peer host tells isn't queried before the next read")
 {
     std::vector<std::string> revisions;
-    single_reader_region region{[&revisions](const auto& request) {
+    const auto respond = [&revisions](const auto& request) {
         revisions.emplace_back(request->head().headers.find(relay_revision_header));
         const bool is_first = revisions.size() == 1;
         // a stale state, in which a change is known ahead
@@ -514,7 +515,8 @@
                 is_first
                     ? make_changes("from the reader", 7)
                     : published_changes{{0, 7}, {0, 7}, {{evacuation + "d", "", {0, 9}, false}}}));
-    }};
+    };
+    single_reader_region region{respond, 1h};
     region.hold_old_state();
     region.read();
     region.source.is_silent = true;
