Let attempts at a former incarnation leave the new one as it is

What callers saw: nothing that was reported; found by looking for what else is kept by an endpoint's id. An endpoint that starts again under its id could get twice the requests that it has slots for, lose its place in the list, or be ejected, by attempts that its former incarnation had begun.

Cause: the end and the first byte of an attempt were recorded for whichever incarnation was listed under the id by then: its requests in flight fell, its failures rose, a 421 took it off the list. The class is that of the other restarts under one id: a statement of one incarnation kept as one of an id.

Change: both name the incarnation that was chosen, and count for that one only. What the end of an attempt tells of a restart still counts whichever is listed, since the attempt may have reached a later incarnation than the chosen one.

--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -481,14 +481,14 @@
     state.own.waiting_tokens -= std::min(state.own.waiting_tokens, waiting_tokens);
 }
 
-void endpoint_pool::on_first_byte(const std::string& endpoint, std::uint32_t waiting_tokens,
-                                  duration elapsed, duration expected)
+void endpoint_pool::on_first_byte(const endpoint_incarnation& endpoint,
+                                  std::uint32_t waiting_tokens, duration elapsed, duration expected)
 {
-    const auto found = m_endpoints.find(endpoint);
-    if (found == m_endpoints.end()) {
+    endpoint_state* const listed = find_listed(endpoint);
+    if (listed == nullptr) {
         return;
     }
-    endpoint_state& state = found->second;
+    endpoint_state& state = *listed;
     remove_waiting_tokens(state, waiting_tokens);
     const double sample =
         to_seconds(std::min(elapsed, max_expected_wait)) / std::max(to_seconds(expected), 0.001);
@@ -505,14 +505,47 @@
         now + std::min(m_options.initial_backoff * (1U << doublings), m_options.max_backoff);
 }
 
-void endpoint_pool::on_end(const std::string& endpoint, std::uint32_t waiting_tokens,
+/// Returns the state of the endpoint if its entry is that of this incarnation, or null.
+endpoint_pool::endpoint_state* endpoint_pool::find_listed(const endpoint_incarnation& endpoint)
+{
+    const auto found = m_endpoints.find(endpoint.id);
+    const bool is_listed =
+        found != m_endpoints.end() && found->second.entry.started_ms == endpoint.started_ms;
+    return is_listed ? &found->second : nullptr;
+}
+
+/// Records what the end of an attempt tells of a restart. An attempt may have reached a later
+/// incarnation than the one that was chosen, so it counts for whichever is listed.
+void endpoint_pool::record_restart_sign(const std::string& endpoint, endpoint_outcome outcome,
+                                        time_point now)
+{
+    switch (outcome) {
+    case endpoint_outcome::refused:
+        on_restart_sign(endpoint, restart_sign::refused, now);
+        break;
+    case endpoint_outcome::unreachable:
+    case endpoint_outcome::timed_out:
+        on_restart_sign(endpoint, restart_sign::unconfirmed, now);
+        break;
+    case endpoint_outcome::cut:
+        if (const auto found = m_endpoints.find(endpoint); found != m_endpoints.end()) {
+            on_disconnected(found->second, now);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void endpoint_pool::on_end(const endpoint_incarnation& endpoint, std::uint32_t waiting_tokens,
                            endpoint_outcome outcome, time_point now)
 {
-    const auto found = m_endpoints.find(endpoint);
-    if (found == m_endpoints.end()) {
+    record_restart_sign(endpoint.id, outcome, now);
+    endpoint_state* const listed = find_listed(endpoint);
+    if (listed == nullptr) {
         return;
     }
-    endpoint_state& state = found->second;
+    endpoint_state& state = *listed;
     state.own.active -= std::min(state.own.active, 1U);
     remove_waiting_tokens(state, waiting_tokens);
     switch (outcome) {
@@ -530,21 +563,11 @@
         break;
     case endpoint_outcome::refused:
     case endpoint_outcome::unreachable:
-        on_restart_sign(endpoint,
-                        outcome == endpoint_outcome::refused ? restart_sign::refused
-                                                             : restart_sign::unconfirmed,
-                        now);
         start_backoff(state, now);
         ++state.failures;
         break;
     case endpoint_outcome::cut:
-        on_disconnected(state, now);
-        count_failure(state, now);
-        break;
     case endpoint_outcome::timed_out:
-        on_restart_sign(endpoint, restart_sign::unconfirmed, now);
-        count_failure(state, now);
-        break;
     case endpoint_outcome::malformed:
         count_failure(state, now);
         break;
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -286,14 +286,16 @@
                                         time_point now, std::uint64_t fetched_tokens = 0);
 
     /// Records the first byte of the response, `elapsed` after the request was sent; `expected` is
-    /// the time predicted by `choose()`, `waiting_tokens` the value returned by `on_sent()`.
-    void on_first_byte(const std::string& endpoint, std::uint32_t waiting_tokens, duration elapsed,
-                       duration expected);
+    /// the time predicted by `choose()`, `waiting_tokens` the value returned by `on_sent()`. No
+    /// effect if another incarnation is listed by now.
+    void on_first_byte(const endpoint_incarnation& endpoint, std::uint32_t waiting_tokens,
+                       duration elapsed, duration expected);
 
     /// Records the end of an attempt. `waiting_tokens` is the value returned by `on_sent()`, or 0
-    /// after the first byte.
-    void on_end(const std::string& endpoint, std::uint32_t waiting_tokens, endpoint_outcome outcome,
-                time_point now);
+    /// after the first byte. If another incarnation is listed by now, only what it tells of a restart
+    /// counts.
+    void on_end(const endpoint_incarnation& endpoint, std::uint32_t waiting_tokens,
+                endpoint_outcome outcome, time_point now);
     /// @}
 
     /// @name state
@@ -358,6 +360,8 @@
         return state.cold_rate > 0 && state.is_listed && !state.is_leaving && !state.is_ended &&
                !state.is_ended_elsewhere && now >= state.turned_away_until;
     }
+    [[nodiscard]] endpoint_state* find_listed(const endpoint_incarnation& endpoint);
+    void record_restart_sign(const std::string& endpoint, endpoint_outcome outcome, time_point now);
     void on_disconnected(endpoint_state& state, time_point now);
     [[nodiscard]] endpoint_history& history_of(const std::string& id);
     void drop_old_histories(time_point now);
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -158,6 +158,7 @@
     call_handlers handlers();
     void on_sent();
     void on_head(const message_head& head);
+    [[nodiscard]] endpoint_incarnation attempted_endpoint() const;
     void record_endpoint_statement();
     void record_endpoint_end();
     void on_body(std::string& bytes);
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -116,8 +116,9 @@
         record_endpoint_statement();
     }
     if (is_own && !m_attempt.endpoint.empty() && is_success(head.status)) {
-        m_context.pool.on_first_byte(m_attempt.endpoint, std::exchange(m_attempt.waiting_tokens, 0),
-                                     elapsed, m_attempt.expected);
+        m_context.pool.on_first_byte(attempted_endpoint(),
+                                     std::exchange(m_attempt.waiting_tokens, 0), elapsed,
+                                     m_attempt.expected);
         m_context.metrics.on_first_byte(elapsed);
     }
     m_last_progress = boot_clock::now();
@@ -125,11 +126,18 @@
     arm();
 }
 
+/// Returns the incarnation that was chosen for the attempt. Precondition: the attempt is at an
+/// endpoint.
+endpoint_incarnation exchange::attempted_endpoint() const
+{
+    return {m_attempt.endpoint, m_attempt.endpoint_started_ms};
+}
+
 void exchange::record_endpoint_statement()
 {
     if (!m_attempt.endpoint.empty()) {
         record_statement({m_context.adapter, m_context.pool, m_context.log, m_context.metrics},
-                         {m_attempt.endpoint, m_attempt.endpoint_started_ms}, m_attempt.head,
+                         attempted_endpoint(), m_attempt.head,
                          {m_attempt.sent_at, boot_clock::now()});
     }
 }
@@ -137,7 +145,7 @@
 /// Records that another incarnation responds at the endpoint's address.
 void exchange::record_endpoint_end()
 {
-    const endpoint_incarnation endpoint{m_attempt.endpoint, m_attempt.endpoint_started_ms};
+    const endpoint_incarnation endpoint = attempted_endpoint();
     if (m_context.pool.on_ended(endpoint, boot_clock::now())) {
         m_context.metrics.count("endpoint_ended");
         m_context.log.write(log_line{"endpoint_ended"}
@@ -373,7 +381,7 @@
 void exchange::end_attempt(endpoint_outcome outcome)
 {
     if (!m_attempt.endpoint.empty()) {
-        m_context.pool.on_end(m_attempt.endpoint, m_attempt.waiting_tokens, outcome,
+        m_context.pool.on_end(attempted_endpoint(), m_attempt.waiting_tokens, outcome,
                               boot_clock::now());
         m_context.check_endpoints();
     }
--- a/tests/gateway/ended_incarnation_test.cpp
+++ b/tests/gateway/ended_incarnation_test.cpp
@@ -20,7 +20,7 @@
     with.add("a");
     with.update(start);
     static_cast<void>(with.pool().on_sent("a", nullptr, start));
-    with.pool().on_end("a", 0, endpoint_outcome::gone, start);
+    with.pool().on_end({"a", 1}, 0, endpoint_outcome::gone, start);
     CHECK_FALSE(with.choose(start));
 }
 
@@ -114,7 +114,7 @@
     with.update(start);
     for (int i = 0; i < 4; ++i) {
         static_cast<void>(with.pool().on_sent("a", nullptr, start));
-        with.pool().on_end("a", 0, endpoint_outcome::unreachable, start);
+        with.pool().on_end({"a", 1}, 0, endpoint_outcome::unreachable, start);
     }
     CHECK_FALSE(with.choose(start));
     // the former one is in backoff still; the requests that were sent just before count no more
@@ -124,3 +124,69 @@
     with.update(start + 1'200ms);
     CHECK(with.choose(start + 1'200ms));
 }
+
+// guards against endpoints that get more requests than they have slots, and against refusals though
+// sound endpoints are there: attempts at a former incarnation counted for the one that had started
+// under its id
+TEST_CASE("regression: the end of an attempt at a former incarnation counts for the new one")
+{
+    constexpr int slots = 4;
+    endpoint_pool_fixture with{false, slots};
+    with.add("a");
+    with.update(start);
+    const int sent_to_former = with.fill(start);
+    REQUIRE(sent_to_former >= slots);
+    with.entry("a").started_ms = 2;
+    with.update(start + 1s);
+    REQUIRE(with.fill(start + 1s) == sent_to_former);
+    const auto end_former = [&](endpoint_outcome outcome) {
+        for (int i = 0; i < sent_to_former; ++i) {
+            with.pool().on_end({"a", 1}, 0, outcome, start + 2s);
+        }
+    };
+    const auto end_new = [&] {
+        for (int i = 0; i < sent_to_former; ++i) {
+            with.pool().on_end({"a", 2}, 0, endpoint_outcome::answered, start + 2s);
+        }
+    };
+
+    SUBCASE("its slots stay occupied")
+    {
+        end_former(endpoint_outcome::answered);
+        CHECK(with.fill(start + 2s) == 0);
+    }
+    SUBCASE("it is still listed after another incarnation has responded at the former address")
+    {
+        end_former(endpoint_outcome::gone);
+        end_new();
+        CHECK(with.choose(start + 2s));
+    }
+    SUBCASE("it isn't ejected for failures of the former one")
+    {
+        end_former(endpoint_outcome::malformed);
+        end_new();
+        CHECK(with.choose(start + 2s));
+    }
+    SUBCASE("its expected time stays as it was")
+    {
+        end_new();
+        const duration expected = with.choose(start + 2s)->expected;
+        with.pool().on_first_byte({"a", 1}, 0, 5s, 50ms);
+        CHECK(with.choose(start + 2s)->expected == expected);
+    }
+}
+
+// guards against FAILBACK: a request may have been run by an incarnation that the host didn't know
+// yet when it was sent, and that has ended since
+TEST_CASE("a connection of an attempt at a former incarnation that ends is a sign of a restart")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    static_cast<void>(with.pool().on_sent("a", nullptr, start));
+    with.entry("a").started_ms = 2;
+    with.update(start + 1s);
+    with.pool().on_end({"a", 1}, 0, endpoint_outcome::cut, start + 5s);
+    CHECK(with.fill(start + 5s) <= 3);
+    CHECK(with.pool().take_disconnected().size() == 1);
+}
--- a/tests/gateway/endpoint_pool_fixture.h
+++ b/tests/gateway/endpoint_pool_fixture.h
@@ -75,10 +75,10 @@
         return sent;
     }
 
-    /// Ends an attempt at the endpoint.
+    /// Ends an attempt at the incarnation that is listed.
     void end_attempt(const std::string& id, endpoint_outcome outcome, time_point now)
     {
-        m_pool.on_end(id, 0, outcome, now);
+        m_pool.on_end({id, m_entries.at(id).started_ms}, 0, outcome, now);
     }
 
     endpoint_pool& pool() { return m_pool; }
--- a/tests/gateway/endpoint_pool_test.cpp
+++ b/tests/gateway/endpoint_pool_test.cpp
@@ -20,7 +20,7 @@
     with.update(start);
     CHECK(with.fill(start) == 8);
     CHECK(with.pool().free_capacity(with.requested_service(), start).free_places == 0);
-    with.pool().on_end("a", 0, endpoint_outcome::answered, start);
+    with.pool().on_end({"a", 1}, 0, endpoint_outcome::answered, start);
     CHECK(with.choose(start)->endpoint == "a");
 }
 
@@ -49,7 +49,7 @@
     with.add("b");
     with.update(start);
     for (int i = 0; i < 20; ++i) {
-        with.pool().on_first_byte("a", 0, 200ms, 20ms);
+        with.pool().on_first_byte({"a", 1}, 0, 200ms, 20ms);
     }
     for (int i = 0; i < 5; ++i) {
         const auto chosen = with.choose(start);
@@ -75,7 +75,7 @@
     duration last{0};
     for (int failure = 0; failure < 3; ++failure) {
         static_cast<void>(with.pool().on_sent("a", nullptr, now));
-        with.pool().on_end("a", 0, endpoint_outcome::unreachable, now);
+        with.pool().on_end({"a", 1}, 0, endpoint_outcome::unreachable, now);
         duration backoff{0};
         while (!with.choose(now + backoff)) {
             backoff += 10ms;
@@ -88,7 +88,7 @@
     {
         static_cast<void>(with.pool().on_sent("a", nullptr, now));
         CHECK_FALSE(with.choose(now));
-        with.pool().on_end("a", 0, endpoint_outcome::answered, now);
+        with.pool().on_end({"a", 1}, 0, endpoint_outcome::answered, now);
         CHECK(with.choose(now));
     }
 }
@@ -99,10 +99,10 @@
     with.add("a");
     with.update(start);
     static_cast<void>(with.pool().on_sent("a", nullptr, start));
-    with.pool().on_end("a", 0, endpoint_outcome::cut, start);
+    with.pool().on_end({"a", 1}, 0, endpoint_outcome::cut, start);
     CHECK(with.choose(start));
     static_cast<void>(with.pool().on_sent("a", nullptr, start));
-    with.pool().on_end("a", 0, endpoint_outcome::cut, start);
+    with.pool().on_end({"a", 1}, 0, endpoint_outcome::cut, start);
     CHECK_FALSE(with.choose(start));
 }
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -135,7 +135,7 @@
         update_pool();
         // each further endpoint appears slower than those before
         for (std::size_t i = 0; i < 10 * (m_entries.size() - 1); ++i) {
-            m_pool.on_first_byte(name, 0, 200ms, 50ms);
+            m_pool.on_first_byte({name, 0}, 0, 200ms, 50ms);
         }
     }
 
@@ -183,7 +183,7 @@
     void slow_down(const std::string& name)
     {
         for (int i = 0; i < 40; ++i) {
-            m_pool.on_first_byte(name, 0, 10s, 50ms);
+            m_pool.on_first_byte({name, 0}, 0, 10s, 50ms);
         }
     }
 
@@ -209,7 +209,7 @@
     void release(const std::string& name)
     {
         for (unsigned& left = m_occupied[name]; left > 0; --left) {
-            m_pool.on_end(name, 0, endpoint_outcome::answered, boot_clock::now());
+            m_pool.on_end({name, 0}, 0, endpoint_outcome::answered, boot_clock::now());
         }
         m_waiting.place();
     }
--- a/tests/gateway/many_hosts_test.cpp
+++ b/tests/gateway/many_hosts_test.cpp
@@ -166,11 +166,11 @@
             m_running.pop();
             endpoint_pool& pool = m_pools[done.host];
             if (done.is_first_byte) {
-                pool.on_first_byte(to_id(done.engine), done.waiting_tokens, done.elapsed,
+                pool.on_first_byte({to_id(done.engine), 1}, done.waiting_tokens, done.elapsed,
                                    done.expected);
                 continue;
             }
-            pool.on_end(to_id(done.engine), 0, endpoint_outcome::answered, m_now);
+            pool.on_end({to_id(done.engine), 1}, 0, endpoint_outcome::answered, m_now);
             --m_engines[done.engine].active;
         }
     }
--- a/tests/gateway/rate_schedules_test.cpp
+++ b/tests/gateway/rate_schedules_test.cpp
@@ -132,7 +132,6 @@
 
     struct response {
         endpoint_life* from = nullptr;
-        std::string endpoint;
         endpoint_incarnation named; ///< incarnation that the host meant
         time_point asked_at{};
         time_point said_at{};
@@ -297,23 +296,23 @@
     {
         endpoint_pool& pool = *m_hosts[index].pool;
         if (received.from == nullptr) {
-            pool.on_end(received.endpoint, 0, endpoint_outcome::unreachable, now());
+            pool.on_end(received.named, 0, endpoint_outcome::unreachable, now());
             return;
         }
         if (!(received.from->self == received.named)) {
             pool.on_ended(received.named, now());
-            pool.on_end(received.endpoint, 0, endpoint_outcome::gone, now());
+            pool.on_end(received.named, 0, endpoint_outcome::gone, now());
             return;
         }
         if (received.said_at >= received.from->ended_at) {
-            pool.on_end(received.endpoint, 0, endpoint_outcome::cut, now());
+            pool.on_end(received.named, 0, endpoint_outcome::cut, now());
             return;
         }
         const std::optional<double> rate = received.from->judge.rate_at(received.said_at);
         received.from->judge.on_passed_on(index, received.said_at, now());
         // as endpoint_statements.cpp does
         pool.on_rate_statement(received.named, {rate, rate ? now() : received.asked_at}, now());
-        pool.on_end(received.endpoint, 0, endpoint_outcome::answered, now());
+        pool.on_end(received.named, 0, endpoint_outcome::answered, now());
     }
 
     bool send(std::size_t index, const service& requested)
@@ -324,8 +323,7 @@
             return false;
         }
         static_cast<void>(state.pool->on_sent(chosen->endpoint, nullptr, now()));
-        response added{
-            nullptr, chosen->endpoint, {chosen->endpoint, chosen->started_ms}, now(), {}};
+        response added{nullptr, {chosen->endpoint, chosen->started_ms}, now(), {}};
         duration time = 1ms;
         for (const simulated_endpoint& endpoint : m_endpoints) {
             if (endpoint.life->self.id == chosen->endpoint) {
--- a/tests/gateway/saturated_region_test.cpp
+++ b/tests/gateway/saturated_region_test.cpp
@@ -167,7 +167,8 @@
         }
         held.has_first_byte = true;
         const duration elapsed = m_now - held.sent;
-        m_pools[held.host].on_first_byte(to_id(at), held.waiting_tokens, elapsed, held.expected);
+        m_pools[held.host].on_first_byte({to_id(at), 1}, held.waiting_tokens, elapsed,
+                                         held.expected);
         ++m_outcome.first_bytes;
         m_outcome.expected += held.expected;
         m_outcome.measured += elapsed;
@@ -180,7 +181,7 @@
         std::erase_if(used.running, [&](const request& held) {
             const bool has_ended = held.has_first_byte && held.output_tokens <= 0;
             if (has_ended) {
-                m_pools[held.host].on_end(to_id(at), 0, endpoint_outcome::answered, m_now);
+                m_pools[held.host].on_end({to_id(at), 1}, 0, endpoint_outcome::answered, m_now);
             }
             return has_ended;
         });
@@ -266,7 +267,8 @@
         engine& used = m_engines[std::stoul(chosen.endpoint.substr(7))];
         if (used.running.size() >= m_load.slots && used.queue.size() >= m_load.max_queue) {
             ++m_outcome.rejected;
-            pool.on_end(chosen.endpoint, offered.waiting_tokens, endpoint_outcome::shed, m_now);
+            pool.on_end({chosen.endpoint, chosen.started_ms}, offered.waiting_tokens,
+                        endpoint_outcome::shed, m_now);
             return false;
         }
         offered.sent = m_now;
--- a/tests/gateway/shared_prompts_test.cpp
+++ b/tests/gateway/shared_prompts_test.cpp
@@ -34,8 +34,8 @@
         const auto first = with.choose(start, &request_prompt);
         REQUIRE(first);
         const auto waiting = with.pool().on_sent(first->endpoint, &request_prompt, start);
-        with.pool().on_first_byte(first->endpoint, waiting, first->expected, first->expected);
-        with.pool().on_end(first->endpoint, 0, endpoint_outcome::answered, start);
+        with.pool().on_first_byte({first->endpoint, 1}, waiting, first->expected, first->expected);
+        with.pool().on_end({first->endpoint, 1}, 0, endpoint_outcome::answered, start);
         CHECK(with.choose(start + 1s, &request_prompt)->endpoint == first->endpoint);
     }
 }
@@ -108,7 +108,7 @@
     const time_point later = start + 1s;
     SUBCASE("another engine fetches what the preferred engine has processed")
     {
-        with.pool().on_first_byte(preferred->endpoint, waiting, preferred->expected,
+        with.pool().on_first_byte({preferred->endpoint, 1}, waiting, preferred->expected,
                                   preferred->expected);
         load_preferred(later);
         const auto other = with.choose(later, &request_prompt);
--- a/tests/gateway/statement_schedules_test.cpp
+++ b/tests/gateway/statement_schedules_test.cpp
@@ -245,7 +245,7 @@
                 received.host->turn_aways.push_back(
                     {received.responder, m_now + turn_away_slack, m_now + *received.retry_after});
             }
-            received.host->pool.on_end(received.named.id, 0, received.outcome, m_now);
+            received.host->pool.on_end(received.named, 0, received.outcome, m_now);
         }
     }
 
