Let a host that starts doubt the endpoints that it reads first

Cause: an entry that a host reads for the first time was true when it was written. The class is that of the other restarts under one id: a statement of one incarnation without its age.

Change: a host that has started is in doubt of each endpoint that it reads first. The doubt ends by the endpoint's own word, by an entry written later, or by a host of the region that takes all endpoints for warm and would know otherwise, which heartbeats tell now. Owners ask the endpoints, as in any doubt.

--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -134,10 +134,12 @@
     header.services = received->services;
     header.digest = digest;
     const digest_subscription wanted = received->digests;
+    const bool all_endpoints_warm = received->all_endpoints_warm;
     const member_change change = m_members.on_heartbeat(std::move(*received), now);
     if (change == member_change::none) {
         return news;
     }
+    news.all_endpoints_warm = is_own_region && all_endpoints_warm;
     m_schedule.on_heartbeat(ip, header.region, wanted, now);
     if (change != member_change::updated) {
         note_change(ip);
--- a/src/gateway/membership/fleet_membership.h
+++ b/src/gateway/membership/fleet_membership.h
@@ -60,6 +60,7 @@
     std::string region;                      ///< of the sender
     std::vector<sent_prefix> prompts;        ///< sent by hosts of this region
     std::vector<restart_report> restarts;    ///< of endpoints of this region
+    bool all_endpoints_warm = false;         ///< of this region, by a host of it
     std::vector<cold_report> cold_endpoints; ///< of this region
     std::vector<rate_report> rates;          ///< of endpoints of this region
     std::vector<usage_report> usage;
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -369,6 +369,7 @@
     message.set_configuration_age_ms(to_ms(sent.configuration_age));
     message.set_change_era(sent.operator_change.era);
     message.set_change_revision(sent.operator_change.revision);
+    message.set_all_endpoints_warm(sent.all_endpoints_warm);
     message.set_interval_ms(to_ms(sent.interval));
     message.set_digests(static_cast<gossip::subscription>(sent.digests));
     add_services(message, sent.services);
@@ -405,6 +406,7 @@
     received.configuration_version = message.configuration_version();
     received.configuration_age = milliseconds{message.configuration_age_ms()};
     received.operator_change = {message.change_era(), message.change_revision()};
+    received.all_endpoints_warm = message.all_endpoints_warm();
     received.interval = std::min(milliseconds{message.interval_ms()}, max_interval);
     received.digests = to_subscription(message.digests());
     received.services = to_services(message);
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -131,8 +131,10 @@
     service_loads services;
     endpoint_loads endpoints;
     usage_counts used;
-    std::vector<sent_prefix> prompts;        ///< sent since the previous heartbeat
-    std::vector<restart_report> restarts;    ///< by what this host itself has learned
+    std::vector<sent_prefix> prompts;     ///< sent since the previous heartbeat
+    std::vector<restart_report> restarts; ///< by what this host itself has learned
+    /// Whether the host takes all endpoints of its region for warm, and would know otherwise.
+    bool all_endpoints_warm = false;
     std::vector<cold_report> cold_endpoints; ///< that have said so to this host
     std::vector<end_report> ended_endpoints; ///< by what this host itself has seen
     std::vector<rate_report> rates;          ///< the newest that this host knows
--- a/src/gateway/routing/endpoint_history.h
+++ b/src/gateway/routing/endpoint_history.h
@@ -65,6 +65,13 @@
     /// Records what this host has seen.
     void on_sign(restart_sign sign, time_point at) noexcept;
 
+    /// Records that this host has started and knows nothing of what happened to the endpoint before
+    /// `known_since`, when it read the endpoint's entry.
+    void on_host_start(time_point known_since) noexcept { m_unknown_before = known_since; }
+
+    /// Records that another host takes it for warm, and would know otherwise.
+    void on_peer_warm() noexcept { m_unknown_before = {}; }
+
     /// Records what another host has learned. Returns whether the endpoint has become doubtful by it.
     bool on_peer_report(const restart_report& report, time_point now) noexcept;
 
@@ -84,7 +91,7 @@
     /// Whether it may have restarted since the latest statement of its state.
     [[nodiscard]] bool is_in_doubt(time_point now) const noexcept
     {
-        return m_doubted_at > m_known_at && now < m_doubted_at + m_cold_time;
+        return is_open_doubt(m_doubted_at, now) || is_open_doubt(m_unknown_before, now);
     }
 
     /// Whether this host or another one is in doubt, or may not have learned of the latest statement.
@@ -107,12 +114,19 @@
     /// @}
 
 private:
+    /// Whether the endpoint may have restarted at `at` and still be cold.
+    [[nodiscard]] bool is_open_doubt(time_point at, time_point now) const noexcept
+    {
+        return at > m_known_at && now < at + m_cold_time;
+    }
+
     std::optional<start_statement> m_entry;
     time_point m_entry_read_at{};  ///< latest time at which `m_entry` is known to be the newest
     time_point m_cold_until{};     ///< by its entry or its own word
     time_point m_own_cold_until{}; ///< by its word to this host
     time_point m_known_at{};       ///< latest time of which its state is known
     time_point m_doubted_at{};     ///< latest sign on which this host acts
+    time_point m_unknown_before{}; ///< set while this host doesn't know what happened before
     time_point m_peers_doubted_at{};
     time_point m_own_known_at{};
     time_point m_own_sign_at{};
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -198,6 +198,17 @@
     /// Records that the endpoint itself has reported, as asked at `asked_at`, that it is warm.
     void on_warm(const std::string& endpoint, time_point asked_at);
 
+    /// Records that this host has started and read the present entries at `read_at`: which endpoints
+    /// have restarted under their ids just before, it can't tell.
+    void on_host_start(time_point read_at);
+
+    /// Records that another host of the region takes all its endpoints for warm, and would know
+    /// otherwise.
+    void on_peer_all_warm();
+
+    /// Whether this host takes all endpoints for warm, and would know if one had restarted of late.
+    [[nodiscard]] bool are_all_warm(time_point now) const;
+
     /// Records what another host has learned of restarts of an endpoint.
     void on_peer_restart(const restart_report& report, time_point now);
 
--- a/src/gateway/routing/endpoint_pool_restarts.cpp
+++ b/src/gateway/routing/endpoint_pool_restarts.cpp
@@ -1,9 +1,10 @@
 #include "gateway/routing/endpoint_pool.h"
 
-#include <chrono>   // seconds
-#include <map>      // erase_if
-#include <optional> // optional
-#include <utility>  // exchange
+#include <algorithm> // none_of
+#include <chrono>    // seconds
+#include <map>       // erase_if
+#include <optional>  // optional
+#include <utility>   // exchange
 
 // What is known of restarts of endpoints, and of whether they are cold.
 
@@ -100,6 +101,30 @@
     }
 }
 
+void endpoint_pool::on_host_start(time_point read_at)
+{
+    for (const auto& [id, state] : m_endpoints) {
+        if (state.cold_rate > 0) {
+            state.history->on_host_start(read_at);
+        }
+    }
+}
+
+void endpoint_pool::on_peer_all_warm()
+{
+    for (const auto& [id, state] : m_endpoints) {
+        state.history->on_peer_warm();
+    }
+}
+
+bool endpoint_pool::are_all_warm(time_point now) const
+{
+    return !m_endpoints.empty() &&
+           std::none_of(m_endpoints.begin(), m_endpoints.end(), [now](const auto& item) {
+               return item.second.cold_rate > 0 && is_cold(item.second, now);
+           });
+}
+
 void endpoint_pool::on_peer_restart(const restart_report& report, time_point now)
 {
     for (auto& [id, state] : m_endpoints) {
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -135,6 +135,7 @@
     /// still in between.
     time_point m_heard_since{};
     std::vector<std::string> m_aggregators; ///< of this region, as last logged
+    bool m_has_endpoints = false; ///< this region's entries have been read since the start
     bool m_is_placement_scheduled = false;
     bool m_tells_news = false; ///< soon, ahead of the next heartbeat
     bool m_is_stopping = false;
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -53,6 +53,7 @@
     }
     state.endpoints = m_pool.own_loads();
     state.restarts = m_pool.own_restarts(now);
+    state.all_endpoints_warm = m_pool.are_all_warm(now);
     state.cold_endpoints = m_pool.own_cold_endpoints(now);
     state.ended_endpoints = m_pool.own_ended_endpoints();
     state.rates = m_pool.rate_reports(now);
@@ -128,6 +129,9 @@
     for (const cold_report& report : news.cold_endpoints) {
         m_pool.on_peer_cold(report, now);
     }
+    if (news.all_endpoints_warm) {
+        m_pool.on_peer_all_warm();
+    }
     if (m_fleet.schedule().is_aggregator()) {
         tell_urgent_news(); // the others learn of it from this host
     }
@@ -200,7 +204,11 @@
         return published->find_service(name);
     };
     const time_point now = boot_clock::now();
-    m_pool.update(m_state.endpoints(), to_usability, find_service, now - m_state.age(now), now);
+    const time_point read_at = now - m_state.age(now);
+    m_pool.update(m_state.endpoints(), to_usability, find_service, read_at, now);
+    if (m_pool.size() > 0 && !std::exchange(m_has_endpoints, true)) {
+        m_pool.on_host_start(read_at);
+    }
     m_context.capacities = to_capacities(m_state, m_settings);
     m_checker.check_reinstated();
     const caller_limits& limits = published->limits;
--- a/tests/gateway/endpoint_history_test.cpp
+++ b/tests/gateway/endpoint_history_test.cpp
@@ -8,7 +8,7 @@
 #include <map>       // multimap
 #include <optional>  // optional
 #include <random>    // mt19937_64, uniform_int_distribution
-#include <utility>   // move
+#include <utility>   // exchange
 #include <vector>    // vector
 
 #include <doctest/doctest.h>
@@ -144,7 +144,8 @@
 namespace {
 
 /// An endpoint that ends and starts again at random, under its id, and hosts that have connections to
-/// it, ask it, read its entry late, and tell each other what they have learned, with delays.
+/// it, ask it, read its entry late, tell each other what they have learned, with delays, and start
+/// again at random themselves.
 class restart_schedule {
 public:
     restart_schedule(std::size_t hosts, std::uint64_t seed) : m_random{seed}, m_hosts(hosts)
@@ -168,6 +169,7 @@
     /// Steps in which a host that had been told took a cold incarnation for a warm one.
     [[nodiscard]] std::size_t mistakes() const noexcept { return m_mistakes; }
     [[nodiscard]] std::size_t restarts() const noexcept { return m_restarts; }
+    [[nodiscard]] std::size_t host_starts() const noexcept { return m_host_starts; }
 
     /// Fraction of the time at which a host took a warm endpoint for cold although nothing had
     /// happened for a while.
@@ -189,14 +191,23 @@
         time_point written_at{};
     };
 
+    /// What a host tells the others.
+    struct told_state {
+        std::optional<restart_report> report;
+        std::optional<duration> cold; ///< remaining, at the arrival
+        bool is_warm = false;         ///< the sender takes it for warm
+        time_point told_at{};         ///< of the sender
+    };
+
     struct host_state {
         endpoint_history history;
         bool has_connection = true;
         time_point next_tell{};
         time_point next_read{};
         time_point told_at{}; ///< when this host saw or was told of the latest restart
-        std::multimap<time_point, restart_report> incoming;
-        std::multimap<time_point, duration> incoming_cold; ///< remaining, at the arrival
+        /// Its start, until a host that would know otherwise takes the endpoint for warm.
+        std::optional<time_point> uninformed_since;
+        std::multimap<time_point, told_state> incoming;
     };
 
     std::uint64_t below(std::uint64_t limit)
@@ -248,6 +259,9 @@
 
     void act(host_state& host)
     {
+        if (happens(0.03)) {
+            start_again(host);
+        }
         receive(host);
         if (m_now >= host.next_read) {
             host.next_read = m_now + up_to(max_read_interval);
@@ -264,6 +278,18 @@
         }
     }
 
+    /// The host's process is replaced, which knows nothing but the published entry.
+    void start_again(host_state& host)
+    {
+        host = {};
+        host.has_connection = false;
+        host.history.set_cold_time(cold_time);
+        host.history.on_entry(m_published.statement, m_now, m_now);
+        host.history.on_host_start(m_now);
+        host.uninformed_since = m_now;
+        ++m_host_starts;
+    }
+
     /// A sound endpoint breaks one response off and answers the question that follows.
     void break_single_response(host_state& host)
     {
@@ -302,35 +328,46 @@
     void tell(host_state& host)
     {
         host.next_tell = m_now + tell_interval;
-        const auto report = host.history.to_report(7, m_now);
-        const auto cold = host.history.own_cold_report(m_now);
+        const told_state told{host.history.to_report(7, m_now), host.history.own_cold_report(m_now),
+                              !host.history.is_cold(m_now), host.told_at};
         for (host_state& other : m_hosts) {
             if (&other == &host || below(10) == 0) {
                 continue; // lost
             }
-            const time_point at = m_now + up_to(max_transit);
-            if (report) {
-                other.incoming.emplace(at, *report);
-            }
-            if (cold) {
-                other.incoming_cold.emplace(at, *cold);
-            }
+            other.incoming.emplace(m_now + up_to(max_transit), told);
         }
     }
 
     void receive(host_state& host)
     {
-        while (!host.incoming_cold.empty() && host.incoming_cold.begin()->first <= m_now) {
-            host.history.on_peer_cold(host.incoming_cold.begin()->second, m_now);
-            host.incoming_cold.erase(host.incoming_cold.begin());
-        }
         while (!host.incoming.empty() && host.incoming.begin()->first <= m_now) {
-            const restart_report report = host.incoming.begin()->second;
+            const told_state told = host.incoming.begin()->second;
             host.incoming.erase(host.incoming.begin());
-            host.history.on_peer_report(report, m_now);
-            if (report.sign_age && m_now - *report.sign_age >= m_ended_at) {
-                host.told_at = m_now;
+            if (told.cold) {
+                host.history.on_peer_cold(*told.cold, m_now);
+            }
+            if (told.report) {
+                on_report(host, *told.report);
             }
+            if (told.is_warm) {
+                on_peer_warm(host, told);
+            }
+        }
+    }
+
+    void on_report(host_state& host, const restart_report& report)
+    {
+        host.history.on_peer_report(report, m_now);
+        if (report.sign_age && m_now - *report.sign_age >= m_ended_at) {
+            host.told_at = m_now;
+        }
+    }
+
+    void on_peer_warm(host_state& host, const told_state& told)
+    {
+        host.history.on_peer_warm();
+        if (std::exchange(host.uninformed_since, std::nullopt)) {
+            host.told_at = std::max(host.told_at, told.told_at);
         }
     }
 
@@ -338,7 +375,10 @@
     {
         const bool is_cold = !is_down() && cold_remaining() > duration{0};
         for (host_state& host : m_hosts) {
-            const bool was_told = m_restarts > 0 && host.told_at >= m_ended_at;
+            const bool has_just_started =
+                host.uninformed_since && *host.uninformed_since >= m_ended_at;
+            const bool was_told =
+                m_restarts > 0 && (host.told_at >= m_ended_at || has_just_started);
             m_mistakes += is_cold && was_told && !host.history.is_cold(m_now) ? 1U : 0U;
             const bool is_calm = m_now >= m_started_at + 2 * cold_time && !is_down();
             m_calm += is_calm ? 1U : 0U;
@@ -355,6 +395,7 @@
     time_point m_started_at{};
     time_point m_ended_at{};
     std::size_t m_restarts = 0;
+    std::size_t m_host_starts = 0;
     std::size_t m_mistakes = 0;
     std::size_t m_needless = 0;
     std::size_t m_calm = 0;
@@ -366,6 +407,7 @@
 TEST_CASE("random schedules: a host that knows of a restart takes a cold endpoint for a warm one")
 {
     std::size_t restarts = 0;
+    std::size_t host_starts = 0;
     for (const std::size_t hosts : {1U, 2U, 6U, 26U}) {
         for (std::uint64_t seed = 1; seed <= 60; ++seed) {
             CAPTURE(hosts);
@@ -373,10 +415,12 @@
             restart_schedule schedule{hosts, seed};
             schedule.run();
             restarts += schedule.restarts();
+            host_starts += schedule.host_starts();
             CHECK(schedule.mistakes() == 0);
             // single responses that break off don't make it cold for long
             CHECK(schedule.needless() < 0.05);
         }
     }
     CHECK(restarts > 240);
+    CHECK(host_starts > 240);
 }
--- a/tests/gateway/gossip_codec_test.cpp
+++ b/tests/gateway/gossip_codec_test.cpp
@@ -222,6 +222,24 @@
     CHECK(membership.members().find("10.0.0.2")->heard_at == start);
 }
 
+TEST_CASE(
+    "whether a host takes all endpoints for warm counts for its region, from its newest heartbeat")
+{
+    fleet_membership membership = make_membership();
+    heartbeat sent = make_digest_heartbeat();
+    const auto receive = [&] {
+        return membership.on_datagram(encode(sent, heartbeat_scope::own_region), start);
+    };
+    CHECK_FALSE(receive().all_endpoints_warm);
+    sent.all_endpoints_warm = true;
+    CHECK_FALSE(receive().all_endpoints_warm); // a repeated one
+    ++sent.sequence;
+    CHECK(receive().all_endpoints_warm);
+    sent.region = "s";
+    ++sent.sequence;
+    CHECK_FALSE(receive().all_endpoints_warm);
+}
+
 TEST_CASE("evidence of crashes is unchanged by encoding and decoding, also for other regions")
 {
     heartbeat sent = make_digest_heartbeat();
--- a/tests/gateway/restarted_endpoint_test.cpp
+++ b/tests/gateway/restarted_endpoint_test.cpp
@@ -1,7 +1,9 @@
 #include "gateway/endpoint_pool_fixture.h"
 #include "gateway/routing/endpoint_pool.h"
+#include "gateway/routing/rendezvous.h"
 
-#include <chrono> // milliseconds, seconds
+#include <chrono>   // milliseconds, seconds
+#include <optional> // nullopt
 
 #include <doctest/doctest.h>
 
@@ -37,6 +39,51 @@
     CHECK(with.pool().unconfirmed(start + 1'200ms).size() == 1);
 }
 
+// guards against FAILBACK: hosts that had started just after an endpoint sent it a warm one's requests,
+// since its entry was still that of its former incarnation
+TEST_CASE("regression: a host that has just started takes entries for proofs of warm endpoints")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    with.pool().on_host_start(start);
+    CHECK_FALSE(with.pool().are_all_warm(start + 100ms));
+    CHECK(with.fill(start + 100ms) <= 3);
+    CHECK(with.pool().unconfirmed(start + 100ms).size() == 1);
+
+    SUBCASE("until its cold time is over")
+    {
+        CHECK(with.fill(start + 3s) > 3);
+        CHECK(with.pool().are_all_warm(start + 3s));
+    }
+    SUBCASE("until the endpoint has said that it is warm")
+    {
+        with.pool().on_warm("a", start + 1s);
+        CHECK(with.fill(start + 1'300ms) > 3);
+        CHECK(with.pool().are_all_warm(start + 1'300ms));
+    }
+    SUBCASE("until the entry has been written again")
+    {
+        ++with.entry("a").sequence;
+        with.update(start + 1'300ms);
+        CHECK(with.fill(start + 1'300ms) > 3);
+        CHECK(with.pool().are_all_warm(start + 1'300ms));
+    }
+    SUBCASE("until another host takes all endpoints for warm")
+    {
+        with.pool().on_peer_all_warm();
+        CHECK(with.fill(start + 1'300ms) > 3);
+        CHECK(with.pool().are_all_warm(start + 1'300ms));
+    }
+    SUBCASE("longer if a third one has told of a restart")
+    {
+        with.pool().on_peer_restart({short_hash("a"), 600ms, 600ms, std::nullopt}, start + 200ms);
+        with.pool().on_peer_all_warm();
+        CHECK(with.fill(start + 1'300ms) <= 3);
+        CHECK_FALSE(with.pool().are_all_warm(start + 1'300ms));
+    }
+}
+
 TEST_CASE("an endpoint that ends a connection is asked once, and not while it is cold by its word")
 {
     endpoint_pool_fixture with{true, 48};
