Keep an evacuation in mind while the entry of its endpoint has lapsed

An endpoint may become cold during its evacuation, and counts as cold when that ends, until it says otherwise.

Cause: whether it was evacuated went with its entry. If the entry lapsed meanwhile, as entries may while the store is away, the endpoint was taken for warm when both were over.

Change: the evacuation is kept with the endpoint's history, for the incarnation that was evacuated.

Evidence: cold_endpoint_test ("regression: an evacuation is forgotten with the entry of its endpoint") fails if the flag of the entry is used as before: 48 requests at once, 3 allowed.

--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -52,7 +52,8 @@
         if (is_same) {
             state = std::move(held->second);
         }
-        state.history = &history_of(id);
+        held_history& known = history_of(id);
+        state.history = &known.history;
         state.history->set_cold_time(used_service->cold_time);
         state.history->on_entry({entry.started_ms, entry.sequence, entry.cold_remaining}, read_at,
                                 now);
@@ -67,7 +68,7 @@
         state.is_ended = m_notices.is_ended({id, entry.started_ms});
         state.turned_away_until = m_notices.turned_away_until({id, entry.started_ms});
         update_rate(state, now);
-        if (state.is_evacuated && use == usability::usable) {
+        if (use == usability::usable && known.evacuated_start == entry.started_ms) {
             // it may have become cold during the evacuation, after its last known heartbeat
             state.history->on_sign(restart_sign::unconfirmed, now);
             if (!state.is_leaving && !state.is_ended && now >= state.turned_away_until) {
@@ -75,6 +76,7 @@
             }
         }
         state.is_evacuated = use == usability::evacuated;
+        known.evacuated_start = state.is_evacuated ? std::optional{entry.started_ms} : std::nullopt;
     }
     m_endpoints = std::move(next);
     drop_old_histories(now);
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -10,7 +10,7 @@
 #include "process/routing/random_source.h"
 
 #include <chrono>        // milliseconds, seconds
-#include <cstdint>       // uint32_t, uint64_t
+#include <cstdint>       // int64_t, uint32_t, uint64_t
 #include <functional>    // function
 #include <map>           // map
 #include <optional>      // optional
@@ -359,6 +359,8 @@
     struct held_history {
         endpoint_history history;
         std::optional<time_point> unlisted_since; ///< set while there is no entry
+        /// Start of the incarnation that is evacuated, or was when its entry was seen last.
+        std::optional<std::int64_t> evacuated_start;
     };
 
     [[nodiscard]] static bool is_cold(const endpoint_state& state, time_point now) noexcept
@@ -374,7 +376,7 @@
     [[nodiscard]] endpoint_state* find_listed(const endpoint_incarnation& endpoint);
     void record_restart_sign(const std::string& endpoint, endpoint_outcome outcome, time_point now);
     void on_disconnected(endpoint_state& state, time_point now);
-    [[nodiscard]] endpoint_history& history_of(const std::string& id);
+    [[nodiscard]] held_history& history_of(const std::string& id);
     void drop_old_histories(time_point now);
     /// Whether the endpoint gets nothing now, after failures or by its own wish.
     [[nodiscard]] static bool is_blocked(const endpoint_state& state, time_point now) noexcept
--- a/src/gateway/routing/endpoint_pool_restarts.cpp
+++ b/src/gateway/routing/endpoint_pool_restarts.cpp
@@ -17,11 +17,11 @@
 
 } // namespace
 
-endpoint_history& endpoint_pool::history_of(const std::string& id)
+endpoint_pool::held_history& endpoint_pool::history_of(const std::string& id)
 {
     held_history& held = m_histories[id];
     held.unlisted_since.reset();
-    return held.history;
+    return held;
 }
 
 void endpoint_pool::drop_old_histories(time_point now)
--- a/tests/gateway/cold_endpoint_test.cpp
+++ b/tests/gateway/cold_endpoint_test.cpp
@@ -117,6 +117,38 @@
     CHECK(with.fill(start + 9s) == 3);
 }
 
+// guards against FAILBACK: an endpoint whose entry had lapsed when its evacuation ended was taken for
+// warm, though it may have become cold meanwhile
+TEST_CASE("regression: an evacuation is forgotten with the entry of its endpoint")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    with.evacuated().insert("a");
+    with.update(start + 1s);
+    const endpoint_entry entry = with.entry("a");
+    with.remove("a");
+    with.update(start + 4s);
+    with.evacuated().clear();
+    with.update(start + 5s);
+
+    SUBCASE("the same incarnation is listed again")
+    {
+        with.add("a") = entry;
+        with.update(start + 6s);
+        CHECK(with.pool().take_reinstated().size() == 1);
+        CHECK(with.fill(start + 6s) == 3);
+    }
+    SUBCASE("a new one with its id says itself that it is warm")
+    {
+        with.add("a") = entry;
+        ++with.entry("a").started_ms;
+        with.update(start + 6s);
+        CHECK(with.pool().take_reinstated().empty());
+        CHECK(with.fill(start + 6s) == 48);
+    }
+}
+
 TEST_CASE("evacuated endpoint: one that is reinstated warm gets its full load at once")
 {
     // after the evacuation of the largest region, its engines were idle for three seconds while
