Let the endpoint that names a rate be the only one before it does, in its scenario

A host rates an endpoint that answers fast as faster, and gives an idle one that it hasn't tried no request if it expects it to answer more than 20 ms later.

The other endpoint joins once the first one has got its requests. The bounds are as they were, and stay as strict: the endpoint that names the rate is the preferred one now.

--- a/tests/scenarios/gateway_endpoint_rate_test.cpp
+++ b/tests/scenarios/gateway_endpoint_rate_test.cpp
@@ -33,7 +33,6 @@
     gateway_pair gateways{{"a", "a"}};
     platform_world& world = gateways.world();
     endpoint_standin& limited = world.add_endpoint("i-1", "s", "x-1", free_address());
-    endpoint_standin& other = world.add_endpoint("i-2", "s", "x-2", free_address());
     gateways.wait_until_ready();
 
     std::size_t sent = 0;
@@ -51,8 +50,9 @@
             return is_done();
         }));
     };
-    // more requests arrive before it names a rate
+    // more requests arrive before it names a rate; a second endpoint takes what it doesn't
     send_until([&] { return limited.arrivals().size() > 2 * allowed; });
+    endpoint_standin& other = world.add_endpoint("i-2", "s", "x-2", free_address());
     const std::size_t before = limited.arrivals().size();
     limited.set_limit(limit_per_s);
     send_until([&] { return limited.arrivals().size() > before; });
