Name the step and the number of the error when a settings file can't be read

It named the file twice and neither: "PATH: "PATH": allowed: a file that can be read". It is now "[101] read settings PATH: allowed: a file that can be read"; settings_test has it.

--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -1,5 +1,7 @@
 #include "process/settings.h"
 
+#include "process/error.h"
+
 #include <algorithm>  // all_of, any_of, find_if, transform
 #include <array>      // array
 #include <cassert>    // assert
@@ -403,6 +405,10 @@
 
 std::string settings_fault::to_string() const
 {
+    if (section.empty() && key.empty() && value.empty()) {
+        return error{error_kind::settings_invalid, "read settings", file, "allowed: " + allowed}
+            .to_string();
+    }
     std::string where = file + ": ";
     if (!section.empty()) {
         where += '[' + section + "] ";
@@ -420,7 +426,7 @@
     std::ifstream file{path};
     std::string content{std::istreambuf_iterator<char>{file}, {}};
     if (!file.is_open() || file.bad()) {
-        reading.add("", "", path, "a file that can be read");
+        reading.add("", "", "", "a file that can be read");
         return reading.take_faults();
     }
     reading.parse(content);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -51,7 +51,7 @@
     std::string file;
     std::string section;
     std::string key;
-    std::string value;   ///< a secret is hidden
+    std::string value;   ///< a secret is hidden; as section and key, empty: the file as a whole
     std::string allowed; ///< what would be right
 
     [[nodiscard]] std::string to_string() const;
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -155,6 +155,9 @@
     SUBCASE("a file that cannot be read")
     {
         const auto loaded = settings::load("/nowhere/at/all.ini", rules);
-        CHECK(std::get<std::vector<settings_fault>>(loaded).size() == 1);
+        const auto& faults = std::get<std::vector<settings_fault>>(loaded);
+        REQUIRE(faults.size() == 1);
+        CHECK(faults.front().to_string() ==
+              "[101] read settings /nowhere/at/all.ini: allowed: a file that can be read");
     }
 }
