Ask the endpoints whose past is unknown soon after the start of a host

What callers saw, with the doubt of hosts that start alone: refusals after each start of a region's only host, or of all its hosts.

Cause: doubts are ended by the owner's question, and nobody owns an endpoint for 1.2 s after a start.

Change: 0.4 s after its start, a host asks the endpoints for which it has the largest weight among the hosts of its region that it has heard. What they say is told at once, and ends the doubt on hosts that have started as well: one that has asked the endpoint would know of a later restart.

--- a/src/gateway/limits/cold_owner.h
+++ b/src/gateway/limits/cold_owner.h
@@ -24,6 +24,10 @@
 /// partition.
 inline constexpr duration cold_handover_time = std::chrono::milliseconds{1'200};
 
+/// Time after its start within which a host hears most others of its region, so that few hosts that
+/// have started together take themselves for the owner of one endpoint.
+inline constexpr duration hearing_time = std::chrono::milliseconds{400};
+
 /// Returns whether `own` is the owner of a cold endpoint: the host with the largest rendezvous
 /// weight among the live hosts of its region that are not leaving. A host that is leaving owns
 /// none; the endpoints that it owned, and those of a host that has fallen silent, have no owner for
--- a/src/gateway/routing/endpoint_history.cpp
+++ b/src/gateway/routing/endpoint_history.cpp
@@ -64,6 +64,9 @@
     if (report.doubt_age) {
         m_peers_doubted_at = std::max(m_peers_doubted_at, now - *report.doubt_age);
     }
+    if (report.known_age && !report.sign_age && !report.doubt_age) {
+        on_peer_warm(); // that host would know of a restart since
+    }
     if (report.known_age) {
         m_known_at = std::max(m_known_at, now - *report.known_age - max_report_delay);
     }
--- a/src/gateway/routing/endpoint_history.h
+++ b/src/gateway/routing/endpoint_history.h
@@ -91,7 +91,13 @@
     /// Whether it may have restarted since the latest statement of its state.
     [[nodiscard]] bool is_in_doubt(time_point now) const noexcept
     {
-        return is_open_doubt(m_doubted_at, now) || is_open_doubt(m_unknown_before, now);
+        return is_open_doubt(m_doubted_at, now) || is_past_unknown(now);
+    }
+
+    /// Whether this host doesn't know, since it started, whether the endpoint had restarted before.
+    [[nodiscard]] bool is_past_unknown(time_point now) const noexcept
+    {
+        return is_open_doubt(m_unknown_before, now);
     }
 
     /// Whether this host or another one is in doubt, or may not have learned of the latest statement.
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -486,11 +486,11 @@
 void endpoint_pool::on_first_byte(const endpoint_incarnation& endpoint,
                                   std::uint32_t waiting_tokens, duration elapsed, duration expected)
 {
-    endpoint_state* const listed = find_listed(endpoint);
-    if (listed == nullptr) {
+    endpoint_state* const found = find_incarnation(endpoint);
+    if (found == nullptr) {
         return;
     }
-    endpoint_state& state = *listed;
+    endpoint_state& state = *found;
     remove_waiting_tokens(state, waiting_tokens);
     const double sample =
         to_seconds(std::min(elapsed, max_expected_wait)) / std::max(to_seconds(expected), 0.001);
@@ -508,16 +508,16 @@
 }
 
 /// Returns the state of the endpoint if its entry is that of this incarnation, or null.
-endpoint_pool::endpoint_state* endpoint_pool::find_listed(const endpoint_incarnation& endpoint)
+endpoint_pool::endpoint_state* endpoint_pool::find_incarnation(const endpoint_incarnation& endpoint)
 {
     const auto found = m_endpoints.find(endpoint.id);
-    const bool is_listed =
+    const bool is_present =
         found != m_endpoints.end() && found->second.entry.started_ms == endpoint.started_ms;
-    return is_listed ? &found->second : nullptr;
+    return is_present ? &found->second : nullptr;
 }
 
 /// Records what the end of an attempt tells of a restart. An attempt may have reached a later
-/// incarnation than the one that was chosen, so it counts for whichever is listed.
+/// incarnation than the one that was chosen, so it counts for the one whose entry is known.
 void endpoint_pool::record_restart_sign(const std::string& endpoint, endpoint_outcome outcome,
                                         time_point now)
 {
@@ -543,11 +543,11 @@
                            endpoint_outcome outcome, time_point now)
 {
     record_restart_sign(endpoint.id, outcome, now);
-    endpoint_state* const listed = find_listed(endpoint);
-    if (listed == nullptr) {
+    endpoint_state* const found = find_incarnation(endpoint);
+    if (found == nullptr) {
         return;
     }
-    endpoint_state& state = *listed;
+    endpoint_state& state = *found;
     state.own.active -= std::min(state.own.active, 1U);
     remove_waiting_tokens(state, waiting_tokens);
     switch (outcome) {
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -196,12 +196,16 @@
     void on_idle_connection_ended(const std::string& address, time_point now);
 
     /// Records that the endpoint itself has reported, as asked at `asked_at`, that it is warm.
-    void on_warm(const std::string& endpoint, time_point asked_at);
+    void on_warm(const std::string& endpoint, time_point asked_at, time_point now);
 
     /// Records that this host has started and read the present entries at `read_at`: which endpoints
     /// have restarted under their ids just before, it can't tell.
     void on_host_start(time_point read_at);
 
+    /// Returns the endpoints of which this host doesn't know, since it started, whether they had
+    /// restarted before, and that would get requests if they hadn't.
+    [[nodiscard]] std::vector<endpoint_entry> past_unknown(time_point now) const;
+
     /// Records that another host of the region takes all its endpoints for warm, and would know
     /// otherwise.
     void on_peer_all_warm();
@@ -219,7 +223,8 @@
     void on_asked(const std::string& endpoint, time_point now);
 
     /// Whether the other hosts of the region have to learn at once that an endpoint may have
-    /// restarted, or is cold by its own word: this host has learned it since `own_restarts()`.
+    /// restarted, is cold by its own word, or is warm though this host didn't know it since its start:
+    /// this host has learned it since `own_restarts()`.
     [[nodiscard]] bool has_urgent_news() const noexcept { return m_has_urgent_news; }
 
     /// Returns the endpoints of which some host doesn't know whether they have restarted, and that
@@ -298,13 +303,13 @@
 
     /// Records the first byte of the response, `elapsed` after the request was sent; `expected` is
     /// the time predicted by `choose()`, `waiting_tokens` the value returned by `on_sent()`. No
-    /// effect if another incarnation is listed by now.
+    /// effect if the entry of another incarnation is known by now.
     void on_first_byte(const endpoint_incarnation& endpoint, std::uint32_t waiting_tokens,
                        duration elapsed, duration expected);
 
     /// Records the end of an attempt. `waiting_tokens` is the value returned by `on_sent()`, or 0
-    /// after the first byte. If another incarnation is listed by now, only what it tells of a restart
-    /// counts.
+    /// after the first byte. If the entry of another incarnation is known by now, only what it tells
+    /// of a restart counts.
     void on_end(const endpoint_incarnation& endpoint, std::uint32_t waiting_tokens,
                 endpoint_outcome outcome, time_point now);
     /// @}
@@ -373,7 +378,7 @@
         return state.cold_rate > 0 && state.is_listed && !state.is_leaving && !state.is_ended &&
                !state.is_ended_elsewhere && now >= state.turned_away_until;
     }
-    [[nodiscard]] endpoint_state* find_listed(const endpoint_incarnation& endpoint);
+    [[nodiscard]] endpoint_state* find_incarnation(const endpoint_incarnation& endpoint);
     void record_restart_sign(const std::string& endpoint, endpoint_outcome outcome, time_point now);
     void on_disconnected(endpoint_state& state, time_point now);
     [[nodiscard]] held_history& history_of(const std::string& id);
--- a/src/gateway/routing/endpoint_pool_restarts.cpp
+++ b/src/gateway/routing/endpoint_pool_restarts.cpp
@@ -93,11 +93,14 @@
     }
 }
 
-void endpoint_pool::on_warm(const std::string& endpoint, time_point asked_at)
+void endpoint_pool::on_warm(const std::string& endpoint, time_point asked_at, time_point now)
 {
     const auto found = m_endpoints.find(endpoint);
     if (found != m_endpoints.end() && !found->second.is_evacuated) {
-        found->second.history->on_warm(asked_at);
+        endpoint_history& history = *found->second.history;
+        // hosts that have started at the same time don't know it either
+        m_has_urgent_news = m_has_urgent_news || history.is_past_unknown(now);
+        history.on_warm(asked_at);
     }
 }
 
@@ -110,6 +113,17 @@
     }
 }
 
+std::vector<endpoint_entry> endpoint_pool::past_unknown(time_point now) const
+{
+    std::vector<endpoint_entry> entries;
+    for (const auto& [id, state] : m_endpoints) {
+        if (is_worth_asking(state, now) && state.history->is_past_unknown(now)) {
+            entries.push_back(state.entry);
+        }
+    }
+    return entries;
+}
+
 void endpoint_pool::on_peer_all_warm()
 {
     for (const auto& [id, state] : m_endpoints) {
@@ -129,7 +143,9 @@
 {
     for (auto& [id, state] : m_endpoints) {
         if (state.hash == report.endpoint && state.cold_rate > 0) {
-            const bool is_new = state.history->on_peer_report(report, now);
+            const bool was_unknown = state.history->is_past_unknown(now);
+            const bool is_new = state.history->on_peer_report(report, now) ||
+                                (was_unknown && !state.history->is_past_unknown(now));
             m_has_urgent_news = m_has_urgent_news || is_new;
         }
     }
--- a/src/gateway/serving/endpoint_checker.cpp
+++ b/src/gateway/serving/endpoint_checker.cpp
@@ -29,6 +29,36 @@
     }
 }
 
+void endpoint_checker::check_after_start(duration delay)
+{
+    m_start_timer.expires_after(delay);
+    m_start_timer.async_wait([this](const asio::error_code& failure) {
+        if (!failure) {
+            ask_past_unknown(boot_clock::now());
+        }
+    });
+}
+
+void endpoint_checker::ask_past_unknown(time_point now)
+{
+    for (const endpoint_entry& entry : m_dependencies.pool.past_unknown(now)) {
+        const service* of = askable_service(entry);
+        if (of != nullptr && m_dependencies.is_first_candidate(entry) &&
+            m_dependencies.pool.try_take_share(entry.id, now)) {
+            m_dependencies.metrics.count("probe_after_start");
+            ask(entry, of->health_path, silence::unconfirmed);
+        }
+    }
+}
+
+/// Returns the service of an endpoint that can be asked for its health, or null.
+const service* endpoint_checker::askable_service(const endpoint_entry& entry) const
+{
+    const publication_ptr& published = m_dependencies.state.published();
+    const service* of = published == nullptr ? nullptr : published->find_service(entry.service);
+    return of == nullptr || of->health_path.empty() ? nullptr : of;
+}
+
 void endpoint_checker::check_reinstated()
 {
     for (const endpoint_entry& entry : m_dependencies.pool.take_reinstated()) {
@@ -58,9 +88,8 @@
 /// Asks an endpoint if this host is the one that has to.
 void endpoint_checker::ask_owned(const endpoint_entry& entry, silence meaning, time_point now)
 {
-    const publication_ptr& published = m_dependencies.state.published();
-    const service* of = published == nullptr ? nullptr : published->find_service(entry.service);
-    if (of != nullptr && !of->health_path.empty() && m_dependencies.is_owner(entry, *of) &&
+    const service* of = askable_service(entry);
+    if (of != nullptr && m_dependencies.is_owner(entry, *of) &&
         m_dependencies.pool.try_take_share(entry.id, now)) {
         ask(entry, of->health_path, meaning);
     }
@@ -85,10 +114,8 @@
 /// or takes no more requests of this host now.
 bool endpoint_checker::try_ask(const endpoint_entry& entry, disconnection_check& check)
 {
-    const publication_ptr& published = m_dependencies.state.published();
-    const service* of = published == nullptr ? nullptr : published->find_service(entry.service);
-    if (of == nullptr || of->health_path.empty() ||
-        !m_dependencies.pool.try_take_share(entry.id, boot_clock::now())) {
+    const service* of = askable_service(entry);
+    if (of == nullptr || !m_dependencies.pool.try_take_share(entry.id, boot_clock::now())) {
         return false;
     }
     ++check.questions;
@@ -143,8 +170,9 @@
         entry, health_path,
         {.on_warm =
              [this, id = entry.id, asked_at] {
-                 m_dependencies.pool.on_warm(id, asked_at);
+                 m_dependencies.pool.on_warm(id, asked_at, boot_clock::now());
                  m_dependencies.on_warm();
+                 m_dependencies.on_urgent_news();
              },
          .on_cold = [this, id = entry.id,
                      asked_at](duration remaining) { on_cold(id, remaining, asked_at); },
--- a/src/gateway/serving/endpoint_checker.h
+++ b/src/gateway/serving/endpoint_checker.h
@@ -26,7 +26,8 @@
 /// single response that is broken off from the end of the process. If it ends the connection of the
 /// question as well, it may be ending or have too many connections, so it is asked a few times
 /// more: an endpoint that has ended refuses the next connection. All other questions come from the
-/// owner of the endpoint alone, since a question may count as a request to a cold endpoint.
+/// owner of the endpoint alone, since a question may count as a request to a cold endpoint. Shortly
+/// after a start, when nobody owns it, the host asks that takes itself for the next owner.
 ///
 /// Thread safety: none; all calls come from the loop's thread. The checker must outlive its probes.
 class endpoint_checker {
@@ -42,17 +43,28 @@
         gateway_metrics& metrics;
         /// Whether this host owns the endpoint while it is cold and may send it requests.
         std::function<bool(const endpoint_entry&, const service&)> is_owner;
+        /// Whether this host has the largest weight for the endpoint among the hosts of its region
+        /// that it has heard, though it may not have been up for long enough to own the endpoint.
+        std::function<bool(const endpoint_entry&)> is_first_candidate;
         /// Called when an endpoint has turned out to be warm.
         std::function<void()> on_warm;
-        /// Called when an endpoint has given a sign of a restart, or has turned out to be cold.
+        /// Called when an endpoint has given a sign of a restart, or has turned out to be cold, or
+        /// warm.
         std::function<void()> on_urgent_news;
     };
 
-    explicit endpoint_checker(dependencies components) : m_dependencies{std::move(components)} {}
+    explicit endpoint_checker(dependencies components)
+        : m_dependencies{std::move(components)}, m_start_timer{m_dependencies.loop}
+    {
+    }
 
     /// Asks the endpoints that have ended a connection with this host since the last call.
     void check_disconnected();
 
+    /// Asks the endpoints of which this host doesn't know, since it started, whether they had
+    /// restarted before: once, `delay` from now.
+    void check_after_start(duration delay);
+
     /// Asks the endpoints whose evacuation has ended since the last call.
     void check_reinstated();
 
@@ -65,6 +77,8 @@
     enum class silence { unknown, unconfirmed };
 
     void ask_owned(const endpoint_entry& entry, silence meaning, time_point now);
+    void ask_past_unknown(time_point now);
+    [[nodiscard]] const service* askable_service(const endpoint_entry& entry) const;
     /// Questions to an endpoint that has ended a connection.
     struct disconnection_check {
         explicit disconnection_check(asio::io_context& loop) : pause_timer{loop} {}
@@ -84,6 +98,7 @@
     void on_failure(const std::string& endpoint, silence meaning, probe_failure why);
 
     dependencies m_dependencies;
+    asio::steady_timer m_start_timer;
     std::map<std::string, disconnection_check> m_checks; ///< under way, by the endpoint's id
     time_point m_unconfirmed_asked_at{};
 };
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -128,6 +128,12 @@
                      [this](const endpoint_entry& entry, const service& of) {
                          return cold_rate_for(entry.id, of.cold_rate) >= 1;
                      },
+                 .is_first_candidate =
+                     [this](const endpoint_entry& entry) {
+                         return is_cold_owner(m_fleet.members(),
+                                              {m_settings.ip, m_settings.region, m_is_stopping},
+                                              entry.id, boot_clock::now());
+                     },
                  .on_warm = [this] { place_waiting(); },
                  .on_urgent_news = [this] { tell_urgent_news(); }}},
       m_callers{m_loop, [this](const auto& request) { serve_caller(request); }},
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -208,6 +208,8 @@
     m_pool.update(m_state.endpoints(), to_usability, find_service, read_at, now);
     if (m_pool.size() > 0 && !std::exchange(m_has_endpoints, true)) {
         m_pool.on_host_start(read_at);
+        m_checker.check_after_start(
+            std::max<duration>(duration{0}, m_started + hearing_time - now));
     }
     m_context.capacities = to_capacities(m_state, m_settings);
     m_checker.check_reinstated();
--- a/tests/gateway/cold_endpoint_test.cpp
+++ b/tests/gateway/cold_endpoint_test.cpp
@@ -168,7 +168,7 @@
     CHECK_FALSE(knows_state(with, start + 9s));
     SUBCASE("once it has reported being warm")
     {
-        with.pool().on_warm("a", start + 9s);
+        with.pool().on_warm("a", start + 9s, start + 9s);
         CHECK(with.fill(start + 9s) == 48);
         CHECK(knows_state(with, start + 9s));
         CHECK_FALSE(knows_state(with, start + 13s));
@@ -191,14 +191,14 @@
         with.entry("a").sequence = 7;
         with.entry("a").cold_remaining = 2s;
         with.update(start + 9s);
-        with.pool().on_warm("a", start + 9s);
+        with.pool().on_warm("a", start + 9s, start + 9s);
         CHECK(with.fill(start + 9s) == 3);
     }
     SUBCASE("but not while it is evacuated again")
     {
         with.evacuated().insert("a");
         with.update(start + 10s);
-        with.pool().on_warm("a", start + 10s);
+        with.pool().on_warm("a", start + 10s, start + 10s);
         CHECK_FALSE(knows_state(with, start + 10s));
         with.evacuated().clear();
         with.update(start + 12s);
--- a/tests/gateway/endpoint_checker_test.cpp
+++ b/tests/gateway/endpoint_checker_test.cpp
@@ -142,6 +142,17 @@
         run_for(500ms);
     }
 
+    /// Starts the host: it knows nothing of the endpoint's past. Waits until all questions have ended.
+    void start_host(bool is_candidate)
+    {
+        m_is_first_candidate = is_candidate;
+        m_pool.on_host_start(boot_clock::now());
+        m_checker.check_after_start(100ms);
+        run_for(50ms);
+        CHECK(questions() == 0);
+        run_for(500ms);
+    }
+
     [[nodiscard]] std::size_t questions() const noexcept { return m_endpoint.connections(); }
     [[nodiscard]] const endpoint_pool& pool() const noexcept { return m_pool; }
     [[nodiscard]] bool is_in_doubt() const
@@ -156,6 +167,7 @@
         m_loop.run_for(span);
     }
 
+    bool m_is_first_candidate = true;
     asio::io_context m_loop{1};
     service m_service = [] {
         service result;
@@ -184,12 +196,34 @@
          .log = m_log,
          .metrics = m_metrics,
          .is_owner = [](const endpoint_entry&, const service&) { return true; },
+         .is_first_candidate = [this](const endpoint_entry&) { return m_is_first_candidate; },
          .on_warm = [] {},
          .on_urgent_news = [] {}}};
 };
 
 } // namespace
 
+// guards against refusals after each start of a region's hosts: they waited for new entries, or until
+// one of them owned the endpoint, before they sent it more than a cold one's requests
+TEST_CASE(
+    "regression: an endpoint is asked late after the start of a host that doesn't know its past")
+{
+    checker_fixture with{[](std::size_t) { return reaction::answer; }};
+    SUBCASE("by the host with the largest weight, which tells the others")
+    {
+        with.start_host(true);
+        CHECK(with.questions() == 1);
+        CHECK_FALSE(with.is_in_doubt());
+        CHECK(with.pool().has_urgent_news());
+    }
+    SUBCASE("by no other host")
+    {
+        with.start_host(false);
+        CHECK(with.questions() == 0);
+        CHECK(with.is_in_doubt());
+    }
+}
+
 // guards against FAILBACK: the question that follows a disconnection met an endpoint that was still
 // ending, which ended its connection too, and the region wasn't told of the restart
 TEST_CASE("regression: a restart isn't told if the question's connection is ended as well")
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -13,7 +13,7 @@
 #include <random>    // mt19937_64, uniform_int_distribution
 #include <set>       // set
 #include <string>    // string, to_string
-#include <utility>   // exchange
+#include <utility>   // exchange, pair
 #include <vector>    // vector
 
 #include <doctest/doctest.h>
@@ -122,6 +122,57 @@
     }
 }
 
+namespace {
+
+/// Counts, for each region and endpoint, the hosts that take themselves for the endpoint's next owner
+/// when `hearing_time` is over since their first heartbeat. Returns the most.
+std::size_t most_askers(simulated_fleet& fleet, int endpoints)
+{
+    constexpr auto step = 10ms;
+    std::map<std::string, time_point> asks_at; // by host
+    for (const simulated_fleet::host& host : fleet.hosts()) {
+        asks_at[host.ip] = host.next_heartbeat + hearing_time;
+    }
+    std::map<std::pair<std::string, int>, std::size_t> askers; // by region and endpoint
+    std::size_t most = 0;
+    const time_point end = fleet.now() + hearing_time + 400ms;
+    for (; fleet.now() < end; fleet.run_for(step)) {
+        for (const simulated_fleet::host& host : fleet.hosts()) {
+            if (fleet.now() < asks_at[host.ip] || fleet.now() >= asks_at[host.ip] + step) {
+                continue;
+            }
+            for (int i = 0; i < endpoints; ++i) {
+                if (is_cold_owner(host.membership->members(), {host.ip, host.region},
+                                  "endpoint-" + std::to_string(i), fleet.now())) {
+                    most = std::max(most, ++askers[{host.region, i}]);
+                }
+            }
+        }
+    }
+    return most;
+}
+
+} // namespace
+
+// guards against FAILBACK: the questions of hosts that have started together count as requests to an
+// endpoint that may be cold
+TEST_CASE("a mass start: few hosts ask an endpoint whose past they don't know")
+{
+    // a cold endpoint gets at most 1.5 times its rate, of at least 1, and 3 requests in a second
+    constexpr std::size_t max_questions = 4;
+    for (const int hosts_per_domain : {1, 3, 10, many}) {
+        for (const std::uint64_t seed : {1, 2, 3}) {
+            CAPTURE(hosts_per_domain);
+            CAPTURE(seed);
+            simulated_fleet fleet{{.hosts_per_domain = hosts_per_domain, .seed = seed}};
+            fleet.start_all();
+            const std::size_t most = most_askers(fleet, 20);
+            CHECK(most > 0);
+            CHECK(most <= max_questions);
+        }
+    }
+}
+
 TEST_CASE("a quiet fleet: no host is taken for lost")
 {
     for (const int hosts_per_domain : {1, 3, 10, many}) {
--- a/tests/gateway/restarted_endpoint_test.cpp
+++ b/tests/gateway/restarted_endpoint_test.cpp
@@ -50,6 +50,7 @@
     CHECK_FALSE(with.pool().are_all_warm(start + 100ms));
     CHECK(with.fill(start + 100ms) <= 3);
     CHECK(with.pool().unconfirmed(start + 100ms).size() == 1);
+    CHECK(with.pool().past_unknown(start + 100ms).size() == 1);
 
     SUBCASE("until its cold time is over")
     {
@@ -58,7 +59,8 @@
     }
     SUBCASE("until the endpoint has said that it is warm")
     {
-        with.pool().on_warm("a", start + 1s);
+        with.pool().on_warm("a", start + 1s, start + 1s);
+        CHECK(with.pool().has_urgent_news());
         CHECK(with.fill(start + 1'300ms) > 3);
         CHECK(with.pool().are_all_warm(start + 1'300ms));
     }
@@ -69,6 +71,13 @@
         CHECK(with.fill(start + 1'300ms) > 3);
         CHECK(with.pool().are_all_warm(start + 1'300ms));
     }
+    SUBCASE("until it has said to another host that it is warm")
+    {
+        with.pool().on_peer_restart({short_hash("a"), std::nullopt, std::nullopt, 10ms},
+                                    start + 200ms);
+        CHECK(with.pool().past_unknown(start + 200ms).empty());
+        CHECK(with.fill(start + 1'300ms) > 3);
+    }
     SUBCASE("until another host takes all endpoints for warm")
     {
         with.pool().on_peer_all_warm();
