--- a/review/standins-2/small_platform.h
+++ b/review/standins-2/small_platform.h
@@ -5,6 +5,7 @@
 #include "process/clock.h"
 #include "standins/gateway/platform_world.h"
 
+#include <algorithm>  // find
 #include <chrono>     // milliseconds, seconds
 #include <csignal>    // kill, SIGKILL
 #include <cstddef>    // size_t
@@ -86,7 +87,8 @@
 /// First of ten ports that are free at all hosts of the network.
 inline std::uint16_t free_ports(std::size_t hosts)
 {
-    for (std::uint16_t first = 20'000; first < 30'000; first = static_cast<std::uint16_t>(first + 10)) {
+    for (std::uint16_t first = 20'000; first < 30'000;
+         first = static_cast<std::uint16_t>(first + 10)) {
         bool is_usable = true;
         for (std::size_t host = 1; host <= hosts + 2 && is_usable; ++host) {
             for (std::uint16_t offset = 0; offset < 10 && is_usable; ++offset) {
@@ -276,8 +278,9 @@
 };
 
 /// Runs the loop of `world` until `is_done`, or for `limit`. Returns whether it came true.
-inline bool run_for(hickorykeel::standins::platform_world& world, duration limit,
-                    const std::function<bool()>& is_done = [] { return false; })
+inline bool run_for(
+    hickorykeel::standins::platform_world& world, duration limit,
+    const std::function<bool()>& is_done = [] { return false; })
 {
     const time_point end = boot_clock::now() + limit;
     while (!is_done()) {
--- a/review/standins-2/stale_seeds.cpp
+++ b/review/standins-2/stale_seeds.cpp
@@ -30,17 +30,17 @@
 
 json configuration()
 {
-    json route{{"name", "ask"},       {"host", "h.example"}, {"prefix", "/ask/"},
-               {"kind", "safe"},      {"timeoutMs", 5'000},  {"sloMs", 600},
-               {"priority", 1},       {"service", "s"},      {"maxAttempts", 1},
-               {"anonymous", false},  {"resumable", false},  {"homeRegions", json::array()}};
+    json route{{"name", "ask"},      {"host", "h.example"}, {"prefix", "/ask/"},
+               {"kind", "safe"},     {"timeoutMs", 5'000},  {"sloMs", 600},
+               {"priority", 1},      {"service", "s"},      {"maxAttempts", 1},
+               {"anonymous", false}, {"resumable", false},  {"homeRegions", json::array()}};
     json service{{"name", "s"}, {"healthPath", "/healthz"}, {"maxConns", 290}};
     json limits{{"headerBytes", 16'384},
                 {"bodyBytes", 1'000'000},
                 {"headerTimeoutMs", 10'000},
                 {"idleTimeoutMs", 60'000}};
-    json tenant{{"name", "t"},           {"apiKeys", {"key-one"}},  {"perS", tokens_per_s},
-                {"burst", burst_tokens}, {"unit", "tokens"},        {"plainTokens", request_tokens}};
+    json tenant{{"name", "t"},           {"apiKeys", {"key-one"}}, {"perS", tokens_per_s},
+                {"burst", burst_tokens}, {"unit", "tokens"},       {"plainTokens", request_tokens}};
     return {{"version", 1},
             {"routes", {route}},
             {"services", {service}},
@@ -62,9 +62,8 @@
     world.put("op/config", configuration());
     std::vector<hickorykeel::standins::endpoint_standin*> endpoints;
     for (int i = 0; i < 8; ++i) {
-        endpoints.push_back(&world.add_endpoint(
-            "i-" + std::to_string(i), "s", "a-1",
-            own_network() + "2:" + std::to_string(ports + i)));
+        endpoints.push_back(&world.add_endpoint("i-" + std::to_string(i), "s", "a-1",
+                                                own_network() + "2:" + std::to_string(ports + i)));
     }
     fleet gateways{store, ports};
     const std::vector<std::size_t> seeds{0, 1, 2};
