--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-program=build-review-2/stale_seeds
+program=build-review-2/seeds_in_one_region
 if [[ ! -x $program || ! -x target/bin/hickorykeel-gateway ]]; then
   echo "build first: the deploy file, then review/build-2.sh" >&2
   exit 2
--- a/review/standins-2/small_platform.h
+++ b/review/standins-2/small_platform.h
@@ -110,7 +110,8 @@
     std::string zone;
     std::string region;
     std::string settings; ///< path of its settings file
-    pid_t process = 0;    ///< 0: not running
+    std::uint16_t peers_port = 0;
+    pid_t process = 0; ///< 0: not running
 };
 
 /// Bounds that the settings state, by default those of the sheet of `kapnos-visits`.
@@ -147,7 +148,9 @@
     }
 
     /// Adds a machine; its process isn't started.
-    std::size_t add(const std::string& zone, const std::string& region)
+    /// @param peers_port port between machines; 0: the common one
+    std::size_t add(const std::string& zone, const std::string& region,
+                    std::uint16_t peers_port = 0)
     {
         const std::size_t at = m_machines.size();
         machine added;
@@ -155,6 +158,7 @@
         added.ip = own_network() + std::to_string(at + 3);
         added.zone = zone;
         added.region = region;
+        added.peers_port = peers_port;
         added.settings = (m_folder / (added.name + ".ini")).string();
         m_machines.push_back(added);
         return at;
@@ -164,7 +168,11 @@
     [[nodiscard]] std::string callers(std::size_t at) const { return address(at, 0); }
     [[nodiscard]] std::string readiness(std::size_t at) const { return address(at, 1); }
     [[nodiscard]] std::string directory(std::size_t at) const { return address(at, 2); }
-    [[nodiscard]] std::string peers(std::size_t at) const { return address(at, 3); }
+    [[nodiscard]] std::string peers(std::size_t at) const
+    {
+        const machine& of = m_machines.at(at);
+        return of.peers_port == 0 ? address(at, 3) : of.ip + ':' + std::to_string(of.peers_port);
+    }
     [[nodiscard]] std::string metrics(std::size_t at) const { return address(at, 4); }
 
     /// Writes the settings of a machine, as the platform does.
