--- a/review/standins-2/lost_region.cpp
+++ b/review/standins-2/lost_region.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // max
 #include <deque>     // deque
+#include <exception> // exception
 
 // Two of three regions lose each other for more than a minute; both reach the third one and the store
 // all the time. The fleet-wide quota of a tenant is counted.
@@ -188,6 +189,7 @@
 int main(int argc, char** argv)
 {
     std::ofstream record{argc > 1 ? argv[1] : "record.txt"};
+    end_processes_on_signals();
     try {
         return play(record);
     }
@@ -195,4 +197,8 @@
         record << "could not run: " << reason << '\n';
         return exit_not_run;
     }
+    catch (const std::exception& failure) {
+        record << "could not run: " << failure.what() << '\n';
+        return exit_not_run;
+    }
 }
--- a/review/standins-2/restored_key.cpp
+++ b/review/standins-2/restored_key.cpp
@@ -1,6 +1,7 @@
 #include "small_platform.h"
 
 #include <algorithm> // max, min
+#include <exception> // exception
 
 // The store is restored from a copy that still has a key which was taken away since, and a machine is
 // restarted at that time. It is counted which requests with the key run.
@@ -147,6 +148,7 @@
 int main(int argc, char** argv)
 {
     std::ofstream record{argc > 1 ? argv[1] : "record.txt"};
+    end_processes_on_signals();
     try {
         return play(record);
     }
@@ -154,4 +156,8 @@
         record << "could not run: " << reason << '\n';
         return exit_not_run;
     }
+    catch (const std::exception& failure) {
+        record << "could not run: " << failure.what() << '\n';
+        return exit_not_run;
+    }
 }
--- a/review/standins-2/seeds_in_one_region.cpp
+++ b/review/standins-2/seeds_in_one_region.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // max
 #include <deque>     // deque
+#include <exception> // exception
 
 // All machines of three regions lose power and start again, now with settings whose seeds are machines
 // of one region. The fleet-wide quota of a tenant is counted.
@@ -189,6 +190,7 @@
 int main(int argc, char** argv)
 {
     std::ofstream record{argc > 1 ? argv[1] : "record.txt"};
+    end_processes_on_signals();
     try {
         return play(record);
     }
@@ -196,4 +198,8 @@
         record << "could not run: " << reason << '\n';
         return exit_not_run;
     }
+    catch (const std::exception& failure) {
+        record << "could not run: " << failure.what() << '\n';
+        return exit_not_run;
+    }
 }
--- a/review/standins-2/small_platform.h
+++ b/review/standins-2/small_platform.h
@@ -6,8 +6,9 @@
 #include "standins/gateway/platform_world.h"
 
 #include <algorithm>  // find
+#include <array>      // array
 #include <chrono>     // milliseconds, seconds
-#include <csignal>    // kill, SIGKILL
+#include <csignal>    // kill, signal
 #include <cstddef>    // size_t
 #include <cstdint>    // uint16_t
 #include <cstdlib>    // exit, getenv
@@ -50,6 +51,34 @@
     throw std::string{reason};
 }
 
+/// Processes that are running, for the handler of signals that end this one; 0: none.
+inline std::array<volatile pid_t, 64> running_processes{};
+
+inline void note_process(pid_t ended, pid_t started)
+{
+    for (volatile pid_t& each : running_processes) {
+        if (each == ended) {
+            each = started;
+            return;
+        }
+    }
+}
+
+/// Ends the started processes if this one is told to end, or aborts.
+inline void end_processes_on_signals()
+{
+    for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGABRT}) {
+        std::signal(number, [](int) {
+            for (const volatile pid_t& each : running_processes) {
+                if (each > 0) {
+                    ::kill(each, SIGKILL);
+                }
+            }
+            ::_exit(exit_not_run);
+        });
+    }
+}
+
 /// Whether the disruption is left out.
 inline bool is_calm()
 {
@@ -234,6 +263,7 @@
             of.process = 0;
             give_up("the gateway could not be started");
         }
+        note_process(0, of.process);
     }
 
     void signal(std::size_t at, int number)
@@ -250,6 +280,7 @@
         signal(at, SIGKILL);
         if (m_machines.at(at).process > 0) {
             ::waitpid(m_machines.at(at).process, nullptr, 0);
+            note_process(m_machines.at(at).process, 0);
             m_machines.at(at).process = 0;
         }
     }
@@ -259,6 +290,7 @@
     {
         machine& of = m_machines.at(at);
         if (of.process > 0 && ::waitpid(of.process, nullptr, WNOHANG) == of.process) {
+            note_process(of.process, 0);
             of.process = 0;
             return true;
         }
--- a/review/standins-2/stale_seeds.cpp
+++ b/review/standins-2/stale_seeds.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // max
 #include <deque>     // deque
+#include <exception> // exception
 
 // Machines restart while the machines that their settings name as seeds are down. The platform then
 // names others in the settings files, without a signal. The fleet-wide quota of a tenant is counted.
@@ -179,6 +180,7 @@
 int main(int argc, char** argv)
 {
     std::ofstream record{argc > 1 ? argv[1] : "record.txt"};
+    end_processes_on_signals();
     try {
         return play(record);
     }
@@ -186,4 +188,8 @@
         record << "could not run: " << reason << '\n';
         return exit_not_run;
     }
+    catch (const std::exception& failure) {
+        record << "could not run: " << failure.what() << '\n';
+        return exit_not_run;
+    }
 }
