Accept no keys by what a source shows until other hosts have borne out its version

Callers: requests with a key that had been taken away 6 s before ran for some 200 ms, at a host that started after the store was restored from an older copy.

Cause: the host took the first answer of the store for the newest configuration. Only hosts that ran before know that the store went back, and it hadn't heard them yet. A host that was frozen over the restoration did the same with its first reading of the new era.

Change: after the start, and from the first reading of a new era on, readings don't extend the lease on keys until a host that is heard and was checked itself holds no higher version, or the hosts had five heartbeat intervals to answer (15 where none is heard). A host that has started isn't ready before.

--- a/src/gateway/configuration/configuration_follower.cpp
+++ b/src/gateway/configuration/configuration_follower.cpp
@@ -19,6 +19,7 @@
 
 void configuration_follower::start()
 {
+    m_dependencies.state.begin_version_check();
     read();
     check_peers();
 }
@@ -155,7 +156,12 @@
     log_restored_source(changes.position);
     const std::size_t before = m_dependencies.state.endpoints().size();
     const auto outcome = std::get<merge_outcome>(merged);
+    const bool was_checked = m_dependencies.state.is_version_checked();
     const state_change change = update_state(outcome, confirmed_at);
+    if (was_checked && !m_dependencies.state.is_version_checked()) {
+        m_version_check.begin();
+    }
+    check_version(boot_clock::now());
     if (change.is_configuration_changed) {
         log_configuration();
     }
@@ -283,6 +289,20 @@
     }
 }
 
+void configuration_follower::check_version(time_point now)
+{
+    published_state& state = m_dependencies.state;
+    if (state.is_version_checked() || state.published() == nullptr ||
+        !m_version_check.is_passed(m_dependencies.members, state.published()->version, now)) {
+        return;
+    }
+    state.end_version_check();
+    m_dependencies.log.write(
+        log_line{"configuration_checked"}
+            .add("version", static_cast<std::int64_t>(state.published()->version))
+            .add("era", static_cast<std::int64_t>(state.last().position.era)));
+}
+
 relay_choice_state configuration_follower::choice_state(time_point now) const
 {
     const publication_ptr& published = m_dependencies.state.published();
--- a/src/gateway/configuration/configuration_follower.h
+++ b/src/gateway/configuration/configuration_follower.h
@@ -4,6 +4,7 @@
 #include "gateway/configuration/published_items.h"
 #include "gateway/configuration/published_state.h"
 #include "gateway/configuration/relay_choice.h"
+#include "gateway/configuration/version_check.h"
 #include "gateway/http/http_client.h"
 #include "gateway/http/http_server.h"
 #include "gateway/membership/member_table.h"
@@ -88,6 +89,10 @@
     /// Starts the first read; further reads follow periodically.
     void start();
 
+    /// Trusts the held configuration, if it has yet to be checked, once other hosts bear it out. To be
+    /// called when a heartbeat was received.
+    void check_version(time_point now);
+
     /// Newest change of the configuration or of an evacuation that this host knows.
     [[nodiscard]] const source_position& operator_change() const noexcept
     {
@@ -135,6 +140,7 @@
     std::function<void()> m_on_change;
     published_items m_items;
     relay_choice m_choice;
+    version_check m_version_check;
     asio::steady_timer m_timer;
     asio::steady_timer m_peer_timer;
     /// Last message to a peer host, which others are likely to ask for too.
--- a/src/gateway/configuration/configuration_follower_peers.cpp
+++ b/src/gateway/configuration/configuration_follower_peers.cpp
@@ -52,6 +52,7 @@
     }
     query_newer_peer();
     query_informed_peer();
+    check_version(now);
     if (m_is_reading_source && m_items.position().is_none() &&
         m_choice.gives_up_read(choice_state(now), now)) {
         m_is_reading_source = false;
@@ -61,6 +62,7 @@
     m_peer_timer.expires_after(m_options.peer_check_interval);
     m_peer_timer.async_wait([this](const asio::error_code& failure) {
         if (!failure) {
+            m_version_check.count_round();
             check_peers();
         }
     });
--- a/src/gateway/configuration/published_state.cpp
+++ b/src/gateway/configuration/published_state.cpp
@@ -49,15 +49,24 @@
                                       reading.evacuated_domains != m_last.evacuated_domains;
     update_endpoints(reading, now, change);
     if (!is_outdated) {
-        m_confirmed_at = std::max(m_confirmed_at, confirmed_at);
+        set_confirmed(confirmed_at);
     }
     m_last = std::move(reading);
     return change;
 }
 
+void published_state::set_confirmed(time_point confirmed_at) noexcept
+{
+    m_confirmed_at = std::max(m_confirmed_at, confirmed_at);
+    if (m_is_version_checked) {
+        m_trusted_at = m_confirmed_at;
+    }
+}
+
 /// Prepares for what a source shows that was restored from an older copy.
 void published_state::begin_era(time_point now)
 {
+    begin_version_check();
     m_had_outage = true;
     m_restoring_until = now + m_options.restoring_time;
     m_former_evacuations = m_last.evacuated_domains;
@@ -76,7 +85,7 @@
 state_change published_state::confirm(time_point confirmed_at, time_point now)
 {
     state_change change;
-    m_confirmed_at = std::max(m_confirmed_at, confirmed_at);
+    set_confirmed(confirmed_at);
     if (now >= m_restoring_until && !m_former_evacuations.empty()) {
         m_former_evacuations.clear();
         change.is_configuration_changed = m_last.evacuated_domains != m_listed_evacuations;
--- a/src/gateway/configuration/published_state.h
+++ b/src/gateway/configuration/published_state.h
@@ -66,6 +66,19 @@
 
     /// Records a failed read of the source.
     void on_failure() noexcept { m_had_outage = true; }
+
+    /// Withholds trust in the source until `end_version_check()`: it may have been restored from a
+    /// copy that is older than what other hosts hold. Called at the start of the process; also done
+    /// where a reading is of a new era.
+    void begin_version_check() noexcept { m_is_version_checked = false; }
+
+    /// Records that no other host holds a higher version, as far as can be told (see
+    /// `version_check`).
+    void end_version_check() noexcept
+    {
+        m_is_version_checked = true;
+        m_trusted_at = m_confirmed_at;
+    }
     /// @}
 
     /// @name state
@@ -84,12 +97,21 @@
     }
 
     /// Whether API keys may be accepted: a configuration is known and was confirmed up to date
-    /// within the key lease, so a key's withdrawal is missed for no longer than the lease.
+    /// within the key lease, so a key's withdrawal is missed for no longer than the lease. What is
+    /// confirmed while the version has yet to be checked doesn't count.
     [[nodiscard]] bool may_accept_keys(time_point now) const noexcept
     {
-        return m_last.published != nullptr && now < m_confirmed_at + m_options.key_lease;
+        return m_last.published != nullptr && m_trusted_at != time_point{} &&
+               now < m_trusted_at + m_options.key_lease;
     }
 
+    /// Whether the held version was compared with those of other hosts since the start of the process
+    /// and of the source's era.
+    [[nodiscard]] bool is_version_checked() const noexcept { return m_is_version_checked; }
+
+    /// Whether any version was since the start of the process.
+    [[nodiscard]] bool has_been_trusted() const noexcept { return m_trusted_at != time_point{}; }
+
     /// Time since the held state was last confirmed up to date.
     [[nodiscard]] duration age(time_point now) const noexcept { return now - m_confirmed_at; }
     /// @}
@@ -101,6 +123,7 @@
     };
 
     void begin_era(time_point now);
+    void set_confirmed(time_point confirmed_at) noexcept;
     void keep_evacuations(published_reading& reading, time_point now);
     [[nodiscard]] std::optional<endpoint_entry> newest_of(const endpoint_entry& entry) const;
     [[nodiscard]] std::map<std::string, endpoint_entry>
@@ -112,6 +135,9 @@
     published_reading m_last;
     std::map<std::string, endpoint_entry> m_endpoints;
     time_point m_confirmed_at{};
+    time_point
+        m_trusted_at{}; ///< the same, for keys; unset until the first version check has ended
+    bool m_is_version_checked = true;
     time_point m_settling_until{};
     time_point m_restoring_until{};
     std::set<std::string> m_listed_evacuations;        ///< by the last reading
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -450,6 +450,7 @@
     message.set_has_configuration(sent.has_configuration);
     message.set_configuration_version(sent.configuration_version);
     message.set_configuration_age_ms(to_ms(sent.configuration_age));
+    message.set_is_configuration_checked(sent.is_configuration_checked);
     message.set_change_era(sent.operator_change.era);
     message.set_change_revision(sent.operator_change.revision);
     message.set_all_endpoints_warm(sent.all_endpoints_warm);
@@ -488,6 +489,7 @@
     received.has_configuration = message.has_configuration();
     received.configuration_version = message.configuration_version();
     received.configuration_age = milliseconds{message.configuration_age_ms()};
+    received.is_configuration_checked = message.is_configuration_checked();
     received.operator_change = {message.change_era(), message.change_revision()};
     received.all_endpoints_warm = message.all_endpoints_warm();
     received.interval = std::min(milliseconds{message.interval_ms()}, max_interval);
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -129,6 +129,8 @@
     bool has_configuration = false;
     std::uint64_t configuration_version = 0;
     duration configuration_age{0}; ///< since it was confirmed up to date
+    /// Whether the host has compared its version with those of other hosts (see `version_check`).
+    bool is_configuration_checked = false;
     /// Newest change of the configuration or of an evacuation that the host knows.
     source_position operator_change;
     duration interval{0}; ///< maximum time until the next heartbeat to this receiver
--- a/src/gateway/serving/gateway_listeners.cpp
+++ b/src/gateway/serving/gateway_listeners.cpp
@@ -91,7 +91,12 @@
 
 bool gateway::is_ready() const
 {
-    return !m_is_stopping && m_state.published() != nullptr && m_callers.is_listening();
+    const publication_ptr& published = m_state.published();
+    if (m_is_stopping || published == nullptr || !m_callers.is_listening()) {
+        return false;
+    }
+    // until then, a host that has started refuses each request with a key
+    return m_state.has_been_trusted() || !published->needs_keys();
 }
 
 /// Bounds the memory and the descriptors that clients of the listeners use.
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -47,6 +47,7 @@
         state.has_configuration = true;
         state.configuration_version = published->version;
         state.configuration_age = m_state.age(now);
+        state.is_configuration_checked = m_state.is_version_checked();
         state.operator_change = m_follower.operator_change();
         for (const auto& [name, of] : published->services()) {
             state.services[name] = m_pool.free_capacity(of, now);
@@ -125,6 +126,7 @@
         m_metrics.count("heartbeat_unreadable");
         return;
     }
+    m_follower.check_version(now);
     for (const usage_report& report : news.usage) {
         m_usage.on_report(report, now);
     }
--- a/tests/gateway/published_state_test.cpp
+++ b/tests/gateway/published_state_test.cpp
@@ -58,6 +58,49 @@
     CHECK_FALSE(state.may_accept_keys(start + 5s));
 }
 
+// guards against CONFIG: a host that starts on a restored source accepts a withdrawn key
+TEST_CASE("keys are accepted only once the version was checked after the start")
+{
+    published_state state{{.key_lease = 4s}};
+    state.begin_version_check();
+    state.apply(make_configuration(1, 1), start, start);
+    state.confirm(start + 1s, start + 1s);
+    CHECK_FALSE(state.may_accept_keys(start + 1s));
+    CHECK_FALSE(state.has_been_trusted());
+    state.end_version_check();
+    CHECK(state.may_accept_keys(start + 4s));
+    CHECK_FALSE(state.may_accept_keys(start + 5s));
+    CHECK(state.has_been_trusted());
+}
+
+// guards against CONFIG: a host that was frozen or cut off over a restoration of the source takes
+// what that shows for the newest configuration
+TEST_CASE("what a source of a new era shows extends the key lease once the version was checked")
+{
+    published_state state{{.key_lease = 4s}};
+    state.apply(make_configuration(1, 1), start, start);
+    published_reading restored = make_configuration(1, 1);
+    restored.position.era = 1;
+    SUBCASE("while the lease lasts")
+    {
+        state.apply(restored, start + 3s, start + 3s);
+        CHECK(state.may_accept_keys(start + 3s));
+        CHECK_FALSE(state.may_accept_keys(start + 4s));
+        state.end_version_check();
+        CHECK(state.may_accept_keys(start + 6s));
+    }
+    SUBCASE("after its end")
+    {
+        state.apply(restored, start + 9s, start + 9s);
+        CHECK_FALSE(state.is_version_checked());
+        CHECK_FALSE(state.may_accept_keys(start + 9s));
+        state.confirm(start + 10s, start + 10s);
+        CHECK_FALSE(state.may_accept_keys(start + 10s));
+        state.end_version_check();
+        CHECK(state.may_accept_keys(start + 10s));
+    }
+}
+
 TEST_CASE("neither the revision nor the version decreases")
 {
     published_state state{{}};
--- a/tests/scenarios/gateway_restored_store_test.cpp
+++ b/tests/scenarios/gateway_restored_store_test.cpp
@@ -80,6 +80,35 @@
         return true;
     }
 
+    /// Kills a gateway, starts it again, and asks it all the time until it has been ready for a while.
+    /// Returns how many requests with `api_key` ran.
+    int count_runs_over_restart(std::size_t host, const std::string& target,
+                                const std::string& api_key)
+    {
+        constexpr auto asking_time = 3s;
+        constexpr auto asking_interval = 10ms;
+        m_gateways.restart(host);
+        std::vector<std::shared_ptr<world_answer>> answers;
+        const time_point end = boot_clock::now() + asking_time;
+        time_point next = boot_clock::now();
+        while (boot_clock::now() < end) {
+            answers.push_back(
+                m_gateways.ask(host, target, fmt::format("{:016x}", ++m_sent), api_key));
+            next += asking_interval;
+            while (boot_clock::now() < next) {
+                world().loop().restart();
+                world().loop().run_one_for(1ms);
+            }
+        }
+        int runs = 0;
+        for (const auto& answer : answers) {
+            REQUIRE(world().run_until([&] { return answer->has_ended; }));
+            runs += answer->status == 200 ? 1 : 0;
+        }
+        m_gateways.wait_until_ready();
+        return runs;
+    }
+
     /// Kills a gateway and starts it again.
     void restart(std::size_t host)
     {
@@ -161,3 +190,19 @@
     CHECK(day.becomes("/v2/x", 200));
     CHECK(day.status(0, "/v1/x", second_key) == 401);
 }
+
+// guards against CONFIG: a gateway that started on a restored store accepted a withdrawn key until it
+// had fetched the newer configuration
+TEST_CASE("a gateway that starts on a restored store runs no request with a withdrawn key")
+{
+    restored_store day{true};
+    REQUIRE(day.becomes("/v1/x", 200, second_key));
+    day.world().copy_store();
+    day.publish(2, {key});
+    REQUIRE(day.becomes("/v1/x", 401, second_key));
+
+    day.world().restore_store();
+    day.wait_for_reads(8);
+    CHECK(day.count_runs_over_restart(0, "/v1/x", second_key) == 0);
+    CHECK(day.status(0, "/v1/x") == 200);
+}
