Take a region for heard while its digests arrive

Callers: where 5% of the heartbeats are lost, a host took a whole region for lost for some 200 ms, so that it sent none of its requests there.

Cause: the list of hosts names those of a region one after the other, in about a third of two seconds. A host that misses them hears of none of the region's hosts until the next round, though each digest tells the region's state.

Change: the state of a region, which is as old as a heartbeat of one of its hosts, counts as hearing the region.

The new test of member_table fails before.

--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -240,6 +240,7 @@
     if (reported_at > known.services_seen) {
         known.services = std::move(services);
         known.services_seen = reported_at;
+        known.last_seen = std::max(known.last_seen, reported_at);
     }
 }
 
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -91,7 +91,8 @@
     /// @return whether the host was recorded as lost
     bool on_silence(const std::string& ip, time_point now);
 
-    /// Records the capacity of a region, reported at `reported_at`, unless a newer one is known.
+    /// Records the capacity of a region, by a heartbeat of one of its hosts that was received at
+    /// `reported_at`, here or elsewhere, unless a newer one is known.
     void on_services(const std::string& region, service_loads services, time_point reported_at);
 
     /// Adds hosts named in the settings; those already known as seeds are left as they are.
--- a/tests/gateway/member_table_test.cpp
+++ b/tests/gateway/member_table_test.cpp
@@ -230,3 +230,14 @@
     members.expire(start + 13'950ms);
     CHECK(members.live(start + 13'950ms).size() == 1);
 }
+
+// guards against hosts taken for lost: the list of hosts names those of a region one after the other,
+// and a host that missed them took the whole region for lost while its digests arrived
+TEST_CASE("a region whose digests arrive is heard, also while none of its hosts is named")
+{
+    member_table members{"10.0.0.1", {}, {.relay_timeout = 2'600ms}};
+    members.on_report(make_report("10.2.0.1", 1), "r", "d", 2s, start);
+    members.on_services("r", {}, start + 2s);
+    CHECK(members.live(start + 3s).size() == 1);
+    CHECK(members.live(start + 4'700ms).empty()); // the digests have stopped
+}
