Count hosts that may exist, and introduce regions through any that hears both

Callers: organisations got up to 1.6 times their limit in three regions whose seeds were all in one of them, and twice in fleets of more regions.

Cause: a host's share of a limit is the live hosts by the known ones, and nobody named the hosts of a third region. Regions that name no seed in each other never met, and each took itself for the whole fleet. Where two regions lost each other, both counted the regions between them as theirs.

Change: heartbeats name the regions that the sender doesn't hear; who hears them answers with their hosts, which are contacted, and with their usage. A region of the settings that nobody has named counts as large as the largest known one. A host that has heard nobody assumes start.assumed_hosts in each region. The rate at cold endpoints depends on the hosts of the own region only.

--- a/src/gateway/limits/cold_allowance.h
+++ b/src/gateway/limits/cold_allowance.h
@@ -12,7 +12,7 @@
     /// This host owns the endpoint by rendezvous hashing among the live hosts of its region that
     /// are not leaving.
     bool is_owner = false;
-    bool all_hosts_live = false; ///< every known host is live
+    bool all_hosts_live = false; ///< every host of the region that is known is live
     /// This side of a partition, if there is one, is large enough to send (see `cold_side`).
     bool is_large_side = false;
 };
--- a/src/gateway/limits/cold_owner.cpp
+++ b/src/gateway/limits/cold_owner.cpp
@@ -2,7 +2,7 @@
 
 #include "gateway/routing/rendezvous.h"
 
-#include <algorithm> // none_of
+#include <algorithm> // all_of, none_of
 #include <cstddef>   // size_t
 #include <cstdint>   // uint64_t
 
@@ -38,6 +38,16 @@
     return live * max_cold_sides >= known;
 }
 
+/// Whether all hosts of `region` that are known are live, and all seeds are known: one that isn't may
+/// be of the region.
+bool are_all_live(const member_table& members, const std::string& region, time_point now)
+{
+    return members.unknown_seeds() == 0 &&
+           std::all_of(members.all().begin(), members.all().end(), [&](const auto& item) {
+               return item.second.last.region != region || members.is_live(item.second, now);
+           });
+}
+
 } // namespace
 
 bool is_cold_owner(const member_table& members, const cold_owner_candidate& own,
@@ -69,7 +79,7 @@
                                  const cold_side& side, std::string_view endpoint, time_point now)
 {
     return {.is_owner = is_cold_owner(members, own, endpoint, now),
-            .all_hosts_live = members.live_count(now) >= members.known_count(),
+            .all_hosts_live = are_all_live(members, own.region, now),
             .is_large_side = side.may_send(now)};
 }
 
--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -2,7 +2,7 @@
 
 #include "gateway/membership/aggregator_choice.h"
 
-#include <algorithm> // find_if, min, nth_element
+#include <algorithm> // any_of, find, find_if, max, min, nth_element
 #include <cstddef>   // ptrdiff_t
 #include <set>       // set
 #include <tuple>     // tuple
@@ -25,7 +25,16 @@
             .configuration_age = host.last.configuration_age};
 }
 
-std::vector<member_group> to_groups(const std::vector<const member*>& hosts, time_point now)
+/// Report about a host whose heartbeats the receiver, or the sender, doesn't hear.
+relayed_member to_introduction(const member& host, time_point now)
+{
+    relayed_member introduced = to_report(host, now);
+    introduced.age = now - std::max(host.last_seen, host.introduced_at);
+    return introduced;
+}
+
+std::vector<member_group> to_groups(const std::vector<const member*>& hosts, time_point now,
+                                    relayed_member (*to_entry)(const member&, time_point))
 {
     std::map<std::tuple<std::string, std::string>, member_group> groups;
     for (const member* host : hosts) {
@@ -33,7 +42,7 @@
         member_group& group = groups[{last.region, last.failure_domain}];
         group.region = last.region;
         group.failure_domain = last.failure_domain;
-        group.members.push_back(to_report(*host, now));
+        group.members.push_back(to_entry(*host, now));
     }
     std::vector<member_group> result;
     result.reserve(groups.size());
@@ -43,6 +52,16 @@
     return result;
 }
 
+std::vector<const member*> to_list(const std::map<std::string, const member*>& hosts)
+{
+    std::vector<const member*> list;
+    list.reserve(hosts.size());
+    for (const auto& [ip, host] : hosts) {
+        list.push_back(host);
+    }
+    return list;
+}
+
 void add(endpoint_loads& sums, const endpoint_loads& loads)
 {
     for (const auto& [hash, load] : loads) {
@@ -163,6 +182,7 @@
     if (change == member_change::none) {
         return news;
     }
+    m_has_heard = true;
     news.all_endpoints_warm = is_own_region && all_endpoints_warm;
     m_schedule.on_heartbeat(ip, header.region, wanted, now);
     if (change != member_change::updated) {
@@ -216,10 +236,14 @@
             }
         }
     }
+    read_introductions(digest, now);
     if (received.region != m_own.region) {
         read_other_region({received.region, received.ip, received.incarnation, duration{0},
-                           received.services, digest.used, digest.refused},
+                           digest.known_hosts, received.services, digest.used, digest.refused},
                           news, now);
+        for (const region_state& state : digest.regions) {
+            read_relayed_usage(state, news, now);
+        }
         return;
     }
     if (digest.hosts > 0) {
@@ -246,21 +270,51 @@
     }
 }
 
+void fleet_membership::read_introductions(const region_digest& digest, time_point now)
+{
+    for (const member_group& group : digest.introduced) {
+        for (const relayed_member& introduced : group.members) {
+            m_members.on_introduction(introduced, group.region, group.failure_domain,
+                                      digest.rotation, now);
+        }
+    }
+}
+
+/// Records the state of a region by the digest of one of its hosts, received here or in this region.
 void fleet_membership::read_other_region(region_state state, received_news& news, time_point now)
+{
+    const time_point reported_at = now - state.age;
+    const std::string region = state.region;
+    const service_loads services = state.services;
+    if (hold_region(std::move(state), news, now)) {
+        m_members.on_services(region, services, reported_at);
+        news.regions.push_back(region);
+    }
+}
+
+/// Records what the hosts of a region use, as passed on by a host of a third one. The region can't
+/// be reached by that.
+void fleet_membership::read_relayed_usage(region_state state, received_news& news, time_point now)
+{
+    state.services.clear();
+    hold_region(std::move(state), news, now);
+}
+
+/// Holds the state of another region, and reports its usage, if it is the newest of its host.
+bool fleet_membership::hold_region(region_state state, received_news& news, time_point now)
 {
     if (state.region == m_own.region) {
-        return;
+        return false;
     }
     const time_point reported_at = now - state.age;
     held_region& held = m_regions[state.region][state.ip];
     if (reported_at <= held.received) {
-        return;
+        return false;
     }
-    m_members.on_services(state.region, state.services, reported_at);
-    news.regions.push_back(state.region);
     news.usage.push_back(
         {state.region, state.ip, state.incarnation, state.used, state.refused, state.age});
     held = {std::move(state), reported_at};
+    return true;
 }
 
 std::vector<std::string> fleet_membership::expire(time_point now)
@@ -281,6 +335,95 @@
     return m_members.expire(now);
 }
 
+// size of the fleet
+
+fleet_size fleet_membership::size(time_point now) const
+{
+    fleet_size size{1, expected_hosts(now)};
+    for (const auto& [ip, host] : m_members.all()) {
+        const bool is_accounted =
+            m_members.is_live(host, now) ||
+            (m_members.is_heard_elsewhere(host, now) && knows_usage(host.last.region, now));
+        size.accounted += is_accounted ? 1 : 0;
+    }
+    size.expected = std::max(size.expected, size.accounted);
+    return size;
+}
+
+/// Returns the number of hosts that may be running, with this one.
+std::size_t fleet_membership::expected_hosts(time_point now) const
+{
+    const bool may_assume = !m_started || now - *m_started < m_options.assumption_time;
+    const bool has_others = !m_members.seeds().empty() || m_options.regions.size() > 1;
+    if (!m_has_heard && has_others && may_assume) {
+        return m_options.assumed_hosts * std::max<std::size_t>(1, m_options.regions.size());
+    }
+    std::map<std::string, std::size_t> known{{m_own.region, 1}};
+    for (const auto& [ip, host] : m_members.all()) {
+        ++known[host.last.region];
+    }
+    std::size_t largest = 1;
+    std::size_t sum = m_members.unknown_seeds();
+    for (auto& [region, hosts] : known) {
+        // a region that was replaced by other hosts doesn't know its former ones
+        const std::size_t stated = stated_hosts(region, now);
+        hosts = stated > 0 ? std::min(hosts, stated) : hosts;
+        largest = std::max(largest, hosts);
+        sum += hosts;
+    }
+    if (may_assume) {
+        for (const std::string& region : m_options.regions) {
+            sum += known.contains(region) ? 0 : largest;
+        }
+    }
+    return sum;
+}
+
+/// Whether what the hosts of another region use becomes known here.
+bool fleet_membership::knows_usage(const std::string& region, time_point now) const
+{
+    const auto found = m_regions.find(region);
+    return found != m_regions.end() &&
+           std::any_of(found->second.begin(), found->second.end(), [&](const auto& item) {
+               return now - item.second.received < m_options.max_region_age;
+           });
+}
+
+/// Returns the most hosts that a host of another region says to know of that region; 0: none says.
+std::uint32_t fleet_membership::stated_hosts(const std::string& region, time_point now) const
+{
+    std::uint32_t most = 0;
+    const auto found = m_regions.find(region);
+    if (found == m_regions.end()) {
+        return most;
+    }
+    for (const auto& [ip, held] : found->second) {
+        if (now - held.received < m_options.max_region_age) {
+            most = std::max(most, held.state.known_hosts);
+        }
+    }
+    return most;
+}
+
+/// Returns the regions of which this region hears no host.
+std::vector<std::string> fleet_membership::unheard_regions(time_point now) const
+{
+    std::set<std::string> regions = m_options.regions;
+    for (const auto& [region, state] : m_members.regions()) {
+        if (!state.hosts.empty()) {
+            regions.insert(region);
+        }
+    }
+    regions.erase(m_own.region);
+    std::vector<std::string> unheard;
+    for (const std::string& region : regions) {
+        if (!m_members.has_live_host(region, now)) {
+            unheard.push_back(region);
+        }
+    }
+    return unheard;
+}
+
 void fleet_membership::note_change(const std::string& ip)
 {
     const auto found = std::find_if(m_changes.begin(), m_changes.end(),
@@ -356,6 +499,8 @@
     state.region = m_own.region;
     state.incarnation = m_own.incarnation;
     state.sequence = ++m_sequence;
+    state.unheard_regions = unheard_regions(now);
+    m_started = m_started.value_or(now);
     m_last_sent = std::move(state);
     for (const load_report& report : m_last_sent.loads) {
         hold_load(report, now - report.age);
@@ -363,13 +508,19 @@
     const std::vector<heartbeat_recipient> recipients =
         m_schedule.choose(m_members, m_sequence, m_last_sent.is_leaving, now);
     const region_digest digest = collect_digest(now);
-    std::map<std::tuple<heartbeat_content, digest_subscription, std::string>, std::string> encoded;
+    using variant =
+        std::tuple<heartbeat_content, digest_subscription, std::string, std::vector<std::string>>;
+    std::map<variant, std::string> encoded;
     std::vector<outgoing_heartbeat> sent;
     sent.reserve(recipients.size());
     for (const heartbeat_recipient& recipient : recipients) {
-        std::string& datagram = encoded[{recipient.content, recipient.wanted, recipient.region}];
+        const bool is_summary = recipient.content == heartbeat_content::summary;
+        const std::vector<std::string> unheard =
+            is_summary ? regions_unheard_by(recipient.ip) : std::vector<std::string>{};
+        std::string& datagram =
+            encoded[{recipient.content, recipient.wanted, recipient.region, unheard}];
         if (datagram.empty()) {
-            datagram = make_datagram(recipient, digest, now);
+            datagram = make_datagram(recipient, unheard, digest, now);
         }
         sent.push_back({recipient.ip, datagram});
     }
@@ -490,12 +641,25 @@
     digest.restarts = collect_restarts(now);
     digest.cold_endpoints = collect_cold_endpoints(now);
     digest.loads = collect_loads(now);
+    digest.known_hosts = 1;
+    for (const auto& [ip, host] : m_members.all()) {
+        digest.known_hosts += host.last.region == m_own.region ? 1 : 0;
+    }
     digest.rotation =
         m_options.schedule.heartbeat_interval * static_cast<int>(m_options.digest_rotation);
     return digest;
 }
 
+/// Returns the regions of which a host of another region last said that it hears none of them.
+std::vector<std::string> fleet_membership::regions_unheard_by(const std::string& ip) const
+{
+    const member* const host = m_members.find(ip);
+    return host == nullptr ? std::vector<std::string>{} : host->last.unheard_regions;
+}
+
+/// @param unheard regions that the recipient doesn't hear
 std::string fleet_membership::make_datagram(const heartbeat_recipient& recipient,
+                                            const std::vector<std::string>& unheard,
                                             const region_digest& collected, time_point now) const
 {
     heartbeat sent = m_last_sent;
@@ -513,8 +677,11 @@
     sent.digest = collected;
     const bool is_summary = recipient.content == heartbeat_content::summary;
     const std::string& region = is_summary ? recipient.region : m_own.region;
-    sent.digest->members = to_groups(hosts_to_name(recipient.content, region, now), now);
+    sent.digest->members = to_groups(hosts_to_name(recipient.content, region, now), now, to_report);
+    sent.digest->introduced =
+        to_groups(hosts_to_introduce(recipient.content, unheard, now), now, to_introduction);
     if (is_summary) {
+        sent.digest->regions = usage_to_pass_on(unheard, now);
         sent.used.clear(); // the digest includes it
         sent.refused.clear();
         return encode(sent, heartbeat_scope::fleet);
@@ -551,6 +718,21 @@
            m_options.digest_rotation;
 }
 
+/// Returns the next part of the list of hosts, live or not.
+std::vector<const member*> fleet_membership::next_part(heartbeat_content content) const
+{
+    const auto& all = m_members.all();
+    const auto found = m_positions.find(content);
+    auto it = all.lower_bound(found == m_positions.end() ? "" : found->second);
+    std::vector<const member*> part;
+    for (std::size_t left = std::min(part_of_list(content), all.size()); left > 0; --left) {
+        it = it == all.end() ? all.begin() : it;
+        part.push_back(&it->second);
+        ++it;
+    }
+    return part;
+}
+
 /// Returns the hosts on which a heartbeat for `region` reports: those whose state has changed, the
 /// first ones of the region's order of aggregators, and the next part of the list.
 std::vector<const member*> fleet_membership::hosts_to_name(heartbeat_content content,
@@ -573,23 +755,56 @@
     for (const std::string& ip : choose_aggregators(candidates, m_options.introduced_hosts)) {
         named[ip] = m_members.find(ip);
     }
-    const auto found = m_positions.find(content);
-    auto it = m_members.all().lower_bound(found == m_positions.end() ? "" : found->second);
-    for (std::size_t left = std::min(part_of_list(content), m_members.all().size()); left > 0;
-         --left) {
-        it = it == m_members.all().end() ? m_members.all().begin() : it;
-        const member& host = it->second;
-        if (is_in_list(content, host) && m_members.is_live(host, now)) {
-            named[it->first] = &host;
+    for (const member* host : next_part(content)) {
+        if (is_in_list(content, *host) && m_members.is_live(*host, now)) {
+            named[host->last.ip] = host;
+        }
+    }
+    return to_list(named);
+}
+
+/// Returns the hosts of which a heartbeat tells only that they exist: of the next part of the list,
+/// those that this host doesn't hear, in a summary only hosts of its own region, and those of the
+/// regions that the recipient doesn't hear. The first ones of such a region's order of aggregators
+/// are always told, so that the recipient finds them at once.
+std::vector<const member*>
+fleet_membership::hosts_to_introduce(heartbeat_content content,
+                                     const std::vector<std::string>& unheard, time_point now) const
+{
+    std::map<std::string, const member*> introduced; // by ip
+    for (const std::string& region : unheard) {
+        std::vector<aggregator_candidate> candidates;
+        for (const auto& [ip, host] : m_members.all()) {
+            if (host.last.region == region && m_members.is_live(host, now)) {
+                candidates.push_back({ip, host.last.failure_domain});
+            }
+        }
+        for (const std::string& ip : choose_aggregators(candidates, m_options.introduced_hosts)) {
+            introduced[ip] = m_members.find(ip);
         }
-        ++it;
     }
-    std::vector<const member*> hosts;
-    hosts.reserve(named.size());
-    for (const auto& [ip, host] : named) {
-        hosts.push_back(host);
+    for (const member* host : next_part(content)) {
+        const bool is_unheard =
+            std::find(unheard.begin(), unheard.end(), host->last.region) != unheard.end();
+        if (is_unheard || (is_in_list(content, *host) && !m_members.is_live(*host, now))) {
+            introduced[host->last.ip] = host;
+        }
+    }
+    return to_list(introduced);
+}
+
+/// Returns what the hosts of `regions` use, for a host that doesn't hear them.
+std::vector<region_state>
+fleet_membership::usage_to_pass_on(const std::vector<std::string>& regions, time_point now) const
+{
+    std::vector<region_state> passed_on = regions_to_pass_on(now);
+    std::erase_if(passed_on, [&regions](const region_state& state) {
+        return std::find(regions.begin(), regions.end(), state.region) == regions.end();
+    });
+    for (region_state& state : passed_on) {
+        state.services.clear(); // its capacity is for those who reach it
     }
-    return hosts;
+    return passed_on;
 }
 
 /// Returns the state of each other region as one of its hosts reports it; the same host each time
--- a/src/gateway/membership/fleet_membership.h
+++ b/src/gateway/membership/fleet_membership.h
@@ -14,6 +14,7 @@
 #include <deque>         // deque
 #include <map>           // map
 #include <optional>      // optional
+#include <set>           // set
 #include <string>        // string
 #include <string_view>   // string_view
 #include <unordered_map> // unordered_map
@@ -30,8 +31,20 @@
     std::uint64_t incarnation = 0;
 };
 
+/// Hosts among which what the fleet may use is divided.
+struct fleet_size {
+    std::size_t accounted = 1; ///< whose usage becomes known here, with this host
+    std::size_t expected = 1;  ///< that may be running, with this host
+};
+
 struct fleet_membership_options {
     member_table_options members;
+    std::set<std::string> regions; ///< of the fleet, by the settings
+    /// Hosts of each region that a host assumes which has heard no other since its start.
+    std::size_t assumed_hosts = 32;
+    /// Time after the start in which a region of which no host is known is assumed to have hosts. It
+    /// is longer than regions are cut off from each other.
+    duration assumption_time = std::chrono::hours{2};
     heartbeat_schedule_options schedule;
     /// Number of digests in which the list of known hosts is sent once.
     std::size_t digest_rotation = 10;
@@ -114,6 +127,16 @@
     [[nodiscard]] member_table& members() noexcept { return m_members; }
     [[nodiscard]] const heartbeat_schedule& schedule() const noexcept { return m_schedule; }
 
+    /// Returns how many hosts there may be, and of how many the usage is known here.
+    ///
+    /// Who isn't heard isn't taken for gone: hosts that have fallen silent count while they are in the
+    /// table, and a region of the settings of which no host is known as if it were as large as the
+    /// largest known one. A host that has heard no other since its start can't tell how many there
+    /// are, and assumes many. So the parts of a fleet that don't know each other together use no more
+    /// than all of it.
+    /// O(hosts).
+    [[nodiscard]] fleet_size size(time_point now) const;
+
     /// Returns the load that the other hosts of this region have placed on its endpoints, as summed
     /// by the aggregator, this host included, that hears the most hosts.
     [[nodiscard]] endpoint_loads peer_loads(time_point now) const;
@@ -164,7 +187,13 @@
     [[nodiscard]] std::vector<load_report> collect_loads(time_point now) const;
     void mark_loads_sent(time_point now);
     void read_digest(const heartbeat& received, received_news& news, time_point now);
+    void read_introductions(const region_digest& digest, time_point now);
     void read_other_region(region_state state, received_news& news, time_point now);
+    void read_relayed_usage(region_state state, received_news& news, time_point now);
+    bool hold_region(region_state state, received_news& news, time_point now);
+    [[nodiscard]] bool knows_usage(const std::string& region, time_point now) const;
+    [[nodiscard]] std::uint32_t stated_hosts(const std::string& region, time_point now) const;
+    [[nodiscard]] std::size_t expected_hosts(time_point now) const;
 
     [[nodiscard]] summed_loads own_sums(time_point now) const;
     [[nodiscard]] summed_loads best_sums(time_point now) const;
@@ -172,12 +201,21 @@
     [[nodiscard]] std::vector<cold_report> collect_cold_endpoints(time_point now) const;
     [[nodiscard]] std::vector<restart_report> collect_restarts(time_point now) const;
     [[nodiscard]] std::string make_datagram(const heartbeat_recipient& recipient,
+                                            const std::vector<std::string>& unheard,
                                             const region_digest& collected, time_point now) const;
     [[nodiscard]] bool is_in_list(heartbeat_content content, const member& host) const;
     [[nodiscard]] std::size_t part_of_list(heartbeat_content content) const;
+    [[nodiscard]] std::vector<const member*> next_part(heartbeat_content content) const;
     [[nodiscard]] std::vector<const member*>
     hosts_to_name(heartbeat_content content, const std::string& region, time_point now) const;
     [[nodiscard]] std::vector<region_state> regions_to_pass_on(time_point now) const;
+    [[nodiscard]] std::vector<region_state>
+    usage_to_pass_on(const std::vector<std::string>& regions, time_point now) const;
+    [[nodiscard]] std::vector<std::string> unheard_regions(time_point now) const;
+    [[nodiscard]] std::vector<std::string> regions_unheard_by(const std::string& ip) const;
+    [[nodiscard]] std::vector<const member*>
+    hosts_to_introduce(heartbeat_content content, const std::vector<std::string>& unheard,
+                       time_point now) const;
     void end_round(const std::vector<heartbeat_recipient>& recipients, time_point now);
     void advance(heartbeat_content content);
 
@@ -187,6 +225,8 @@
     heartbeat_schedule m_schedule;
     usage_totals m_usage; ///< of the other hosts of this region
     std::uint64_t m_sequence = 0;
+    std::optional<time_point> m_started; ///< time of the first heartbeat
+    bool m_has_heard = false;            ///< any other host since the start
 
     heartbeat m_last_sent;                      ///< state of this host
     std::map<std::string, summed_loads> m_sums; ///< by ip of the aggregator
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -155,9 +155,8 @@
     }
 }
 
-void add_group(gossip::region_digest& message, const member_group& group)
+void add_group(gossip::member_group& added_group, const member_group& group)
 {
-    auto& added_group = *message.add_members();
     added_group.set_region(group.region);
     added_group.set_failure_domain(group.failure_domain);
     for (const relayed_member& host : group.members) {
@@ -181,6 +180,7 @@
     added.set_ip(to_number(region.ip));
     added.set_incarnation(region.incarnation);
     added.set_age_ms(to_ms(region.age));
+    added.set_known_hosts(region.known_hosts);
     add_services(added, region.services);
     add_usage(added, region);
 }
@@ -191,14 +191,18 @@
     added.set_hosts(digest.hosts);
     added.set_rotation_ms(to_ms(digest.rotation));
     add_usage(added, digest);
+    added.set_known_hosts(digest.known_hosts);
     for (const member_group& group : digest.members) {
-        add_group(added, group);
+        add_group(*added.add_members(), group);
+    }
+    for (const member_group& group : digest.introduced) {
+        add_group(*added.add_introduced(), group);
+    }
+    for (const region_state& region : digest.regions) {
+        add_region(added, region);
     }
     if (scope == heartbeat_scope::own_region) {
         add_endpoints(added, digest);
-        for (const region_state& region : digest.regions) {
-            add_region(added, region);
-        }
     }
 }
 
@@ -400,11 +404,16 @@
     read_endpoints(message, digest);
     for_each_bounded(message.members(),
                      [&digest](const auto& group) { digest.members.push_back(to_group(group)); });
+    for_each_bounded(message.introduced(), [&digest](const auto& group) {
+        digest.introduced.push_back(to_group(group));
+    });
+    digest.known_hosts = message.known_hosts();
     for_each_bounded(message.regions(), [&digest](const gossip::region_state& region) {
         region_state state{region.region(),
                            to_ip(region.ip()),
                            region.incarnation(),
                            milliseconds{region.age_ms()},
+                           region.known_hosts(),
                            to_services(region),
                            {},
                            {}};
@@ -454,6 +463,8 @@
     message.set_change_era(sent.operator_change.era);
     message.set_change_revision(sent.operator_change.revision);
     message.set_all_endpoints_warm(sent.all_endpoints_warm);
+    message.mutable_unheard_regions()->Add(sent.unheard_regions.begin(),
+                                           sent.unheard_regions.end());
     message.set_interval_ms(to_ms(sent.interval));
     message.set_digests(static_cast<gossip::subscription>(sent.digests));
     add_services(message, sent.services);
@@ -493,6 +504,9 @@
     received.operator_change = {message.change_era(), message.change_revision()};
     received.all_endpoints_warm = message.all_endpoints_warm();
     received.interval = std::min(milliseconds{message.interval_ms()}, max_interval);
+    for_each_bounded(message.unheard_regions(), [&received](const std::string& region) {
+        received.unheard_regions.push_back(region);
+    });
     received.digests = to_subscription(message.digests());
     received.services = to_services(message);
     read_usage(message, received);
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -94,7 +94,8 @@
     std::string region;
     std::string ip; ///< of that host
     std::uint64_t incarnation = 0;
-    duration age{0}; ///< since the receipt of the digest
+    duration age{0};               ///< since the receipt of the digest
+    std::uint32_t known_hosts = 0; ///< of the region, live or not, by that host; 0: unknown
     service_loads services;
     usage_counts used;    ///< of all hosts of the region
     usage_counts refused; ///< of all hosts of the region
@@ -111,8 +112,12 @@
     std::vector<cold_report> cold_endpoints;
     std::vector<end_report> ended_endpoints;
     std::vector<load_report> loads;    ///< the newest of endpoints, if not in a previous digest
-    std::vector<member_group> members; ///< a part of the known hosts
+    std::vector<member_group> members; ///< a part of the live hosts
+    /// A part of the hosts that are known to the sender, and that it doesn't hear, or the receiver
+    /// doesn't. The receiver learns of them, but not that it can reach them.
+    std::vector<member_group> introduced;
     duration rotation{0};              ///< time in which the digests name every known host
+    std::uint32_t known_hosts = 0;     ///< of the region, live or not, with the sender
     std::vector<region_state> regions; ///< other regions
 };
 
@@ -147,6 +152,9 @@
     std::vector<rate_report> rates;          ///< the newest that this host knows
     std::vector<load_report> loads;          ///< made to this host since the previous heartbeat
     crash_evidence crashes;
+    /// Regions of which the sender's region hears no host. Who hears them introduces their hosts, and
+    /// passes on what they use.
+    std::vector<std::string> unheard_regions;
     digest_subscription digests = digest_subscription::none;
     std::optional<region_digest> digest;
 };
--- a/src/gateway/membership/heartbeat_schedule.cpp
+++ b/src/gateway/membership/heartbeat_schedule.cpp
@@ -2,7 +2,7 @@
 
 #include "gateway/membership/aggregator_choice.h"
 
-#include <algorithm> // any_of, find, max
+#include <algorithm> // any_of, find, max, min
 #include <utility>   // exchange, move
 
 namespace hickorykeel::gateway {
@@ -179,18 +179,48 @@
     }
 }
 
-/// Adds the next hosts, by ip, that are known but not live.
+/// Returns the host that follows `last` among the hosts of `region`, by ip.
+/// Precondition: it has hosts.
+std::string heartbeat_schedule::next_host(const region_members& region, const std::string& last)
+{
+    const member* first = nullptr;
+    const member* next = nullptr;
+    const auto precedes = [](const member* lhs, const member* rhs) {
+        return rhs == nullptr || lhs->last.ip < rhs->last.ip;
+    };
+    for (const member* host : region.hosts) {
+        first = precedes(host, first) ? host : first;
+        next = host->last.ip > last && precedes(host, next) ? host : next;
+    }
+    return (next == nullptr ? first : next)->last.ip;
+}
+
+/// Adds hosts that are known but not live: the next one, by ip, of each other region without a live
+/// host, since any of them makes the others known, and as many others as the limit leaves.
 void heartbeat_schedule::add_lost_hosts(recipients& chosen, const member_table& members,
                                         time_point now)
 {
+    const auto add = [&chosen](const std::string& ip) {
+        chosen.try_emplace(ip, heartbeat_recipient{ip, {}, digest_subscription::primary, {}});
+    };
+    std::map<std::string, std::string> last_unheard; // by region
+    for (const auto& [region, state] : members.regions()) {
+        if (region != m_own.region && !state.hosts.empty() && !members.has_live_host(region, now)) {
+            const std::string ip = next_host(state, m_last_unheard[region]);
+            last_unheard[region] = ip;
+            add(ip);
+        }
+    }
+    m_last_unheard = std::move(last_unheard);
     const auto& all = members.all();
     auto it = all.upper_bound(m_last_lost_host);
-    std::size_t left = m_options.lost_hosts_per_heartbeat;
+    std::size_t left = m_options.lost_hosts_per_heartbeat -
+                       std::min(m_options.lost_hosts_per_heartbeat - 1, m_last_unheard.size());
     for (std::size_t examined = 0; examined < all.size() && left > 0; ++examined) {
         it = it == all.end() ? all.begin() : it;
         const auto& [ip, host] = *it++;
-        if (!members.is_live(host, now)) {
-            chosen.try_emplace(ip, heartbeat_recipient{ip, {}, digest_subscription::primary, {}});
+        if (!members.is_live(host, now) && !m_last_unheard.contains(host.last.region)) {
+            add(ip);
             m_last_lost_host = ip;
             --left;
         }
--- a/src/gateway/membership/heartbeat_schedule.h
+++ b/src/gateway/membership/heartbeat_schedule.h
@@ -50,7 +50,8 @@
     /// Interval, in heartbeats, of the later ones.
     std::uint64_t seed_interval = 10;
     /// Hosts that are known but not live to which an aggregator sends each heartbeat, in turn, so
-    /// that the parts of a partitioned fleet find each other again.
+    /// that the parts of a partitioned fleet find each other again. One of each region without a live
+    /// host is among them, however many these are, and at least one other host.
     std::size_t lost_hosts_per_heartbeat = 2;
 };
 
@@ -137,6 +138,8 @@
                                                 const subscriber& held) const;
     void add_seeds(recipients& chosen, const member_table& members, std::uint64_t sequence,
                    time_point now) const;
+    [[nodiscard]] static std::string next_host(const region_members& region,
+                                               const std::string& last);
     void add_lost_hosts(recipients& chosen, const member_table& members, time_point now);
     void add_former(recipients& chosen);
     [[nodiscard]] std::string primary_of(const member_table& members) const;
@@ -146,7 +149,9 @@
     heartbeat_schedule_options m_options;
     std::vector<std::string> m_aggregators;
     bool m_is_aggregator = false;
-    std::string m_last_lost_host;      ///< ip of the last host that was sent a heartbeat as lost
+    std::string m_last_lost_host; ///< ip of the last host that was sent a heartbeat as lost
+    /// The last host of each region without a live host that was sent a heartbeat, by region.
+    std::map<std::string, std::string> m_last_unheard;
     std::vector<std::string> m_wanted; ///< hosts whose digests were wanted at the last `choose()`
     std::map<std::string, subscriber> m_subscribers; // by ip
     std::map<std::string, contact> m_contacts;       // by ip
--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -1,6 +1,6 @@
 #include "gateway/membership/member_table.h"
 
-#include <algorithm> // count_if, find, max
+#include <algorithm> // any_of, count_if, find, max
 #include <utility>   // move
 
 namespace hickorykeel::gateway {
@@ -33,11 +33,12 @@
                            member_table_options options)
     : m_own_ip{std::move(own_ip)}, m_options{options}
 {
-    add_seeds(seed_ips);
+    set_seeds(seed_ips);
 }
 
-void member_table::add_seeds(const std::vector<std::string>& seed_ips)
+void member_table::set_seeds(const std::vector<std::string>& seed_ips)
 {
+    m_seeds.clear();
     for (const std::string& ip : seed_ips) {
         if (ip != m_own_ip && std::find(m_seeds.begin(), m_seeds.end(), ip) == m_seeds.end()) {
             m_seeds.push_back(ip);
@@ -203,6 +204,32 @@
     return record(*held, seen_at, was_live, was_leaving, has_changed);
 }
 
+void member_table::on_introduction(const relayed_member& introduced, const std::string& region,
+                                   const std::string& failure_domain, duration interval,
+                                   time_point now)
+{
+    const time_point heard_at = now - introduced.age;
+    if (introduced.ip == m_own_ip || heard_at <= time_point{} ||
+        introduced.age >= m_options.retention) {
+        return;
+    }
+    member* const held = find_or_add(introduced.ip);
+    if (held == nullptr) {
+        return;
+    }
+    if (held->region == nullptr) {
+        held->last.ip = introduced.ip;
+        held->last.host = introduced.ip; // its name is known from its own heartbeats only
+        held->last.incarnation = introduced.incarnation;
+        held->last.is_leaving = introduced.is_leaving;
+        held->last.region = region;
+        held->last.failure_domain = failure_domain;
+        assign_region(*held);
+    }
+    held->introduced_at = std::max(held->introduced_at, heard_at);
+    held->introduction_interval = interval;
+}
+
 /// Handles a report that a host's heartbeats have stopped.
 member_change member_table::on_lost(const relayed_member& reported, time_point now)
 {
@@ -252,9 +279,11 @@
         auto& [ip, held] = *it;
         if (!is_live(held, now) && !held.silent_since) {
             held.silent_since = now;
-            lost_hosts.push_back(held.last.host);
+            if (held.last_seen != time_point{}) {
+                lost_hosts.push_back(held.last.host);
+            }
         }
-        if (now - held.last_seen < m_options.retention) {
+        if (now - std::max(held.last_seen, held.introduced_at) < m_options.retention) {
             ++it;
             continue;
         }
@@ -292,11 +321,19 @@
     return found == m_members.end() ? nullptr : &found->second;
 }
 
-std::size_t member_table::known_count() const
+bool member_table::has_live_host(const std::string& region, time_point now) const
+{
+    const auto found = m_regions.find(region);
+    return found != m_regions.end() &&
+           std::any_of(found->second.hosts.begin(), found->second.hosts.end(),
+                       [&](const member* host) { return is_live(*host, now); });
+}
+
+std::size_t member_table::unknown_seeds() const
 {
-    const auto unseen = std::count_if(m_seeds.begin(), m_seeds.end(),
-                                      [this](const auto& ip) { return !m_members.contains(ip); });
-    return m_members.size() + static_cast<std::size_t>(unseen) + 1;
+    return static_cast<std::size_t>(
+        std::count_if(m_seeds.begin(), m_seeds.end(),
+                      [this](const auto& ip) { return !m_members.contains(ip); }));
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -28,12 +28,16 @@
 /// A host that sends heartbeats, to this host or to others that report its state.
 struct member {
     heartbeat last; ///< the last one received here; its state fields are kept up to date by reports
-    time_point last_seen{};           ///< receipt of its last heartbeat, here or elsewhere
-    time_point heard_at{};            ///< receipt of its last heartbeat here
-    std::uint64_t heard_sequence = 0; ///< of its last heartbeat here
-    duration report_interval{0};      ///< between reports of other hosts about it; 0: none yet
-    time_point leaving_since{};       ///< receipt of the news that it is leaving, if it is
-    bool is_lost = false;             ///< its heartbeats have stopped, here or at another host
+    time_point last_seen{}; ///< receipt of its last heartbeat, here or elsewhere
+    /// Latest time at which it was heard by a host that has introduced it. Tells that it ran, but not
+    /// that it can be reached from here.
+    time_point introduced_at{};
+    duration introduction_interval{0}; ///< between its introductions; 0: none yet
+    time_point heard_at{};             ///< receipt of its last heartbeat here
+    std::uint64_t heard_sequence = 0;  ///< of its last heartbeat here
+    duration report_interval{0};       ///< between reports of other hosts about it; 0: none yet
+    time_point leaving_since{};        ///< receipt of the news that it is leaving, if it is
+    bool is_lost = false;              ///< its heartbeats have stopped, here or at another host
     /// When `member_table::expire()` first found that it isn't live; unset while it is.
     std::optional<time_point> silent_since;
     region_members* region = nullptr;
@@ -86,6 +90,12 @@
     member_change on_report(const relayed_member& reported, const std::string& region,
                             const std::string& failure_domain, duration interval, time_point now);
 
+    /// Records that another host knows a host, which this one may not be able to reach: it isn't live
+    /// by that, but is counted, and is sent heartbeats.
+    /// @param interval maximum time until the next introduction
+    void on_introduction(const relayed_member& introduced, const std::string& region,
+                         const std::string& failure_domain, duration interval, time_point now);
+
     /// Records that the heartbeats of the host at `ip` to this host have stopped unexpectedly. Unless
     /// a later heartbeat is known from a report, the host is not live until one is.
     /// @return whether the host was recorded as lost
@@ -95,8 +105,8 @@
     /// `reported_at`, here or elsewhere, unless a newer one is known.
     void on_services(const std::string& region, service_loads services, time_point reported_at);
 
-    /// Adds hosts named in the settings; those already known as seeds are left as they are.
-    void add_seeds(const std::vector<std::string>& seed_ips);
+    /// Replaces the hosts named in the settings.
+    void set_seeds(const std::vector<std::string>& seed_ips);
 
     /// Removes hosts without a heartbeat for the retention time.
     /// @return names of the hosts that are no longer live, each once until its next heartbeat
@@ -143,11 +153,25 @@
                now - candidate.heard_at < host_timeout(candidate);
     }
 
+    /// Whether `candidate`, which is in the table and isn't live, ran of late by the word of a host that
+    /// hears it.
+    [[nodiscard]] bool is_heard_elsewhere(const member& candidate, time_point now) const noexcept
+    {
+        return now - candidate.introduced_at <
+               candidate.introduction_interval * m_options.max_lost_heartbeats;
+    }
+
+    /// Whether a host of `region` is live.
+    [[nodiscard]] bool has_live_host(const std::string& region, time_point now) const;
+
     /// Whether the settings name the host.
     [[nodiscard]] bool is_seed(const std::string& ip) const;
 
+    /// Number of seeds that aren't in the table.
+    [[nodiscard]] std::size_t unknown_seeds() const;
+
     /// Number of hosts that may be running, with this one: those in the table and the seeds.
-    [[nodiscard]] std::size_t known_count() const;
+    [[nodiscard]] std::size_t known_count() const { return m_members.size() + unknown_seeds() + 1; }
 
     /// Number of live hosts, with this one.
     [[nodiscard]] std::size_t live_count(time_point now) const { return live(now).size() + 1; }
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -50,6 +50,16 @@
     return ips;
 }
 
+fleet_membership_options to_membership_options(const gateway_settings& settings)
+{
+    fleet_membership_options options;
+    options.assumed_hosts = static_cast<std::size_t>(settings.start_assumed_hosts);
+    for (const auto& [failure_domain, region] : settings.regions) {
+        options.regions.insert(region);
+    }
+    return options;
+}
+
 std::uint64_t random_seed()
 {
     std::random_device device;
@@ -68,7 +78,7 @@
       m_fleet{{m_settings.host, m_settings.ip, m_settings.failure_domain, m_settings.region,
                random_seed()},
               to_ips(m_settings.seeds),
-              {}},
+              to_membership_options(m_settings)},
       m_usage{boot_clock::now(), random_seed()}, m_pool{{},
                                                         [this](const std::string& endpoint,
                                                                double rate) {
@@ -349,7 +359,7 @@
     m_settings.seeds = settings.seeds;
     m_settings.drain = settings.drain;
     m_settings.stop_grace = settings.stop_grace;
-    m_fleet.members().add_seeds(to_ips(settings.seeds));
+    m_fleet.members().set_seeds(to_ips(settings.seeds));
     m_log.write(log_line{"reload"}.add("seeds", static_cast<std::int64_t>(settings.seeds.size())));
 }
 
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -223,9 +223,8 @@
         m_log.write(
             log_line{"endpoint_ended"}.add("endpoint", endpoint).add("evidence", "other_hosts"));
     }
-    const member_table& members = m_fleet.members();
-    m_usage.set_share(static_cast<double>(members.live_count(now)) /
-                          static_cast<double>(members.known_count()),
+    const fleet_size size = m_fleet.size(now);
+    m_usage.set_share(static_cast<double>(size.accounted) / static_cast<double>(size.expected),
                       now);
 }
 
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -637,3 +637,66 @@
         CHECK(host.state.rates.size() == (is_of_region ? 1 : 0));
     }
 }
+
+namespace {
+
+/// What a host of another region that hears all regions but `unheard` is sent by an aggregator.
+heartbeat summary_for_host_without(const std::vector<std::string>& unheard)
+{
+    simulated_fleet fleet{{.regions = 4, .domains_per_region = 1, .hosts_per_domain = 4}};
+    for (auto& host : fleet.hosts()) {
+        host.state.services["llm"] = {45ms, 17};
+        host.state.used["o"] = 9;
+    }
+    fleet.start_all();
+    fleet.run_for(4s);
+    heartbeat asking;
+    asking.host = "asking";
+    asking.ip = "10.2.1.9";
+    asking.region = "region-2";
+    asking.incarnation = 77;
+    asking.sequence = 1;
+    asking.digests = digest_subscription::primary;
+    asking.unheard_regions = unheard;
+    auto& aggregator = fleet.hosts().front();
+    aggregator.membership->on_datagram(encode(asking, heartbeat_scope::fleet), fleet.now());
+    for (const outgoing_heartbeat& sent :
+         aggregator.membership->send(aggregator.state, fleet.now())) {
+        if (sent.ip == asking.ip) {
+            const auto received = decode_heartbeat(sent.datagram);
+            REQUIRE(received);
+            return *received;
+        }
+    }
+    FAIL("nothing was sent");
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("a summary tells nothing of third regions that its receiver hears")
+{
+    const heartbeat summary = summary_for_host_without({});
+    REQUIRE(summary.digest);
+    CHECK(summary.digest->regions.empty());
+    CHECK(summary.digest->introduced.empty());
+    CHECK(summary.digest->known_hosts == 4);
+}
+
+// guards against QUOTA: regions whose settings name no seed in each other never met
+TEST_CASE("a summary introduces the hosts of a region that its receiver doesn't hear")
+{
+    const heartbeat summary = summary_for_host_without({"region-4"});
+    REQUIRE(summary.digest);
+    REQUIRE(summary.digest->introduced.size() == 1);
+    const member_group& group = summary.digest->introduced.front();
+    CHECK(group.region == "region-4");
+    CHECK(group.members.size() == 4);
+    for (const member_group& live : summary.digest->members) {
+        CHECK(live.region != "region-4");
+    }
+    REQUIRE(summary.digest->regions.size() == 1);
+    CHECK(summary.digest->regions.front().region == "region-4");
+    CHECK(summary.digest->regions.front().used.contains("o"));
+    CHECK(summary.digest->regions.front().services.empty()); // it isn't reached by that
+}
--- a/tests/gateway/simulated_fleet.h
+++ b/tests/gateway/simulated_fleet.h
@@ -19,6 +19,8 @@
     int regions = 3;
     int domains_per_region = 2;
     int hosts_per_domain = 10;
+    /// Hosts of each region, in one failure domain each; empty: as above.
+    std::vector<int> hosts_by_region{};
     int seeds = 3; ///< of different regions
     std::uint64_t seed = 1;
     double loss = 0; ///< fraction of the datagrams that are lost
@@ -58,6 +60,8 @@
     void kill(std::size_t index) { m_hosts[index].is_running = false; }
     /// A host that was frozen runs on, and receives the datagrams that have waited for it.
     void wake(std::size_t index);
+    /// Names other seeds in the settings of all hosts. Running ones read them at once.
+    void set_seeds(std::vector<std::string> ips);
     void set_filter(link_filter filter) { m_filter = std::move(filter); }
     void run_for(duration span);
     void reset_counters();
@@ -94,6 +98,7 @@
         std::string bytes;
     };
 
+    void add_host(int region, int domain, int number);
     void send(host& from);
     void deliver_until(time_point until);
     void receive(host& to, const std::string& bytes, time_point at);
