Apply settings that change without a signal

Callers: nine hosts that had started while their seeds were down admitted 1.7 times an organisation's limit, though the settings named running seeds after 3 s.

Cause: settings were read at the start, on SIGHUP and on SIGTERM only.

Change: the file's content is compared once a second with the one in force, and applied once two looks have found the same. One with faults, or that can't be read, leaves the running settings in force, with one line in the log. The line reload tells its cause, by which the test of a signal during the start tells the signal from the new look.

--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -158,7 +158,8 @@
       m_gossip{m_loop, [this](std::string_view datagram,
                               time_point arrived_after) { on_datagram(datagram, arrived_after); }},
       m_signals{m_loop}, m_open_timer{m_loop}, m_heartbeat_timer{m_loop}, m_placement_timer{m_loop},
-      m_news_timer{m_loop}, m_stop_timer{m_loop}, m_started{boot_clock::now()}
+      m_news_timer{m_loop}, m_stop_timer{m_loop}, m_settings_timer{m_loop},
+      m_settings_watch{m_parts.loaded_settings_file}, m_started{boot_clock::now()}
 {
     for (const int signal : handled_signals) {
         m_signals.add(signal);
@@ -259,6 +260,9 @@
         m_metrics.count("forward_rejected_" + std::string{reason});
     });
     wait_for_signals();
+    if (m_parts.read_settings_file) {
+        watch_settings(settings_check_interval);
+    }
     m_follower.start();
     run_heartbeat();
     run_loop();
@@ -331,7 +335,7 @@
             return;
         }
         if (signal == SIGHUP) {
-            reload();
+            reload("signal");
         }
         else if (!m_is_stopping) {
             begin_shutdown();
@@ -347,11 +351,38 @@
     }
 }
 
-void gateway::reload()
+/// Looks at the settings file after `delay`, and at intervals from then on.
+void gateway::watch_settings(duration delay)
+{
+    m_settings_timer.expires_after(delay);
+    m_settings_timer.async_wait([this](const asio::error_code& cancelled) {
+        if (!cancelled) {
+            check_settings();
+        }
+    });
+}
+
+void gateway::check_settings()
+{
+    const settings_change change = m_settings_watch.look(m_parts.read_settings_file());
+    if (change == settings_change::complete) {
+        reload("file_changed");
+    }
+    if (change == settings_change::unreadable) {
+        m_log.write(log_line{"settings_unreadable"});
+    }
+    watch_settings(change == settings_change::unsettled ? settings_recheck_interval
+                                                        : settings_check_interval);
+}
+
+/// Applies the settings file, or leaves the running settings in force if it has faults.
+/// @param cause for the log
+void gateway::reload(std::string_view cause)
 {
     const auto loaded = m_parts.reload();
     if (const auto* failure = std::get_if<error>(&loaded)) {
-        m_log.write(log_line{"reload_failed"}.add("error", failure->to_string()));
+        m_log.write(
+            log_line{"reload_failed"}.add("cause", cause).add("error", failure->to_string()));
         return;
     }
     const auto& settings = std::get<gateway_settings>(loaded);
@@ -360,14 +391,16 @@
     m_settings.drain = settings.drain;
     m_settings.stop_grace = settings.stop_grace;
     m_fleet.members().set_seeds(to_ips(settings.seeds));
-    m_log.write(log_line{"reload"}.add("seeds", static_cast<std::int64_t>(settings.seeds.size())));
+    m_log.write(log_line{"reload"}
+                    .add("cause", cause)
+                    .add("seeds", static_cast<std::int64_t>(settings.seeds.size())));
 }
 
 void gateway::begin_shutdown()
 {
     m_is_stopping = true;
     m_shutdown_started = boot_clock::now();
-    reload(); // the grace may have changed without a signal
+    reload("stop"); // the grace may have changed since the last look
     m_log.write(log_line{"stopping"}
                     .add("host", m_settings.host)
                     .add("open_requests", static_cast<std::int64_t>(m_callers.active()))
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -12,14 +12,17 @@
 #include "gateway/serving/protocol_adapter.h"
 #include "gateway/serving/serving_context.h"
 #include "gateway/serving/waiting_queue.h"
+#include "gateway/settings_watch.h"
 #include "process/error.h"
 
-#include <array>      // array
-#include <csignal>    // SIGHUP, SIGINT, SIGTERM
-#include <functional> // function
-#include <memory>     // shared_ptr, unique_ptr
-#include <string>     // string
-#include <vector>     // vector
+#include <array>       // array
+#include <csignal>     // SIGHUP, SIGINT, SIGTERM
+#include <functional>  // function
+#include <memory>      // shared_ptr, unique_ptr
+#include <optional>    // optional
+#include <string>      // string
+#include <string_view> // string_view
+#include <vector>      // vector
 
 #include <asio/io_context.hpp>   // io_context
 #include <asio/signal_set.hpp>   // signal_set
@@ -34,8 +37,13 @@
     std::function<std::unique_ptr<publication_source>(asio::io_context&, http_client&,
                                                       const gateway_settings&)>
         make_source;
-    /// Reloads the settings; called on SIGHUP.
+    /// Reloads the settings; called on SIGHUP, on a stop, and when the file has changed.
     std::function<result<gateway_settings>()> reload;
+    /// Returns the content of the settings file, or nothing if it can't be read. Null: the file isn't
+    /// watched.
+    std::function<std::optional<std::string>()> read_settings_file = nullptr;
+    /// The same at a time before the settings were loaded.
+    std::optional<std::string> loaded_settings_file = {};
 };
 
 /// Signals that a gateway handles, from its construction on.
@@ -98,7 +106,9 @@
     void run_heartbeat();
     void place_waiting();
     void wait_for_signals();
-    void reload();
+    void reload(std::string_view cause);
+    void watch_settings(duration delay);
+    void check_settings();
     void log_replaced(const gateway_settings& settings);
     void begin_shutdown();
     void stop_admission();
@@ -138,6 +148,8 @@
     asio::steady_timer m_placement_timer;
     asio::steady_timer m_news_timer;
     asio::steady_timer m_stop_timer;
+    asio::steady_timer m_settings_timer;
+    settings_watch m_settings_watch;
     time_point m_started;
     time_point m_heartbeat_at{}; ///< the last time that heartbeats were sent
     /// The time before that. Datagrams that are read now arrived after it, also if the process stood
--- a/src/programs/gateway.cpp
+++ b/src/programs/gateway.cpp
@@ -2,15 +2,21 @@
 #include "platform/platform.h"
 #include "process/build_info.h"
 
-#include <chrono>    // milliseconds
-#include <csignal>   // signal, sigprocmask, SIGPIPE
-#include <cstdlib>   // EXIT_FAILURE, EXIT_SUCCESS
-#include <exception> // exception
-#include <iostream>  // cerr, cout
-#include <string>    // string
-#include <thread>    // this_thread::sleep_for
-#include <variant>   // get, get_if
-#include <vector>    // vector
+#include <chrono>       // milliseconds
+#include <csignal>      // signal, sigprocmask, SIGPIPE
+#include <cstdlib>      // EXIT_FAILURE, EXIT_SUCCESS
+#include <exception>    // exception
+#include <filesystem>   // is_regular_file
+#include <fstream>      // ifstream
+#include <iostream>     // cerr, cout
+#include <iterator>     // istreambuf_iterator
+#include <optional>     // nullopt, optional
+#include <string>       // string
+#include <system_error> // error_code
+#include <thread>       // this_thread::sleep_for
+#include <utility>      // move
+#include <variant>      // get, get_if
+#include <vector>       // vector
 
 #include <fcntl.h>  // fcntl, open
 #include <malloc.h> // mallopt
@@ -82,6 +88,18 @@
     }
 }
 
+/// Returns the content of a regular file, or nothing if it can't be read. Others could block.
+std::optional<std::string> read_file(const std::string& path)
+{
+    std::error_code failure;
+    if (!std::filesystem::is_regular_file(path, failure)) {
+        return std::nullopt;
+    }
+    std::ifstream file{path, std::ios::binary};
+    std::string content{std::istreambuf_iterator<char>{file}, {}};
+    return file.bad() || !file.is_open() ? std::nullopt : std::optional{std::move(content)};
+}
+
 using settings_result = std::variant<gateway_settings, std::vector<settings_fault>>;
 
 settings_result load(const std::string& path)
@@ -122,6 +140,7 @@
         std::cout << describe_settings(gateway::gateway_rules());
         return EXIT_SUCCESS;
     }
+    const std::optional<std::string> content = read_file(chosen.settings_path);
     auto loaded =
         chosen.checks_only ? load(chosen.settings_path) : load_at_start(chosen.settings_path);
     if (const auto* faults = std::get_if<std::vector<settings_fault>>(&loaded)) {
@@ -142,8 +161,10 @@
         }
         return std::get<gateway_settings>(std::move(again));
     };
-    gateway::gateway serving{std::get<gateway_settings>(std::move(loaded)),
-                             platform::make_parts(reload)};
+    gateway::gateway_parts parts = platform::make_parts(reload);
+    parts.read_settings_file = [path = chosen.settings_path] { return read_file(path); };
+    parts.loaded_settings_file = content;
+    gateway::gateway serving{std::get<gateway_settings>(std::move(loaded)), std::move(parts)};
     signals.release();
     const auto opened = serving.open();
     if (const auto* failure = std::get_if<error>(&opened)) {
--- a/tests/scenarios/gateway_start_test.cpp
+++ b/tests/scenarios/gateway_start_test.cpp
@@ -49,6 +49,13 @@
     return process.output().find(R"("event":")" + event + '"') != std::string::npos;
 }
 
+/// The same for an event with this cause.
+bool logs(const child_process& process, const std::string& event, const std::string& cause)
+{
+    return process.output().find(R"("event":")" + event + R"(","cause":")" + cause + '"') !=
+           std::string::npos;
+}
+
 bool accepts(const std::string& address)
 {
     asio::io_context loop;
@@ -100,7 +107,7 @@
         pipe.replace(settings);
         read_at_start << settings;
     }
-    CHECK(wait_for([&] { return logs(process, "reload"); }));
+    CHECK(wait_for([&] { return logs(process, "reload", "signal"); }));
     CHECK_FALSE(process.exit_code());
 }
 
@@ -159,3 +166,23 @@
         CHECK(std::filesystem::read_symlink(link) == "/dev/null");
     }
 }
+
+// guards against QUOTA: seeds that the settings came to name without a signal were never used, and
+// hosts that knew nobody each gave out a part of the quota
+TEST_CASE("a settings file that changes without a signal is applied, one with faults isn't")
+{
+    const std::string first = make_settings({});
+    const std::string next = first + "[peers]\nseeds = " + free_address() + "\n";
+    const scratch_file settings{first};
+    child_process process{"hickorykeel-gateway", {"--settings", settings.path()}};
+    REQUIRE(wait_for([&] { return logs(process, "start"); }));
+    std::ofstream{settings.path()} << next.substr(0, next.size() / 2);
+    CHECK(wait_for([&] { return logs(process, "reload_failed", "file_changed"); }));
+    ::unlink(settings.path().c_str());
+    CHECK(wait_for([&] { return logs(process, "settings_unreadable"); }));
+    std::ofstream{settings.path()} << next;
+    CHECK(wait_for([&] { return logs(process, "reload", "file_changed"); }));
+    CHECK_FALSE(process.exit_code());
+    const std::string output = process.output();
+    CHECK(output.find("reload_failed") == output.rfind("reload_failed")); // one line for each fault
+}
