Keep silent hosts counted for longer than regions lose each other

Callers: two regions that had lost each other for a minute admitted 1.5 times an organisation's limit.

Cause: a host was removed a minute after its last heartbeat, whether it had ended or was only cut off, and the others took its share.

--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -58,7 +58,7 @@
         true},
     setting_rule{"start", "assumed_hosts", setting_kind::number, false, "32", 1, 4'096,
                  "least number of hosts of its region that a starting host assumes until it has "
-                 "heard its peers",
+                 "heard its peers, and of each region until it has heard any other host",
                  true},
     setting_rule{"start", "load_questions", setting_kind::number, false, "3", 0, 64,
                  "endpoints of each service with engines that a starting host asks for their load",
--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -30,8 +30,8 @@
 } // namespace
 
 member_table::member_table(std::string own_ip, const std::vector<std::string>& seed_ips,
-                           member_table_options options)
-    : m_own_ip{std::move(own_ip)}, m_options{options}
+                           member_table_options options, std::string own_region)
+    : m_own_ip{std::move(own_ip)}, m_own_region{std::move(own_region)}, m_options{options}
 {
     set_seeds(seed_ips);
 }
@@ -209,8 +209,7 @@
                                    time_point now)
 {
     const time_point heard_at = now - introduced.age;
-    if (introduced.ip == m_own_ip || heard_at <= time_point{} ||
-        introduced.age >= m_options.retention) {
+    if (introduced.ip == m_own_ip || heard_at <= time_point{}) {
         return;
     }
     member* const held = find_or_add(introduced.ip);
@@ -271,9 +270,40 @@
     }
 }
 
+/// Whether nobody hears `candidate`, as far as is known here, though it hasn't said that it ends.
+bool member_table::is_silent(const member& candidate, time_point now) const
+{
+    return !candidate.last.is_leaving && !is_live(candidate, now) &&
+           !is_heard_elsewhere(candidate, now);
+}
+
+bool member_table::has_few_silent(time_point now) const
+{
+    const auto silent = std::count_if(m_members.begin(), m_members.end(), [&](const auto& item) {
+        return is_silent(item.second, now);
+    });
+    return static_cast<double>(silent) <=
+           m_options.few_silent * static_cast<double>(m_members.size() + 1);
+}
+
+/// Whether `candidate` has ended, as far as can be told. Silence alone doesn't tell: a region that is
+/// cut off may serve for long.
+bool member_table::is_gone(const member& candidate, bool has_few_silent, time_point now) const
+{
+    const duration silence = now - std::max(candidate.last_seen, candidate.introduced_at);
+    if (silence < m_options.retention) {
+        return false;
+    }
+    const std::string& region = candidate.last.region;
+    const bool is_region_heard = region == m_own_region || has_live_host(region, now);
+    return candidate.last.is_leaving || (has_few_silent && is_region_heard) ||
+           silence >= m_options.partition_retention;
+}
+
 std::vector<std::string> member_table::expire(time_point now)
 {
     update_regions(now);
+    const bool few_are_silent = has_few_silent(now);
     std::vector<std::string> lost_hosts;
     for (auto it = m_members.begin(); it != m_members.end();) {
         auto& [ip, held] = *it;
@@ -283,7 +313,7 @@
                 lost_hosts.push_back(held.last.host);
             }
         }
-        if (now - std::max(held.last_seen, held.introduced_at) < m_options.retention) {
+        if (!is_gone(held, few_are_silent, now)) {
             ++it;
             continue;
         }
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -65,8 +65,15 @@
     /// the region known from reports are not live.
     duration relay_timeout = std::chrono::milliseconds{2'600};
     std::size_t max_hosts = 4'096; ///< further hosts are ignored
-    /// Time without a heartbeat after which a host is removed from the table.
+    /// Time after which a silent host is removed from the table if it was leaving, or if it is one of
+    /// few silent hosts and other hosts of its region are heard. It may then be cut off alone.
     duration retention = std::chrono::seconds{60};
+    /// Part of the known hosts that counts as few. If they are removed and still run, they and the
+    /// others use as much more than a limit.
+    double few_silent = 0.2;
+    /// Time after which any other silent host is removed: longer than regions are cut off from each
+    /// other.
+    duration partition_retention = std::chrono::hours{2};
 };
 
 /// The other hosts of the fleet as known from their heartbeats. The table may be stale.
@@ -74,8 +81,9 @@
 /// Thread safety: none; the owner serialises calls. No I/O.
 class member_table {
 public:
+    /// @param own_region of this host
     member_table(std::string own_ip, const std::vector<std::string>& seed_ips,
-                 member_table_options options);
+                 member_table_options options, std::string own_region = {});
 
     /// @name modifiers
     /// @{
@@ -108,7 +116,7 @@
     /// Replaces the hosts named in the settings.
     void set_seeds(const std::vector<std::string>& seed_ips);
 
-    /// Removes hosts without a heartbeat for the retention time.
+    /// Removes hosts that have been silent for too long to count as running.
     /// @return names of the hosts that are no longer live, each once until its next heartbeat
     std::vector<std::string> expire(time_point now);
     /// @}
@@ -188,10 +196,14 @@
     [[nodiscard]] duration host_timeout(const member& candidate) const noexcept;
     /// Time without a heartbeat of the region after which none of its hosts is live.
     [[nodiscard]] duration region_timeout(const member& candidate) const noexcept;
+    [[nodiscard]] bool is_silent(const member& candidate, time_point now) const;
+    [[nodiscard]] bool has_few_silent(time_point now) const;
+    [[nodiscard]] bool is_gone(const member& candidate, bool has_few_silent, time_point now) const;
     void update_regions(time_point now);
     void assign_region(member& held);
 
     std::string m_own_ip;
+    std::string m_own_region;
     member_table_options m_options;
     std::vector<std::string> m_seeds;
     std::map<std::string, region_members> m_regions; // by name
