Don't take a region for reachable by the word of a third one

Callers: hosts of a region that has lost another one would have gone on sending requests there for up to 6 s instead of 2.6 s.

Change: the state of a region says whether a third one has passed it on; then only its usage counts.

--- a/src/gateway/membership/fleet_membership.h
+++ b/src/gateway/membership/fleet_membership.h
@@ -189,8 +189,6 @@
     void read_digest(const heartbeat& received, received_news& news, time_point now);
     void read_introductions(const region_digest& digest, time_point now);
     void read_other_region(region_state state, received_news& news, time_point now);
-    void read_relayed_usage(region_state state, received_news& news, time_point now);
-    bool hold_region(region_state state, received_news& news, time_point now);
     [[nodiscard]] bool knows_usage(const std::string& region, time_point now) const;
     [[nodiscard]] std::uint32_t stated_hosts(const std::string& region, time_point now) const;
     [[nodiscard]] std::size_t expected_hosts(time_point now) const;
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -181,6 +181,7 @@
     added.set_incarnation(region.incarnation);
     added.set_age_ms(to_ms(region.age));
     added.set_known_hosts(region.known_hosts);
+    added.set_is_relayed(region.is_relayed);
     add_services(added, region.services);
     add_usage(added, region);
 }
@@ -414,6 +415,7 @@
                            region.incarnation(),
                            milliseconds{region.age_ms()},
                            region.known_hosts(),
+                           region.is_relayed(),
                            to_services(region),
                            {},
                            {}};
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -96,6 +96,8 @@
     std::uint64_t incarnation = 0;
     duration age{0};               ///< since the receipt of the digest
     std::uint32_t known_hosts = 0; ///< of the region, live or not, by that host; 0: unknown
+    /// Whether a host of a third region has passed it on. The region can't be reached by that.
+    bool is_relayed = false;
     service_loads services;
     usage_counts used;    ///< of all hosts of the region
     usage_counts refused; ///< of all hosts of the region
