Reword the comments of src/version, and bound the lost hosts of a heartbeat from below

src/version is done: its comments use the terms of validation, revisions and relaying. In the membership, a heartbeat goes to at least one lost host, whatever the option says.

--- a/src/gateway/configuration/published_state.h
+++ b/src/gateway/configuration/published_state.h
@@ -109,7 +109,7 @@
     /// and of the source's era.
     [[nodiscard]] bool is_version_checked() const noexcept { return m_is_version_checked; }
 
-    /// Whether any version was since the start of the process.
+    /// Whether a version check has ended since the start of the process.
     [[nodiscard]] bool has_been_trusted() const noexcept { return m_trusted_at != time_point{}; }
 
     /// Time since the held state was last confirmed up to date.
@@ -135,8 +135,8 @@
     published_reading m_last;
     std::map<std::string, endpoint_entry> m_endpoints;
     time_point m_confirmed_at{};
-    time_point
-        m_trusted_at{}; ///< the same, for keys; unset until the first version check has ended
+    /// Latest confirmation that counts for keys; unset until the first version check has ended.
+    time_point m_trusted_at{};
     bool m_is_version_checked = true;
     time_point m_settling_until{};
     time_point m_restoring_until{};
--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -176,6 +176,7 @@
     }
 }
 
+/// Records the hosts of which the sender of `digest` tells only that they exist.
 void fleet_membership::read_introductions(const region_digest& digest, time_point now)
 {
     for (const member_group& group : digest.introduced) {
--- a/src/gateway/membership/heartbeat_schedule.cpp
+++ b/src/gateway/membership/heartbeat_schedule.cpp
@@ -214,8 +214,8 @@
     m_last_unheard = std::move(last_unheard);
     const auto& all = members.all();
     auto it = all.upper_bound(m_last_lost_host);
-    std::size_t left = m_options.lost_hosts_per_heartbeat -
-                       std::min(m_options.lost_hosts_per_heartbeat - 1, m_last_unheard.size());
+    const std::size_t limit = std::max<std::size_t>(1, m_options.lost_hosts_per_heartbeat);
+    std::size_t left = limit - std::min(limit - 1, m_last_unheard.size());
     for (std::size_t examined = 0; examined < all.size() && left > 0; ++examined) {
         it = it == all.end() ? all.begin() : it;
         const auto& [ip, host] = *it++;
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -161,8 +161,7 @@
                now - candidate.heard_at < host_timeout(candidate);
     }
 
-    /// Whether `candidate`, which is in the table and isn't live, ran of late by the word of a host that
-    /// hears it.
+    /// Whether `candidate`, which is in the table, was introduced of late by a host that hears it.
     [[nodiscard]] bool is_heard_elsewhere(const member& candidate, time_point now) const noexcept
     {
         return now - candidate.introduced_at <
--- a/src/version/check.cpp
+++ b/src/version/check.cpp
@@ -58,7 +58,7 @@
     member_rule<target>{"endpoints", &target::endpoints, true},
 };
 
-/// What one check builds.
+/// State of one validation.
 struct check_state {
     configuration built;
     std::set<std::string> regions;
--- a/src/version/check.h
+++ b/src/version/check.h
@@ -12,21 +12,22 @@
 
 namespace hickorykeel {
 
-/// The published entries by key, as the platform holds them.
+/// Published entries by key, as stored by the platform.
 using published_entries = std::map<std::string, nlohmann::json>;
 
-/// One reason why a published state is refused.
+/// A validation error in a published state.
 struct configuration_fault {
     std::string path;    ///< "profiles/visit-summary/regions/0"
     std::string message; ///< what is wrong and what is allowed
 };
 
-/// Accepts a published state whole, or refuses it whole with the path of every fault.
-/// Pure; thread safe; linear in the size of the entries.
+/// Validates a published state. Returns the configuration, or all validation errors with their paths;
+/// a state with an error is rejected as a whole.
+/// Thread safe. Complexity: linear in the size of the entries.
 [[nodiscard]] std::variant<configuration, std::vector<configuration_fault>>
 check(std::uint64_t revision, const published_entries& entries);
 
-/// Hex SHA-256 of a caller's key, as `key_digests` holds it. Thread safe.
+/// Returns the hexadecimal SHA-256 of a caller's key, the form used in `key_digests`. Thread safe.
 [[nodiscard]] std::string to_key_digest(const std::string& key);
 
 } // namespace hickorykeel
--- a/src/version/check_hosts.h
+++ b/src/version/check_hosts.h
@@ -11,10 +11,10 @@
 
 namespace hickorykeel {
 
-/// Accepts a published list of hosts whole, or refuses it whole with the path of every fault
-/// ("hosts/3/entry_address"). Names must differ.
-/// @param hosts the JSON list as the platform answers it
-/// Pure; thread safe; O(n log n) in the number of hosts.
+/// Validates a published list of hosts, whose names must be unique. Returns the list, or all validation
+/// errors with their paths ("hosts/3/entry_address"); a list with an error is rejected as a whole.
+/// @param hosts JSON list from the platform's response
+/// Thread safe. Complexity: O(n log n) in the number of hosts.
 [[nodiscard]] std::variant<host_list, std::vector<configuration_fault>>
 check_hosts(std::uint64_t revision, const nlohmann::json& hosts);
 
--- a/src/version/configuration.h
+++ b/src/version/configuration.h
@@ -9,7 +9,7 @@
 
 namespace hickorykeel {
 
-/// Part of a region that fails as one.
+/// Part of a region whose hosts may fail together.
 struct failure_domain {
     std::string name;
     std::string region;
@@ -18,16 +18,16 @@
 /// A caller's organisation with its fleet-wide limits.
 struct organisation {
     std::string name;
-    std::string home;                     ///< failure domain that holds most of its rights
+    std::string home;                     ///< failure domain with the largest share of its quota
     double rate = 0;                      ///< tokens a second over all hosts
     double burst = 0;                     ///< tokens
     std::vector<std::string> key_digests; ///< hex SHA-256 of each key in force
 };
 
-/// What operators publish for a kind of request.
+/// Published settings of a kind of request.
 struct profile {
     std::string name;
-    std::vector<std::string> regions;       ///< where data of such a request may be
+    std::vector<std::string> regions;       ///< in which its data may be processed
     bool is_open = false;                   ///< no key needed
     std::vector<std::string> organisations; ///< who may use it; empty: every organisation
     std::vector<std::string> targets;       ///< models and services that it may name
@@ -56,11 +56,11 @@
 struct target {
     std::string name;
     target_kind kind = target_kind::model;
-    std::uint64_t tokens_per_call = 1; ///< what a call to a plain service costs
+    std::uint64_t tokens_per_call = 1; ///< charged for a call to a plain service
     std::vector<endpoint> endpoints;
 };
 
-/// All that was published at one revision, checked. Immutable once built; share it freely.
+/// Validated configuration at one revision. Immutable, so it can be shared between threads.
 struct configuration {
     std::uint64_t revision = 0;
     std::map<std::string, failure_domain> failure_domains;
@@ -85,7 +85,7 @@
     std::string configd_address;  ///< link address of hickorykeel-configd
 };
 
-/// The platform's list of hosts at one revision. It lags behind the truth.
+/// The platform's list of hosts at one revision, which may be out of date.
 struct host_list {
     std::uint64_t revision = 0;
     std::vector<host> hosts;
--- a/src/version/detail/member_rules.h
+++ b/src/version/detail/member_rules.h
@@ -21,7 +21,7 @@
 
 using faults = std::vector<configuration_fault>;
 
-/// What a text value must look like.
+/// Format of a text value.
 enum class text_format { name, address, digest };
 
 /// Whether `text` matches `[a-z0-9][a-z0-9._-]{0,62}`.
@@ -63,7 +63,7 @@
 };
 
 /// @name readers
-/// Each adds the faults that it finds at `path` and fills `into` only from a right value.
+/// Each reports validation errors at `path`, and sets `into` only if the value is valid.
 /// @{
 void read_value(const nlohmann::json& value, const std::string& path, text_format format,
                 std::string& into, faults& found);
@@ -121,7 +121,7 @@
     std::visit(read, rule.place);
 }
 
-/// Reads an object by its table of rules: unknown, missing and wrong members become faults.
+/// Reads an object by its table of rules; unknown, missing and invalid members are errors.
 template <typename Record>
 void read_object(const nlohmann::json& value, const std::string& path,
                  std::span<const member_rule<Record>> rules, Record& record, faults& found)
--- a/src/version/diff.cpp
+++ b/src/version/diff.cpp
@@ -9,7 +9,7 @@
 namespace detail {
 namespace {
 
-/// What a path stands for.
+/// Kind of item that a path names.
 enum class item_kind { record, organisation, home, key, endpoint, endpoint_state, other };
 
 struct item {
--- a/src/version/diff.h
+++ b/src/version/diff.h
@@ -11,13 +11,13 @@
 
 enum class change_kind { added, removed, changed };
 
-/// What an operator should look at twice.
+/// Differences that an operator should review, since callers may notice them.
 enum class change_warning {
     none,
     organisation_removed, ///< its callers are refused from then on
     key_withdrawn,        ///< callers with this key are refused, connected ones too
-    endpoint_leaving,     ///< it gets no new work
-    home_moved,           ///< most of the organisation's rights move to another failure domain
+    endpoint_leaving,     ///< it receives no new requests
+    home_moved,           ///< the largest share of its quota moves to another failure domain
 };
 
 /// Names for output, by enumerator.
@@ -34,9 +34,9 @@
     change_warning warning = change_warning::none;
 };
 
-/// What changes from `before` to `after`, by path. Of an added or removed record only the record
-/// itself is listed, and its keys and endpoints where they carry a warning. Revisions don't count.
-/// Pure; thread safe; O(n log n) in the size of both.
+/// Returns the differences from `before` to `after`, ordered by path. For an added or removed record,
+/// only the record itself is listed, and those of its keys and endpoints that have a warning.
+/// Revisions are ignored. Thread safe. Complexity: O(n log n) in the size of both.
 [[nodiscard]] std::vector<configuration_change> diff(const configuration& before,
                                                      const configuration& after);
 
--- a/src/version/json_text.cpp
+++ b/src/version/json_text.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/// Right for every text that is JSON, and up to its first fault for any other.
+/// Exact for valid JSON; for other texts, exact up to the first error.
 bool is_too_deep(std::string_view text)
 {
     std::size_t depth = 0;
--- a/src/version/json_text.h
+++ b/src/version/json_text.h
@@ -7,12 +7,12 @@
 
 namespace hickorykeel {
 
-/// Lists and objects inside each other that are read from outside. The library walks values by
-/// recursion, so that deeper ones would overflow the stack.
+/// Maximum nesting depth of JSON from other processes. The library traverses values recursively, so
+/// deeper ones could overflow the stack.
 inline constexpr std::size_t maximum_json_depth = 128;
 
-/// Reads a JSON text that came from outside. Pure; thread safe; linear in its size.
-/// @return a discarded value where the text is no JSON, or nested deeper than maximum_json_depth
+/// Parses JSON from another process. Thread safe. Complexity: linear in its size.
+/// @return a discarded value if the text isn't JSON or is nested deeper than maximum_json_depth
 [[nodiscard]] nlohmann::json parse_json(std::string_view text);
 
 } // namespace hickorykeel
--- a/src/version/member_rules.cpp
+++ b/src/version/member_rules.cpp
@@ -202,7 +202,7 @@
         if (!item.empty() && std::find(into.begin(), into.end(), item) != into.end()) {
             found.push_back({join(path, i), "is in the list twice"});
         }
-        // faulty items keep their place, so that later paths point at the right index
+        // invalid items keep their position, so that the paths of later errors have the right index
         into.push_back(std::move(item));
     }
 }
--- a/src/version/replica.cpp
+++ b/src/version/replica.cpp
@@ -125,7 +125,8 @@
     for (const auto& change : update.entries) {
         put(change);
     }
-    // when a missing key was deleted is unknown, so older askers need the whole
+    // the revision at which a missing key was deleted is unknown, so a process with an older revision
+    // needs the complete state
     m_log.clear();
     m_log_base = update.revision;
 }
--- a/src/version/replica.h
+++ b/src/version/replica.h
@@ -24,55 +24,56 @@
     std::uint64_t revision = 0;
 };
 
-/// Changes that lead from revision `base` to `revision`; with `base` 0 the whole state.
+/// Changes from revision `base` to `revision`; the complete state if `base` is 0.
 struct entries_update {
     std::uint64_t base = 0;
     std::uint64_t revision = 0;
     std::vector<entry_change> entries;
 };
 
-/// A published list of hosts, not yet checked.
+/// A published list of hosts that has not been validated.
 struct hosts_update {
     std::uint64_t revision = 0;
     nlohmann::json hosts; ///< the JSON list
 };
 
-/// What became of an update.
+/// Outcome of applying an update.
 enum class update_outcome {
-    accepted,       ///< its revision is in force
-    ignored,        ///< nothing newer than what is held
+    accepted,       ///< its revision is now in force
+    ignored,        ///< no newer than the held revision
     needs_snapshot, ///< changes between the held revision and its base are missing
-    refused,        ///< held for relaying, but its state has faults; nothing in force changed
-    malformed,      ///< contradicts itself; nothing was taken from it
+    refused,        ///< kept for relaying, but invalid; the configuration in force is unchanged
+    malformed,      ///< inconsistent; not applied
 };
 
-/// A revision that is held but not in force.
+/// A held revision that is not in force because it is invalid.
 struct refused_revision {
     std::uint64_t revision = 0;
     std::vector<configuration_fault> faults;
 };
 
-/// Newest published entries and hosts that this process knows, and what of them is in force.
+/// Newest published entries and list of hosts known to this process, and the newest valid ones, which
+/// are in force.
 ///
-/// Neither the held nor the in-force revision ever falls. The held entries are relayed also where
-/// their state is refused: each receiver checks by itself, and later changes build on them.
+/// The held and the in-force revision never decrease. Invalid entries are relayed too: each receiver
+/// validates them itself, and later changes are relative to them.
 ///
-/// Thread safety: none; one actor owns it. What it hands out is immutable.
+/// Thread safety: none; one actor owns it. Returned configurations are immutable.
 class replica {
 public:
-    /// Changes kept for relaying; older askers get the whole state.
+    /// Number of changes kept for relaying; a process with an older revision gets the complete state.
     static constexpr std::size_t maximum_log = 1'000;
 
     /// @name updates
     /// @{
 
-    /// Takes newer changes and checks the state that they lead to, linear in its size.
+    /// Applies newer changes and validates the resulting state. Complexity: linear in its size.
     update_outcome apply(const entries_update& update);
 
-    /// Takes a newer list of hosts and checks it. Never answers needs_snapshot.
+    /// Applies and validates a newer list of hosts. Never returns needs_snapshot.
     update_outcome apply(const hosts_update& update);
 
-    /// Notes that a source which knows the newest state had nothing newer at `moment`.
+    /// Records that a source with the newest state had no newer revision at `moment`.
     void confirm(time_point moment) noexcept;
 
     /// @}
@@ -100,8 +101,8 @@
 
     [[nodiscard]] const published_entries& entries() const noexcept { return m_entries; }
 
-    /// What leads a holder of revision `after` to the held one: empty where it holds that or
-    /// newer, else the changes, or the whole where the log no longer reaches back.
+    /// Returns the update from revision `after` to the held one: no changes if `after` is as new, and
+    /// the complete state if the log no longer covers `after`.
     [[nodiscard]] entries_update changes_since(std::uint64_t after) const;
 
     /// The held list of hosts, as published.
@@ -111,7 +112,7 @@
     /// @name health
     /// @{
 
-    /// The held revision where it isn't in force, with its faults.
+    /// The held revision and its validation errors, if it isn't in force.
     [[nodiscard]] const std::optional<refused_revision>& refused_entries() const noexcept
     {
         return m_refused_entries;
@@ -121,7 +122,7 @@
         return m_refused_hosts;
     }
 
-    /// When the held state was last known to be the newest; nothing: never.
+    /// Time at which the held state was last confirmed to be the newest; nothing: never.
     [[nodiscard]] std::optional<time_point> confirmed_at() const noexcept { return m_confirmed_at; }
 
     /// @}
