Trust a version after three heartbeat intervals without a higher one

Callers: after the end of all hosts, each refused requests with keys for up to a second, where nobody could have told it of a newer configuration.

Change: three heartbeat intervals instead of five, which is a round trip over the longest distance, the wait for the next heartbeat, and one that is lost.

--- a/src/gateway/configuration/version_check.h
+++ b/src/gateway/configuration/version_check.h
@@ -9,9 +9,9 @@
 namespace hickorykeel::gateway {
 
 struct version_check_options {
-    /// Rounds after which the hosts that can answer have done so: heartbeats cross the longest
-    /// distance and back, also if some of them are lost.
-    int rounds = 5;
+    /// Rounds after which the hosts that can answer have done so: a heartbeat has crossed the longest
+    /// distance, the answer went with the next one, and one of them may be lost.
+    int rounds = 3;
     /// The same while no other host has been heard: the seeds may be out of date, and those that
     /// look for this host may still do so.
     int rounds_alone = 15;
