--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -41,9 +41,10 @@
 
 fleet_membership::fleet_membership(host_identity own, const std::vector<std::string>& seed_ips,
                                    fleet_membership_options options)
-    : m_own{std::move(own)}, m_options{options}, m_members{m_own.ip, seed_ips, options.members,
-                                                           m_own.region},
-      m_schedule{{m_own.ip, m_own.failure_domain, m_own.region}, options.schedule}
+    : m_own{std::move(own)}, m_options{std::move(options)}, m_members{m_own.ip, seed_ips,
+                                                                      m_options.members,
+                                                                      m_own.region},
+      m_schedule{{m_own.ip, m_own.failure_domain, m_own.region}, m_options.schedule}
 {
 }
 
--- a/tests/gateway/rate_share_test.cpp
+++ b/tests/gateway/rate_share_test.cpp
@@ -193,8 +193,10 @@
 TEST_CASE("shares of a rate: a host that has been forgotten leaves its share to the others")
 {
     // one of six is forgotten soon, half of them only after the longest partition
-    for (const auto& [heard, after] :
+    for (const auto& heard_after :
          {std::pair<std::size_t, duration>{5, 61s}, std::pair<std::size_t, duration>{3, 2h}}) {
+        const std::size_t heard = heard_after.first;
+        const duration after = heard_after.second;
         CAPTURE(heard);
         share_fleet fleet{6};
         fleet.exchange_heartbeats(start);
