Resume a stream only at the software version that began it

Callers got streams whose events came from endpoints of two software versions: the version of an entry was dropped when it was decoded, so that an interrupted stream was resumed at any endpoint.

The version is now a condition of the placement of each further attempt once an event has been relayed. It travels in a header of a request that is passed on, and in the response, so that the host that answers the caller knows which version a host of another region has chosen. A stream whose version isn't known is broken off. A prefix is fetched only from endpoints of the same version.

--- a/src/gateway/configuration/publication.h
+++ b/src/gateway/configuration/publication.h
@@ -149,6 +149,8 @@
     std::string service;
     std::string address; ///< "ip:port"
     std::string failure_domain;
+    /// Of its software. A stream that one version has begun can't be continued by another one.
+    std::string software_version;
     unsigned slots = 1;
     bool is_draining = false;
     std::chrono::milliseconds cold_remaining{0};
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -60,6 +60,7 @@
         state.entry = entry;
         state.hash = short_hash(id);
         state.incarnation_hash = short_hash(endpoint_incarnation{id, entry.started_ms});
+        state.software_version = short_hash(entry.software_version);
         state.is_engine = used_service->engine.has_value();
         state.of_service = &state_of(*used_service);
         state.transfer_rate = used_service->engine ? used_service->engine->transfer_rate : 0;
@@ -163,6 +164,7 @@
 {
     return state.is_listed && !state.is_leaving && !state.is_ended && !state.is_ended_elsewhere &&
            state.entry.service == request.requested_service->name &&
+           (!request.software_version || *request.software_version == state.software_version) &&
            std::find(request.excluded.begin(), request.excluded.end(), state.entry.id) ==
                request.excluded.end();
 }
@@ -232,7 +234,9 @@
 std::uint64_t endpoint_pool::tokens_to_fetch(const endpoint_state& state, std::uint64_t cached,
                                              const prefix_locations& locations) const
 {
-    if (locations.source == nullptr || locations.source == &state || state.transfer_rate <= 0) {
+    if (locations.source == nullptr || locations.source == &state || state.transfer_rate <= 0 ||
+        // memory that another version has written may not fit
+        locations.source->software_version != state.software_version) {
         return 0;
     }
     const std::uint64_t more = locations.source_tokens - std::min(cached, locations.source_tokens);
@@ -390,7 +394,8 @@
                      0,
                      best->entry.started_ms,
                      picked.conditions,
-                     time_ahead(picked, now)};
+                     time_ahead(picked, now),
+                     best->software_version};
     if (request.request_prompt != nullptr) {
         chosen.fetched_tokens =
             tokens_to_fetch(*best, cached_tokens(*best, *request.request_prompt, now), locations);
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -76,6 +76,7 @@
     std::int64_t started_ms = 0;      ///< start of the incarnation; 0: unknown
     first_byte_conditions conditions; ///< that `expected` was computed from, if they are known
     duration ahead{0}; ///< part of `expected` before the endpoint reads this prompt; 0: unknown
+    std::uint32_t software_version = 0; ///< hash of the endpoint's
 };
 
 /// Requirements of a request on its endpoint.
@@ -83,6 +84,8 @@
     const service* requested_service = nullptr;
     const prompt* request_prompt = nullptr; ///< null: not a generation request
     std::vector<std::string> excluded;      ///< ids of endpoints that failed the request
+    /// Hash of the only software version that may serve the request; nothing: any may.
+    std::optional<std::uint32_t> software_version = {};
 };
 
 /// The endpoints of this host's region with their load and health, and the placement on them.
@@ -435,6 +438,7 @@
         bool is_ended = false;           ///< another incarnation has responded at its address
         bool is_ended_elsewhere = false; ///< other hosts have seen its end
         std::uint32_t incarnation_hash = 0;
+        std::uint32_t software_version = 0; ///< hash
         bool is_engine = false;
         double transfer_rate = 0;
         double cold_rate = 0;
--- a/src/gateway/routing/rendezvous.h
+++ b/src/gateway/routing/rendezvous.h
@@ -1,7 +1,10 @@
 #pragma once
 
-#include <cstdint>     // uint32_t, uint64_t
-#include <string_view> // string_view
+#include <charconv>     // from_chars
+#include <cstdint>      // uint32_t, uint64_t
+#include <optional>     // nullopt, optional
+#include <string_view>  // string_view
+#include <system_error> // errc
 
 #include <xxhash.h> // XXH32, XXH64
 
@@ -21,4 +24,14 @@
     return XXH32(id.data(), id.size(), 0);
 }
 
+/// Parses a hash that stands in a header, in decimal; nothing for any other text. Thread safe.
+inline std::optional<std::uint32_t> parse_hash(std::string_view text) noexcept
+{
+    std::uint32_t hash = 0;
+    const char* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, hash);
+    const bool is_whole = parsed.ec == std::errc{} && parsed.ptr == end;
+    return is_whole ? std::optional{hash} : std::nullopt;
+}
+
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/serving/exchange.h"
 
+#include "gateway/routing/rendezvous.h"
 #include "gateway/serving/region_options.h"
 #include "gateway/serving/wait_outlook.h"
 
@@ -64,7 +65,9 @@
     }
     m_deadline = m_received + allowed;
     if (m_is_forwarded) {
-        m_age = parse_milliseconds(m_caller->head().headers.find(age_header)).value_or(duration{0});
+        const header_list& headers = m_caller->head().headers;
+        m_age = parse_milliseconds(headers.find(age_header)).value_or(duration{0});
+        m_software_version = parse_hash(headers.find(software_version_header));
     }
     if (admit()) {
         place();
@@ -258,7 +261,7 @@
     const bool may_become_available =
         options.is_overloaded || is_starting || !options.others.empty() ||
         (allows_own_region(m_authorised) &&
-         m_context.pool.has_candidate({of, engine_prompt(*of), m_excluded}, now, wait_deadline(),
+         m_context.pool.has_candidate(to_placement_request(*of, m_excluded), now, wait_deadline(),
                                       m_is_queued ? 0 : m_context.waiting_count(m_service)));
     if (!may_become_available) {
         give_up_without_endpoint(*of);
@@ -314,7 +317,7 @@
         }
     }
     // an endpoint that can't take the request now may be able to during the wait
-    const placement_request request{&of, engine_prompt(of), m_excluded};
+    const placement_request request = to_placement_request(of, m_excluded);
     if (!options.late_here || m_context.pool.may_gain_endpoint(request, now, now + wait)) {
         return false;
     }
@@ -356,7 +359,7 @@
                                                       const std::vector<std::string>& excluded,
                                                       time_point now) const
 {
-    const placement_request request{&of, engine_prompt(of), excluded};
+    const placement_request request = to_placement_request(of, excluded);
     placement_options options;
     if (allows_own_region(authorised)) {
         options.here = m_context.pool.choose(request, now, m_context.random);
@@ -409,13 +412,21 @@
     return m_fields.prompt_size && of.engine ? &*m_fields.prompt_size : nullptr;
 }
 
+/// @param excluded ids of endpoints that must not be chosen
+placement_request exchange::to_placement_request(const service& of,
+                                                 std::vector<std::string> excluded) const
+{
+    return {&of, engine_prompt(of), std::move(excluded), m_software_version};
+}
+
 std::vector<region_option> exchange::find_other_region_options(const authorisation& authorised,
                                                                time_point now) const
 {
     if (m_is_forwarded) {
         return {};
     }
-    region_query query{m_service, authorised.matched_route, authorised.find_key_owner(), nullptr};
+    region_query query{m_service, authorised.matched_route, authorised.find_key_owner(), nullptr,
+                       m_software_version};
     if (m_fields.prompt_size && m_attempt_count.attempts() == 0) {
         query.prompt_size = &*m_fields.prompt_size;
     }
@@ -528,6 +539,7 @@
     const time_point now = boot_clock::now();
     return {.route = m_authorised.matched_route->name,
             .restricted_organisation = is_restricted ? of->name : std::string{},
+            .software_version = m_software_version,
             .has_started = m_has_response_started,
             .excludes_endpoints = !m_excluded.empty(),
             .tokens = m_fields.prompt_size ? m_fields.prompt_size->total_tokens() : 0,
@@ -554,6 +566,7 @@
     m_attempt.endpoint = chosen.endpoint;
     m_attempt.peer = chosen.address;
     m_attempt.endpoint_started_ms = chosen.started_ms;
+    m_attempt.software_version = chosen.software_version;
     m_attempt.placed_at = boot_clock::now();
     m_attempt.expected = chosen.expected;
     m_attempt.conditions = chosen.conditions;
@@ -634,6 +647,9 @@
     headers.add(std::string{forwarded_header}, m_context.settings.host);
     const duration age = boot_clock::now() - m_received + m_context.options.regions.round_trip / 2;
     headers.add(std::string{age_header}, std::to_string(to_milliseconds(age).count()));
+    if (m_software_version) {
+        headers.add(std::string{software_version_header}, std::to_string(*m_software_version));
+    }
     m_context.log.write_request(log_line{"request_passed_on"}
                                     .add("id", m_fields.id)
                                     .add("host", chosen.last.host)
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -37,6 +37,9 @@
 inline constexpr std::string_view broken_off_header = "Keel-Broken-Off-By";
 /// Whether the refused request has reached an endpoint, which may have rejected it: "yes" or "no".
 inline constexpr std::string_view reached_header = "Keel-Reached-Endpoint";
+/// In a forwarded request, the only software version whose endpoints may serve it; in the response,
+/// that of the endpoint that serves it. The hash of its name, in decimal.
+inline constexpr std::string_view software_version_header = "Keel-Software-Version";
 /// @}
 
 /// Returns the fields of a response to a request of another host that was refused before its head
@@ -117,6 +120,8 @@
         std::string endpoint; ///< endpoint id; empty if the request was forwarded to a host
         std::string peer;     ///< "ip:port"
         std::int64_t endpoint_started_ms = 0; ///< of the endpoint's incarnation; 0: unknown
+        /// Hash of the endpoint's; nothing while a host hasn't told it.
+        std::optional<std::uint32_t> software_version;
         std::shared_ptr<client_connection> call;
         std::uint64_t connection = 0;       ///< its number among those opened by the client
         std::uint64_t connection_calls = 0; ///< calls on it, this one included
@@ -161,6 +166,8 @@
     bool place_again();
     /// Returns the request's prompt, or null if it has none or `of` is no engine.
     [[nodiscard]] const prompt* engine_prompt(const service& of) const;
+    [[nodiscard]] placement_request to_placement_request(const service& of,
+                                                         std::vector<std::string> excluded) const;
     [[nodiscard]] bool allows_own_region(const authorisation& authorised) const;
     [[nodiscard]] placement_options find_placements(const authorisation& authorised,
                                                     const service& of,
@@ -275,6 +282,9 @@
     std::uint64_t m_fingerprint = 0; ///< 0 until it is needed
     /// The latest response that an endpoint broke off; set until the next attempt.
     std::optional<broken_response> m_broken_off;
+    /// Hash of the software version that has begun the stream, which alone may continue it; nothing
+    /// if no event of it has been received.
+    std::optional<std::uint32_t> m_software_version;
     int m_started_status = 0; ///< of the response, once it has started
     time_point m_last_progress{};
     time_point m_last_attempt_end{};
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -3,13 +3,11 @@
 #include "gateway/routing/rendezvous.h"
 #include "gateway/serving/endpoint_statements.h"
 
-#include <algorithm>    // max
-#include <charconv>     // from_chars
-#include <cstddef>      // size_t
-#include <cstdint>      // SIZE_MAX, uint32_t
-#include <optional>     // nullopt, optional
-#include <system_error> // errc
-#include <utility>      // exchange, move
+#include <algorithm> // max
+#include <cstddef>   // size_t
+#include <cstdint>   // SIZE_MAX, uint32_t
+#include <optional>  // nullopt, optional
+#include <utility>   // exchange, move
 
 namespace hickorykeel::gateway {
 
@@ -37,14 +35,6 @@
     return !head.headers.contains("Content-Length") && !head.headers.contains("Transfer-Encoding");
 }
 
-std::optional<std::uint32_t> parse_number(std::string_view text) noexcept
-{
-    std::uint32_t number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    const bool is_whole = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
-    return is_whole ? std::optional{number} : std::nullopt;
-}
-
 std::string_view ran_name(bool may_have_run) noexcept
 {
     return may_have_run ? "unknown" : "no";
@@ -123,6 +113,9 @@
     m_attempt.has_head = true;
     m_attempt.head = head;
     m_attempt.first_byte = elapsed;
+    if (m_attempt.endpoint.empty()) {
+        m_attempt.software_version = parse_hash(head.headers.find(software_version_header));
+    }
     // another request's response may be a late copy, which says nothing of the present
     const bool is_own = m_context.adapter.read_response_fields(head).id == m_fields.id;
     if (is_own) {
@@ -197,7 +190,12 @@
     if (!std::exchange(m_has_response_started, true)) {
         m_stage = stage::relaying;
         m_started_status = m_attempt.head.status;
-        m_caller->begin(m_attempt.head.status, m_context.adapter.to_caller_headers(m_attempt.head));
+        header_list headers = m_context.adapter.to_caller_headers(m_attempt.head);
+        if (m_is_forwarded && m_attempt.software_version) {
+            headers.add(std::string{software_version_header},
+                        std::to_string(*m_attempt.software_version));
+        }
+        m_caller->begin(m_attempt.head.status, headers);
     }
 }
 
@@ -210,6 +208,7 @@
             m_max_event_gap = std::max(m_max_event_gap, now - m_last_progress);
         }
         start_relay();
+        m_software_version = m_attempt.software_version;
         m_caller->send(events);
         m_attempt.call->set_max_read(is_memory_scarce() ? m_context.options.max_read_bytes_if_scarce
                                                         : SIZE_MAX);
@@ -309,10 +308,10 @@
 void exchange::note_broken_off_elsewhere(std::string_view endpoint)
 {
     const std::size_t separator = endpoint.find('/');
-    const auto id = parse_number(endpoint.substr(0, separator));
+    const auto id = parse_hash(endpoint.substr(0, separator));
     const auto incarnation = separator == std::string_view::npos
                                  ? std::nullopt
-                                 : parse_number(endpoint.substr(separator + 1));
+                                 : parse_hash(endpoint.substr(separator + 1));
     if (id && incarnation) {
         record_broken_off({*id, *incarnation, fingerprint(), false});
     }
@@ -473,7 +472,10 @@
 
 bool exchange::may_retry(const attempt_failure& failure) const
 {
-    return m_attempt_count.may_retry(rule(), {failure.may_have_run}, m_has_response_started) &&
+    // whether another endpoint can continue a stream isn't known without the version that began it
+    const bool can_continue = !m_has_response_started || m_software_version;
+    return can_continue &&
+           m_attempt_count.may_retry(rule(), {failure.may_have_run}, m_has_response_started) &&
            time_left() > m_context.options.min_time_left;
 }
 
--- a/src/gateway/serving/exchange_end.cpp
+++ b/src/gateway/serving/exchange_end.cpp
@@ -71,7 +71,7 @@
 void exchange::give_up_without_endpoint(const service& of)
 {
     // a caller's next request may use the endpoints that rejected this one
-    const placement_request any{&of, nullptr, {}};
+    const placement_request any{&of, nullptr, {}, m_software_version};
     const time_point now = boot_clock::now();
     std::optional<duration> turned_away =
         allows_own_region(m_authorised) ? m_context.pool.time_turned_away(any, now) : std::nullopt;
--- a/src/gateway/serving/placement_failures.h
+++ b/src/gateway/serving/placement_failures.h
@@ -3,8 +3,9 @@
 #include "process/clock.h"
 
 #include <algorithm> // any_of
-#include <cstdint>   // uint64_t
+#include <cstdint>   // uint32_t, uint64_t
 #include <map>       // map
+#include <optional>  // optional
 #include <string>    // string
 #include <tuple>     // tuple
 #include <vector>    // vector
@@ -16,6 +17,8 @@
     std::string route;
     /// The organisation, if it may use only some regions; otherwise empty.
     std::string restricted_organisation;
+    /// Hash of the only software version that may serve it; nothing: any may.
+    std::optional<std::uint32_t> software_version;
     bool has_started = false;
     /// The request isn't sent to endpoints that have failed it, so that its failures say nothing
     /// about other requests.
@@ -52,8 +55,8 @@
     }
 
 private:
-    /// Route, restricted organisation, and whether the response has started.
-    using kind = std::tuple<std::string, std::string, bool>;
+    /// Route, restricted organisation, required version, and whether the response has started.
+    using kind = std::tuple<std::string, std::string, std::optional<std::uint32_t>, bool>;
 
     struct failure {
         std::uint64_t tokens = 0;
@@ -62,7 +65,7 @@
 
     [[nodiscard]] static kind to_kind(const placement_need& need)
     {
-        return {need.route, need.restricted_organisation, need.has_started};
+        return {need.route, need.restricted_organisation, need.software_version, need.has_started};
     }
 
     std::map<kind, std::vector<failure>> m_failures;
--- a/src/gateway/serving/region_options.cpp
+++ b/src/gateway/serving/region_options.cpp
@@ -1,5 +1,7 @@
 #include "gateway/serving/region_options.h"
 
+#include "gateway/routing/rendezvous.h"
+
 #include <algorithm> // any_of, find, min
 #include <map>       // map
 
@@ -37,6 +39,22 @@
     return home_region(query.prompt_size->shared_id(), allowed);
 }
 
+/// Whether `region` has an endpoint of the service that takes requests and whose software version
+/// is the one that the request requires, if it does. O(endpoints) if it does.
+bool has_required_version(const serving_context& context, const region_query& query,
+                          const std::string& region)
+{
+    const auto& endpoints = context.state.endpoints();
+    return !query.software_version ||
+           std::any_of(endpoints.begin(), endpoints.end(), [&](const auto& item) {
+               const endpoint_entry& entry = item.second;
+               return entry.service == query.service && !entry.is_draining &&
+                      short_hash(entry.software_version) == *query.software_version &&
+                      context.settings.region_of(entry.failure_domain) == region &&
+                      !context.state.is_evacuated(entry.failure_domain);
+           });
+}
+
 } // namespace
 
 bool allows_region(const route& matched_route, const organisation* caller_organisation,
@@ -67,7 +85,8 @@
     for (const auto& [region, known] : context.members.regions()) {
         const auto load = known.services.find(query.service);
         if (region == context.settings.region || load == known.services.end() ||
-            !allows_region(*query.matched_route, query.caller_organisation, region)) {
+            !allows_region(*query.matched_route, query.caller_organisation, region) ||
+            !has_required_version(context, query, region)) {
             continue;
         }
         const bool has_host =
--- a/src/gateway/serving/region_options.h
+++ b/src/gateway/serving/region_options.h
@@ -3,8 +3,10 @@
 #include "gateway/routing/region_choice.h"
 #include "gateway/serving/serving_context.h"
 
-#include <string> // string
-#include <vector> // vector
+#include <cstdint>  // uint32_t
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
 
 namespace hickorykeel::gateway {
 
@@ -15,6 +17,8 @@
     /// Owner of the caller's key; null if there is none.
     const organisation* caller_organisation = nullptr;
     const prompt* prompt_size = nullptr; ///< null if the request has no home region
+    /// Hash of the only software version that may serve the request; nothing: any may.
+    std::optional<std::uint32_t> software_version = {};
 };
 
 /// Returns whether the data of a request may be sent to `region`. Thread safe.
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -155,6 +155,12 @@
         }
     }
 
+    void set_software_version(const std::string& endpoint, const std::string& version)
+    {
+        m_entries.at(endpoint).software_version = version;
+        update_pool();
+    }
+
     /// Adds an endpoint at an address at which nobody listens.
     void add_unreachable_endpoint(const std::string& name)
     {
@@ -272,9 +278,11 @@
 
     /// Sends one request. The response is filled in while the loop runs.
     /// @param forwarded_by host that forwards the request; empty: it comes from the caller
+    /// @param more_headers headers of this request beside the usual ones
     std::shared_ptr<received_response> send_request(const std::string& method = "POST",
                                                     const std::string& body = "question",
-                                                    const std::string& forwarded_by = {})
+                                                    const std::string& forwarded_by = {},
+                                                    const header_list& more_headers = {})
     {
         auto response = std::make_shared<received_response>();
         header_list headers;
@@ -291,6 +299,9 @@
         if (!forwarded_by.empty()) {
             headers.add(std::string{forwarded_header}, forwarded_by);
         }
+        for (const header& field : more_headers) {
+            headers.add(field.name, field.value);
+        }
         m_call = m_caller.call({.address = "127.0.0.1:" + std::to_string(m_front.port())},
                                format_request(method, "/a/x?y=z", headers, body),
                                {.on_head =
