Keep listed versions, and tell what of a window is known

What a host remembers of the software versions of a service has to prove that a stream which it doesn't know can only have begun at the one version that is published. Three ways led to a false proof: a listed version aged out where no reading came for a minute; a gap in which the state wasn't confirmed didn't end what is known; and knowledge began before the entries had arrived.

Listed versions now count as seen until they are replaced. Knowledge begins when the first entries have arrived, and anew after more than 2.5 s between two confirmations, which is less than the three heartbeat intervals for which an entry stays published. Nothing is proven while the last confirmation is older than that. Windows are longer by 2.5 s, for hosts that use an endpoint which this host has seen removed. A younger state may lack a version that has just been published: the host that begins a stream there knows both versions, so that is its matter to tell.

The history also states for how long no service had two versions, with a hash of the services and their versions, and takes over such a claim of another host if the same versions are published by the knowledge of both.

The gateway keeps the history up to date with each change of the entries and each heartbeat.

--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/limits/memory_budget.h"
 #include "gateway/membership/fleet_membership.h"
 #include "gateway/membership/gossip_socket.h"
+#include "gateway/routing/version_history.h"
 #include "gateway/serving/endpoint_checker.h"
 #include "gateway/serving/health_prober.h"
 #include "gateway/serving/protocol_adapter.h"
@@ -122,6 +123,7 @@
     gateway_metrics m_metrics;
     random_source m_random;
     published_state m_state;
+    version_history m_version_history;
     fleet_membership m_fleet;
     cold_side m_cold_side;
     rate_limiter m_usage;
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -216,6 +216,7 @@
                         .add("peer", host)
                         .add_ms("after_ms", m_fleet.members().options().heartbeat_timeout));
     }
+    m_version_history.confirm(now - m_state.age(now), now);
     m_cold_side.update(m_fleet.members(), m_settings.region, now);
     update_peer_loads(now);
     for (const std::string& endpoint : m_pool.set_ended_endpoints(m_fleet.ended_endpoints(now))) {
@@ -247,6 +248,9 @@
 
 void gateway::on_published()
 {
+    const time_point now = boot_clock::now();
+    const time_point read_at = now - m_state.age(now);
+    m_version_history.update(m_state.endpoints(), read_at, now);
     const publication_ptr& published = m_state.published();
     if (published == nullptr) {
         return;
@@ -262,8 +266,6 @@
     const auto find_service = [&published](const std::string& name) {
         return published->find_service(name);
     };
-    const time_point now = boot_clock::now();
-    const time_point read_at = now - m_state.age(now);
     m_pool.update(m_state.endpoints(), to_usability, find_service, read_at, now);
     if (m_pool.size() > 0 && !std::exchange(m_has_endpoints, true)) {
         m_pool.on_host_start(read_at);
