Learn from other hosts that each service had one version before a start

A host that has just started knows nothing of the versions before, so that it could prove no stream's version for the length of a window (10 to 15 s) after its start, nor after a gap in its state.

Heartbeats now say for how long, by what the sender knows, no service had several software versions, with a hash of the services and their versions; nothing where one had, or where the sender's state isn't fresh. A host of any region takes over the longest claim. It does so only where the same versions are published by its own knowledge: otherwise the sender may not have seen yet that a version has come or gone. The time on the way makes a claim shorter, never longer. A datagram that may have waited unread for more than 0.8 s, as with a host that stood still, is left out: what it says ends before the wait.

The log names the host by whose word more is known (versions_known_by_peer).

--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -84,12 +84,16 @@
     header.digest = digest;
     const digest_subscription wanted = received->digests;
     const bool all_endpoints_warm = received->all_endpoints_warm;
+    const single_version_claim single_version = received->single_version;
     const member_change change = m_members.on_heartbeat(std::move(*received), now);
     if (change == member_change::none) {
         return news;
     }
     m_has_heard = true;
     news.all_endpoints_warm = is_own_region && all_endpoints_warm;
+    if (now - arrived_after <= m_options.max_claim_wait) {
+        news.single_version = single_version;
+    }
     m_schedule.on_heartbeat(ip, header.region, wanted, now);
     if (change != member_change::updated) {
         note_change(ip);
--- a/src/gateway/membership/fleet_membership.h
+++ b/src/gateway/membership/fleet_membership.h
@@ -62,6 +62,8 @@
     /// Load statements passed on in one digest. At 15 bytes each and five digests a second, 48 of
     /// them are 3.7 KB a second.
     std::size_t max_loads = 48;
+    /// Time that a datagram may have waited unread for its claim of single versions to be used.
+    duration max_claim_wait = std::chrono::milliseconds{800};
 };
 
 /// A heartbeat to be sent.
@@ -86,6 +88,8 @@
     std::vector<usage_report> usage;
     crash_evidence crashes;
     std::vector<std::string> regions; ///< other regions whose capacity was reported
+    /// By the sender, of any region. None if the datagram may have waited for long.
+    single_version_claim single_version;
 };
 
 /// The fleet as one host knows it, and the heartbeats that it sends.
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -465,6 +465,8 @@
     message.set_change_era(sent.operator_change.era);
     message.set_change_revision(sent.operator_change.revision);
     message.set_all_endpoints_warm(sent.all_endpoints_warm);
+    message.set_single_version_ms(to_ms(sent.single_version.span));
+    message.set_single_versions(sent.single_version.versions);
     message.mutable_unheard_regions()->Add(sent.unheard_regions.begin(),
                                            sent.unheard_regions.end());
     message.set_interval_ms(to_ms(sent.interval));
@@ -505,6 +507,8 @@
     received.is_configuration_checked = message.is_configuration_checked();
     received.operator_change = {message.change_era(), message.change_revision()};
     received.all_endpoints_warm = message.all_endpoints_warm();
+    received.single_version = {milliseconds{message.single_version_ms()},
+                               message.single_versions()};
     received.interval = std::min(milliseconds{message.interval_ms()}, max_interval);
     for_each_bounded(message.unheard_regions(), [&received](const std::string& region) {
         received.unheard_regions.push_back(region);
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -4,6 +4,7 @@
 #include "gateway/routing/load_statement.h"
 #include "gateway/routing/prompt_quarantine.h"
 #include "gateway/routing/restart_report.h"
+#include "gateway/routing/version_history.h"
 #include "process/clock.h"
 
 #include <cstdint>       // uint32_t, uint64_t, uint8_t
@@ -153,6 +154,7 @@
     std::vector<end_report> ended_endpoints; ///< by what this host itself has seen
     std::vector<rate_report> rates;          ///< the newest that this host knows
     std::vector<load_report> loads;          ///< made to this host since the previous heartbeat
+    single_version_claim single_version;     ///< by what this host knows
     crash_evidence crashes;
     /// Regions of which the sender's region hears no host. Who hears them introduces their hosts, and
     /// passes on what they use.
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -92,6 +92,7 @@
     [[nodiscard]] heartbeat own_state(time_point now);
     void on_datagram(std::string_view datagram, time_point arrived_after);
     void record_restart_news(const received_news& news, time_point now);
+    void record_version_claim(const received_news& news, time_point now);
     void tell_urgent_news();
     void update_members(time_point now);
     void update_peer_loads(time_point now);
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -4,7 +4,7 @@
 #include "gateway/serving/region_options.h"
 
 #include <algorithm> // max
-#include <chrono>    // milliseconds
+#include <chrono>    // milliseconds, seconds
 #include <cstddef>   // size_t
 #include <cstdint>   // int64_t
 #include <string>    // string
@@ -24,6 +24,9 @@
 /// Time for which urgent news wait for others, to be sent together.
 constexpr duration urgent_news_delay = std::chrono::milliseconds{20};
 
+/// A host's claim about software versions is logged if it tells of so much more time.
+constexpr duration logged_version_gain = std::chrono::seconds{1};
+
 /// Returns the limits on requests that other hosts forward, which have applied the callers' limits.
 /// Their configuration may be newer or older than this host's, so the limits aren't below the
 /// default ones.
@@ -60,6 +63,7 @@
     state.ended_endpoints = m_pool.own_ended_endpoints();
     state.rates = m_pool.rate_reports(now);
     state.loads = m_pool.take_load_reports(now);
+    state.single_version = m_version_history.claim(now);
     state.used = m_usage.used();
     state.refused = m_usage.refused();
     state.prompts = m_pool.take_sent_prefixes();
@@ -149,6 +153,7 @@
     if (news.has_peer_loads && m_pool.has_load_statements()) {
         update_peer_loads(now);
     }
+    record_version_claim(news, now);
     m_quarantine.on_evidence(news.crashes, now);
     if (!news.new_host.empty()) {
         m_log.write(log_line{"host_heard"}.add("peer", news.new_host).add("region", news.region));
@@ -209,6 +214,17 @@
     }
 }
 
+/// Takes over what the sender of a datagram knows of the software versions before this host's start.
+void gateway::record_version_claim(const received_news& news, time_point now)
+{
+    const duration gained = m_version_history.on_claim(news.single_version, now);
+    if (gained >= logged_version_gain) {
+        m_metrics.count("versions_known_by_peer");
+        m_log.write(
+            log_line{"versions_known_by_peer"}.add("peer", news.sender).add_ms("more_ms", gained));
+    }
+}
+
 void gateway::update_members(time_point now)
 {
     for (const std::string& host : m_fleet.expire(now)) {
--- a/tests/gateway/gossip_codec_test.cpp
+++ b/tests/gateway/gossip_codec_test.cpp
@@ -126,6 +126,34 @@
     CHECK(received->digest->members.size() == 1);
 }
 
+TEST_CASE("how long services have had single versions is told to hosts of any region")
+{
+    heartbeat sent = make_digest_heartbeat();
+    sent.single_version = {12'345ms, 0xFEDC'BA98};
+    for (const heartbeat_scope scope : {heartbeat_scope::own_region, heartbeat_scope::fleet}) {
+        const auto received = decode_heartbeat(encode(sent, scope));
+        REQUIRE(received);
+        CHECK(received->single_version.span == 12'345ms);
+        CHECK(received->single_version.versions == 0xFEDC'BA98);
+    }
+    const std::string datagram = encode(sent, heartbeat_scope::fleet);
+    fleet_membership membership = make_membership();
+    CHECK(membership.on_datagram(datagram, start - 800ms, start).single_version.span == 12'345ms);
+    // the same heartbeat again
+    CHECK(membership.on_datagram(datagram, start, start).single_version.span == 0ms);
+}
+
+TEST_CASE("how long services have had single versions isn't taken from a datagram that has waited")
+{
+    heartbeat sent = make_digest_heartbeat();
+    sent.single_version = {12'345ms, 7};
+    fleet_membership membership = make_membership();
+    const auto news =
+        membership.on_datagram(encode(sent, heartbeat_scope::fleet), start - 801ms, start);
+    CHECK(news.new_host == "host-2");
+    CHECK(news.single_version.span == 0ms);
+}
+
 TEST_CASE("a heartbeat that was cut or changed on the way never causes more than its rejection")
 {
     const std::string sent = encode(make_digest_heartbeat(), heartbeat_scope::own_region);
