Continue a caller's stream only at the software version that began it

A caller whose stream broke off takes it up with a new request at any host, which names in `Resumes` the attempt that brought the first event. Nothing read that header, and any endpoint served the rest: callers got text joined from two software versions, with 200 and to the end.

Each host now records at a stream's first event which version began it. While a service has or had several versions of late, heartbeats tell the other hosts of all regions. A take-up goes to the version that is recorded, or to the only one that the service provably had during the route's timeout; anything else is refused at once, not run.

--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -82,6 +82,7 @@
     header.incarnation = received->incarnation;
     header.services = received->services;
     header.digest = digest;
+    header.streams = std::exchange(received->streams, {});
     const digest_subscription wanted = received->digests;
     const bool all_endpoints_warm = received->all_endpoints_warm;
     const member_change change = m_members.on_heartbeat(std::move(*received), now);
@@ -89,6 +90,7 @@
         return news;
     }
     m_has_heard = true;
+    read_streams(header, news);
     news.all_endpoints_warm = is_own_region && all_endpoints_warm;
     m_schedule.on_heartbeat(ip, header.region, wanted, now);
     if (change != member_change::updated) {
@@ -103,6 +105,36 @@
     return news;
 }
 
+/// Keeps streams for the next round of heartbeats, each once and at most `max_streams`.
+void fleet_membership::hold_streams(const std::vector<stream_report>& reports,
+                                    held_streams& held) const
+{
+    for (const stream_report& report : reports) {
+        if (held.size() >= m_options.max_streams) {
+            return;
+        }
+        held.try_emplace(report.stream, report);
+    }
+}
+
+/// Reads the streams that other hosts have begun. What a host tells of itself is passed on to the
+/// whole fleet, what another region has collected is passed on within this region, and what this
+/// region has collected isn't passed on again.
+void fleet_membership::read_streams(const heartbeat& received, received_news& news)
+{
+    const bool is_own_region = received.region == m_own.region;
+    news.streams = received.streams;
+    hold_streams(received.streams, is_own_region ? m_region_streams : m_other_streams);
+    if (!received.digest) {
+        return;
+    }
+    const std::vector<stream_report>& collected = received.digest->streams;
+    news.streams.insert(news.streams.end(), collected.begin(), collected.end());
+    if (!is_own_region) {
+        hold_streams(collected, m_other_streams);
+    }
+}
+
 /// Takes what only hosts of the region use out of a heartbeat.
 /// @param has_usage whether it reports the usage of its sender; digests may leave that out
 void fleet_membership::read_own_region(heartbeat& received, bool has_usage, received_news& news,
@@ -296,6 +328,8 @@
         }
     }
     m_prompts.clear();
+    m_region_streams.clear();
+    m_other_streams.clear();
     mark_loads_sent(now);
 }
 
--- a/src/gateway/membership/fleet_membership.h
+++ b/src/gateway/membership/fleet_membership.h
@@ -62,6 +62,10 @@
     /// Load statements passed on in one digest. At 15 bytes each and five digests a second, 48 of
     /// them are 3.7 KB a second.
     std::size_t max_loads = 48;
+    /// Streams passed on in one digest or summary, from each side: hosts of the region, and other
+    /// regions. At 10 bytes each, and with those that the sender has begun, they leave half of a
+    /// datagram to other reports.
+    std::size_t max_streams = 1'024;
 };
 
 /// A heartbeat to be sent.
@@ -83,6 +87,7 @@
     std::vector<rate_report> rates;          ///< of endpoints of this region
     std::vector<load_report> loads;          ///< of endpoints of this region
     bool has_peer_loads = false;             ///< a digest has replaced loads of `peer_loads()`
+    std::vector<stream_report> streams;      ///< begun at other hosts, of any region
     std::vector<usage_report> usage;
     crash_evidence crashes;
     std::vector<std::string> regions; ///< other regions whose capacity was reported
@@ -174,6 +179,8 @@
         bool is_new = true;        ///< not yet in a digest
     };
 
+    using held_streams = std::map<std::uint64_t, stream_report>; // by hash of the attempt id
+
     struct pending_change {
         std::string ip;
         int repeats = 0; ///< digests that have yet to name the host
@@ -186,6 +193,8 @@
     [[nodiscard]] std::vector<std::uint32_t> loads_to_send() const;
     [[nodiscard]] std::vector<load_report> collect_loads(time_point now) const;
     void mark_loads_sent(time_point now);
+    void hold_streams(const std::vector<stream_report>& reports, held_streams& held) const;
+    void read_streams(const heartbeat& received, received_news& news);
     void read_digest(const heartbeat& received, received_news& news, time_point now);
     void read_introductions(const region_digest& digest, time_point now);
     void read_other_region(region_state state, received_news& news, time_point now);
@@ -231,6 +240,10 @@
     std::map<std::string, std::map<std::string, held_region>> m_regions; ///< by region, by ip
     std::deque<pending_change> m_changes;
     std::vector<sent_prefix> m_prompts; ///< received since the last digest
+    /// Streams begun at other hosts of this region, received since the last round of heartbeats.
+    held_streams m_region_streams;
+    /// The same of other regions; passed on within this region only.
+    held_streams m_other_streams;
     /// Statements of the last seconds, by hash of the incarnation.
     std::unordered_map<std::uint32_t, held_load> m_loads;
     /// First host of the next part of the list of hosts, by ip, for each content.
--- a/src/gateway/membership/fleet_membership_digests.cpp
+++ b/src/gateway/membership/fleet_membership_digests.cpp
@@ -96,6 +96,13 @@
     }
 }
 
+void add(std::vector<stream_report>& list, const std::map<std::uint64_t, stream_report>& held)
+{
+    for (const auto& [stream, report] : held) {
+        list.push_back(report);
+    }
+}
+
 void subtract(endpoint_loads& sums, const endpoint_loads& loads)
 {
     for (const auto& [hash, load] : loads) {
@@ -318,6 +325,7 @@
         to_groups(hosts_to_introduce(recipient.content, unheard, now), now, to_introduction);
     if (is_summary) {
         sent.digest->regions = usage_to_pass_on(unheard, now);
+        add(sent.digest->streams, m_region_streams);
         sent.used.clear(); // the digest includes it
         sent.refused.clear();
         return encode(sent, heartbeat_scope::fleet);
@@ -333,6 +341,8 @@
         sent.used.clear(); // the digest includes it, and the recipient is no aggregator
         sent.refused.clear();
         sent.digest->prompts = m_prompts;
+        add(sent.digest->streams, m_region_streams);
+        add(sent.digest->streams, m_other_streams);
     }
     return encode(sent, heartbeat_scope::own_region);
 }
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -5,6 +5,7 @@
 #include <algorithm> // max, min
 #include <chrono>    // milliseconds
 #include <cmath>     // isfinite, lround
+#include <map>       // map
 #include <mutex>     // call_once, once_flag
 #include <utility>   // move
 
@@ -155,6 +156,22 @@
     }
 }
 
+/// Adds streams, those of one software version together. `Message` is a heartbeat or a digest.
+template <typename Message>
+void add_streams(Message& message, const std::vector<stream_report>& reports)
+{
+    std::map<std::uint32_t, gossip::stream_group*> groups; // by software version
+    for (const stream_report& report : reports) {
+        gossip::stream_group*& group = groups[report.software_version];
+        if (group == nullptr) {
+            group = message.add_streams();
+            group->set_software_version(report.software_version);
+        }
+        group->add_streams(report.stream);
+        group->add_remaining_ms(to_ms(report.remaining));
+    }
+}
+
 void add_group(gossip::member_group& added_group, const member_group& group)
 {
     added_group.set_region(group.region);
@@ -202,6 +219,7 @@
     for (const region_state& region : digest.regions) {
         add_region(added, region);
     }
+    add_streams(added, digest.streams);
     if (scope == heartbeat_scope::own_region) {
         add_endpoints(added, digest);
     }
@@ -361,6 +379,21 @@
     received.loads = to_load_reports(message);
 }
 
+template <typename Message>
+std::vector<stream_report> to_streams(const Message& message)
+{
+    std::vector<stream_report> reports;
+    for_each_bounded(message.streams(), [&reports](const gossip::stream_group& group) {
+        const int count = std::min({group.streams_size(), group.remaining_ms_size(),
+                                    max_elements - static_cast<int>(reports.size())});
+        for (int i = 0; i < count; ++i) {
+            reports.push_back(
+                {group.streams(i), group.software_version(), milliseconds{group.remaining_ms(i)}});
+        }
+    });
+    return reports;
+}
+
 std::vector<rate_report> to_rates(const gossip::heartbeat& message)
 {
     std::vector<rate_report> reports;
@@ -422,6 +455,7 @@
         read_usage(region, state);
         digest.regions.push_back(std::move(state));
     });
+    digest.streams = to_streams(message);
     return digest;
 }
 
@@ -476,6 +510,7 @@
         add_rates(message, sent.rates);
     }
     add_crashes(message, sent.crashes);
+    add_streams(message, sent.streams);
     if (sent.digest) {
         add_digest(message, *sent.digest, scope);
     }
@@ -515,6 +550,7 @@
     read_endpoints(message, received);
     received.rates = to_rates(message);
     received.crashes = to_crashes(message.crashes());
+    received.streams = to_streams(message);
     if (message.has_digest()) {
         received.digest = to_digest(message.digest());
     }
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -4,6 +4,7 @@
 #include "gateway/routing/load_statement.h"
 #include "gateway/routing/prompt_quarantine.h"
 #include "gateway/routing/restart_report.h"
+#include "gateway/routing/stream_origins.h"
 #include "process/clock.h"
 
 #include <cstdint>       // uint32_t, uint64_t, uint8_t
@@ -113,7 +114,9 @@
     std::vector<restart_report> restarts;
     std::vector<cold_report> cold_endpoints;
     std::vector<end_report> ended_endpoints;
-    std::vector<load_report> loads;    ///< the newest of endpoints, if not in a previous digest
+    std::vector<load_report> loads; ///< the newest of endpoints, if not in a previous digest
+    /// Begun at hosts of the region; in digests for the region, also at hosts of other regions.
+    std::vector<stream_report> streams;
     std::vector<member_group> members; ///< a part of the live hosts
     /// A part of the hosts that are known to the sender, and that it doesn't hear, or the receiver
     /// doesn't. The receiver learns of them, but not that it can reach them.
@@ -153,6 +156,7 @@
     std::vector<end_report> ended_endpoints; ///< by what this host itself has seen
     std::vector<rate_report> rates;          ///< the newest that this host knows
     std::vector<load_report> loads;          ///< made to this host since the previous heartbeat
+    std::vector<stream_report> streams;      ///< begun at this host
     crash_evidence crashes;
     /// Regions of which the sender's region hears no host. Who hears them introduces their hosts, and
     /// passes on what they use.
--- a/src/gateway/routing/rendezvous.h
+++ b/src/gateway/routing/rendezvous.h
@@ -24,6 +24,12 @@
     return XXH32(id.data(), id.size(), 0);
 }
 
+/// Hash of a caller's attempt id by which hosts refer to a stream. Thread safe.
+inline std::uint64_t long_hash(std::string_view id) noexcept
+{
+    return XXH64(id.data(), id.size(), 0);
+}
+
 /// Parses a hash that stands in a header, in decimal; nothing for any other text. Thread safe.
 inline std::optional<std::uint32_t> parse_hash(std::string_view text) noexcept
 {
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -246,6 +246,9 @@
         const route& matched = *m_authorised.matched_route;
         m_context.prompt_rooms[m_service].on_request(matched.priority, matched.objective, now);
     }
+    if (is_first_placement && refuse_unknown_origin(now)) {
+        return true;
+    }
     const placement_options options = find_placements(m_authorised, *of, m_excluded, now);
     if (const auto chosen = choose_destination(m_authorised, options, now)) {
         if (!m_is_queued && !m_has_response_started && m_context.waiting_count(m_service) > 0) {
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -161,6 +161,9 @@
     // placement
     bool place();
     bool refuse_quarantined();
+    bool refuse_unknown_origin(time_point now);
+    [[nodiscard]] bool resumes_stream() const;
+    [[nodiscard]] std::optional<std::uint32_t> find_origin(time_point now) const;
     [[nodiscard]] std::uint64_t fingerprint();
     [[nodiscard]] std::optional<duration> request_refusal();
     bool place_again();
@@ -217,6 +220,7 @@
     void on_complete_stream();
     void relay(std::string_view bytes);
     void start_relay();
+    void record_origin(time_point now);
     void resume_reading();
     [[nodiscard]] bool is_genuine(const message_head& head) const;
     [[nodiscard]] bool is_relayable_stream(const message_head& head) const;
@@ -283,7 +287,7 @@
     /// The latest response that an endpoint broke off; set until the next attempt.
     std::optional<broken_response> m_broken_off;
     /// Hash of the software version that has begun the stream, which alone may continue it; nothing
-    /// if no event of it has been received.
+    /// if no event of it has been received, here or by the caller's request that this one continues.
     std::optional<std::uint32_t> m_software_version;
     int m_started_status = 0; ///< of the response, once it has started
     time_point m_last_progress{};
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -207,8 +207,12 @@
         if (m_has_response_started) {
             m_max_event_gap = std::max(m_max_event_gap, now - m_last_progress);
         }
+        const bool is_first = !m_has_response_started;
         start_relay();
         m_software_version = m_attempt.software_version;
+        if (is_first) {
+            record_origin(now);
+        }
         m_caller->send(events);
         m_attempt.call->set_max_read(is_memory_scarce() ? m_context.options.max_read_bytes_if_scarce
                                                         : SIZE_MAX);
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -105,6 +105,8 @@
           .usage = m_usage,
           .pool = m_pool,
           .quarantine = m_quarantine,
+          .origins = m_origins,
+          .versions = m_versions,
           .client = m_client,
           .log = m_log,
           .metrics = m_metrics,
@@ -294,6 +296,7 @@
     m_heard_since = std::exchange(m_heartbeat_at, boot_clock::now());
     update_members(boot_clock::now());
     update_quarantine(boot_clock::now());
+    update_versions(boot_clock::now());
     m_checker.check_periodically(boot_clock::now());
     trim_heap(boot_clock::now());
     close_unread(boot_clock::now());
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -88,6 +88,7 @@
     void send_heartbeats();
     void log_aggregators();
     void update_quarantine(time_point now);
+    void update_versions(time_point now);
     [[nodiscard]] heartbeat own_state(time_point now);
     void on_datagram(std::string_view datagram, time_point arrived_after);
     void record_restart_news(const received_news& news, time_point now);
@@ -127,6 +128,8 @@
     rate_limiter m_usage;
     endpoint_pool m_pool;
     prompt_quarantine m_quarantine;
+    stream_origins m_origins{{}};
+    version_history m_versions;
     http_client m_client;
     std::unique_ptr<publication_source> m_source;
     configuration_follower m_follower;
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -64,6 +64,11 @@
     state.refused = m_usage.refused();
     state.prompts = m_pool.take_sent_prefixes();
     state.crashes = m_quarantine.evidence(now);
+    state.streams = m_origins.take_reports(
+        [this, now](const std::string& service) {
+            return m_versions.has_several(service, version_history::retention, now);
+        },
+        now);
     return state;
 }
 
@@ -104,6 +109,12 @@
     }
 }
 
+/// Records which software versions are published.
+void gateway::update_versions(time_point now)
+{
+    m_versions.update(m_state.endpoints(), now - m_state.age(now), now);
+}
+
 void gateway::log_aggregators()
 {
     const std::vector<std::string>& aggregators = m_fleet.schedule().aggregators();
@@ -150,6 +161,9 @@
         update_peer_loads(now);
     }
     m_quarantine.on_evidence(news.crashes, now);
+    for (const stream_report& report : news.streams) {
+        m_origins.on_peer_report(report, now);
+    }
     if (!news.new_host.empty()) {
         m_log.write(log_line{"host_heard"}.add("peer", news.new_host).add("region", news.region));
     }
@@ -265,6 +279,7 @@
     const time_point now = boot_clock::now();
     const time_point read_at = now - m_state.age(now);
     m_pool.update(m_state.endpoints(), to_usability, find_service, read_at, now);
+    update_versions(now);
     if (m_pool.size() > 0 && !std::exchange(m_has_endpoints, true)) {
         m_pool.on_host_start(read_at);
         m_checker.check_after_start(
--- a/src/gateway/serving/protocol_adapter.h
+++ b/src/gateway/serving/protocol_adapter.h
@@ -22,6 +22,9 @@
     std::optional<prompt> prompt_size; ///< set for generation requests that state their tokens
     std::vector<std::uint64_t> shared_parts; ///< ids of the prompt's parts but the last
     std::string last_event_id;               ///< a resumed stream continues after this event
+    /// Attempt id of the caller's attempt that brought the first event of the stream that this
+    /// request resumes; empty if that can't be told, nothing if the request names none.
+    std::optional<std::string> resumed_id;
     std::string refusal_reason; ///< reason if the fields are malformed, otherwise empty
 };
 
--- a/src/gateway/serving/region_options.cpp
+++ b/src/gateway/serving/region_options.cpp
@@ -3,6 +3,7 @@
 #include "gateway/routing/rendezvous.h"
 
 #include <algorithm> // any_of, find, min
+#include <cstdint>   // uint32_t
 #include <map>       // map
 
 namespace hickorykeel::gateway {
@@ -39,6 +40,15 @@
     return home_region(query.prompt_size->shared_id(), allowed);
 }
 
+/// Whether an endpoint takes requests for `service` and has this software version.
+bool is_of_version(const serving_context& context, const endpoint_entry& entry,
+                   const std::string& service, std::uint32_t software_version)
+{
+    return entry.service == service && !entry.is_draining &&
+           short_hash(entry.software_version) == software_version &&
+           !context.state.is_evacuated(entry.failure_domain);
+}
+
 /// Whether `region` has an endpoint of the service that takes requests and whose software version
 /// is the one that the request requires, if it does. O(endpoints) if it does.
 bool has_required_version(const serving_context& context, const region_query& query,
@@ -48,10 +58,8 @@
     return !query.software_version ||
            std::any_of(endpoints.begin(), endpoints.end(), [&](const auto& item) {
                const endpoint_entry& entry = item.second;
-               return entry.service == query.service && !entry.is_draining &&
-                      short_hash(entry.software_version) == *query.software_version &&
-                      context.settings.region_of(entry.failure_domain) == region &&
-                      !context.state.is_evacuated(entry.failure_domain);
+               return is_of_version(context, entry, query.service, *query.software_version) &&
+                      context.settings.region_of(entry.failure_domain) == region;
            });
 }
 
@@ -67,6 +75,15 @@
            (caller_organisation == nullptr || allows(caller_organisation->home_regions));
 }
 
+bool has_version(const serving_context& context, const std::string& service,
+                 std::uint32_t software_version)
+{
+    const auto& endpoints = context.state.endpoints();
+    return std::any_of(endpoints.begin(), endpoints.end(), [&](const auto& item) {
+        return is_of_version(context, item.second, service, software_version);
+    });
+}
+
 service_capacities to_capacities(const published_state& state, const gateway_settings& settings)
 {
     service_capacities capacities;
--- a/src/gateway/serving/region_options.h
+++ b/src/gateway/serving/region_options.h
@@ -31,6 +31,11 @@
 [[nodiscard]] service_capacities to_capacities(const published_state& state,
                                                const gateway_settings& settings);
 
+/// Whether an endpoint of any region takes requests for `service` and has the software version whose
+/// hash is given. O(endpoints).
+[[nodiscard]] bool has_version(const serving_context& context, const std::string& service,
+                               std::uint32_t software_version);
+
 /// Returns the other regions that may serve a request now, each with the load that one of its hosts
 /// last reported, less the requests forwarded since. O(hosts).
 [[nodiscard]] std::vector<region_option>
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -13,6 +13,8 @@
 #include "gateway/routing/prompt_quarantine.h"
 #include "gateway/routing/prompt_room.h"
 #include "gateway/routing/region_choice.h"
+#include "gateway/routing/stream_origins.h"
+#include "gateway/routing/version_history.h"
 #include "gateway/serving/authorisation.h"
 #include "gateway/serving/first_byte_limit.h"
 #include "gateway/serving/first_byte_rate.h"
@@ -82,6 +84,12 @@
     duration retry_after_out_of_memory = std::chrono::milliseconds{1'000};
     /// Retry-After delay if no endpoint exists.
     duration retry_after_outage = std::chrono::milliseconds{1'000};
+    /// Retry-After delay if it isn't known here which software version has begun the stream that a
+    /// request resumes; a host that was asked too early may be told in it.
+    duration retry_after_unknown_stream = std::chrono::milliseconds{500};
+    /// Age of the published state from which it doesn't show that a service has one version only:
+    /// endpoints of another one may have been published since.
+    duration max_versions_age = std::chrono::milliseconds{2'000};
     /// Minimum tokens of the shared prefix of a prompt that has a home region.
     std::uint64_t min_home_tokens = 2'000;
     authorisation_options authorisation;
@@ -106,6 +114,8 @@
     rate_limiter& usage;
     endpoint_pool& pool;
     prompt_quarantine& quarantine;
+    stream_origins& origins;
+    const version_history& versions;
     http_client& client;
     event_log& log;
     gateway_metrics& metrics;
--- a/tests/gateway/fleet_membership_test.cpp
+++ b/tests/gateway/fleet_membership_test.cpp
@@ -700,3 +700,84 @@
     CHECK(summary.digest->regions.front().used.contains("o"));
     CHECK(summary.digest->regions.front().services.empty()); // it isn't reached by that
 }
+
+namespace {
+
+constexpr std::uint64_t told_stream = 71; ///< hash of its attempt id
+
+/// Tells a simulated fleet of a stream. Returns the hosts that know it after `span`, by region.
+std::map<std::string, std::set<std::string>> hosts_told_of(const fleet_shape& shape, duration span)
+{
+    simulated_fleet fleet{shape};
+    std::map<std::string, std::set<std::string>> told;
+    fleet.on_news = [&told](simulated_fleet::host& receiver, const received_news& news) {
+        for (const stream_report& report : news.streams) {
+            CHECK(report.stream == told_stream);
+            CHECK(report.software_version == 5);
+            told[receiver.region].insert(receiver.ip);
+        }
+    };
+    fleet.start_all();
+    fleet.run_for(3s);
+    // as `stream_origins` tells it: in two heartbeats
+    simulated_fleet::host& teller = fleet.hosts().back();
+    int left = 2;
+    fleet.on_send = [&](simulated_fleet::host& sender) {
+        if (sender.ip == teller.ip) {
+            sender.state.streams.clear();
+            if (left-- > 0) {
+                sender.state.streams = {{told_stream, 5, 9s}};
+            }
+        }
+    };
+    fleet.run_for(span);
+    told[teller.region].insert(teller.ip);
+    return told;
+}
+
+} // namespace
+
+// guards against ORDER and LOST: only the host that had begun a stream knew at which version
+TEST_CASE("regression: the version that has begun a stream is told to all hosts of all regions")
+{
+    const auto told =
+        hosts_told_of({.regions = 3, .domains_per_region = 2, .hosts_per_domain = 13}, 1s);
+    REQUIRE(told.size() == 3);
+    for (const auto& item : told) {
+        CAPTURE(item.first);
+        CHECK(item.second.size() == 26);
+    }
+}
+
+TEST_CASE("the version that has begun a stream is told although datagrams are lost")
+{
+    std::size_t told = 0;
+    std::size_t all = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        for (const auto& [region, hosts] :
+             hosts_told_of({.regions = 2, .hosts_per_domain = 3, .seed = seed, .loss = 0.1}, 2s)) {
+            told += hosts.size();
+        }
+        all += 12;
+    }
+    CHECK(told >= all * 9 / 10);
+}
+
+TEST_CASE("a stream isn't told for longer than some rounds")
+{
+    simulated_fleet fleet{{.regions = 2, .hosts_per_domain = 3}};
+    int reports = 0;
+    fleet.on_news = [&reports](simulated_fleet::host&, const received_news& news) {
+        reports += static_cast<int>(news.streams.size());
+    };
+    fleet.start_all();
+    fleet.run_for(3s);
+    fleet.hosts().back().state.streams = {{told_stream, 5, 9s}};
+    fleet.run_for(400ms);
+    fleet.hosts().back().state.streams.clear();
+    fleet.run_for(1s);
+    CHECK(reports > 0);
+    reports = 0;
+    fleet.run_for(2s);
+    CHECK(reports == 0);
+}
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -84,6 +84,7 @@
         result->add(owner, keys);
         published_reading reading;
         reading.published = result;
+        reading.endpoints = m_state.last().endpoints;
         reading.position.revision = version;
         m_state.apply(reading, boot_clock::now(), boot_clock::now());
     }
@@ -161,6 +162,29 @@
         update_pool();
     }
 
+    /// Makes this host know which software versions were published in the last `span`: those of the
+    /// endpoints that exist now.
+    void know_versions(duration span)
+    {
+        m_versions = {};
+        m_versions.update(m_entries, boot_clock::now() - span, boot_clock::now());
+    }
+
+    /// Publishes an endpoint in the region of `add_host()`.
+    void publish_elsewhere(const std::string& name, const std::string& software_version)
+    {
+        m_settings.regions["elsewhere-a"] = "elsewhere";
+        endpoint_entry entry;
+        entry.id = name;
+        entry.service = "s";
+        entry.failure_domain = "elsewhere-a";
+        entry.software_version = software_version;
+        m_entries_elsewhere.push_back(entry);
+        update_pool();
+    }
+
+    [[nodiscard]] stream_origins& origins() noexcept { return m_origins; }
+
     /// Adds an endpoint at an address at which nobody listens.
     void add_unreachable_endpoint(const std::string& name)
     {
@@ -279,15 +303,17 @@
     /// Sends one request. The response is filled in while the loop runs.
     /// @param forwarded_by host that forwards the request; empty: it comes from the caller
     /// @param more_headers headers of this request beside the usual ones
+    /// @param attempt_id of the caller
     std::shared_ptr<received_response> send_request(const std::string& method = "POST",
                                                     const std::string& body = "question",
                                                     const std::string& forwarded_by = {},
-                                                    const header_list& more_headers = {})
+                                                    const header_list& more_headers = {},
+                                                    const std::string& attempt_id = id)
     {
         auto response = std::make_shared<received_response>();
         header_list headers;
         headers.add("Host", "h.example");
-        headers.add("X-Hickorykeel-Attempt-Id", id);
+        headers.add("X-Hickorykeel-Attempt-Id", attempt_id);
         headers.add("X-Hickorykeel-Deadline-Ms", "5000");
         headers.add("Api-Key", key);
         if (!m_prompt.empty()) {
@@ -355,6 +381,12 @@
             m_entries, [](const endpoint_entry&) { return endpoint_pool::usability::usable; },
             [published](const std::string& wanted) { return published->find_service(wanted); },
             boot_clock::now(), boot_clock::now());
+        published_reading reading = m_state.last();
+        reading.endpoints = m_entries_elsewhere;
+        for (const auto& [name, entry] : m_entries) {
+            reading.endpoints.push_back(entry);
+        }
+        m_state.apply(std::move(reading), boot_clock::now(), boot_clock::now());
     }
 
     route m_route;
@@ -376,6 +408,8 @@
                          [](const std::string&, double rate) { return rate; },
                          [](const std::string&, double rate) { return rate; }};
     prompt_quarantine m_quarantine{{}};
+    stream_origins m_origins{{}};
+    version_history m_versions;
     http_client m_client{m_loop};
     http_client m_caller{m_loop};
     event_log m_log{m_loop, "host", {.request_lines_per_s = 0}};
@@ -391,6 +425,8 @@
         .usage = m_usage,
         .pool = m_pool,
         .quarantine = m_quarantine,
+        .origins = m_origins,
+        .versions = m_versions,
         .client = m_client,
         .log = m_log,
         .metrics = m_metrics,
@@ -415,6 +451,7 @@
                             std::make_shared<exchange>(m_context, request, is_forwarded)->start();
                         }};
     std::map<std::string, endpoint_entry> m_entries;
+    std::vector<endpoint_entry> m_entries_elsewhere; // in the region of the other host
     std::vector<std::unique_ptr<http_server>> m_endpoints;
     std::unique_ptr<http_server> m_peer;
     std::shared_ptr<client_connection> m_call;
--- a/tests/gateway/gossip_codec_test.cpp
+++ b/tests/gateway/gossip_codec_test.cpp
@@ -4,8 +4,10 @@
 #include "generated/gossip.pb.h"
 
 #include <chrono>  // milliseconds, seconds
-#include <cstdint> // uint32_t
+#include <cstddef> // size_t
+#include <cstdint> // uint32_t, uint64_t
 #include <limits>  // numeric_limits
+#include <map>     // map
 #include <random>  // mt19937_64
 #include <string>  // string, to_string
 
@@ -355,3 +357,64 @@
     CHECK(encode(make_usage_digest(16), heartbeat_scope::own_region).size() < 2'000);
     CHECK(encode(make_usage_digest(660), heartbeat_scope::own_region).size() < max_payload);
 }
+
+TEST_CASE("streams are unchanged by encoding and decoding, also for other regions")
+{
+    heartbeat sent = make_digest_heartbeat();
+    sent.streams = {{71, 5, 1'200ms}, {72, 6, 9s}, {73, 5, 15s}};
+    sent.digest->streams = {{81, 5, 300ms}};
+    for (const heartbeat_scope scope : {heartbeat_scope::own_region, heartbeat_scope::fleet}) {
+        const auto received = decode_heartbeat(encode(sent, scope));
+        REQUIRE(received);
+        REQUIRE(received->digest);
+        REQUIRE(received->streams.size() == 3);
+        std::map<std::uint64_t, stream_report> by_stream;
+        for (const stream_report& report : received->streams) {
+            by_stream[report.stream] = report;
+        }
+        CHECK(by_stream[71].software_version == 5);
+        CHECK(by_stream[72].software_version == 6);
+        CHECK(by_stream[73].software_version == 5);
+        CHECK(by_stream[71].remaining == 1'200ms);
+        CHECK(by_stream[72].remaining == 9s);
+        REQUIRE(received->digest->streams.size() == 1);
+        CHECK(received->digest->streams.front().stream == 81);
+    }
+}
+
+TEST_CASE("streams that lack their time are left out, and their number is bounded")
+{
+    gossip::heartbeat message;
+    message.set_ip("10.0.0.2");
+    message.set_incarnation(7);
+    gossip::stream_group& group = *message.add_streams();
+    group.add_streams(71);
+    group.add_streams(72);
+    group.add_remaining_ms(100);
+    auto received = decode_heartbeat(message.SerializeAsString());
+    REQUIRE(received);
+    CHECK(received->streams.size() == 1);
+    for (int i = 0; i < 4'000; ++i) {
+        for (gossip::stream_group* added : {message.mutable_streams(0), message.add_streams()}) {
+            added->add_streams(static_cast<std::uint64_t>(i));
+            added->add_remaining_ms(100);
+        }
+    }
+    received = decode_heartbeat(message.SerializeAsString());
+    REQUIRE(received);
+    CHECK(received->streams.size() <= 4'096);
+}
+
+TEST_CASE("a stream takes at most 11 bytes, and a digest's streams leave room in a datagram")
+{
+    heartbeat sent = make_digest_heartbeat();
+    const std::size_t without = encode(sent, heartbeat_scope::own_region).size();
+    const fleet_membership_options options;
+    for (std::size_t i = 0; i < options.max_streams; ++i) {
+        sent.digest->streams.push_back({i, 5, 16s});
+        sent.digest->streams.push_back({i, 6, 16s});
+    }
+    const std::size_t with = encode(sent, heartbeat_scope::own_region).size();
+    CHECK(with - without < 2 * options.max_streams * 11);
+    CHECK(with < 32'768);
+}
--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -263,6 +263,18 @@
     CHECK_FALSE(sent.contains("X-Hickorykeel-Hold"));
 }
 
+TEST_CASE("the attempt that brought a stream's first event is read and passed on")
+{
+    const protocol_adapter adapter = platform::make_protocol_adapter();
+    message_head head = caller_head();
+    CHECK_FALSE(adapter.read_caller_fields(head).resumed_id);
+    head.headers.add("Resumes", "5b1f");
+    CHECK(adapter.read_caller_fields(head).resumed_id == "5b1f");
+    CHECK(adapter.to_host_headers(head, {1'200ms, "5"}).find("Resumes") == "5b1f");
+    head.headers.add("resumes", "5b1f");
+    CHECK(adapter.read_caller_fields(head).resumed_id == "");
+}
+
 TEST_CASE("the directory's query and response are in the platform's format")
 {
     const protocol_adapter adapter = platform::make_protocol_adapter();
