--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -105,6 +105,8 @@
           .usage = m_usage,
           .pool = m_pool,
           .quarantine = m_quarantine,
+          .origins = m_origins,
+          .versions = m_version_history,
           .client = m_client,
           .log = m_log,
           .metrics = m_metrics,
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -130,6 +130,7 @@
     rate_limiter m_usage;
     endpoint_pool m_pool;
     prompt_quarantine m_quarantine;
+    stream_origins m_origins{{}};
     http_client m_client;
     std::unique_ptr<publication_source> m_source;
     configuration_follower m_follower;
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -68,6 +68,11 @@
     state.refused = m_usage.refused();
     state.prompts = m_pool.take_sent_prefixes();
     state.crashes = m_quarantine.evidence(now);
+    state.streams = m_origins.take_reports(
+        [this, now](const std::string& service) {
+            return m_version_history.has_several(service, version_history::retention, now);
+        },
+        now);
     return state;
 }
 
@@ -155,6 +160,9 @@
     }
     record_version_claim(news, now);
     m_quarantine.on_evidence(news.crashes, now);
+    for (const stream_report& report : news.streams) {
+        m_origins.on_peer_report(report, now);
+    }
     if (!news.new_host.empty()) {
         m_log.write(log_line{"host_heard"}.add("peer", news.new_host).add("region", news.region));
     }
