Show that a short cut hides a new version

A host that has been cut off from the store and all other hosts for less than 2 s takes its published state for new enough, and the version in it for the only one, though endpoints of another one were published meanwhile. A caller who turns to it for the rest of a stream of that version gets two parts that don't fit together.

--- a/tests/gateway/stream_version_schedules_test.cpp
+++ b/tests/gateway/stream_version_schedules_test.cpp
@@ -341,3 +341,14 @@
 {
     CHECK(version_schedule{{.heeds_versions = false}, 1}.run().mixed > 10);
 }
+
+// guards against ORDER: a host that had been cut off for less than 2 s took a former version for the
+// only one
+TEST_CASE("regression: a host that is cut off for a short time continues streams of a new version")
+{
+    const schedule_options options{.has_kills_of_all = true, .has_cuts = true};
+    for (const std::uint64_t seed : {417U, 512U}) {
+        CAPTURE(seed);
+        CHECK(version_schedule{options, seed}.run().mixed == 0);
+    }
+}
