--- a/tests/gateway/version_history_test.cpp
+++ b/tests/gateway/version_history_test.cpp
@@ -341,3 +341,21 @@
     CHECK(counts.named > 10'000);
     CHECK(counts.claimed > 100);
 }
+
+// guards against ORDER: a host that was cut off from the store took a version for the only one,
+// though another one had come and gone meanwhile
+TEST_CASE("regression: the only version isn't known after a time in which nothing was read")
+{
+    version_history history;
+    time_point now = start;
+    for (; now < start + 2 * proven; now += 200ms) {
+        history.update(make_entries({"1"}), now, now);
+    }
+    CHECK(history.only_version(llm, window, now) == hash_of("1"));
+    const time_point last_read = now;
+    for (; now < last_read + 7s; now += 200ms) {
+        history.update(make_entries({"1"}), last_read, now);
+    }
+    history.update(make_entries({"1"}), now, now);
+    CHECK_FALSE(history.only_version(llm, window, now));
+}
