Name a settings file that is a directory instead of ending with a stream's error

A directory in place of the settings file opens but can't be read, and the iterators over the stream's buffer throw: the start ended with "start failed: basic_filebuf::underflow error reading the file: Is a directory" and exit code 1, and settings::load(), which a reload calls too, threw.

The added case of settings_test fails before the change and passes after it; process_tests: 87 of 87 cases pass.

--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -9,7 +9,6 @@
 #include <cstddef>    // size_t
 #include <fstream>    // ifstream
 #include <functional> // less
-#include <iterator>   // istreambuf_iterator
 #include <optional>   // optional
 #include <sstream>    // istringstream
 #include <utility>    // move
@@ -246,6 +245,21 @@
                        [&](const setting_rule& rule) { return rule.section == section; });
 }
 
+/// Returns the content of a file, or nothing if it can't be read.
+std::optional<std::string> read_file(const std::string& path)
+{
+    constexpr std::size_t block_bytes = 4'096;
+    std::ifstream file{path};
+    std::string content;
+    std::array<char, block_bytes> block{};
+    // a stream buffer's iterators would throw where the stream only reports the failure: a directory
+    // opens, but can't be read
+    while (file.read(block.data(), block.size()) || file.gcount() > 0) {
+        content.append(block.data(), static_cast<std::size_t>(file.gcount()));
+    }
+    return file.bad() || !file.is_open() ? std::nullopt : std::optional{std::move(content)};
+}
+
 /// Collects values and faults while the file is parsed.
 class reader {
 public:
@@ -423,13 +437,12 @@
 settings::load(const std::string& path, std::span<const setting_rule> rules)
 {
     reader reading{path, rules};
-    std::ifstream file{path};
-    std::string content{std::istreambuf_iterator<char>{file}, {}};
-    if (!file.is_open() || file.bad()) {
+    const std::optional<std::string> content = read_file(path);
+    if (!content) {
         reading.add("", "", "", "a file that can be read");
         return reading.take_faults();
     }
-    reading.parse(content);
+    reading.parse(*content);
     auto faults = reading.take_faults();
     if (!faults.empty()) {
         return faults;
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -160,4 +160,13 @@
         CHECK(faults.front().to_string() ==
               "[101] read settings /nowhere/at/all.ini: allowed: a file that can be read");
     }
+    // guards against a start that fails, or a reload that throws, without naming the file
+    SUBCASE("a directory in place of a file")
+    {
+        const auto loaded = settings::load("/", rules);
+        const auto& faults = std::get<std::vector<settings_fault>>(loaded);
+        REQUIRE(faults.size() == 1);
+        CHECK(faults.front().to_string() ==
+              "[101] read settings /: allowed: a file that can be read");
+    }
 }
