--- a/src/version/check.cpp
+++ b/src/version/check.cpp
@@ -128,7 +128,8 @@
     kind->read(key, name, value, state);
 }
 
-/// Adds a fault unless `name` is empty (a fault already) or known.
+/// Adds a validation error unless `name` is known or empty; an empty name was reported when it was
+/// read.
 template <typename Known>
 void check_reference(const std::string& path, const std::string& name, const Known& known,
                      std::string_view what, faults& found)
--- a/src/version/check.h
+++ b/src/version/check.h
@@ -21,8 +21,8 @@
     std::string message; ///< what is wrong and what is allowed
 };
 
-/// Validates a published state. Returns the configuration, or all validation errors with their paths;
-/// a state with an error is rejected as a whole.
+/// Validates a published state. Returns the configuration, or all validation errors with their
+/// paths; a state with an error is rejected as a whole.
 /// Thread safe. Complexity: linear in the size of the entries.
 [[nodiscard]] std::variant<configuration, std::vector<configuration_fault>>
 check(std::uint64_t revision, const published_entries& entries);
--- a/src/version/diff.cpp
+++ b/src/version/diff.cpp
@@ -9,7 +9,7 @@
 namespace detail {
 namespace {
 
-/// Kind of item that a path names.
+/// Kind of value at a path; decides the warning for a change.
 enum class item_kind { record, organisation, home, key, endpoint, endpoint_state, other };
 
 struct item {
@@ -17,7 +17,7 @@
     std::string value;
 };
 
-/// Every path of a configuration. Records come before their members.
+/// Values of a configuration by path. The order puts a record before its members.
 using items = std::map<std::string, item>;
 
 std::string to_text(bool value)
@@ -124,7 +124,7 @@
     return built;
 }
 
-change_warning warning_of(change_kind kind, item_kind what, const std::string& after)
+change_warning to_warning(change_kind kind, item_kind what, const std::string& after)
 {
     const bool is_removed = kind == change_kind::removed;
     switch (what) {
@@ -146,14 +146,14 @@
     return change_warning::none;
 }
 
-/// Whether a record above `path` is missing from `from`, so that the record itself is listed.
-bool is_below_missing(const items& from, const std::string& path)
+/// Whether `from` lacks a record that contains `path`; then only the record itself is listed.
+bool is_in_missing_record(const items& from, const std::string& path)
 {
     const auto first = path.find('/');
     for (auto end = path.find('/', first + 1); end != std::string::npos;
          end = path.find('/', end + 1)) {
         const auto parent = path.substr(0, end);
-        // "…/endpoints" and "…/key_digests" are no records
+        // "…/endpoints" and "…/key_digests" are lists, not records
         const bool is_list = parent.ends_with("/endpoints") || parent.ends_with("/key_digests");
         if (!is_list && !from.contains(parent)) {
             return true;
@@ -162,15 +162,15 @@
     return false;
 }
 
-void add_one_sided(const items& from, const items& other, change_kind kind,
-                   std::vector<configuration_change>& changes)
+void add_missing_paths(const items& from, const items& other, change_kind kind,
+                       std::vector<configuration_change>& changes)
 {
     for (const auto& [path, found] : from) {
         if (other.contains(path)) {
             continue;
         }
-        const auto warning = warning_of(kind, found.kind, {});
-        if (warning == change_warning::none && is_below_missing(other, path)) {
+        const auto warning = to_warning(kind, found.kind, {});
+        if (warning == change_warning::none && is_in_missing_record(other, path)) {
             continue;
         }
         const bool is_added = kind == change_kind::added;
@@ -185,7 +185,7 @@
     for (const auto& [path, found] : before) {
         const auto it = after.find(path);
         if (it != after.end() && it->second.value != found.value) {
-            const auto warning = warning_of(change_kind::changed, found.kind, it->second.value);
+            const auto warning = to_warning(change_kind::changed, found.kind, it->second.value);
             changes.push_back({change_kind::changed, path, found.value, it->second.value, warning});
         }
     }
@@ -199,8 +199,8 @@
     const auto old_items = detail::to_items(before);
     const auto new_items = detail::to_items(after);
     std::vector<configuration_change> changes;
-    detail::add_one_sided(old_items, new_items, change_kind::removed, changes);
-    detail::add_one_sided(new_items, old_items, change_kind::added, changes);
+    detail::add_missing_paths(old_items, new_items, change_kind::removed, changes);
+    detail::add_missing_paths(new_items, old_items, change_kind::added, changes);
     detail::add_changed(old_items, new_items, changes);
     std::stable_sort(changes.begin(), changes.end(),
                      [](const auto& lhs, const auto& rhs) { return lhs.path < rhs.path; });
--- a/src/version/diff.h
+++ b/src/version/diff.h
@@ -34,9 +34,9 @@
     change_warning warning = change_warning::none;
 };
 
-/// Returns the differences from `before` to `after`, ordered by path. For an added or removed record,
-/// only the record itself is listed, and those of its keys and endpoints that have a warning.
-/// Revisions are ignored. Thread safe. Complexity: O(n log n) in the size of both.
+/// Returns the differences from `before` to `after`, ordered by path. For an added or removed
+/// record, only the record itself is listed, and those of its keys and endpoints that have a
+/// warning. Revisions are ignored. Thread safe. Complexity: O(n log n) in the size of both.
 [[nodiscard]] std::vector<configuration_change> diff(const configuration& before,
                                                      const configuration& after);
 
--- a/src/version/replica.cpp
+++ b/src/version/replica.cpp
@@ -14,11 +14,11 @@
 /// Whether the revisions of `update` agree with each other.
 bool is_well_formed(const entries_update& update)
 {
-    const auto is_inside = [&update](const entry_change& change) {
+    const auto is_in_range = [&update](const entry_change& change) {
         return change.revision > update.base && change.revision <= update.revision;
     };
     return update.base <= update.revision &&
-           std::all_of(update.entries.begin(), update.entries.end(), is_inside);
+           std::all_of(update.entries.begin(), update.entries.end(), is_in_range);
 }
 
 bool is_older(const entry_change& lhs, const entry_change& rhs) noexcept
@@ -26,8 +26,9 @@
     return lhs.revision < rhs.revision;
 }
 
-/// Changes newer than `after`, oldest first.
-std::vector<entry_change> newer_than(std::uint64_t after, const std::vector<entry_change>& changes)
+/// Returns the changes newer than `after`, oldest first.
+std::vector<entry_change> select_newer(std::uint64_t after,
+                                       const std::vector<entry_change>& changes)
 {
     std::vector<entry_change> newer;
     for (const auto& change : changes) {
@@ -57,7 +58,7 @@
         take_snapshot(update);
     }
     else {
-        take_changes(newer_than(m_revision, update.entries));
+        take_changes(select_newer(m_revision, update.entries));
     }
     m_revision = update.revision;
     return accept_held();
@@ -125,8 +126,8 @@
     for (const auto& change : update.entries) {
         put(change);
     }
-    // the revision at which a missing key was deleted is unknown, so a process with an older revision
-    // needs the complete state
+    // the revision at which a missing key was deleted is unknown, so a process with an older
+    // revision needs the complete state
     m_log.clear();
     m_log_base = update.revision;
 }
--- a/src/version/replica.h
+++ b/src/version/replica.h
@@ -52,16 +52,17 @@
     std::vector<configuration_fault> faults;
 };
 
-/// Newest published entries and list of hosts known to this process, and the newest valid ones, which
-/// are in force.
+/// Newest published entries and list of hosts known to this process, and the newest valid ones,
+/// which are in force.
 ///
-/// The held and the in-force revision never decrease. Invalid entries are relayed too: each receiver
-/// validates them itself, and later changes are relative to them.
+/// The held and the in-force revision never decrease. Invalid entries are relayed too: each
+/// receiver validates them itself, and later changes are relative to them.
 ///
 /// Thread safety: none; one actor owns it. Returned configurations are immutable.
 class replica {
 public:
-    /// Number of changes kept for relaying; a process with an older revision gets the complete state.
+    /// Number of changes kept for relaying; a process with an older revision gets the complete
+    /// state.
     static constexpr std::size_t maximum_log = 1'000;
 
     /// @name updates
@@ -101,8 +102,8 @@
 
     [[nodiscard]] const published_entries& entries() const noexcept { return m_entries; }
 
-    /// Returns the update from revision `after` to the held one: no changes if `after` is as new, and
-    /// the complete state if the log no longer covers `after`.
+    /// Returns the update from revision `after` to the held one: no changes if `after` is as new,
+    /// and the complete state if the log no longer covers `after`.
     [[nodiscard]] entries_update changes_since(std::uint64_t after) const;
 
     /// The held list of hosts, as published.
--- a/tests/version/check_test.cpp
+++ b/tests/version/check_test.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
-/// A change to the example that makes exactly the fault at `path`, with `message` in its text.
+/// A change to the example that causes exactly one validation error, at `path` and with `message`
+/// in its text.
 struct fault_case {
-    const char* pointer; ///< JSON pointer into the example; '/' of a key is "~1"
+    const char* pointer; ///< JSON pointer into the example; a '/' in a key is written "~1"
     json value;          ///< null: the member is removed
     const char* path;
     const char* message;
--- a/tests/version/replica_test.cpp
+++ b/tests/version/replica_test.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-entries_update whole(std::uint64_t revision, const json& object)
+entries_update to_snapshot(std::uint64_t revision, const json& object)
 {
     entries_update update{0, revision, {}};
     for (const auto& [key, value] : object.items()) {
@@ -30,7 +30,7 @@
 
 const json crete_two{{"region", "crete"}};
 
-/// The platform's whole history: what it held at each revision.
+/// All states of the platform, by revision.
 class history {
 public:
     history() { m_states.push_back({}); }
@@ -54,7 +54,7 @@
         return m_states.at(revision);
     }
 
-    /// What leads from `base` to `revision`; the whole for base 0.
+    /// Returns the changes from `base` to `revision`, or the complete state if `base` is 0.
     [[nodiscard]] entries_update update(std::uint64_t base, std::uint64_t revision) const
     {
         std::map<std::string, entry_change> newest_by_key;
@@ -81,7 +81,7 @@
     const auto length = *rc::gen::inRange(1, 40);
     for (int i = 0; i < length; ++i) {
         const auto key = "failure_domains/d" + std::to_string(*rc::gen::inRange(0, 5));
-        // a quarter of the values is refused
+        // one value in four is invalid
         const auto choice = *rc::gen::inRange(0, 4);
         const std::vector<json> values{
             json{}, {{"region", "r" + std::to_string(i)}}, {{"region", "same"}}, {{"region", 7}}};
@@ -106,12 +106,12 @@
 TEST_CASE("updates of a replica")
 {
     replica held;
-    REQUIRE(held.apply(whole(5, tests::published_example())) == update_outcome::accepted);
+    REQUIRE(held.apply(to_snapshot(5, tests::published_example())) == update_outcome::accepted);
 
     SUBCASE("older and equal revisions are ignored")
     {
-        CHECK(held.apply(whole(5, {})) == update_outcome::ignored);
-        CHECK(held.apply(whole(4, {})) == update_outcome::ignored);
+        CHECK(held.apply(to_snapshot(5, {})) == update_outcome::ignored);
+        CHECK(held.apply(to_snapshot(4, {})) == update_outcome::ignored);
         CHECK(held.apply(entries_update{3, 5, {}}) == update_outcome::ignored);
         CHECK(held.in_force()->revision == 5);
     }
@@ -174,13 +174,13 @@
 TEST_CASE("changes for relaying")
 {
     replica held;
-    held.apply(whole(1, tests::published_example()));
+    held.apply(to_snapshot(1, tests::published_example()));
     for (std::uint64_t revision = 2; revision <= replica::maximum_log + 50; ++revision) {
         const json value{{"region", "r" + std::to_string(revision)}};
         held.apply(one_change(revision - 1, revision, "failure_domains/extra", value));
     }
 
-    SUBCASE("an asker within the log gets the newest change of each key")
+    SUBCASE("a process with a revision in the log gets the newest change of each key")
     {
         const auto update = held.changes_since(held.revision() - 20);
         CHECK(update.base == held.revision() - 20);
@@ -188,14 +188,14 @@
         CHECK(update.entries[0].revision == held.revision());
     }
 
-    SUBCASE("an asker before the log gets the whole")
+    SUBCASE("a process older than the log gets the complete state")
     {
         CHECK(held.changes_since(10).base == 0);
         CHECK(held.changes_since(10).entries.size() == held.entries().size());
         CHECK(held.changes_since(held.revision() - replica::maximum_log).base != 0);
     }
 
-    SUBCASE("an asker with the same or a newer revision gets nothing")
+    SUBCASE("a process with the same or a newer revision gets nothing")
     {
         CHECK(held.changes_since(held.revision()).entries.empty());
         CHECK(held.changes_since(held.revision() + 9).revision == held.revision() + 9);
@@ -215,7 +215,7 @@
     CHECK_FALSE(held.refused_hosts().has_value());
 }
 
-TEST_CASE("age of a replica's knowledge")
+TEST_CASE("time of a replica's last confirmation")
 {
     replica held;
     CHECK_FALSE(held.confirmed_at().has_value());
--- a/tests/version/replica_trace_test.cpp
+++ b/tests/version/replica_trace_test.cpp
@@ -19,7 +19,7 @@
 const std::string even_key = "organisations/even";
 const std::string odd_key = "organisations/odd";
 
-// the newest revision that set each key; revision r sets key r modulo 2
+// newest revision that set each key; an even revision sets even_key, an odd one odd_key
 std::uint64_t even_of(std::uint64_t revision)
 {
     return revision - revision % 2;
@@ -30,18 +30,20 @@
     return revision == 0 ? 0 : revision - 1 + revision % 2;
 }
 
-/// The rate tells the revision. Revision 2 is faulty: its key is that of revision 1.
+/// Returns the change of `key` at `revision`. Its rate is the revision. Revision 2 is invalid: it
+/// has the key digest of revision 1.
 entry_change to_change(const std::string& key, std::uint64_t revision)
 {
     const std::string digest(64, static_cast<char>('a' + (revision == 2 ? 1 : revision % 6)));
-    // six digests are enough: a key's value is in force with the neighbouring revision only
+    // six digests suffice: two values are in force together only if their revisions are consecutive
     return {key,
             {{"home", "d"}, {"rate", revision}, {"burst", 1}, {"key_digests", {digest}}},
             false,
             revision};
 }
 
-/// What the platform answers: the changes after `base`, or the whole.
+/// Returns the response of the platform: the changes after `base`, or the complete state if it is
+/// 0.
 entries_update to_update(std::uint64_t base, std::uint64_t revision)
 {
     entries_update update{base, revision, {}};
@@ -119,7 +121,8 @@
         auto update = to_update(after, revision);
         if (sender != platform) {
             const auto answer = m_hosts.at(sender).changes_since(after);
-            // a sender whose log begins later answers with the whole, which the model hasn't
+            // the model doesn't have the complete state that a sender returns if its log begins
+            // later
             REQUIRE(is_same(answer, answer.base == 0 ? to_update(0, revision) : update));
         }
         m_updates.at(place) = std::move(update);
