--- a/src/gateway/routing/prompt.cpp
+++ b/src/gateway/routing/prompt.cpp
@@ -29,4 +29,13 @@
     return result;
 }
 
+std::vector<std::uint64_t> to_shared_ids(const std::vector<prompt_part>& parts)
+{
+    std::vector<std::uint64_t> ids;
+    for (std::size_t at = 0; at + 1 < parts.size(); ++at) {
+        ids.push_back(parts[at].id);
+    }
+    return ids;
+}
+
 } // namespace hickorykeel::gateway
--- a/src/gateway/routing/prompt.h
+++ b/src/gateway/routing/prompt.h
@@ -41,4 +41,7 @@
 [[nodiscard]] prompt make_prompt(const std::vector<prompt_part>& parts, std::uint64_t prompt_tokens,
                                  std::uint64_t output_tokens);
 
+/// Returns the ids of the parts but the last, which other prompts may share. Thread safe.
+[[nodiscard]] std::vector<std::uint64_t> to_shared_ids(const std::vector<prompt_part>& parts);
+
 } // namespace hickorykeel::gateway
