Take an entry for a proof of a warm endpoint only in contact

The end of an incarnation is seen by hosts that are connected to it. An endpoint that the region has not been in contact with for 3 s, or that it has come into contact with since the latest statement, is now unproven: only its owner sends, at a cold one's rate, and asks it at once if there are requests for it. The answer is told at once. Without requests nothing is asked, and the places that a region offers include such endpoints.

Two gateways before an endpoint without contacts that restarts under its id: 97 requests in a second before, 1 with the change, 4 allowed.

--- a/src/gateway/routing/endpoint_history.cpp
+++ b/src/gateway/routing/endpoint_history.cpp
@@ -11,8 +11,36 @@
 /// so much older, since it must not end the doubt after a sign that came meanwhile.
 constexpr duration max_report_delay = std::chrono::milliseconds{500};
 
+/// Interval at which an unproven endpoint that is wanted has to be asked.
+constexpr duration wanted_interval = std::chrono::milliseconds{500};
+
 } // namespace
 
+void endpoint_history::on_contact(time_point at) noexcept
+{
+    if (is_out_of_contact(at)) {
+        m_contact_began_at = at; // it may have restarted until then
+    }
+    m_contact_at = std::max(m_contact_at.value_or(at), at);
+}
+
+void endpoint_history::on_contact_kept(time_point now) noexcept
+{
+    if (m_contact_at && !is_out_of_contact(now)) {
+        m_contact_at = std::max(*m_contact_at, now);
+    }
+}
+
+bool endpoint_history::on_wanted(time_point now) noexcept
+{
+    if (!is_unproven(now) || now - m_wanted_at < wanted_interval) {
+        return false;
+    }
+    m_wanted_at = now;
+    m_own_doubted_at = std::max(m_own_doubted_at, now); // the owner may not be wanted itself
+    return true;
+}
+
 void endpoint_history::on_entry(const start_statement& entry, time_point read_at, time_point now)
 {
     const bool is_same_start = m_entry && entry.started_ms == m_entry->started_ms;
@@ -44,6 +72,10 @@
 {
     m_own_known_at = std::max(m_own_known_at, asked_at);
     m_known_at = std::max(m_known_at, asked_at);
+    m_contact_at = std::max(m_contact_at.value_or(asked_at), asked_at);
+    if (m_contact_began_at <= asked_at) {
+        m_contact_began_at = {};
+    }
 }
 
 void endpoint_history::on_sign(restart_sign sign, time_point at) noexcept
@@ -65,6 +97,7 @@
         m_peers_doubted_at = std::max(m_peers_doubted_at, now - *report.doubt_age);
     }
     if (report.known_age && !report.sign_age && !report.doubt_age) {
+        on_contact(now - *report.known_age);
         on_peer_warm(); // that host would know of a restart since
     }
     if (report.known_age) {
@@ -77,7 +110,8 @@
 {
     const bool is_peer_in_doubt = m_peers_doubted_at + max_report_delay > m_known_at &&
                                   now < m_peers_doubted_at + m_cold_time;
-    return is_in_doubt(now) || is_peer_in_doubt;
+    const bool is_wanted = now - m_wanted_at < wanted_interval && is_unproven(now);
+    return has_sign(now) || is_wanted || is_peer_in_doubt;
 }
 
 std::optional<restart_report> endpoint_history::to_report(std::uint32_t endpoint,
--- a/src/gateway/routing/endpoint_history.h
+++ b/src/gateway/routing/endpoint_history.h
@@ -37,6 +37,10 @@
 /// later one counts: an endpoint is in doubt while a sign is later than all statements, and counts as
 /// cold then, for no longer than its service's cold time.
 ///
+/// The end of an incarnation is seen by hosts that have a connection to it. Statements of warm endpoints
+/// are therefore of the past while no host of the region is known to be in contact: such an endpoint,
+/// and one to which contact has begun since the latest statement, is unproven, and counts as cold.
+///
 /// Thread safety: none; the owner serialises calls. No I/O.
 class endpoint_history {
 public:
@@ -46,6 +50,23 @@
     /// Sets the cold time of the endpoint's service.
     void set_cold_time(duration cold_time) noexcept { m_cold_time = cold_time; }
 
+    /// Sets for how long after a contact hosts would still see the incarnation's end; nothing: statements
+    /// are believed without contact.
+    void set_contact_retention(std::optional<duration> retention) noexcept
+    {
+        m_contact_retention = retention;
+    }
+
+    /// Records that this host or another one of the region was in contact with it at `at`.
+    void on_contact(time_point at) noexcept;
+
+    /// Records that this host has requests under way there: a contact that had begun goes on.
+    void on_contact_kept(time_point now) noexcept;
+
+    /// Records that a request could be sent to it if it were known to be warm. Returns whether it is
+    /// unproven and has to be asked: it hasn't been for a while.
+    bool on_wanted(time_point now) noexcept;
+
     /// Records the published entry; to be called also if it hasn't changed.
     /// @param read_at latest time at which the entry is known to have been the newest one
     void on_entry(const start_statement& entry, time_point read_at, time_point now);
@@ -70,7 +91,11 @@
     void on_host_start(time_point known_since) noexcept { m_unknown_before = known_since; }
 
     /// Records that another host takes it for warm, and would know otherwise.
-    void on_peer_warm() noexcept { m_unknown_before = {}; }
+    void on_peer_warm() noexcept
+    {
+        m_unknown_before = {};
+        m_contact_began_at = {};
+    }
 
     /// Records what another host has learned. Returns whether the endpoint has become doubtful by it.
     bool on_peer_report(const restart_report& report, time_point now) noexcept;
@@ -88,10 +113,29 @@
         return now < m_cold_until || is_in_doubt(now);
     }
 
+    /// The same, but for endpoints that are only unproven.
+    [[nodiscard]] bool is_known_cold(time_point now) const noexcept
+    {
+        return now < m_cold_until || has_sign(now);
+    }
+
+    /// Whether it may have restarted since the latest statement without a host of the region seeing it.
+    [[nodiscard]] bool is_unproven(time_point now) const noexcept
+    {
+        return is_out_of_contact(now) || is_open_doubt(m_contact_began_at, now);
+    }
+
+    /// Whether contact with it has begun so late that it may have restarted unseen since the latest
+    /// statement.
+    [[nodiscard]] bool is_newly_contacted(time_point now) const noexcept
+    {
+        return !is_out_of_contact(now) && is_open_doubt(m_contact_began_at, now);
+    }
+
     /// Whether it may have restarted since the latest statement of its state.
     [[nodiscard]] bool is_in_doubt(time_point now) const noexcept
     {
-        return is_open_doubt(m_doubted_at, now) || is_past_unknown(now);
+        return has_sign(now) || is_unproven(now);
     }
 
     /// Whether this host doesn't know, since it started, whether the endpoint had restarted before.
@@ -126,6 +170,18 @@
         return at > m_known_at && now < at + m_cold_time;
     }
 
+    /// Whether there is a sign of a restart, or this host knows nothing of the time before its start.
+    [[nodiscard]] bool has_sign(time_point now) const noexcept
+    {
+        return is_open_doubt(m_doubted_at, now) || is_past_unknown(now);
+    }
+
+    /// Whether no host of the region would have seen its end.
+    [[nodiscard]] bool is_out_of_contact(time_point now) const noexcept
+    {
+        return m_contact_retention && (!m_contact_at || now - *m_contact_at > *m_contact_retention);
+    }
+
     std::optional<start_statement> m_entry;
     time_point m_entry_read_at{};  ///< latest time at which `m_entry` is known to be the newest
     time_point m_cold_until{};     ///< by its entry or its own word
@@ -133,6 +189,10 @@
     time_point m_known_at{};       ///< latest time of which its state is known
     time_point m_doubted_at{};     ///< latest sign on which this host acts
     time_point m_unknown_before{}; ///< set while this host doesn't know what happened before
+    std::optional<duration> m_contact_retention;
+    std::optional<time_point> m_contact_at; ///< latest
+    time_point m_contact_began_at{};        ///< set while no word is known from the contact's time
+    time_point m_wanted_at{};
     time_point m_peers_doubted_at{};
     time_point m_own_known_at{};
     time_point m_own_sign_at{};
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -55,6 +55,8 @@
         held_history& known = history_of(id);
         state.history = &known.history;
         state.history->set_cold_time(used_service->cold_time);
+        state.history->set_contact_retention(
+            used_service->cold_rate > 0 ? m_options.contact_retention : std::nullopt);
         state.history->on_entry({entry.started_ms, entry.sequence, entry.cold_remaining}, read_at,
                                 now);
         state.entry = entry;
@@ -195,6 +197,9 @@
         return false;
     }
     if (is_cold(state, now) && state.cold_rate > 0) {
+        if (state.history->on_wanted(now)) {
+            m_wanted.insert(state.entry.id);
+        }
         return state.history->has_capacity(m_to_cold_allowance(state.entry.id, state.cold_rate),
                                            now);
     }
@@ -454,7 +459,9 @@
     load.expected_wait = max_expected_wait;
     const placement_request any{&queried_service, nullptr, {}};
     for (const auto& [id, state] : m_endpoints) {
-        if (!is_unrestricted(state, any, now)) {
+        // one that is only unproven is asked as soon as there are requests for it
+        if (!is_candidate(state, any) || is_blocked(state, now) || state.share ||
+            state.history->is_known_cold(now)) {
             continue;
         }
         const std::uint32_t active = state.own.active + state.peers.active;
@@ -560,6 +567,9 @@
     }
     endpoint_state& state = *found;
     remove_waiting_tokens(state, waiting_tokens);
+    if (now != time_point{}) {
+        state.history->on_contact(now);
+    }
     if (conditions.is_known) {
         learn_first_byte(state, elapsed, conditions, now);
         return;
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -46,6 +46,9 @@
     duration max_backoff = std::chrono::seconds{2};
     duration shed_backoff = std::chrono::milliseconds{60};
     unsigned max_plain_queue = 10; ///< requests beyond an endpoint's slots, plain services only
+    /// Time after a contact for which the hosts of the region would still see an endpoint's end; nothing:
+    /// endpoints are taken for warm without contact.
+    std::optional<duration> contact_retention;
 };
 
 /// Outcome of an attempt, as far as it affects the endpoint's health.
@@ -201,6 +204,13 @@
     /// puts them in doubt, and that were taken for warm.
     [[nodiscard]] std::vector<endpoint_entry> take_disconnected();
 
+    /// Returns the endpoints that could get requests, as was found since the last call, if it were proven
+    /// that they are warm.
+    [[nodiscard]] std::vector<endpoint_entry> take_wanted();
+
+    /// Whether `take_wanted()` would return any.
+    [[nodiscard]] bool has_wanted() const noexcept { return !m_wanted.empty(); }
+
     /// Records that this host has seen a sign that the endpoint may have restarted. No effect if its
     /// service doesn't limit the requests to cold endpoints.
     void on_restart_sign(const std::string& endpoint, restart_sign sign, time_point now);
@@ -227,7 +237,8 @@
     /// otherwise.
     void on_peer_all_warm();
 
-    /// Whether this host takes all endpoints for warm, and would know if one had restarted of late.
+    /// Whether this host takes all endpoints with which the region is in contact for warm, and would know
+    /// if one had restarted of late.
     [[nodiscard]] bool are_all_warm(time_point now) const;
 
     /// Records what another host has learned of restarts of an endpoint.
@@ -482,6 +493,7 @@
     [[nodiscard]] endpoint_state* find_incarnation(const endpoint_incarnation& endpoint);
     void record_restart_sign(const std::string& endpoint, endpoint_outcome outcome, time_point now);
     void on_disconnected(endpoint_state& state, time_point now);
+    [[nodiscard]] std::vector<endpoint_entry> find_entries(const std::set<std::string>& ids) const;
     [[nodiscard]] held_history& history_of(const std::string& id);
     void drop_old_histories(time_point now);
     /// Whether the endpoint gets nothing now, after failures or by its own wish.
@@ -587,6 +599,7 @@
     std::vector<sent_prefix> m_sent_prefixes;
     std::vector<endpoint_entry> m_reinstated;
     std::set<std::string> m_disconnected; ///< ids, since `take_disconnected()`
+    std::set<std::string> m_wanted;       ///< ids, since `take_wanted()`
     bool m_has_urgent_news = false;
     endpoint_notices m_notices;
     endpoint_pool_options m_options;
--- a/src/gateway/routing/endpoint_pool_loads.cpp
+++ b/src/gateway/routing/endpoint_pool_loads.cpp
@@ -146,6 +146,9 @@
     for (auto& [id, state] : m_endpoints) {
         const auto found = loads.find(state.hash);
         state.peers = found == loads.end() ? endpoint_load{} : found->second;
+        if (state.peers.active > 0 && as_of != time_point::max()) {
+            state.history->on_contact(as_of);
+        }
         if (state.is_listed) {
             sum& of_service = sums[state.of_service];
             of_service.tokens += state.peers.waiting_tokens;
--- a/src/gateway/routing/endpoint_pool_restarts.cpp
+++ b/src/gateway/routing/endpoint_pool_restarts.cpp
@@ -44,9 +44,19 @@
 }
 
 std::vector<endpoint_entry> endpoint_pool::take_disconnected()
+{
+    return find_entries(std::exchange(m_disconnected, {}));
+}
+
+std::vector<endpoint_entry> endpoint_pool::take_wanted()
+{
+    return find_entries(std::exchange(m_wanted, {}));
+}
+
+std::vector<endpoint_entry> endpoint_pool::find_entries(const std::set<std::string>& ids) const
 {
     std::vector<endpoint_entry> entries;
-    for (const std::string& id : std::exchange(m_disconnected, {})) {
+    for (const std::string& id : ids) {
         const auto found = m_endpoints.find(id);
         if (found != m_endpoints.end()) {
             entries.push_back(found->second.entry);
@@ -99,8 +109,9 @@
     const auto found = m_endpoints.find(endpoint);
     if (found != m_endpoints.end() && !found->second.is_evacuated) {
         endpoint_history& history = *found->second.history;
-        // hosts that have started at the same time don't know it either
-        m_has_urgent_news = m_has_urgent_news || history.is_past_unknown(now);
+        // hosts that have started at the same time, or have no contact, don't know it either
+        m_has_urgent_news =
+            m_has_urgent_news || history.is_past_unknown(now) || history.is_unproven(now);
         history.on_warm(asked_at);
     }
 }
@@ -144,7 +155,9 @@
 {
     return !m_endpoints.empty() &&
            std::none_of(m_endpoints.begin(), m_endpoints.end(), [now](const auto& item) {
-               return item.second.cold_rate > 0 && is_cold(item.second, now);
+               const endpoint_history& history = *item.second.history;
+               return item.second.cold_rate > 0 &&
+                      (history.is_known_cold(now) || history.is_newly_contacted(now));
            });
 }
 
@@ -152,9 +165,12 @@
 {
     for (auto& [id, state] : m_endpoints) {
         if (state.hash == report.endpoint && state.cold_rate > 0) {
-            const bool was_unknown = state.history->is_past_unknown(now);
-            const bool is_new = state.history->on_peer_report(report, now) ||
-                                (was_unknown && !state.history->is_past_unknown(now));
+            const auto is_unknown = [&history = *state.history, now] {
+                return history.is_past_unknown(now) || history.is_unproven(now);
+            };
+            const bool was_unknown = is_unknown();
+            const bool is_new =
+                state.history->on_peer_report(report, now) || (was_unknown && !is_unknown());
             m_has_urgent_news = m_has_urgent_news || is_new;
         }
     }
@@ -165,6 +181,9 @@
     m_has_urgent_news = false;
     std::vector<restart_report> reports;
     for (const auto& [id, state] : m_endpoints) {
+        if (state.own.active > 0) {
+            state.history->on_contact_kept(now);
+        }
         if (const auto report = state.history->to_report(state.hash, now)) {
             reports.push_back(*report);
         }
--- a/src/gateway/serving/endpoint_checker.cpp
+++ b/src/gateway/serving/endpoint_checker.cpp
@@ -29,6 +29,15 @@
     }
 }
 
+void endpoint_checker::check_wanted()
+{
+    const time_point now = boot_clock::now();
+    for (const endpoint_entry& entry : m_dependencies.pool.take_wanted()) {
+        m_dependencies.metrics.count("endpoint_unproven_wanted");
+        ask_owned(entry, silence::unconfirmed, now);
+    }
+}
+
 void endpoint_checker::check_after_start(duration delay)
 {
     m_start_timer.expires_after(delay);
--- a/src/gateway/serving/endpoint_checker.h
+++ b/src/gateway/serving/endpoint_checker.h
@@ -63,6 +63,10 @@
     /// Asks the endpoints that have ended a connection with this host since the last call.
     void check_disconnected();
 
+    /// Asks the endpoints that could get requests since the last call if it were proven that they are
+    /// warm.
+    void check_wanted();
+
     /// Asks the endpoints of which this host doesn't know, since it started, whether they had
     /// restarted before: once, `delay` from now.
     void check_after_start(duration delay);
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -360,6 +360,9 @@
     placement_options options;
     if (allows_own_region(authorised)) {
         options.here = m_context.pool.choose(request, now, m_context.random);
+        if (m_context.pool.has_wanted()) {
+            m_context.check_endpoints();
+        }
     }
     options.others = find_other_region_options(authorised, now);
     remove_late(options, now);
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -34,6 +34,10 @@
 /// published state, the tables of hosts and endpoints, and what the allocator can't give back.
 constexpr double buffer_memory_fraction = 0.5;
 
+/// Time after a contact with an endpoint for which its end is seen: shorter than hosts keep idle
+/// connections.
+constexpr duration contact_retention = std::chrono::seconds{3};
+
 std::size_t to_budget_bytes(double memory_mb)
 {
     constexpr double bytes_per_mb = 1'048'576;
@@ -79,7 +83,7 @@
                random_seed()},
               to_ips(m_settings.seeds),
               to_membership_options(m_settings)},
-      m_usage{boot_clock::now(), random_seed()}, m_pool{{},
+      m_usage{boot_clock::now(), random_seed()}, m_pool{{.contact_retention = contact_retention},
                                                         [this](const std::string& endpoint,
                                                                double rate) {
                                                             return cold_rate_for(endpoint, rate);
@@ -166,6 +170,7 @@
     }
     m_context.check_endpoints = [this] {
         m_checker.check_disconnected();
+        m_checker.check_wanted();
         tell_urgent_news();
     };
     m_client.set_on_idle_end([this](const std::string& address) {
--- a/tests/scenarios/gateway_restarted_endpoint_test.cpp
+++ b/tests/scenarios/gateway_restarted_endpoint_test.cpp
@@ -123,3 +123,21 @@
     CHECK(most <= bound);
     CHECK(most > 0);
 }
+
+// guards against FAILBACK: an endpoint that had started again under its id while no host had a
+// connection to it got a warm one's requests from all hosts until its new entry was known
+TEST_CASE("regression: an endpoint to which nobody has a connection gets too many requests after a "
+          "restart")
+{
+    constexpr auto quiet_time = 4s;        // longer than a contact is held to last
+    constexpr auto unknown_time = 1'500ms; // from its restart to its new entry
+    restarted_endpoint_world with;
+    with.run_for(quiet_time);
+    with.restarted.crash();
+    with.run_for(down_time);
+    with.restart_endpoint();
+    const std::size_t most = with.send_for(unknown_time);
+    INFO(with.gateways.logs());
+    CHECK(most <= bound);
+    CHECK(most > 0);
+}
