--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -55,11 +55,14 @@
         held_history& known = history_of(id);
         state.history = &known.history;
         state.history->set_cold_time(used_service->cold_time);
+        state.history->set_contact_retention(
+            used_service->cold_rate > 0 ? m_options.contact_retention : std::nullopt);
         state.history->on_entry({entry.started_ms, entry.sequence, entry.cold_remaining}, read_at,
                                 now);
         state.entry = entry;
         state.hash = short_hash(id);
         state.incarnation_hash = short_hash(endpoint_incarnation{id, entry.started_ms});
+        state.software_version = short_hash(entry.software_version);
         state.is_engine = used_service->engine.has_value();
         state.of_service = &state_of(*used_service);
         state.transfer_rate = used_service->engine ? used_service->engine->transfer_rate : 0;
@@ -163,6 +166,7 @@
 {
     return state.is_listed && !state.is_leaving && !state.is_ended && !state.is_ended_elsewhere &&
            state.entry.service == request.requested_service->name &&
+           (!request.software_version || *request.software_version == state.software_version) &&
            std::find(request.excluded.begin(), request.excluded.end(), state.entry.id) ==
                request.excluded.end();
 }
@@ -195,6 +199,9 @@
         return false;
     }
     if (is_cold(state, now) && state.cold_rate > 0) {
+        if (state.history->on_wanted(now)) {
+            m_wanted.insert(state.entry.id);
+        }
         return state.history->has_capacity(m_to_cold_allowance(state.entry.id, state.cold_rate),
                                            now);
     }
@@ -232,7 +239,9 @@
 std::uint64_t endpoint_pool::tokens_to_fetch(const endpoint_state& state, std::uint64_t cached,
                                              const prefix_locations& locations) const
 {
-    if (locations.source == nullptr || locations.source == &state || state.transfer_rate <= 0) {
+    if (locations.source == nullptr || locations.source == &state || state.transfer_rate <= 0 ||
+        // memory that another version has written may not fit
+        locations.source->software_version != state.software_version) {
         return 0;
     }
     const std::uint64_t more = locations.source_tokens - std::min(cached, locations.source_tokens);
@@ -390,7 +399,8 @@
                      0,
                      best->entry.started_ms,
                      picked.conditions,
-                     time_ahead(picked, now)};
+                     time_ahead(picked, now),
+                     best->software_version};
     if (request.request_prompt != nullptr) {
         chosen.fetched_tokens =
             tokens_to_fetch(*best, cached_tokens(*best, *request.request_prompt, now), locations);
@@ -454,7 +464,9 @@
     load.expected_wait = max_expected_wait;
     const placement_request any{&queried_service, nullptr, {}};
     for (const auto& [id, state] : m_endpoints) {
-        if (!is_unrestricted(state, any, now)) {
+        // one that is only unproven is asked as soon as there are requests for it
+        if (!is_candidate(state, any) || is_blocked(state, now) || state.share ||
+            state.history->is_known_cold(now)) {
             continue;
         }
         const std::uint32_t active = state.own.active + state.peers.active;
@@ -560,6 +572,9 @@
     }
     endpoint_state& state = *found;
     remove_waiting_tokens(state, waiting_tokens);
+    if (now != time_point{}) {
+        state.history->on_contact(now);
+    }
     if (conditions.is_known) {
         learn_first_byte(state, elapsed, conditions, now);
         return;
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/limits/memory_budget.h"
 #include "gateway/membership/fleet_membership.h"
 #include "gateway/membership/gossip_socket.h"
+#include "gateway/routing/version_history.h"
 #include "gateway/serving/endpoint_checker.h"
 #include "gateway/serving/health_prober.h"
 #include "gateway/serving/protocol_adapter.h"
@@ -91,6 +92,7 @@
     [[nodiscard]] heartbeat own_state(time_point now);
     void on_datagram(std::string_view datagram, time_point arrived_after);
     void record_restart_news(const received_news& news, time_point now);
+    void record_version_claim(const received_news& news, time_point now);
     void tell_urgent_news();
     void update_members(time_point now);
     void update_peer_loads(time_point now);
@@ -122,11 +124,13 @@
     gateway_metrics m_metrics;
     random_source m_random;
     published_state m_state;
+    version_history m_version_history;
     fleet_membership m_fleet;
     cold_side m_cold_side;
     rate_limiter m_usage;
     endpoint_pool m_pool;
     prompt_quarantine m_quarantine;
+    stream_origins m_origins{{}};
     http_client m_client;
     std::unique_ptr<publication_source> m_source;
     configuration_follower m_follower;
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -4,7 +4,7 @@
 #include "gateway/serving/region_options.h"
 
 #include <algorithm> // max
-#include <chrono>    // milliseconds
+#include <chrono>    // milliseconds, seconds
 #include <cstddef>   // size_t
 #include <cstdint>   // int64_t
 #include <string>    // string
@@ -24,6 +24,9 @@
 /// Time for which urgent news wait for others, to be sent together.
 constexpr duration urgent_news_delay = std::chrono::milliseconds{20};
 
+/// A host's claim about software versions is logged if it tells of so much more time.
+constexpr duration logged_version_gain = std::chrono::seconds{1};
+
 /// Returns the limits on requests that other hosts forward, which have applied the callers' limits.
 /// Their configuration may be newer or older than this host's, so the limits aren't below the
 /// default ones.
@@ -60,10 +63,16 @@
     state.ended_endpoints = m_pool.own_ended_endpoints();
     state.rates = m_pool.rate_reports(now);
     state.loads = m_pool.take_load_reports(now);
+    state.single_version = m_version_history.claim(now);
     state.used = m_usage.used();
     state.refused = m_usage.refused();
     state.prompts = m_pool.take_sent_prefixes();
     state.crashes = m_quarantine.evidence(now);
+    state.streams = m_origins.take_reports(
+        [this, now](const std::string& service) {
+            return m_version_history.has_several(service, version_history::retention, now);
+        },
+        now);
     return state;
 }
 
@@ -149,7 +158,11 @@
     if (news.has_peer_loads && m_pool.has_load_statements()) {
         update_peer_loads(now);
     }
+    record_version_claim(news, now);
     m_quarantine.on_evidence(news.crashes, now);
+    for (const stream_report& report : news.streams) {
+        m_origins.on_peer_report(report, now);
+    }
     if (!news.new_host.empty()) {
         m_log.write(log_line{"host_heard"}.add("peer", news.new_host).add("region", news.region));
     }
@@ -209,6 +222,17 @@
     }
 }
 
+/// Takes over what the sender of a datagram knows of the software versions before this host's start.
+void gateway::record_version_claim(const received_news& news, time_point now)
+{
+    const duration gained = m_version_history.on_claim(news.single_version, now);
+    if (gained >= logged_version_gain) {
+        m_metrics.count("versions_known_by_peer");
+        m_log.write(
+            log_line{"versions_known_by_peer"}.add("peer", news.sender).add_ms("more_ms", gained));
+    }
+}
+
 void gateway::update_members(time_point now)
 {
     for (const std::string& host : m_fleet.expire(now)) {
@@ -216,6 +240,7 @@
                         .add("peer", host)
                         .add_ms("after_ms", m_fleet.members().options().heartbeat_timeout));
     }
+    m_version_history.confirm(now - m_state.age(now), now);
     m_cold_side.update(m_fleet.members(), m_settings.region, now);
     update_peer_loads(now);
     for (const std::string& endpoint : m_pool.set_ended_endpoints(m_fleet.ended_endpoints(now))) {
@@ -247,6 +272,9 @@
 
 void gateway::on_published()
 {
+    const time_point now = boot_clock::now();
+    const time_point read_at = now - m_state.age(now);
+    m_version_history.update(m_state.endpoints(), read_at, now);
     const publication_ptr& published = m_state.published();
     if (published == nullptr) {
         return;
@@ -262,8 +290,6 @@
     const auto find_service = [&published](const std::string& name) {
         return published->find_service(name);
     };
-    const time_point now = boot_clock::now();
-    const time_point read_at = now - m_state.age(now);
     m_pool.update(m_state.endpoints(), to_usability, find_service, read_at, now);
     if (m_pool.size() > 0 && !std::exchange(m_has_endpoints, true)) {
         m_pool.on_host_start(read_at);
--- a/src/gateway/serving/region_options.h
+++ b/src/gateway/serving/region_options.h
@@ -3,8 +3,10 @@
 #include "gateway/routing/region_choice.h"
 #include "gateway/serving/serving_context.h"
 
-#include <string> // string
-#include <vector> // vector
+#include <cstdint>  // uint32_t
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
 
 namespace hickorykeel::gateway {
 
@@ -15,6 +17,8 @@
     /// Owner of the caller's key; null if there is none.
     const organisation* caller_organisation = nullptr;
     const prompt* prompt_size = nullptr; ///< null if the request has no home region
+    /// Hash of the only software version that may serve the request; nothing: any may.
+    std::optional<std::uint32_t> software_version = {};
 };
 
 /// Returns whether the data of a request may be sent to `region`. Thread safe.
@@ -27,6 +31,11 @@
 [[nodiscard]] service_capacities to_capacities(const published_state& state,
                                                const gateway_settings& settings);
 
+/// Whether an endpoint of any region takes requests for `service` and has the software version whose
+/// hash is given. O(endpoints).
+[[nodiscard]] bool has_version(const serving_context& context, const std::string& service,
+                               std::uint32_t software_version);
+
 /// Returns the other regions that may serve a request now, each with the load that one of its hosts
 /// last reported, less the requests forwarded since. O(hosts).
 [[nodiscard]] std::vector<region_option>
