Tell of streams also where a single software version can't be proved

Callers of a fleet with one version would have been refused: after the store has been silent for over 2.5 s, and after a start of all hosts, no host can prove that a service had one version only, and streams were told to other hosts only where several versions had been seen. A take-up at any host but the one that began the stream was then "not known" for the route's timeout, also once the hosts were in touch again (LOST).

Hosts now tell of their streams until a single version is proved for 15 s. With one version and an undisturbed store nothing is told, as before.

--- a/src/gateway/routing/version_history.h
+++ b/src/gateway/routing/version_history.h
@@ -73,6 +73,14 @@
     [[nodiscard]] bool has_several(const std::string& service, duration window,
                                    time_point now) const;
 
+    /// Whether the service's endpoints may have had several versions: some were seen of late, or it
+    /// isn't known that there was only one in the last `window`.
+    [[nodiscard]] bool may_have_several(const std::string& service, duration window,
+                                        time_point now) const
+    {
+        return has_several(service, retention, now) || !only_version(service, window, now);
+    }
+
     /// Returns what this host can tell others of the time before now.
     [[nodiscard]] single_version_claim claim(time_point now) const;
     /// @}
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -24,6 +24,10 @@
 /// Time for which urgent news wait for others, to be sent together.
 constexpr duration urgent_news_delay = std::chrono::milliseconds{20};
 
+/// Other hosts are told which software version has begun a stream unless there was only one for so
+/// long; callers usually take up streams within this time.
+constexpr duration told_time = std::chrono::seconds{15};
+
 /// A host's claim about software versions is logged if it tells of so much more time.
 constexpr duration logged_version_gain = std::chrono::seconds{1};
 
@@ -70,7 +74,7 @@
     state.crashes = m_quarantine.evidence(now);
     state.streams = m_origins.take_reports(
         [this, now](const std::string& service) {
-            return m_version_history.has_several(service, version_history::retention, now);
+            return m_version_history.may_have_several(service, told_time, now);
         },
         now);
     return state;
--- a/tests/gateway/version_history_test.cpp
+++ b/tests/gateway/version_history_test.cpp
@@ -342,6 +342,28 @@
     CHECK(counts.claimed > 100);
 }
 
+// guards against LOST: after an outage of the store no host could prove a single version, and none
+// had been told of the streams that the others had begun
+TEST_CASE(
+    "regression: after a gap a service may have had several versions until the window is known")
+{
+    version_history history;
+    time_point now = start;
+    history.update(make_entries({"1"}), now, now);
+    CHECK(history.may_have_several(llm, window, now));
+    confirm_until(history, now, now + proven);
+    now += proven;
+    CHECK_FALSE(history.may_have_several(llm, window, now));
+    now += version_history::max_gap + 1ms;
+    CHECK(history.may_have_several(llm, window, now));
+    history.confirm(now, now);
+    CHECK(history.may_have_several(llm, window, now));
+    confirm_until(history, now, now + proven);
+    CHECK_FALSE(history.may_have_several(llm, window, now + proven));
+    history.update(make_entries({"1", "2"}), now + proven, now + proven);
+    CHECK(history.may_have_several(llm, window, now + proven));
+}
+
 // guards against ORDER: a host that was cut off from the store took a version for the only one,
 // though another one had come and gone meanwhile
 TEST_CASE("regression: the only version isn't known after a time in which nothing was read")
