Relay the rest of a stream only from the version that began it, and refuse where two are named

A host of an older build ignores the version that it is asked for; the rest of the stream was relayed from it all the same. And a stream for which two versions had been told went on at the only one that was published, though the design note says that it is refused. Found by reading.

The version that comes back is compared now, and a stream for which two versions are recorded is refused as unknown. The fake host in "a take-up is forwarded with the version that began the stream" left out the version that real hosts name in their responses; it names it now.

--- a/src/gateway/routing/stream_origins.cpp
+++ b/src/gateway/routing/stream_origins.cpp
@@ -58,6 +58,12 @@
     }
 }
 
+bool stream_origins::is_recorded(std::string_view attempt_id, time_point now) const
+{
+    const auto found = m_streams.find(long_hash(attempt_id));
+    return found != m_streams.end() && found->second.expires > now;
+}
+
 std::optional<std::uint32_t> stream_origins::find(std::string_view attempt_id, time_point now) const
 {
     const auto found = m_streams.find(long_hash(attempt_id));
--- a/src/gateway/routing/stream_origins.h
+++ b/src/gateway/routing/stream_origins.h
@@ -52,6 +52,9 @@
     /// Records what another host tells.
     void on_peer_report(const stream_report& report, time_point now);
 
+    /// Whether a version is recorded for the stream, or two were named.
+    [[nodiscard]] bool is_recorded(std::string_view attempt_id, time_point now) const;
+
     /// Returns the hash of the software version that has begun the stream whose first event the
     /// attempt brought; nothing if that isn't known, or if two versions were named.
     [[nodiscard]] std::optional<std::uint32_t> find(std::string_view attempt_id,
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -90,8 +90,10 @@
 /// Whether the events of a response may be relayed: at the start of a stream, or as its rest.
 bool exchange::is_relayable_stream(const message_head& head) const
 {
+    const bool is_of_version =
+        !m_software_version || m_software_version == m_attempt.software_version;
     return is_stream() && is_success(head.status) && is_genuine(head) && may_carry_events(head) &&
-           (!m_has_response_started || head.status == m_started_status);
+           is_of_version && (!m_has_response_started || head.status == m_started_status);
 }
 
 /// Returns why a complete response with success doesn't end the stream; empty if it does.
--- a/src/gateway/serving/exchange_origin.cpp
+++ b/src/gateway/serving/exchange_origin.cpp
@@ -18,10 +18,8 @@
 /// nothing if that can't be told.
 std::optional<std::uint32_t> exchange::find_origin(time_point now) const
 {
-    if (m_fields.resumed_id) {
-        if (const auto known = m_context.origins.find(*m_fields.resumed_id, now)) {
-            return known;
-        }
+    if (m_fields.resumed_id && m_context.origins.is_recorded(*m_fields.resumed_id, now)) {
+        return m_context.origins.find(*m_fields.resumed_id, now);
     }
     return m_context.versions.only_version(m_service, m_authorised.matched_route->timeout, now);
 }
--- a/tests/gateway/stream_takeup_test.cpp
+++ b/tests/gateway/stream_takeup_test.cpp
@@ -230,7 +230,11 @@
     gateway.add_host([&](const std::shared_ptr<server_exchange>& request) {
         required = request->head().headers.find(software_version_header);
         resumed = request->head().headers.find("Resumes");
-        end_stream(request);
+        header_list headers = own_headers(request);
+        headers.add(std::string{software_version_header}, required);
+        request->begin(200, headers);
+        request->send("id: 2\ndata: b\n\n");
+        request->end();
     });
     gateway.occupy("old");
     gateway.publish_elsewhere("other", "1");
@@ -239,6 +243,44 @@
     CHECK(resumed == first_attempt);
 }
 
+// guards against ORDER: the rest of a stream was relayed from a host that served another version
+TEST_CASE("regression: the rest of a stream isn't relayed from a host that names another version")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
+    header_list named;
+    SUBCASE("another one")
+    {
+        named.add(std::string{software_version_header}, std::to_string(short_hash("2")));
+    }
+    SUBCASE("none") {}
+    tell(gateway, "1");
+    gateway.publish_elsewhere("far", "1");
+    gateway.add_host([&](const std::shared_ptr<server_exchange>& request) {
+        header_list headers = own_headers(request);
+        for (const header& field : named) {
+            headers.add(field.name, field.value);
+        }
+        request->begin(200, headers);
+        request->send("id: 2\ndata: b\n\n");
+        request->end();
+    });
+    const auto response = take_up(gateway, first_attempt);
+    CHECK(response->status != 200);
+    CHECK(response->body.find("data") == std::string::npos);
+}
+
+// guards against ORDER: a stream for which two versions were named went on at the only one published
+TEST_CASE("regression: a take-up of a stream for which two versions are named is refused")
+{
+    gateway_fixture gateway{make_route(request_kind::streaming, 2, true)};
+    gateway.add_endpoint("a", end_stream);
+    gateway.set_software_version("a", "1");
+    gateway.know_versions(long_known);
+    tell(gateway, "1");
+    tell(gateway, "2");
+    check_refused(*take_up(gateway, first_attempt), "stream_version_unknown");
+}
+
 TEST_CASE("a stream that a host only forwards for another one is recorded by that one")
 {
     gateway_fixture gateway{make_route(request_kind::streaming, 1, true)};
