Ask endpoints that no host is in contact with before there are requests for them

Cause: since endpoints without contact count as cold, the first requests to a region found all its endpoints unproven. Those that were proven first got what had waited, and their queues stayed.

The owner asks an endpoint now as soon as its region is out of contact, and 1.5 s before it would be.

The word of a host that takes all endpoints for warm ended the doubt of a contact that it couldn't have heard of, and so did a report of a state from before the contact; both found by reading.

Counters of questions count at the host that asks only.

--- a/src/gateway/routing/endpoint_history.cpp
+++ b/src/gateway/routing/endpoint_history.cpp
@@ -11,6 +11,10 @@
 /// so much older, since it must not end the doubt after a sign that came meanwhile.
 constexpr duration max_report_delay = std::chrono::milliseconds{500};
 
+/// Time before the end of a contact at which the endpoint is asked, so that hosts of the region hear
+/// its answer before the end.
+constexpr duration contact_renewal_time = std::chrono::milliseconds{1'500};
+
 /// Interval at which an unproven endpoint that is wanted has to be asked.
 constexpr duration wanted_interval = std::chrono::milliseconds{500};
 
@@ -78,6 +82,14 @@
     }
 }
 
+void endpoint_history::on_peer_warm(time_point now) noexcept
+{
+    m_unknown_before = {};
+    if (m_contact_began_at + max_report_delay <= now) {
+        m_contact_began_at = {}; // that host has heard of the contact
+    }
+}
+
 void endpoint_history::on_sign(restart_sign sign, time_point at) noexcept
 {
     m_doubted_at = std::max(m_doubted_at, at);
@@ -97,8 +109,12 @@
         m_peers_doubted_at = std::max(m_peers_doubted_at, now - *report.doubt_age);
     }
     if (report.known_age && !report.sign_age && !report.doubt_age) {
-        on_contact(now - *report.known_age);
-        on_peer_warm(); // that host would know of a restart since
+        const time_point known_at = now - *report.known_age;
+        on_contact(known_at);
+        m_unknown_before = {}; // that host would know of a restart since
+        if (m_contact_began_at <= known_at) {
+            m_contact_began_at = {};
+        }
     }
     if (report.known_age) {
         m_known_at = std::max(m_known_at, now - *report.known_age - max_report_delay);
@@ -114,6 +130,14 @@
     return has_sign(now) || is_wanted || is_peer_in_doubt;
 }
 
+bool endpoint_history::needs_contact(time_point now) const noexcept
+{
+    if (!m_contact_retention || now < m_cold_until || needs_check(now)) {
+        return false;
+    }
+    return is_unproven(now) || now - *m_contact_at > *m_contact_retention - contact_renewal_time;
+}
+
 std::optional<restart_report> endpoint_history::to_report(std::uint32_t endpoint,
                                                           time_point now) const
 {
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -238,7 +238,7 @@
 
     /// Records that another host of the region takes all its endpoints for warm, and would know
     /// otherwise.
-    void on_peer_all_warm();
+    void on_peer_all_warm(time_point now);
 
     /// Whether this host takes all endpoints with which the region is in contact for warm, and would know
     /// if one had restarted of late.
@@ -262,6 +262,9 @@
     /// would get requests if they haven't.
     [[nodiscard]] std::vector<endpoint_entry> unconfirmed(time_point now) const;
 
+    /// Returns the endpoints with which the region is out of contact, or soon would be.
+    [[nodiscard]] std::vector<endpoint_entry> needing_contact(time_point now) const;
+
     /// Records that the endpoint itself has said, as asked at `asked_at`, that it is cold for
     /// `remaining`; at most its service's cold time counts. Returns whether this host took it for
     /// warm.
--- a/src/gateway/routing/endpoint_pool_restarts.cpp
+++ b/src/gateway/routing/endpoint_pool_restarts.cpp
@@ -144,10 +144,10 @@
         }));
 }
 
-void endpoint_pool::on_peer_all_warm()
+void endpoint_pool::on_peer_all_warm(time_point now)
 {
     for (const auto& [id, state] : m_endpoints) {
-        state.history->on_peer_warm();
+        state.history->on_peer_warm(now);
     }
 }
 
@@ -202,6 +202,17 @@
     return entries;
 }
 
+std::vector<endpoint_entry> endpoint_pool::needing_contact(time_point now) const
+{
+    std::vector<endpoint_entry> entries;
+    for (const auto& [id, state] : m_endpoints) {
+        if (is_worth_asking(state, now) && state.history->needs_contact(now)) {
+            entries.push_back(state.entry);
+        }
+    }
+    return entries;
+}
+
 bool endpoint_pool::on_cold(const std::string& endpoint, duration remaining, time_point asked_at,
                             time_point now)
 {
--- a/src/gateway/serving/endpoint_checker.cpp
+++ b/src/gateway/serving/endpoint_checker.cpp
@@ -33,8 +33,7 @@
 {
     const time_point now = boot_clock::now();
     for (const endpoint_entry& entry : m_dependencies.pool.take_wanted()) {
-        m_dependencies.metrics.count("endpoint_unproven_wanted");
-        ask_owned(entry, silence::unconfirmed, now);
+        ask_owned(entry, silence::unconfirmed, "probe_of_wanted", now);
     }
 }
 
@@ -84,7 +83,7 @@
 void endpoint_checker::check_reinstated()
 {
     for (const endpoint_entry& entry : m_dependencies.pool.take_reinstated()) {
-        ask_owned(entry, silence::unknown, boot_clock::now());
+        ask_owned(entry, silence::unknown, "probe_after_evacuation", boot_clock::now());
     }
 }
 
@@ -95,24 +94,27 @@
     }
     m_unconfirmed_asked_at = now;
     for (const endpoint_entry& entry : m_dependencies.pool.unconfirmed(now)) {
-        m_dependencies.metrics.count("probe_in_doubt");
-        ask_owned(entry, silence::unconfirmed, now);
+        ask_owned(entry, silence::unconfirmed, "probe_in_doubt", now);
+    }
+    for (const endpoint_entry& entry : m_dependencies.pool.needing_contact(now)) {
+        ask_owned(entry, silence::unknown, "probe_for_contact", now);
     }
     if (m_dependencies.state.age(now) < max_told_age) {
         return;
     }
     for (const endpoint_entry& entry : m_dependencies.pool.assumed_warm(now)) {
-        m_dependencies.metrics.count("probe_with_old_state");
-        ask_owned(entry, silence::unknown, now);
+        ask_owned(entry, silence::unknown, "probe_with_old_state", now);
     }
 }
 
-/// Asks an endpoint if this host is the one that has to.
-void endpoint_checker::ask_owned(const endpoint_entry& entry, silence meaning, time_point now)
+/// Asks an endpoint, and counts it, if this host is the one that has to.
+void endpoint_checker::ask_owned(const endpoint_entry& entry, silence meaning,
+                                 const std::string& counter, time_point now)
 {
     const service* of = askable_service(entry);
     if (of != nullptr && m_dependencies.is_owner(entry, *of) &&
         m_dependencies.pool.try_take_share(entry.id, now)) {
+        m_dependencies.metrics.count(counter);
         ask(entry, of->health_path, meaning);
     }
 }
--- a/src/gateway/serving/endpoint_checker.h
+++ b/src/gateway/serving/endpoint_checker.h
@@ -22,7 +22,8 @@
 namespace hickorykeel::gateway {
 
 /// Asks endpoints for their health where it is in doubt whether they are warm: after signs of a
-/// restart, after an evacuation, and while the published state is old.
+/// restart, after an evacuation, while the published state is old, and where no host would see a
+/// restart, since none has requests for them.
 ///
 /// An endpoint that ends a connection is asked at once by the host that has seen it, which tells a
 /// single response that is broken off from the end of the process. If it ends the connection of the
@@ -78,15 +79,17 @@
     /// Asks the endpoints whose evacuation has ended since the last call.
     void check_reinstated();
 
-    /// Asks, at intervals, the endpoints that are in doubt, and all of them while the published state
-    /// is old. To be called at the heartbeat interval.
+    /// Asks, at intervals, the endpoints that are in doubt, those with which the region would be out
+    /// of contact, and all of them while the published state is old. To be called at the heartbeat
+    /// interval.
     void check_periodically(time_point now);
 
 private:
     /// What a question that gets no answer means.
     enum class silence { unknown, unconfirmed };
 
-    void ask_owned(const endpoint_entry& entry, silence meaning, time_point now);
+    void ask_owned(const endpoint_entry& entry, silence meaning, const std::string& counter,
+                   time_point now);
     void ask_past_unknown(time_point now);
     [[nodiscard]] const service* askable_service(const endpoint_entry& entry) const;
     /// Questions to an endpoint that has ended a connection.
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -35,7 +35,7 @@
 constexpr double buffer_memory_fraction = 0.5;
 
 /// Time after a contact with an endpoint for which its end is seen: shorter than hosts keep idle
-/// connections.
+/// connections to endpoints that don't state a shorter time.
 constexpr duration contact_retention = std::chrono::seconds{3};
 
 std::size_t to_budget_bytes(double memory_mb)
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -215,7 +215,7 @@
         m_pool.on_peer_cold(report, now);
     }
     if (news.all_endpoints_warm) {
-        m_pool.on_peer_all_warm();
+        m_pool.on_peer_all_warm(now);
     }
     const std::size_t unknown = m_pool.past_unknown_count(now);
     if (unknown < unknown_before) {
