Prove a single software version over the longest timeout of late

A stream may have begun under a longer timeout than its route has when the caller takes it up. The window in which a service must have had one version was the present timeout, so a stream that this host doesn't know could have gone on at another version, one that came after its own had left. Found by reading.

--- a/src/gateway/configuration/publication.cpp
+++ b/src/gateway/configuration/publication.cpp
@@ -1,6 +1,6 @@
 #include "gateway/configuration/publication.h"
 
-#include <algorithm> // upper_bound
+#include <algorithm> // max, upper_bound
 #include <array>     // array
 #include <utility>   // move
 
@@ -66,6 +66,20 @@
     return counts;
 }
 
+std::map<std::string, duration> publication::longest_timeouts() const
+{
+    std::map<std::string, duration> longest;
+    for (const auto& [host, routes] : m_routes) {
+        for (const route& of_host : routes) {
+            for (const weighted_service& target : of_host.services) {
+                duration& timeout = longest[target.service];
+                timeout = std::max<duration>(timeout, of_host.timeout);
+            }
+        }
+    }
+    return longest;
+}
+
 const service* publication::find_service(const std::string& name) const
 {
     const auto found = m_services.find(name);
--- a/src/gateway/configuration/publication.h
+++ b/src/gateway/configuration/publication.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/configuration/source_position.h"
+#include "process/clock.h"
 
 #include <chrono>        // milliseconds
 #include <cstddef>       // size_t
@@ -114,6 +115,10 @@
 
     /// For each region, the number of routes of `host` that list it as a home region.
     [[nodiscard]] std::map<std::string, unsigned> count_home_routes(const std::string& host) const;
+
+    /// For each service, the longest timeout of the routes to it.
+    [[nodiscard]] std::map<std::string, duration> longest_timeouts() const;
+
     [[nodiscard]] const service* find_service(const std::string& name) const;
 
     /// The organisation that owns the API key `key`, or null.
--- a/src/gateway/serving/exchange_origin.cpp
+++ b/src/gateway/serving/exchange_origin.cpp
@@ -21,7 +21,8 @@
     if (m_fields.resumed_id && m_context.origins.is_recorded(*m_fields.resumed_id, now)) {
         return m_context.origins.find(*m_fields.resumed_id, now);
     }
-    return m_context.versions.only_version(m_service, m_authorised.matched_route->timeout, now);
+    return m_context.versions.only_version(m_service, m_context.timeouts.longest(m_service, now),
+                                           now);
 }
 
 /// Lets only the software version serve the request that has begun the stream which it resumes.
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -111,6 +111,7 @@
           .quarantine = m_quarantine,
           .origins = m_origins,
           .versions = m_version_history,
+          .timeouts = m_timeouts,
           .client = m_client,
           .log = m_log,
           .metrics = m_metrics,
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/limits/memory_budget.h"
 #include "gateway/membership/fleet_membership.h"
 #include "gateway/membership/gossip_socket.h"
+#include "gateway/routing/recent_timeouts.h"
 #include "gateway/routing/version_history.h"
 #include "gateway/serving/endpoint_checker.h"
 #include "gateway/serving/health_prober.h"
@@ -125,6 +126,7 @@
     random_source m_random;
     published_state m_state;
     version_history m_version_history;
+    recent_timeouts m_timeouts;
     fleet_membership m_fleet;
     cold_side m_cold_side;
     rate_limiter m_usage;
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -283,6 +283,7 @@
     if (published == nullptr) {
         return;
     }
+    m_timeouts.update(published->longest_timeouts(), now);
     const auto to_usability = [this](const endpoint_entry& entry) {
         using usability = endpoint_pool::usability;
         if (m_settings.region_of(entry.failure_domain) != m_settings.region) {
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -12,6 +12,7 @@
 #include "gateway/routing/endpoint_pool.h"
 #include "gateway/routing/prompt_quarantine.h"
 #include "gateway/routing/prompt_room.h"
+#include "gateway/routing/recent_timeouts.h"
 #include "gateway/routing/region_choice.h"
 #include "gateway/routing/stream_origins.h"
 #include "gateway/routing/version_history.h"
@@ -113,6 +114,7 @@
     prompt_quarantine& quarantine;
     stream_origins& origins;
     const version_history& versions;
+    const recent_timeouts& timeouts;
     http_client& client;
     event_log& log;
     gateway_metrics& metrics;
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -174,6 +174,13 @@
             m_versions.confirm(now - age, now - age);
         }
         m_versions.confirm(now, now);
+        m_timeouts.update(m_state.published()->longest_timeouts(), now);
+    }
+
+    /// The routes to the service had this timeout until now.
+    void have_had_timeout(duration timeout)
+    {
+        m_timeouts.update({{"s", timeout}}, boot_clock::now());
     }
 
     /// Publishes an endpoint in the region of `add_host()`.
@@ -416,6 +423,7 @@
     prompt_quarantine m_quarantine{{}};
     stream_origins m_origins{{}};
     version_history m_versions;
+    recent_timeouts m_timeouts;
     http_client m_client{m_loop};
     http_client m_caller{m_loop};
     event_log m_log{m_loop, "host", {.request_lines_per_s = 0}};
@@ -433,6 +441,7 @@
         .quarantine = m_quarantine,
         .origins = m_origins,
         .versions = m_versions,
+        .timeouts = m_timeouts,
         .client = m_client,
         .log = m_log,
         .metrics = m_metrics,
--- a/tests/gateway/stream_takeup_test.cpp
+++ b/tests/gateway/stream_takeup_test.cpp
@@ -155,6 +155,12 @@
         CHECK(take_up(gateway, first_attempt)->body == "id: 2\ndata: b\n\n");
         CHECK(take_up(gateway, "")->body == "id: 2\ndata: b\n\n");
     }
+    SUBCASE("for less than a timeout that a route to it had of late")
+    {
+        gateway.have_had_timeout(long_known);
+        gateway.know_versions(long_known);
+        check_refused(*take_up(gateway, first_attempt), "stream_version_unknown");
+    }
     SUBCASE("not known for long")
     {
         gateway.know_versions(1s);
