Keep no contact ahead of requests with endpoints whose end wouldn't be seen

Such an endpoint is asked ahead once. An end of the question's connection is a sign again, and endpoints in backoff aren't asked for contact.

--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -1,6 +1,6 @@
 #include "gateway/http/http_client.h"
 
-#include <algorithm> // find_if, min
+#include <algorithm> // any_of, find_if, min
 #include <array>     // array
 #include <charconv>  // from_chars
 #include <cstddef>   // ptrdiff_t, size_t
@@ -291,6 +291,16 @@
     return nullptr;
 }
 
+bool http_client::would_see_end(const std::string& address, time_point until) const
+{
+    const auto found = m_idle.find(address);
+    return found != m_idle.end() &&
+           std::any_of(found->second.begin(), found->second.end(), [until](const auto& connection) {
+               return connection->m_has_idle_time && connection->m_reusable_until >= until &&
+                      connection->m_channel->is_open();
+           });
+}
+
 void http_client::add_idle(const std::shared_ptr<client_connection>& connection)
 {
     auto& idle = m_idle[connection->m_address];
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -163,6 +163,10 @@
         return call(options, outgoing_request{std::move(request)}, std::move(handlers));
     }
 
+    /// Whether the handler of idle ends would be called if the peer at `address` ended before `until`:
+    /// there is an idle connection that it has promised to keep for so long.
+    [[nodiscard]] bool would_see_end(const std::string& address, time_point until) const;
+
     /// Number of connections created since the start, failed ones included.
     [[nodiscard]] std::uint64_t connections_opened() const noexcept { return m_opened; }
 
--- a/src/gateway/routing/endpoint_history.cpp
+++ b/src/gateway/routing/endpoint_history.cpp
@@ -132,7 +132,7 @@
 
 bool endpoint_history::needs_contact(time_point now) const noexcept
 {
-    if (!m_contact_retention || now < m_cold_until || needs_check(now)) {
+    if (!m_contact_retention || !m_is_end_seen || now < m_cold_until || needs_check(now)) {
         return false;
     }
     return is_unproven(now) || now - *m_contact_at > *m_contact_retention - contact_renewal_time;
--- a/src/gateway/routing/endpoint_history.h
+++ b/src/gateway/routing/endpoint_history.h
@@ -60,6 +60,10 @@
     /// Records that this host or another one of the region was in contact with it at `at`.
     void on_contact(time_point at) noexcept;
 
+    /// Records whether the endpoint's responses let this host see its end while it has no requests
+    /// there. Endpoints are taken to do so at first.
+    void set_end_seen(bool is_seen) noexcept { m_is_end_seen = is_seen; }
+
     /// Records that this host has requests under way there: a contact that had begun goes on.
     void on_contact_kept(time_point now) noexcept;
 
@@ -115,7 +119,8 @@
         return now < m_cold_until || has_sign(now);
     }
 
-    /// Whether it has to be asked only because it is unproven, or soon would be.
+    /// Whether it has to be asked only because it is unproven, or soon would be. An endpoint whose end
+    /// wouldn't be seen isn't asked ahead of requests.
     [[nodiscard]] bool needs_contact(time_point now) const noexcept;
 
     /// Whether it may have restarted since the latest statement without a host of the region seeing it.
@@ -191,6 +196,7 @@
     std::optional<duration> m_contact_retention;
     std::optional<time_point> m_contact_at; ///< latest
     time_point m_contact_began_at{};        ///< set while no word is known from the contact's time
+    bool m_is_end_seen = true;
     time_point m_wanted_at{};
     time_point m_peers_doubted_at{};
     time_point m_own_known_at{};
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -262,7 +262,11 @@
     /// would get requests if they haven't.
     [[nodiscard]] std::vector<endpoint_entry> unconfirmed(time_point now) const;
 
-    /// Returns the endpoints with which the region is out of contact, or soon would be.
+    /// Records whether this host would see the end of an endpoint without requests there.
+    void set_end_seen(const std::string& endpoint, bool is_seen);
+
+    /// Returns the endpoints with which the region is out of contact, or soon would be, though this
+    /// host would see their ends.
     [[nodiscard]] std::vector<endpoint_entry> needing_contact(time_point now) const;
 
     /// Records that the endpoint itself has said, as asked at `asked_at`, that it is cold for
--- a/src/gateway/routing/endpoint_pool_restarts.cpp
+++ b/src/gateway/routing/endpoint_pool_restarts.cpp
@@ -202,11 +202,20 @@
     return entries;
 }
 
+void endpoint_pool::set_end_seen(const std::string& endpoint, bool is_seen)
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found != m_endpoints.end()) {
+        found->second.history->set_end_seen(is_seen);
+    }
+}
+
 std::vector<endpoint_entry> endpoint_pool::needing_contact(time_point now) const
 {
     std::vector<endpoint_entry> entries;
     for (const auto& [id, state] : m_endpoints) {
-        if (is_worth_asking(state, now) && state.history->needs_contact(now)) {
+        if (is_worth_asking(state, now) && !is_blocked(state, now) &&
+            state.history->needs_contact(now)) {
             entries.push_back(state.entry);
         }
     }
--- a/src/gateway/serving/endpoint_checker.cpp
+++ b/src/gateway/serving/endpoint_checker.cpp
@@ -33,7 +33,7 @@
 {
     const time_point now = boot_clock::now();
     for (const endpoint_entry& entry : m_dependencies.pool.take_wanted()) {
-        ask_owned(entry, silence::unconfirmed, "probe_of_wanted", now);
+        ask_owned(entry, purpose::doubt, "probe_of_wanted", now);
     }
 }
 
@@ -54,7 +54,7 @@
         if (of != nullptr && m_dependencies.is_first_candidate(entry) &&
             m_dependencies.pool.try_take_share(entry.id, now)) {
             m_dependencies.metrics.count("probe_after_start");
-            ask(entry, of->health_path, silence::unconfirmed);
+            ask(entry, of->health_path, purpose::doubt);
         }
     }
 }
@@ -67,7 +67,7 @@
         const service* of = askable_service(entry);
         if (of != nullptr && m_dependencies.pool.try_take_share(entry.id, now)) {
             m_dependencies.metrics.count("probe_for_load");
-            ask(entry, of->health_path, silence::unknown);
+            ask(entry, of->health_path, purpose::state);
         }
     }
 }
@@ -83,7 +83,7 @@
 void endpoint_checker::check_reinstated()
 {
     for (const endpoint_entry& entry : m_dependencies.pool.take_reinstated()) {
-        ask_owned(entry, silence::unknown, "probe_after_evacuation", boot_clock::now());
+        ask_owned(entry, purpose::state, "probe_after_evacuation", boot_clock::now());
     }
 }
 
@@ -94,28 +94,28 @@
     }
     m_unconfirmed_asked_at = now;
     for (const endpoint_entry& entry : m_dependencies.pool.unconfirmed(now)) {
-        ask_owned(entry, silence::unconfirmed, "probe_in_doubt", now);
+        ask_owned(entry, purpose::doubt, "probe_in_doubt", now);
     }
     for (const endpoint_entry& entry : m_dependencies.pool.needing_contact(now)) {
-        ask_owned(entry, silence::unknown, "probe_for_contact", now);
+        ask_owned(entry, purpose::contact, "probe_for_contact", now);
     }
     if (m_dependencies.state.age(now) < max_told_age) {
         return;
     }
     for (const endpoint_entry& entry : m_dependencies.pool.assumed_warm(now)) {
-        ask_owned(entry, silence::unknown, "probe_with_old_state", now);
+        ask_owned(entry, purpose::state, "probe_with_old_state", now);
     }
 }
 
 /// Asks an endpoint, and counts it, if this host is the one that has to.
-void endpoint_checker::ask_owned(const endpoint_entry& entry, silence meaning,
+void endpoint_checker::ask_owned(const endpoint_entry& entry, purpose asked_for,
                                  const std::string& counter, time_point now)
 {
     const service* of = askable_service(entry);
     if (of != nullptr && m_dependencies.is_owner(entry, *of) &&
         m_dependencies.pool.try_take_share(entry.id, now)) {
         m_dependencies.metrics.count(counter);
-        ask(entry, of->health_path, meaning);
+        ask(entry, of->health_path, asked_for);
     }
 }
 
@@ -143,7 +143,7 @@
         return false;
     }
     ++check.questions;
-    ask(entry, of->health_path, silence::unconfirmed,
+    ask(entry, of->health_path, purpose::doubt,
         [this, entry](std::optional<probe_failure> failure) { on_asked(entry, failure); });
     return true;
 }
@@ -184,7 +184,7 @@
 }
 
 void endpoint_checker::ask(const endpoint_entry& entry, const std::string& health_path,
-                           silence meaning,
+                           purpose asked_for,
                            std::function<void(std::optional<probe_failure>)> on_end)
 {
     const endpoint_incarnation endpoint{entry.id, entry.started_ms};
@@ -192,16 +192,11 @@
     m_dependencies.pool.on_asked(entry.id, asked_at);
     m_dependencies.prober.probe(
         entry, health_path,
-        {.on_warm =
-             [this, id = entry.id, asked_at] {
-                 m_dependencies.pool.on_warm(id, asked_at, boot_clock::now());
-                 m_dependencies.on_warm();
-                 m_dependencies.on_urgent_news();
-             },
+        {.on_warm = [this, entry, asked_at, asked_for] { on_warm(entry, asked_at, asked_for); },
          .on_cold = [this, id = entry.id,
                      asked_at](duration remaining) { on_cold(id, remaining, asked_at); },
          .on_failure = [this, id = entry.id,
-                        meaning](probe_failure why) { on_failure(id, meaning, why); },
+                        asked_for](probe_failure why) { on_failure(id, asked_for, why); },
          .on_head =
              [this, endpoint, asked_at](const message_head& head) {
                  record_statement({m_dependencies.adapter, m_dependencies.pool, m_dependencies.log,
@@ -211,6 +206,18 @@
          .on_end = std::move(on_end)});
 }
 
+void endpoint_checker::on_warm(const endpoint_entry& entry, time_point asked_at, purpose asked_for)
+{
+    const bool is_end_seen = m_dependencies.sees_end(entry, asked_at);
+    m_dependencies.pool.set_end_seen(entry.id, is_end_seen);
+    if (asked_for == purpose::contact && !is_end_seen) {
+        return;
+    }
+    m_dependencies.pool.on_warm(entry.id, asked_at, boot_clock::now());
+    m_dependencies.on_warm();
+    m_dependencies.on_urgent_news();
+}
+
 void endpoint_checker::on_cold(const std::string& endpoint, duration remaining, time_point asked_at)
 {
     if (m_dependencies.pool.on_cold(endpoint, remaining, asked_at, boot_clock::now())) {
@@ -219,10 +226,12 @@
     m_dependencies.on_urgent_news();
 }
 
-void endpoint_checker::on_failure(const std::string& endpoint, silence meaning, probe_failure why)
+void endpoint_checker::on_failure(const std::string& endpoint, purpose asked_for, probe_failure why)
 {
     const bool is_refused = why == probe_failure::refused;
-    if (is_refused || meaning == silence::unconfirmed) {
+    const bool is_sign = asked_for == purpose::doubt ||
+                         (asked_for == purpose::contact && why == probe_failure::disconnected);
+    if (is_refused || is_sign) {
         m_dependencies.pool.on_restart_sign(
             endpoint, is_refused ? restart_sign::refused : restart_sign::unconfirmed,
             boot_clock::now());
--- a/src/gateway/serving/endpoint_checker.h
+++ b/src/gateway/serving/endpoint_checker.h
@@ -49,6 +49,9 @@
         /// Whether this host has the largest weight for the endpoint among the hosts of its region
         /// that it has heard, though it may not have been up for long enough to own the endpoint.
         std::function<bool(const endpoint_entry&)> is_first_candidate;
+        /// Whether this host would see the endpoint's end for as long as a contact at that time
+        /// counts, though it has no request there.
+        std::function<bool(const endpoint_entry&, time_point)> sees_end;
         /// Called when an endpoint has turned out to be warm.
         std::function<void()> on_warm;
         /// Called when an endpoint has given a sign of a restart, or has turned out to be cold, or
@@ -85,10 +88,14 @@
     void check_periodically(time_point now);
 
 private:
-    /// What a question that gets no answer means.
-    enum class silence { unknown, unconfirmed };
+    /// What a question is for: it decides what follows from the answer, and from none.
+    enum class purpose {
+        state,   ///< no answer means nothing
+        doubt,   ///< no answer is a sign of a restart
+        contact, ///< only an end of the connection is one; an answer counts if it makes a contact
+    };
 
-    void ask_owned(const endpoint_entry& entry, silence meaning, const std::string& counter,
+    void ask_owned(const endpoint_entry& entry, purpose asked_for, const std::string& counter,
                    time_point now);
     void ask_past_unknown(time_point now);
     [[nodiscard]] const service* askable_service(const endpoint_entry& entry) const;
@@ -105,10 +112,11 @@
     bool try_ask(const endpoint_entry& entry, disconnection_check& check);
     void ask_again(const endpoint_entry& entry, disconnection_check& check);
     void on_asked(const endpoint_entry& entry, std::optional<probe_failure> failure);
-    void ask(const endpoint_entry& entry, const std::string& health_path, silence meaning,
+    void ask(const endpoint_entry& entry, const std::string& health_path, purpose asked_for,
              std::function<void(std::optional<probe_failure>)> on_end = {});
+    void on_warm(const endpoint_entry& entry, time_point asked_at, purpose asked_for);
     void on_cold(const std::string& endpoint, duration remaining, time_point asked_at);
-    void on_failure(const std::string& endpoint, silence meaning, probe_failure why);
+    void on_failure(const std::string& endpoint, purpose asked_for, probe_failure why);
 
     dependencies m_dependencies;
     asio::steady_timer m_start_timer;
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -155,6 +155,10 @@
                                               {m_settings.ip, m_settings.region, m_is_stopping},
                                               entry.id, boot_clock::now());
                      },
+                 .sees_end =
+                     [this](const endpoint_entry& entry, time_point since) {
+                         return m_client.would_see_end(entry.address, since + contact_retention);
+                     },
                  .on_warm = [this] { place_waiting(); },
                  .on_urgent_news = [this] { tell_urgent_news(); }}},
       m_callers{m_loop, [this](const auto& request) { serve_caller(request); }},
--- a/tests/gateway/endpoint_checker_test.cpp
+++ b/tests/gateway/endpoint_checker_test.cpp
@@ -219,6 +219,7 @@
          .metrics = m_metrics,
          .is_owner = [](const endpoint_entry&, const service&) { return true; },
          .is_first_candidate = [this](const endpoint_entry&) { return m_is_first_candidate; },
+         .sees_end = [](const endpoint_entry&, time_point) { return true; },
          .on_warm = [] {},
          .on_urgent_news =
              [this] { m_has_told_news = m_has_told_news || m_pool.has_urgent_news(); }}};
--- a/tests/gateway/uncontacted_endpoint_test.cpp
+++ b/tests/gateway/uncontacted_endpoint_test.cpp
@@ -161,6 +161,20 @@
     }
 }
 
+// guards against FAILBACK: contact was kept with an endpoint whose end nobody would have seen, since it
+// doesn't state for how long it keeps idle connections
+TEST_CASE("regression: an endpoint whose end wouldn't be seen is asked ahead of requests")
+{
+    uncontacted_region with{1};
+    with.read_entry(later - 1s);
+    with.pool(0).set_end_seen("a", false);
+    CHECK(with.pool(0).needing_contact(later).empty());
+    static_cast<void>(with.fill(0, later, 1));
+    CHECK(with.pool(0).has_wanted()); // it is asked if there are requests for it
+    with.pool(0).set_end_seen("a", true);
+    CHECK(with.pool(0).needing_contact(later + 600ms).size() == 1);
+}
+
 // guards against FAILBACK: a host that hadn't heard of a contact told that all endpoints were warm,
 // and so ended another one's doubt of the time before that contact
 TEST_CASE("regression: a host's word ends the doubt of a contact that it can't have heard of")
