--- a/src/gateway/routing/endpoint_history.cpp
+++ b/src/gateway/routing/endpoint_history.cpp
@@ -86,7 +86,7 @@
 {
     m_unknown_before = {};
     if (m_contact_began_at + max_report_delay <= now) {
-        m_contact_began_at = {}; // that host has heard of the contact
+        m_contact_began_at = {}; // that host should have heard of the contact
     }
 }
 
--- a/src/gateway/routing/endpoint_history.h
+++ b/src/gateway/routing/endpoint_history.h
@@ -113,7 +113,7 @@
         return now < m_cold_until || is_in_doubt(now);
     }
 
-    /// The same, but for endpoints that are only unproven.
+    /// Whether it is cold for another reason than that it is unproven.
     [[nodiscard]] bool is_known_cold(time_point now) const noexcept
     {
         return now < m_cold_until || has_sign(now);
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -464,7 +464,7 @@
     load.expected_wait = max_expected_wait;
     const placement_request any{&queried_service, nullptr, {}};
     for (const auto& [id, state] : m_endpoints) {
-        // one that is only unproven is asked as soon as there are requests for it
+        // one that is only unproven is asked ahead of requests, or at once when there are some
         if (!is_candidate(state, any) || is_blocked(state, now) || state.share ||
             state.history->is_known_cold(now)) {
             continue;
