Log and count where the hosts are that the directory names

While callers on routes with home regions were led elsewhere, no line or counter told what the directory had answered. directory_scope tells it by the caller's region, at each change, within the limit on lines on requests; directory_named_... count all answers. The choice from the member table moves out of the gateway, so that it can be tested without a network. No answer changes.

--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/http/http_server.h"
 #include "gateway/limits/cold_owner.h"
 #include "gateway/limits/memory_budget.h"
+#include "gateway/membership/directory_choice.h"
 #include "gateway/membership/fleet_membership.h"
 #include "gateway/membership/gossip_socket.h"
 #include "gateway/routing/recent_timeouts.h"
@@ -20,6 +21,7 @@
 #include <array>       // array
 #include <csignal>     // SIGHUP, SIGINT, SIGTERM
 #include <functional>  // function
+#include <map>         // map
 #include <memory>      // shared_ptr, unique_ptr
 #include <optional>    // optional
 #include <string>      // string
@@ -79,7 +81,8 @@
     void serve_readiness(const std::shared_ptr<server_exchange>& request);
     void serve_directory(const std::shared_ptr<server_exchange>& request);
     void serve_metrics(const std::shared_ptr<server_exchange>& request);
-    [[nodiscard]] std::vector<std::string> addresses_for(const directory_query& query) const;
+    [[nodiscard]] directory_choice hosts_for(const directory_query& query) const;
+    void record_directory_choice(const std::string& region, directory_scope scope);
     [[nodiscard]] bool is_ready() const;
     void set_client_limits();
     bool free_memory();
@@ -162,6 +165,8 @@
     /// still in between.
     time_point m_heard_since{};
     std::vector<std::string> m_aggregators; ///< of this region, as last logged
+    /// Scope of the hosts last named to callers of a region, by region.
+    std::map<std::string, directory_scope> m_named_scopes;
     bool m_has_endpoints = false; ///< this region's entries have been read since the start
     bool m_is_placement_scheduled = false;
     bool m_was_memory_scarce = false;
--- a/src/gateway/serving/gateway_listeners.cpp
+++ b/src/gateway/serving/gateway_listeners.cpp
@@ -2,7 +2,7 @@
 #include "gateway/serving/exchange.h"
 #include "gateway/serving/gateway.h"
 
-#include <algorithm> // max, min
+#include <algorithm> // any_of, max, min
 #include <chrono>    // seconds
 #include <cstddef>   // size_t
 #include <memory>    // make_shared, shared_ptr
@@ -21,7 +21,6 @@
 
 /// Time for which callers may cache a response of the directory.
 constexpr auto directory_ttl = std::chrono::seconds{1};
-constexpr std::size_t max_addresses = 64;
 
 header_list plain_text()
 {
@@ -82,11 +81,6 @@
                : std::size_t{system_limit};
 }
 
-std::string port_of(const std::string& address)
-{
-    return address.substr(address.rfind(':'));
-}
-
 } // namespace
 
 bool gateway::is_ready() const
@@ -218,35 +212,45 @@
         request->respond(404, plain_text(), "not found\n");
         return;
     }
-    const auto addresses = addresses_for(m_parts.adapter.read_directory_query(head.target));
-    if (addresses.empty()) {
+    const directory_query query = m_parts.adapter.read_directory_query(head.target);
+    const directory_choice choice = hosts_for(query);
+    record_directory_choice(query.region, choice.scope);
+    if (choice.addresses.empty()) {
         request->respond(503, plain_text(), "no host is ready\n");
         return;
     }
     request->respond(200, json_text(),
-                     m_parts.adapter.format_directory_response(addresses, directory_ttl));
+                     m_parts.adapter.format_directory_response(choice.addresses, directory_ttl));
 }
 
-std::vector<std::string> gateway::addresses_for(const directory_query& query) const
+/// Returns the hosts to name in answer to `query`.
+directory_choice gateway::hosts_for(const directory_query& query) const
 {
-    const std::string port = port_of(m_settings.callers_address);
-    std::vector<directory_candidate> candidates;
-    if (is_ready()) {
-        candidates.push_back(
-            {m_settings.callers_address, m_settings.failure_domain, m_settings.region});
-    }
-    for (const member* host : m_fleet.members().ready(boot_clock::now())) {
-        candidates.push_back({host->last.ip + port, host->last.failure_domain, host->last.region});
-    }
-    directory_caller caller{query.failure_domain, query.region, {}, false};
-    if (const publication_ptr& published = m_state.published()) {
+    const time_point now = boot_clock::now();
+    const directory_host own{m_settings.callers_address, m_settings.failure_domain,
+                             m_settings.region, is_ready(), now - m_started};
+    directory_caller caller{query.failure_domain, query.region, {}};
+    const publication_ptr& published = m_state.published();
+    if (published != nullptr) {
         caller.home_routes = published->count_home_routes(query.host);
-        // a host that has just started may not have heard hosts of the home regions yet
-        const duration age = boot_clock::now() - m_started;
-        caller.may_be_elsewhere =
-            caller.home_routes.empty() || age >= m_context.options.startup_period;
     }
-    return choose_addresses(candidates, caller, max_addresses);
+    return choose_hosts(m_fleet.members(), own, caller, published != nullptr, now);
+}
+
+/// Counts an answer to a caller in `region`, and logs it if the hosts named to this region were of
+/// another scope before.
+void gateway::record_directory_choice(const std::string& region, directory_scope scope)
+{
+    m_metrics.count("directory_named_" + std::string{to_name(scope)});
+    // callers may name any region, so only the fleet's are kept
+    const bool is_known =
+        std::any_of(m_settings.regions.begin(), m_settings.regions.end(),
+                    [&region](const auto& item) { return item.second == region; });
+    if (!is_known || std::exchange(m_named_scopes[region], scope) == scope) {
+        return;
+    }
+    m_log.write_request(
+        log_line{"directory_scope"}.add("region", region).add("scope", to_name(scope)));
 }
 
 void gateway::serve_metrics(const std::shared_ptr<server_exchange>& request)
--- a/tests/gateway/directory_choice_test.cpp
+++ b/tests/gateway/directory_choice_test.cpp
@@ -13,15 +13,21 @@
 
 using addresses = std::vector<std::string>;
 
+addresses choose(const std::vector<directory_candidate>& candidates, const directory_caller& caller,
+                 std::size_t max_addresses = 64)
+{
+    return choose_addresses(candidates, caller, max_addresses).addresses;
+}
+
 } // namespace
 
 TEST_CASE("callers are given the nearest candidates")
 {
     const directory_caller caller{"a-1", "a", {}};
-    CHECK(choose_addresses({far, home, neighbour, near}, caller, 64) == addresses{"near"});
-    CHECK(choose_addresses({far, neighbour}, caller, 64) == addresses{"neighbour"});
-    CHECK(choose_addresses({far, home}, caller, 64) == addresses{"far", "home"});
-    CHECK(choose_addresses({}, caller, 64).empty());
+    CHECK(choose({far, home, neighbour, near}, caller) == addresses{"near"});
+    CHECK(choose({far, neighbour}, caller) == addresses{"neighbour"});
+    CHECK(choose({far, home}, caller) == addresses{"far", "home"});
+    CHECK(choose({}, caller).empty());
 }
 
 TEST_CASE("regression: while a region's hosts restart, its callers are given hosts of home regions")
@@ -29,31 +35,31 @@
     // while both hosts of a region were stopped in turn, the directory returned any other host, and
     // bodies of requests restricted to home regions were sent to a region that was not one
     const directory_caller caller{"a-1", "a", {{"a", 1}, {"b", 1}}};
-    CHECK(choose_addresses({far, home}, caller, 64) == addresses{"home"});
-    CHECK(choose_addresses({far}, caller, 64) == addresses{"far"});
+    CHECK(choose({far, home}, caller) == addresses{"home"});
+    CHECK(choose({far}, caller) == addresses{"far"});
 }
 
 TEST_CASE("regression: a region that is home to few routes ranks below one that is home to many")
 {
     // for routes without a common home region, the directory returned hosts of any region
     const directory_caller caller{"a-1", "a", {{"b", 5}, {"c", 1}}};
-    CHECK(choose_addresses({far, home}, caller, 64) == addresses{"home"});
-    CHECK(choose_addresses({home, far}, caller, 64) == addresses{"home"});
+    CHECK(choose({far, home}, caller) == addresses{"home"});
+    CHECK(choose({home, far}, caller) == addresses{"home"});
 }
 
 // guards against HOME: a host that had just started had heard no other one, and named itself
 TEST_CASE("regression: hosts elsewhere are returned only to callers that may be there")
 {
     directory_caller caller{"a-1", "a", {{"b", 1}}, false};
-    CHECK(choose_addresses({far}, caller, 64).empty());
-    CHECK(choose_addresses({far, home}, caller, 64) == addresses{"home"});
-    CHECK(choose_addresses({far, neighbour}, caller, 64) == addresses{"neighbour"});
+    CHECK(choose({far}, caller).empty());
+    CHECK(choose({far, home}, caller) == addresses{"home"});
+    CHECK(choose({far, neighbour}, caller) == addresses{"neighbour"});
     caller.may_be_elsewhere = true;
-    CHECK(choose_addresses({far}, caller, 64) == addresses{"far"});
+    CHECK(choose({far}, caller) == addresses{"far"});
 }
 
 TEST_CASE("the directory returns no more hosts than requested")
 {
     const directory_caller caller{"a-1", "a", {}};
-    CHECK(choose_addresses({near, near, near}, caller, 2).size() == 2);
+    CHECK(choose({near, near, near}, caller, 2).size() == 2);
 }
