Reword what was left in src/version and tests/version

Some names of internal functions and of the tests were vague (take, put, log, place, whole, item, what, made, truth, to_word), and a few comments left open what they meant.

"fault" stays the term for what is wrong in published values: the admin interface, the command line and a metric show it under this name.

--- a/src/version/check.cpp
+++ b/src/version/check.cpp
@@ -132,19 +132,19 @@
 /// read.
 template <typename Known>
 void check_reference(const std::string& path, const std::string& name, const Known& known,
-                     std::string_view what, faults& found)
+                     std::string_view kind, faults& found)
 {
     if (!name.empty() && !known.contains(name)) {
-        found.push_back({path, "names the unknown " + std::string{what} + " " + name});
+        found.push_back({path, "names the unknown " + std::string{kind} + " " + name});
     }
 }
 
 template <typename Known>
 void check_references(const std::string& path, const std::vector<std::string>& names,
-                      const Known& known, std::string_view what, faults& found)
+                      const Known& known, std::string_view kind, faults& found)
 {
     for (std::size_t i = 0; i < names.size(); ++i) {
-        check_reference(join(path, i), names[i], known, what, found);
+        check_reference(join(path, i), names[i], known, kind, found);
     }
 }
 
--- a/src/version/configuration.h
+++ b/src/version/configuration.h
@@ -27,14 +27,15 @@
 /// Published settings of a kind of request.
 struct profile {
     std::string name;
-    std::vector<std::string> regions;       ///< in which its data may be processed
+    std::vector<std::string> regions;       ///< where its data may be processed
     bool is_open = false;                   ///< no key needed
-    std::vector<std::string> organisations; ///< who may use it; empty: every organisation
-    std::vector<std::string> targets;       ///< models and services that it may name
+    std::vector<std::string> organisations; ///< that may use it; empty: every organisation
+    std::vector<std::string> targets;       ///< models and services that its requests may name
     bool is_idempotent = true;
     bool is_interactive = true;
     std::chrono::milliseconds deadline{30'000};
-    double rate = 0;  ///< tokens a second for each organisation; 0: no limit beside its own
+    double rate =
+        0; ///< tokens a second for each organisation; 0: only the organisation's own limit
     double burst = 0; ///< tokens
     std::uint64_t max_output_tokens = 1024;
 };
@@ -49,7 +50,7 @@
     bool is_leaving = false;
     bool checks_fencing = false;
     bool uses_tls = false;
-    std::uint32_t slots = 8; ///< requests that it runs at once
+    std::uint32_t slots = 8; ///< requests that it runs concurrently
 };
 
 /// A model or a plain service.
--- a/src/version/detail/member_rules.h
+++ b/src/version/detail/member_rules.h
@@ -21,13 +21,13 @@
 
 using faults = std::vector<configuration_fault>;
 
-/// Format of a text value.
+/// Format of a string value.
 enum class text_format { name, address, digest };
 
 /// Whether `text` matches `[a-z0-9][a-z0-9._-]{0,62}`.
 [[nodiscard]] bool is_name(std::string_view text) noexcept;
 
-/// Whether `text` is "ip:port" or "[ip]:port" with a port of 1 to 65535.
+/// Whether `text` is "IPv4:port" or "[IPv6]:port" with a port from 1 to 65535.
 [[nodiscard]] bool is_address(std::string_view text);
 
 /// Whether `text` is 64 lower-case hex digits.
@@ -43,21 +43,21 @@
     double maximum = 0;
 };
 
-/// Pointer to the field that a member fills; its type decides the JSON type.
+/// Pointer to the field that holds a member's value; the field's type decides the JSON type.
 template <typename Record>
-using member_place =
+using member_pointer =
     std::variant<std::string Record::*, std::vector<std::string> Record::*, bool Record::*,
                  double Record::*, std::uint32_t Record::*, std::uint64_t Record::*,
                  std::chrono::milliseconds Record::*, target_kind Record::*, host_state Record::*,
                  std::vector<endpoint> Record::*>;
 
-/// One member of a published value.
+/// How one member of a published value is validated and where it is stored.
 template <typename Record>
 struct member_rule {
     std::string_view name;
-    member_place<Record> place;
+    member_pointer<Record> pointer;
     bool is_required = false;
-    text_format format = text_format::name; ///< of a text or of each text of a list
+    text_format format = text_format::name; ///< of a string, or of each string of a list
     number_range range = {};                ///< of a number
     std::size_t minimum_items = 0;          ///< of a list
 };
@@ -69,11 +69,11 @@
                 std::string& into, faults& found);
 void read_list(const nlohmann::json& value, const std::string& path, text_format format,
                std::size_t minimum_items, std::vector<std::string>& into, faults& found);
-void read_flag(const nlohmann::json& value, const std::string& path, bool& into, faults& found);
+void read_boolean(const nlohmann::json& value, const std::string& path, bool& into, faults& found);
 bool read_number(const nlohmann::json& value, const std::string& path, number_range range,
                  double& into, faults& found);
-bool read_whole(const nlohmann::json& value, const std::string& path, number_range range,
-                std::uint64_t& into, faults& found);
+bool read_integer(const nlohmann::json& value, const std::string& path, number_range range,
+                  std::uint64_t& into, faults& found);
 void read_kind(const nlohmann::json& value, const std::string& path, target_kind& into,
                faults& found);
 void read_state(const nlohmann::json& value, const std::string& path, host_state& into,
@@ -87,8 +87,8 @@
 void read_member(const nlohmann::json& value, const std::string& path,
                  const member_rule<Record>& rule, Record& record, faults& found)
 {
-    const auto read = [&](auto place) {
-        auto& field = record.*place;
+    const auto read = [&](auto pointer) {
+        auto& field = record.*pointer;
         using field_type = std::remove_reference_t<decltype(field)>;
         if constexpr (std::is_same_v<field_type, std::string>) {
             read_value(value, path, rule.format, field, found);
@@ -97,7 +97,7 @@
             read_list(value, path, rule.format, rule.minimum_items, field, found);
         }
         else if constexpr (std::is_same_v<field_type, bool>) {
-            read_flag(value, path, field, found);
+            read_boolean(value, path, field, found);
         }
         else if constexpr (std::is_same_v<field_type, double>) {
             read_number(value, path, rule.range, field, found);
@@ -112,13 +112,13 @@
             read_endpoints(value, path, field, found);
         }
         else {
-            std::uint64_t whole = 0;
-            if (read_whole(value, path, rule.range, whole, found)) {
-                field = field_type(whole);
+            std::uint64_t integer = 0;
+            if (read_integer(value, path, rule.range, integer, found)) {
+                field = field_type(integer);
             }
         }
     };
-    std::visit(read, rule.place);
+    std::visit(read, rule.pointer);
 }
 
 /// Reads an object by its table of rules; unknown, missing and invalid members are errors.
--- a/src/version/diff.cpp
+++ b/src/version/diff.cpp
@@ -9,16 +9,16 @@
 namespace detail {
 namespace {
 
-/// Kind of value at a path; decides the warning for a change.
-enum class item_kind { record, organisation, home, key, endpoint, endpoint_state, other };
+/// Kind of value at a path, which decides the warning for its change.
+enum class value_kind { record, organisation, home, key, endpoint, endpoint_state, other };
 
-struct item {
-    item_kind kind = item_kind::other;
+struct path_value {
+    value_kind kind = value_kind::other;
     std::string value;
 };
 
 /// Values of a configuration by path. The order puts a record before its members.
-using items = std::map<std::string, item>;
+using values_by_path = std::map<std::string, path_value>;
 
 std::string to_text(bool value)
 {
@@ -47,30 +47,30 @@
     return text;
 }
 
-void add(items& into, const failure_domain& value)
+void add(values_by_path& into, const failure_domain& value)
 {
     const auto path = "failure_domains/" + value.name;
-    into[path] = {item_kind::record, value.name};
+    into[path] = {value_kind::record, value.name};
     into[path + "/region"].value = value.region;
 }
 
-void add(items& into, const organisation& value)
+void add(values_by_path& into, const organisation& value)
 {
     const auto path = "organisations/" + value.name;
-    into[path] = {item_kind::organisation, value.name};
-    into[path + "/home"] = {item_kind::home, value.home};
+    into[path] = {value_kind::organisation, value.name};
+    into[path + "/home"] = {value_kind::home, value.home};
     into[path + "/rate"].value = to_text(value.rate);
     into[path + "/burst"].value = to_text(value.burst);
     const auto keys_path = path + "/key_digests/";
     for (const auto& digest : value.key_digests) {
-        into[keys_path + digest] = {item_kind::key, digest};
+        into[keys_path + digest] = {value_kind::key, digest};
     }
 }
 
-void add(items& into, const profile& value)
+void add(values_by_path& into, const profile& value)
 {
     const auto path = "profiles/" + value.name;
-    into[path] = {item_kind::record, value.name};
+    into[path] = {value_kind::record, value.name};
     into[path + "/regions"].value = to_text(value.regions);
     into[path + "/organisations"].value = to_text(value.organisations);
     into[path + "/open"].value = to_text(value.is_open);
@@ -83,40 +83,40 @@
     into[path + "/max_output_tokens"].value = to_text(value.max_output_tokens);
 }
 
-void add(items& into, const std::string& target_path, const endpoint& value)
+void add(values_by_path& into, const std::string& target_path, const endpoint& value)
 {
     const auto path = target_path + "/endpoints/" + value.name;
-    into[path] = {item_kind::endpoint, value.name};
+    into[path] = {value_kind::endpoint, value.name};
     into[path + "/failure_domain"].value = value.failure_domain;
     into[path + "/address"].value = value.address;
-    into[path + "/state"] = {item_kind::endpoint_state, value.is_leaving ? "leaving" : "live"};
+    into[path + "/state"] = {value_kind::endpoint_state, value.is_leaving ? "leaving" : "live"};
     into[path + "/checks_fencing"].value = to_text(value.checks_fencing);
     into[path + "/tls"].value = to_text(value.uses_tls);
     into[path + "/slots"].value = to_text(std::uint64_t{value.slots});
 }
 
-void add(items& into, const target& value)
+void add(values_by_path& into, const target& value)
 {
     const auto path = "targets/" + value.name;
-    into[path] = {item_kind::record, value.name};
+    into[path] = {value_kind::record, value.name};
     into[path + "/kind"].value = value.kind == target_kind::model ? "model" : "service";
     into[path + "/tokens_per_call"].value = to_text(value.tokens_per_call);
-    for (const auto& each : value.endpoints) {
-        add(into, path, each);
+    for (const auto& item : value.endpoints) {
+        add(into, path, item);
     }
 }
 
 template <typename Record>
-void add_all(items& into, const std::map<std::string, Record>& records)
+void add_all(values_by_path& into, const std::map<std::string, Record>& records)
 {
     for (const auto& [name, record] : records) {
         add(into, record);
     }
 }
 
-items to_items(const configuration& from)
+values_by_path to_values_by_path(const configuration& from)
 {
-    items built;
+    values_by_path built;
     add_all(built, from.failure_domains);
     add_all(built, from.organisations);
     add_all(built, from.profiles);
@@ -124,30 +124,30 @@
     return built;
 }
 
-change_warning to_warning(change_kind kind, item_kind what, const std::string& after)
+change_warning to_warning(change_kind kind, value_kind changed, const std::string& after)
 {
     const bool is_removed = kind == change_kind::removed;
-    switch (what) {
-    case item_kind::organisation:
+    switch (changed) {
+    case value_kind::organisation:
         return is_removed ? change_warning::organisation_removed : change_warning::none;
-    case item_kind::key:
+    case value_kind::key:
         return is_removed ? change_warning::key_withdrawn : change_warning::none;
-    case item_kind::endpoint:
+    case value_kind::endpoint:
         return is_removed ? change_warning::endpoint_leaving : change_warning::none;
-    case item_kind::endpoint_state:
+    case value_kind::endpoint_state:
         return kind == change_kind::changed && after == "leaving" ? change_warning::endpoint_leaving
                                                                   : change_warning::none;
-    case item_kind::home:
+    case value_kind::home:
         return kind == change_kind::changed ? change_warning::home_moved : change_warning::none;
-    case item_kind::record:
-    case item_kind::other:
+    case value_kind::record:
+    case value_kind::other:
         break;
     }
     return change_warning::none;
 }
 
 /// Whether `from` lacks a record that contains `path`; then only the record itself is listed.
-bool is_in_missing_record(const items& from, const std::string& path)
+bool is_in_missing_record(const values_by_path& from, const std::string& path)
 {
     const auto first = path.find('/');
     for (auto end = path.find('/', first + 1); end != std::string::npos;
@@ -162,7 +162,7 @@
     return false;
 }
 
-void add_missing_paths(const items& from, const items& other, change_kind kind,
+void add_missing_paths(const values_by_path& from, const values_by_path& other, change_kind kind,
                        std::vector<configuration_change>& changes)
 {
     for (const auto& [path, found] : from) {
@@ -179,7 +179,7 @@
     }
 }
 
-void add_changed(const items& before, const items& after,
+void add_changed(const values_by_path& before, const values_by_path& after,
                  std::vector<configuration_change>& changes)
 {
     for (const auto& [path, found] : before) {
@@ -196,12 +196,12 @@
 
 std::vector<configuration_change> diff(const configuration& before, const configuration& after)
 {
-    const auto old_items = detail::to_items(before);
-    const auto new_items = detail::to_items(after);
+    const auto old_values = detail::to_values_by_path(before);
+    const auto new_values = detail::to_values_by_path(after);
     std::vector<configuration_change> changes;
-    detail::add_missing_paths(old_items, new_items, change_kind::removed, changes);
-    detail::add_missing_paths(new_items, old_items, change_kind::added, changes);
-    detail::add_changed(old_items, new_items, changes);
+    detail::add_missing_paths(old_values, new_values, change_kind::removed, changes);
+    detail::add_missing_paths(new_values, old_values, change_kind::added, changes);
+    detail::add_changed(old_values, new_values, changes);
     std::stable_sort(changes.begin(), changes.end(),
                      [](const auto& lhs, const auto& rhs) { return lhs.path < rhs.path; });
     return changes;
--- a/src/version/member_rules.cpp
+++ b/src/version/member_rules.cpp
@@ -94,7 +94,7 @@
     return false;
 }
 
-std::string_view to_allowed(text_format format) noexcept
+std::string_view to_requirement(text_format format) noexcept
 {
     switch (format) {
     case text_format::name:
@@ -107,7 +107,7 @@
     return {};
 }
 
-std::string to_allowed(std::string_view type, number_range range)
+std::string to_requirement(std::string_view type, number_range range)
 {
     std::ostringstream out;
     out.precision(15);
@@ -180,7 +180,7 @@
                 std::string& into, faults& found)
 {
     if (!value.is_string() || !has_format(value.get_ref<const std::string&>(), format)) {
-        found.push_back({path, std::string{to_allowed(format)}});
+        found.push_back({path, std::string{to_requirement(format)}});
         return;
     }
     into = value.get<std::string>();
@@ -207,7 +207,7 @@
     }
 }
 
-void read_flag(const nlohmann::json& value, const std::string& path, bool& into, faults& found)
+void read_boolean(const nlohmann::json& value, const std::string& path, bool& into, faults& found)
 {
     if (!value.is_boolean()) {
         found.push_back({path, "must be true or false"});
@@ -222,19 +222,19 @@
     const double number = value.is_number() ? value.get<double>() : 0;
     if (!value.is_number() || !std::isfinite(number) || number < range.minimum ||
         number > range.maximum) {
-        found.push_back({path, to_allowed("a number", range)});
+        found.push_back({path, to_requirement("a number", range)});
         return false;
     }
     into = number;
     return true;
 }
 
-bool read_whole(const nlohmann::json& value, const std::string& path, number_range range,
-                std::uint64_t& into, faults& found)
+bool read_integer(const nlohmann::json& value, const std::string& path, number_range range,
+                  std::uint64_t& into, faults& found)
 {
     const double number = value.is_number_integer() ? value.get<double>() : -1;
     if (!value.is_number_integer() || number < range.minimum || number > range.maximum) {
-        found.push_back({path, to_allowed("a whole number", range)});
+        found.push_back({path, to_requirement("a whole number", range)});
         return false;
     }
     into = value.get<std::uint64_t>();
--- a/src/version/replica.cpp
+++ b/src/version/replica.cpp
@@ -55,10 +55,10 @@
         return update_outcome::needs_snapshot;
     }
     if (update.base == 0) {
-        take_snapshot(update);
+        apply_snapshot(update);
     }
     else {
-        take_changes(select_newer(m_revision, update.entries));
+        apply_changes(select_newer(m_revision, update.entries));
     }
     m_revision = update.revision;
     return accept_held();
@@ -111,20 +111,20 @@
     return update;
 }
 
-void replica::take_changes(const std::vector<entry_change>& changes)
+void replica::apply_changes(const std::vector<entry_change>& changes)
 {
     for (const auto& change : changes) {
-        put(change);
-        log(change);
+        store(change);
+        append_to_log(change);
     }
 }
 
-void replica::take_snapshot(const entries_update& update)
+void replica::apply_snapshot(const entries_update& update)
 {
     m_entries.clear();
     m_revision_by_key.clear();
     for (const auto& change : update.entries) {
-        put(change);
+        store(change);
     }
     // the revision at which a missing key was deleted is unknown, so a process with an older
     // revision needs the complete state
@@ -132,7 +132,7 @@
     m_log_base = update.revision;
 }
 
-void replica::put(const entry_change& change)
+void replica::store(const entry_change& change)
 {
     if (change.is_deleted) {
         m_entries.erase(change.key);
@@ -143,10 +143,10 @@
     m_revision_by_key[change.key] = change.revision;
 }
 
-void replica::log(const entry_change& change)
+void replica::append_to_log(const entry_change& change)
 {
     m_log.push_back(change);
-    if (m_log.size() > maximum_log) {
+    if (m_log.size() > maximum_log_changes) {
         m_log_base = m_log.front().revision;
         m_log.pop_front();
     }
--- a/src/version/replica.h
+++ b/src/version/replica.h
@@ -42,7 +42,7 @@
     accepted,       ///< its revision is now in force
     ignored,        ///< no newer than the held revision
     needs_snapshot, ///< changes between the held revision and its base are missing
-    refused,        ///< kept for relaying, but invalid; the configuration in force is unchanged
+    refused,        ///< invalid: held for relaying; the configuration in force is unchanged
     malformed,      ///< inconsistent; not applied
 };
 
@@ -52,8 +52,8 @@
     std::vector<configuration_fault> faults;
 };
 
-/// Newest published entries and list of hosts known to this process, and the newest valid ones,
-/// which are in force.
+/// Newest published entries and list of hosts that this process has received (held), and the
+/// newest valid ones (in force).
 ///
 /// The held and the in-force revision never decrease. Invalid entries are relayed too: each
 /// receiver validates them itself, and later changes are relative to them.
@@ -61,9 +61,9 @@
 /// Thread safety: none; one actor owns it. Returned configurations are immutable.
 class replica {
 public:
-    /// Number of changes kept for relaying; a process with an older revision gets the complete
-    /// state.
-    static constexpr std::size_t maximum_log = 1'000;
+    /// Changes that are kept for relaying; a process whose revision is older than these gets the
+    /// complete state.
+    static constexpr std::size_t maximum_log_changes = 1'000;
 
     /// @name updates
     /// @{
@@ -129,10 +129,10 @@
     /// @}
 
 private:
-    void take_changes(const std::vector<entry_change>& changes);
-    void take_snapshot(const entries_update& update);
-    void put(const entry_change& change);
-    void log(const entry_change& change);
+    void apply_changes(const std::vector<entry_change>& changes);
+    void apply_snapshot(const entries_update& update);
+    void store(const entry_change& change);
+    void append_to_log(const entry_change& change);
     update_outcome accept_held();
 
     published_entries m_entries;
--- a/tests/version/check_test.cpp
+++ b/tests/version/check_test.cpp
@@ -136,7 +136,7 @@
     REQUIRE(std::holds_alternative<configuration>(checked));
     const auto& built = std::get<configuration>(checked);
 
-    SUBCASE("every member reaches its field")
+    SUBCASE("every member is read into its field")
     {
         CHECK(built.revision == 7);
         CHECK(built.failure_domains.at("crete-1").region == "crete");
@@ -151,7 +151,7 @@
         CHECK(built.targets.at("assistant").endpoints[1].slots == 4);
     }
 
-    SUBCASE("absent members take their defaults")
+    SUBCASE("absent members have their default values")
     {
         const auto& booking = built.profiles.at("booking");
         CHECK_FALSE(booking.is_open);
--- a/tests/version/replica_test.cpp
+++ b/tests/version/replica_test.cpp
@@ -31,9 +31,9 @@
 const json crete_two{{"region", "crete"}};
 
 /// All states of the platform, by revision.
-class history {
+class platform_history {
 public:
-    history() { m_states.push_back({}); }
+    platform_history() { m_states.push_back({}); }
 
     void add(const std::string& key, const json& value)
     {
@@ -75,9 +75,9 @@
     std::vector<entry_change> m_changes;
 };
 
-history random_history()
+platform_history random_history()
 {
-    history made;
+    platform_history built;
     const auto length = *rc::gen::inRange(1, 40);
     for (int i = 0; i < length; ++i) {
         const auto key = "failure_domains/d" + std::to_string(*rc::gen::inRange(0, 5));
@@ -85,16 +85,16 @@
         const auto choice = *rc::gen::inRange(0, 4);
         const std::vector<json> values{
             json{}, {{"region", "r" + std::to_string(i)}}, {{"region", "same"}}, {{"region", 7}}};
-        made.add(key, values[static_cast<std::size_t>(choice)]);
+        built.add(key, values[static_cast<std::size_t>(choice)]);
     }
-    return made;
+    return built;
 }
 
-entries_update random_platform_update(const history& truth)
+entries_update random_platform_update(const platform_history& published)
 {
-    const auto base = *rc::gen::inRange<std::uint64_t>(0, truth.newest() + 1);
-    const auto revision = *rc::gen::inRange<std::uint64_t>(base, truth.newest() + 1);
-    auto update = truth.update(base, revision);
+    const auto base = *rc::gen::inRange<std::uint64_t>(0, published.newest() + 1);
+    const auto revision = *rc::gen::inRange<std::uint64_t>(base, published.newest() + 1);
+    auto update = published.update(base, revision);
     if (update.entries.size() > 1 && *rc::gen::arbitrary<bool>()) {
         std::swap(update.entries.front(), update.entries.back());
     }
@@ -130,7 +130,7 @@
         CHECK(held.in_force()->failure_domains.size() == 3);
     }
 
-    SUBCASE("an update that contradicts itself changes nothing")
+    SUBCASE("an update with inconsistent revisions changes nothing")
     {
         auto update = one_change(5, 6, "failure_domains/crete-2", crete_two);
         update.entries[0].revision = 9;
@@ -175,7 +175,7 @@
 {
     replica held;
     held.apply(to_snapshot(1, tests::published_example()));
-    for (std::uint64_t revision = 2; revision <= replica::maximum_log + 50; ++revision) {
+    for (std::uint64_t revision = 2; revision <= replica::maximum_log_changes + 50; ++revision) {
         const json value{{"region", "r" + std::to_string(revision)}};
         held.apply(one_change(revision - 1, revision, "failure_domains/extra", value));
     }
@@ -192,7 +192,7 @@
     {
         CHECK(held.changes_since(10).base == 0);
         CHECK(held.changes_since(10).entries.size() == held.entries().size());
-        CHECK(held.changes_since(held.revision() - replica::maximum_log).base != 0);
+        CHECK(held.changes_since(held.revision() - replica::maximum_log_changes).base != 0);
     }
 
     SUBCASE("a process with the same or a newer revision gets nothing")
@@ -228,7 +228,7 @@
 {
     const bool is_held = rc::check(
         "the revision in force never falls, and equal revisions mean equal configurations", [] {
-            const auto truth = random_history();
+            const auto published = random_history();
             std::vector<replica> replicas(3);
             const auto steps = *rc::gen::inRange(0, 60);
             for (int i = 0; i < steps; ++i) {
@@ -236,24 +236,24 @@
                 const auto before = receiver.revision();
                 const auto in_force = receiver.in_force();
                 if (*rc::gen::arbitrary<bool>()) {
-                    receiver.apply(random_platform_update(truth));
+                    receiver.apply(random_platform_update(published));
                 }
                 else {
                     const auto& sender =
                         replicas[*rc::gen::inRange<std::size_t>(0, replicas.size())];
-                    const auto after = *rc::gen::inRange<std::uint64_t>(0, truth.newest() + 1);
+                    const auto after = *rc::gen::inRange<std::uint64_t>(0, published.newest() + 1);
                     receiver.apply(sender.changes_since(after));
                 }
                 RC_ASSERT(receiver.revision() >= before);
-                RC_ASSERT(receiver.entries() == truth.at(receiver.revision()));
+                RC_ASSERT(receiver.entries() == published.at(receiver.revision()));
                 if (in_force) {
                     RC_ASSERT(receiver.in_force() != nullptr);
                     RC_ASSERT(receiver.in_force()->revision >= in_force->revision);
                 }
             }
             for (auto& receiver : replicas) {
-                receiver.apply(truth.update(0, truth.newest()));
-                RC_ASSERT(receiver.entries() == truth.at(truth.newest()));
+                receiver.apply(published.update(0, published.newest()));
+                RC_ASSERT(receiver.entries() == published.at(published.newest()));
             }
         });
     CHECK(is_held);
--- a/tests/version/replica_trace_test.cpp
+++ b/tests/version/replica_trace_test.cpp
@@ -86,22 +86,23 @@
     return static_cast<std::uint64_t>(held.in_force()->organisations.at(name).rate);
 }
 
-std::string to_word(update_outcome outcome)
+std::string to_trace_name(update_outcome outcome)
 {
-    const std::array words{"accepted", "ignored", "needs_snapshot", "refused", "malformed"};
-    return words.at(static_cast<std::size_t>(outcome));
+    const std::array names{"accepted", "ignored", "needs_snapshot", "refused", "malformed"};
+    return names.at(static_cast<std::size_t>(outcome));
 }
 
 /// The hosts of models/configuration.pml and the updates on their way.
-class fleet_of_replicas {
+class replica_fleet {
 public:
-    void take(const tests::model_step& step)
+    void apply_step(const tests::model_step& step)
     {
         if (step.name == "send") {
             send(step.number(0), step.number(1), step.number(2), step.number(3));
         }
         else if (step.name == "take") {
-            m_outcome = to_word(m_hosts.at(step.number(1)).apply(m_updates.at(step.number(0))));
+            m_outcome =
+                to_trace_name(m_hosts.at(step.number(1)).apply(m_updates.at(step.number(0))));
         }
         else if (step.name == "outcome") {
             REQUIRE(m_outcome == step.words.at(0));
@@ -151,11 +152,11 @@
     REQUIRE(traces.size() >= 20);
     std::map<std::string, int> outcomes;
     for (std::size_t i = 0; i < traces.size(); ++i) {
-        fleet_of_replicas fleet;
+        replica_fleet fleet;
         for (std::size_t at = 0; at < traces[i].size(); ++at) {
             CAPTURE(i);
             CAPTURE(at);
-            fleet.take(traces[i][at]);
+            fleet.apply_step(traces[i][at]);
             if (traces[i][at].name == "outcome") {
                 ++outcomes[traces[i][at].words.at(0)];
             }
