Name no hosts outside the home regions while hosts restart

Cause: with no ready host in the caller's region or in a home region, the directory named hosts of any region, though the others were back within seconds, and though such a host can't run the request. Callers kept the answer. Class of fault: a fallback that trades a promise for an answer, taken on the first sign of absence, whatever its reason.

Now a region suits a caller if it is the caller's own or if all routes of the name may be served there (before: if it was home to the most of them). While a host of such a region is being restarted (from its word that it is leaving until it is ready again, for the grace and 4 s), and in as long a time after the start of the asked host, none is named elsewhere: 503, on which callers ask the next directory and keep what they have. Stopping hosts are named, after all ready ones, for as long as callers can use the answer, 1.8 s of the 2.8 s in which they take requests. Hosts elsewhere are named when the others are lost, if some route of the name may be served there.

Expectations in directory_choice_test that any region is named once a second has passed were of this fault; in their place stand that none is named without loss, and that it is with it.

--- a/src/gateway/configuration/publication.cpp
+++ b/src/gateway/configuration/publication.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm> // max, upper_bound
 #include <array>     // array
+#include <set>       // set
 #include <utility>   // move
 
 namespace hickorykeel::gateway {
@@ -12,6 +13,18 @@
     return names[static_cast<std::size_t>(kind)];
 }
 
+namespace {
+
+/// Counts each of `regions` once, however often it is listed.
+void count_each(const std::vector<std::string>& regions, std::map<std::string, unsigned>& counts)
+{
+    for (const std::string& region : std::set<std::string>{regions.begin(), regions.end()}) {
+        ++counts[region];
+    }
+}
+
+} // namespace
+
 void publication::add(route added)
 {
     auto& routes = m_routes[added.host];
@@ -51,19 +64,22 @@
     return nullptr;
 }
 
-std::map<std::string, unsigned> publication::count_home_routes(const std::string& host) const
+name_homes publication::find_homes(const std::string& host) const
 {
-    std::map<std::string, unsigned> counts;
+    name_homes homes;
     const auto found = m_routes.find(host);
     if (found == m_routes.end()) {
-        return counts;
+        return homes;
     }
     for (const route& candidate : found->second) {
-        for (const std::string& region : candidate.home_regions) {
-            ++counts[region];
-        }
+        ++homes.routes;
+        homes.restricted_routes += candidate.home_regions.empty() ? 0 : 1;
+        count_each(candidate.home_regions, homes.restricted_by_region);
+    }
+    for (const auto& [name, of] : m_organisations) {
+        count_each(of.home_regions, homes.organisations_by_region);
     }
-    return counts;
+    return homes;
 }
 
 std::map<std::string, duration> publication::longest_timeouts() const
--- a/src/gateway/configuration/publication.h
+++ b/src/gateway/configuration/publication.h
@@ -3,6 +3,7 @@
 #include "gateway/configuration/source_position.h"
 #include "process/clock.h"
 
+#include <algorithm>     // any_of
 #include <chrono>        // milliseconds
 #include <cstddef>       // size_t
 #include <cstdint>       // int64_t, uint64_t
@@ -91,6 +92,43 @@
     std::chrono::milliseconds idle_timeout{15'000};
 };
 
+/// Home regions of the routes of a name.
+struct name_homes {
+    unsigned routes = 0;                                  ///< of the name
+    unsigned restricted_routes = 0;                       ///< those that have home regions
+    std::map<std::string, unsigned> restricted_by_region; ///< number of these, by home region
+    /// Number of organisations with home regions, whatever names they use, by home region.
+    std::map<std::string, unsigned> organisations_by_region;
+
+    /// Whether all routes may be served in `region`. Thread safe.
+    [[nodiscard]] bool allow_all(const std::string& region) const
+    {
+        return restricted_routes == 0 || count(restricted_by_region, region) == restricted_routes;
+    }
+
+    /// Whether there is a region in which all routes may be served. O(regions). Thread safe.
+    [[nodiscard]] bool have_common_region() const
+    {
+        return restricted_routes == 0 ||
+               std::any_of(restricted_by_region.begin(), restricted_by_region.end(),
+                           [this](const auto& item) { return allow_all(item.first); });
+    }
+
+    /// Whether any route may be served in `region`. Thread safe.
+    [[nodiscard]] bool allow_any(const std::string& region) const
+    {
+        return restricted_routes < routes || restricted_by_region.contains(region);
+    }
+
+    /// Number that `by_region` has for `region`. Thread safe.
+    [[nodiscard]] static unsigned count(const std::map<std::string, unsigned>& by_region,
+                                        const std::string& region)
+    {
+        const auto found = by_region.find(region);
+        return found == by_region.end() ? 0 : found->second;
+    }
+};
+
 /// One version of the configuration that operators publish.
 ///
 /// Thread safety: immutable once built, and then safe to share between threads.
@@ -113,8 +151,8 @@
     /// Complexity: linear in the routes of `host`.
     [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
 
-    /// For each region, the number of routes of `host` that list it as a home region.
-    [[nodiscard]] std::map<std::string, unsigned> count_home_routes(const std::string& host) const;
+    /// The home regions of the routes of `host`. O(its routes + organisations).
+    [[nodiscard]] name_homes find_homes(const std::string& host) const;
 
     /// For each service, the longest timeout of the routes to it.
     [[nodiscard]] std::map<std::string, duration> longest_timeouts() const;
--- a/src/gateway/membership/directory_choice.h
+++ b/src/gateway/membership/directory_choice.h
@@ -1,49 +1,51 @@
 #pragma once
 
+#include "gateway/configuration/publication.h"
 #include "gateway/membership/member_table.h"
 #include "process/clock.h"
 
 #include <array>       // array
 #include <cstddef>     // size_t
 #include <cstdint>     // uint8_t
-#include <map>         // map
+#include <optional>    // optional
 #include <string>      // string
 #include <string_view> // string_view
 #include <vector>      // vector
 
 namespace hickorykeel::gateway {
 
-/// A host that accepts requests of callers.
+/// A host that takes requests of callers.
 struct directory_candidate {
     std::string address;
     std::string failure_domain;
     std::string region;
+    bool is_stopping = false; ///< it takes them for a short time only
 };
 
-/// Location of a caller, and the home regions of its routes.
+/// Location of a caller, and the name for whose hosts it asks.
 struct directory_caller {
     std::string failure_domain;
     std::string region;
-    std::map<std::string, unsigned> home_routes; ///< number of routes by home region
-    /// Whether it may be given hosts in regions that are neither its own nor a home region of a
-    /// route.
-    bool may_be_elsewhere = true;
+    std::optional<name_homes> homes{}; ///< of the name's routes; nothing: no configuration is known
+    /// Whether it may be given hosts where only some of the routes may be served.
+    bool may_be_elsewhere = false;
 };
 
-/// Where the hosts are that a caller is given.
+/// Where the hosts are that a caller is given, from the last choice to the first.
 enum class directory_scope : std::uint8_t {
-    failure_domain, ///< of the caller
-    region,         ///< of the caller
-    home,           ///< another region, which is home to the most of its routes
-    elsewhere,      ///< any other region
     none,           ///< it is given no host
+    elsewhere,      ///< a region where some of the routes may be served
+    stopping,       ///< as below, but the hosts are stopping
+    home,           ///< another region, where all of the routes may be served
+    region,         ///< of the caller
+    failure_domain, ///< of the caller
 };
 
 /// Returns the name of `scope`. Thread safe.
 [[nodiscard]] constexpr std::string_view to_name(directory_scope scope) noexcept
 {
-    constexpr std::array<std::string_view, 5> names{"failure_domain", "region", "home", "elsewhere",
-                                                    "none"};
+    constexpr std::array<std::string_view, 6> names{"none", "elsewhere", "stopping",
+                                                    "home", "region",    "failure_domain"};
     return names.at(static_cast<std::size_t>(scope));
 }
 
@@ -53,10 +55,10 @@
     directory_scope scope = directory_scope::none;
 };
 
-/// Returns up to `max_addresses` addresses for a caller: those in its failure domain; if there are
-/// none, those in its region; if there are none, those in the regions that are home to the most of
-/// its routes; if no candidate's region is home to one, those in any region, if `may_be_elsewhere`.
-/// Empty if there is no such candidate or `max_addresses` is 0. O(candidates). Thread safe.
+/// Returns up to `max_addresses` addresses of the best scope that candidates have. Among those of
+/// other regions, the ones that are home to the most organisations are returned; elsewhere, the ones
+/// that are home to the most routes. Empty if there is no such candidate or `max_addresses` is 0.
+/// O(candidates). Thread safe.
 [[nodiscard]] directory_choice choose_addresses(const std::vector<directory_candidate>& candidates,
                                                 const directory_caller& caller,
                                                 std::size_t max_addresses);
@@ -67,16 +69,29 @@
     std::string failure_domain;
     std::string region;
     bool is_ready = false;
-    duration age{0}; ///< of its process
+    std::optional<duration> stopping_for{}; ///< since it was told to stop; nothing: it wasn't
+    duration age{0};                        ///< of its process
+};
+
+/// Properties of a stop that all hosts share.
+struct directory_periods {
+    /// Time after its stop for which a host may be named, so that it still takes requests while
+    /// callers cache the answer.
+    duration stopping_named{0};
+    /// Time after its stop within which a host that is restarted is ready again and known to be.
+    duration restart{0};
 };
 
 /// Returns the hosts that `own` names to a caller, by what it knows of the fleet.
+///
+/// While hosts are restarted that would be named to the caller otherwise, it is given none elsewhere:
+/// they are back soon, and requests on routes with home regions would leave these. It is given hosts
+/// elsewhere once the others are lost, so that routes without home regions are served.
 /// @param caller `may_be_elsewhere` is ignored
-/// @param knows_routes whether a configuration is known, from which `caller.home_routes` is taken
 ///
 /// O(hosts). Thread safe.
 [[nodiscard]] directory_choice choose_hosts(const member_table& members, const directory_host& own,
-                                            directory_caller caller, bool knows_routes,
-                                            time_point now);
+                                            const directory_periods& periods,
+                                            directory_caller caller, time_point now);
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/gateway_listeners.cpp
+++ b/src/gateway/serving/gateway_listeners.cpp
@@ -1,6 +1,7 @@
 #include "gateway/membership/directory_choice.h"
 #include "gateway/serving/exchange.h"
 #include "gateway/serving/gateway.h"
+#include "gateway/serving/shutdown_schedule.h"
 
 #include <algorithm> // any_of, max, min
 #include <chrono>    // seconds
@@ -22,6 +23,9 @@
 /// Time for which callers may cache a response of the directory.
 constexpr auto directory_ttl = std::chrono::seconds{1};
 
+/// Time from a host's end until its successor is ready and the other hosts know it.
+constexpr duration start_period = std::chrono::seconds{4};
+
 header_list plain_text()
 {
     header_list headers;
@@ -227,14 +231,19 @@
 directory_choice gateway::hosts_for(const directory_query& query) const
 {
     const time_point now = boot_clock::now();
-    const directory_host own{m_settings.callers_address, m_settings.failure_domain,
-                             m_settings.region, is_ready(), now - m_started};
-    directory_caller caller{query.failure_domain, query.region, {}};
-    const publication_ptr& published = m_state.published();
-    if (published != nullptr) {
-        caller.home_routes = published->count_home_routes(query.host);
+    directory_host own{m_settings.callers_address, m_settings.failure_domain, m_settings.region,
+                       is_ready()};
+    own.age = now - m_started;
+    if (m_is_stopping) {
+        own.stopping_for = now - m_shutdown_started;
+    }
+    directory_caller caller{query.failure_domain, query.region};
+    if (const publication_ptr& published = m_state.published()) {
+        caller.homes = published->find_homes(query.host);
     }
-    return choose_hosts(m_fleet.members(), own, caller, published != nullptr, now);
+    const directory_periods periods{to_shutdown_admission(m_settings.stop_grace) - directory_ttl,
+                                    m_settings.stop_grace + start_period};
+    return choose_hosts(m_fleet.members(), own, periods, caller, now);
 }
 
 /// Counts an answer to a caller in `region`, and logs it if the hosts named to this region were of
--- a/tests/gateway/directory_choice_test.cpp
+++ b/tests/gateway/directory_choice_test.cpp
@@ -1,8 +1,17 @@
 #include "gateway/membership/directory_choice.h"
 
+#include <chrono>   // milliseconds, seconds
+#include <cstddef>  // size_t
+#include <cstdint>  // uint64_t
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
+
 #include <doctest/doctest.h>
 
+using namespace hickorykeel;
 using namespace hickorykeel::gateway;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -13,17 +22,70 @@
 
 using addresses = std::vector<std::string>;
 
+constexpr time_point start{1'000s};
+constexpr directory_periods periods{1'800ms, 12s};
+
+directory_candidate stopping(directory_candidate candidate)
+{
+    candidate.is_stopping = true;
+    return candidate;
+}
+
 addresses choose(const std::vector<directory_candidate>& candidates, const directory_caller& caller,
                  std::size_t max_addresses = 64)
 {
     return choose_addresses(candidates, caller, max_addresses).addresses;
 }
 
+/// A name with three routes, of which two have home regions: "b", and "b" or "a".
+const name_homes some_homes{3, 2, {{"a", 1}, {"b", 2}}, {}};
+
+/// Two routes with home regions that have none in common.
+const name_homes distinct_homes{2, 2, {{"b", 1}, {"c", 1}}, {}};
+
+/// A host of region "c", and what it knows of the other hosts.
+class answering_host {
+public:
+    /// Receives a heartbeat of the only host of `region`.
+    void hear(const std::string& region, bool is_ready, bool is_leaving, time_point now)
+    {
+        heartbeat received;
+        received.ip = region;
+        received.failure_domain = region + "-1";
+        received.region = region;
+        received.incarnation = 1;
+        received.sequence = ++m_sequence;
+        received.is_ready = is_ready;
+        received.is_leaving = is_leaving;
+        m_members.on_heartbeat(received, now);
+    }
+
+    void start(time_point at) { m_started = at; }
+    void stop(time_point at) { m_stopped = at; }
+
+    /// Returns what it names to a caller in region "a".
+    [[nodiscard]] directory_choice answer(const name_homes& homes, time_point now) const
+    {
+        directory_host own{"c:1", "c-1", "c", !m_stopped};
+        own.age = now - m_started;
+        if (m_stopped) {
+            own.stopping_for = now - *m_stopped;
+        }
+        return choose_hosts(m_members, own, periods, {"a-1", "a", homes}, now);
+    }
+
+private:
+    member_table m_members{"c", {}, {}, "c"};
+    time_point m_started{};
+    std::optional<time_point> m_stopped;
+    std::uint64_t m_sequence = 0;
+};
+
 } // namespace
 
 TEST_CASE("callers are given the nearest candidates")
 {
-    const directory_caller caller{"a-1", "a", {}};
+    const directory_caller caller{"a-1", "a", name_homes{}};
     CHECK(choose({far, home, neighbour, near}, caller) == addresses{"near"});
     CHECK(choose({far, neighbour}, caller) == addresses{"neighbour"});
     CHECK(choose({far, home}, caller) == addresses{"far", "home"});
@@ -34,7 +96,10 @@
 {
     // while both hosts of a region were stopped in turn, the directory returned any other host, and
     // bodies of requests restricted to home regions were sent to a region that was not one
-    const directory_caller caller{"a-1", "a", {{"a", 1}, {"b", 1}}};
+    directory_caller caller{"a-1", "a", some_homes};
+    CHECK(choose({far, home}, caller) == addresses{"home"});
+    CHECK(choose({far}, caller).empty());
+    caller.may_be_elsewhere = true;
     CHECK(choose({far, home}, caller) == addresses{"home"});
     CHECK(choose({far}, caller) == addresses{"far"});
 }
@@ -42,15 +107,25 @@
 TEST_CASE("regression: a region that is home to few routes ranks below one that is home to many")
 {
     // for routes without a common home region, the directory returned hosts of any region
-    const directory_caller caller{"a-1", "a", {{"b", 5}, {"c", 1}}};
+    directory_caller caller{"a-1", "a", name_homes{6, 6, {{"b", 5}, {"c", 1}}, {}}, true};
     CHECK(choose({far, home}, caller) == addresses{"home"});
     CHECK(choose({home, far}, caller) == addresses{"home"});
 }
 
+// guards against HOME: routes whose homes are elsewhere were led to the home of the other routes
+TEST_CASE("regression: a region that isn't home to all routes is given as a last resort only")
+{
+    directory_caller caller{"a-1", "a", distinct_homes};
+    CHECK(choose({far, home}, caller).empty());
+    CHECK(choose({far, home, neighbour}, caller) == addresses{"neighbour"});
+    caller.may_be_elsewhere = true;
+    CHECK(choose({far, home}, caller) == addresses{"far", "home"});
+}
+
 // guards against HOME: a host that had just started had heard no other one, and named itself
 TEST_CASE("regression: hosts elsewhere are returned only to callers that may be there")
 {
-    directory_caller caller{"a-1", "a", {{"b", 1}}, false};
+    directory_caller caller{"a-1", "a", some_homes};
     CHECK(choose({far}, caller).empty());
     CHECK(choose({far, home}, caller) == addresses{"home"});
     CHECK(choose({far, neighbour}, caller) == addresses{"neighbour"});
@@ -58,8 +133,101 @@
     CHECK(choose({far}, caller) == addresses{"far"});
 }
 
-TEST_CASE("the directory returns no more hosts than requested")
+TEST_CASE("callers aren't given hosts that may serve none of their routes")
+{
+    const directory_caller caller{"a-1", "a", name_homes{1, 1, {{"b", 1}}, {}}, true};
+    CHECK(choose({far}, caller).empty());
+    CHECK(choose({far, home}, caller) == addresses{"home"});
+}
+
+TEST_CASE("without a configuration callers are given hosts of their region only")
 {
     const directory_caller caller{"a-1", "a", {}};
+    CHECK(choose({far, home}, caller).empty());
+    CHECK(choose({far, neighbour}, caller) == addresses{"neighbour"});
+}
+
+TEST_CASE("of the home regions, those of the most organisations are given")
+{
+    name_homes homes = some_homes;
+    homes.restricted_by_region["c"] = 2;
+    const directory_caller caller{"a-1", "a", homes};
+    CHECK(choose({far, home}, caller) == addresses{"far", "home"});
+    homes.organisations_by_region["c"] = 1;
+    CHECK(choose({far, home}, {"a-1", "a", homes}) == addresses{"far"});
+}
+
+TEST_CASE("stopping hosts are given where no other host suits all routes")
+{
+    directory_caller caller{"a-1", "a", some_homes};
+    CHECK(choose({stopping(near), home}, caller) == addresses{"home"});
+    CHECK(choose({stopping(near), stopping(home), far}, caller) == addresses{"near"});
+    CHECK(choose({stopping(home), far}, caller) == addresses{"home"});
+    CHECK(choose({stopping(far)}, caller).empty());
+    caller.may_be_elsewhere = true;
+    CHECK(choose({stopping(far)}, caller).empty());
+    CHECK(choose_addresses({stopping(near)}, caller, 64).scope == directory_scope::stopping);
+}
+
+TEST_CASE("the directory returns no more hosts than requested")
+{
+    const directory_caller caller{"a-1", "a", name_homes{}};
     CHECK(choose({near, near, near}, caller, 2).size() == 2);
+    CHECK(choose({near}, caller, 0).empty());
+}
+
+// guards against HOME: hosts elsewhere were named as soon as no host was ready
+TEST_CASE("regression: while a region's hosts are restarted, callers are given no hosts elsewhere")
+{
+    answering_host host;
+    host.hear("a", true, false, start);
+    host.hear("b", true, false, start);
+    CHECK(host.answer(some_homes, start).addresses == addresses{"a:1"});
+    host.hear("a", false, true, start + 1s);
+    host.hear("b", true, false, start + 1s);
+    CHECK(host.answer(some_homes, start + 1s).addresses == addresses{"b:1"});
+    host.hear("a", false, true, start + 2s);
+    host.hear("b", false, true, start + 2s);
+    CHECK(host.answer(some_homes, start + 2s).addresses == addresses{"a:1"});
+    // the host of "a" may end before callers ask again
+    host.hear("a", false, true, start + 2'900ms);
+    host.hear("b", false, true, start + 2'900ms);
+    CHECK(host.answer(some_homes, start + 2'900ms).addresses == addresses{"b:1"});
+    CHECK(host.answer(some_homes, start + 3'900ms).scope == directory_scope::none);
+    CHECK(host.answer(some_homes, start + 13s).scope == directory_scope::none);
+    CHECK(host.answer(some_homes, start + 14s).addresses == addresses{"c:1"});
+}
+
+TEST_CASE("callers of hosts that are lost are given hosts elsewhere")
+{
+    answering_host host;
+    host.hear("a", true, false, start);
+    host.hear("b", true, false, start);
+    CHECK(host.answer(some_homes, start + 3s).scope == directory_scope::elsewhere);
+    CHECK(host.answer(distinct_homes, start + 3s).addresses == addresses{"c:1"});
+    // one that was restarted before it was lost
+    host.hear("a", false, true, start + 4s);
+    host.hear("a", true, false, start + 5s);
+    CHECK(host.answer(some_homes, start + 5s).addresses == addresses{"a:1"});
+    CHECK(host.answer(some_homes, start + 8s).scope == directory_scope::elsewhere);
+    host.start(start + 8s);
+    CHECK(host.answer(some_homes, start + 19s).scope == directory_scope::none);
+    CHECK(host.answer(some_homes, start + 20s).scope == directory_scope::elsewhere);
+}
+
+TEST_CASE("a region without hosts isn't lost where no region suits all routes")
+{
+    answering_host host;
+    host.hear("b", true, false, start);
+    CHECK(host.answer(distinct_homes, start).scope == directory_scope::none);
+    CHECK(host.answer(some_homes, start).addresses == addresses{"b:1"});
+}
+
+TEST_CASE("a stopping host names itself while it takes requests for long enough")
+{
+    answering_host host;
+    host.stop(start);
+    CHECK(host.answer({}, start + 1s).addresses == addresses{"c:1"});
+    CHECK(host.answer({}, start + 1'800ms).scope == directory_scope::none);
+    CHECK(host.answer(some_homes, start + 1s).scope == directory_scope::none);
 }
