Reword src/request and its tests

Comments said what a text "says" or "is taken for", where a request "stood" and what a "stranger learns"; names of functions and constants were vague (to_code, to_child, name_accounts, text_bytes, has_dashes, places of a header's parts). They use the terms of the field now: to_mac, start_child_span, to_accounts, count_text_bytes, has_separators, offsets. With this the wording of src/request and tests/request is done, but for ticket_mint, which docs/PROOFS.md names too.

--- a/src/process/explain.cpp
+++ b/src/process/explain.cpp
@@ -169,7 +169,7 @@
     {
         const auto needed = static_cast<double>(m_asked.tokens);
         bool has_enough = true;
-        for (const account_name& account : name_accounts(*m_profile, m_organisation)) {
+        for (const account_name& account : to_accounts(*m_profile, m_organisation)) {
             const auto level = level_of(account);
             m_explained.accounts.push_back({account, m_asked.tokens, level});
             if (needed > burst_of(account)) {
--- a/src/process/served_request.cpp
+++ b/src/process/served_request.cpp
@@ -146,7 +146,7 @@
 
 std::uint64_t served_request::tokens_so_far() const
 {
-    return m_admitted.prompt_tokens + to_tokens(m_received_bytes) + detail::tokens_under_way;
+    return m_admitted.prompt_tokens + estimate_tokens(m_received_bytes) + detail::tokens_under_way;
 }
 
 std::optional<refusal> served_request::prepare()
--- a/src/request/caller_request.cpp
+++ b/src/request/caller_request.cpp
@@ -19,11 +19,11 @@
 constexpr std::string_view completion_path = "/v1/completions";
 constexpr std::string_view service_prefix = "/v1/services/";
 
-// head of a prompt that decides which endpoint has it cached
-constexpr std::size_t prefix_bytes = 256;
+// start of a prompt, by which a request goes to the endpoint that has it cached
+constexpr std::size_t maximum_prefix_bytes = 256;
 
-constexpr std::array<std::string_view, 4> forwarded_names{"accept", "accept-language",
-                                                          "content-type", "user-agent"};
+constexpr std::array<std::string_view, 4> forwarded_header_names{"accept", "accept-language",
+                                                                 "content-type", "user-agent"};
 
 using outcome = std::variant<admitted_request, refusal>;
 
@@ -37,7 +37,7 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-// the organisation of the key, or nothing with a refusal
+// sets the organisation of the key, or returns a refusal
 std::optional<refusal> authenticate(const configuration& in_force, const caller_request& request,
                                     admitted_request& admitted)
 {
@@ -57,10 +57,10 @@
     return std::nullopt;
 }
 
-std::optional<refusal> check_profile(const profile& wanted, const std::string& organisation)
+std::optional<refusal> check_profile(const profile& requested, const std::string& organisation)
 {
-    const bool is_for_all = wanted.organisations.empty() || wanted.is_open;
-    if (is_for_all || is_listed(wanted.organisations, organisation)) {
+    const bool is_open_to_all = requested.organisations.empty() || requested.is_open;
+    if (is_open_to_all || is_listed(requested.organisations, organisation)) {
         return std::nullopt;
     }
     return refuse(refusal_code::profile_forbidden, "authorise",
@@ -80,7 +80,7 @@
     return std::nullopt;
 }
 
-std::size_t text_bytes(const nlohmann::json& value)
+std::size_t count_text_bytes(const nlohmann::json& value)
 {
     if (value.is_string()) {
         return value.get_ref<const std::string&>().size();
@@ -88,24 +88,25 @@
     std::size_t total = 0;
     if (value.is_structured()) {
         for (const nlohmann::json& part : value) {
-            total += text_bytes(part);
+            total += count_text_bytes(part);
         }
     }
     return total;
 }
 
-void append_head(const nlohmann::json& value, std::string& head)
+void append_prefix(const nlohmann::json& value, std::string& prefix)
 {
     if (value.is_string()) {
         const auto& text = value.get_ref<const std::string&>();
-        head.append(text, 0, prefix_bytes - std::min(prefix_bytes, head.size()));
+        prefix.append(text, 0,
+                      maximum_prefix_bytes - std::min(maximum_prefix_bytes, prefix.size()));
     }
     else if (value.is_structured()) {
         for (const nlohmann::json& part : value) {
-            if (head.size() >= prefix_bytes) {
+            if (prefix.size() >= maximum_prefix_bytes) {
                 return;
             }
-            append_head(part, head);
+            append_prefix(part, prefix);
         }
     }
 }
@@ -125,7 +126,7 @@
     }
     body[member] = limit;
     if (body.contains("max_tokens")) {
-        // an engine that knows only the older member keeps to the same limit
+        // engines that know only the older member apply the same limit
         body["max_tokens"] = limit;
     }
     return std::nullopt;
@@ -157,11 +158,11 @@
     if (stream != body.end() && !stream->is_boolean()) {
         return refuse(refusal_code::bad_request, "parse", "'stream' must be true or false");
     }
-    std::string head = admitted.organisation + '\n';
-    append_head(body[prompt], head);
+    std::string prefix = admitted.organisation + '\n';
+    append_prefix(body[prompt], prefix);
     admitted.is_stream = stream != body.end() && stream->get<bool>();
-    admitted.prefix_hash = std::hash<std::string>{}(head);
-    admitted.prompt_tokens = to_tokens(text_bytes(body[prompt]));
+    admitted.prefix_hash = std::hash<std::string>{}(prefix);
+    admitted.prompt_tokens = estimate_tokens(count_text_bytes(body[prompt]));
     admitted.reserved_tokens = admitted.prompt_tokens + output;
     admitted.endpoint_path = request.path;
     admitted.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -189,14 +190,14 @@
     if (request.deadline_ms.empty()) {
         return std::nullopt;
     }
-    std::int64_t wanted = 0;
+    std::int64_t requested = 0;
     const char* end = request.deadline_ms.data() + request.deadline_ms.size();
-    const auto parsed = std::from_chars(request.deadline_ms.data(), end, wanted);
-    if (parsed.ec != std::errc{} || parsed.ptr != end || wanted <= 0) {
+    const auto parsed = std::from_chars(request.deadline_ms.data(), end, requested);
+    if (parsed.ec != std::errc{} || parsed.ptr != end || requested <= 0) {
         return refuse(refusal_code::bad_request, "parse",
                       "X-Hickorykeel-Deadline-Ms must be a whole number above 0");
     }
-    admitted.deadline = std::min(admitted.deadline, std::chrono::milliseconds{wanted});
+    admitted.deadline = std::min(admitted.deadline, std::chrono::milliseconds{requested});
     return std::nullopt;
 }
 
@@ -209,7 +210,7 @@
     admitted.revision = in_force.revision;
     const auto found = in_force.profiles.find(request.profile);
     if (found == in_force.profiles.end()) {
-        // a stranger learns nothing about which profiles exist
+        // without a valid key, the response must not reveal which profiles exist
         const bool is_known =
             in_force.organisation_by_key_digest.contains(to_key_digest(request.key));
         return is_known ? detail::refuse(refusal_code::profile_unknown, "authorise",
@@ -237,11 +238,11 @@
     if (refused) {
         return *refused;
     }
-    admitted.accounts = name_accounts(*admitted.matched_profile, admitted.organisation);
+    admitted.accounts = to_accounts(*admitted.matched_profile, admitted.organisation);
     return admitted;
 }
 
-std::vector<account_name> name_accounts(const profile& matched, const std::string& organisation)
+std::vector<account_name> to_accounts(const profile& matched, const std::string& organisation)
 {
     std::vector<account_name> accounts;
     if (matched.is_open) {
@@ -293,7 +294,7 @@
     for (char& letter : lower) {
         letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
     }
-    const auto& allowed = detail::forwarded_names;
+    const auto& allowed = detail::forwarded_header_names;
     return std::find(allowed.begin(), allowed.end(), lower) != allowed.end();
 }
 
--- a/src/request/refusal.h
+++ b/src/request/refusal.h
@@ -8,7 +8,7 @@
 
 namespace hickorykeel {
 
-/// Why a request was not answered. Each has a stable code for programs; docs/API.md lists them.
+/// Why a request has no result. Each code has a stable name, which docs/API.md lists.
 enum class refusal_code {
     bad_request,
     unauthorised,
@@ -31,7 +31,7 @@
     not_ready,
 };
 
-/// One row of the table of codes.
+/// Name and HTTP status of a code.
 struct refusal_kind {
     refusal_code code;
     std::string_view name;
@@ -60,7 +60,7 @@
     refusal_kind{refusal_code::not_ready, "not_ready", 503},
 };
 
-/// Row of `code`. Every enumerator has one.
+/// Returns the row of `code`. Every enumerator has one.
 constexpr const refusal_kind& to_kind(refusal_code code) noexcept
 {
     return refusal_kinds[static_cast<std::size_t>(code)];
@@ -74,14 +74,14 @@
     return ran == ran_state::no ? "no" : "unknown";
 }
 
-/// Answer in place of a result.
+/// Error response to a request.
 struct refusal {
     refusal_code code;
     ran_state ran = ran_state::no;
-    std::string step;    ///< where the request stood: "authenticate", "admit", "dispatch", ...
-    std::string peer;    ///< whom the step was taken with; may be empty
-    std::string message; ///< for a person; holds no part of the request
-    std::chrono::milliseconds retry_after{0}; ///< 0: no hint
+    std::string step;    ///< that failed: "authenticate", "admit", "dispatch", ...
+    std::string peer;    ///< host or endpoint involved in the step; may be empty
+    std::string message; ///< for people; contains no part of the request
+    std::chrono::milliseconds retry_after{0}; ///< 0: not given
 };
 
 } // namespace hickorykeel
--- a/src/request/residency.h
+++ b/src/request/residency.h
@@ -7,8 +7,8 @@
 
 namespace hickorykeel {
 
-/// Whether data of a request may be in `region`, given the regions of its profile. A profile
-/// without regions allows none. Pure; thread safe; linear in the number of regions.
+/// Whether data of a request may be processed in `region`, given the regions of its profile. A
+/// profile without regions allows none. Pure; thread safe; linear in the number of regions.
 inline bool is_allowed_region(std::span<const std::string> allowed_regions, std::string_view region)
 {
     return std::find(allowed_regions.begin(), allowed_regions.end(), region) !=
--- a/src/request/ticket.cpp
+++ b/src/request/ticket.cpp
@@ -13,9 +13,9 @@
 namespace detail {
 
 constexpr std::string_view ticket_prefix = "hkt1.";
-constexpr std::size_t ticket_fields = 7;
+constexpr std::size_t ticket_field_count = 7;
 constexpr std::size_t maximum_ticket_bytes = 512;
-constexpr int hexadecimal = 16;
+constexpr int hexadecimal_base = 16;
 
 std::vector<std::string_view> split(std::string_view text, char separator)
 {
@@ -35,13 +35,14 @@
 {
     std::array<char, 16> digits{};
     const auto end =
-        std::to_chars(digits.data(), digits.data() + digits.size(), number, hexadecimal);
+        std::to_chars(digits.data(), digits.data() + digits.size(), number, hexadecimal_base);
     return {digits.data(), end.ptr};
 }
 
 bool from_hex(std::string_view text, std::uint64_t& number)
 {
-    const auto end = std::from_chars(text.data(), text.data() + text.size(), number, hexadecimal);
+    const auto end =
+        std::from_chars(text.data(), text.data() + text.size(), number, hexadecimal_base);
     return end.ec == std::errc{} && end.ptr == text.data() + text.size();
 }
 
@@ -55,12 +56,12 @@
 std::string ticket_mint::make(std::string_view organisation, std::string_view profile,
                               std::string_view id, time_point expiry) const
 {
-    // names hold no "~", so that it can separate the fields
+    // "~" separates the fields: names and identifiers don't contain it
     std::string payload(detail::ticket_prefix);
     payload.append(m_host).append("~").append(detail::to_hex(m_incarnation)).append("~");
     payload.append(detail::to_hex(to_stamp(expiry))).append("~").append(id).append("~");
     payload.append(organisation).append("~").append(profile).append("~");
-    return payload + to_code(payload);
+    return payload + to_mac(payload);
 }
 
 std::optional<ticket> ticket_mint::verify(std::string_view text) const
@@ -69,17 +70,17 @@
     if (!parsed || parsed->host != m_host || parsed->incarnation != m_incarnation) {
         return std::nullopt;
     }
-    const std::size_t code_begin = text.rfind('~') + 1;
-    const std::string expected = to_code(text.substr(0, code_begin));
-    const std::string_view code = text.substr(code_begin);
-    if (code.size() != expected.size() ||
-        CRYPTO_memcmp(code.data(), expected.data(), code.size()) != 0) {
+    const std::size_t mac_begin = text.rfind('~') + 1;
+    const std::string expected = to_mac(text.substr(0, mac_begin));
+    const std::string_view mac = text.substr(mac_begin);
+    if (mac.size() != expected.size() ||
+        CRYPTO_memcmp(mac.data(), expected.data(), mac.size()) != 0) {
         return std::nullopt;
     }
     return parsed;
 }
 
-std::string ticket_mint::to_code(std::string_view payload) const
+std::string ticket_mint::to_mac(std::string_view payload) const
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int size = 0;
@@ -87,12 +88,12 @@
          reinterpret_cast<const unsigned char*>(payload.data()), payload.size(), digest.data(),
          &size);
     constexpr std::string_view digits = "0123456789abcdef";
-    std::string code;
+    std::string mac;
     for (unsigned int i = 0; i < size / 2; ++i) {
-        code.push_back(digits[digest[i] >> 4U]);
-        code.push_back(digits[digest[i] & 15U]);
+        mac.push_back(digits[digest[i] >> 4U]);
+        mac.push_back(digits[digest[i] & 15U]);
     }
-    return code;
+    return mac;
 }
 
 std::optional<ticket> parse_ticket(std::string_view text)
@@ -101,7 +102,7 @@
         return std::nullopt;
     }
     const auto parts = detail::split(text.substr(detail::ticket_prefix.size()), '~');
-    if (parts.size() != detail::ticket_fields) {
+    if (parts.size() != detail::ticket_field_count) {
         return std::nullopt;
     }
     ticket parsed;
--- a/src/request/ticket.h
+++ b/src/request/ticket.h
@@ -9,19 +9,19 @@
 
 namespace hickorykeel {
 
-/// Permission to run one request that must not be repeated, at one incarnation of one entry host.
+/// Permission to run one non-idempotent request at one incarnation of one entry host.
 /// See docs/design/at-most-once.md.
 struct ticket {
     std::string host;
     std::uint64_t incarnation = 0;
     std::uint64_t expiry_stamp = 0; ///< on the boot clock of `host`
-    std::string id;                 ///< random, unique
+    std::string id;                 ///< random and unique
     std::string organisation;
     std::string profile;
 };
 
-/// Makes and verifies the text form of tickets for one incarnation. The secret is never stored,
-/// so no text of an earlier incarnation verifies.
+/// Issues and verifies the tickets of one incarnation, as text with a message authentication code.
+/// The secret is never stored, so tickets of earlier incarnations don't verify.
 ///
 /// Thread safety: const methods may be called from any thread.
 class ticket_mint {
@@ -29,23 +29,23 @@
     /// Precondition: `secret` holds at least 16 random bytes.
     ticket_mint(std::string host, std::uint64_t incarnation, std::string secret);
 
-    /// Text of a new ticket; `id` must be unique and unguessable.
+    /// Returns the text of a new ticket. Precondition: `id` is unique and unguessable.
     [[nodiscard]] std::string make(std::string_view organisation, std::string_view profile,
                                    std::string_view id, time_point expiry) const;
 
-    /// What a text says when this incarnation made it; nothing for any other text.
+    /// Returns the ticket if this incarnation issued `text`, otherwise nothing.
     [[nodiscard]] std::optional<ticket> verify(std::string_view text) const;
 
 private:
-    [[nodiscard]] std::string to_code(std::string_view payload) const;
+    [[nodiscard]] std::string to_mac(std::string_view payload) const;
 
     std::string m_host;
     std::uint64_t m_incarnation;
     std::string m_secret;
 };
 
-/// Reads a ticket's text without verifying it: tells which host made it, no more.
-/// @return nothing where the text has not the form of a ticket
+/// Parses a ticket without verifying it. Use the result only to find the host that issued it.
+/// @return nothing if the text doesn't have the format of a ticket
 [[nodiscard]] std::optional<ticket> parse_ticket(std::string_view text);
 
 } // namespace hickorykeel
--- a/src/request/trace_context.cpp
+++ b/src/request/trace_context.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 
-// places of the parts in "00-<32 hex>-<16 hex>-<2 hex>"
-constexpr std::size_t version_place = 0;
-constexpr std::size_t trace_high_place = 3;
-constexpr std::size_t trace_low_place = 19;
-constexpr std::size_t span_place = 36;
-constexpr std::size_t flags_place = 53;
+// offsets of the fields in "00-<32 hex>-<16 hex>-<2 hex>"
+constexpr std::size_t version_offset = 0;
+constexpr std::size_t trace_high_offset = 3;
+constexpr std::size_t trace_low_offset = 19;
+constexpr std::size_t span_offset = 36;
+constexpr std::size_t flags_offset = 53;
 constexpr std::size_t header_length = 55;
 
 constexpr std::size_t identifier_digits = 16;
@@ -20,24 +20,24 @@
 constexpr std::uint64_t invalid_version = 0xff;
 constexpr std::uint64_t sampled_flag = 1;
 
-constexpr std::string_view digits = "0123456789abcdef";
+constexpr std::string_view hex_digits = "0123456789abcdef";
 
 std::string to_hex(std::uint64_t value, std::size_t length)
 {
     std::string text(length, '0');
     for (auto it = text.rbegin(); it != text.rend(); ++it) {
-        *it = digits[value & 15U];
+        *it = hex_digits[value & 15U];
         value >>= 4U;
     }
     return text;
 }
 
-std::optional<std::uint64_t> from_hex(std::string_view header, std::size_t place,
+std::optional<std::uint64_t> from_hex(std::string_view header, std::size_t offset,
                                       std::size_t length)
 {
-    const auto text = header.substr(place, length);
-    // the specification allows no capitals
-    if (text.find_first_not_of(digits) != std::string_view::npos) {
+    const auto text = header.substr(offset, length);
+    // the specification requires lower case
+    if (text.find_first_not_of(hex_digits) != std::string_view::npos) {
         return std::nullopt;
     }
     std::uint64_t value = 0;
@@ -45,14 +45,14 @@
     return value;
 }
 
-bool has_dashes(std::string_view header)
+bool has_separators(std::string_view header)
 {
-    return header[trace_high_place - 1] == '-' && header[span_place - 1] == '-' &&
-           header[flags_place - 1] == '-';
+    return header[trace_high_offset - 1] == '-' && header[span_offset - 1] == '-' &&
+           header[flags_offset - 1] == '-';
 }
 
-/// A later version may append parts after a dash.
-bool is_length_right(std::string_view header, std::uint64_t version)
+/// Whether the header has the length of version 00. Later versions may append fields after a "-".
+bool has_valid_length(std::string_view header, std::uint64_t version)
 {
     if (header.size() == header_length) {
         return true;
@@ -75,18 +75,18 @@
 
 std::optional<trace_context> from_traceparent(std::string_view header)
 {
-    if (header.size() < header_length || !has_dashes(header)) {
+    if (header.size() < header_length || !has_separators(header)) {
         return std::nullopt;
     }
-    const auto version = from_hex(header, version_place, byte_digits);
-    const auto high = from_hex(header, trace_high_place, identifier_digits);
-    const auto low = from_hex(header, trace_low_place, identifier_digits);
-    const auto span = from_hex(header, span_place, identifier_digits);
-    const auto flags = from_hex(header, flags_place, byte_digits);
+    const auto version = from_hex(header, version_offset, byte_digits);
+    const auto high = from_hex(header, trace_high_offset, identifier_digits);
+    const auto low = from_hex(header, trace_low_offset, identifier_digits);
+    const auto span = from_hex(header, span_offset, identifier_digits);
+    const auto flags = from_hex(header, flags_offset, byte_digits);
     if (!version || !high || !low || !span || !flags) {
         return std::nullopt;
     }
-    if (*version == invalid_version || !is_length_right(header, *version)) {
+    if (*version == invalid_version || !has_valid_length(header, *version)) {
         return std::nullopt;
     }
     if ((*high == 0 && *low == 0) || *span == 0) {
--- a/src/request/trace_context.h
+++ b/src/request/trace_context.h
@@ -15,21 +15,21 @@
 
     friend bool operator==(const trace_id&, const trace_id&) = default;
 
-    /// 32 hex digits. Thread safe.
+    /// Returns 32 hex digits. Thread safe.
     [[nodiscard]] std::string to_hex() const;
 };
 
-/// Identifier of one span of a trace: 8 bytes; 0 stands for none.
+/// Identifier of a span: 8 bytes; 0: none.
 struct span_id {
     std::uint64_t value = 0;
 
     friend bool operator==(const span_id&, const span_id&) = default;
 
-    /// 16 hex digits. Thread safe.
+    /// Returns 16 hex digits. Thread safe.
     [[nodiscard]] std::string to_hex() const;
 };
 
-/// Where a piece of work stands in its trace: what the header `traceparent` carries.
+/// Trace, current span and sampling flag, as carried by the header `traceparent`.
 struct trace_context {
     trace_id trace;
     span_id span;
@@ -38,39 +38,39 @@
     friend bool operator==(const trace_context&, const trace_context&) = default;
 };
 
-/// Reads a header `traceparent` (W3C Trace Context, level 1 and its rules for later versions).
-/// @return nothing where it is malformed: the receiver starts a trace of its own
+/// Parses a header `traceparent` (W3C Trace Context, level 1 and its rules for later versions).
+/// @return nothing if it is malformed; the receiver then starts a new trace
 /// Thread safe.
 [[nodiscard]] std::optional<trace_context> from_traceparent(std::string_view header);
 
-/// The header `traceparent` of version 00. Thread safe.
+/// Returns the header `traceparent` in version 00. Thread safe.
 [[nodiscard]] std::string to_traceparent(const trace_context& context);
 
 namespace detail {
 
 template <std::uniform_random_bit_generator Generator>
-std::uint64_t to_identifier(Generator& generator)
+std::uint64_t random_identifier(Generator& generator)
 {
-    // the specification reserves zero
+    // the specification reserves 0
     return std::uniform_int_distribution<std::uint64_t>{1}(generator);
 }
 
 } // namespace detail
 
-/// Context of the first span of a new trace. Thread safe where `generator` is.
+/// Returns the context of the first span of a new trace. Thread safe if `generator` is.
 template <std::uniform_random_bit_generator Generator>
-[[nodiscard]] trace_context to_new_trace(bool is_sampled, Generator& generator)
+[[nodiscard]] trace_context start_trace(bool is_sampled, Generator& generator)
 {
-    const trace_id trace{detail::to_identifier(generator), detail::to_identifier(generator)};
-    return {trace, span_id{detail::to_identifier(generator)}, is_sampled};
+    const trace_id trace{detail::random_identifier(generator),
+                         detail::random_identifier(generator)};
+    return {trace, span_id{detail::random_identifier(generator)}, is_sampled};
 }
 
-/// Context of a new span of the same trace; `parent.span` is its parent. Thread safe where
-/// `generator` is.
+/// Returns the context of a new span whose parent is `parent.span`. Thread safe if `generator` is.
 template <std::uniform_random_bit_generator Generator>
-[[nodiscard]] trace_context to_child(const trace_context& parent, Generator& generator)
+[[nodiscard]] trace_context start_child_span(const trace_context& parent, Generator& generator)
 {
-    return {parent.trace, span_id{detail::to_identifier(generator)}, parent.is_sampled};
+    return {parent.trace, span_id{detail::random_identifier(generator)}, parent.is_sampled};
 }
 
 } // namespace hickorykeel
--- a/tests/request/caller_request_test.cpp
+++ b/tests/request/caller_request_test.cpp
@@ -9,7 +9,7 @@
 
 using namespace hickorykeel;
 
-TEST_CASE("the output limit of a model's request")
+TEST_CASE("output limit of a request to a model")
 {
     auto object = tests::published_example();
     object["organisations/volunteers"]["key_digests"] = {to_key_digest("k")};
--- a/tests/request/residency_test.cpp
+++ b/tests/request/residency_test.cpp
@@ -16,13 +16,13 @@
         CHECK(is_allowed_region(allowed, "attica"));
         CHECK(is_allowed_region(allowed, "crete"));
     }
-    SUBCASE("another region is not, nor a part of a name")
+    SUBCASE("another region or part of a name is not allowed")
     {
         CHECK_FALSE(is_allowed_region(allowed, "epirus"));
         CHECK_FALSE(is_allowed_region(allowed, "attic"));
         CHECK_FALSE(is_allowed_region(allowed, ""));
     }
-    SUBCASE("without regions none is allowed")
+    SUBCASE("no region is allowed if none is listed")
     {
         CHECK_FALSE(is_allowed_region({}, "attica"));
     }
--- a/tests/request/ticket_test.cpp
+++ b/tests/request/ticket_test.cpp
@@ -10,7 +10,7 @@
     const time_point expiry{std::chrono::seconds{90}};
     const std::string text = mint.make("volunteers", "booking", "f00d", expiry);
 
-    SUBCASE("a text made here says what it was made for")
+    SUBCASE("a ticket of this incarnation verifies with its fields")
     {
         const auto verified = mint.verify(text);
         REQUIRE(verified);
@@ -22,14 +22,14 @@
         CHECK(from_stamp(verified->expiry_stamp) == expiry);
     }
 
-    SUBCASE("no text of another incarnation verifies, even with its number")
+    SUBCASE("a ticket of another incarnation, host or secret doesn't verify")
     {
         CHECK_FALSE(ticket_mint("attica-a", 43, "0123456789abcdef").verify(text));
         CHECK_FALSE(ticket_mint("attica-a", 42, "fedcba9876543210").verify(text));
         CHECK_FALSE(ticket_mint("attica-b", 42, "0123456789abcdef").verify(text));
     }
 
-    SUBCASE("no changed character is accepted")
+    SUBCASE("a ticket with a changed character doesn't verify")
     {
         for (std::size_t i = 0; i < text.size(); ++i) {
             std::string changed = text;
@@ -38,7 +38,7 @@
         }
     }
 
-    SUBCASE("other texts are not tickets")
+    SUBCASE("texts of another format are not parsed as tickets")
     {
         for (const char* other : {"", "hkt1.", "hkt1.a~x~c~d~e~f~g", "booking-17"}) {
             CHECK_FALSE(parse_ticket(other));
--- a/tests/request/trace_context_test.cpp
+++ b/tests/request/trace_context_test.cpp
@@ -16,7 +16,7 @@
 
 TEST_CASE("traceparent")
 {
-    SUBCASE("a proper header is read and written")
+    SUBCASE("a valid header is parsed and written")
     {
         const auto context = from_traceparent(example);
         REQUIRE(context);
@@ -34,11 +34,11 @@
     SUBCASE("a later version may be longer")
     {
         CHECK(from_traceparent("01" + example.substr(2)));
-        CHECK(from_traceparent("01" + example.substr(2) + "-what-comes"));
+        CHECK(from_traceparent("01" + example.substr(2) + "-further-field"));
         CHECK_FALSE(from_traceparent("01" + example.substr(2) + "x"));
-        CHECK_FALSE(from_traceparent(example + "-what-comes"));
+        CHECK_FALSE(from_traceparent(example + "-further-field"));
     }
-    SUBCASE("malformed headers")
+    SUBCASE("malformed headers are rejected")
     {
         for (const std::string& header : std::vector<std::string>{
                  std::string{}, example.substr(1), "ff" + example.substr(2),
@@ -55,9 +55,9 @@
 TEST_CASE("new spans")
 {
     std::mt19937_64 generator{1};
-    const auto first = to_new_trace(true, generator);
+    const auto first = start_trace(true, generator);
     CHECK(from_traceparent(to_traceparent(first)) == first);
-    const auto child = to_child(first, generator);
+    const auto child = start_child_span(first, generator);
     CHECK(child.trace == first.trace);
     CHECK_FALSE(child.span == first.span);
     CHECK(child.is_sampled);
