--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -156,7 +156,7 @@
         request.set_interactive(true);
         request.set_reserved_tokens(10);
         request.set_takes_whole(true);
-        m_links->ask(m_address, std::move(message));
+        m_links->send_request(m_address, std::move(message));
         lock.lock();
         return m_changed.wait_for(lock, longest_wait, [this] { return m_is_whole; });
     }
--- a/src/connection/caller_server.cpp
+++ b/src/connection/caller_server.cpp
@@ -19,10 +19,10 @@
 
 constexpr int milliseconds_per_second = 1000;
 
-// the server is asked this often whether it stops while a connection is idle
-constexpr int idle_look_ms = 100;
+// interval at which an idle connection checks whether the server stops
+constexpr int idle_poll_ms = 100;
 
-// 1: ready, 0: not within the limit, -1: failed
+// returns 1 if ready, 0 if not within the limit, -1 on failure
 int wait_until_ready(int socket, short events, int limit_ms)
 {
     pollfd waited{socket, events, 0};
@@ -33,7 +33,7 @@
     return ready;
 }
 
-/// Reads and writes one caller's socket, each within its time limit.
+/// Stream of one caller's socket; each read and write has a time limit.
 class caller_stream final : public httplib::Stream {
 public:
     caller_stream(int socket, int read_limit_ms, int write_limit_ms)
@@ -51,7 +51,7 @@
         return is_peer_connected(m_socket) && wait_until_ready(m_socket, POLLOUT, 0) > 0;
     }
 
-    // the library reads lines byte by byte, hence the buffer
+    // buffered, because the library reads lines byte by byte
     ssize_t read(char* into, size_t size) override
     {
         if (m_begin == m_end) {
@@ -95,7 +95,7 @@
 
     [[nodiscard]] socket_t socket() const override { return m_socket; }
 
-    /// Whether bytes of the next request were read already.
+    /// Whether bytes of the next request have already been read.
     [[nodiscard]] bool has_unread() const noexcept { return m_begin < m_end; }
 
 private:
@@ -130,7 +130,7 @@
     int m_read_limit_ms;
     int m_write_limit_ms;
     std::array<char, buffer_bytes> m_buffer{};
-    std::size_t m_begin = 0; // of what is unread in the buffer
+    std::size_t m_begin = 0; // of the unread part of the buffer
     std::size_t m_end = 0;
 };
 
@@ -155,14 +155,14 @@
                                  detail::to_milliseconds(write_timeout_sec_, write_timeout_usec_));
     const auto has_next_request = [&] {
         const int limit_ms = detail::to_milliseconds(keep_alive_timeout_sec_, 0);
-        for (int waited_ms = 0; waited_ms < limit_ms; waited_ms += detail::idle_look_ms) {
+        for (int waited_ms = 0; waited_ms < limit_ms; waited_ms += detail::idle_poll_ms) {
             if (stream.has_unread()) {
                 return true;
             }
             if (svr_sock_ == INVALID_SOCKET) {
                 return false;
             }
-            const int ready = detail::wait_until_ready(socket, POLLIN, detail::idle_look_ms);
+            const int ready = detail::wait_until_ready(socket, POLLIN, detail::idle_poll_ms);
             if (ready != 0) {
                 return ready > 0;
             }
--- a/src/connection/endpoint_call.cpp
+++ b/src/connection/endpoint_call.cpp
@@ -33,14 +33,14 @@
     }
 }
 
-// only failures that come before the first byte of the request is written
+// whether the failure occurred before the first byte of the request was written
 bool is_before_sending(httplib::Error failure)
 {
     return to_kind(failure) == error_kind::endpoint_unreachable;
 }
 
 httplib::Request to_http(const link::dispatch_request& request,
-                         const endpoint_call::identity& known_by)
+                         const endpoint_call::identity& identifiers)
 {
     httplib::Request http;
     http.method = request.method();
@@ -48,10 +48,10 @@
     for (const link::header& header : request.headers()) {
         http.headers.emplace(header.name(), header.value());
     }
-    http.headers.emplace("X-Request-Id", known_by.request_id);
+    http.headers.emplace("X-Request-Id", identifiers.request_id);
     http.headers.emplace("X-Priority", request.interactive() ? "interactive" : "batch");
-    if (!known_by.traceparent.empty()) {
-        http.headers.emplace("traceparent", known_by.traceparent);
+    if (!identifiers.traceparent.empty()) {
+        http.headers.emplace("traceparent", identifiers.traceparent);
     }
     http.body = request.body();
     return http;
@@ -87,16 +87,16 @@
 }
 
 endpoint_call::outcome endpoint_call::run(const link::dispatch_request& request,
-                                          const identity& known_by,
+                                          const identity& identifiers,
                                           std::chrono::milliseconds budget,
                                           const head_handler& on_head, const data_handler& on_data)
 {
     {
         const std::lock_guard lock(m_mutex);
         if (m_is_cancelled) {
-            return has_failed{{error_kind::endpoint_timeout, "connect", m_where.name,
-                               "cancelled before it began"},
-                              false};
+            return failed{{error_kind::endpoint_timeout, "connect", m_where.name,
+                           "cancelled before it began"},
+                          false};
         }
         m_client->set_connection_timeout(std::min(budget, detail::connect_timeout));
         m_client->set_read_timeout(budget);
@@ -106,18 +106,18 @@
     }
     usage_scanner scanner;
     bool is_event_stream = false;
-    bool is_stopped_by_us = false;
-    httplib::Request http = detail::to_http(request, known_by);
+    bool is_stopped_by_handler = false;
+    httplib::Request http = detail::to_http(request, identifiers);
     http.response_handler = [&](const httplib::Response& head) {
         is_event_stream =
             head.get_header_value("Content-Type").starts_with(detail::event_stream_type);
-        is_stopped_by_us = !on_head(head.status, detail::to_headers(head));
-        return !is_stopped_by_us;
+        is_stopped_by_handler = !on_head(head.status, detail::to_headers(head));
+        return !is_stopped_by_handler;
     };
     http.content_receiver = [&](const char* bytes, std::size_t size, std::uint64_t, std::uint64_t) {
         scanner.append({bytes, size});
-        is_stopped_by_us = !on_data(bytes, size);
-        return !is_stopped_by_us;
+        is_stopped_by_handler = !on_data(bytes, size);
+        return !is_stopped_by_handler;
     };
     httplib::Response response;
     httplib::Error failure = httplib::Error::Success;
@@ -125,17 +125,16 @@
     if (!is_answered) {
         const bool may_have_run = !detail::is_before_sending(failure);
         const std::string step = may_have_run ? "await answer" : "connect";
-        return has_failed{
-            {detail::to_kind(failure), step, m_where.name, httplib::to_string(failure)},
-            may_have_run};
+        return failed{{detail::to_kind(failure), step, m_where.name, httplib::to_string(failure)},
+                      may_have_run};
     }
     const bool must_end_explicitly = m_kind == target_kind::model && is_event_stream;
     if (must_end_explicitly && !scanner.is_done()) {
-        return has_failed{
+        return failed{
             {error_kind::endpoint_cut, "await answer", m_where.name, "the stream has no end"},
             true};
     }
-    return is_whole{m_kind == target_kind::model ? scanner.used_tokens() : 0};
+    return completed{m_kind == target_kind::model ? scanner.used_tokens() : 0};
 }
 
 void endpoint_call::cancel()
--- a/src/connection/endpoint_call.h
+++ b/src/connection/endpoint_call.h
@@ -20,31 +20,31 @@
 
 namespace hickorykeel {
 
-/// One call to one endpoint over a connection of its own. No library repeats it, and the
-/// connection is not used again.
+/// One call to one endpoint over a connection of its own, which is not reused. The HTTP library
+/// never retries it.
 ///
 /// Thread safety: `run` once, from one thread; `cancel` from any thread.
 class endpoint_call {
 public:
-    /// Status and headers of the answer. False ends the call.
+    /// Receives status and headers of the response. Returning false ends the call.
     using head_handler = std::function<bool(int status, const std::vector<link::header>&)>;
-    /// Bytes of the answer's body. False ends the call.
+    /// Receives bytes of the response's body. Returning false ends the call.
     using data_handler = std::function<bool(const char* bytes, std::size_t size)>;
 
-    /// The answer is whole.
-    struct is_whole {
+    /// The response is complete.
+    struct completed {
         std::uint64_t used_tokens = 0; ///< as reported by a model engine; 0: not reported
     };
-    /// The answer is missing or cut.
-    struct has_failed {
+    /// There is no response, or it is incomplete.
+    struct failed {
         error why;
-        bool may_have_run = true; ///< false: no byte was handed to the socket
+        bool may_have_run = true; ///< false: no byte was passed to the socket
     };
-    using outcome = std::variant<is_whole, has_failed>;
+    using outcome = std::variant<completed, failed>;
 
-    /// What the endpoint knows a call by.
+    /// Identifiers that are sent to the endpoint.
     struct identity {
-        std::string request_id;  ///< X-Request-Id, the same for each attempt
+        std::string request_id;  ///< X-Request-Id, the same for all attempts
         std::string traceparent; ///< empty: none is sent
     };
 
@@ -55,22 +55,22 @@
     endpoint_call& operator=(endpoint_call&&) = delete;
     ~endpoint_call();
 
-    /// How endpoints with TLS are verified. Call before `run`.
+    /// Sets how endpoints with TLS are verified. Precondition: `run` was not called.
     void set_tls(const tls_settings& files);
 
-    /// Sends the request and passes on its answer. Blocks until the end.
-    /// @param budget  longest time for the whole call
-    outcome run(const link::dispatch_request& request, const identity& known_by,
+    /// Sends the request and passes its response to the handlers. Blocks until the call ends.
+    /// @param budget  time limit of the whole call
+    outcome run(const link::dispatch_request& request, const identity& identifiers,
                 std::chrono::milliseconds budget, const head_handler& on_head,
                 const data_handler& on_data);
 
-    /// Ends the call early; the connection closes, which frees the endpoint.
+    /// Ends the call early by closing the connection, so that the endpoint stops working on it.
     void cancel();
 
 private:
     endpoint m_where;
     target_kind m_kind;
-    std::mutex m_mutex; // guards m_client's life and m_is_cancelled
+    std::mutex m_mutex; // guards m_is_cancelled and the settings of m_client
     std::unique_ptr<httplib::Client> m_client;
     bool m_is_cancelled = false;
 };
--- a/src/connection/event_sender.h
+++ b/src/connection/event_sender.h
@@ -9,7 +9,7 @@
 
 namespace hickorykeel {
 
-/// Sends the events of one request back to the entry process that asked, numbered in order.
+/// Sends the events of one request to the entry process that it came from, numbered in order.
 ///
 /// Thread safety: all methods may be called from any thread.
 class event_sender {
@@ -19,33 +19,33 @@
     {
     }
 
-    /// Sends `event` as the next in order; its sequence is filled in.
+    /// Sends `event` as the next one; sets its sequence number.
     void send(link::dispatch_event event)
     {
         const std::lock_guard lock(m_mutex);
         event.set_sequence(m_sequence++);
-        answer(std::move(event));
+        send_reply(std::move(event));
     }
 
-    /// Says that the request is alive and how many events went before, so that the entry process
-    /// notices a lost one.
+    /// Sends a keep-alive with the number of events sent so far, by which the entry process detects a
+    /// lost event.
     void send_keepalive()
     {
         const std::lock_guard lock(m_mutex);
         link::dispatch_event event;
         event.set_kind(link::dispatch_event::kind_accepted);
         event.set_sequence(m_sequence);
-        answer(std::move(event));
+        send_reply(std::move(event));
     }
 
 private:
-    // the queue of the messenger is entered under the lock, so that the order holds
-    void answer(link::dispatch_event event)
+    // precondition: the lock is held, so that events are queued in order
+    void send_reply(link::dispatch_event event)
     {
         link::envelope message;
         message.set_correlation(m_correlation);
         *message.mutable_dispatch_event() = std::move(event);
-        m_links.answer(m_route, std::move(message));
+        m_links.send_reply(m_route, std::move(message));
     }
 
     messenger& m_links;
--- a/src/connection/exchange.cpp
+++ b/src/connection/exchange.cpp
@@ -40,16 +40,16 @@
     std::unique_lock lock(m_mutex);
     while (true) {
         outcome taken = take();
-        if (!std::holds_alternative<nothing_yet>(taken)) {
+        if (!std::holds_alternative<timed_out>(taken)) {
             return taken;
         }
         const time_point now = boot_clock::now();
         const time_point silent_at = m_last_heard + silence;
         if (now >= silent_at) {
-            return is_lost{};
+            return lost{};
         }
         if (now >= until) {
-            return nothing_yet{};
+            return timed_out{};
         }
         m_changed.wait_for(lock, std::min(until, silent_at) - now);
     }
@@ -66,9 +66,9 @@
         return event;
     }
     if (m_is_lost) {
-        return is_lost{};
+        return lost{};
     }
-    return nothing_yet{};
+    return timed_out{};
 }
 
 std::shared_ptr<exchange> exchange_table::open(exchange::identity who)
@@ -98,8 +98,8 @@
     const std::lock_guard lock(m_mutex);
     std::vector<std::shared_ptr<exchange>> copies;
     copies.reserve(m_exchanges.size());
-    for (const auto& [correlation, under_way] : m_exchanges) {
-        copies.push_back(under_way);
+    for (const auto& [correlation, in_flight] : m_exchanges) {
+        copies.push_back(in_flight);
     }
     return copies;
 }
--- a/src/connection/exchange.h
+++ b/src/connection/exchange.h
@@ -16,19 +16,19 @@
 
 namespace hickorykeel {
 
-/// One request on its way through a dispatch process: events arrive from the link's thread and are
-/// taken by the caller's thread.
+/// One request in flight at a dispatch process: the link's thread delivers its events, and the
+/// thread that serves the caller consumes them.
 ///
 /// Thread safety: all methods may be called from any thread; `next` from one at a time.
 class exchange {
 public:
-    /// Nothing arrived in the time given.
-    struct nothing_yet {};
-    /// The dispatch process went silent, or an event was lost on the way.
-    struct is_lost {};
-    using outcome = std::variant<link::dispatch_event, refusal, is_lost, nothing_yet>;
+    /// No event arrived in time.
+    struct timed_out {};
+    /// The dispatch process stopped sending, was restarted, or an event was lost.
+    struct lost {};
+    using outcome = std::variant<link::dispatch_event, refusal, lost, timed_out>;
 
-    /// Identity of the request, for checks against a new configuration.
+    /// Attributes of the request that are checked against a new configuration.
     struct identity {
         std::string organisation;
         std::string key_digest;
@@ -39,22 +39,22 @@
 
     exchange(std::uint64_t correlation, identity who);
 
-    /// @name arriving
+    /// @name producer
     /// @{
 
-    /// An event of the dispatch process with that incarnation. Events are taken in their order; one
-    /// that was lost, or that another incarnation sent, ends the exchange.
+    /// Delivers an event of the dispatch process with that incarnation. Events must arrive in order:
+    /// a missing one, or one of another incarnation, ends the exchange.
     void deliver(link::dispatch_event event, std::uint64_t incarnation, time_point now);
 
-    /// Ends the exchange: `next` gives `why` before anything that waits.
+    /// Ends the exchange: `next` returns `why`, ahead of queued events.
     void abort(refusal why);
 
     /// @}
-    /// @name taking
+    /// @name consumer
     /// @{
 
     /// Waits for the next event until `until`.
-    /// @param silence  longest time without any event before the exchange counts as lost
+    /// @param silence  time without any event after which the exchange counts as lost
     outcome next(time_point until, duration silence);
 
     /// @}
@@ -77,21 +77,21 @@
     time_point m_last_heard;
 };
 
-/// The exchanges under way in an entry process.
+/// The exchanges in flight of an entry process.
 ///
 /// Thread safety: all methods may be called from any thread.
 class exchange_table {
 public:
-    /// Starts an exchange with a correlation of its own.
+    /// Starts an exchange with a new correlation.
     std::shared_ptr<exchange> open(exchange::identity who);
 
-    /// Forgets an exchange; later events for it are dropped.
+    /// Removes an exchange; later events for it are dropped.
     void close(std::uint64_t correlation);
 
-    /// The exchange, or null.
+    /// Returns the exchange, or null.
     [[nodiscard]] std::shared_ptr<exchange> find(std::uint64_t correlation) const;
 
-    /// All exchanges under way. Linear in their number.
+    /// Returns all exchanges in flight. Linear in their number.
     [[nodiscard]] std::vector<std::shared_ptr<exchange>> all() const;
 
     [[nodiscard]] std::size_t size() const;
--- a/src/connection/own_port.cpp
+++ b/src/connection/exclusive_port.cpp
@@ -1,11 +1,11 @@
-#include "connection/own_port.h"
+#include "connection/exclusive_port.h"
 
 #include <httplib.h>
 #include <sys/socket.h> // setsockopt
 
 namespace hickorykeel {
 
-void own_port(httplib::Server& server)
+void require_exclusive_port(httplib::Server& server)
 {
     server.set_socket_options([](socket_t socket) {
         const int yes = 1;
--- a/src/connection/limit_codec.cpp
+++ b/src/connection/limit_codec.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// sums of shares may be above 1 by their rounding
-constexpr double rounding = 1e-6;
+// rounding errors may lift sums of shares above 1
+constexpr double rounding_tolerance = 1e-6;
 
 bool are_finite(std::initializer_list<double> numbers)
 {
@@ -20,13 +20,13 @@
 // false for NaN
 bool is_fraction(double number)
 {
-    return number >= 0 && number <= 1 + rounding;
+    return number >= 0 && number <= 1 + rounding_tolerance;
 }
 
-error to_invalid()
+error invalid_number()
 {
     return {error_kind::link_message_invalid, "read limits", "",
-            "a number is not finite, or no fraction"};
+            "a number is not finite, or a fraction is not between 0 and 1"};
 }
 
 } // namespace
@@ -89,7 +89,7 @@
 result<loan_request> from_link(const link::loan_request& request)
 {
     if (!are_finite({request.tokens(), request.minimum()})) {
-        return to_invalid();
+        return invalid_number();
     }
     return loan_request{request.account(), request.tokens(), request.minimum(),
                         request.configuration_revision()};
@@ -98,7 +98,7 @@
 result<loan_grant> from_link(const link::loan_grant& grant)
 {
     if (!are_finite({grant.tokens(), grant.level()})) {
-        return to_invalid();
+        return invalid_number();
     }
     return loan_grant{grant.account(), grant.loan(), grant.tokens(),
                       std::chrono::milliseconds{grant.term_ms()}, grant.level()};
@@ -107,7 +107,7 @@
 result<loan_settle> from_link(const link::loan_settle& settled)
 {
     if (!are_finite({settled.spent(), settled.returned()})) {
-        return to_invalid();
+        return invalid_number();
     }
     return loan_settle{settled.loan(), settled.spent(), settled.returned()};
 }
@@ -120,7 +120,7 @@
 result<share_answer> from_link(const link::share_answer& answer)
 {
     if (!is_fraction(answer.fraction())) {
-        return to_invalid();
+        return invalid_number();
     }
     share_answer message{answer.host_list_revision(),
                          answer.configuration_revision(),
@@ -129,7 +129,7 @@
                          answer.confirmed()};
     for (const link::held_share& held : answer.others()) {
         if (!is_fraction(held.fraction())) {
-            return to_invalid();
+            return invalid_number();
         }
         message.others.push_back({held.host(), held.incarnation(), held.fraction(),
                                   std::chrono::milliseconds{held.remaining_ms()}});
--- a/src/connection/limit_codec.h
+++ b/src/connection/limit_codec.h
@@ -7,8 +7,8 @@
 namespace hickorykeel {
 
 /// Conversions between the limiter's messages and those on the link. Thread safe.
-/// @return link_message_invalid, without a peer, where a number isn't finite or a fraction is
-///         outside 0 to 1; such numbers would pass the limiter's comparisons
+/// @return link_message_invalid, without a peer, if a number isn't finite or a fraction isn't
+///         between 0 and 1; the limiter's comparisons would not detect such numbers
 /// @{
 [[nodiscard]] link::loan_request to_link(const loan_request& request);
 [[nodiscard]] link::loan_grant to_link(const loan_grant& grant);
--- a/src/connection/messenger.cpp
+++ b/src/connection/messenger.cpp
@@ -18,18 +18,18 @@
 namespace hickorykeel {
 namespace detail {
 
-// Queue of one peer: beyond it messages to a peer that cannot be reached are dropped.
+// queue limit of one peer; further messages to an unreachable peer are dropped
 constexpr int peer_queue_messages = 10'000;
 
-// Messages read from one socket before the others get their turn.
-constexpr int messages_per_turn = 256;
+// read from one socket before the next socket is read
+constexpr int messages_per_socket = 256;
 
 constexpr int connect_retry_ms = 50;
 constexpr int connect_retry_maximum_ms = 1'000;
 constexpr int link_heartbeat_ms = 1'000;
 constexpr int link_heartbeat_timeout_ms = 5'000;
 
-// zap's fixed address, see ZeroMQ RFC 27.
+// address that ZAP prescribes, see ZeroMQ RFC 27
 constexpr const char* zap_address = "inproc://zeromq.zap.01";
 constexpr std::size_t curve_key_bytes = 32;
 constexpr std::size_t curve_key_text_bytes = 41;
@@ -45,10 +45,10 @@
     std::uint64_t incarnation = 0;
 };
 
-std::uint64_t random_number()
+std::uint64_t random_incarnation()
 {
     std::random_device device;
-    // identifiers count upwards from an incarnation, and must not overflow
+    // identifiers count up from the incarnation and must not overflow
     std::uniform_int_distribution<std::uint64_t> numbers(1, std::uint64_t{1} << 62U);
     return numbers(device);
 }
@@ -72,7 +72,7 @@
     std::string bound_address;
     std::unordered_map<std::string, detail::dealer> dealers;
     std::unordered_map<std::string, detail::route_stamp> routes;
-    std::mutex mutex; // guards all sockets and what is above, from the start of the thread on
+    std::mutex mutex; // guards the sockets and the members above, once the worker runs
     const int wake_descriptor = ::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
     std::atomic<bool> is_stopping{false};
     std::atomic<std::uint64_t> sent_bytes{0};
@@ -107,11 +107,11 @@
         }
     }
 
-    // makes the thread look at all sockets, and at whether it is to stop
+    // makes the worker read all sockets and check is_stopping
     void wake() const
     {
         const std::uint64_t one = 1;
-        // fails only where very many wake-ups wait already
+        // fails only if the counter is at its maximum, and then the worker wakes anyway
         static_cast<void>(::write(wake_descriptor, &one, sizeof one));
     }
 
@@ -131,18 +131,18 @@
                 return;
             }
             collect_sockets(polled, addresses);
-            bool is_drained = receive_questions();
+            bool is_drained = receive_requests();
             authenticate_peers();
             for (const std::string& address : addresses) {
-                is_drained = receive_answers(address) && is_drained;
+                is_drained = receive_replies(address) && is_drained;
             }
-            // EINTR is a look too many, no more
+            // EINTR only causes one more iteration
             static_cast<void>(::poll(polled.data(), polled.size(), is_drained ? -1 : 0));
         }
     }
 
-    // a socket's descriptor becomes readable once when there is something new to look at, not
-    // while there is; so all sockets are read until they are empty before it is waited for
+    // a ZeroMQ descriptor is edge-triggered: it signals new input, not remaining input, so all
+    // sockets are read until they are empty before the descriptors are polled
     void collect_sockets(std::vector<pollfd>& polled, std::vector<std::string>& addresses)
     {
         const std::lock_guard lock(mutex);
@@ -157,8 +157,8 @@
         }
     }
 
-    // precondition: the mutex is held. Sending may take the news that the descriptor told of, so
-    // that the thread would wait though there is something to receive
+    // precondition: the mutex is held. Sending may consume the descriptor's signal for pending
+    // input, in which case the worker would wait although there is a message to receive
     void wake_for_input(zmq::socket_t& socket) const
     {
         if ((socket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
@@ -179,14 +179,14 @@
         }
     }
 
-    void forget(const std::string& address)
+    void disconnect(const std::string& address)
     {
         const std::lock_guard lock(mutex);
         dealers.erase(address);
         wake();
     }
 
-    void send_question(const std::string& address, link::envelope& message)
+    void write_request(const std::string& address, link::envelope& message)
     {
         detail::dealer& peer = connect(address);
         stamp(message, peer.newest_stamp, peer.peer_incarnation);
@@ -197,7 +197,7 @@
         wake_for_input(peer.socket);
     }
 
-    void send_answer(const std::string& route, link::envelope& message)
+    void write_reply(const std::string& route, link::envelope& message)
     {
         const detail::route_stamp& seen = routes[route];
         stamp(message, seen.stamp, seen.incarnation);
@@ -240,88 +240,88 @@
             peer.socket.set(zmq::sockopt::curve_secretkey, settings.keys.secret_key);
         }
         peer.socket.connect("tcp://" + address);
-        wake(); // to look at this socket too
+        wake(); // so that the worker polls this socket too
         return dealers.emplace(address, std::move(peer)).first->second;
     }
 
-    // false where there may be more
-    bool receive_questions()
+    // returns false if there may be more messages
+    bool receive_requests()
     {
-        for (int i = 0; i < detail::messages_per_turn; ++i) {
+        for (int i = 0; i < detail::messages_per_socket; ++i) {
             received_message received;
-            const taken_t taken = take_question(received);
-            if (taken == taken_t::nothing) {
+            const receive_result outcome = receive_request(received);
+            if (outcome == receive_result::nothing) {
                 return true;
             }
-            if (taken == taken_t::message) {
+            if (outcome == receive_result::message) {
                 on_message(std::move(received));
             }
         }
         return false;
     }
 
-    bool receive_answers(const std::string& address)
+    bool receive_replies(const std::string& address)
     {
-        for (int i = 0; i < detail::messages_per_turn; ++i) {
+        for (int i = 0; i < detail::messages_per_socket; ++i) {
             received_message received;
-            const taken_t taken = take_answer(address, received);
-            if (taken == taken_t::nothing) {
+            const receive_result outcome = receive_reply(address, received);
+            if (outcome == receive_result::nothing) {
                 return true;
             }
-            if (taken == taken_t::message) {
+            if (outcome == receive_result::message) {
                 on_message(std::move(received));
             }
         }
         return false;
     }
 
-    enum class taken_t { nothing, message, unreadable };
+    enum class receive_result { nothing, message, unreadable };
 
-    // the mutex is held for one message at a time, and not while it is handled
-    taken_t take_question(received_message& received)
+    // the mutex is held only while one message is read, not while it is handled
+    receive_result receive_request(received_message& received)
     {
         const std::lock_guard lock(mutex);
         zmq::message_t route;
         if (!router.recv(route, zmq::recv_flags::dontwait)) {
-            return taken_t::nothing;
+            return receive_result::nothing;
         }
         zmq::message_t bytes;
         if (!route.more() || !router.recv(bytes, zmq::recv_flags::dontwait)) {
-            return taken_t::unreadable;
+            return receive_result::unreadable;
         }
         received.route = route.to_string();
         if (!parse(bytes, received)) {
-            return taken_t::unreadable;
+            return receive_result::unreadable;
         }
         detail::route_stamp& seen = routes[received.route];
         seen.stamp = received.message.sent_stamp();
         seen.incarnation = received.message.incarnation();
-        return taken_t::message;
+        return receive_result::message;
     }
 
-    taken_t take_answer(const std::string& address, received_message& received)
+    receive_result receive_reply(const std::string& address, received_message& received)
     {
         const std::lock_guard lock(mutex);
         const auto found = dealers.find(address);
         zmq::message_t bytes;
         if (found == dealers.end() ||
             !found->second.socket.recv(bytes, zmq::recv_flags::dontwait)) {
-            return taken_t::nothing;
+            return receive_result::nothing;
         }
         received.peer = address;
         if (!parse(bytes, received)) {
-            return taken_t::unreadable;
+            return receive_result::unreadable;
         }
         found->second.newest_stamp = received.message.sent_stamp();
         found->second.peer_incarnation = received.message.incarnation();
-        return taken_t::message;
+        return receive_result::message;
     }
 
     bool parse(const zmq::message_t& bytes, received_message& received)
     {
         received_bytes += bytes.size();
         if (!received.message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-            LOG_EVERY_N(WARNING, 1000) << "link message that cannot be parsed";
+            LOG_EVERY_N(WARNING, 1000) << "link message dropped: cannot be parsed";
             return false;
         }
         const link::envelope& message = received.message;
@@ -339,7 +339,7 @@
         }
     }
 
-    // one question of the ZAP protocol: does the peer's key belong to the fleet?
+    // handles one ZAP request: whether the peer's key is accepted
     void authenticate_peer()
     {
         std::vector<zmq::message_t> frames;
@@ -351,15 +351,15 @@
         const bool is_known = frames.size() > key_frame &&
                               frames[key_frame].size() == detail::curve_key_bytes &&
                               is_accepted(detail::to_key_text(frames[key_frame].data()));
-        const std::array<std::string, 6> answer{"1.0",
-                                                frames.size() > 1 ? frames[1].to_string() : "",
-                                                is_known ? "200" : "400",
-                                                is_known ? "OK" : "key not accepted",
-                                                "",
-                                                ""};
-        for (std::size_t i = 0; i < answer.size(); ++i) {
-            const bool is_last = i + 1 == answer.size();
-            zap.send(zmq::buffer(answer[i]),
+        const std::array<std::string, 6> reply{"1.0",
+                                               frames.size() > 1 ? frames[1].to_string() : "",
+                                               is_known ? "200" : "400",
+                                               is_known ? "OK" : "key not accepted",
+                                               "",
+                                               ""};
+        for (std::size_t i = 0; i < reply.size(); ++i) {
+            const bool is_last = i + 1 == reply.size();
+            zap.send(zmq::buffer(reply[i]),
                      is_last ? zmq::send_flags::none : zmq::send_flags::sndmore);
         }
     }
@@ -377,7 +377,8 @@
     auto owned = std::make_unique<state>();
     owned->settings = settings;
     owned->on_message = std::move(on_message);
-    owned->incarnation = settings.incarnation != 0 ? settings.incarnation : detail::random_number();
+    owned->incarnation =
+        settings.incarnation != 0 ? settings.incarnation : detail::random_incarnation();
     try {
         owned->bind();
     }
@@ -398,19 +399,19 @@
     m_state->worker.join();
 }
 
-void messenger::ask(const std::string& address, link::envelope message)
+void messenger::send_request(const std::string& address, link::envelope message)
 {
-    m_state->send(address, [&] { m_state->send_question(address, message); });
+    m_state->send(address, [&] { m_state->write_request(address, message); });
 }
 
-void messenger::answer(const std::string& route, link::envelope message)
+void messenger::send_reply(const std::string& route, link::envelope message)
 {
-    m_state->send(route, [&] { m_state->send_answer(route, message); });
+    m_state->send(route, [&] { m_state->write_reply(route, message); });
 }
 
-void messenger::forget(const std::string& address)
+void messenger::disconnect(const std::string& address)
 {
-    m_state->forget(address);
+    m_state->disconnect(address);
 }
 
 std::uint64_t messenger::incarnation() const noexcept
--- a/src/connection/messenger.h
+++ b/src/connection/messenger.h
@@ -13,41 +13,42 @@
 
 namespace hickorykeel {
 
-/// CURVE keys of the links between processes, in Z85. Both empty: links are not encrypted.
+/// CURVE keys of the links between processes, in Z85. If both are empty, links are not encrypted.
 struct link_keys {
     std::string public_key;
     std::string secret_key;
-    std::vector<std::string> accepted_keys; ///< public keys of peers; one's own always counts
+    std::vector<std::string>
+        accepted_keys; ///< public keys of peers; the own key is always accepted
 };
 
-/// A message as it arrived.
+/// A received message with its origin.
 struct received_message {
     link::envelope message;
-    std::string route; ///< a question: where `messenger::answer` sends the answer
-    std::string peer;  ///< an answer: the address that was asked
-    /// Upper bound of the message's age, from the newest own stamp its sender had seen; nothing
-    /// where the sender had seen none of this incarnation. Needs no agreement between clocks.
+    std::string route; ///< of a request: where `messenger::send_reply` sends the reply
+    std::string peer;  ///< of a reply: the address that the request was sent to
+    /// Upper bound of the message's age, from the newest own timestamp that its sender echoes;
+    /// nothing if the sender had received none of this incarnation. Needs no synchronised clocks.
     std::optional<duration> maximum_age;
 };
 
-/// Sends and receives envelopes; fills in sender, incarnation, stamps and echo stamps. A message is
-/// given to its socket by the thread that sends it; a thread of the messenger's own receives.
+/// Sends and receives envelopes; fills in sender, incarnation, timestamps and echoed timestamps.
+/// The calling thread passes a message to its socket; a thread of the messenger receives.
 ///
 /// Thread safety: every public method may be called from any thread.
 class messenger {
 public:
     struct options {
         std::string name;   ///< "<host>/<program>"
-        std::string listen; ///< "ip:port"; empty: answers only, nobody can connect
+        std::string listen; ///< "ip:port"; empty: no peer can connect, only replies are received
         link_keys keys;
         std::uint64_t incarnation = 0; ///< 0: chosen at random
     };
 
-    /// Called on the messenger's own thread; must not block.
+    /// Called on the receiving thread; must not block.
     using handler = std::function<void(received_message&&)>;
 
-    /// Binds and starts the thread.
-    /// @return link_unreachable where the address cannot be bound
+    /// Binds the address and starts the receiving thread.
+    /// @return link_unreachable if the address cannot be bound
     static result<std::unique_ptr<messenger>> open(const options& settings, handler on_message);
 
     messenger(const messenger&) = delete;
@@ -55,30 +56,30 @@
     messenger(messenger&&) = delete;
     messenger& operator=(messenger&&) = delete;
 
-    /// Stops the thread; messages not yet sent are dropped.
+    /// Stops the receiving thread; messages that are still queued are dropped.
     ~messenger();
 
     /// @name sending
     /// @{
 
-    /// Sends a question to the ROUTER socket at `address` ("ip:port"); connects on first use.
-    /// Never blocks; a message to a peer that cannot be reached is dropped after its queue fills.
-    void ask(const std::string& address, link::envelope message);
+    /// Sends a request to the ROUTER socket at `address` ("ip:port"); connects on first use.
+    /// Never blocks: once the queue of an unreachable peer is full, messages to it are dropped.
+    void send_request(const std::string& address, link::envelope message);
 
-    /// Sends an answer back along the route of a question.
-    void answer(const std::string& route, link::envelope message);
+    /// Sends a reply along the route of a request.
+    void send_reply(const std::string& route, link::envelope message);
 
-    /// Closes the connection to `address` and drops what waits for it.
-    void forget(const std::string& address);
+    /// Closes the connection to `address` and drops the messages queued for it.
+    void disconnect(const std::string& address);
 
     /// @}
     /// @name observers
     /// @{
 
-    /// Random number that differs for each start of a process.
+    /// Random number, different for each start of a process.
     [[nodiscard]] std::uint64_t incarnation() const noexcept;
 
-    /// Address that is bound, "ip:port", with the port that the system chose for port 0.
+    /// The bound address, "ip:port", with the actual port if port 0 was requested.
     [[nodiscard]] const std::string& listen_address() const noexcept;
 
     /// Bytes sent and received so far, for metrics.
--- a/src/connection/refusal_json.h
+++ b/src/connection/refusal_json.h
@@ -6,10 +6,10 @@
 
 namespace hickorykeel {
 
-/// JSON text of a refusal, as docs/API.md describes it. Thread safe.
+/// Returns a refusal as JSON, in the format that docs/API.md describes. Thread safe.
 [[nodiscard]] std::string to_json(const refusal& why);
 
-/// Server-sent event that ends a stream which has begun.
+/// Returns the server-sent event that ends a stream which has begun. Thread safe.
 [[nodiscard]] std::string to_error_event(const refusal& why);
 
 } // namespace hickorykeel
--- a/src/connection/answer_events.cpp
+++ b/src/connection/response_events.cpp
@@ -1,4 +1,4 @@
-#include "connection/answer_events.h"
+#include "connection/response_events.h"
 
 #include <utility> // move
 
@@ -18,12 +18,12 @@
 } // namespace
 } // namespace detail
 
-answer_events::answer_events(event_sender& to, std::string endpoint, bool is_taken_whole)
-    : m_to(to), m_endpoint(std::move(endpoint)), m_is_taken_whole(is_taken_whole)
+response_events::response_events(event_sender& to, std::string endpoint, bool is_buffering)
+    : m_to(to), m_endpoint(std::move(endpoint)), m_is_buffering(is_buffering)
 {
 }
 
-void answer_events::on_head(int status, const std::vector<link::header>& headers)
+void response_events::on_head(int status, const std::vector<link::header>& headers)
 {
     link::dispatch_event event;
     event.set_kind(link::dispatch_event::kind_head);
@@ -32,30 +32,30 @@
     for (const link::header& header : headers) {
         *event.add_headers() = header;
     }
-    if (m_is_taken_whole) {
-        m_held = std::move(event);
+    if (m_is_buffering) {
+        m_buffered = std::move(event);
     }
     else {
         m_to.send(std::move(event));
     }
 }
 
-void answer_events::on_data(std::string_view bytes)
+void response_events::on_data(std::string_view bytes)
 {
-    if (m_held && m_held->data().size() + bytes.size() <= maximum_held_bytes) {
-        m_held->mutable_data()->append(bytes);
+    if (m_buffered && m_buffered->data().size() + bytes.size() <= maximum_buffered_bytes) {
+        m_buffered->mutable_data()->append(bytes);
         return;
     }
     flush();
     m_to.send(detail::to_data(std::string(bytes)));
 }
 
-void answer_events::on_end(std::uint64_t used_tokens)
+void response_events::on_end(std::uint64_t used_tokens)
 {
     link::dispatch_event event;
-    if (m_held) {
-        event = std::move(*m_held);
-        m_held.reset();
+    if (m_buffered) {
+        event = std::move(*m_buffered);
+        m_buffered.reset();
     }
     event.set_kind(link::dispatch_event::kind_end);
     event.set_endpoint(m_endpoint);
@@ -63,13 +63,13 @@
     m_to.send(std::move(event));
 }
 
-void answer_events::flush()
+void response_events::flush()
 {
-    if (!m_held) {
+    if (!m_buffered) {
         return;
     }
-    link::dispatch_event head = std::move(*m_held);
-    m_held.reset();
+    link::dispatch_event head = std::move(*m_buffered);
+    m_buffered.reset();
     std::string bytes = std::move(*head.mutable_data());
     head.clear_data();
     m_to.send(std::move(head));
--- a/src/connection/sync_codec.cpp
+++ b/src/connection/sync_codec.cpp
@@ -71,7 +71,7 @@
 
 std::uint32_t to_age_ms(duration age)
 {
-    // rounded up, so that the answer never claims to be fresher than it is
+    // rounded up, so that the reported age is never below the actual one
     const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(age).count();
     constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(milliseconds, 0, longest));
--- a/src/connection/tls_settings.cpp
+++ b/src/connection/tls_settings.cpp
@@ -25,7 +25,7 @@
 
 bool load_private_key(SSL_CTX& context, const tls_settings& files)
 {
-    // refuses a key that does not belong to the certificate loaded before
+    // fails if the key doesn't match the certificate loaded before
     return SSL_CTX_use_PrivateKey_file(&context, files.private_key.c_str(), SSL_FILETYPE_PEM) == 1;
 }
 
--- a/src/connection/tls_settings.h
+++ b/src/connection/tls_settings.h
@@ -15,14 +15,14 @@
 
 namespace hickorykeel {
 
-/// Files of TLS, in PEM. Read once, at start: a renewed certificate counts after a restart.
+/// TLS files, in PEM. Read once, at start: a renewed certificate takes effect after a restart.
 struct tls_settings {
-    std::string certificate; ///< shown to callers, with its chain; empty: plain HTTP
+    std::string certificate; ///< presented to callers, with its chain; empty: plain HTTP
     std::string private_key;
-    std::string endpoint_ca; ///< signs the endpoints' certificates; empty: the system's store
+    std::string endpoint_ca; ///< CA of the endpoints' certificates; empty: the system's store
 };
 
-/// Keys of `[tls]`, for the tables of programs that serve callers or call endpoints.
+/// Keys of `[tls]`, for programs that serve callers or call endpoints.
 inline constexpr std::array tls_setting_rules{
     setting_rule{"tls", "certificate", setting_kind::text, false, "", 0, 0,
                  "PEM file with the certificate shown to callers and its chain; empty together "
@@ -33,18 +33,20 @@
                  "PEM file with the authorities of endpoints' certificates; empty: the system's"},
 };
 
-/// Precondition: `checked` was read with `tls_setting_rules`. Thread safe.
+/// Returns the values of `[tls]`. Precondition: `checked` was loaded with `tls_setting_rules`.
+/// Thread safe.
 [[nodiscard]] tls_settings to_tls_settings(const settings& checked);
 
-/// Faults of the files: missing, unreadable, or a key of another certificate. Thread safe.
+/// Returns the faults of the files: missing, unreadable, or a key that doesn't match the certificate.
+/// Thread safe.
 [[nodiscard]] std::vector<settings_fault> check_tls(const tls_settings& files);
 
-/// Server for callers: TLS 1.2 or later where a certificate is set, else plain HTTP.
-/// @return settings_invalid where the files cannot be used
+/// Creates the server for callers: TLS 1.2 or later if a certificate is set, otherwise plain HTTP.
+/// @return settings_invalid if the files cannot be used
 [[nodiscard]] result<std::unique_ptr<httplib::Server>> to_server(const tls_settings& files);
 
-/// Has a client for an `https://` address verify the endpoint's certificate and use TLS 1.2 or
-/// later; without effect on one for `http://`. Call before the first request.
+/// Makes a client for an `https://` address verify the endpoint's certificate and use TLS 1.2 or
+/// later; has no effect on a client for `http://`. Call before the first request.
 void prepare_client(httplib::Client& client, const tls_settings& files);
 
 } // namespace hickorykeel
--- a/src/connection/usage_scanner.cpp
+++ b/src/connection/usage_scanner.cpp
@@ -37,17 +37,17 @@
 bool usage_scanner::is_done() const
 {
     const std::size_t found = m_tail.rfind(detail::done_event);
-    // the same words at the end of a cut line may be a model's text
-    return found != std::string::npos && is_line_begin(found) &&
+    // the same text inside a truncated line may have been written by the model
+    return found != std::string::npos && is_line_start(found) &&
            m_tail.find_first_not_of("\r\n", found + detail::done_event.size()) == std::string::npos;
 }
 
-bool usage_scanner::is_line_begin(std::size_t place) const
+bool usage_scanner::is_line_start(std::size_t offset) const
 {
-    if (place == 0) {
+    if (offset == 0) {
         return m_tail.size() < detail::tail_bytes;
     }
-    return m_tail[place - 1] == '\n' || m_tail[place - 1] == '\r';
+    return m_tail[offset - 1] == '\n' || m_tail[offset - 1] == '\r';
 }
 
 } // namespace hickorykeel
--- a/src/connection/usage_scanner.h
+++ b/src/connection/usage_scanner.h
@@ -7,22 +7,22 @@
 
 namespace hickorykeel {
 
-/// Looks at the last bytes of a model engine's answer for its usage and the end of its stream,
-/// without keeping the answer.
+/// Finds the token usage and the end-of-stream event in the last bytes of a model engine's response,
+/// without storing the response.
 ///
 /// Thread safety: none; one owner at a time.
 class usage_scanner {
 public:
     void append(std::string_view bytes);
 
-    /// Total tokens that the engine reported last; 0: none seen.
+    /// Total tokens that the engine reported last; 0: not reported.
     [[nodiscard]] std::uint64_t used_tokens() const;
 
-    /// Whether the answer ended with the event "[DONE]", on a line of its own.
+    /// Whether the response ended with the event "[DONE]", on a line of its own.
     [[nodiscard]] bool is_done() const;
 
 private:
-    [[nodiscard]] bool is_line_begin(std::size_t place) const;
+    [[nodiscard]] bool is_line_start(std::size_t offset) const;
 
     std::string m_tail;
 };
--- a/src/process/admin_server.cpp
+++ b/src/process/admin_server.cpp
@@ -1,6 +1,6 @@
 #include "process/admin_server.h"
 
-#include "connection/own_port.h"
+#include "connection/exclusive_port.h"
 #include "version/check.h"
 
 #include <algorithm>   // find_if
@@ -94,7 +94,7 @@
     void build()
     {
         server.new_task_queue = [] { return new httplib::ThreadPool(admin_threads); };
-        own_port(server);
+        require_exclusive_port(server);
         // an idle connection would hold one of the few threads
         server.set_keep_alive_max_count(1);
         server.set_payload_max_length(maximum_body);
--- a/src/process/admission_actor.cpp
+++ b/src/process/admission_actor.cpp
@@ -40,7 +40,7 @@
         else {
             *message.mutable_share_claim() = to_link(std::get<share_claim>(item.body));
         }
-        state.links->ask(address->second, std::move(message));
+        state.links->send_request(address->second, std::move(message));
     }
 }
 
@@ -90,13 +90,13 @@
         if (const auto request = read(message.loan_request(), from)) {
             *answer.mutable_loan_grant() =
                 to_link(state.desk->limits->on_loan_request(*request, now));
-            state.links->answer(received.route, std::move(answer));
+            state.links->send_reply(received.route, std::move(answer));
         }
     }
     else if (message.has_share_claim()) {
         *answer.mutable_share_answer() = to_link(state.desk->limits->on_share_claim(
             from, message.incarnation(), from_link(message.share_claim()), now));
-        state.links->answer(received.route, std::move(answer));
+        state.links->send_reply(received.route, std::move(answer));
     }
     else if (message.has_loan_settle()) {
         if (const auto settled = read(message.loan_settle(), from)) {
@@ -148,7 +148,7 @@
     for (const auto& [name, address] : state.entry_addresses) {
         link::envelope message;
         message.mutable_ping()->set_ended(true);
-        state.links->ask(address, std::move(message));
+        state.links->send_request(address, std::move(message));
     }
 }
 
--- a/src/process/configd_actor.cpp
+++ b/src/process/configd_actor.cpp
@@ -25,7 +25,7 @@
     for (const auto& address : addresses) {
         link::envelope question;
         *question.mutable_sync_request() = make_request(state.held);
-        state.links->ask(address, std::move(question));
+        state.links->send_request(address, std::move(question));
     }
 }
 
@@ -87,7 +87,7 @@
     link::envelope answer;
     answer.set_correlation(message.correlation());
     *answer.mutable_sync_update() = make_update(state.held, message.sync_request(), now);
-    state.links->answer(received.route, std::move(answer));
+    state.links->send_reply(received.route, std::move(answer));
     const held_revisions theirs{message.sync_request().configuration_revision(),
                                 message.sync_request().host_list_revision()};
     if (auto address = state.relay->on_question(message.sender(), theirs, to_held(state.held))) {
--- a/src/process/configuration_client.cpp
+++ b/src/process/configuration_client.cpp
@@ -19,7 +19,7 @@
         const std::lock_guard lock(m_mutex);
         *message.mutable_sync_request() = make_request(m_replica);
     }
-    m_links.ask(m_address, std::move(message));
+    m_links.send_request(m_address, std::move(message));
 }
 
 void configuration_client::deliver(const link::sync_update& update)
--- a/src/process/dispatch_actor.cpp
+++ b/src/process/dispatch_actor.cpp
@@ -110,7 +110,7 @@
             *pong.add_loads() = std::move(load);
         }
     }
-    state.links->answer(received.route, std::move(answer));
+    state.links->send_reply(received.route, std::move(answer));
 }
 
 void on_link_message(actor_t* self, dispatching::link_message& message)
--- a/src/process/dispatch_job.cpp
+++ b/src/process/dispatch_job.cpp
@@ -1,6 +1,6 @@
 #include "process/dispatch_job.h"
 
-#include "connection/answer_events.h"
+#include "connection/response_events.h"
 
 #include <algorithm> // max
 #include <utility>   // move
@@ -20,7 +20,7 @@
            status == gateway_timeout;
 }
 
-refusal to_refusal(const endpoint_call::has_failed& failure, time_point deadline)
+refusal to_refusal(const endpoint_call::failed& failure, time_point deadline)
 {
     const bool is_late = boot_clock::now() >= deadline;
     return {is_late ? refusal_code::deadline_exceeded : refusal_code::endpoint_failed,
@@ -36,7 +36,7 @@
 namespace {
 
 attempt_result call_endpoint(const dispatch_attempt& attempt, const std::string& traceparent,
-                             answer_events& answer)
+                             response_events& answer)
 {
     attempt_result result;
     dispatch_job& job = *attempt.job;
@@ -66,13 +66,13 @@
             answer.on_data({bytes, size});
             return true;
         });
-    if (const auto* whole = std::get_if<endpoint_call::is_whole>(&outcome)) {
+    if (const auto* whole = std::get_if<endpoint_call::completed>(&outcome)) {
         result.outcome = attempt_result::outcome_t::whole;
         result.used_tokens = whole->used_tokens;
         return result;
     }
     answer.flush();
-    result.why = detail::to_refusal(std::get<endpoint_call::has_failed>(outcome), job.deadline);
+    result.why = detail::to_refusal(std::get<endpoint_call::failed>(outcome), job.deadline);
     if (is_turned_away) {
         result.why.message = "the endpoint turned the request away";
         result.why.code = refusal_code::overloaded;
@@ -80,7 +80,7 @@
     return result;
 }
 
-attempt_result observe_call(const dispatch_attempt& attempt, answer_events& answer)
+attempt_result observe_call(const dispatch_attempt& attempt, response_events& answer)
 {
     if (attempt.observer == nullptr) {
         return call_endpoint(attempt, attempt.job->request.traceparent(), answer);
@@ -99,7 +99,7 @@
 attempt_result run_attempt(const dispatch_attempt& attempt)
 {
     const dispatch_job& job = *attempt.job;
-    answer_events answer{*job.events, attempt.endpoint_name, job.request.takes_whole()};
+    response_events answer{*job.events, attempt.endpoint_name, job.request.takes_whole()};
     attempt_result result = observe_call(attempt, answer);
     // sent from here, as the owner of the job has nothing to decide after a whole answer
     if (result.outcome == attempt_result::outcome_t::whole) {
--- a/src/process/entry.cpp
+++ b/src/process/entry.cpp
@@ -1,6 +1,6 @@
 #include "process/entry.h"
 
-#include "connection/own_port.h"
+#include "connection/exclusive_port.h"
 #include "process/admission_actor.h"
 #include "process/process_metrics.h"
 #include "request/caller_request.h"
@@ -161,7 +161,7 @@
         }
         m_server = std::move(std::get<0>(made));
     }
-    own_port(*m_server);
+    require_exclusive_port(*m_server);
     const std::size_t threads = chosen.http_threads;
     m_server->new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
     m_server->set_payload_max_length(chosen.maximum_body_bytes);
@@ -283,7 +283,7 @@
         for (const std::string& address : m_context.directory.take_due(boot_clock::now())) {
             link::envelope message;
             message.mutable_ping()->set_leaving(m_context.is_leaving);
-            m_context.links->ask(address, std::move(message));
+            m_context.links->send_request(address, std::move(message));
         }
         if (m_context.is_leaving) {
             tell_leaving();
@@ -299,7 +299,7 @@
         if (each.name != m_context.host) {
             link::envelope message;
             message.mutable_ping()->set_leaving(true);
-            m_context.links->ask(each.entry_address, std::move(message));
+            m_context.links->send_request(each.entry_address, std::move(message));
         }
     }
 }
--- a/src/process/request_runner.cpp
+++ b/src/process/request_runner.cpp
@@ -86,8 +86,8 @@
         else if (const auto* why = std::get_if<refusal>(&outcome)) {
             return give_up(*why);
         }
-        else if (std::holds_alternative<exchange::nothing_yet>(outcome)) {
-            taken = on_nothing_yet();
+        else if (std::holds_alternative<exchange::timed_out>(outcome)) {
+            taken = on_time_out();
         }
         else {
             taken = on_lost();
@@ -98,7 +98,7 @@
     }
 }
 
-std::variant<std::monostate, request_runner::step> request_runner::on_nothing_yet()
+std::variant<std::monostate, request_runner::step> request_runner::on_time_out()
 {
     const time_point now = boot_clock::now();
     if (const std::string reason = reason_to_stop(now); !reason.empty()) {
@@ -140,7 +140,7 @@
     m_exchange = m_provided.exchanges.open({m_request.organisation, m_request.key_digest,
                                             m_request.matched_profile->name,
                                             m_request.matched_target->name, m_at.address});
-    m_provided.links.ask(m_at.address, to_message());
+    m_provided.links.send_request(m_at.address, to_message());
     return true;
 }
 
@@ -162,7 +162,7 @@
         link::envelope cancel;
         cancel.set_correlation(m_exchange->correlation());
         cancel.mutable_dispatch_cancel();
-        m_provided.links.ask(m_exchange->who().dispatch_address, std::move(cancel));
+        m_provided.links.send_request(m_exchange->who().dispatch_address, std::move(cancel));
     }
     m_provided.exchanges.close(m_exchange->correlation());
     m_exchange.reset();
--- a/src/process/request_runner.h
+++ b/src/process/request_runner.h
@@ -78,7 +78,7 @@
 
 private:
     [[nodiscard]] std::string reason_to_stop(time_point now) const;
-    std::variant<std::monostate, step> on_nothing_yet();
+    std::variant<std::monostate, step> on_time_out();
     bool start_attempt();
     void end_attempt();
     void note_visit(retry_cause cause);
--- a/tests/connection/endpoint_call_test.cpp
+++ b/tests/connection/endpoint_call_test.cpp
@@ -81,12 +81,12 @@
                 CAPTURE(whole.substr(0, length));
                 const scripted_server server{whole.substr(0, length)};
                 const auto outcome = call(server, kind);
-                const auto* const failure = std::get_if<endpoint_call::has_failed>(&outcome);
+                const auto* const failure = std::get_if<endpoint_call::failed>(&outcome);
                 REQUIRE(failure != nullptr);
                 CHECK(failure->may_have_run);
             }
             const scripted_server server{whole};
-            CHECK(std::holds_alternative<endpoint_call::is_whole>(call(server, kind)));
+            CHECK(std::holds_alternative<endpoint_call::completed>(call(server, kind)));
         }
     }
 }
@@ -120,7 +120,7 @@
                 body.append(bytes, size);
                 return true;
             });
-        CHECK(std::holds_alternative<endpoint_call::is_whole>(outcome));
+        CHECK(std::holds_alternative<endpoint_call::completed>(outcome));
         CHECK(seen == "200 ");
         CHECK(body == "text");
     }
--- a/tests/connection/messenger_test.cpp
+++ b/tests/connection/messenger_test.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr auto patience = std::chrono::seconds{30};
+constexpr auto test_timeout = std::chrono::seconds{30};
 constexpr auto short_wait = std::chrono::milliseconds{300};
 
 class inbox {
@@ -77,27 +77,27 @@
     inbox server_inbox;
     inbox client_inbox;
 
-    SUBCASE("a question arrives and its answer returns to the asker")
+    SUBCASE("a request is received and its reply returned to the sender")
     {
         const auto server = open_messenger("a/entry", server_inbox);
         const auto client = open_messenger("b/entry", client_inbox);
-        client->ask(server->listen_address(), make_ping(5));
-        auto question = server_inbox.next(patience);
-        REQUIRE(question);
-        CHECK(question->message.sender() == "b/entry");
-        CHECK(question->message.incarnation() == client->incarnation());
-        CHECK_FALSE(question->maximum_age);
-        server->answer(question->route, make_ping(5));
-        auto answer = client_inbox.next(patience);
-        REQUIRE(answer);
-        CHECK(answer->peer == server->listen_address());
-        REQUIRE(answer->maximum_age);
-        CHECK(*answer->maximum_age >= duration::zero());
-
-        client->ask(server->listen_address(), make_ping(6));
-        question = server_inbox.next(patience);
-        REQUIRE(question);
-        CHECK(question->maximum_age);
+        client->send_request(server->listen_address(), make_ping(5));
+        auto request = server_inbox.next(test_timeout);
+        REQUIRE(request);
+        CHECK(request->message.sender() == "b/entry");
+        CHECK(request->message.incarnation() == client->incarnation());
+        CHECK_FALSE(request->maximum_age);
+        server->send_reply(request->route, make_ping(5));
+        auto reply = client_inbox.next(test_timeout);
+        REQUIRE(reply);
+        CHECK(reply->peer == server->listen_address());
+        REQUIRE(reply->maximum_age);
+        CHECK(*reply->maximum_age >= duration::zero());
+
+        client->send_request(server->listen_address(), make_ping(6));
+        request = server_inbox.next(test_timeout);
+        REQUIRE(request);
+        CHECK(request->maximum_age);
     }
 
     SUBCASE("an address in use is an error with step and peer")
@@ -110,59 +110,61 @@
         CHECK(std::get<error>(second).peer == server->listen_address());
     }
 
-    SUBCASE("with keys, members of the fleet talk and strangers are not heard")
+    SUBCASE("with keys, only messages of members of the fleet are received")
     {
         const link_keys fleet = make_keys();
         const auto server = open_messenger("a/entry", server_inbox, fleet);
-        const auto stranger = open_messenger("s/entry", client_inbox, make_keys());
-        stranger->ask(server->listen_address(), make_ping(1));
+        const auto outsider = open_messenger("s/entry", client_inbox, make_keys());
+        outsider->send_request(server->listen_address(), make_ping(1));
         const auto plain = open_messenger("p/entry", client_inbox);
-        plain->ask(server->listen_address(), make_ping(2));
+        plain->send_request(server->listen_address(), make_ping(2));
         CHECK_FALSE(server_inbox.next(short_wait));
         const auto member = open_messenger("b/entry", client_inbox, fleet);
-        member->ask(server->listen_address(), make_ping(3));
-        const auto question = server_inbox.next(patience);
-        REQUIRE(question);
-        CHECK(question->message.correlation() == 3);
+        member->send_request(server->listen_address(), make_ping(3));
+        const auto request = server_inbox.next(test_timeout);
+        REQUIRE(request);
+        CHECK(request->message.correlation() == 3);
     }
 }
 
-TEST_CASE("messages sent by several threads hide none that arrives")
+TEST_CASE("no received message stays unread while several threads send")
 {
     constexpr std::uint64_t threads = 4;
     constexpr std::uint64_t rounds = 2'000;
     std::mutex mutex; // guards the two below
     std::condition_variable changed;
-    std::array<std::uint64_t, threads> answered{};
+    std::array<std::uint64_t, threads> received_replies{};
     std::unique_ptr<messenger> server;
-    // answers from within the handler, as some processes do
-    auto opened = messenger::open({"a/entry", "127.0.0.1:0", {}, 0}, [&](received_message&& asked) {
-        link::envelope answer;
-        answer.set_correlation(asked.message.correlation());
-        server->answer(asked.route, std::move(answer));
-    });
+    // replies from within the handler, as some processes do
+    auto opened =
+        messenger::open({"a/entry", "127.0.0.1:0", {}, 0}, [&](received_message&& request) {
+            link::envelope reply;
+            reply.set_correlation(request.message.correlation());
+            server->send_reply(request.route, std::move(reply));
+        });
     REQUIRE(is_ok(opened));
     server = std::move(std::get<0>(opened));
-    auto opened_client = messenger::open({"b/entry", "", {}, 0}, [&](received_message&& answer) {
+    auto opened_client = messenger::open({"b/entry", "", {}, 0}, [&](received_message&& reply) {
         const std::lock_guard lock(mutex);
-        ++answered.at(answer.message.correlation());
+        ++received_replies.at(reply.message.correlation());
         changed.notify_all();
     });
     REQUIRE(is_ok(opened_client));
     const auto client = std::move(std::get<0>(opened_client));
-    std::atomic<bool> is_any_lost{false};
-    std::vector<std::jthread> askers;
-    for (std::uint64_t asker = 0; asker < threads; ++asker) {
-        askers.emplace_back([&, asker] {
-            for (std::uint64_t round = 1; round <= rounds && !is_any_lost; ++round) {
-                client->ask(server->listen_address(), make_ping(asker));
+    std::atomic<bool> has_lost_reply{false};
+    std::vector<std::jthread> senders;
+    for (std::uint64_t sender = 0; sender < threads; ++sender) {
+        senders.emplace_back([&, sender] {
+            for (std::uint64_t round = 1; round <= rounds && !has_lost_reply; ++round) {
+                client->send_request(server->listen_address(), make_ping(sender));
                 std::unique_lock lock(mutex);
-                if (!changed.wait_for(lock, patience, [&] { return answered[asker] == round; })) {
-                    is_any_lost = true;
+                if (!changed.wait_for(lock, test_timeout,
+                                      [&] { return received_replies[sender] == round; })) {
+                    has_lost_reply = true;
                 }
             }
         });
     }
-    askers.clear(); // joins
-    CHECK_FALSE(is_any_lost);
+    senders.clear(); // joins
+    CHECK_FALSE(has_lost_reply);
 }
--- a/tests/connection/answer_events_test.cpp
+++ b/tests/connection/response_events_test.cpp
@@ -1,4 +1,4 @@
-#include "connection/answer_events.h"
+#include "connection/response_events.h"
 
 #include <condition_variable> // condition_variable
 #include <mutex>              // mutex, unique_lock
@@ -9,38 +9,39 @@
 
 namespace {
 
-constexpr auto patience = std::chrono::seconds{30};
+constexpr auto test_timeout = std::chrono::seconds{30};
 constexpr std::uint64_t used_tokens = 7;
 
-/// An entry process that asks once, and a dispatch process that answers over the link.
-class answered_question {
+/// An entry process that sends one request, and a dispatch process that replies over the link.
+class linked_processes {
 public:
-    answered_question()
+    linked_processes()
     {
-        m_dispatch = open("a/dispatch", [this](received_message&& question) {
+        m_dispatch = open("a/dispatch", [this](received_message&& request) {
             const std::lock_guard lock(m_mutex);
-            m_route = question.route;
+            m_route = request.route;
             m_changed.notify_all();
         });
-        m_entry = open("a/entry", [this](received_message&& answer) {
+        m_entry = open("a/entry", [this](received_message&& reply) {
             const std::lock_guard lock(m_mutex);
-            m_events.push_back(answer.message.dispatch_event());
+            m_events.push_back(reply.message.dispatch_event());
             m_changed.notify_all();
         });
-        link::envelope question;
-        question.mutable_dispatch_request();
-        m_entry->ask(m_dispatch->listen_address(), std::move(question));
+        link::envelope request;
+        request.mutable_dispatch_request();
+        m_entry->send_request(m_dispatch->listen_address(), std::move(request));
         std::unique_lock lock(m_mutex);
-        REQUIRE(m_changed.wait_for(lock, patience, [this] { return !m_route.empty(); }));
+        REQUIRE(m_changed.wait_for(lock, test_timeout, [this] { return !m_route.empty(); }));
         sender.emplace(*m_dispatch, m_route, 1);
     }
 
-    /// All events up to the one of `last` kind.
+    /// Returns all events up to the first one of kind `last`.
     std::vector<link::dispatch_event> events_until(link::dispatch_event::kind_t last)
     {
         std::unique_lock lock(m_mutex);
-        REQUIRE(m_changed.wait_for(
-            lock, patience, [&] { return !m_events.empty() && m_events.back().kind() == last; }));
+        REQUIRE(m_changed.wait_for(lock, test_timeout, [&] {
+            return !m_events.empty() && m_events.back().kind() == last;
+        }));
         return m_events;
     }
 
@@ -72,19 +73,19 @@
 
 } // namespace
 
-TEST_CASE("answer events")
+TEST_CASE("events of a response")
 {
     using event_t = link::dispatch_event;
-    answered_question question;
+    linked_processes processes;
 
-    SUBCASE("a short answer goes as one event where it is taken whole")
+    SUBCASE("a short response is sent as one event if the receiver accepts that")
     {
-        answer_events answer{*question.sender, "engine-1", true};
-        answer.on_head(200, make_headers());
-        answer.on_data("{\"a\":");
-        answer.on_data("1}");
-        answer.on_end(used_tokens);
-        const auto events = question.events_until(event_t::kind_end);
+        response_events response{*processes.sender, "engine-1", true};
+        response.on_head(200, make_headers());
+        response.on_data("{\"a\":");
+        response.on_data("1}");
+        response.on_end(used_tokens);
+        const auto events = processes.events_until(event_t::kind_end);
         REQUIRE(events.size() == 1);
         CHECK(events[0].sequence() == 0);
         CHECK(events[0].status() == 200);
@@ -93,13 +94,13 @@
         CHECK(events[0].endpoint() == "engine-1");
         CHECK(events[0].used_tokens() == used_tokens);
     }
-    SUBCASE("a receiver that does not say so gets head, data and end")
+    SUBCASE("another receiver gets head, data and end as events of their own")
     {
-        answer_events answer{*question.sender, "engine-1", false};
-        answer.on_head(200, make_headers());
-        answer.on_data("data");
-        answer.on_end(used_tokens);
-        const auto events = question.events_until(event_t::kind_end);
+        response_events response{*processes.sender, "engine-1", false};
+        response.on_head(200, make_headers());
+        response.on_data("data");
+        response.on_end(used_tokens);
+        const auto events = processes.events_until(event_t::kind_end);
         REQUIRE(events.size() == 3);
         CHECK(events[0].kind() == event_t::kind_head);
         CHECK(events[0].status() == 200);
@@ -107,17 +108,17 @@
         CHECK(events[2].status() == 0);
         CHECK(events[2].data().empty());
     }
-    SUBCASE("an answer that grows long is passed on in its order")
+    SUBCASE("a response that exceeds the buffer is sent in order")
     {
-        const std::string half(answer_events::maximum_held_bytes / 2, 'a');
-        answer_events answer{*question.sender, "engine-1", true};
-        answer.on_head(200, make_headers());
-        answer.on_data(half);
-        answer.on_data(half);
-        answer.on_data("b");
-        answer.on_data("c");
-        answer.on_end(0);
-        const auto events = question.events_until(event_t::kind_end);
+        const std::string half(response_events::maximum_buffered_bytes / 2, 'a');
+        response_events response{*processes.sender, "engine-1", true};
+        response.on_head(200, make_headers());
+        response.on_data(half);
+        response.on_data(half);
+        response.on_data("b");
+        response.on_data("c");
+        response.on_end(0);
+        const auto events = processes.events_until(event_t::kind_end);
         REQUIRE(events.size() == 5);
         CHECK(events[0].kind() == event_t::kind_head);
         CHECK(events[0].data().empty());
@@ -126,13 +127,13 @@
         CHECK(events[3].data() == "c");
         CHECK(events[4].status() == 0);
     }
-    SUBCASE("what came before a failure is passed on")
+    SUBCASE("flushing sends the part that arrived before a failure")
     {
-        answer_events answer{*question.sender, "engine-1", true};
-        answer.on_head(200, make_headers());
-        answer.on_data("part");
-        answer.flush();
-        const auto events = question.events_until(event_t::kind_data);
+        response_events response{*processes.sender, "engine-1", true};
+        response.on_head(200, make_headers());
+        response.on_data("part");
+        response.flush();
+        const auto events = processes.events_until(event_t::kind_data);
         REQUIRE(events.size() == 2);
         CHECK(events[0].kind() == event_t::kind_head);
         CHECK(events[1].data() == "part");
--- a/tests/connection/sync_codec_test.cpp
+++ b/tests/connection/sync_codec_test.cpp
@@ -11,7 +11,7 @@
 
 constexpr time_point now{std::chrono::seconds{100}};
 
-entries_update whole(std::uint64_t revision, const nlohmann::json& object)
+entries_update to_snapshot(std::uint64_t revision, const nlohmann::json& object)
 {
     entries_update update{0, revision, {}};
     for (const auto& [key, value] : object.items()) {
@@ -23,7 +23,7 @@
 replica make_replica(const nlohmann::json& object)
 {
     replica held;
-    held.apply(whole(1, object));
+    held.apply(to_snapshot(1, object));
     held.apply(hosts_update{2, nlohmann::json::array()});
     return held;
 }
@@ -34,7 +34,7 @@
 {
     auto sender = make_replica(tests::published_example());
 
-    SUBCASE("a whole state arrives as it was sent")
+    SUBCASE("a complete state is received unchanged")
     {
         replica receiver;
         const auto update = make_update(sender, make_request(receiver), now);
@@ -43,7 +43,7 @@
         CHECK(receiver.hosts()->revision == 2);
     }
 
-    SUBCASE("changes and deletions arrive after it")
+    SUBCASE("later changes and deletions are received")
     {
         auto receiver = sender;
         sender.apply(entries_update{1, 3, {{"profiles/booking", nullptr, true, 3}}});
@@ -54,7 +54,7 @@
         CHECK(receiver.entries() == sender.entries());
     }
 
-    SUBCASE("an asker that is level or ahead learns the revision only")
+    SUBCASE("a requester with the same or a newer revision gets only the revision")
     {
         const auto update = make_update(replica{}, make_request(sender), now);
         CHECK(update.configuration_revision() == 0);
@@ -65,14 +65,14 @@
         CHECK(make_update(sender, make_request(sender), now).configuration_revision() == 1);
     }
 
-    SUBCASE("the age of the confirmation goes with it, rounded up")
+    SUBCASE("the age of the confirmation is sent, rounded up")
     {
         CHECK_FALSE(make_update(sender, make_request(sender), now).has_confirmed_age_ms());
         sender.confirm(now - std::chrono::microseconds{1'500});
         CHECK(make_update(sender, make_request(sender), now).confirmed_age_ms() == 2);
     }
 
-    SUBCASE("values that are no JSON are malformed and change nothing")
+    SUBCASE("values that aren't JSON are malformed and change nothing")
     {
         replica receiver;
         auto update = make_update(sender, make_request(receiver), now);
@@ -98,7 +98,7 @@
     sender.apply(entries_update{1, 3, {{"profiles/visit-summary", value, false, 3}}});
     const auto change = make_update(sender, request, now).ByteSizeLong();
     const auto snapshot = make_update(sender, {}, now).ByteSizeLong();
-    MESSAGE("bytes of a change " << change << ", of the whole " << snapshot << ", of a question "
+    MESSAGE("bytes of a change " << change << ", of a snapshot " << snapshot << ", of a request "
                                  << request.ByteSizeLong());
     // a change costs its own entry, however many others there are
     CHECK(change < value.dump().size() + 64);
--- a/tests/connection/usage_scanner_test.cpp
+++ b/tests/connection/usage_scanner_test.cpp
@@ -27,18 +27,18 @@
 
 } // namespace
 
-TEST_CASE("the end and the usage of an answer")
+TEST_CASE("end of stream and token usage of a response")
 {
     CHECK(is_done("data: {}\n\ndata: [DONE]\n\n"));
     CHECK(is_done("data: {}\r\n\r\ndata: [DONE]\r\n"));
     CHECK(is_done("data: [DONE]"));
-    // cut in the text that a model wrote
+    // truncated within text that the model wrote
     CHECK_FALSE(is_done(R"(data: {"text":"it ends with data: [DONE])"));
-    const std::string far(4'096, 'x');
-    const std::string cut = far + "data: [DONE]";
-    const std::string whole = far + "\ndata: [DONE]";
-    CHECK_FALSE(is_done(cut));
-    CHECK(is_done(whole));
+    const std::string padding(4'096, 'x');
+    const std::string truncated = padding + "data: [DONE]";
+    const std::string complete = padding + "\ndata: [DONE]";
+    CHECK_FALSE(is_done(truncated));
+    CHECK(is_done(complete));
     CHECK(used_tokens(R"({"total_tokens": 17})") == 17);
     CHECK(used_tokens(R"({"total_tokens":null},"created":1733)") == 0);
 }
--- a/tests/scenarios/receiver_residency_test.cpp
+++ b/tests/scenarios/receiver_residency_test.cpp
@@ -42,7 +42,7 @@
             message.set_correlation(++m_correlation);
         }
         *message.mutable_dispatch_request() = request;
-        m_links->ask(address, std::move(message));
+        m_links->send_request(address, std::move(message));
         std::optional<link::dispatch_event> answer;
         wait_for([&] {
             const std::lock_guard lock(m_mutex);
