Compute the drift margin of a term in one place

The limiter and the shares of hosts each had a copy of with_drift_margin, on which the safety of loans and of shares rests, and the limiter worked out the lender's term four times. There is one function in limits/drift_margin.h now, and limiter::lender_term. Behaviour is unchanged.

--- a/src/process/limits/host_shares.cpp
+++ b/src/process/limits/host_shares.cpp
@@ -1,5 +1,7 @@
 #include "process/limits/host_shares.h"
 
+#include "process/limits/drift_margin.h"
+
 #include <algorithm> // any_of, clamp, find, max, min, none_of
 #include <utility>   // move
 
@@ -218,7 +220,7 @@
             });
         if (share.host != m_name && share.host != detail::forgotten_marker && !is_kept) {
             other.reports.push_back(share);
-            other.report_ends.push_back(now + with_drift_margin(share.remaining));
+            other.report_ends.push_back(now + with_drift_margin(share.remaining, m_options.drift));
         }
     }
 }
@@ -237,10 +239,11 @@
         return 0;
     }
     const duration since = m_started ? now - *m_started : duration::zero();
-    if (since < with_drift_margin(m_options.hold_term + m_options.settle_term)) {
+    if (since < with_drift_margin(m_options.hold_term + m_options.settle_term, m_options.drift)) {
         return 1;
     }
-    return since < with_drift_margin(m_options.isolation_term + m_options.settle_term)
+    return since < with_drift_margin(m_options.isolation_term + m_options.settle_term,
+                                     m_options.drift)
                ? m_options.reduced_consent_factor
                : 0;
 }
@@ -269,7 +272,7 @@
 {
     peer next;
     next.retired_fraction = allowance_of(other, now);
-    next.retired_until = now + with_drift_margin(m_options.settle_term);
+    next.retired_until = now + with_drift_margin(m_options.settle_term, m_options.drift);
     next.retired = std::move(other.retired);
     next.retired.push_back(other.incarnation);
     if (next.retired.size() > detail::max_retired_incarnations) {
@@ -295,10 +298,10 @@
     const double retired_fraction = now < other.retired_until ? other.retired_fraction : 0;
     const duration since = now - other.granted_at;
     const duration settle = m_options.counts_settling ? m_options.settle_term : duration::zero();
-    if (since < with_drift_margin(m_options.hold_term + settle)) {
+    if (since < with_drift_margin(m_options.hold_term + settle, m_options.drift)) {
         return retired_fraction + other.granted;
     }
-    if (since < with_drift_margin(m_options.isolation_term + settle)) {
+    if (since < with_drift_margin(m_options.isolation_term + settle, m_options.drift)) {
         return retired_fraction + other.granted * m_options.reduced_consent_factor;
     }
     return retired_fraction;
@@ -393,7 +396,8 @@
         if (!other.has_claimed || other.is_live || fraction <= 0) {
             continue;
         }
-        const duration left = other.granted_at + with_drift_margin(m_options.isolation_term) - now;
+        const duration left =
+            other.granted_at + with_drift_margin(m_options.isolation_term, m_options.drift) - now;
         others.push_back({name, other.incarnation, fraction, detail::to_milliseconds_up(left)});
     }
     for (const auto& [name, other] : m_peers) {
@@ -412,14 +416,6 @@
     return others;
 }
 
-// Extends a term so that it ends at the granter after its end at the holder, as both clocks may
-// drift.
-duration host_shares::with_drift_margin(duration term) const
-{
-    return from_seconds(to_seconds(term) * (1 + 2 * m_options.drift)) +
-           std::chrono::milliseconds{1};
-}
-
 double host_shares::grant(const std::string& to, peer& claimant, const share_claim& claim,
                           time_point now)
 {
@@ -463,7 +459,7 @@
     }
     if (usable < m_fraction) {
         m_settling_fraction = committed(now);
-        m_settling_until = now + with_drift_margin(m_options.settle_term);
+        m_settling_until = now + with_drift_margin(m_options.settle_term, m_options.drift);
     }
     m_fraction = usable;
 }
--- a/src/process/limits/host_shares.h
+++ b/src/process/limits/host_shares.h
@@ -141,7 +141,6 @@
                                       time_point now) const;
     [[nodiscard]] double committed(time_point now) const;
     [[nodiscard]] std::vector<held_share> unlisted_shares(time_point now) const;
-    [[nodiscard]] duration with_drift_margin(duration term) const;
     double grant(const std::string& to, peer& claimant, const share_claim& claim, time_point now);
     void update(time_point now);
 
--- a/src/process/limits/limiter.cpp
+++ b/src/process/limits/limiter.cpp
@@ -1,5 +1,7 @@
 #include "process/limits/limiter.h"
 
+#include "process/limits/drift_margin.h"
+
 #include <algorithm> // any_of, clamp, find, find_if, max, min, stable_sort
 #include <random>    // uniform_real_distribution
 #include <utility>   // move
@@ -14,13 +16,6 @@
 constexpr duration max_retry_after = std::chrono::seconds{60};
 constexpr double assumed_level = 1; // of the capacity, without a fresh hint
 
-// Extends a term so that it ends at the granter after its end at the holder, as both clocks may
-// drift.
-duration with_drift_margin(duration term, double drift)
-{
-    return from_seconds(to_seconds(term) * (1 + 2 * drift)) + std::chrono::milliseconds{1};
-}
-
 // Returns the key of the account in m_changed: its organisation, or "open:profile".
 std::string to_changed_key(std::string_view account)
 {
@@ -38,7 +33,7 @@
 {
     if (options.waits_after_start) {
         // loans of an earlier incarnation may be spent until then
-        m_accrues_from = now + detail::with_drift_margin(options.loan_term, options.shares.drift);
+        m_accrues_from = now + lender_term();
         m_rights_since = m_accrues_from;
     }
 }
@@ -134,12 +129,10 @@
         return grant;
     }
     token_bucket& bucket = find_or_create_account(request.account, now).bucket;
-    const duration lender_term =
-        detail::with_drift_margin(m_options.loan_term, m_options.shares.drift);
-    grant.tokens = bucket.lend(m_last_id + 1, request.tokens, request.minimum, lender_term, now);
+    grant.tokens = bucket.lend(m_last_id + 1, request.tokens, request.minimum, lender_term(), now);
     if (grant.tokens > 0) {
         grant.loan = ++m_last_id;
-        m_open_loans[grant.loan] = {request.account, now + lender_term};
+        m_open_loans[grant.loan] = {request.account, now + lender_term()};
     }
     grant.term = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.loan_term);
     grant.level = bucket.level(now);
@@ -308,6 +301,12 @@
     return rows;
 }
 
+// Returns the term of a loan at the lender, which ends after the term at the borrower.
+duration limiter::lender_term() const
+{
+    return with_drift_margin(m_options.loan_term, m_options.shares.drift);
+}
+
 // Two hosts that send claims at the same moment can't raise each other's share, so the interval is
 // random between 0.5 and 1.5 times the setting.
 duration limiter::next_claim_interval()
@@ -438,11 +437,9 @@
 // Returns the newest revision for which all loans made under earlier revisions have ended.
 std::uint64_t limiter::settled_revision(time_point now) const
 {
-    const duration lender_term =
-        detail::with_drift_margin(m_options.loan_term, m_options.shares.drift);
     std::uint64_t settled = 0;
     for (const auto& [revision, applied] : m_revisions) {
-        if (applied + lender_term <= now) {
+        if (applied + lender_term() <= now) {
             settled = std::max(settled, revision);
         }
     }
@@ -465,11 +462,9 @@
 // Reserves own tokens for a waiting reservation. They occupy capacity like a loan.
 void limiter::hold_own_tokens(reservation& pending, time_point now)
 {
-    const duration lender_term =
-        detail::with_drift_margin(m_options.loan_term, m_options.shares.drift);
     for (account_reservation& wanted : pending.parts) {
         token_bucket& bucket = find_or_create_account(wanted.account, now).bucket;
-        wanted.own = bucket.lend(m_last_id + 1, pending.tokens, 0, lender_term, now);
+        wanted.own = bucket.lend(m_last_id + 1, pending.tokens, 0, lender_term(), now);
         wanted.own_ends = now + m_options.loan_term;
         if (wanted.own > 0) {
             wanted.own_loan = ++m_last_id;
--- a/src/process/limits/limiter.h
+++ b/src/process/limits/limiter.h
@@ -202,6 +202,7 @@
         double level = 0; // expected
     };
 
+    [[nodiscard]] duration lender_term() const;
     duration next_claim_interval();
     time_point advance(time_point now);
     void after_share_change(time_point now);
