--- a/src/process/limits/limiter.h
+++ b/src/process/limits/limiter.h
@@ -138,6 +138,8 @@
     /// @}
 
 private:
+    static constexpr double rounding_tolerance = 1e-6; // tokens
+
     struct hint {
         std::string host;
         double level;
@@ -214,32 +216,35 @@
     [[nodiscard]] bool is_confirmed_by_all() const;
     [[nodiscard]] std::uint64_t settled_revision(time_point now) const;
 
+    // reservations
     bool take_locally(const reservation& pending, time_point now);
     void hold_own_tokens(reservation& pending, time_point now);
+    [[nodiscard]] static double missing_tokens(const reservation& pending,
+                                               const account_reservation& wanted, time_point now);
+    [[nodiscard]] static bool is_complete(const reservation& pending, time_point now);
+    [[nodiscard]] static bool has_all_replies(const reservation& pending);
+    reservation_result advance_reservation(std::uint64_t id, bool is_round_over, time_point now);
+    bool postpone(reservation& pending, time_point now, std::vector<limit_message>& messages);
+    void end_loans(reservation& pending, bool is_granted, time_point now,
+                   std::vector<limit_message>& messages);
+    [[nodiscard]] duration to_retry_after(const reservation& pending) const;
+
+    // lenders
     bool request_missing(std::uint64_t id, reservation& pending, time_point now,
                          std::vector<limit_message>& messages);
     bool request_missing_of(std::uint64_t id, std::size_t index, reservation& pending,
                             time_point now, std::vector<limit_message>& messages);
-    std::vector<candidate> find_candidates(const account_reservation& wanted, double min_level,
-                                           time_point now);
     [[nodiscard]] static std::size_t count_needed(const std::vector<candidate>& found,
                                                   double missing);
+    std::vector<candidate> find_candidates(const account_reservation& wanted, double min_level,
+                                           time_point now);
     void add_candidates(const std::string& failure_domain, const account_reservation& wanted,
                         double min_level, time_point now, std::vector<candidate>& found);
     double expected_level(const std::string& host, const std::string& failure_domain,
                           const std::string& account, time_point now);
-    [[nodiscard]] static double missing_tokens(const reservation& pending,
-                                               const account_reservation& wanted, time_point now);
-    [[nodiscard]] static bool is_complete(const reservation& pending, time_point now);
-    [[nodiscard]] static bool has_all_replies(const reservation& pending);
-    reservation_result advance_reservation(std::uint64_t id, bool is_round_over, time_point now);
     void store_hint(account_state& state, const std::string& host, double level,
                     time_point now) const;
     void expire_queries(time_point now);
-    bool postpone(reservation& pending, time_point now, std::vector<limit_message>& messages);
-    void end_loans(reservation& pending, bool is_granted, time_point now,
-                   std::vector<limit_message>& messages);
-    [[nodiscard]] duration to_retry_after(const reservation& pending) const;
 
     std::string m_host;
     std::string m_failure_domain;
