Decode and record the rejection limit that an endpoint names

Endpoints of some services name the rejections in a second that they survive (Server-Brittle). Nothing read it. The newest statement of an incarnation is kept, as for a named rate; changes are logged and counted. Malformed values and repeated fields are reported and change nothing. No decision uses it yet.

--- a/src/gateway/routing/endpoint_notices.cpp
+++ b/src/gateway/routing/endpoint_notices.cpp
@@ -72,12 +72,38 @@
 
 rate_statement endpoint_notices::last_rate_statement(const endpoint_incarnation& endpoint) const
 {
-    rate_statement last;
+    return newest(endpoint, &notice::rate);
+}
+
+bool endpoint_notices::on_rejection_statement(const endpoint_incarnation& endpoint,
+                                              const rejection_statement& statement, time_point now)
+{
+    const rejection_statement last = last_rejection_statement(endpoint);
+    const bool has_said_nothing = !statement.limit && last.said_at == time_point{};
+    if (has_said_nothing || statement.said_at <= last.said_at) {
+        return false;
+    }
+    find_or_add(endpoint, now).rejections = statement;
+    return statement.limit != last.limit;
+}
+
+rejection_statement
+endpoint_notices::last_rejection_statement(const endpoint_incarnation& endpoint) const
+{
+    return newest(endpoint, &notice::rejections);
+}
+
+/// Returns the newest statement of one kind that the endpoint has made.
+template <typename Statement>
+Statement endpoint_notices::newest(const endpoint_incarnation& endpoint,
+                                   Statement notice::*member) const
+{
+    Statement last;
     for (auto it = m_notices.lower_bound({endpoint.id, INT64_MIN});
          it != m_notices.end() && it->first.id == endpoint.id; ++it) {
         if (may_be_same(it->first.started_ms, endpoint.started_ms) &&
-            it->second.rate.said_at > last.said_at) {
-            last = it->second.rate;
+            (it->second.*member).said_at > last.said_at) {
+            last = it->second.*member;
         }
     }
     return last;
@@ -118,7 +144,7 @@
     const auto dropped = std::erase_if(m_notices, [now](const auto& item) {
         const notice& held = item.second;
         return !held.is_leaving && !held.is_ended && !held.rate.max_rate &&
-               held.turned_away_until <= now;
+               !held.rejections.limit && held.turned_away_until <= now;
     });
     if (dropped > 0) {
         return;
--- a/src/gateway/routing/endpoint_notices.h
+++ b/src/gateway/routing/endpoint_notices.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/routing/rate_statement.h"
+#include "gateway/routing/rejection_statement.h"
 #include "process/clock.h"
 
 #include <chrono>  // seconds
@@ -59,6 +60,12 @@
     /// no later than the recorded one have no effect. Returns whether the rate is another one now.
     bool on_rate_statement(const endpoint_incarnation& endpoint, const rate_statement& statement,
                            time_point now);
+
+    /// Records the rejection limit that `endpoint` has named, or that it names none. Statements that
+    /// were made no later than the recorded one have no effect. Returns whether the limit is another
+    /// one now.
+    bool on_rejection_statement(const endpoint_incarnation& endpoint,
+                                const rejection_statement& statement, time_point now);
     /// @}
 
     /// @name state
@@ -76,6 +83,11 @@
 
     /// The newest statement of `endpoint` on its rate; one without a rate if there was none.
     [[nodiscard]] rate_statement last_rate_statement(const endpoint_incarnation& endpoint) const;
+
+    /// The newest statement of `endpoint` on its rejection limit; one without a limit if there was
+    /// none.
+    [[nodiscard]] rejection_statement
+    last_rejection_statement(const endpoint_incarnation& endpoint) const;
     [[nodiscard]] std::size_t size() const noexcept { return m_notices.size(); }
     /// @}
 
@@ -85,9 +97,13 @@
         bool is_ended = false;
         time_point turned_away_until{};
         rate_statement rate;
+        rejection_statement rejections;
         time_point updated{};
     };
 
+    template <typename Statement>
+    [[nodiscard]] Statement newest(const endpoint_incarnation& endpoint,
+                                   Statement notice::*member) const;
     notice& find_or_add(const endpoint_incarnation& endpoint, time_point now);
     void make_room(time_point now);
 
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -189,6 +189,12 @@
     bool on_rate_statement(const endpoint_incarnation& endpoint, const rate_statement& statement,
                            time_point now);
 
+    /// Records what `endpoint` has said of its rejection limit; see
+    /// `endpoint_notices::on_rejection_statement()`. Returns whether the limit is another one now. The
+    /// incarnation may be a former one, or not be published at present.
+    bool on_rejection_statement(const endpoint_incarnation& endpoint,
+                                const rejection_statement& statement, time_point now);
+
     /// Returns, for the heartbeat, the newest statements that are known of published endpoints which
     /// have named a rate; the newest `max_rate_reports` if there are more.
     [[nodiscard]] std::vector<rate_report> rate_reports(time_point now) const;
--- a/src/gateway/serving/endpoint_statements.cpp
+++ b/src/gateway/serving/endpoint_statements.cpp
@@ -1,6 +1,8 @@
 #include "gateway/serving/endpoint_statements.h"
 
+#include <cstdint>     // int64_t, uint32_t
 #include <optional>    // optional
+#include <string>      // string
 #include <string_view> // string_view
 
 #include <fmt/format.h> // format
@@ -54,6 +56,25 @@
     context.log.write(line);
 }
 
+/// Records the rejection limit that an endpoint names, or that it names none, as for a rate.
+void record_rejection_limit(const statement_context& context, const endpoint_incarnation& endpoint,
+                            const std::optional<std::uint32_t>& limit, const statement_times& times)
+{
+    const rejection_statement statement{limit, limit ? times.received_at : times.asked_at};
+    if (!context.pool.on_rejection_statement(endpoint, statement, times.received_at)) {
+        return;
+    }
+    const std::string_view event =
+        limit ? "endpoint_rejection_limit_named" : "endpoint_rejection_limit_ended";
+    context.metrics.count(std::string{event});
+    log_line line{event};
+    line.add("endpoint", endpoint.id).add("started_ms", endpoint.started_ms);
+    if (limit) {
+        line.add("per_s", std::int64_t{*limit});
+    }
+    context.log.write(line);
+}
+
 } // namespace
 
 void record_statement(const statement_context& context, const endpoint_incarnation& endpoint,
@@ -72,6 +93,9 @@
     if (!statement.is_max_rate_malformed) {
         record_max_rate(context, endpoint, statement.max_rate, times);
     }
+    if (!statement.is_rejection_limit_malformed) {
+        record_rejection_limit(context, endpoint, statement.rejection_limit, times);
+    }
     if (statement.load) {
         context.metrics.count("endpoint_load_stated");
         context.pool.on_load_statement(endpoint, *statement.load, times.received_at,
--- a/src/gateway/serving/protocol_adapter.h
+++ b/src/gateway/serving/protocol_adapter.h
@@ -44,6 +44,9 @@
     /// Requests per second that it takes from all hosts together; nothing if it names no rate.
     std::optional<double> max_rate;
     bool is_max_rate_malformed = false; ///< it names a rate that could not be read, or several
+    /// Rejections in a second that it survives; nothing if it names no limit.
+    std::optional<std::uint32_t> rejection_limit;
+    bool is_rejection_limit_malformed = false; ///< it names one that could not be read, or several
     /// Its load; nothing if it reports none, several, or one that is malformed or out of bounds.
     std::optional<load_statement> load;
     /// One that could not be read, or repeats a field.
--- a/tests/gateway/platform_formats_test.cpp
+++ b/tests/gateway/platform_formats_test.cpp
@@ -600,3 +600,41 @@
         CHECK(read(values).is_max_rate_malformed);
     }
 }
+
+// guards against LIMIT, and against obeying a rejection limit that is negative, no number or named
+// twice
+TEST_CASE("endpoint that names a rejection limit: it is missed or misread")
+{
+    const protocol_adapter adapter = platform::make_protocol_adapter();
+    const auto read = [&](const std::vector<std::string>& values) {
+        static message_head head;
+        head = {};
+        for (const std::string& value : values) {
+            head.headers.add("server-brittle", value);
+        }
+        return adapter.read_endpoint_statement(head);
+    };
+    CHECK(read({"0"}).rejection_limit == 0U);
+    CHECK(read({"1"}).rejection_limit == 1U);
+    CHECK(read({"3.6"}).rejection_limit == 3U); // a fourth rejection is one too many
+    CHECK(read({"500"}).rejection_limit == 500U);
+    CHECK_FALSE(read({"4"}).is_rejection_limit_malformed);
+    CHECK_FALSE(read({"4"}).malformed_value.has_value());
+    CHECK_FALSE(read({}).rejection_limit.has_value());
+    CHECK_FALSE(read({}).is_rejection_limit_malformed);
+    for (const std::string& value :
+         {std::string{}, std::string{"-1"}, std::string{"-0"}, std::string{"soon"},
+          std::string{"1e3"}, std::string{"inf"}, std::string{"nan"}, std::string{"2 /s"},
+          std::string{"1, 2"}, std::string{"0x10"}, std::string{"1000001"},
+          std::string(400, '9')}) {
+        CAPTURE(value);
+        CHECK_FALSE(read({value}).rejection_limit.has_value());
+        CHECK(read({value}).is_rejection_limit_malformed);
+        CHECK(read({value}).malformed_value == value);
+    }
+    for (const auto& values : {std::vector<std::string>{"1", "2"}, {"1", "1"}, {"soon", "1"}}) {
+        CHECK_FALSE(read(values).rejection_limit.has_value());
+        CHECK(read(values).is_rejection_limit_malformed);
+    }
+    CHECK_FALSE(read({"2"}).max_rate.has_value());
+}
