Keep to a share of the room of endpoints that name a rejection limit

Cause: nothing read the statement, and each host filled endpoints up to their slots and 10 waiting requests by old counts of the others. A limit of all hosts together, whose sum no host sees. A rejection, the only sign, comes too late.

Change: requests under way and rejections of the last second, over all hosts, are at most the larger one of an endpoint's slots and its limit, by equal shares. Hosts without a share forward within the region. After a rejection a brittle endpoint gets nothing for a second or more, and the request isn't sent to another one. An incarnation that hasn't said anything counts as its service does. Hosts tell each other the statements in a new field of the heartbeat.

--- a/src/gateway/membership/fleet_membership.cpp
+++ b/src/gateway/membership/fleet_membership.cpp
@@ -151,6 +151,7 @@
     news.restarts = received.restarts;
     news.cold_endpoints = received.cold_endpoints;
     news.rates = std::exchange(received.rates, {});
+    news.rejection_limits = std::exchange(received.rejection_limits, {});
     news.loads = std::exchange(received.loads, {});
     for (const load_report& report : news.loads) {
         hold_load(report, arrived_after - report.age);
--- a/src/gateway/membership/fleet_membership.h
+++ b/src/gateway/membership/fleet_membership.h
@@ -79,17 +79,18 @@
 /// What a datagram brought, beside changes to the member table.
 struct received_news {
     bool is_readable = true;
-    std::string sender;                      ///< its IP
-    std::string new_host;                    ///< name of the sender if it became live
-    std::string region;                      ///< of the sender
-    std::vector<sent_prefix> prompts;        ///< sent by hosts of this region
-    std::vector<restart_report> restarts;    ///< of endpoints of this region
-    bool all_endpoints_warm = false;         ///< of this region, by a host of it
-    std::vector<cold_report> cold_endpoints; ///< of this region
-    std::vector<rate_report> rates;          ///< of endpoints of this region
-    std::vector<load_report> loads;          ///< of endpoints of this region
-    bool has_peer_loads = false;             ///< a digest has replaced loads of `peer_loads()`
-    std::vector<stream_report> streams;      ///< begun at other hosts, of any region
+    std::string sender;                             ///< its IP
+    std::string new_host;                           ///< name of the sender if it became live
+    std::string region;                             ///< of the sender
+    std::vector<sent_prefix> prompts;               ///< sent by hosts of this region
+    std::vector<restart_report> restarts;           ///< of endpoints of this region
+    bool all_endpoints_warm = false;                ///< of this region, by a host of it
+    std::vector<cold_report> cold_endpoints;        ///< of this region
+    std::vector<rate_report> rates;                 ///< of endpoints of this region
+    std::vector<rejection_report> rejection_limits; ///< of endpoints of this region
+    std::vector<load_report> loads;                 ///< of endpoints of this region
+    bool has_peer_loads = false;        ///< a digest has replaced loads of `peer_loads()`
+    std::vector<stream_report> streams; ///< begun at other hosts, of any region
     std::vector<usage_report> usage;
     crash_evidence crashes;
     std::vector<std::string> regions; ///< other regions whose capacity was reported
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -156,6 +156,19 @@
     }
 }
 
+void add_rejection_limits(gossip::heartbeat& message, const std::vector<rejection_report>& reports)
+{
+    for (const rejection_report& report : reports) {
+        auto& added = *message.add_rejection_limits();
+        added.set_incarnation(report.incarnation);
+        if (report.limit) {
+            added.set_limit(*report.limit);
+        }
+        // rounded up, so that forwarding doesn't make a report seem newer
+        added.set_age_ms(to_ms(report.age) + 1);
+    }
+}
+
 /// Adds streams, those of one software version together. `Message` is a heartbeat or a digest.
 template <typename Message>
 void add_streams(Message& message, const std::vector<stream_report>& reports)
@@ -510,6 +523,7 @@
     if (scope == heartbeat_scope::own_region) {
         add_endpoints(message, sent);
         add_rates(message, sent.rates);
+        add_rejection_limits(message, sent.rejection_limits);
     }
     add_crashes(message, sent.crashes);
     add_streams(message, sent.streams);
@@ -553,6 +567,12 @@
     read_usage(message, received);
     read_endpoints(message, received);
     received.rates = to_rates(message);
+    for_each_bounded(message.rejection_limits(), [&](const gossip::rejection_report& report) {
+        received.rejection_limits.push_back(
+            {report.incarnation(),
+             report.has_limit() ? std::optional{report.limit()} : std::nullopt,
+             milliseconds{report.age_ms()}});
+    });
     received.crashes = to_crashes(message.crashes());
     received.streams = to_streams(message);
     if (message.has_digest()) {
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -64,6 +64,13 @@
     duration age{0};                ///< since it can have said so at the earliest
 };
 
+/// What an endpoint has last said of the rejections that it survives.
+struct rejection_report {
+    std::uint32_t incarnation = 0;      ///< hash of the endpoint's id and start time
+    std::optional<std::uint32_t> limit; ///< in a second, over all hosts; nothing: any number
+    duration age{0};                    ///< since it can have said so at the earliest
+};
+
 /// How often a host wants the digests of another host.
 enum class digest_subscription : std::uint8_t {
     none,
@@ -153,12 +160,13 @@
     std::vector<restart_report> restarts; ///< by what this host itself has learned
     /// Whether the host takes all endpoints of its region for warm, and would know otherwise.
     bool all_endpoints_warm = false;
-    std::vector<cold_report> cold_endpoints; ///< that have said so to this host
-    std::vector<end_report> ended_endpoints; ///< by what this host itself has seen
-    std::vector<rate_report> rates;          ///< the newest that this host knows
-    std::vector<load_report> loads;          ///< made to this host since the previous heartbeat
-    single_version_claim single_version;     ///< by what this host knows
-    std::vector<stream_report> streams;      ///< begun at this host
+    std::vector<cold_report> cold_endpoints;        ///< that have said so to this host
+    std::vector<end_report> ended_endpoints;        ///< by what this host itself has seen
+    std::vector<rate_report> rates;                 ///< the newest that this host knows
+    std::vector<rejection_report> rejection_limits; ///< the newest that this host knows
+    std::vector<load_report> loads;      ///< made to this host since the previous heartbeat
+    single_version_claim single_version; ///< by what this host knows
+    std::vector<stream_report> streams;  ///< begun at this host
     crash_evidence crashes;
     /// Regions of which the sender's region hears no host. Who hears them introduces their hosts, and
     /// passes on what they use.
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -72,6 +72,7 @@
         state.is_ended = m_notices.is_ended({id, entry.started_ms});
         state.turned_away_until = m_notices.turned_away_until({id, entry.started_ms});
         update_rate(state, now);
+        state.rejections = m_notices.last_rejection_statement({id, entry.started_ms});
         if (use == usability::usable && known.evacuated_start == entry.started_ms) {
             // it may have become cold during the evacuation, after its last known heartbeat
             state.history->on_sign(restart_sign::unconfirmed, now);
@@ -181,7 +182,8 @@
 
 std::uint32_t endpoint_pool::max_active(const endpoint_state& state) const
 {
-    return state.is_engine ? state.entry.slots : state.entry.slots + m_options.max_plain_queue;
+    const bool has_queue = !state.is_engine && !is_brittle(state);
+    return state.entry.slots + (has_queue ? m_options.max_plain_queue : 0);
 }
 
 bool endpoint_pool::has_free_slot(const endpoint_state& state, time_point now) const
@@ -195,7 +197,7 @@
     if (is_blocked(state, now) || (state.is_half_open && state.own.active > 0)) {
         return false;
     }
-    if (time_to_share(state, now) != duration{0}) {
+    if (time_to_share(state, now) != duration{0} || !has_room(state, now)) {
         return false;
     }
     if (is_cold(state, now) && state.cold_rate > 0) {
@@ -416,7 +418,8 @@
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](auto& item) {
         endpoint_state& state = item.second;
-        if (!is_candidate(state, request) || state.backoff_until >= now + m_options.max_backoff) {
+        if (!is_candidate(state, request) || state.backoff_until >= now + m_options.max_backoff ||
+            is_without_share(state)) {
             return false;
         }
         std::optional<duration> wait = time_unwanted(state, now);
@@ -433,7 +436,7 @@
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](auto& item) {
         endpoint_state& state = item.second;
         return is_candidate(state, request) && state.backoff_until < until &&
-               state.turned_away_until < until &&
+               state.turned_away_until < until && !is_without_share(state) &&
                !(has_free_slot(state, now) && may_send(state, now));
     });
 }
@@ -466,7 +469,7 @@
     for (const auto& [id, state] : m_endpoints) {
         // one that is only unproven is asked ahead of requests, or at once when there are some
         if (!is_candidate(state, any) || is_blocked(state, now) || state.share ||
-            state.history->is_known_cold(now)) {
+            state.history->is_known_cold(now) || is_without_share(state)) {
             continue;
         }
         const std::uint32_t active = state.own.active + state.peers.active;
@@ -647,12 +650,16 @@
         state.failure_rate *= 1 - failure_weight;
         state.failures = 0;
         state.is_half_open = false;
+        on_room_used(state);
         break;
     case endpoint_outcome::failed:
         state.failure_rate += failure_weight * (1 - state.failure_rate);
         state.is_half_open = false;
         break;
     case endpoint_outcome::shed:
+        if (rejection_limit(state)) {
+            on_rejected(state, now);
+        }
         state.backoff_until = std::max(state.backoff_until, now + m_options.shed_backoff);
         break;
     case endpoint_outcome::refused:
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -18,6 +18,7 @@
 #include <cstddef>       // size_t
 #include <cstdint>       // int64_t, uint32_t, uint64_t
 #include <functional>    // function
+#include <limits>        // numeric_limits
 #include <map>           // map
 #include <optional>      // optional
 #include <set>           // set
@@ -82,6 +83,12 @@
     std::uint32_t software_version = 0; ///< hash of the endpoint's
 };
 
+/// An endpoint's room for requests.
+struct endpoint_room {
+    std::string endpoint; ///< id
+    std::uint32_t places = 0;
+};
+
 /// Requirements of a request on its endpoint.
 struct placement_request {
     const service* requested_service = nullptr;
@@ -107,7 +114,8 @@
 /// that has said that it is leaving, or at whose address another incarnation responds, gets no
 /// request any more, whatever is published of it. One that has turned this host away with a time
 /// gets none until that time is over. One that names a rate gets this host's share of it, and isn't
-/// offered to other regions.
+/// offered to other regions. One that names a rejection limit gets no more requests at a time than
+/// this host's share of its room.
 ///
 /// Thread safety: none; the owner serialises calls. No I/O.
 class endpoint_pool {
@@ -120,10 +128,19 @@
     /// `rate` of them from all hosts together.
     using rate_share_function = std::function<double(const std::string& id, double rate)>;
 
-    endpoint_pool(endpoint_pool_options options, cold_allowance_function to_cold_allowance,
-                  rate_share_function to_rate_share)
+    /// Returns the requests that this host may have under way at the endpoint `id`, which has `places`
+    /// for those of all hosts together.
+    using room_share_function =
+        std::function<std::uint32_t(const std::string& id, std::uint32_t places)>;
+
+    /// @param to_room_share default: this host has all the room
+    endpoint_pool(
+        endpoint_pool_options options, cold_allowance_function to_cold_allowance,
+        rate_share_function to_rate_share,
+        room_share_function to_room_share = [](const std::string&,
+                                               std::uint32_t places) { return places; })
         : m_options{options}, m_to_cold_allowance{std::move(to_cold_allowance)},
-          m_to_rate_share{std::move(to_rate_share)}
+          m_to_rate_share{std::move(to_rate_share)}, m_to_room_share{std::move(to_room_share)}
     {
     }
 
@@ -195,6 +212,18 @@
     bool on_rejection_statement(const endpoint_incarnation& endpoint,
                                 const rejection_statement& statement, time_point now);
 
+    /// Returns, for the heartbeat, the newest statements that are known of published endpoints which
+    /// have named a rejection limit; the newest ones if there are too many for one heartbeat.
+    [[nodiscard]] std::vector<rejection_report> rejection_reports(time_point now) const;
+
+    /// Records what an endpoint has said of its rejection limit to another host. Returns whether the
+    /// limit is another one now.
+    /// @param heard_since as in `on_peer_rate()`
+    bool on_peer_rejections(const rejection_report& report, time_point heard_since, time_point now);
+
+    /// Whether the endpoint survives fewer rejections in a second than it has slots.
+    [[nodiscard]] bool is_brittle(const endpoint_incarnation& endpoint) const;
+
     /// Returns, for the heartbeat, the newest statements that are known of published endpoints which
     /// have named a rate; the newest `max_rate_reports` if there are more.
     [[nodiscard]] std::vector<rate_report> rate_reports(time_point now) const;
@@ -370,8 +399,15 @@
     /// that name a rate; 0 if there are none.
     [[nodiscard]] double total_share(const placement_request& request) const;
 
+    /// Returns a random one of the endpoints that may take the request, with its places, if all of
+    /// them name rejection limits and this host has a share of none; nothing otherwise, or if there are
+    /// none. Hosts with a share may send the request there.
+    [[nodiscard]] std::optional<endpoint_room> find_room_elsewhere(const placement_request& request,
+                                                                   random_source& random) const;
+
     /// Takes a request out of this host's share of the endpoint's rate, for a health probe. Returns
-    /// false, without effect, if the share admits none now; true if the endpoint names no rate.
+    /// false, without effect, if the share admits none now, or if the endpoint is brittle and has no
+    /// room; true otherwise if the endpoint names no rate.
     [[nodiscard]] bool try_take_share(const std::string& endpoint, time_point now);
 
     /// Returns the free slots of the region for a service and the lowest expected time to first
@@ -438,6 +474,7 @@
         std::size_t endpoints = 0; ///< listed
         assumed_load assumed;      ///< as of `assumed_at`
         time_point assumed_at{};
+        rejection_statement rejections{}; ///< the newest of any endpoint
     };
 
     /// The newest statement of an endpoint.
@@ -482,6 +519,12 @@
         endpoint_history* history = nullptr; ///< in `m_histories`; never null
         rate_statement rate;                 ///< its newest
         std::optional<token_bucket> share;   ///< this host's of the rate; set if it names one
+        rejection_statement rejections;      ///< its newest
+        bool has_stated_rejections = false;  ///< it has responded, with a limit or without one
+        std::vector<time_point> rejected_at; ///< requests of this host, while it is brittle
+        unsigned rejections_in_row = 0;
+        /// Requests that this host may have under way by what rejections have shown.
+        double learned_room = std::numeric_limits<double>::max();
         service_state* of_service = nullptr; ///< in `m_services`; never null
         std::optional<held_statement> stated;
         std::vector<own_change> own_changes; ///< of the last seconds, oldest first
@@ -524,6 +567,15 @@
                                               const placement_request& request, time_point now);
     [[nodiscard]] bool has_free_slot(const endpoint_state& state, time_point now) const;
     [[nodiscard]] bool may_send(endpoint_state& state, time_point now);
+    [[nodiscard]] static const std::optional<std::uint32_t>&
+    rejection_limit(const endpoint_state& state);
+    [[nodiscard]] static bool is_brittle(const endpoint_state& state);
+    [[nodiscard]] static std::uint32_t room_of(const endpoint_state& state);
+    [[nodiscard]] bool is_without_share(const endpoint_state& state) const;
+    [[nodiscard]] static bool has_stated_waiting(const endpoint_state& state, time_point now);
+    [[nodiscard]] bool has_room(const endpoint_state& state, time_point now) const;
+    void on_rejected(endpoint_state& state, time_point now) const;
+    static void on_room_used(endpoint_state& state);
     void update_rate(endpoint_state& state, time_point now) const;
     void update_share(endpoint_state& state, time_point now) const;
     [[nodiscard]] std::optional<duration> time_to_share(endpoint_state& state,
@@ -622,6 +674,7 @@
     endpoint_pool_options m_options;
     cold_allowance_function m_to_cold_allowance;
     rate_share_function m_to_rate_share;
+    room_share_function m_to_room_share;
     time_point m_peer_loads_as_of = time_point::max();
     bool m_has_load_statements = false;
     std::optional<start_share> m_start; ///< of services without requests so far; set at the start
--- a/src/gateway/routing/endpoint_pool_rates.cpp
+++ b/src/gateway/routing/endpoint_pool_rates.cpp
@@ -61,7 +61,14 @@
 bool endpoint_pool::try_take_share(const std::string& endpoint, time_point now)
 {
     const auto found = m_endpoints.find(endpoint);
-    if (found == m_endpoints.end() || !found->second.share) {
+    if (found == m_endpoints.end()) {
+        return true;
+    }
+    const endpoint_state& state = found->second;
+    if (is_brittle(state) && (has_stated_waiting(state, now) || !has_free_slot(state, now))) {
+        return false;
+    }
+    if (!state.share) {
         return true;
     }
     if (time_to_share(found->second, now) != duration{0}) {
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -481,6 +481,11 @@
                                                                   time_point now) const
 {
     const auto& here = options.here;
+    if (!here && !m_is_forwarded && allows_own_region(allowed)) {
+        if (const member* holder = find_room_holder(allowed, now)) {
+            return destination{std::nullopt, holder, duration{0}};
+        }
+    }
     const auto elsewhere =
         choose_region(here ? std::optional{here->expected} : std::nullopt, options.others,
                       allowed.matched_route->objective, m_context.options.regions);
@@ -496,6 +501,17 @@
     return std::nullopt;
 }
 
+/// Returns a host of this region that may send the request to a brittle endpoint, if this host may send
+/// to none; null otherwise.
+const member* exchange::find_room_holder(const authorisation& allowed, time_point now) const
+{
+    const service* of = allowed.published->find_service(m_service);
+    const auto room = of == nullptr ? std::nullopt
+                                    : m_context.pool.find_room_elsewhere(
+                                          to_placement_request(*of, m_excluded), m_context.random);
+    return room ? pick_room_holder(m_context, *room, now) : nullptr;
+}
+
 void exchange::send(const destination& chosen)
 {
     if (chosen.host != nullptr) {
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -183,6 +183,8 @@
     [[nodiscard]] std::optional<destination> choose_destination(const authorisation& allowed,
                                                                 const placement_options& options,
                                                                 time_point now) const;
+    [[nodiscard]] const member* find_room_holder(const authorisation& allowed,
+                                                 time_point now) const;
     void send(const destination& chosen);
     [[nodiscard]] bool may_be_last() const;
     [[nodiscard]] bool is_known_hopeless(const service& of, const placement_options& options,
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -491,6 +491,12 @@
     if (!may_retry(failure)) {
         return retry_decision::not_allowed;
     }
+    if (failure.outcome == endpoint_outcome::shed && !m_has_response_started &&
+        !m_attempt.endpoint.empty() && m_context.pool.is_brittle(attempted_endpoint())) {
+        // the others have no more room, and may crash if they reject it as well
+        m_context.metrics.count("retry_at_brittle_left_out");
+        return retry_decision::not_allowed;
+    }
     if (m_broken_off && !m_context.quarantine.may_retry(*m_broken_off, boot_clock::now())) {
         m_context.metrics.count("retry_of_suspect_left_out");
         return retry_decision::suspected;
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -83,15 +83,17 @@
                random_seed()},
               to_ips(m_settings.seeds),
               to_membership_options(m_settings)},
-      m_usage{boot_clock::now(), random_seed()}, m_pool{{.contact_retention = contact_retention},
-                                                        [this](const std::string& endpoint,
-                                                               double rate) {
-                                                            return cold_rate_for(endpoint, rate);
-                                                        },
-                                                        [this](const std::string& endpoint,
-                                                               double rate) {
-                                                            return rate_share_of(endpoint, rate);
-                                                        }},
+      m_usage{boot_clock::now(), random_seed()},
+      m_pool{{.contact_retention = contact_retention},
+             [this](const std::string& endpoint, double rate) {
+                 return cold_rate_for(endpoint, rate);
+             },
+             [this](const std::string& endpoint, double rate) {
+                 return rate_share_of(endpoint, rate);
+             },
+             [this](const std::string& endpoint, std::uint32_t places) {
+                 return room_share_of(endpoint, places);
+             }},
       m_quarantine{{.salt = random_seed()}}, m_client{m_loop}, m_source{m_parts.make_source(
                                                                    m_loop, m_client, m_settings)},
       m_follower{{m_loop, *m_source, m_state, m_fleet.members(), m_client, m_log, m_metrics},
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -103,6 +103,8 @@
     void begin_start(time_point now);
     [[nodiscard]] double cold_rate_for(const std::string& endpoint, double rate) const;
     [[nodiscard]] double rate_share_of(const std::string& endpoint, double rate) const;
+    [[nodiscard]] std::uint32_t room_share_of(const std::string& endpoint,
+                                              std::uint32_t places) const;
 
     // configuration
     void on_published();
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -1,5 +1,6 @@
 #include "gateway/limits/cold_allowance.h"
 #include "gateway/limits/rate_share.h"
+#include "gateway/limits/room_share.h"
 #include "gateway/serving/gateway.h"
 #include "gateway/serving/region_options.h"
 
@@ -66,6 +67,7 @@
     state.cold_endpoints = m_pool.own_cold_endpoints(now);
     state.ended_endpoints = m_pool.own_ended_endpoints();
     state.rates = m_pool.rate_reports(now);
+    state.rejection_limits = m_pool.rejection_reports(now);
     state.loads = m_pool.take_load_reports(now);
     state.single_version = m_version_history.claim(now);
     state.used = m_usage.used();
@@ -155,6 +157,12 @@
             m_metrics.count(report.max_rate ? "endpoint_rate_heard" : "endpoint_rate_end_heard");
         }
     }
+    for (const rejection_report& report : news.rejection_limits) {
+        if (m_pool.on_peer_rejections(report, m_heard_since, now)) {
+            m_metrics.count(report.limit ? "endpoint_rejection_limit_heard"
+                                         : "endpoint_rejection_limit_end_heard");
+        }
+    }
     for (const load_report& report : news.loads) {
         m_pool.on_peer_load(report, arrived_after, now);
         m_metrics.count("endpoint_load_heard");
@@ -272,6 +280,12 @@
                          endpoint, rate, boot_clock::now() - m_started);
 }
 
+std::uint32_t gateway::room_share_of(const std::string& endpoint, std::uint32_t places) const
+{
+    return to_room_share(m_fleet.members(), {m_settings.ip, m_settings.region, m_is_stopping},
+                         endpoint, places, boot_clock::now() - m_started);
+}
+
 // configuration
 
 void gateway::on_published()
--- a/src/gateway/serving/region_options.cpp
+++ b/src/gateway/serving/region_options.cpp
@@ -1,5 +1,6 @@
 #include "gateway/serving/region_options.h"
 
+#include "gateway/limits/room_share.h"
 #include "gateway/routing/rendezvous.h"
 
 #include <algorithm> // any_of, find, min
@@ -141,4 +142,18 @@
     return nullptr;
 }
 
+const member* pick_room_holder(serving_context& context, const endpoint_room& room, time_point now)
+{
+    const cold_owner_candidate own{context.settings.ip, context.settings.region, false};
+    std::vector<const member*> usable;
+    for (const std::string& ip :
+         room_share_holders(context.members, own, room.endpoint, room.places)) {
+        const auto found = context.members.all().find(ip);
+        if (found != context.members.all().end() && is_usable(context, found->second, now)) {
+            usable.push_back(&found->second);
+        }
+    }
+    return usable.empty() ? nullptr : usable[random_index(context.random, usable.size())];
+}
+
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/region_options.h
+++ b/src/gateway/serving/region_options.h
@@ -45,4 +45,9 @@
 [[nodiscard]] const member* pick_host(serving_context& context, const std::string& region,
                                       time_point now);
 
+/// Returns a random one of the usable hosts of this region that have a share of a brittle endpoint's
+/// room, or null if there is none. O(hosts * log(hosts)).
+[[nodiscard]] const member* pick_room_holder(serving_context& context, const endpoint_room& room,
+                                             time_point now);
+
 } // namespace hickorykeel::gateway
--- a/standins/gateway/brittle_endpoint.cpp
+++ b/standins/gateway/brittle_endpoint.cpp
@@ -47,12 +47,12 @@
 void brittle_endpoint::after(duration delay, void (brittle_endpoint::*action)())
 {
     auto timer = std::make_shared<asio::steady_timer>(m_world.loop(), delay);
-    timer->async_wait([this, timer, action,
-                       life = std::weak_ptr{m_life}](const asio::error_code& failure) {
-        if (!failure && !life.expired()) {
-            (this->*action)();
-        }
-    });
+    timer->async_wait(
+        [this, timer, action, life = std::weak_ptr{m_life}](const asio::error_code& failure) {
+            if (!failure && !life.expired()) {
+                (this->*action)();
+            }
+        });
 }
 
 void brittle_endpoint::start()
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -9,7 +9,7 @@
 #include <algorithm>  // min
 #include <chrono>     // milliseconds, seconds
 #include <cstddef>    // size_t
-#include <cstdint>    // uint64_t
+#include <cstdint>    // uint32_t, uint64_t
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // make_shared, make_unique
@@ -238,6 +238,27 @@
         m_members.on_services("elsewhere", {{"s", {50ms, 100}}}, now);
     }
 
+    /// Adds a host of this region, to which requests may be forwarded.
+    void add_host_of_region(const behaviour& on_request)
+    {
+        m_peer = std::make_unique<http_server>(m_loop, on_request);
+        REQUIRE(is_ok(m_peer->listen("127.0.0.2:0")));
+        m_settings.peers_address = "127.0.0.1:" + std::to_string(m_peer->port());
+        heartbeat received;
+        received.host = "peer";
+        received.ip = "127.0.0.2";
+        received.region = m_settings.region;
+        received.incarnation = 7;
+        received.sequence = 1;
+        received.is_ready = true;
+        received.has_configuration = true;
+        m_members.on_heartbeat(received, boot_clock::now() + test_timeout);
+    }
+
+    /// Sets this host's share of the room of each endpoint that names a rejection limit; at first, it
+    /// has all of it.
+    void set_room_share(std::uint32_t share) { m_room_share = share; }
+
     void remove_endpoint(const std::string& name)
     {
         m_entries.erase(name);
@@ -417,9 +438,12 @@
     published_state m_state{{}};
     member_table m_members{"127.0.0.1", {}, {}};
     rate_limiter m_usage{boot_clock::now()};
-    endpoint_pool m_pool{{},
-                         [](const std::string&, double rate) { return rate; },
-                         [](const std::string&, double rate) { return rate; }};
+    std::optional<std::uint32_t> m_room_share;
+    endpoint_pool m_pool{
+        {},
+        [](const std::string&, double rate) { return rate; },
+        [](const std::string&, double rate) { return rate; },
+        [this](const std::string&, std::uint32_t places) { return m_room_share.value_or(places); }};
     prompt_quarantine m_quarantine{{}};
     stream_origins m_origins{{}};
     version_history m_versions;
--- a/tests/gateway/gossip_codec_test.cpp
+++ b/tests/gateway/gossip_codec_test.cpp
@@ -317,6 +317,26 @@
     }
 }
 
+TEST_CASE("reports on the rejection limits of endpoints become no newer by encoding and decoding")
+{
+    heartbeat sent = make_digest_heartbeat();
+    sent.rejection_limits = {{97, 3, 1'500ms}, {98, std::nullopt, 0ms}, {99, 0, 5'999'999ns}};
+    const auto received = decode_heartbeat(encode(sent, heartbeat_scope::own_region));
+    REQUIRE(received.has_value());
+    REQUIRE(received->rejection_limits.size() == 3);
+    CHECK(received->rejection_limits[0].incarnation == 97);
+    CHECK(received->rejection_limits[0].limit == 3U);
+    CHECK(received->rejection_limits[1].limit == std::nullopt);
+    CHECK(received->rejection_limits[2].limit == 0U);
+    for (std::size_t i = 0; i < sent.rejection_limits.size(); ++i) {
+        CHECK(received->rejection_limits[i].age >= sent.rejection_limits[i].age);
+        CHECK(received->rejection_limits[i].age <= sent.rejection_limits[i].age + 1ms);
+    }
+    const auto elsewhere = decode_heartbeat(encode(sent, heartbeat_scope::fleet));
+    REQUIRE(elsewhere.has_value());
+    CHECK(elsewhere->rejection_limits.empty());
+}
+
 TEST_CASE("reports on the rates of endpoints become no newer by encoding and decoding")
 {
     heartbeat sent = make_digest_heartbeat();
