--- a/src/gateway/membership/directory_choice.cpp
+++ b/src/gateway/membership/directory_choice.cpp
@@ -17,8 +17,7 @@
     friend auto operator<=>(const suitability&, const suitability&) = default;
 };
 
-/// Returns how well a host at the candidate's place suits the caller.
-suitability to_place(const directory_candidate& candidate, const directory_caller& caller)
+suitability to_suitability(const directory_candidate& candidate, const directory_caller& caller)
 {
     if (candidate.failure_domain == caller.failure_domain) {
         return {directory_scope::failure_domain};
@@ -41,61 +40,41 @@
     return {};
 }
 
-suitability to_suitability(const directory_candidate& candidate, const directory_caller& caller)
-{
-    const suitability place = to_place(candidate, caller);
-    if (!candidate.is_stopping) {
-        return place;
-    }
-    // a stopping host is no replacement for lost ones
-    return place.scope > directory_scope::stopping
-               ? suitability{directory_scope::stopping, static_cast<unsigned>(place.scope)}
-               : suitability{};
-}
-
 std::vector<directory_candidate> to_candidates(const member_table& members,
-                                               const directory_host& own,
-                                               const directory_periods& periods, time_point now)
+                                               const directory_host& own, time_point now)
 {
     std::vector<directory_candidate> candidates;
-    const bool is_own_named = own.stopping_for && *own.stopping_for < periods.stopping_named;
-    if (own.is_ready || is_own_named) {
-        candidates.push_back({own.address, own.failure_domain, own.region, !own.is_ready});
+    if (own.is_ready) {
+        candidates.push_back({own.address, own.failure_domain, own.region});
     }
     const std::string port = own.address.substr(own.address.rfind(':'));
-    for (const member* host : members.live(now)) {
-        const heartbeat& last = host->last;
-        const bool is_named = last.is_leaving && now - host->leaving_since < periods.stopping_named;
-        if (members.is_ready(*host, now) || is_named) {
-            candidates.push_back(
-                {last.ip + port, last.failure_domain, last.region, last.is_leaving});
-        }
+    for (const member* host : members.ready(now)) {
+        candidates.push_back({host->last.ip + port, host->last.failure_domain, host->last.region});
     }
     return candidates;
 }
 
 /// Whether a host that all routes of the caller may use is being restarted.
 bool is_restart_under_way(const member_table& members, const directory_host& own,
-                          const directory_periods& periods, const directory_caller& caller,
-                          time_point now)
+                          const directory_caller& caller, duration restart_time, time_point now)
 {
     const auto suits = [&caller](const std::string& region) {
         return region == caller.region || caller.homes->allow_all(region);
     };
-    return (own.stopping_for && suits(own.region)) ||
+    return (own.is_stopping && suits(own.region)) ||
            std::any_of(members.regions().begin(), members.regions().end(), [&](const auto& item) {
                return suits(item.first) &&
-                      members.has_restarting_host(item.first, periods.restart, now);
+                      members.has_restarting_host(item.first, restart_time, now);
            });
 }
 
 /// Whether hosts that all routes of the caller may use are lost, if there is none to be named.
 bool are_lost(const member_table& members, const directory_host& own,
-              const directory_periods& periods, const directory_caller& caller, time_point now)
+              const directory_caller& caller, duration restart_time, time_point now)
 {
     // a host that has just started doesn't know which others are being restarted
-    if (!caller.homes || own.age < periods.restart ||
-        is_restart_under_way(members, own, periods, caller, now)) {
+    if (!caller.homes || own.age < restart_time ||
+        is_restart_under_way(members, own, caller, restart_time, now)) {
         return false;
     }
     // where no region suits all routes, a caller's region without hosts is no loss
@@ -125,11 +104,10 @@
 }
 
 directory_choice choose_hosts(const member_table& members, const directory_host& own,
-                              const directory_periods& periods, directory_caller caller,
-                              time_point now)
+                              directory_caller caller, duration restart_time, time_point now)
 {
-    caller.may_be_elsewhere = are_lost(members, own, periods, caller, now);
-    return choose_addresses(to_candidates(members, own, periods, now), caller, max_named_hosts);
+    caller.may_be_elsewhere = are_lost(members, own, caller, restart_time, now);
+    return choose_addresses(to_candidates(members, own, now), caller, max_named_hosts);
 }
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/membership/directory_choice.h
+++ b/src/gateway/membership/directory_choice.h
@@ -14,12 +14,11 @@
 
 namespace hickorykeel::gateway {
 
-/// A host that takes requests of callers.
+/// A host that accepts requests of callers.
 struct directory_candidate {
     std::string address;
     std::string failure_domain;
     std::string region;
-    bool is_stopping = false; ///< it takes them for a short time only
 };
 
 /// Location of a caller, and the name for whose hosts it asks.
@@ -35,7 +34,6 @@
 enum class directory_scope : std::uint8_t {
     none,           ///< it is given no host
     elsewhere,      ///< a region where some of the routes may be served
-    stopping,       ///< as below, but the hosts are stopping
     home,           ///< another region, where all of the routes may be served
     region,         ///< of the caller
     failure_domain, ///< of the caller
@@ -44,8 +42,8 @@
 /// Returns the name of `scope`. Thread safe.
 [[nodiscard]] constexpr std::string_view to_name(directory_scope scope) noexcept
 {
-    constexpr std::array<std::string_view, 6> names{"none", "elsewhere", "stopping",
-                                                    "home", "region",    "failure_domain"};
+    constexpr std::array<std::string_view, 5> names{"none", "elsewhere", "home", "region",
+                                                    "failure_domain"};
     return names.at(static_cast<std::size_t>(scope));
 }
 
@@ -69,17 +67,8 @@
     std::string failure_domain;
     std::string region;
     bool is_ready = false;
-    std::optional<duration> stopping_for{}; ///< since it was told to stop; nothing: it wasn't
-    duration age{0};                        ///< of its process
-};
-
-/// Properties of a stop that all hosts share.
-struct directory_periods {
-    /// Time after its stop for which a host may be named, so that it still takes requests while
-    /// callers cache the answer.
-    duration stopping_named{0};
-    /// Time after its stop within which a host that is restarted is ready again and known to be.
-    duration restart{0};
+    bool is_stopping = false;
+    duration age{0}; ///< of its process
 };
 
 /// Returns the hosts that `own` names to a caller, by what it knows of the fleet.
@@ -88,10 +77,12 @@
 /// they are back soon, and requests on routes with home regions would leave these. It is given hosts
 /// elsewhere once the others are lost, so that routes without home regions are served.
 /// @param caller `may_be_elsewhere` is ignored
+/// @param restart_time time after its stop within which a host that is restarted is ready again and
+/// known to be
 ///
 /// O(hosts). Thread safe.
 [[nodiscard]] directory_choice choose_hosts(const member_table& members, const directory_host& own,
-                                            const directory_periods& periods,
-                                            directory_caller caller, time_point now);
+                                            directory_caller caller, duration restart_time,
+                                            time_point now);
 
 } // namespace hickorykeel::gateway
--- a/src/gateway/serving/gateway_listeners.cpp
+++ b/src/gateway/serving/gateway_listeners.cpp
@@ -1,7 +1,6 @@
 #include "gateway/membership/directory_choice.h"
 #include "gateway/serving/exchange.h"
 #include "gateway/serving/gateway.h"
-#include "gateway/serving/shutdown_schedule.h"
 
 #include <algorithm> // any_of, max, min
 #include <chrono>    // seconds
@@ -231,19 +230,17 @@
 directory_choice gateway::hosts_for(const directory_query& query) const
 {
     const time_point now = boot_clock::now();
-    directory_host own{m_settings.callers_address, m_settings.failure_domain, m_settings.region,
-                       is_ready()};
-    own.age = now - m_started;
-    if (m_is_stopping) {
-        own.stopping_for = now - m_shutdown_started;
-    }
+    const directory_host own{m_settings.callers_address,
+                             m_settings.failure_domain,
+                             m_settings.region,
+                             is_ready(),
+                             m_is_stopping,
+                             now - m_started};
     directory_caller caller{query.failure_domain, query.region};
     if (const publication_ptr& published = m_state.published()) {
         caller.homes = published->find_homes(query.host);
     }
-    const directory_periods periods{to_shutdown_admission(m_settings.stop_grace) - directory_ttl,
-                                    m_settings.stop_grace + start_period};
-    return choose_hosts(m_fleet.members(), own, periods, caller, now);
+    return choose_hosts(m_fleet.members(), own, caller, m_settings.stop_grace + start_period, now);
 }
 
 /// Counts an answer to a caller in `region`, and logs it if the hosts named to this region were of
--- a/src/gateway/serving/shutdown_schedule.h
+++ b/src/gateway/serving/shutdown_schedule.h
@@ -28,16 +28,6 @@
 /// Time before the end of the grace at which the process ends, whatever is still being sent.
 inline constexpr duration shutdown_exit_margin = std::chrono::milliseconds{250};
 
-/// Returns for how long a stopping host takes requests.
-/// @param grace time from the stop signal to the kill of the process
-///
-/// Thread safe.
-[[nodiscard]] constexpr duration to_shutdown_admission(duration grace) noexcept
-{
-    return std::min(max_shutdown_admission,
-                    std::chrono::duration_cast<duration>(grace * shutdown_admission_fraction));
-}
-
 /// Returns the phase at `elapsed` after the stop signal.
 /// @param grace time from the stop signal to the kill of the process
 /// @param is_idle no request is open, and no byte of a response is unsent
@@ -46,7 +36,8 @@
 [[nodiscard]] constexpr shutdown_phase to_shutdown_phase(duration elapsed, duration grace,
                                                          bool is_idle) noexcept
 {
-    if (elapsed < to_shutdown_admission(grace)) {
+    const auto fraction = std::chrono::duration_cast<duration>(grace * shutdown_admission_fraction);
+    if (elapsed < std::min(max_shutdown_admission, fraction)) {
         return shutdown_phase::admitting;
     }
     if (is_idle || elapsed >= grace - shutdown_exit_margin) {
