Name hosts elsewhere only if no host that suits was seen for 4 s

That hosts are being restarted was told by when they had said so, for the grace of the asked host and 4 s. That is wrong for hosts that are ready late, for one with a longer grace, and at a host that was cut off and missed the word: it named hosts elsewhere once the others had been silent for 1.3 s, and requests with home regions were led there. Now a region is lost if none of its hosts was seen within 4 s, whatever they had said: stopping hosts send heartbeats until they end, and the next process is heard within that time. The price: callers of hosts that are lost without a word wait for 4 s instead of 1.3 s until they are given hosts elsewhere, on names whose home regions are all lost.

Homes of organisations rank home regions only for names with restricted routes, so that callers of others are spread over all regions. directory_scope isn't logged for hosts without routes: questions for them made lines alternate.

--- a/src/gateway/membership/directory_choice.cpp
+++ b/src/gateway/membership/directory_choice.cpp
@@ -30,8 +30,10 @@
     }
     const name_homes& homes = *caller.homes;
     if (homes.allow_all(candidate.region)) {
+        const bool is_restricted = homes.restricted_routes > 0;
         return {directory_scope::home,
-                name_homes::count(homes.organisations_by_region, candidate.region)};
+                is_restricted ? name_homes::count(homes.organisations_by_region, candidate.region)
+                              : 0};
     }
     if (caller.may_be_elsewhere && homes.allow_any(candidate.region)) {
         return {directory_scope::elsewhere,
@@ -54,31 +56,28 @@
     return candidates;
 }
 
-/// Whether a host that all routes of the caller may use is being restarted.
-bool is_restart_under_way(const member_table& members, const directory_host& own,
-                          const directory_caller& caller, duration restart_time, time_point now)
+/// Whether all hosts that all routes of the caller may use are lost, if none of them is ready.
+bool are_lost(const member_table& members, const directory_host& own,
+              const directory_caller& caller, duration restart_time, time_point now)
 {
+    // a host that has just started may not have heard the others yet
+    if (!caller.homes || own.age < restart_time) {
+        return false;
+    }
     const auto suits = [&caller](const std::string& region) {
         return region == caller.region || caller.homes->allow_all(region);
     };
-    return (own.is_stopping && suits(own.region)) ||
-           std::any_of(members.regions().begin(), members.regions().end(), [&](const auto& item) {
-               return suits(item.first) &&
-                      members.has_restarting_host(item.first, restart_time, now);
-           });
-}
-
-/// Whether hosts that all routes of the caller may use are lost, if there is none to be named.
-bool are_lost(const member_table& members, const directory_host& own,
-              const directory_caller& caller, duration restart_time, time_point now)
-{
-    // a host that has just started doesn't know which others are being restarted
-    if (!caller.homes || own.age < restart_time ||
-        is_restart_under_way(members, own, caller, restart_time, now)) {
+    const auto was_seen = [&](const auto& item) {
+        return suits(item.first) && now - item.second.last_seen < restart_time;
+    };
+    const auto& regions = members.regions();
+    if (suits(own.region) || std::any_of(regions.begin(), regions.end(), was_seen)) {
         return false;
     }
     // where no region suits all routes, a caller's region without hosts is no loss
-    return caller.homes->have_common_region() || members.knows_host(caller.region);
+    const auto found = regions.find(caller.region);
+    return caller.homes->have_common_region() ||
+           (found != regions.end() && !found->second.hosts.empty());
 }
 
 } // namespace
--- a/src/gateway/membership/directory_choice.h
+++ b/src/gateway/membership/directory_choice.h
@@ -54,7 +54,7 @@
 };
 
 /// Returns up to `max_addresses` addresses of the best scope that candidates have. Among those of
-/// other regions, the ones that are home to the most organisations are returned; elsewhere, the ones
+/// other regions, the ones that are home to the most organisations are returned if the name has routes with homes; elsewhere, the ones
 /// that are home to the most routes. Empty if there is no such candidate or `max_addresses` is 0.
 /// O(candidates). Thread safe.
 [[nodiscard]] directory_choice choose_addresses(const std::vector<directory_candidate>& candidates,
@@ -67,18 +67,16 @@
     std::string failure_domain;
     std::string region;
     bool is_ready = false;
-    bool is_stopping = false;
     duration age{0}; ///< of its process
 };
 
 /// Returns the hosts that `own` names to a caller, by what it knows of the fleet.
 ///
-/// While hosts are restarted that would be named to the caller otherwise, it is given none elsewhere:
-/// they are back soon, and requests on routes with home regions would leave these. It is given hosts
-/// elsewhere once the others are lost, so that routes without home regions are served.
+/// While hosts of a region that suits all routes are seen, or were within `restart_time`, none
+/// elsewhere is named: they are ready soon, and requests on routes with home regions would leave
+/// these. Hosts elsewhere are named once the others are lost, so that other routes are served.
 /// @param caller `may_be_elsewhere` is ignored
-/// @param restart_time time after its stop within which a host that is restarted is ready again and
-/// known to be
+/// @param restart_time maximum time from a host's last heartbeat until its next process is heard
 ///
 /// O(hosts). Thread safe.
 [[nodiscard]] directory_choice choose_hosts(const member_table& members, const directory_host& own,
--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -130,9 +130,6 @@
     if (held.last.is_leaving && !was_leaving) {
         held.leaving_since = seen_at;
     }
-    if (held.last.is_ready && !held.last.is_leaving) {
-        held.leaving_since = {};
-    }
     held.region->last_seen = std::max(held.region->last_seen, seen_at);
     held.region->hosts_within_timeout += was_live ? 0 : 1;
     held.last_seen = std::max(held.last_seen, seen_at);
@@ -362,23 +359,6 @@
                        [&](const member* host) { return is_live(*host, now); });
 }
 
-bool member_table::has_restarting_host(const std::string& region, duration time,
-                                       time_point now) const
-{
-    const auto found = m_regions.find(region);
-    return found != m_regions.end() &&
-           std::any_of(
-               found->second.hosts.begin(), found->second.hosts.end(), [&](const member* host) {
-                   return host->leaving_since != time_point{} && now - host->leaving_since < time;
-               });
-}
-
-bool member_table::knows_host(const std::string& region) const
-{
-    const auto found = m_regions.find(region);
-    return found != m_regions.end() && !found->second.hosts.empty();
-}
-
 std::size_t member_table::unknown_seeds() const
 {
     return static_cast<std::size_t>(
--- a/src/gateway/membership/member_table.h
+++ b/src/gateway/membership/member_table.h
@@ -36,9 +36,8 @@
     time_point heard_at{};             ///< receipt of its last heartbeat here
     std::uint64_t heard_sequence = 0;  ///< of its last heartbeat here
     duration report_interval{0};       ///< between reports of other hosts about it; 0: none yet
-    /// Receipt of the news that it is leaving, until it is ready again; unset at the start.
-    time_point leaving_since{};
-    bool is_lost = false; ///< its heartbeats have stopped, here or at another host
+    time_point leaving_since{};        ///< receipt of the news that it is leaving, if it is
+    bool is_lost = false;              ///< its heartbeats have stopped, here or at another host
     /// When `member_table::expire()` first found that it isn't live; unset while it is.
     std::optional<time_point> silent_since;
     region_members* region = nullptr;
@@ -172,14 +171,6 @@
     /// Whether a host of `region` is live.
     [[nodiscard]] bool has_live_host(const std::string& region, time_point now) const;
 
-    /// Whether a host of `region` has said within the last `time` that it is leaving, and hasn't been
-    /// ready since.
-    [[nodiscard]] bool has_restarting_host(const std::string& region, duration time,
-                                           time_point now) const;
-
-    /// Whether a host of `region` is or was known.
-    [[nodiscard]] bool knows_host(const std::string& region) const;
-
     /// Whether the settings name the host.
     [[nodiscard]] bool is_seed(const std::string& ip) const;
 
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -82,7 +82,7 @@
     void serve_directory(const std::shared_ptr<server_exchange>& request);
     void serve_metrics(const std::shared_ptr<server_exchange>& request);
     [[nodiscard]] directory_choice hosts_for(const directory_query& query) const;
-    void record_directory_choice(const std::string& region, directory_scope scope);
+    void record_directory_choice(const directory_query& query, directory_scope scope);
     [[nodiscard]] bool is_ready() const;
     void set_client_limits();
     bool free_memory();
--- a/src/gateway/serving/gateway_listeners.cpp
+++ b/src/gateway/serving/gateway_listeners.cpp
@@ -22,8 +22,8 @@
 /// Time for which callers may cache a response of the directory.
 constexpr auto directory_ttl = std::chrono::seconds{1};
 
-/// Time from a host's end until its successor is ready and the other hosts know it.
-constexpr duration start_period = std::chrono::seconds{4};
+/// Maximum time from a host's last heartbeat until other hosts hear its next process.
+constexpr duration restart_time = std::chrono::seconds{4};
 
 header_list plain_text()
 {
@@ -217,7 +217,7 @@
     }
     const directory_query query = m_parts.adapter.read_directory_query(head.target);
     const directory_choice choice = hosts_for(query);
-    record_directory_choice(query.region, choice.scope);
+    record_directory_choice(query, choice.scope);
     if (choice.addresses.empty()) {
         request->respond(503, plain_text(), "no host is ready\n");
         return;
@@ -230,29 +230,28 @@
 directory_choice gateway::hosts_for(const directory_query& query) const
 {
     const time_point now = boot_clock::now();
-    const directory_host own{m_settings.callers_address,
-                             m_settings.failure_domain,
-                             m_settings.region,
-                             is_ready(),
-                             m_is_stopping,
-                             now - m_started};
+    const directory_host own{m_settings.callers_address, m_settings.failure_domain,
+                             m_settings.region, is_ready(), now - m_started};
     directory_caller caller{query.failure_domain, query.region};
     if (const publication_ptr& published = m_state.published()) {
         caller.homes = published->find_homes(query.host);
     }
-    return choose_hosts(m_fleet.members(), own, caller, m_settings.stop_grace + start_period, now);
+    return choose_hosts(m_fleet.members(), own, caller, restart_time, now);
 }
 
-/// Counts an answer to a caller in `region`, and logs it if the hosts named to this region were of
-/// another scope before.
-void gateway::record_directory_choice(const std::string& region, directory_scope scope)
+/// Counts an answer to `query`, and logs it if the hosts named to its region were of another scope
+/// before. Callers may name any region and host, so only known ones are logged.
+void gateway::record_directory_choice(const directory_query& query, directory_scope scope)
 {
     m_metrics.count("directory_named_" + std::string{to_name(scope)});
-    // callers may name any region, so only the fleet's are kept
-    const bool is_known =
+    const std::string& region = query.region;
+    const publication_ptr& published = m_state.published();
+    const bool is_known_host = published == nullptr || published->find_homes(query.host).routes > 0;
+    const bool is_known_region =
         std::any_of(m_settings.regions.begin(), m_settings.regions.end(),
                     [&region](const auto& item) { return item.second == region; });
-    if (!is_known || std::exchange(m_named_scopes[region], scope) == scope) {
+    if (!is_known_host || !is_known_region ||
+        std::exchange(m_named_scopes[region], scope) == scope) {
         return;
     }
     m_log.write_request(
