--- a/src/gateway/membership/directory_choice.cpp
+++ b/src/gateway/membership/directory_choice.cpp
@@ -1,7 +1,6 @@
 #include "gateway/membership/directory_choice.h"
 
 #include <algorithm> // any_of
-#include <compare>   // strong_ordering
 
 namespace hickorykeel::gateway {
 
@@ -14,7 +13,15 @@
     directory_scope scope = directory_scope::none;
     unsigned weight = 0; ///< among candidates of the same scope
 
-    friend auto operator<=>(const suitability&, const suitability&) = default;
+    [[nodiscard]] bool is_equal_to(const suitability& other) const noexcept
+    {
+        return scope == other.scope && weight == other.weight;
+    }
+
+    [[nodiscard]] bool is_better_than(const suitability& other) const noexcept
+    {
+        return scope == other.scope ? weight > other.weight : scope > other.scope;
+    }
 };
 
 suitability to_suitability(const directory_candidate& candidate, const directory_caller& caller)
@@ -89,11 +96,11 @@
     suitability best;
     for (const directory_candidate& candidate : candidates) {
         const suitability found = to_suitability(candidate, caller);
-        if (found > best) {
+        if (found.is_better_than(best)) {
             best = found;
             choice.addresses.clear();
         }
-        if (found == best && best.scope != directory_scope::none &&
+        if (found.is_equal_to(best) && best.scope != directory_scope::none &&
             choice.addresses.size() < max_addresses) {
             choice.addresses.push_back(candidate.address);
         }
