Forward requests of hosts without a path to endpoints to hosts that have one

Cause: a host that had lost its path was offered as a target as before, so that half of the hops of requests that had to leave their host were in vain, told other regions that its region had no room, and never forwarded to the host beside it.

Change: a host finds out by the connections that it opens (path_monitor; path_checker opens some without a request), says so in its heartbeat, isn't forwarded to, and forwards to another host of its region as to another region. It goes by the loads of others for its region's capacity.

--- a/src/gateway/http/http_client.cpp
+++ b/src/gateway/http/http_client.cpp
@@ -291,6 +291,16 @@
     return nullptr;
 }
 
+bool http_client::has_idle(const std::string& address) const
+{
+    const auto found = m_idle.find(address);
+    return found != m_idle.end() &&
+           std::any_of(found->second.begin(), found->second.end(), [](const auto& connection) {
+               return connection->m_reusable_until > boot_clock::now() &&
+                      connection->m_channel->is_open();
+           });
+}
+
 bool http_client::would_see_end(const std::string& address, time_point until) const
 {
     const auto found = m_idle.find(address);
--- a/src/gateway/http/http_client.h
+++ b/src/gateway/http/http_client.h
@@ -167,6 +167,9 @@
     /// there is an idle connection that it has promised to keep for so long.
     [[nodiscard]] bool would_see_end(const std::string& address, time_point until) const;
 
+    /// Whether there is an open idle connection to `address`.
+    [[nodiscard]] bool has_idle(const std::string& address) const;
+
     /// Number of connections created since the start, failed ones included.
     [[nodiscard]] std::uint64_t connections_opened() const noexcept { return m_opened; }
 
--- a/src/gateway/membership/fleet_membership_digests.cpp
+++ b/src/gateway/membership/fleet_membership_digests.cpp
@@ -23,7 +23,8 @@
             .is_leaving = host.last.is_leaving,
             .is_lost = host.is_lost,
             .has_configuration = host.last.has_configuration,
-            .configuration_age = host.last.configuration_age};
+            .configuration_age = host.last.configuration_age,
+            .lacks_endpoint_path = host.last.lacks_endpoint_path};
 }
 
 /// Report about a host whose heartbeats the receiver, or the sender, doesn't hear.
--- a/src/gateway/membership/gossip_codec.cpp
+++ b/src/gateway/membership/gossip_codec.cpp
@@ -200,6 +200,7 @@
         added.set_is_lost(host.is_lost);
         added.set_has_configuration(host.has_configuration);
         added.set_configuration_age_ms(to_ms(host.configuration_age));
+        added.set_lacks_endpoint_path(host.lacks_endpoint_path);
     }
 }
 
@@ -437,7 +438,8 @@
                                  .is_leaving = host.is_leaving(),
                                  .is_lost = host.is_lost(),
                                  .has_configuration = host.has_configuration(),
-                                 .configuration_age = milliseconds{host.configuration_age_ms()}});
+                                 .configuration_age = milliseconds{host.configuration_age_ms()},
+                                 .lacks_endpoint_path = host.lacks_endpoint_path()});
     });
     return group;
 }
@@ -509,6 +511,7 @@
     message.set_configuration_version(sent.configuration_version);
     message.set_configuration_age_ms(to_ms(sent.configuration_age));
     message.set_is_configuration_checked(sent.is_configuration_checked);
+    message.set_lacks_endpoint_path(sent.lacks_endpoint_path);
     message.set_change_era(sent.operator_change.era);
     message.set_change_revision(sent.operator_change.revision);
     message.set_all_endpoints_warm(sent.all_endpoints_warm);
@@ -554,6 +557,7 @@
     received.configuration_version = message.configuration_version();
     received.configuration_age = milliseconds{message.configuration_age_ms()};
     received.is_configuration_checked = message.is_configuration_checked();
+    received.lacks_endpoint_path = message.lacks_endpoint_path();
     received.operator_change = {message.change_era(), message.change_revision()};
     received.all_endpoints_warm = message.all_endpoints_warm();
     received.single_version = {milliseconds{message.single_version_ms()},
--- a/src/gateway/membership/heartbeat.h
+++ b/src/gateway/membership/heartbeat.h
@@ -89,6 +89,7 @@
     bool is_lost = false; ///< its heartbeats have stopped
     bool has_configuration = false;
     duration configuration_age{0}; ///< at the receipt of that heartbeat
+    bool lacks_endpoint_path = false;
 };
 
 /// Hosts of one failure domain, as reported by another host.
@@ -149,6 +150,8 @@
     duration configuration_age{0}; ///< since it was confirmed up to date
     /// Whether the host has compared its version with those of other hosts (see `version_check`).
     bool is_configuration_checked = false;
+    /// The host can open no connection to the endpoints of its region. Requests aren't forwarded to it.
+    bool lacks_endpoint_path = false;
     /// Newest change of the configuration or of an evacuation that the host knows.
     source_position operator_change;
     duration interval{0}; ///< maximum time until the next heartbeat to this receiver
--- a/src/gateway/membership/member_table.cpp
+++ b/src/gateway/membership/member_table.cpp
@@ -12,7 +12,8 @@
 bool has_same_state(const heartbeat& lhs, const heartbeat& rhs)
 {
     return lhs.incarnation == rhs.incarnation && lhs.is_ready == rhs.is_ready &&
-           lhs.is_leaving == rhs.is_leaving && lhs.has_configuration == rhs.has_configuration;
+           lhs.is_leaving == rhs.is_leaving && lhs.has_configuration == rhs.has_configuration &&
+           lhs.lacks_endpoint_path == rhs.lacks_endpoint_path;
 }
 
 /// Takes over the state in a report about a host.
@@ -25,6 +26,7 @@
     state.is_leaving = reported.is_leaving;
     state.has_configuration = reported.has_configuration;
     state.configuration_age = reported.configuration_age;
+    state.lacks_endpoint_path = reported.lacks_endpoint_path;
 }
 
 } // namespace
@@ -197,7 +199,8 @@
     }
     const bool has_changed = !is_same_process || held->last.is_ready != reported.is_ready ||
                              held->last.is_leaving != reported.is_leaving ||
-                             held->last.has_configuration != reported.has_configuration;
+                             held->last.has_configuration != reported.has_configuration ||
+                             held->last.lacks_endpoint_path != reported.lacks_endpoint_path;
     update_state(held->last, reported);
     held->last.region = region;
     held->last.failure_domain = failure_domain;
--- a/src/gateway/routing/endpoint_history.h
+++ b/src/gateway/routing/endpoint_history.h
@@ -113,6 +113,9 @@
         return now < m_cold_until || is_in_doubt(now);
     }
 
+    /// Whether it is cold by its entry or its own word.
+    [[nodiscard]] bool is_stated_cold(time_point now) const noexcept { return now < m_cold_until; }
+
     /// Whether it is cold for another reason than that it is unproven.
     [[nodiscard]] bool is_known_cold(time_point now) const noexcept
     {
--- a/src/gateway/routing/endpoint_pool.cpp
+++ b/src/gateway/routing/endpoint_pool.cpp
@@ -19,9 +19,6 @@
 constexpr std::size_t max_cached_prefixes = 4'096;
 constexpr std::size_t max_sent_prefixes = 128; // in one heartbeat
 constexpr std::uint64_t typical_tokens = 2'000;
-/// Bounds a measured time to first byte, and stands for the expected time of a region without a
-/// free slot.
-constexpr duration max_expected_wait = std::chrono::seconds{10};
 
 } // namespace
 
@@ -472,19 +469,27 @@
             state.history->is_known_cold(now) || is_without_share(state)) {
             continue;
         }
-        const std::uint32_t active = state.own.active + state.peers.active;
-        if (active < max_active(state)) {
-            load.free_places += max_active(state) - active;
-            const duration expected =
-                state.of_service->states_load
-                    ? modelled_time(state, conditions_of(state, nullptr, {}, now), now)
-                    : expected_time(state, nullptr, {}, now);
-            load.expected_wait = std::min(load.expected_wait, expected);
-        }
+        add_capacity(state, load, now);
     }
     return load;
 }
 
+/// Adds the free slots of an endpoint to those of its region.
+void endpoint_pool::add_capacity(const endpoint_state& state, service_load& load,
+                                 time_point now) const
+{
+    const std::uint32_t active = state.own.active + state.peers.active;
+    if (active >= max_active(state)) {
+        return;
+    }
+    load.free_places += max_active(state) - active;
+    const duration expected =
+        state.of_service->states_load
+            ? modelled_time(state, conditions_of(state, nullptr, {}, now), now)
+            : expected_time(state, nullptr, {}, now);
+    load.expected_wait = std::min(load.expected_wait, expected);
+}
+
 std::uint32_t endpoint_pool::on_sent(const std::string& endpoint, const prompt* request_prompt,
                                      time_point now, std::uint64_t fetched_tokens)
 {
--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -417,6 +417,24 @@
     [[nodiscard]] service_load free_capacity(const service& queried_service, time_point now) const;
     /// @}
 
+    /// @name without a path to endpoints
+    /// @{
+
+    /// The same as `free_capacity()` for hosts of the region that reach its endpoints: what this host
+    /// has found itself, failures and doubts, doesn't count.
+    [[nodiscard]] service_load peer_capacity(const service& queried_service, time_point now) const;
+
+    /// Returns at most `count` random endpoints among those that get requests.
+    [[nodiscard]] std::vector<endpoint_entry> choose_path_samples(std::size_t count,
+                                                                  random_source& random) const;
+
+    /// Number of endpoints that get requests.
+    [[nodiscard]] std::size_t listed() const;
+
+    /// Number of this host's requests that endpoints are executing.
+    [[nodiscard]] std::size_t own_active() const;
+    /// @}
+
     /// @name events of an attempt
     /// @{
 
@@ -458,6 +476,10 @@
     /// @}
 
 private:
+    /// Bounds a measured time to first byte, and stands for the expected time of a region without a
+    /// free slot.
+    static constexpr duration max_expected_wait = std::chrono::seconds{10};
+
     /// A prompt prefix that an engine has processed or is about to process.
     struct cached_prefix {
         time_point last_used{};
@@ -576,6 +598,7 @@
     [[nodiscard]] bool has_room(const endpoint_state& state, time_point now) const;
     void on_rejected(endpoint_state& state, time_point now) const;
     static void on_room_used(endpoint_state& state);
+    void add_capacity(const endpoint_state& state, service_load& load, time_point now) const;
     void update_rate(endpoint_state& state, time_point now) const;
     void update_share(endpoint_state& state, time_point now) const;
     [[nodiscard]] std::optional<duration> time_to_share(endpoint_state& state,
--- a/src/gateway/routing/region_choice.cpp
+++ b/src/gateway/routing/region_choice.cpp
@@ -29,10 +29,12 @@
                                          const std::vector<region_option>& others,
                                          duration objective, const region_choice_options& options)
 {
+    const auto expected_at = [&options](const region_option& option) {
+        return option.expected_wait + round_trip_to(option, options);
+    };
     const duration max_wait = from_seconds(to_seconds(objective) * options.max_objective_fraction);
     const auto home = std::find_if(others.begin(), others.end(), [&](const region_option& option) {
-        return option.is_home && option.free_places > 0 &&
-               option.expected_wait + options.round_trip <= max_wait;
+        return option.is_home && option.free_places > 0 && expected_at(option) <= max_wait;
     });
     if (home != others.end()) {
         return static_cast<std::size_t>(home - others.begin());
@@ -43,10 +45,10 @@
     std::optional<std::size_t> best;
     for (std::size_t at = 0; at < others.size(); ++at) {
         const region_option& option = others[at];
-        if (option.free_places == 0 || (own && option.expected_wait + options.round_trip >= *own)) {
+        if (option.free_places == 0 || (own && expected_at(option) >= *own)) {
             continue;
         }
-        if (!best || option.expected_wait < others[*best].expected_wait) {
+        if (!best || expected_at(option) < expected_at(others[*best])) {
             best = at;
         }
     }
--- a/src/gateway/serving/exchange.cpp
+++ b/src/gateway/serving/exchange.cpp
@@ -18,6 +18,9 @@
 /// accepts from all hosts.
 constexpr std::size_t max_idle_to_host = 4;
 
+/// Endpoints that a host without a path to them considers for one request.
+constexpr std::size_t max_choices = 8;
+
 } // namespace
 
 exchange::exchange(serving_context& context, std::shared_ptr<server_exchange> caller,
@@ -355,6 +358,24 @@
     return allows_region(*authorised.matched_route, of, m_context.settings.region);
 }
 
+/// Returns the endpoint that the request may be sent to now, or nothing. Without a path, this host
+/// only has its open connections, if those are in use.
+std::optional<placement> exchange::choose_endpoint(placement_request request, time_point now) const
+{
+    const bool has_path = !m_context.path.is_lost(now);
+    if (!has_path && !m_context.path.is_receiving(now)) {
+        return std::nullopt;
+    }
+    for (std::size_t choices = 0; choices < max_choices; ++choices) {
+        auto chosen = m_context.pool.choose(request, now, m_context.random);
+        if (!chosen || has_path || m_context.client.has_idle(chosen->address)) {
+            return chosen;
+        }
+        request.excluded.push_back(chosen->endpoint);
+    }
+    return std::nullopt;
+}
+
 /// Finds where a request may be sent now, without the endpoints in `excluded` and without those
 /// from which the first byte is expected too late.
 exchange::placement_options exchange::find_placements(const authorisation& authorised,
@@ -365,7 +386,7 @@
     const placement_request request = to_placement_request(of, excluded);
     placement_options options;
     if (allows_own_region(authorised)) {
-        options.here = m_context.pool.choose(request, now, m_context.random);
+        options.here = choose_endpoint(request, now);
         if (m_context.pool.has_wanted()) {
             m_context.check_endpoints();
         }
@@ -465,7 +486,8 @@
         options.late_here = std::exchange(options.here, std::nullopt);
     }
     const auto dropped = std::erase_if(options.others, [&](const region_option& option) {
-        const duration expected = option.expected_wait + m_context.options.regions.round_trip;
+        const duration expected =
+            option.expected_wait + round_trip_to(option, m_context.options.regions);
         const bool is_late = expected > limit || option.expected_wait > max_ahead;
         if (is_late && option.free_places > 0) {
             options.lowest_expected = std::min(options.lowest_expected, expected);
@@ -483,7 +505,8 @@
     const auto& here = options.here;
     if (!here && !m_is_forwarded && allows_own_region(allowed)) {
         if (const member* holder = find_room_holder(allowed, now)) {
-            return destination{std::nullopt, holder, duration{0}};
+            return destination{std::nullopt, holder, duration{0},
+                               m_context.options.regions.round_trip_in_region};
         }
     }
     const auto elsewhere =
@@ -492,11 +515,12 @@
     if (elsewhere) {
         const region_option& chosen = options.others[*elsewhere];
         if (const member* host = pick_host(m_context, chosen.region, now)) {
-            return destination{std::nullopt, host, chosen.expected_wait};
+            return destination{std::nullopt, host, chosen.expected_wait,
+                               round_trip_to(chosen, m_context.options.regions)};
         }
     }
     if (here) {
-        return destination{here, nullptr, here->expected};
+        return destination{here, nullptr, here->expected, duration{0}};
     }
     return std::nullopt;
 }
@@ -515,7 +539,7 @@
 void exchange::send(const destination& chosen)
 {
     if (chosen.host != nullptr) {
-        send_to_host(*chosen.host, chosen.expected);
+        send_to_host(*chosen.host, chosen.expected, chosen.round_trip);
     }
     else {
         send_to_endpoint(*chosen.endpoint);
@@ -656,18 +680,20 @@
     return host.last.ip + ':' + std::to_string(m_context.settings.peers_port());
 }
 
-void exchange::send_to_host(const member& chosen, duration expected)
+void exchange::send_to_host(const member& chosen, duration expected, duration round_trip)
 {
     m_attempt = new_attempt();
     m_attempt.peer = address_of(chosen);
     m_attempt.placed_at = boot_clock::now();
-    m_attempt.expected = expected + m_context.options.regions.round_trip;
-    ++m_context.forwarded_requests[chosen.last.region + '/' + m_service];
+    m_attempt.expected = expected + round_trip;
+    if (chosen.last.region != m_context.settings.region) {
+        ++m_context.forwarded_requests[chosen.last.region + '/' + m_service];
+    }
     const message_head& head = m_caller->head();
     header_list headers =
         m_context.adapter.to_host_headers(head, {to_milliseconds(time_left()), last_event_id()});
     headers.add(std::string{forwarded_header}, m_context.settings.host);
-    const duration age = boot_clock::now() - m_received + m_context.options.regions.round_trip / 2;
+    const duration age = boot_clock::now() - m_received + round_trip / 2;
     headers.add(std::string{age_header}, std::to_string(to_milliseconds(age).count()));
     if (m_software_version) {
         headers.add(std::string{software_version_header}, std::to_string(*m_software_version));
--- a/src/gateway/serving/exchange.h
+++ b/src/gateway/serving/exchange.h
@@ -108,11 +108,12 @@
         duration lowest_expected = duration::max();
     };
 
-    /// Where the request is sent: to an endpoint here, or to a host of another region.
+    /// Where the request is sent: to an endpoint here, or to another host.
     struct destination {
         std::optional<placement> endpoint;
         const member* host = nullptr;
-        duration expected{0}; ///< time to first byte
+        duration expected{0};   ///< time to first byte; without the round trip to the host
+        duration round_trip{0}; ///< to the host
     };
 
     /// The latest attempt.
@@ -171,6 +172,8 @@
     [[nodiscard]] const prompt* engine_prompt(const service& of) const;
     [[nodiscard]] placement_request to_placement_request(const service& of,
                                                          std::vector<std::string> excluded) const;
+    [[nodiscard]] std::optional<placement> choose_endpoint(placement_request request,
+                                                           time_point now) const;
     [[nodiscard]] bool allows_own_region(const authorisation& authorised) const;
     [[nodiscard]] placement_options find_placements(const authorisation& authorised,
                                                     const service& of,
@@ -200,7 +203,7 @@
     [[nodiscard]] attempt_state new_attempt() const;
     [[nodiscard]] duration max_idle_time() const; ///< of a connection that is reused
     [[nodiscard]] std::string address_of(const member& host) const;
-    void send_to_host(const member& chosen, duration expected);
+    void send_to_host(const member& chosen, duration expected, duration round_trip);
     void begin_call(call_options options, outgoing_request request);
     [[nodiscard]] duration time_left() const;
     [[nodiscard]] time_point wait_deadline() const;
@@ -211,6 +214,9 @@
     void on_sent();
     void on_head(const message_head& head);
     [[nodiscard]] endpoint_incarnation attempted_endpoint() const;
+    void note_connection();
+    void note_disconnection();
+    void note_no_connection();
     void record_endpoint_statement();
     void record_endpoint_end();
     void on_body(std::string& bytes);
--- a/src/gateway/serving/exchange_attempt.cpp
+++ b/src/gateway/serving/exchange_attempt.cpp
@@ -61,9 +61,34 @@
     m_attempt.sent_at = boot_clock::now();
     m_last_progress = m_attempt.sent_at;
     m_next_move_check = {};
+    note_connection();
     arm();
 }
 
+/// Reports a new connection to an endpoint to the path monitor.
+void exchange::note_connection()
+{
+    if (!m_attempt.endpoint.empty() && m_attempt.connection_calls == 1) {
+        m_context.path.on_connected();
+    }
+}
+
+/// Reports to the path monitor that the connection to an endpoint has ended.
+void exchange::note_disconnection()
+{
+    if (!m_attempt.endpoint.empty()) {
+        m_context.path.on_disconnected(boot_clock::now());
+        m_context.check_path();
+    }
+}
+
+/// Reports to the path monitor that no connection to the endpoint could be opened.
+void exchange::note_no_connection()
+{
+    m_context.path.on_not_connected(m_attempt.endpoint, m_context.pool.listed(), boot_clock::now());
+    m_context.check_path();
+}
+
 /// Returns the time from the choice of the peer until the request was sent; 0 if it wasn't.
 duration exchange::connect_time() const noexcept
 {
@@ -134,6 +159,9 @@
     }
     m_last_progress = boot_clock::now();
     m_attempt.last_received = m_last_progress;
+    if (!m_attempt.endpoint.empty()) {
+        m_context.path.on_received(m_last_progress);
+    }
     arm();
 }
 
@@ -172,6 +200,9 @@
 void exchange::on_body(std::string& bytes)
 {
     m_attempt.last_received = boot_clock::now();
+    if (!m_attempt.endpoint.empty()) {
+        m_context.path.on_received(m_attempt.last_received);
+    }
     std::string taken = std::exchange(bytes, {});
     if (is_relayable_stream(m_attempt.head)) {
         relay(taken);
@@ -286,6 +317,9 @@
             m_context.unreachable_until[ip] =
                 boot_clock::now() + m_context.options.unreachable_backoff;
         }
+        else {
+            note_no_connection();
+        }
         const bool is_refused = end == call_end::refused;
         fail_attempt({is_refused ? endpoint_outcome::refused : endpoint_outcome::unreachable, false,
                       false, to_name(end)});
@@ -294,6 +328,7 @@
     const bool is_invalid = end == call_end::malformed || end == call_end::out_of_memory;
     if (!is_invalid) {
         note_broken_off();
+        note_disconnection();
     }
     fail_attempt({is_invalid ? endpoint_outcome::malformed : endpoint_outcome::cut, true, true,
                   to_name(end)});
--- a/src/gateway/serving/gateway.cpp
+++ b/src/gateway/serving/gateway.cpp
@@ -163,6 +163,7 @@
                      },
                  .on_warm = [this] { place_waiting(); },
                  .on_urgent_news = [this] { tell_urgent_news(); }}},
+      m_path_checker{{m_loop, m_pool, m_context.path, m_log, m_metrics, m_random}},
       m_callers{m_loop, [this](const auto& request) { serve_caller(request); }},
       m_peers{m_loop, [this](const auto& request) { serve_peer(request); }},
       m_readiness{m_loop, [this](const auto& request) { serve_readiness(request); }},
@@ -182,8 +183,11 @@
         m_checker.check_wanted();
         tell_urgent_news();
     };
+    m_context.check_path = [this] { m_path_checker.check(boot_clock::now()); };
     m_client.set_on_idle_end([this](const std::string& address) {
         m_pool.on_idle_connection_ended(address, boot_clock::now());
+        m_context.path.on_disconnected(boot_clock::now());
+        m_path_checker.check(boot_clock::now());
         m_checker.check_disconnected();
     });
     m_client.set_memory(m_memory);
@@ -309,6 +313,7 @@
     update_members(boot_clock::now());
     update_quarantine(boot_clock::now());
     m_checker.check_periodically(boot_clock::now());
+    m_path_checker.check(boot_clock::now());
     trim_heap(boot_clock::now());
     close_unread(boot_clock::now());
     send_heartbeats();
--- a/src/gateway/serving/gateway.h
+++ b/src/gateway/serving/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/routing/version_history.h"
 #include "gateway/serving/endpoint_checker.h"
 #include "gateway/serving/health_prober.h"
+#include "gateway/serving/path_checker.h"
 #include "gateway/serving/protocol_adapter.h"
 #include "gateway/serving/serving_context.h"
 #include "gateway/serving/waiting_queue.h"
@@ -93,6 +94,7 @@
     void send_heartbeats();
     void log_aggregators();
     void update_quarantine(time_point now);
+    [[nodiscard]] service_load region_capacity(const service& of, time_point now) const;
     [[nodiscard]] heartbeat own_state(time_point now);
     void on_datagram(std::string_view datagram, time_point arrived_after);
     void record_restart_news(const received_news& news, time_point now);
@@ -145,6 +147,7 @@
     serving_context m_context;
     health_prober m_prober;
     endpoint_checker m_checker;
+    path_checker m_path_checker;
     http_server m_callers;
     http_server m_peers;
     http_server m_readiness;
--- a/src/gateway/serving/gateway_state.cpp
+++ b/src/gateway/serving/gateway_state.cpp
@@ -29,6 +29,9 @@
 /// long; callers usually take up streams within this time.
 constexpr duration told_time = std::chrono::seconds{15};
 
+/// What a region can take if none of its hosts has a path to the endpoints.
+constexpr service_load no_capacity{std::chrono::seconds{10}, 0};
+
 /// A host's claim about software versions is logged if it tells of so much more time.
 constexpr duration logged_version_gain = std::chrono::seconds{1};
 
@@ -46,6 +49,16 @@
 
 // membership
 
+/// Returns what this region can take of requests to a service. Without a path to the endpoints, this
+/// host goes by what those have told that have one.
+service_load gateway::region_capacity(const service& of, time_point now) const
+{
+    if (!m_context.path.is_lost(now)) {
+        return m_pool.free_capacity(of, now);
+    }
+    return has_host_with_path(m_context, now) ? m_pool.peer_capacity(of, now) : no_capacity;
+}
+
 heartbeat gateway::own_state(time_point now)
 {
     heartbeat state;
@@ -58,9 +71,10 @@
         state.is_configuration_checked = m_state.is_version_checked();
         state.operator_change = m_follower.operator_change();
         for (const auto& [name, of] : published->services()) {
-            state.services[name] = m_pool.free_capacity(of, now);
+            state.services[name] = region_capacity(of, now);
         }
     }
+    state.lacks_endpoint_path = m_context.path.is_lost(now);
     state.endpoints = m_pool.own_loads();
     state.restarts = m_pool.own_restarts(now);
     state.all_endpoints_warm = m_pool.are_all_warm(now);
--- a/src/gateway/serving/region_options.cpp
+++ b/src/gateway/serving/region_options.cpp
@@ -6,17 +6,51 @@
 #include <algorithm> // any_of, find, min
 #include <cstdint>   // uint32_t
 #include <map>       // map
+#include <optional>  // nullopt, optional
 
 namespace hickorykeel::gateway {
 
 namespace {
 
-/// Whether requests may be forwarded to `host`.
+/// Whether requests may be forwarded to `host`. One without a path to endpoints could only refuse
+/// them.
 bool is_usable(const serving_context& context, const member& host, time_point now)
 {
     const auto backoff = context.unreachable_until.find(host.last.ip);
     const bool is_in_backoff = backoff != context.unreachable_until.end() && now < backoff->second;
-    return context.members.is_ready(host, now) && host.last.has_configuration && !is_in_backoff;
+    return context.members.is_ready(host, now) && host.last.has_configuration &&
+           !host.last.lacks_endpoint_path && !is_in_backoff;
+}
+
+bool has_usable_host(const serving_context& context, const region_members& region, time_point now)
+{
+    return std::any_of(region.hosts.begin(), region.hosts.end(),
+                       [&](const member* host) { return is_usable(context, *host, now); });
+}
+
+/// Returns the capacity of this host's region for requests that it forwards to another host there, or
+/// nothing if it has a path to the endpoints itself.
+std::optional<service_load> own_region_load(const serving_context& context,
+                                            const std::string& service, time_point now)
+{
+    const publication_ptr& published = context.state.published();
+    if (!context.path.is_lost(now) || published == nullptr) {
+        return std::nullopt;
+    }
+    const auto* of = published->find_service(service);
+    return of == nullptr ? std::nullopt : std::optional{context.pool.peer_capacity(*of, now)};
+}
+
+/// Returns the capacity of a region for requests that are forwarded to it; nothing: it takes none.
+std::optional<service_load> load_of(const serving_context& context, const std::string& region,
+                                    const region_members& known, const std::string& service,
+                                    time_point now)
+{
+    if (region == context.settings.region) {
+        return own_region_load(context, service, now);
+    }
+    const auto load = known.services.find(service);
+    return load == known.services.end() ? std::nullopt : std::optional{load->second};
 }
 
 /// Returns the region for requests that share the prompt's prefix, or an empty string if the
@@ -101,17 +135,13 @@
 {
     std::vector<region_option> options;
     for (const auto& [region, known] : context.members.regions()) {
-        const auto load = known.services.find(query.service);
-        if (region == context.settings.region || load == known.services.end() ||
-            !allows_region(*query.matched_route, query.caller_organisation, region) ||
-            !has_required_version(context, query, region)) {
-            continue;
-        }
-        const bool has_host =
-            std::any_of(known.hosts.begin(), known.hosts.end(),
-                        [&](const member* host) { return is_usable(context, *host, now); });
-        if (has_host) {
-            options.push_back({region, load->second.expected_wait, load->second.free_places});
+        const auto load = load_of(context, region, known, query.service, now);
+        if (load && allows_region(*query.matched_route, query.caller_organisation, region) &&
+            has_required_version(context, query, region) && has_usable_host(context, known, now)) {
+            options.push_back({.region = region,
+                               .expected_wait = load->expected_wait,
+                               .free_places = load->free_places,
+                               .is_own = region == context.settings.region});
         }
     }
     const std::string home = home_region_of(context, query);
@@ -125,6 +155,12 @@
     return options;
 }
 
+bool has_host_with_path(const serving_context& context, time_point now)
+{
+    const auto known = context.members.regions().find(context.settings.region);
+    return known != context.members.regions().end() && has_usable_host(context, known->second, now);
+}
+
 const member* pick_host(serving_context& context, const std::string& region, time_point now)
 {
     const auto known = context.members.regions().find(region);
--- a/src/gateway/serving/region_options.h
+++ b/src/gateway/serving/region_options.h
@@ -36,11 +36,16 @@
 [[nodiscard]] bool has_version(const serving_context& context, const std::string& service,
                                std::uint32_t software_version);
 
-/// Returns the other regions that may serve a request now, each with the load that one of its hosts
-/// last reported, less the requests forwarded since. O(hosts).
+/// Returns the regions that may serve a forwarded request now: other regions, each with the load
+/// that one of its hosts last reported, less the requests forwarded since, and this host's own if it
+/// has lost its path to the endpoints and another host there hasn't. O(hosts).
 [[nodiscard]] std::vector<region_option>
 find_region_options(const serving_context& context, const region_query& query, time_point now);
 
+/// Whether another host of this host's region has a path to its endpoints, as far as is known.
+/// O(hosts of the region).
+[[nodiscard]] bool has_host_with_path(const serving_context& context, time_point now);
+
 /// Returns a random host of `region` that may be sent requests, or null if there is none.
 [[nodiscard]] const member* pick_host(serving_context& context, const std::string& region,
                                       time_point now);
--- a/src/gateway/serving/serving_context.h
+++ b/src/gateway/serving/serving_context.h
@@ -10,6 +10,7 @@
 #include "gateway/observability/event_log.h"
 #include "gateway/observability/gateway_metrics.h"
 #include "gateway/routing/endpoint_pool.h"
+#include "gateway/routing/path_monitor.h"
 #include "gateway/routing/prompt_quarantine.h"
 #include "gateway/routing/prompt_room.h"
 #include "gateway/routing/recent_timeouts.h"
@@ -127,12 +128,15 @@
     std::unordered_map<std::string, first_byte_rate> first_byte_rates = {}; ///< by service
     std::unordered_map<std::string, prompt_room> prompt_rooms = {};         ///< by service
 
+    path_monitor path = path_monitor{}; ///< of this host to the endpoints of its region
+
     /// Of what is held for requests; null: unlimited.
     std::shared_ptr<memory_budget> memory = nullptr;
 
     service_capacities capacities; ///< as of the last change of the published state
 
-    /// Requests forwarded to another region since its last heartbeat, by "region/service".
+    /// Requests forwarded to another region since its last heartbeat, by "region/service". Those that
+    /// are forwarded within this region are in the loads that its hosts report.
     std::unordered_map<std::string, std::uint32_t> forwarded_requests;
 
     instance_registry<exchange> exchanges; ///< that exist, open or not
@@ -157,6 +161,10 @@
 
     /// Asks endpoints that may have restarted for their health; called after each attempt at one.
     std::function<void()> check_endpoints = [] {};
+
+    /// Opens connections to endpoints if the path to them may be lost. Called after each one that could
+    /// not be opened.
+    std::function<void()> check_path = [] {};
 };
 
 } // namespace hickorykeel::gateway
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -3,6 +3,7 @@
 #include "gateway/http/http_server.h"
 #include "gateway/routes.h"
 #include "gateway/serving/exchange.h"
+#include "gateway/serving/path_checker.h"
 #include "gateway/serving/waiting_queue.h"
 #include "platform/headers.h"
 
@@ -221,21 +222,22 @@
     }
 
     /// The same for a host that listens on a port of 127.0.0.2.
-    void add_host_at(unsigned port)
+    /// @param region of the host; "r" is this host's
+    void add_host_at(unsigned port, const std::string& region = "elsewhere")
     {
         m_settings.peers_address = "127.0.0.1:" + std::to_string(port);
         m_settings.retry_slack = 0;
         heartbeat received;
         received.host = "peer";
         received.ip = "127.0.0.2";
-        received.region = "elsewhere";
+        received.region = region;
         received.incarnation = 7;
         received.sequence = 1;
         received.is_ready = true;
         received.has_configuration = true;
         const time_point now = boot_clock::now();
         m_members.on_heartbeat(received, now + test_timeout);
-        m_members.on_services("elsewhere", {{"s", {50ms, 100}}}, now);
+        m_members.on_services(region, {{"s", {50ms, 100}}}, now);
     }
 
     /// Adds a host of this region, to which requests may be forwarded.
@@ -384,6 +386,12 @@
     void pause_caller() { m_call->pause(); }
     void resume_caller() { m_call->resume(); }
 
+    /// From now on, finds out as a host does whether it has lost its path to the endpoints.
+    void begin_path_checks()
+    {
+        m_context.check_path = [this] { m_path_checker.check(boot_clock::now()); };
+    }
+
     /// Runs the loop for a while.
     void run_for(duration span)
     {
@@ -397,6 +405,7 @@
         const time_point limit = boot_clock::now() + test_timeout;
         while (!is_done() && boot_clock::now() < limit) {
             m_loop.restart();
+            m_context.check_path();
             m_loop.run_one_for(10ms);
         }
         REQUIRE(is_done());
@@ -484,6 +493,7 @@
         .waiting_count = [this](const auto& service) { return m_waiting.count(service); },
         .waiting_ahead = [this](const auto& candidate) { return m_waiting.count_ahead(candidate); },
         .retry_waiting = [this] { asio::post(m_loop, [this] { m_waiting.place(); }); }};
+    path_checker m_path_checker{{m_loop, m_pool, m_context.path, m_log, m_metrics, m_random}};
     http_server m_front{m_loop, [this](const auto& request) {
                             const bool is_forwarded =
                                 request->head().headers.contains(forwarded_header);
--- a/tests/gateway/gossip_codec_test.cpp
+++ b/tests/gateway/gossip_codec_test.cpp
@@ -51,7 +51,8 @@
                          .age = 150ms,
                          .is_ready = true,
                          .has_configuration = true,
-                         .configuration_age = 700ms}}}};
+                         .configuration_age = 700ms,
+                         .lacks_endpoint_path = true}}}};
     digest.regions = {
         {"s", "10.1.0.1", 3, 80ms, 12, true, {{"llm", {45ms, 17}}}, {{"o", 9}}, {{"o", 4}}}};
     sent.digest = digest;
@@ -84,6 +85,8 @@
     REQUIRE(received->digest);
     const region_digest& digest = *received->digest;
     CHECK(digest.hosts == 12);
+    REQUIRE(digest.members.size() == 1);
+    CHECK(digest.members.at(0).members.at(0).lacks_endpoint_path);
     CHECK(digest.rotation == 2s);
     CHECK(digest.used.at("o") == 1'234.5);
     CHECK(digest.refused.at("o") == 678);
--- a/tests/gateway/member_table_test.cpp
+++ b/tests/gateway/member_table_test.cpp
@@ -193,12 +193,28 @@
     CHECK(members.known_count() == 3);
 }
 
+TEST_CASE("the loss of a host's path to endpoints is a change, by its own word and by a report")
+{
+    member_table members{"10.0.0.1", {}, {}};
+    heartbeat sent = make_heartbeat("10.0.0.2", 1);
+    CHECK(members.on_heartbeat(sent, start) == member_change::became_live);
+    sent.sequence = 2;
+    sent.lacks_endpoint_path = true;
+    CHECK(members.on_heartbeat(sent, start + 100ms) == member_change::changed);
+    CHECK(members.find("10.0.0.2")->last.lacks_endpoint_path);
+    // a report that says nothing of it, as by a host of an earlier version
+    CHECK(members.on_report(make_report("10.0.0.2", 3), "r", "d", 2s, start + 200ms) ==
+          member_change::changed);
+    CHECK_FALSE(members.find("10.0.0.2")->last.lacks_endpoint_path);
+}
+
 TEST_CASE("a heartbeat is unchanged by encoding and decoding")
 {
     auto sent = make_heartbeat("10.0.0.2", 4);
     sent.failure_domain = "d";
     sent.region = "r";
     sent.has_configuration = true;
+    sent.lacks_endpoint_path = true;
     sent.configuration_version = 12;
     sent.configuration_age = 340ms;
     sent.services["s"] = {25ms, 3};
@@ -211,6 +227,7 @@
     const auto received = decode_heartbeat(encode(sent, heartbeat_scope::own_region));
     REQUIRE(received);
     CHECK(received->host == sent.host);
+    CHECK(received->lacks_endpoint_path);
     CHECK(received->configuration_age == 340ms);
     CHECK(received->services.at("s").free_places == 3);
     CHECK(received->services.at("s").expected_wait == 25ms);
