Don't take refused connections of a host without a path for restarts

What callers saw: requests that a stranded host forwarded to a host with a path were refused there for lack of room, 1,117 times in 14 s.

Cause: the stranded host's refused connections were told to its region as signs that the endpoints had restarted, so that they got the requests of cold ones only, at all hosts.

Change: while the path is lost, they are doubts of that host alone.

The test needs the new setter; without it no host could tell.

--- a/src/gateway/routing/endpoint_pool.h
+++ b/src/gateway/routing/endpoint_pool.h
@@ -420,6 +420,10 @@
     /// @name without a path to endpoints
     /// @{
 
+    /// Sets whether this host has lost its path to the endpoints. While it has, a refused connection
+    /// isn't a sign of a restart on which other hosts act.
+    void set_path_lost(bool is_lost) noexcept { m_is_path_lost = is_lost; }
+
     /// The same as `free_capacity()` for hosts of the region that reach its endpoints: what this host
     /// has found itself, failures and doubts, doesn't count.
     [[nodiscard]] service_load peer_capacity(const service& queried_service, time_point now) const;
@@ -693,6 +697,7 @@
     std::set<std::string> m_disconnected; ///< ids, since `take_disconnected()`
     std::set<std::string> m_wanted;       ///< ids, since `take_wanted()`
     bool m_has_urgent_news = false;
+    bool m_is_path_lost = false;
     endpoint_notices m_notices;
     endpoint_pool_options m_options;
     cold_allowance_function m_to_cold_allowance;
--- a/src/gateway/routing/endpoint_pool_restarts.cpp
+++ b/src/gateway/routing/endpoint_pool_restarts.cpp
@@ -90,8 +90,9 @@
 {
     const auto found = m_endpoints.find(endpoint);
     if (found != m_endpoints.end() && found->second.cold_rate > 0) {
-        found->second.history->on_sign(sign, now);
-        m_has_urgent_news = m_has_urgent_news || concerns_region(sign);
+        const restart_sign taken = m_is_path_lost ? restart_sign::unconfirmed : sign;
+        found->second.history->on_sign(taken, now);
+        m_has_urgent_news = m_has_urgent_news || concerns_region(taken);
     }
 }
 
--- a/tests/gateway/restarted_endpoint_test.cpp
+++ b/tests/gateway/restarted_endpoint_test.cpp
@@ -121,3 +121,22 @@
     with.update(start + 22s);
     CHECK(with.fill(start + 22s) <= 3);
 }
+
+// guards against refusals by hosts with a path: one that had lost its path to all endpoints told its
+// region that they had restarted, so that they got the requests of cold ones
+TEST_CASE("regression: refused connections of a host without a path pass for restarts")
+{
+    endpoint_pool_fixture with{true, 48};
+    with.add("a");
+    with.update(start);
+    with.pool().set_path_lost(true);
+    with.pool().on_restart_sign("a", restart_sign::refused, start + 20s);
+    CHECK_FALSE(with.pool().has_urgent_news());
+    const auto told = with.pool().own_restarts(start + 20s);
+    REQUIRE(told.size() == 1);
+    CHECK_FALSE(told.front().sign_age);
+    CHECK(told.front().doubt_age == 0s);
+    with.pool().set_path_lost(false);
+    with.pool().on_restart_sign("a", restart_sign::refused, start + 21s);
+    CHECK(with.pool().own_restarts(start + 21s).front().sign_age == 0s);
+}
