--- a/tests/gateway/brittle_room_test.cpp
+++ b/tests/gateway/brittle_room_test.cpp
@@ -100,6 +100,27 @@
     CHECK(fill(host, "i-1", start + 1s) == 0);
 }
 
+// guards against LIMIT at an endpoint whose slots aren't all usable, as an engine's without memory
+TEST_CASE("a brittle endpoint at which requests wait gets no more for a moment")
+{
+    pool_fixture host;
+    host.publish("i-1", 1);
+    host.pool().on_rejection_statement({"i-1", 1}, {2, start}, start);
+    host.pool().on_load_statement({"i-1", 1}, {.running = 1, .waiting = 1, .slots = slots}, start,
+                                  start);
+    CHECK(fill(host, "i-1", start + 100ms) == 0);
+    SUBCASE("until it states that none wait")
+    {
+        host.pool().on_load_statement({"i-1", 1}, {.running = 1, .waiting = 0, .slots = slots},
+                                      start + 100ms, start + 100ms);
+        CHECK(fill(host, "i-1", start + 100ms) == slots);
+    }
+    SUBCASE("or until the statement is old")
+    {
+        CHECK(fill(host, "i-1", start + 300ms) == slots);
+    }
+}
+
 // guards against LIMIT after a fall: the endpoint is back and hasn't said anything yet
 TEST_CASE("an incarnation that hasn't responded is taken for as brittle as its service")
 {
