--- a/src/gateway/routing/path_monitor.h
+++ b/src/gateway/routing/path_monitor.h
@@ -66,6 +66,13 @@
     /// Whether no connection to endpoints can be opened, as far as is known.
     [[nodiscard]] bool is_lost(time_point now) const noexcept;
 
+    /// Whether so many endpoints failed that the path is the cause. Where a region has fewer, they may
+    /// all have ended.
+    [[nodiscard]] bool is_certainly_lost(time_point now) const noexcept
+    {
+        return is_lost(now) && m_failures.size() >= m_options.lost_endpoints;
+    }
+
     /// Whether connections should be opened to find out if the path is lost, or still is.
     /// @param active requests that were sent to endpoints and haven't ended
     [[nodiscard]] bool needs_check(std::size_t active, time_point now) const noexcept;
--- a/src/gateway/serving/path_checker.cpp
+++ b/src/gateway/serving/path_checker.cpp
@@ -63,7 +63,7 @@
 void path_checker::update(time_point now)
 {
     const bool is_lost = m_dependencies.path.is_lost(now);
-    m_dependencies.pool.set_path_lost(is_lost);
+    m_dependencies.pool.set_path_lost(m_dependencies.path.is_certainly_lost(now));
     if (is_lost == std::exchange(m_was_lost, is_lost)) {
         return;
     }
--- a/tests/gateway/path_monitor_test.cpp
+++ b/tests/gateway/path_monitor_test.cpp
@@ -56,6 +56,19 @@
     CHECK(path.is_lost(start));
 }
 
+// guards against FAILBACK: the only endpoint had started again, its refused connections passed for a
+// lost path, and the other hosts sent it a warm one's requests
+TEST_CASE("regression: the end of all of a few endpoints passes for a lost path")
+{
+    path_monitor path;
+    path.on_not_connected("i-1", 2, start);
+    path.on_not_connected("i-2", 2, start);
+    CHECK_FALSE(path.is_certainly_lost(start));
+    path.on_not_connected("i-3", 3, start);
+    CHECK(path.is_certainly_lost(start));
+    CHECK_FALSE(path.is_certainly_lost(start + 2s));
+}
+
 TEST_CASE("failures that are far apart don't add up")
 {
     path_monitor path;
