Release connections that the path checker could not open

Each trial connection that failed was held by its own handler and never released: a leak in a host without a path to endpoints, a few times a second. The handler holds a weak pointer now.

lost_path_test under the address sanitizer: 30 allocations leaked before, none after (once each).

--- a/src/gateway/serving/path_checker.cpp
+++ b/src/gateway/serving/path_checker.cpp
@@ -5,7 +5,7 @@
 #include <chrono>  // milliseconds
 #include <cstddef> // size_t
 #include <cstdint> // int64_t
-#include <memory>  // make_shared
+#include <memory>  // make_shared, weak_ptr
 #include <string>  // string
 #include <utility> // exchange
 
@@ -52,10 +52,12 @@
                                    update(now);
                                },
                            .on_connected =
-                               [this, channel] {
+                               [this, opened = std::weak_ptr{channel}] {
                                    m_dependencies.path.on_connected();
                                    update(boot_clock::now());
-                                   channel->close();
+                                   if (const auto self = opened.lock()) {
+                                       self->close();
+                                   }
                                }});
     channel->connect(*address, connect_timeout);
 }
